--- /dev/null
+++ b/crates/wax-cli/src/commands/job/mod.rs
@@ -0,0 +1,18 @@
+//! `waxwing job ...`: looks at jobs and cancels them.
+
+mod cancel;
+mod result;
+mod show;
+
+use crate::context::CommandContext;
+use crate::failure::CommandFailure;
+
+pub(crate) async fn run(context: &mut CommandContext) -> Result<String, CommandFailure> {
+    let command = context.word("show, cancel or result")?;
+    match command.as_str() {
+        "show" => show::run(context).await,
+        "cancel" => cancel::run(context).await,
+        "result" => result::run(context).await,
+        other => Err(CommandFailure::Usage(format!("no command job {other}"))),
+    }
+}
--- /dev/null
+++ b/crates/wax-cli/src/commands/mod.rs
@@ -0,0 +1,61 @@
+//! One file for each command, in a folder for each family.
+
+mod check;
+mod job;
+mod settings;
+mod status;
+mod submit;
+mod usage;
+
+use crate::context::CommandContext;
+use crate::failure::CommandFailure;
+use pico_args::Arguments;
+
+const HELP: &str = "\
+Usage: waxwing [--entry ADDR] [--json] COMMAND [ARGUMENTS]
+
+  check FILE                 checks a daemon's settings file
+  status                     members, shards, settings in force, the store's health
+  submit TEAM SERVICE KIND   submits a job and prints its id
+         [--tasks N] [--input JSON] [--key KEY]
+  job show ID                shows a job and its tasks
+  job cancel ID              cancels a job
+  job result ID [INDEX]      prints the result of a task
+  settings get               prints the tree in force
+  settings explain PATH      prints each value in force and where it comes from
+  settings set PATH KEY VALUE [--expected VERSION] [--wait SECONDS]
+  settings apply DIR [--dry-run] [--wait SECONDS] [--expected VERSION]
+  settings export DIR        writes the tree in force as files for `apply`
+  settings log               the newest changes
+  usage [--team TEAM] [--from DAY] [--to DAY] [--csv]
+
+  --entry ADDR   operators' address of an entry (or WAXWING_ENTRY; default 127.0.0.1:7002)
+  --json         prints the answer as JSON
+  -h, --help     this text
+  -V, --version  the version
+
+Exit codes: 0 done, 1 refused, 2 bad arguments or input, 3 not in force everywhere in time,
+4 no entry could be reached or the store is down.
+";
+
+/// Runs the command of the command line; gives what it prints.
+pub(crate) async fn run() -> Result<String, CommandFailure> {
+    let mut args = Arguments::from_env();
+    if args.contains(["-h", "--help"]) {
+        return Ok(HELP.to_owned());
+    }
+    if args.contains(["-V", "--version"]) {
+        return Ok(format!("waxwing {}\n", env!("CARGO_PKG_VERSION")));
+    }
+    let mut context = CommandContext::new(args)?;
+    let command = context.word("a command")?;
+    match command.as_str() {
+        "check" => check::run(&mut context),
+        "status" => status::run(&mut context).await,
+        "submit" => submit::run(&mut context).await,
+        "job" => job::run(&mut context).await,
+        "settings" => settings::run(&mut context).await,
+        "usage" => usage::run(&mut context).await,
+        other => Err(CommandFailure::Usage(format!("no command {other}"))),
+    }
+}
--- /dev/null
+++ b/crates/wax-cli/src/commands/status.rs
@@ -0,0 +1,130 @@
+//! `waxwing status`: the system as one entry sees it.
+
+use crate::client::OperatorClient;
+use crate::context::CommandContext;
+use crate::failure::CommandFailure;
+use crate::output::{field, items, json_text, table_text};
+use serde_json::Value;
+
+pub(crate) async fn run(context: &mut CommandContext) -> Result<String, CommandFailure> {
+    context.finish()?;
+    let mut status = context.client.get("/v1/status").await?;
+    gather_shards(&mut status).await;
+    if context.json {
+        return Ok(json_text(&status));
+    }
+    Ok(status_text(&status))
+}
+
+/// Adds the shards that other entries own; an entry that does not answer is left out.
+async fn gather_shards(status: &mut Value) {
+    let own = field(status, "entry");
+    let others: Vec<(String, String)> = items(status, "members")
+        .iter()
+        .filter(|member| field(member, "name") != own)
+        .filter_map(|member| {
+            Some((
+                field(member, "name"),
+                member["operators"].as_str()?.to_owned(),
+            ))
+        })
+        .collect();
+    let mut shards = owned_by(status, &own);
+    for (name, address) in others {
+        let Ok(client) = OperatorClient::new(&address) else {
+            continue;
+        };
+        if let Ok(other) = client.get("/v1/status").await {
+            shards.extend(owned_by(&other, &name));
+        }
+    }
+    shards.sort_by_key(|shard| shard["shard"].as_u64());
+    status["shards"] = Value::Array(shards);
+}
+
+/// The shards of one entry's answer, with the owner's name.
+fn owned_by(status: &Value, owner: &str) -> Vec<Value> {
+    let mut shards = items(status, "shards").to_vec();
+    for shard in &mut shards {
+        shard["owner"] = Value::from(owner);
+    }
+    shards
+}
+
+fn status_text(status: &Value) -> String {
+    let settings = &status["settings"];
+    let mut text = format!(
+        "entry {}: settings version {} in force at {} of {}, store {}\n",
+        field(status, "entry"),
+        field(settings, "version"),
+        field(settings, "in_force"),
+        field(settings, "processes"),
+        match status["store_down_ms"].as_u64() {
+            Some(millis) => format!("down for {} s", millis / 1_000),
+            None => "up".to_owned(),
+        }
+    );
+    for missing in items(settings, "missing") {
+        let since = match missing["unreachable_ms"].as_u64() {
+            Some(millis) => format!(", unreachable for {} s", millis / 1_000),
+            None => String::new(),
+        };
+        let name = field(missing, "name");
+        let version = field(missing, "version");
+        text.push_str(&format!(
+            "  not confirmed: {name} at version {version}{since}\n"
+        ));
+    }
+    text.push('\n');
+    text.push_str(&members_text(status));
+    text.push('\n');
+    text.push_str(&shards_text(status));
+    text
+}
+
+fn members_text(status: &Value) -> String {
+    let keys = [
+        "name",
+        "role",
+        "failure_domain",
+        "service",
+        "settings",
+        "leaving",
+    ];
+    let rows: Vec<Vec<String>> = items(status, "members")
+        .iter()
+        .map(|member| keys.iter().map(|key| field(member, key)).collect())
+        .collect();
+    table_text(
+        &["MEMBER", "ROLE", "DOMAIN", "SERVICE", "SETTINGS", "LEAVING"],
+        &rows,
+    )
+}
+
+fn shards_text(status: &Value) -> String {
+    let keys = [
+        "shard",
+        "owner",
+        "epoch",
+        "workers",
+        "reachable",
+        "queued",
+        "placed",
+        "quarantined",
+    ];
+    let rows: Vec<Vec<String>> = items(status, "shards")
+        .iter()
+        .map(|shard| keys.iter().map(|key| field(shard, key)).collect())
+        .collect();
+    let heading = [
+        "SHARD",
+        "OWNER",
+        "EPOCH",
+        "WORKERS",
+        "REACHABLE",
+        "QUEUED",
+        "PLACED",
+        "QUARANTINED",
+    ];
+    table_text(&heading, &rows)
+}
--- /dev/null
+++ b/crates/wax-cli/src/context.rs
@@ -0,0 +1,50 @@
+//! What every command needs: its arguments, the form of output, the entry to ask.
+
+use crate::client::OperatorClient;
+use crate::failure::CommandFailure;
+use pico_args::Arguments;
+
+/// Environment variable for the operators' address of an entry.
+const ADDRESS_VARIABLE: &str = "WAXWING_ENTRY";
+const DEFAULT_ADDRESS: &str = "127.0.0.1:7002";
+
+/// Arguments and common options.
+pub(crate) struct CommandContext {
+    pub(crate) args: Arguments,
+    pub(crate) json: bool,
+    pub(crate) client: OperatorClient,
+}
+
+impl CommandContext {
+    pub(crate) fn new(mut args: Arguments) -> Result<Self, CommandFailure> {
+        let json = args.contains("--json");
+        let named: Option<String> = args.opt_value_from_str("--entry")?;
+        let address = named
+            .or_else(|| std::env::var(ADDRESS_VARIABLE).ok())
+            .unwrap_or_else(|| DEFAULT_ADDRESS.to_owned());
+        let client = OperatorClient::new(&address)?;
+        Ok(Self { args, json, client })
+    }
+
+    /// Takes the next word of the command line.
+    pub(crate) fn word(&mut self, name: &str) -> Result<String, CommandFailure> {
+        let word: Option<String> = self.args.opt_free_from_str()?;
+        match word {
+            Some(word) if !word.starts_with('-') => Ok(word),
+            Some(word) => Err(CommandFailure::Usage(format!("unexpected option {word}"))),
+            None => Err(CommandFailure::Usage(format!("{name} is missing"))),
+        }
+    }
+
+    /// Refuses what no command has taken.
+    pub(crate) fn finish(&mut self) -> Result<(), CommandFailure> {
+        let args = std::mem::replace(&mut self.args, Arguments::from_vec(Vec::new()));
+        match args.finish().first() {
+            None => Ok(()),
+            Some(extra) => {
+                let text = format!("unexpected argument {}", extra.to_string_lossy());
+                Err(CommandFailure::Usage(text))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/wax-http/src/client.rs
@@ -0,0 +1,128 @@
+//! Client connections that are counted, for an upstream with a bound on connections.
+
+use crate::body::ReplyBody;
+use compio::net::TcpStream;
+use compio::runtime::spawn;
+use compio::time::timeout;
+use cyper_core::HyperStream;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use wax_types::{ErrorKind, Step, WaxError};
+
+/// How many connections are open.
+#[derive(Debug, Clone, Default)]
+pub struct ConnectionCount(Rc<Cell<usize>>);
+
+impl ConnectionCount {
+    /// The present count.
+    pub fn get(&self) -> usize {
+        self.0.get()
+    }
+}
+
+struct CountGuard(ConnectionCount);
+
+impl CountGuard {
+    fn new(count: &ConnectionCount) -> Self {
+        count.0.set(count.0.get() + 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for CountGuard {
+    fn drop(&mut self) {
+        self.0.0.set(self.0.0.get() - 1);
+    }
+}
+
+/// One connection to an HTTP/1.1 server.
+#[derive(Debug)]
+pub struct ClientConnection {
+    sender: SendRequest<ReplyBody>,
+}
+
+impl ClientConnection {
+    /// Connects within `limit`; `count` falls again when the socket is closed.
+    ///
+    /// # Errors
+    ///
+    /// `Unavailable`: the server cannot be reached; nothing was sent.
+    pub async fn open(
+        address: SocketAddr,
+        limit: Duration,
+        count: &ConnectionCount,
+    ) -> Result<Self, WaxError> {
+        let guard = CountGuard::new(count);
+        let unreachable = |error: &dyn std::fmt::Display| {
+            let kind = ErrorKind::Unavailable(Duration::from_secs(1));
+            WaxError::new(kind, Step::Connect, address.to_string(), error)
+        };
+        let stream = match timeout(limit, connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(unreachable(&error)),
+            Err(_) => return Err(unreachable(&"no connection in time")),
+        };
+        let (sender, connection) = handshake(HyperStream::new_plain(stream))
+            .await
+            .map_err(|error| unreachable(&error))?;
+        spawn(async move {
+            // A broken connection shows at its sender.
+            let _ = connection.await;
+            drop(guard);
+        })
+        .detach();
+        Ok(Self { sender })
+    }
+
+    /// Whether the connection can take a request now.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Waits until the connection can take a request; says whether it still lives.
+    pub async fn ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Sends a request; gives it back where nothing of it was sent.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke; without the request, the server may have taken it.
+    pub async fn try_send(
+        &mut self,
+        request: Request<ReplyBody>,
+    ) -> Result<Response<Incoming>, (hyper::Error, Option<Request<ReplyBody>>)> {
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(mut error) => {
+                let unsent = error.take_message();
+                Err((error.into_error(), unsent))
+            }
+        }
+    }
+
+    /// Sends a request.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke; the server may have taken the request.
+    pub async fn send(
+        &mut self,
+        request: Request<ReplyBody>,
+    ) -> Result<Response<Incoming>, hyper::Error> {
+        self.sender.send_request(request).await
+    }
+}
+
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
--- /dev/null
+++ b/crates/wax-http/src/lib.rs
@@ -0,0 +1,19 @@
+//! HTTP/1.1 server and client connections on compio, by hyper.
+
+mod body;
+mod client;
+mod reply;
+mod server;
+mod shutdown;
+
+pub use body::{BodySender, CutBody, ReplyBody, body_channel};
+pub use client::{ClientConnection, ConnectionCount};
+pub use reply::{collect_body, empty_reply, error_reply, json_reply, parse_json};
+pub use server::{HttpHandler, HttpServer, OpenCount, bind_listener};
+pub use shutdown::ShutdownSignal;
+
+/// A request as the server receives it.
+pub type HttpRequest = http::Request<hyper::body::Incoming>;
+
+/// An answer that the server sends.
+pub type HttpReply = http::Response<ReplyBody>;
--- /dev/null
+++ b/crates/wax-http/src/reply.rs
@@ -0,0 +1,102 @@
+//! Builds answers and reads bodies.
+
+use crate::body::ReplyBody;
+use crate::{HttpReply, HttpRequest};
+use bytes::Bytes;
+use http::{Response, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use wax_types::{ErrorKind, Step, WaxError};
+
+/// An answer without a body.
+pub fn empty_reply(status: StatusCode) -> HttpReply {
+    let mut reply = Response::new(ReplyBody::empty());
+    *reply.status_mut() = status;
+    reply
+}
+
+/// An answer with a JSON body.
+pub fn json_reply<T: Serialize>(status: StatusCode, body: &T) -> HttpReply {
+    let bytes = serde_json::to_vec(body).unwrap_or_default();
+    let mut reply = Response::new(ReplyBody::whole(bytes));
+    *reply.status_mut() = status;
+    let json = header::HeaderValue::from_static("application/json");
+    reply.headers_mut().insert(header::CONTENT_TYPE, json);
+    reply
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    error: &'a str,
+    step: String,
+    peer: &'a str,
+    help: &'a str,
+}
+
+/// An answer for an error: its status, its text, and when to come back.
+pub fn error_reply(error: &WaxError) -> HttpReply {
+    let status = match error.kind {
+        ErrorKind::Invalid => StatusCode::BAD_REQUEST,
+        ErrorKind::NotFound => StatusCode::NOT_FOUND,
+        ErrorKind::Conflict => StatusCode::CONFLICT,
+        ErrorKind::Overload(_) => StatusCode::TOO_MANY_REQUESTS,
+        ErrorKind::Unavailable(_) => StatusCode::SERVICE_UNAVAILABLE,
+        ErrorKind::Timeout => StatusCode::GATEWAY_TIMEOUT,
+        ErrorKind::Protocol | ErrorKind::Ambiguous => StatusCode::BAD_GATEWAY,
+    };
+    let body = ErrorBody {
+        error: &error.label,
+        step: error.step.to_string(),
+        peer: &error.peer,
+        help: &error.help,
+    };
+    let mut reply = json_reply(status, &body);
+    if let Some(after) = error.retry_after() {
+        let headers = reply.headers_mut();
+        let seconds = after.as_secs_f64().ceil().max(1.0) as u64;
+        headers.insert(header::RETRY_AFTER, seconds.into());
+        headers.insert("waxwing-retry-after-ms", (after.as_millis() as u64).into());
+    }
+    reply
+}
+
+/// Reads a whole body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// `Invalid` if it is longer; `Protocol` if it was cut.
+pub async fn collect_body(request: HttpRequest, limit: usize) -> Result<Bytes, WaxError> {
+    match Limited::new(request.into_body(), limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            let text = format!("the body is longer than {limit} bytes");
+            Err(
+                WaxError::new(ErrorKind::Invalid, Step::ParseRequest, "caller", text)
+                    .with_help("send a smaller body"),
+            )
+        }
+        Err(error) => Err(WaxError::new(
+            ErrorKind::Protocol,
+            Step::ParseRequest,
+            "caller",
+            error,
+        )),
+    }
+}
+
+/// Reads a JSON body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// As for [`collect_body`]; `Invalid` if it is not the expected JSON.
+pub async fn parse_json<T: DeserializeOwned>(
+    request: HttpRequest,
+    limit: usize,
+) -> Result<T, WaxError> {
+    let bytes = collect_body(request, limit).await?;
+    serde_json::from_slice(&bytes).map_err(|error| {
+        WaxError::new(ErrorKind::Invalid, Step::ParseRequest, "caller", error)
+            .with_help("send the JSON that docs/OPERATING.md describes")
+    })
+}
--- /dev/null
+++ b/crates/wax-http/src/server.rs
@@ -0,0 +1,166 @@
+//! Accepts connections and serves requests until shutdown; cuts off no request in progress.
+
+use crate::shutdown::ShutdownSignal;
+use crate::{HttpReply, HttpRequest};
+use compio::net::{TcpListener, TcpStream};
+use compio::runtime::spawn;
+use cyper_core::{CompioTimer, HyperStream};
+use event_listener::Event;
+use futures_util::future::{Either, select};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::io;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use wax_types::{ErrorKind, Step, WaxError};
+
+/// A caller that sends no whole header for this long is cut off.
+const HEADER_LIMIT: Duration = Duration::from_secs(10);
+/// The longest header accepted, in bytes.
+const HEADER_BYTES: usize = 32 << 10;
+/// After a failed accept, such as for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers requests of one server.
+pub trait HttpHandler: 'static {
+    /// Answers one request.
+    fn handle(&self, request: HttpRequest) -> impl Future<Output = HttpReply>;
+}
+
+/// Binds a listener; port 0 takes a free one.
+///
+/// # Errors
+///
+/// The address is not ours or is in use.
+pub fn bind_listener(address: SocketAddr) -> Result<TcpListener, WaxError> {
+    let bind = || {
+        let listener = StdListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        TcpListener::from_std(listener)
+    };
+    bind().map_err(|error: io::Error| {
+        WaxError::new(ErrorKind::Invalid, Step::Listen, address.to_string(), error)
+            .with_help("choose an address of this machine and a free port, or port 0")
+    })
+}
+
+/// Counts the open connections of a server.
+#[derive(Debug, Default)]
+pub struct OpenCount {
+    open: Cell<usize>,
+    most: Cell<usize>,
+    closed: Event,
+}
+
+impl OpenCount {
+    /// The most that were open at once.
+    pub fn most(&self) -> usize {
+        self.most.get()
+    }
+}
+
+/// One more open connection until it is dropped.
+struct OpenGuard(Rc<OpenCount>);
+
+impl OpenGuard {
+    fn new(count: &Rc<OpenCount>) -> Self {
+        count.open.set(count.open.get() + 1);
+        count.most.set(count.most.get().max(count.open.get()));
+        Self(count.clone())
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+        self.0.closed.notify(usize::MAX);
+    }
+}
+
+/// Serves HTTP/1.1 on one listener.
+pub struct HttpServer<H> {
+    listener: TcpListener,
+    handler: Rc<H>,
+    shutdown: ShutdownSignal,
+    count: Rc<OpenCount>,
+}
+
+impl<H: HttpHandler> HttpServer<H> {
+    /// Prepares a server.
+    pub fn new(listener: TcpListener, handler: Rc<H>, shutdown: ShutdownSignal) -> Self {
+        Self {
+            listener,
+            handler,
+            shutdown,
+            count: Rc::default(),
+        }
+    }
+
+    /// The count of connections, which outlives the server.
+    pub fn open_count(&self) -> Rc<OpenCount> {
+        self.count.clone()
+    }
+
+    /// Serves until shutdown, then until every connection has finished its request.
+    pub async fn run(self) {
+        loop {
+            let accept = pin!(self.listener.accept());
+            let stop = pin!(self.shutdown.wait());
+            match select(stop, accept).await {
+                Either::Left(_) => break,
+                Either::Right((Ok((stream, _)), _)) => self.start_connection(stream),
+                Either::Right((Err(_), _)) => compio::time::sleep(ACCEPT_PAUSE).await,
+            }
+        }
+        drop(self.listener);
+        while self.count.open.get() > 0 {
+            let listener = self.count.closed.listen();
+            if self.count.open.get() > 0 {
+                listener.await;
+            }
+        }
+    }
+
+    fn start_connection(&self, stream: TcpStream) {
+        // Without it, small answers may wait for the peer's delayed acknowledgement.
+        let _ = stream.set_nodelay(true);
+        let guard = OpenGuard::new(&self.count);
+        let handler = self.handler.clone();
+        let shutdown = self.shutdown.clone();
+        spawn(async move {
+            serve_connection(stream, handler, shutdown).await;
+            drop(guard);
+        })
+        .detach();
+    }
+}
+
+async fn serve_connection<H: HttpHandler>(
+    stream: TcpStream,
+    handler: Rc<H>,
+    shutdown: ShutdownSignal,
+) {
+    let service = service_fn(move |request| {
+        let handler = handler.clone();
+        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(CompioTimer)
+        .header_read_timeout(HEADER_LIMIT)
+        .max_buf_size(HEADER_BYTES)
+        .serve_connection(HyperStream::new_plain(stream), service);
+    let mut connection = pin!(connection);
+    let finished = {
+        let stop = pin!(shutdown.wait());
+        matches!(select(stop, connection.as_mut()).await, Either::Right(_))
+    };
+    if !finished {
+        connection.as_mut().graceful_shutdown();
+        // The peer's errors concern only this connection.
+        let _ = connection.await;
+    }
+}
--- /dev/null
+++ b/crates/wax-ledger/src/lib.rs
@@ -0,0 +1,9 @@
+//! The ledger: what each run used, in immutable segments of the object store.
+
+mod entry;
+mod segment;
+mod sum;
+
+pub use entry::{LedgerEntry, UsageAmount, UsageKey};
+pub use segment::{LEDGER_PREFIX, day_of, read_days, segment_key, write_segment};
+pub use sum::{UsageRow, UsageSum};
--- /dev/null
+++ b/crates/wax-member/src/heartbeat.rs
@@ -0,0 +1,178 @@
+//! Renews this process's row and observes all others.
+
+use crate::row::{MEMBER_PREFIX, MemberRow, member_key};
+use crate::watch::MemberWatch;
+use compio::time::sleep;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use wax_http::ShutdownSignal;
+use wax_platform::{CommitOutcome, TableClient, TableTransaction};
+use wax_types::{ErrorKind, ProcessClock, RowVersion, SettingsVersion, Step, TimePoint, WaxError};
+
+/// Rows that stood still for so many terms are deleted.
+const TERMS_BEFORE_DELETION: u32 = 20;
+
+/// What the rest of the process knows of membership.
+#[derive(Debug, Clone)]
+pub struct MemberHandle {
+    shared: Rc<HandleShared>,
+}
+
+#[derive(Debug)]
+struct HandleShared {
+    row: RefCell<MemberRow>,
+    watch: RefCell<MemberWatch>,
+    observed: Cell<Option<TimePoint>>,
+    ttl: Duration,
+}
+
+impl MemberHandle {
+    /// Begins with `row`; nothing is written yet.
+    pub fn new(row: MemberRow, ttl: Duration) -> Self {
+        let shared = HandleShared {
+            row: RefCell::new(row),
+            watch: RefCell::default(),
+            observed: Cell::new(None),
+            ttl,
+        };
+        Self {
+            shared: Rc::new(shared),
+        }
+    }
+
+    /// The next renewal says this version.
+    pub fn note_settings(&self, version: SettingsVersion) {
+        self.shared.row.borrow_mut().settings = version;
+    }
+
+    /// The next renewal says that this process takes no new work.
+    pub fn note_leaving(&self) {
+        self.shared.row.borrow_mut().leaving = true;
+    }
+
+    /// This process's own row.
+    pub fn own_row(&self) -> MemberRow {
+        self.shared.row.borrow().clone()
+    }
+
+    /// The rows of the live members, as last observed.
+    pub fn live(&self, now: TimePoint) -> Vec<MemberRow> {
+        let watch = self.shared.watch.borrow();
+        watch
+            .live(now, self.shared.ttl)
+            .map(|state| state.row.clone())
+            .collect()
+    }
+
+    /// Runs `look` on the members as last observed.
+    pub fn with_watch<T>(&self, look: impl FnOnce(&MemberWatch) -> T) -> T {
+        look(&self.shared.watch.borrow())
+    }
+
+    /// When the members were last observed; `None` before the first time.
+    pub fn observed(&self) -> Option<TimePoint> {
+        self.shared.observed.get()
+    }
+
+    /// A member whose row stands still for this long is taken for dead.
+    pub fn ttl(&self) -> Duration {
+        self.shared.ttl
+    }
+}
+
+/// Renews and observes every `period` until `shutdown`.
+pub async fn keep_membership(
+    handle: MemberHandle,
+    table: TableClient,
+    clock: ProcessClock,
+    period: Duration,
+    shutdown: ShutdownSignal,
+) {
+    let mut version = RowVersion::default();
+    let mut failing = false;
+    while !shutdown.is_raised() {
+        let result = beat(&handle, &table, clock, period, &mut version).await;
+        if let Err(error) = &result
+            && !failing
+        {
+            tracing::warn!(%error, "membership is not renewed");
+        }
+        failing = result.is_err();
+        sleep(period).await;
+    }
+}
+
+async fn beat(
+    handle: &MemberHandle,
+    table: &TableClient,
+    clock: ProcessClock,
+    period: Duration,
+    version: &mut RowVersion,
+) -> Result<(), WaxError> {
+    let row = {
+        let mut row = handle.shared.row.borrow_mut();
+        row.beat += 1;
+        row.clone()
+    };
+    let key = member_key(&row.name);
+    let mut transaction = TableTransaction::default();
+    transaction.put(key.clone(), *version, &row);
+    match table.commit(&transaction, clock.now() + period).await {
+        CommitOutcome::Committed(written) => *version = written,
+        CommitOutcome::Conflict(_) => *version = claim_row(table, &key, &row).await?,
+        CommitOutcome::NotSent(error) | CommitOutcome::Unknown(error) => return Err(error),
+    }
+    let now = clock.now();
+    let rows = table.scan::<MemberRow>(MEMBER_PREFIX).await?;
+    handle.shared.watch.borrow_mut().observe(now, rows);
+    handle.shared.observed.set(Some(now));
+    delete_gone(handle, table, now, period).await;
+    Ok(())
+}
+
+/// The version of a row under our name; the next beat overwrites it.
+///
+/// The row may be an earlier run's. Where another live process has our name, the two overwrite
+/// each other, and both say so.
+async fn claim_row(
+    table: &TableClient,
+    key: &str,
+    row: &MemberRow,
+) -> Result<RowVersion, WaxError> {
+    let Some(found) = table.read::<MemberRow>(key).await? else {
+        return Ok(RowVersion::default());
+    };
+    if found.value.incarnation != row.incarnation && row.beat > 2 {
+        let error = WaxError::new(
+            ErrorKind::Conflict,
+            Step::CommitTable,
+            key,
+            "another process renews the row of this name",
+        );
+        tracing::error!(error = %error.with_help("give each process a name of its own"));
+    }
+    Ok(found.version)
+}
+
+async fn delete_gone(handle: &MemberHandle, table: &TableClient, now: TimePoint, limit: Duration) {
+    let gone: Vec<_> = handle.with_watch(|watch| {
+        watch
+            .gone(now, handle.ttl() * TERMS_BEFORE_DELETION)
+            .map(|state| {
+                (
+                    member_key(&state.row.name),
+                    state.version,
+                    state.row.clone(),
+                )
+            })
+            .collect()
+    });
+    for (key, version, row) in gone {
+        let mut transaction = TableTransaction::default();
+        transaction.delete(key, version);
+        tracing::info!(member = %row.name, "member row deleted");
+        // Whoever else deletes it does the same work.
+        let _ = table.commit(&transaction, now + limit).await;
+    }
+}
--- /dev/null
+++ b/crates/wax-platform/src/group.rs
@@ -0,0 +1,130 @@
+//! Merges small transactions of many requests into few commits.
+
+use crate::table::{CommitOutcome, TableClient, TableTransaction};
+use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+use futures_channel::oneshot;
+use futures_util::StreamExt;
+use std::collections::HashSet;
+use std::time::Duration;
+use wax_types::{ErrorKind, Step, TimePoint, WaxError};
+
+/// Transactions merged into one commit at most.
+const GROUP_LIMIT: usize = 64;
+
+#[derive(Debug)]
+struct GroupItem {
+    transaction: TableTransaction,
+    deadline: TimePoint,
+    reply: oneshot::Sender<CommitOutcome>,
+}
+
+/// Queues transactions; one task commits them, one group at a time.
+#[derive(Debug, Clone)]
+pub struct GroupWriter {
+    queue: UnboundedSender<GroupItem>,
+}
+
+impl GroupWriter {
+    /// Starts the committing task; it ends when the last clone of the writer is dropped.
+    pub fn start(table: TableClient) -> Self {
+        let (queue, items) = unbounded();
+        compio::runtime::spawn(write_groups(table, items)).detach();
+        Self { queue }
+    }
+
+    /// Commits a transaction together with others that wait.
+    ///
+    /// Its outcome is its own: a conflict of another one does not reach it.
+    pub async fn commit(
+        &self,
+        transaction: TableTransaction,
+        deadline: TimePoint,
+    ) -> CommitOutcome {
+        let (reply, outcome) = oneshot::channel();
+        let item = GroupItem {
+            transaction,
+            deadline,
+            reply,
+        };
+        let stopped = |text| {
+            let kind = ErrorKind::Unavailable(Duration::from_secs(1));
+            WaxError::new(kind, Step::CommitTable, "table", text)
+        };
+        if self.queue.unbounded_send(item).is_err() {
+            return CommitOutcome::NotSent(stopped("the writer has stopped"));
+        }
+        outcome
+            .await
+            .unwrap_or_else(|_| CommitOutcome::Unknown(stopped("the writer stopped")))
+    }
+}
+
+async fn write_groups(table: TableClient, mut items: UnboundedReceiver<GroupItem>) {
+    let mut held: Option<GroupItem> = None;
+    loop {
+        let first = match held.take() {
+            Some(item) => item,
+            None => match items.next().await {
+                Some(item) => item,
+                None => return,
+            },
+        };
+        let mut group = vec![first];
+        held = fill_group(&mut group, &mut items);
+        commit_group(&table, group).await;
+    }
+}
+
+/// Adds waiting items with keys of their own; returns the first whose keys overlap.
+fn fill_group(
+    group: &mut Vec<GroupItem>,
+    items: &mut UnboundedReceiver<GroupItem>,
+) -> Option<GroupItem> {
+    let mut keys: HashSet<Box<str>> = group[0].transaction.keys().map(Into::into).collect();
+    while group.len() < GROUP_LIMIT {
+        let Ok(item) = items.try_recv() else {
+            return None;
+        };
+        if item.transaction.keys().any(|key| keys.contains(key)) {
+            return Some(item);
+        }
+        keys.extend(item.transaction.keys().map(Box::from));
+        group.push(item);
+    }
+    None
+}
+
+/// Commits a group; where it meets a conflict or an open fate, each item is committed alone.
+async fn commit_group(table: &TableClient, group: Vec<GroupItem>) {
+    let mut sent = false;
+    if group.len() > 1 {
+        let merged = merge(&group);
+        let deadline = group.iter().map(|item| item.deadline).min();
+        match table.commit(&merged, deadline.unwrap_or_default()).await {
+            CommitOutcome::Conflict(_) => {}
+            CommitOutcome::Unknown(_) => sent = true,
+            shared => return answer_all(group, &shared),
+        }
+    }
+    for item in group {
+        let outcome = table
+            .commit_again(&item.transaction, item.deadline, sent)
+            .await;
+        // A requester that went away no longer needs the outcome.
+        let _ = item.reply.send(outcome);
+    }
+}
+
+fn answer_all(group: Vec<GroupItem>, outcome: &CommitOutcome) {
+    for item in group {
+        let _ = item.reply.send(outcome.clone());
+    }
+}
+
+fn merge(group: &[GroupItem]) -> TableTransaction {
+    let mut merged = group[0].transaction.clone();
+    for item in &group[1..] {
+        merged.absorb(&item.transaction);
+    }
+    merged
+}
--- /dev/null
+++ b/crates/wax-platform/src/http_call.rs
@@ -0,0 +1,159 @@
+//! One HTTP call with JSON bodies and a time limit.
+
+use compio::time::timeout;
+use cyper::{Client, RequestBuilder};
+use http::StatusCode;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::time::Duration;
+use wax_types::{ErrorKind, Step, WaxError};
+
+/// Calls a peer by HTTP with a limit on the whole call.
+#[derive(Debug, Clone)]
+pub struct HttpCaller {
+    client: Client,
+    limit: Duration,
+}
+
+impl HttpCaller {
+    /// Builds a caller whose calls take at most `limit`.
+    ///
+    /// # Errors
+    ///
+    /// The client cannot be built.
+    pub fn new(limit: Duration) -> Result<Self, WaxError> {
+        let client = Client::new()
+            .map_err(|error| WaxError::new(ErrorKind::Invalid, Step::Connect, "http", error))?;
+        Ok(Self { client, limit })
+    }
+
+    /// Sends `body` as JSON and decodes the JSON answer.
+    ///
+    /// # Errors
+    ///
+    /// `Unavailable` if no connection was made, so that nothing was sent; `Timeout`, `Ambiguous`
+    /// or `Protocol` if something may have been.
+    pub async fn post<B: Serialize, R: DeserializeOwned>(
+        &self,
+        step: Step,
+        url: &str,
+        body: &B,
+    ) -> Result<R, WaxError> {
+        let bytes = serde_json::to_vec(body).map_err(|error| invalid(step, url, error))?;
+        let request = self
+            .client
+            .post(url)
+            .and_then(|request| request.header("content-type", "application/json"))
+            .map_err(|error| invalid(step, url, error))?
+            .body(bytes);
+        let (status, bytes) = self.send(step, url, request).await?;
+        decode(step, url, status, &bytes)
+    }
+
+    /// Gets a JSON document.
+    ///
+    /// # Errors
+    ///
+    /// As for [`HttpCaller::post`].
+    pub async fn get<R: DeserializeOwned>(&self, step: Step, url: &str) -> Result<R, WaxError> {
+        let request = self
+            .client
+            .get(url)
+            .map_err(|error| invalid(step, url, error))?;
+        let (status, bytes) = self.send(step, url, request).await?;
+        decode(step, url, status, &bytes)
+    }
+
+    /// Builds a request with a body and extra headers.
+    ///
+    /// # Errors
+    ///
+    /// The URL or a header is malformed.
+    pub fn request(
+        &self,
+        step: Step,
+        method: http::Method,
+        url: &str,
+        headers: &[(&str, &str)],
+        body: Vec<u8>,
+    ) -> Result<RequestBuilder, WaxError> {
+        let mut request = self
+            .client
+            .request(method, url)
+            .map_err(|error| invalid(step, url, error))?;
+        for (name, value) in headers {
+            request = request
+                .header(*name, *value)
+                .map_err(|error| invalid(step, url, error))?;
+        }
+        Ok(request.body(body))
+    }
+
+    /// Sends a request and reads the whole answer within the limit.
+    ///
+    /// # Errors
+    ///
+    /// `Unavailable`, `Timeout` or `Ambiguous` as for [`HttpCaller::post`].
+    pub async fn send(
+        &self,
+        step: Step,
+        url: &str,
+        request: RequestBuilder,
+    ) -> Result<(StatusCode, Vec<u8>), WaxError> {
+        let call = async {
+            let response = request.send().await?;
+            let status = response.status();
+            let bytes = response.bytes().await?;
+            Ok::<_, cyper::Error>((status, bytes.to_vec()))
+        };
+        match timeout(self.limit, call).await {
+            Err(_) => Err(WaxError::new(
+                ErrorKind::Timeout,
+                step,
+                url,
+                "no answer in time",
+            )),
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(error)) => Err(classify(step, url, &error)),
+        }
+    }
+}
+
+/// A refused connection means that nothing was sent; anything else may have been.
+fn classify(step: Step, url: &str, error: &cyper::Error) -> WaxError {
+    let mut source: Option<&(dyn std::error::Error + 'static)> = Some(error);
+    while let Some(current) = source {
+        if let Some(io) = current.downcast_ref::<std::io::Error>()
+            && io.kind() == std::io::ErrorKind::ConnectionRefused
+        {
+            let kind = ErrorKind::Unavailable(Duration::from_secs(1));
+            return WaxError::new(kind, step, url, error);
+        }
+        source = current.source();
+    }
+    WaxError::new(ErrorKind::Ambiguous, step, url, error)
+}
+
+fn invalid(step: Step, url: &str, error: impl std::fmt::Display) -> WaxError {
+    WaxError::new(ErrorKind::Invalid, step, url, error)
+}
+
+fn decode<R: DeserializeOwned>(
+    step: Step,
+    url: &str,
+    status: StatusCode,
+    bytes: &[u8],
+) -> Result<R, WaxError> {
+    if !status.is_success() {
+        let text = String::from_utf8_lossy(&bytes[..bytes.len().min(200)]);
+        let kind = match status {
+            StatusCode::NOT_FOUND => ErrorKind::NotFound,
+            StatusCode::CONFLICT => ErrorKind::Conflict,
+            status if status.is_client_error() => ErrorKind::Invalid,
+            _ => ErrorKind::Ambiguous,
+        };
+        return Err(WaxError::new(kind, step, url, format!("{status}: {text}")));
+    }
+    serde_json::from_slice(bytes)
+        .map_err(|error| WaxError::new(ErrorKind::Protocol, step, url, error))
+}
--- /dev/null
+++ b/crates/wax-platform/src/lib.rs
@@ -0,0 +1,23 @@
+//! The platform's edges: table service, object store and workers, over HTTP and JSON.
+//!
+//! Nothing outside this crate knows the wire forms.
+
+mod group;
+mod http_call;
+mod objects;
+mod store;
+mod table;
+mod wire;
+mod workers;
+
+pub use group::GroupWriter;
+pub use http_call::HttpCaller;
+pub use objects::{ObjectClient, PutOutcome};
+pub use store::{StoreHealth, StoreLimits};
+pub use table::{CommitOutcome, RowEntry, TableClient, TableTransaction};
+pub use wire::{
+    CheckpointReply, CommitReply, CommitRequest, ControlRequest, ReadReply, ReadRequest,
+    RenewReply, RenewRequest, RowCondition, RowWrite, ScanRequest, StartReply, StartRequest,
+    TaskMark, TaskReport, TaskRun, ThrottleRequest, UsageReport, WireRow, WorkerInfo, WorkerList,
+};
+pub use workers::{WorkerClient, WorkerDirectory};
--- /dev/null
+++ b/crates/wax-platform/src/objects.rs
@@ -0,0 +1,106 @@
+//! Immutable objects: written once, read many times.
+
+use crate::store::StoreHealth;
+use http::{Method, StatusCode};
+use serde::Deserialize;
+use wax_types::{ErrorKind, Step, WaxError};
+
+/// What a put found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PutOutcome {
+    /// The object was created now.
+    Created,
+    /// An object of this name was there before and is unchanged.
+    Existed,
+}
+
+#[derive(Debug, Deserialize)]
+struct ObjectList {
+    keys: Vec<Box<str>>,
+}
+
+/// Reads and writes objects.
+#[derive(Debug, Clone)]
+pub struct ObjectClient {
+    health: StoreHealth,
+}
+
+impl ObjectClient {
+    /// Uses the store behind `health`.
+    pub fn new(health: StoreHealth) -> Self {
+        Self { health }
+    }
+
+    /// Creates an object unless one of this name exists.
+    ///
+    /// # Errors
+    ///
+    /// The store does not answer; the object may or may not have been created, and the same call
+    /// may be made again.
+    pub async fn create(&self, key: &str, bytes: Vec<u8>) -> Result<PutOutcome, WaxError> {
+        let headers = [("if-none-match", "*")];
+        let (status, _) = self
+            .call(Step::WriteObject, Method::PUT, key, &headers, bytes)
+            .await?;
+        match status {
+            StatusCode::CREATED | StatusCode::OK => Ok(PutOutcome::Created),
+            StatusCode::PRECONDITION_FAILED => Ok(PutOutcome::Existed),
+            status => Err(unexpected(Step::WriteObject, key, status)),
+        }
+    }
+
+    /// Reads an object; `None` if there is none of this name.
+    ///
+    /// # Errors
+    ///
+    /// The store does not answer.
+    pub async fn read(&self, key: &str) -> Result<Option<Vec<u8>>, WaxError> {
+        let (status, bytes) = self
+            .call(Step::ReadObject, Method::GET, key, &[], Vec::new())
+            .await?;
+        match status {
+            StatusCode::OK => Ok(Some(bytes)),
+            StatusCode::NOT_FOUND => Ok(None),
+            status => Err(unexpected(Step::ReadObject, key, status)),
+        }
+    }
+
+    /// The names of the objects that start with `prefix`, in order.
+    ///
+    /// # Errors
+    ///
+    /// The store does not answer.
+    pub async fn list(&self, prefix: &str) -> Result<Vec<Box<str>>, WaxError> {
+        let url = self.health.url(&format!("/objects?prefix={prefix}"));
+        let call = self
+            .health
+            .caller()
+            .get::<ObjectList>(Step::ReadObject, &url);
+        Ok(self.health.guard(Step::ReadObject, call).await?.keys)
+    }
+
+    async fn call(
+        &self,
+        step: Step,
+        method: Method,
+        key: &str,
+        headers: &[(&str, &str)],
+        body: Vec<u8>,
+    ) -> Result<(StatusCode, Vec<u8>), WaxError> {
+        let url = self.health.url(&format!("/objects/{key}"));
+        let caller = self.health.caller();
+        let request = caller.request(step, method, &url, headers, body)?;
+        let call = async {
+            let (status, bytes) = caller.send(step, &url, request).await?;
+            if status.is_server_error() {
+                return Err(unexpected(step, key, status));
+            }
+            Ok((status, bytes))
+        };
+        self.health.guard(step, call).await
+    }
+}
+
+fn unexpected(step: Step, key: &str, status: StatusCode) -> WaxError {
+    WaxError::new(ErrorKind::Ambiguous, step, key, status)
+}
--- /dev/null
+++ b/crates/wax-platform/src/workers.rs
@@ -0,0 +1,132 @@
+//! The platform's list of workers, and the interface of one worker.
+
+use crate::http_call::HttpCaller;
+use crate::store::StoreHealth;
+use crate::wire::{
+    CheckpointReply, ControlRequest, RenewReply, RenewRequest, StartReply, StartRequest,
+    ThrottleRequest, WorkerInfo, WorkerList,
+};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::time::Duration;
+use wax_types::{Step, WaxError};
+
+/// The platform's list of workers.
+#[derive(Debug, Clone)]
+pub struct WorkerDirectory {
+    health: StoreHealth,
+}
+
+impl WorkerDirectory {
+    /// Asks the platform behind `health`.
+    pub fn new(health: StoreHealth) -> Self {
+        Self { health }
+    }
+
+    /// All workers.
+    ///
+    /// # Errors
+    ///
+    /// The platform does not answer.
+    pub async fn list(&self) -> Result<Vec<WorkerInfo>, WaxError> {
+        let url = self.health.url("/workers");
+        let call = self
+            .health
+            .caller()
+            .get::<WorkerList>(Step::ListWorkers, &url);
+        Ok(self.health.guard(Step::ListWorkers, call).await?.workers)
+    }
+}
+
+/// Calls workers; works while the store is down.
+#[derive(Debug, Clone)]
+pub struct WorkerClient {
+    caller: HttpCaller,
+}
+
+impl WorkerClient {
+    /// Builds a client whose calls take at most `limit`.
+    ///
+    /// # Errors
+    ///
+    /// The HTTP client cannot be built.
+    pub fn new(limit: Duration) -> Result<Self, WaxError> {
+        let caller = HttpCaller::new(limit)?;
+        Ok(Self { caller })
+    }
+
+    /// Starts a run; a repeated start of the same epoch changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// The worker does not answer; the run may have started.
+    pub async fn start(
+        &self,
+        address: &str,
+        request: &StartRequest,
+    ) -> Result<StartReply, WaxError> {
+        self.post(address, "/start", request).await
+    }
+
+    /// Renews leases and learns how all runs stand.
+    ///
+    /// # Errors
+    ///
+    /// The worker does not answer; the leases may have been renewed.
+    pub async fn renew(
+        &self,
+        address: &str,
+        request: &RenewRequest,
+    ) -> Result<RenewReply, WaxError> {
+        self.post(address, "/renew", request).await
+    }
+
+    /// Writes a checkpoint of a run, which goes on.
+    ///
+    /// # Errors
+    ///
+    /// The worker does not answer.
+    pub async fn checkpoint(
+        &self,
+        address: &str,
+        request: &ControlRequest,
+    ) -> Result<CheckpointReply, WaxError> {
+        self.post(address, "/checkpoint", request).await
+    }
+
+    /// Stops a run; afterwards no start of this epoch has an effect.
+    ///
+    /// # Errors
+    ///
+    /// The worker does not answer; the run may have stopped.
+    pub async fn stop(
+        &self,
+        address: &str,
+        request: &ControlRequest,
+    ) -> Result<CheckpointReply, WaxError> {
+        self.post(address, "/stop", request).await
+    }
+
+    /// Limits a run to a share of its size.
+    ///
+    /// # Errors
+    ///
+    /// The worker does not answer.
+    pub async fn throttle(
+        &self,
+        address: &str,
+        request: &ThrottleRequest,
+    ) -> Result<CheckpointReply, WaxError> {
+        self.post(address, "/throttle", request).await
+    }
+
+    async fn post<B: Serialize, R: DeserializeOwned>(
+        &self,
+        address: &str,
+        path: &str,
+        body: &B,
+    ) -> Result<R, WaxError> {
+        let url = format!("http://{address}{path}");
+        self.caller.post(Step::CallWorker, &url, body).await
+    }
+}
--- /dev/null
+++ b/crates/wax-policy/src/breaker.rs
@@ -0,0 +1,77 @@
+//! Decides whether a call to the store is sent while the store may be down.
+
+use crate::backoff::BackoffPlan;
+use fastrand::Rng;
+use std::time::Duration;
+use wax_types::TimePoint;
+
+/// Consecutive failures after which the store counts as down.
+const FAILURES_TO_OPEN: u32 = 3;
+const PROBE_FLOOR: Duration = Duration::from_millis(100);
+const PROBE_CEILING: Duration = Duration::from_secs(2);
+
+/// What to do with a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BreakerChoice {
+    /// Send it.
+    Send,
+    /// Refuse it; the next probe is due after this time.
+    Refuse(Duration),
+}
+
+/// Opens after consecutive failures; then lets one probe through at a time, with backoff.
+#[derive(Debug, Clone)]
+pub struct StoreBreaker {
+    failures: u32,
+    down_since: Option<TimePoint>,
+    next_probe: TimePoint,
+    backoff: BackoffPlan,
+}
+
+impl Default for StoreBreaker {
+    fn default() -> Self {
+        Self {
+            failures: 0,
+            down_since: None,
+            next_probe: TimePoint::default(),
+            backoff: BackoffPlan::new(PROBE_FLOOR, PROBE_CEILING),
+        }
+    }
+}
+
+impl StoreBreaker {
+    /// Decides about one call; a probe that is let through pushes the next probe back.
+    pub fn ask(&mut self, now: TimePoint, rng: &mut Rng) -> BreakerChoice {
+        if self.down_since.is_none() {
+            return BreakerChoice::Send;
+        }
+        if now < self.next_probe {
+            return BreakerChoice::Refuse(self.next_probe.since(now));
+        }
+        self.next_probe = now + self.backoff.fail(rng);
+        BreakerChoice::Send
+    }
+
+    /// Records that a call was answered.
+    pub fn succeed(&mut self) {
+        self.failures = 0;
+        self.down_since = None;
+        self.backoff.succeed();
+    }
+
+    /// Records that a call failed or timed out; says whether the store went down with it.
+    pub fn fail(&mut self, now: TimePoint, rng: &mut Rng) -> bool {
+        self.failures += 1;
+        if self.down_since.is_some() || self.failures < FAILURES_TO_OPEN {
+            return false;
+        }
+        self.down_since = Some(now);
+        self.next_probe = now + self.backoff.fail(rng);
+        true
+    }
+
+    /// Since when the store has been down.
+    pub fn down_since(&self) -> Option<TimePoint> {
+        self.down_since
+    }
+}
--- /dev/null
+++ b/crates/wax-policy/src/contact.rs
@@ -0,0 +1,99 @@
+//! What an owner knows of a worker's leases, by the owner's own clock.
+
+use std::time::Duration;
+use wax_types::TimePoint;
+
+/// Terms that bound how long a lease may outlive its last renewal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseTerms {
+    /// Term of a lease at a worker.
+    pub lease: Duration,
+    /// A renewal or start takes effect at the worker at most this long after it was sent.
+    pub call: Duration,
+    /// For the difference in the speed of two clocks.
+    pub margin: Duration,
+    /// Renewals go on for this long after the last confirmed contact with the store.
+    pub grace: Duration,
+}
+
+impl LeaseTerms {
+    /// After this time without a renewal, a lease has surely lapsed.
+    pub fn lapse(&self) -> Duration {
+        self.lease + self.call + self.margin
+    }
+}
+
+/// What to do about a worker now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ContactChoice {
+    /// Renew the leases of its tasks.
+    Renew,
+    /// Ask without renewing, so that the leases run out while it does not answer.
+    Ask,
+    /// Every lease there has surely lapsed.
+    Lapsed,
+}
+
+/// Failed renewals in a row after which no further lease is risked.
+const FAILURES_TO_DOUBT: u32 = 3;
+
+/// The contact with one worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WorkerContact {
+    /// No renewal that was sent before can hold a lease after this time.
+    held_until: TimePoint,
+    failures: u32,
+    answered: bool,
+}
+
+impl WorkerContact {
+    /// At the takeover of a shard: the owner before may renew until its grace ends.
+    pub fn after_takeover(now: TimePoint, terms: &LeaseTerms) -> Self {
+        Self {
+            held_until: now + terms.grace + terms.lapse(),
+            failures: 0,
+            answered: false,
+        }
+    }
+
+    /// Decides what to send.
+    pub fn decide(&self, now: TimePoint) -> ContactChoice {
+        if self.failures < FAILURES_TO_DOUBT {
+            ContactChoice::Renew
+        } else if now < self.held_until {
+            ContactChoice::Ask
+        } else {
+            ContactChoice::Lapsed
+        }
+    }
+
+    /// Notes that a renewal is about to be sent.
+    pub fn note_renewal(&mut self, now: TimePoint, terms: &LeaseTerms) {
+        self.held_until = self.held_until.max(now + terms.lapse());
+    }
+
+    /// Notes an answer to a call that was sent at `sent`.
+    pub fn note_answer(&mut self, sent: TimePoint, terms: &LeaseTerms) {
+        if !self.answered {
+            // The worker's runs are known now; only our own renewals count from here.
+            self.held_until = sent + terms.lapse();
+        }
+        self.answered = true;
+        self.failures = 0;
+    }
+
+    /// Notes that a call failed.
+    pub fn note_failure(&mut self) {
+        self.failures += 1;
+    }
+
+    /// Whether the worker has answered since the takeover.
+    pub fn has_answered(&self) -> bool {
+        self.answered
+    }
+
+    /// Whether it answered the last call.
+    pub fn is_reachable(&self) -> bool {
+        self.answered && self.failures == 0
+    }
+}
--- /dev/null
+++ b/crates/wax-policy/src/gate.rs
@@ -0,0 +1,138 @@
+//! The slots of one upstream and the short queue before them, earliest deadline first.
+
+use crate::average::DecayedMean;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use wax_types::TimePoint;
+
+/// What to do with a request that arrives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GateChoice {
+    /// Run it now; a slot is taken.
+    Run,
+    /// It waits in the queue.
+    Queue,
+    /// The queue is full; a slot is expected after this time.
+    Full(Duration),
+    /// Its deadline cannot be met; a slot is expected after this time.
+    Hopeless(Duration),
+}
+
+/// What a released slot does next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReleaseChoice<K> {
+    /// Run this one; the slot stays taken.
+    Run(K),
+    /// This one's deadline can no longer be met; ask again.
+    Drop(K),
+    /// Nothing waits; the slot is free.
+    Idle,
+}
+
+/// Counts slots exactly and orders those that wait.
+#[derive(Debug, Clone)]
+pub struct SlotGate<K> {
+    slots: usize,
+    used: usize,
+    queue_limit: usize,
+    queue: BTreeMap<(TimePoint, u64), K>,
+    arrivals: u64,
+    service: DecayedMean,
+}
+
+impl<K: Copy + PartialEq> SlotGate<K> {
+    /// An idle upstream of `slots` slots and at most `queue_limit` waiting requests.
+    pub fn new(slots: usize, queue_limit: usize) -> Self {
+        Self {
+            slots,
+            used: 0,
+            queue_limit,
+            queue: BTreeMap::new(),
+            arrivals: 0,
+            service: DecayedMean::new(SERVICE_MEMORY),
+        }
+    }
+
+    /// Decides about a request that must be answered by `deadline`.
+    pub fn ask(&mut self, now: TimePoint, deadline: TimePoint, key: K) -> GateChoice {
+        let wait = self.expected_wait();
+        if now + wait + self.service_floor() > deadline {
+            return GateChoice::Hopeless(wait);
+        }
+        if self.used < self.slots {
+            self.used += 1;
+            return GateChoice::Run;
+        }
+        if self.queue.len() >= self.queue_limit {
+            return GateChoice::Full(wait);
+        }
+        self.arrivals += 1;
+        self.queue.insert((deadline, self.arrivals), key);
+        GateChoice::Queue
+    }
+
+    /// Gives a slot back after a request that took `spent` at the upstream.
+    pub fn release(&mut self, spent: Duration) {
+        self.service.add(spent.as_secs_f64());
+        self.used -= 1;
+    }
+
+    /// Gives a slot back that reached no upstream, so that nothing was learned.
+    pub fn release_unused(&mut self) {
+        self.used -= 1;
+    }
+
+    /// Takes a free slot for the next request that waits; call until it is idle.
+    pub fn next(&mut self, now: TimePoint) -> ReleaseChoice<K> {
+        if self.used >= self.slots {
+            return ReleaseChoice::Idle;
+        }
+        let Some(((deadline, _), key)) = self.queue.pop_first() else {
+            return ReleaseChoice::Idle;
+        };
+        if now + self.service_floor() > deadline {
+            return ReleaseChoice::Drop(key);
+        }
+        self.used += 1;
+        ReleaseChoice::Run(key)
+    }
+
+    /// Takes a request out of the queue; says whether it was there.
+    pub fn remove(&mut self, key: K) -> bool {
+        let before = self.queue.len();
+        self.queue.retain(|_, waiting| *waiting != key);
+        self.queue.len() < before
+    }
+
+    /// The time until a slot is expected to be free for one more request.
+    pub fn expected_wait(&self) -> Duration {
+        if self.used < self.slots {
+            return Duration::ZERO;
+        }
+        let ahead = (self.queue.len() + 1) as f64;
+        Duration::from_secs_f64(self.service.value() * ahead / self.slots as f64)
+    }
+
+    /// Half of the mean: a request is hopeless only where even a quick one would be late.
+    fn service_floor(&self) -> Duration {
+        Duration::from_secs_f64(self.service.value() * 0.5)
+    }
+
+    /// Decayed mean of the time at the upstream.
+    pub fn service_time(&self) -> Duration {
+        Duration::from_secs_f64(self.service.value())
+    }
+
+    /// Slots in use.
+    pub fn used(&self) -> usize {
+        self.used
+    }
+
+    /// Requests that wait.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+}
+
+/// Requests over which the mean of the service time forgets.
+const SERVICE_MEMORY: f64 = 64.0;
--- /dev/null
+++ b/crates/wax-route/src/headers.rs
@@ -0,0 +1,143 @@
+//! What the entry reads from a caller's header fields.
+
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use std::time::Duration;
+use wax_trace::TraceContext;
+use wax_types::{ErrorKind, Step, WaxError};
+use wax_wire::HeaderField;
+
+pub(crate) const TEAM: &str = "waxwing-team";
+pub(crate) const DEADLINE: &str = "waxwing-deadline-ms";
+pub(crate) const NON_IDEMPOTENT: &str = "waxwing-non-idempotent";
+pub(crate) const IDEMPOTENCY_KEY: &str = "idempotency-key";
+pub(crate) const OUTCOME: &str = "waxwing-outcome";
+pub(crate) const RETRY_AFTER_MS: &str = "waxwing-retry-after-ms";
+
+/// The longest idempotency key, in bytes.
+const KEY_BYTES: usize = 200;
+
+/// Fields that concern one connection only, and those that an entry sets itself.
+const HOP_FIELDS: &[&str] = &[
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "transfer-encoding",
+    "te",
+    "trailer",
+    "upgrade",
+    "host",
+    "content-length",
+    "expect",
+    TraceContext::HEADER,
+];
+
+/// How a request may be repeated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RepeatClass {
+    /// Running it twice does no harm: it may be retried and hedged.
+    Idempotent,
+    /// It is retried only where it surely did not run.
+    OnceByMethod,
+    /// At most once, across callers that ask again: its key is reserved in the table.
+    OnceByKey,
+}
+
+/// What a caller says of its request.
+#[derive(Debug)]
+pub(crate) struct CallerFields {
+    pub(crate) team: Box<str>,
+    pub(crate) deadline: Option<Duration>,
+    pub(crate) repeat: RepeatClass,
+    pub(crate) key: Option<Box<str>>,
+    pub(crate) trace: Option<TraceContext>,
+}
+
+impl CallerFields {
+    /// Reads the fields.
+    ///
+    /// # Errors
+    ///
+    /// A field is missing or malformed; the error names it.
+    pub(crate) fn read(method: &Method, headers: &HeaderMap) -> Result<Self, WaxError> {
+        let team = text(headers, TEAM)?.ok_or_else(|| {
+            invalid(TEAM, "the field is missing").with_help("name your team in it")
+        })?;
+        let deadline = match text(headers, DEADLINE)? {
+            None => None,
+            Some(value) => Some(parse_deadline(value)?),
+        };
+        let key = read_key(headers)?;
+        let marked = match text(headers, NON_IDEMPOTENT)? {
+            None | Some("false") => false,
+            Some("true") => true,
+            Some(_) => return Err(invalid(NON_IDEMPOTENT, "expected true or false")),
+        };
+        let repeat = match (marked, method.is_idempotent()) {
+            (true, _) => RepeatClass::OnceByKey,
+            (false, true) => RepeatClass::Idempotent,
+            (false, false) => RepeatClass::OnceByMethod,
+        };
+        if repeat == RepeatClass::OnceByKey && key.is_none() {
+            return Err(
+                invalid(IDEMPOTENCY_KEY, "a non-idempotent request needs a key")
+                    .with_help("send the same key each time you ask for the same effect"),
+            );
+        }
+        let trace = text(headers, TraceContext::HEADER)?.and_then(|value| value.parse().ok());
+        Ok(Self {
+            team: team.into(),
+            deadline,
+            repeat,
+            key,
+            trace,
+        })
+    }
+}
+
+pub(crate) fn invalid(field: &str, label: &str) -> WaxError {
+    WaxError::new(ErrorKind::Invalid, Step::ParseRequest, field, label)
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, WaxError> {
+    match headers.get(name) {
+        None => Ok(None),
+        Some(value) => value
+            .to_str()
+            .map(Some)
+            .map_err(|_| invalid(name, "expected visible ASCII")),
+    }
+}
+
+fn parse_deadline(value: &str) -> Result<Duration, WaxError> {
+    match value.parse::<u32>() {
+        Ok(millis) if (1..=600_000).contains(&millis) => Ok(Duration::from_millis(millis.into())),
+        _ => Err(invalid(DEADLINE, "expected 1 to 600000 milliseconds")),
+    }
+}
+
+/// Reads the idempotency key.
+///
+/// # Errors
+///
+/// The key is empty, too long, or not visible ASCII.
+pub(crate) fn read_key(headers: &HeaderMap) -> Result<Option<Box<str>>, WaxError> {
+    match text(headers, IDEMPOTENCY_KEY)? {
+        Some(key) if key.is_empty() || key.len() > KEY_BYTES => {
+            Err(invalid(IDEMPOTENCY_KEY, "expected 1 to 200 characters"))
+        }
+        key => Ok(key.map(Box::from)),
+    }
+}
+
+/// The fields that go on to the upstream or to the caller.
+pub(crate) fn forwarded(headers: &HeaderMap) -> Vec<HeaderField> {
+    headers
+        .iter()
+        .filter(|(name, _)| !HOP_FIELDS.contains(&name.as_str()))
+        .map(|(name, value)| HeaderField {
+            name: name.as_str().to_owned(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/wax-route/src/operators.rs
@@ -0,0 +1,133 @@
+//! What operators may ask: status, settings, usage.
+
+use crate::process::EntryShared;
+use crate::settings_calls;
+use crate::status::entry_status;
+use http::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+use std::rc::Rc;
+use wax_http::{HttpHandler, HttpReply, HttpRequest, empty_reply, error_reply, json_reply};
+use wax_ledger::{UsageRow, UsageSum, day_of, read_days};
+use wax_types::{ErrorKind, Step, WaxError, wall_clock_ms};
+
+/// Days of usage that may be asked for at once.
+const MOST_DAYS: u64 = 400;
+
+/// Answers operators.
+pub(crate) struct OperatorHandler {
+    shared: Rc<EntryShared>,
+}
+
+/// Answer to `GET /v1/usage`.
+#[derive(Debug, Serialize, Deserialize)]
+struct UsageReply {
+    /// Days since the Unix epoch.
+    from_day: u64,
+    to_day: u64,
+    rows: Vec<UsageRow>,
+}
+
+impl OperatorHandler {
+    pub(crate) fn new(shared: Rc<EntryShared>) -> Self {
+        Self { shared }
+    }
+
+    async fn usage(&self, request: &HttpRequest) -> Result<HttpReply, WaxError> {
+        let today = day_of(wall_clock_ms());
+        let from = number_of(request, "from_day")?.unwrap_or(today);
+        let to = number_of(request, "to_day")?.unwrap_or(today);
+        if to < from || to - from > MOST_DAYS {
+            let text = format!("expected a span of at most {MOST_DAYS} days, first day first");
+            let kind = ErrorKind::Invalid;
+            return Err(WaxError::new(
+                kind,
+                Step::ReadUsage,
+                "from_day, to_day",
+                text,
+            ));
+        }
+        let mut sum = UsageSum::default();
+        for entry in read_days(&self.shared.objects, from, to).await? {
+            sum.add(&entry);
+        }
+        let team = query_of(request, "team");
+        let rows = sum
+            .rows()
+            .into_iter()
+            .filter(|row| team.is_none_or(|team| *row.team == *team))
+            .collect();
+        let reply = UsageReply {
+            from_day: from,
+            to_day: to,
+            rows,
+        };
+        Ok(json_reply(StatusCode::OK, &reply))
+    }
+
+    async fn answer(&self, request: HttpRequest) -> Result<HttpReply, WaxError> {
+        let shared = &self.shared;
+        let path = request.uri().path().to_owned();
+        match (request.method(), path.as_str()) {
+            (&Method::GET, "/v1/status") => Ok(json_reply(StatusCode::OK, &entry_status(shared))),
+            (&Method::GET, "/v1/settings") => settings_calls::get(shared).await,
+            (&Method::POST, "/v1/settings") => settings_calls::change(shared, request).await,
+            (&Method::GET, "/v1/settings/log") => settings_calls::log(shared).await,
+            (&Method::GET, "/v1/settings/explain") => {
+                let node = query_of(&request, "path").unwrap_or("/").to_owned();
+                settings_calls::explain(shared, &node).await
+            }
+            (&Method::GET, "/v1/usage") => self.usage(&request).await,
+            (&Method::GET, "/readyz") if shared.leaving.get() => {
+                Ok(empty_reply(StatusCode::SERVICE_UNAVAILABLE))
+            }
+            (&Method::GET, "/healthz" | "/readyz") => Ok(empty_reply(StatusCode::OK)),
+            (_, path) if path.starts_with("/v1/jobs") => {
+                let rest: Vec<String> = path
+                    .split('/')
+                    .skip(3)
+                    .filter(|part| !part.is_empty())
+                    .map(str::to_owned)
+                    .collect();
+                Ok(crate::job_calls::handle(shared, request, &rest).await)
+            }
+            (_, path) => {
+                let kind = ErrorKind::NotFound;
+                Err(WaxError::new(
+                    kind,
+                    Step::ParseRequest,
+                    path,
+                    "no such path",
+                ))
+            }
+        }
+    }
+}
+
+fn query_of<'a>(request: &'a HttpRequest, name: &str) -> Option<&'a str> {
+    request
+        .uri()
+        .query()?
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value)
+}
+
+fn number_of(request: &HttpRequest, name: &str) -> Result<Option<u64>, WaxError> {
+    match query_of(request, name) {
+        None => Ok(None),
+        Some(text) => text
+            .parse()
+            .map(Some)
+            .map_err(|error| WaxError::new(ErrorKind::Invalid, Step::ReadUsage, name, error)),
+    }
+}
+
+impl HttpHandler for OperatorHandler {
+    async fn handle(&self, request: HttpRequest) -> HttpReply {
+        match self.answer(request).await {
+            Ok(reply) => reply,
+            Err(error) => error_reply(&error),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wax-route/src/peers.rs
@@ -0,0 +1,88 @@
+//! The sidecars that are connected to this entry.
+
+use futures_channel::mpsc::UnboundedSender;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use wax_policy::UpstreamKey;
+use wax_types::{SettingsVersion, TimePoint};
+use wax_wire::{PeerBody, PeerHello};
+
+/// One connected sidecar.
+#[derive(Debug)]
+pub(crate) struct PeerState {
+    pub(crate) hello: PeerHello,
+    pub(crate) key: UpstreamKey,
+    pub(crate) outbox: UnboundedSender<PeerBody>,
+    pub(crate) settings: Cell<SettingsVersion>,
+    pub(crate) leaving: Cell<bool>,
+}
+
+/// A sidecar that went away without saying that it leaves.
+#[derive(Debug, Clone)]
+pub(crate) struct LostPeer {
+    pub(crate) since: TimePoint,
+    pub(crate) settings: SettingsVersion,
+}
+
+/// All sidecars, by upstream key, and those that were lost, by name.
+#[derive(Debug, Default)]
+pub(crate) struct PeerTable {
+    peers: RefCell<BTreeMap<UpstreamKey, Rc<PeerState>>>,
+    lost: RefCell<BTreeMap<Box<str>, LostPeer>>,
+}
+
+impl PeerTable {
+    pub(crate) fn add(&self, peer: Rc<PeerState>) {
+        self.lost.borrow_mut().remove(peer.hello.name.as_str());
+        self.peers.borrow_mut().insert(peer.key, peer);
+    }
+
+    /// Removes a sidecar; one that did not say that it leaves is remembered as lost.
+    pub(crate) fn remove(&self, now: TimePoint, key: UpstreamKey) {
+        let Some(peer) = self.peers.borrow_mut().remove(&key) else {
+            return;
+        };
+        let replaced = self
+            .all()
+            .iter()
+            .any(|other| other.hello.name == peer.hello.name);
+        if !peer.leaving.get() && !replaced {
+            let lost = LostPeer {
+                since: now,
+                settings: peer.settings.get(),
+            };
+            self.lost
+                .borrow_mut()
+                .insert(peer.hello.name.as_str().into(), lost);
+        }
+    }
+
+    pub(crate) fn all(&self) -> Vec<Rc<PeerState>> {
+        self.peers.borrow().values().cloned().collect()
+    }
+
+    /// The lost sidecars; those lost before `oldest` are forgotten.
+    pub(crate) fn lost(&self, oldest: TimePoint) -> Vec<(Box<str>, LostPeer)> {
+        let mut lost = self.lost.borrow_mut();
+        lost.retain(|_, peer| peer.since >= oldest);
+        lost.iter()
+            .map(|(name, peer)| (name.clone(), peer.clone()))
+            .collect()
+    }
+
+    /// Sends a frame to one sidecar; a lost connection shows to its reader.
+    pub(crate) fn send(&self, key: UpstreamKey, body: PeerBody) -> bool {
+        match self.peers.borrow().get(&key) {
+            Some(peer) => peer.outbox.unbounded_send(body).is_ok(),
+            None => false,
+        }
+    }
+
+    /// Sends a frame to every sidecar.
+    pub(crate) fn send_all(&self, body: &PeerBody) {
+        for peer in self.peers.borrow().values() {
+            let _ = peer.outbox.unbounded_send(body.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/wax-route/src/process.rs
@@ -0,0 +1,215 @@
+//! What lives as long as the entry.
+
+use crate::attempts::AttemptTable;
+use crate::callers::CallerHandler;
+use crate::operators::OperatorHandler;
+use crate::peer_link::{accept_peers, beat_peers};
+use crate::peers::PeerTable;
+use crate::settings_sync::{keep_settings, load_settings};
+use compio::net::TcpListener;
+use compio::runtime::spawn;
+use event_listener::Event;
+use fastrand::Rng;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use wax_http::{HttpServer, ShutdownSignal};
+use wax_member::MemberHandle;
+use wax_platform::{GroupWriter, ObjectClient, TableClient};
+use wax_policy::{RoutePolicy, RouteTable, TeamTable};
+use wax_settings::{DaemonSettings, EntrySettings, SettingsHolder, TreeDelta};
+use wax_tasks::{CoordinatorHandle, JobDesk};
+use wax_types::{ProcessClock, SettingsVersion};
+use wax_wire::{PeerHello, SettingsPush};
+
+/// For how long callers may still come after this entry has said that it leaves.
+const LEAVE_NOTICE: Duration = Duration::from_millis(300);
+
+/// The entry daemon.
+pub struct EntryProcess {
+    shared: Rc<EntryShared>,
+    callers: TcpListener,
+    operators: TcpListener,
+    peers: TcpListener,
+    poll: Duration,
+}
+
+/// What the daemon gives to its entry.
+pub struct EntryServices {
+    /// Rows of the table.
+    pub table: TableClient,
+    /// Merged commits.
+    pub writer: GroupWriter,
+    /// Objects.
+    pub objects: ObjectClient,
+    /// Membership.
+    pub members: MemberHandle,
+    /// Submissions.
+    pub desk: JobDesk,
+    /// Shards owned by this process.
+    pub coordinator: CoordinatorHandle,
+    /// How upstreams are chosen.
+    pub policy: RoutePolicy,
+}
+
+pub(crate) struct EntryShared {
+    pub(crate) name: Box<str>,
+    pub(crate) failure_domain: Box<str>,
+    pub(crate) peers_address: SocketAddr,
+    pub(crate) clock: ProcessClock,
+    pub(crate) started: wax_types::TimePoint,
+    pub(crate) settings: SettingsHolder,
+    pub(crate) settings_loaded: Cell<bool>,
+    pub(crate) settings_acked: Event,
+    pub(crate) last_delta: RefCell<Option<TreeDelta>>,
+    pub(crate) teams: RefCell<TeamTable>,
+    pub(crate) routes: RefCell<RouteTable>,
+    pub(crate) peers: PeerTable,
+    pub(crate) attempts: AttemptTable,
+    pub(crate) table: TableClient,
+    pub(crate) writer: GroupWriter,
+    pub(crate) objects: ObjectClient,
+    pub(crate) members: MemberHandle,
+    pub(crate) desk: JobDesk,
+    pub(crate) coordinator: CoordinatorHandle,
+    pub(crate) policy: RoutePolicy,
+    pub(crate) rng: RefCell<Rng>,
+    pub(crate) leaving: Cell<bool>,
+    pub(crate) trace_one_in: u32,
+}
+
+impl EntryProcess {
+    /// Prepares the process on listeners that are bound already.
+    pub fn new(
+        daemon: &DaemonSettings,
+        options: &EntrySettings,
+        services: EntryServices,
+        (callers, operators, peers): (TcpListener, TcpListener, TcpListener),
+    ) -> Self {
+        let clock = services.table.health().clock();
+        let own = services.members.own_row();
+        let shared = EntryShared {
+            name: daemon.name.clone(),
+            failure_domain: daemon.failure_domain.clone(),
+            peers_address: peers.local_addr().unwrap_or(options.peers),
+            clock,
+            started: clock.now(),
+            settings: SettingsHolder::default(),
+            settings_loaded: Cell::new(false),
+            settings_acked: Event::new(),
+            last_delta: RefCell::default(),
+            teams: RefCell::new(TeamTable::new(options.max_requests)),
+            routes: RefCell::default(),
+            peers: PeerTable::default(),
+            attempts: AttemptTable::new(own.incarnation),
+            table: services.table,
+            writer: services.writer,
+            objects: services.objects,
+            members: services.members,
+            desk: services.desk,
+            coordinator: services.coordinator,
+            policy: services.policy,
+            rng: RefCell::new(Rng::new()),
+            leaving: Cell::new(false),
+            trace_one_in: daemon.logs.trace_one_in,
+        };
+        Self {
+            shared: Rc::new(shared),
+            callers,
+            operators,
+            peers,
+            poll: Duration::from_millis(options.settings_poll_ms.into()),
+        }
+    }
+
+    /// Serves until `shutdown`, then drains: no request in progress is cut off.
+    pub async fn run(self, shutdown: ShutdownSignal) {
+        let shared = self.shared;
+        spawn(accept_peers(shared.clone(), self.peers)).detach();
+        spawn(beat_peers(shared.clone())).detach();
+        load_settings(&shared).await;
+        spawn(keep_settings(shared.clone(), self.poll)).detach();
+        let stop_callers = ShutdownSignal::default();
+        let callers = Rc::new(CallerHandler::new(shared.clone()));
+        let operators = Rc::new(OperatorHandler::new(shared.clone()));
+        let callers = HttpServer::new(self.callers, callers, stop_callers.clone());
+        let operators = HttpServer::new(self.operators, operators, stop_callers.clone());
+        let callers = spawn(callers.run());
+        spawn(operators.run()).detach();
+        shutdown.wait().await;
+        // Readiness fails from here, so that the balancer sends no more; then the listener closes.
+        shared.leaving.set(true);
+        shared.members.note_leaving();
+        tracing::info!(attempts = shared.attempts.len(), "leaving");
+        compio::time::sleep(LEAVE_NOTICE).await;
+        stop_callers.raise();
+        // A connection task that panicked has nothing left to finish.
+        let _ = callers.await;
+        tracing::info!("drained");
+    }
+}
+
+impl EntryShared {
+    pub(crate) fn hello(&self) -> PeerHello {
+        PeerHello {
+            protocol: PeerHello::PROTOCOL,
+            incarnation: self.members.own_row().incarnation.0,
+            name: self.name.to_string(),
+            failure_domain: self.failure_domain.to_string(),
+            service: String::new(),
+            slots: 0,
+        }
+    }
+
+    /// Where sidecars can reach this entry and the others.
+    pub(crate) fn entry_addresses(&self) -> Vec<String> {
+        let mut addresses = vec![self.peers_address.to_string()];
+        for member in self.members.live(self.clock.now()) {
+            if let Some(address) = member.peers
+                && !member.leaving
+                && *address != *addresses[0]
+            {
+                addresses.push(address.into());
+            }
+        }
+        addresses
+    }
+
+    /// What a process with `version` lacks: the last delta if that is enough, else the tree.
+    pub(crate) fn settings_push(&self, version: SettingsVersion) -> SettingsPush {
+        let own = self.settings.version();
+        let delta = self.last_delta.borrow();
+        let delta = delta
+            .as_ref()
+            .filter(|delta| delta.version == own && own == version.next());
+        match delta {
+            Some(delta) => SettingsPush {
+                version: own.0,
+                tree: Default::default(),
+                delta: serde_json::to_vec(delta).unwrap_or_default().into(),
+            },
+            None => SettingsPush {
+                version: own.0,
+                tree: self.settings.to_json().into(),
+                delta: Default::default(),
+            },
+        }
+    }
+
+    /// Tells all sidecars and the membership row of a version that is in force here now.
+    pub(crate) fn after_settings(&self, delta: Option<TreeDelta>) {
+        *self.last_delta.borrow_mut() = delta;
+        self.settings_loaded.set(true);
+        self.members.note_settings(self.settings.version());
+        for peer in self.peers.all() {
+            if peer.settings.get() < self.settings.version() {
+                let push = self.settings_push(peer.settings.get());
+                let _ = peer
+                    .outbox
+                    .unbounded_send(wax_wire::PeerBody::Settings(push));
+            }
+        }
+        self.settings_acked.notify(usize::MAX);
+    }
+}
--- /dev/null
+++ b/crates/wax-route/src/status.rs
@@ -0,0 +1,141 @@
+//! What operators see of the whole system, from this entry.
+
+use crate::process::EntryShared;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use wax_tasks::ShardStatus;
+use wax_trace::counter_values;
+use wax_types::SettingsVersion;
+
+/// A sidecar that was lost this long ago is no longer counted.
+const LOST_COUNTED: Duration = Duration::from_secs(60);
+
+/// How far a version of the settings has come.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ForceStatus {
+    /// The version.
+    pub(crate) version: SettingsVersion,
+    /// Processes that apply it or a greater one.
+    pub(crate) in_force: usize,
+    /// Processes that are known.
+    pub(crate) processes: usize,
+    /// Those that have not confirmed it, and why.
+    pub(crate) missing: Vec<MissingProcess>,
+}
+
+/// A process that has not confirmed a version.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct MissingProcess {
+    pub(crate) name: Box<str>,
+    pub(crate) version: SettingsVersion,
+    /// Since when it cannot be reached; `None` if it can.
+    pub(crate) unreachable_ms: Option<u64>,
+}
+
+/// One process that is known.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct MemberStatus {
+    name: Box<str>,
+    role: &'static str,
+    failure_domain: Box<str>,
+    service: Option<Box<str>>,
+    /// Where operators reach it, if it is an entry.
+    operators: Option<Box<str>>,
+    settings: SettingsVersion,
+    leaving: bool,
+}
+
+/// Answer to `GET /v1/status`.
+#[derive(Debug, Serialize)]
+pub(crate) struct EntryStatus {
+    entry: Box<str>,
+    uptime_ms: u64,
+    settings: ForceStatus,
+    /// Milliseconds since the store went down; `None` while it answers.
+    store_down_ms: Option<u64>,
+    members: Vec<MemberStatus>,
+    shards: Vec<ShardStatus>,
+    requests_in_flight: u32,
+    counters: BTreeMap<&'static str, u64>,
+}
+
+/// Counts the processes that apply a version, as this entry knows them.
+pub(crate) fn force_status(shared: &EntryShared, version: SettingsVersion) -> ForceStatus {
+    let now = shared.clock.now();
+    let mut known: BTreeMap<Box<str>, (SettingsVersion, Option<u64>)> = BTreeMap::new();
+    for member in shared.members.live(now) {
+        known.insert(member.name, (member.settings, None));
+    }
+    known.insert(shared.name.clone(), (shared.settings.version(), None));
+    for (name, lost) in shared.peers.lost(now - LOST_COUNTED) {
+        let since = now.since(lost.since).as_millis() as u64;
+        known.insert(name, (lost.settings, Some(since)));
+    }
+    for peer in shared.peers.all() {
+        let name = peer.hello.name.as_str().into();
+        known.insert(name, (peer.settings.get(), None));
+    }
+    let processes = known.len();
+    let missing: Vec<MissingProcess> = known
+        .into_iter()
+        .filter(|(_, (applied, lost))| *applied < version || lost.is_some())
+        .map(|(name, (applied, lost))| MissingProcess {
+            name,
+            version: applied,
+            unreachable_ms: lost,
+        })
+        .collect();
+    ForceStatus {
+        version,
+        in_force: processes - missing.len(),
+        processes,
+        missing,
+    }
+}
+
+/// The status of the system from this entry.
+pub(crate) fn entry_status(shared: &EntryShared) -> EntryStatus {
+    let now = shared.clock.now();
+    let mut members: Vec<MemberStatus> = shared
+        .members
+        .live(now)
+        .into_iter()
+        .map(|member| MemberStatus {
+            name: member.name,
+            role: if member.peers.is_some() {
+                "entry"
+            } else {
+                "sidecar"
+            },
+            failure_domain: member.failure_domain,
+            service: None,
+            operators: member.operators,
+            settings: member.settings,
+            leaving: member.leaving,
+        })
+        .collect();
+    members.extend(shared.peers.all().into_iter().map(|peer| MemberStatus {
+        name: peer.hello.name.as_str().into(),
+        role: "sidecar",
+        failure_domain: peer.hello.failure_domain.as_str().into(),
+        service: Some(peer.hello.service.as_str().into()),
+        operators: None,
+        settings: peer.settings.get(),
+        leaving: peer.leaving.get(),
+    }));
+    EntryStatus {
+        entry: shared.name.clone(),
+        uptime_ms: now.since(shared.started).as_millis() as u64,
+        settings: force_status(shared, shared.settings.version()),
+        store_down_ms: shared
+            .table
+            .health()
+            .down_since()
+            .map(|since| now.since(since).as_millis() as u64),
+        members,
+        shards: shared.coordinator.status(now),
+        requests_in_flight: shared.teams.borrow().taken(),
+        counters: counter_values().collect(),
+    }
+}
--- /dev/null
+++ b/crates/wax-settings/src/lib.rs
@@ -0,0 +1,18 @@
+//! The daemon's settings file and the settings tree.
+
+mod daemon;
+mod files;
+mod holder;
+mod node;
+mod tree;
+
+pub use daemon::{
+    CoordinatorSettings, DaemonSettings, EntrySettings, LogSettings, PlatformSettings, ProcessRole,
+    SidecarSettings,
+};
+pub use files::{SettingsFile, parse_yaml};
+pub use holder::{ApplyChoice, SettingsHolder};
+pub use node::{NodeSettings, TaskClass};
+pub use tree::{
+    EffectiveSettings, NodeLevel, NodePath, SettingsTree, TreeChange, TreeDelta, ValueOrigin,
+};
--- /dev/null
+++ b/crates/wax-settings/src/tree.rs
@@ -0,0 +1,410 @@
+//! The settings tree: organisation, team, service, then job kind or standing watch.
+
+use crate::node::{NodeSettings, ResolvedSettings, key_table};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::str::FromStr;
+use wax_types::{ErrorKind, SettingsVersion, Step, WaxError};
+
+/// The values in force at a node.
+pub type EffectiveSettings = ResolvedSettings;
+
+const KIND_MARK: &str = "kinds";
+const WATCH_MARK: &str = "watches";
+
+/// The level of a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NodeLevel {
+    /// The root.
+    Organisation,
+    /// A team.
+    Team,
+    /// A service of a team.
+    Service,
+    /// A kind of batch job of a service.
+    JobKind,
+    /// A standing watch of a service.
+    StandingWatch,
+}
+
+/// Where a node is: `/`, `/team`, `/team/service`, `/team/service/kinds/KIND` or
+/// `/team/service/watches/WATCH`.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "Box<str>", into = "Box<str>")]
+pub struct NodePath(Box<str>);
+
+impl NodePath {
+    /// The organisation.
+    pub fn root() -> Self {
+        Self("/".into())
+    }
+
+    /// A team.
+    pub fn team(team: &str) -> Self {
+        Self(format!("/{team}").into())
+    }
+
+    /// A service of a team.
+    pub fn service(team: &str, service: &str) -> Self {
+        Self(format!("/{team}/{service}").into())
+    }
+
+    /// A job kind of a service.
+    pub fn kind(team: &str, service: &str, kind: &str) -> Self {
+        Self(format!("/{team}/{service}/{KIND_MARK}/{kind}").into())
+    }
+
+    /// A standing watch of a service.
+    pub fn watch(team: &str, service: &str, watch: &str) -> Self {
+        Self(format!("/{team}/{service}/{WATCH_MARK}/{watch}").into())
+    }
+
+    /// Its text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    fn parts(&self) -> Vec<&str> {
+        self.0.split('/').filter(|part| !part.is_empty()).collect()
+    }
+
+    /// Its level.
+    pub fn level(&self) -> NodeLevel {
+        let parts = self.parts();
+        match parts.len() {
+            0 => NodeLevel::Organisation,
+            1 => NodeLevel::Team,
+            2 => NodeLevel::Service,
+            _ if parts[2] == KIND_MARK => NodeLevel::JobKind,
+            _ => NodeLevel::StandingWatch,
+        }
+    }
+
+    /// The node above it; `None` for the root.
+    pub fn parent(&self) -> Option<Self> {
+        let parts = self.parts();
+        match parts.len() {
+            0 => None,
+            1 => Some(Self::root()),
+            2 => Some(Self::team(parts[0])),
+            _ => Some(Self::service(parts[0], parts[1])),
+        }
+    }
+
+    /// The nodes from the root down to this one.
+    pub fn lineage(&self) -> Vec<Self> {
+        let mut nodes = vec![self.clone()];
+        while let Some(parent) = nodes.last().and_then(Self::parent) {
+            nodes.push(parent);
+        }
+        nodes.reverse();
+        nodes
+    }
+}
+
+impl fmt::Display for NodePath {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+fn name_is_valid(name: &str) -> bool {
+    !name.is_empty()
+        && name.len() <= 64
+        && name
+            .bytes()
+            .all(|byte| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-')
+}
+
+impl FromStr for NodePath {
+    type Err = WaxError;
+
+    fn from_str(text: &str) -> Result<Self, WaxError> {
+        let error = |label: &str| {
+            WaxError::new(ErrorKind::Invalid, Step::ReadSettings, text, label).with_help(
+                "write /, /TEAM, /TEAM/SERVICE, /TEAM/SERVICE/kinds/KIND or \
+                 /TEAM/SERVICE/watches/WATCH; names are a-z, 0-9 and -, at most 64",
+            )
+        };
+        if !text.starts_with('/') {
+            return Err(error("a path starts with /"));
+        }
+        let path = Self(text.into());
+        let parts = path.parts();
+        if parts.iter().any(|part| !name_is_valid(part)) {
+            return Err(error("a name has characters that are not allowed"));
+        }
+        match parts.as_slice() {
+            [] => Ok(Self::root()),
+            [_] | [_, _] => Ok(Self(format!("/{}", parts.join("/")).into())),
+            [_, _, mark, _] if *mark == KIND_MARK || *mark == WATCH_MARK => {
+                Ok(Self(format!("/{}", parts.join("/")).into()))
+            }
+            _ => Err(error("no level of the tree has this path")),
+        }
+    }
+}
+
+impl TryFrom<Box<str>> for NodePath {
+    type Error = WaxError;
+
+    fn try_from(text: Box<str>) -> Result<Self, WaxError> {
+        text.parse()
+    }
+}
+
+impl From<NodePath> for Box<str> {
+    fn from(path: NodePath) -> Self {
+        path.0
+    }
+}
+
+/// From which node a value in force comes; `None` for the built-in default.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ValueOrigin {
+    /// The key.
+    pub key: Box<str>,
+    /// The value in force.
+    pub value: Value,
+    /// The node that sets it.
+    pub from: Option<NodePath>,
+}
+
+/// One change of one value in force.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TreeChange {
+    /// The node where the value in force changes.
+    pub path: NodePath,
+    /// The key; empty where the node itself comes or goes.
+    pub key: Box<str>,
+    /// The value before; null if the node is new.
+    pub before: Value,
+    /// The value after; null if the node goes.
+    pub after: Value,
+}
+
+/// What one version changes; kept in the log and pushed to processes that have the version before.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TreeDelta {
+    /// The version that it makes.
+    pub version: SettingsVersion,
+    /// Nodes with their new overrides; `None` for a node that goes.
+    pub nodes: Vec<(NodePath, Option<NodeSettings>)>,
+    /// Who made it.
+    pub author: Box<str>,
+    /// When it was made, Unix milliseconds.
+    pub at_ms: u64,
+}
+
+/// One version of the whole tree.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SettingsTree {
+    /// The version; 0 for the empty tree that nobody has committed.
+    #[serde(default)]
+    pub version: SettingsVersion,
+    /// What each node overrides.
+    pub nodes: BTreeMap<NodePath, NodeSettings>,
+}
+
+impl SettingsTree {
+    /// Whether the node is declared.
+    pub fn contains(&self, path: &NodePath) -> bool {
+        self.nodes.contains_key(path)
+    }
+
+    /// The values in force at `path`, also where it is not declared.
+    pub fn resolve(&self, path: &NodePath) -> EffectiveSettings {
+        let mut settings = EffectiveSettings::default();
+        for node in path.lineage() {
+            if let Some(overrides) = self.nodes.get(&node) {
+                settings.apply(overrides);
+            }
+        }
+        settings
+    }
+
+    /// Each value in force at `path` with the node that it comes from.
+    pub fn explain(&self, path: &NodePath) -> Vec<ValueOrigin> {
+        let lineage = path.lineage();
+        key_table()
+            .into_iter()
+            .map(|info| {
+                let set = lineage.iter().rev().find_map(|node| {
+                    let overrides = serde_json::to_value(self.nodes.get(node)?).ok()?;
+                    Some((overrides.get(info.key)?.clone(), node.clone()))
+                });
+                let (value, from) = match set {
+                    Some((value, node)) => (value, Some(node)),
+                    None => (info.default, None),
+                };
+                ValueOrigin {
+                    key: info.key.into(),
+                    value,
+                    from,
+                }
+            })
+            .collect()
+    }
+
+    /// The teams that are declared.
+    pub fn teams(&self) -> impl Iterator<Item = &str> {
+        self.nodes
+            .keys()
+            .filter(|path| path.level() == NodeLevel::Team)
+            .map(|path| &path.as_str()[1..])
+    }
+
+    /// Sets or, with `None`, clears one override; the node is declared by it.
+    ///
+    /// # Errors
+    ///
+    /// The key is unknown, the value has another type or breaks its bounds, or the parent is not
+    /// declared.
+    pub fn set(
+        &mut self,
+        path: &NodePath,
+        key: &str,
+        value: Option<Value>,
+    ) -> Result<(), WaxError> {
+        let current = self.nodes.get(path).cloned().unwrap_or_default();
+        let mut fields = serde_json::to_value(current)
+            .ok()
+            .and_then(|value| value.as_object().cloned())
+            .unwrap_or_default();
+        if !key_table().iter().any(|info| info.key == key) {
+            return Err(key_error(path, key, "no such key"));
+        }
+        match value {
+            Some(value) => fields.insert(key.into(), value),
+            None => fields.remove(key),
+        };
+        let node: NodeSettings = serde_json::from_value(Value::Object(fields))
+            .map_err(|error| key_error(path, key, error))?;
+        self.nodes.insert(path.clone(), node);
+        self.check()
+    }
+
+    /// Checks bounds, parents and quotas.
+    ///
+    /// # Errors
+    ///
+    /// The first node and key that break a rule, with the rule.
+    pub fn check(&self) -> Result<(), WaxError> {
+        for (path, node) in &self.nodes {
+            self.check_parent(path)?;
+            check_bounds(path, node)?;
+        }
+        Ok(())
+    }
+
+    fn check_parent(&self, path: &NodePath) -> Result<(), WaxError> {
+        match path.parent() {
+            Some(parent) if parent != NodePath::root() && !self.contains(&parent) => {
+                let text = format!("the level above, {parent}, is not declared");
+                Err(
+                    WaxError::new(ErrorKind::Invalid, Step::ReadSettings, path.as_str(), text)
+                        .with_help("declare it first, or keep it while it has levels below it"),
+                )
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// The delta that makes `next` of this tree.
+    pub fn delta_to(&self, next: &Self, author: &str, at_ms: u64) -> TreeDelta {
+        let mut nodes = Vec::new();
+        for path in self.nodes.keys().filter(|path| !next.contains(path)) {
+            nodes.push((path.clone(), None));
+        }
+        for (path, node) in &next.nodes {
+            if self.nodes.get(path) != Some(node) {
+                nodes.push((path.clone(), Some(node.clone())));
+            }
+        }
+        TreeDelta {
+            version: self.version.next(),
+            nodes,
+            author: author.into(),
+            at_ms,
+        }
+    }
+
+    /// This tree with a delta applied; the caller checks that the versions follow each other.
+    pub fn with_delta(&self, delta: &TreeDelta) -> Self {
+        let mut tree = self.clone();
+        tree.version = delta.version;
+        for (path, node) in &delta.nodes {
+            match node {
+                Some(node) => tree.nodes.insert(path.clone(), node.clone()),
+                None => tree.nodes.remove(path),
+            };
+        }
+        tree
+    }
+
+    /// What changes in force from this tree to `next`, at every node of either.
+    pub fn diff(&self, next: &Self) -> Vec<TreeChange> {
+        let mut paths: Vec<&NodePath> = self.nodes.keys().chain(next.nodes.keys()).collect();
+        paths.sort();
+        paths.dedup();
+        let mut changes = Vec::new();
+        for path in paths {
+            match (self.contains(path), next.contains(path)) {
+                (true, true) => self.diff_node(next, path, &mut changes),
+                (was, _) => changes.push(TreeChange {
+                    path: path.clone(),
+                    key: "".into(),
+                    before: if was {
+                        Value::from("declared")
+                    } else {
+                        Value::Null
+                    },
+                    after: if was {
+                        Value::Null
+                    } else {
+                        Value::from("declared")
+                    },
+                }),
+            }
+        }
+        changes
+    }
+
+    fn diff_node(&self, next: &Self, path: &NodePath, changes: &mut Vec<TreeChange>) {
+        for (before, after) in self.explain(path).into_iter().zip(next.explain(path)) {
+            if before.value != after.value {
+                changes.push(TreeChange {
+                    path: path.clone(),
+                    key: before.key,
+                    before: before.value,
+                    after: after.value,
+                });
+            }
+        }
+    }
+}
+
+fn key_error(path: &NodePath, key: &str, label: impl fmt::Display) -> WaxError {
+    let place = format!("{path} {key}");
+    WaxError::new(ErrorKind::Invalid, Step::ReadSettings, place, label)
+        .with_help("docs/SETTINGS.md lists every key with its unit and bounds")
+}
+
+fn check_bounds(path: &NodePath, node: &NodeSettings) -> Result<(), WaxError> {
+    let fields = serde_json::to_value(node).unwrap_or_default();
+    for info in key_table() {
+        let Some(value) = fields.get(info.key).and_then(Value::as_u64) else {
+            continue;
+        };
+        let least = info.least.unwrap_or(0);
+        let most = info.most.unwrap_or(u64::MAX);
+        if !(least..=most).contains(&value) {
+            let text = format!("{value} is out of range, expected {least} to {most}");
+            return Err(key_error(path, info.key, text));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/wax-sidecar/src/process.rs
@@ -0,0 +1,312 @@
+//! What lives as long as the sidecar.
+
+use crate::announce::announce_load;
+use crate::attempt::{AttemptHandle, QueuedAttempt, RunningAttempt};
+use crate::link::keep_link;
+use crate::pool::UpstreamPool;
+use crate::table::{AttemptState, AttemptTable, CancelChoice};
+use compio::runtime::spawn;
+use compio::time::sleep;
+use futures_channel::mpsc::UnboundedSender;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use wax_http::{ClientConnection, ShutdownSignal};
+use wax_policy::{GateChoice, ReleaseChoice, SlotGate};
+use wax_settings::{DaemonSettings, SettingsHolder, SidecarSettings};
+use wax_trace::{Counter, count};
+use wax_types::{AttemptKey, ProcessClock, ProcessIncarnation};
+use wax_wire::{
+    AttemptId, LoadReport, NotRunReason, PeerBody, PeerHello, RequestHead, SettingsAck,
+};
+
+/// How often the drain looks whether it is done.
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+/// For how long entries may still send to an upstream that has said that it leaves.
+const LEAVE_NOTICE: Duration = Duration::from_millis(200);
+
+/// The sidecar daemon.
+pub struct SidecarProcess {
+    shared: Rc<SidecarShared>,
+}
+
+pub(crate) struct SidecarShared {
+    hello: PeerHello,
+    options: SidecarSettings,
+    clock: ProcessClock,
+    gate: RefCell<SlotGate<AttemptKey>>,
+    table: RefCell<AttemptTable>,
+    pool: UpstreamPool,
+    settings: SettingsHolder,
+    links: RefCell<BTreeMap<u64, UnboundedSender<PeerBody>>>,
+    next_link: Cell<u64>,
+    entries: RefCell<BTreeSet<SocketAddr>>,
+    leaving: Cell<bool>,
+    stopping: Cell<bool>,
+}
+
+impl SidecarProcess {
+    /// Prepares the process; nothing is connected yet.
+    pub fn new(daemon: &DaemonSettings, options: SidecarSettings, clock: ProcessClock) -> Self {
+        let hello = PeerHello {
+            protocol: PeerHello::PROTOCOL,
+            incarnation: ProcessIncarnation::draw().0,
+            name: daemon.name.to_string(),
+            failure_domain: daemon.failure_domain.to_string(),
+            service: options.service.to_string(),
+            slots: options.slots,
+        };
+        let gate = SlotGate::new(options.slots as usize, options.queue as usize);
+        let pool = UpstreamPool::new(options.upstream, options.connections as usize);
+        let shared = SidecarShared {
+            hello,
+            options,
+            clock,
+            gate: RefCell::new(gate),
+            table: RefCell::default(),
+            pool,
+            settings: SettingsHolder::default(),
+            links: RefCell::default(),
+            next_link: Cell::new(0),
+            entries: RefCell::default(),
+            leaving: Cell::new(false),
+            stopping: Cell::new(false),
+        };
+        Self {
+            shared: Rc::new(shared),
+        }
+    }
+
+    /// Serves until `shutdown`, then drains.
+    pub async fn run(self, shutdown: ShutdownSignal) {
+        let shared = self.shared;
+        for address in shared.options.entries.clone() {
+            shared.learn_entry(address);
+        }
+        spawn(announce_load(shared.clone())).detach();
+        shutdown.wait().await;
+        shared.drain().await;
+    }
+}
+
+impl SidecarShared {
+    pub(crate) fn hello(&self) -> PeerHello {
+        self.hello.clone()
+    }
+
+    pub(crate) fn clock(&self) -> ProcessClock {
+        self.clock
+    }
+
+    pub(crate) fn pool(&self) -> &UpstreamPool {
+        &self.pool
+    }
+
+    pub(crate) fn settings(&self) -> &SettingsHolder {
+        &self.settings
+    }
+
+    pub(crate) fn upstream_host(&self) -> String {
+        self.options.upstream.to_string()
+    }
+
+    pub(crate) fn answer_limit(&self) -> Duration {
+        Duration::from_millis(self.options.answer_ms.into())
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Connects to an entry unless it is connected already.
+    pub(crate) fn learn_entry(self: &Rc<Self>, address: SocketAddr) {
+        if self.entries.borrow_mut().insert(address) {
+            spawn(keep_link(self.clone(), address)).detach();
+        }
+    }
+
+    /// Forgets an entry that cannot be reached, unless the settings name it.
+    pub(crate) fn forget_entry(&self, address: SocketAddr) -> bool {
+        if self.options.entries.contains(&address) {
+            return false;
+        }
+        self.entries.borrow_mut().remove(&address)
+    }
+
+    pub(crate) fn add_link(&self, outbox: UnboundedSender<PeerBody>) -> u64 {
+        let link = self.next_link.get();
+        self.next_link.set(link + 1);
+        let ack = SettingsAck {
+            version: self.settings.version().0,
+        };
+        let _ = outbox.unbounded_send(PeerBody::SettingsAck(ack));
+        let _ = outbox.unbounded_send(PeerBody::Load(self.load_report()));
+        self.links.borrow_mut().insert(link, outbox);
+        link
+    }
+
+    /// Forgets a connection: what it queued is dropped, what it runs is no longer wanted.
+    pub(crate) fn remove_link(self: &Rc<Self>, link: u64) {
+        self.links.borrow_mut().remove(&link);
+        let keys = self.table.borrow().keys_of_link(link);
+        for key in keys {
+            self.cancel(key);
+        }
+    }
+
+    /// Sends the present load to every entry.
+    pub(crate) fn announce(&self) {
+        self.send_all(&PeerBody::Load(self.load_report()));
+    }
+
+    /// Tells every entry the version in force.
+    pub(crate) fn acknowledge_settings(&self) {
+        let version = self.settings.version().0;
+        self.send_all(&PeerBody::SettingsAck(SettingsAck { version }));
+    }
+
+    fn send_all(&self, body: &PeerBody) {
+        for outbox in self.links.borrow().values() {
+            let _ = outbox.unbounded_send(body.clone());
+        }
+    }
+
+    pub(crate) fn load_report(&self) -> LoadReport {
+        let gate = self.gate.borrow();
+        LoadReport {
+            slots_used: gate.used() as u32,
+            queued: gate.queued() as u32,
+            service_time_us: gate.service_time().as_micros() as u32,
+            leaving: self.leaving.get(),
+            upstream_up: self.pool.is_reachable(),
+        }
+    }
+
+    pub(crate) fn running_attempt(&self, id: Option<AttemptId>) -> Option<AttemptHandle> {
+        self.table.borrow().running(id?.into()).cloned()
+    }
+
+    /// Decides about a request at the moment of its arrival: run, queue or refuse.
+    pub(crate) fn take_request(
+        self: &Rc<Self>,
+        key: AttemptKey,
+        head: RequestHead,
+        outbox: &UnboundedSender<PeerBody>,
+        link: u64,
+    ) {
+        let now = self.clock.now();
+        if self.table.borrow().contains(key) {
+            // A key is never used again, so this is the same request a second time.
+            return;
+        }
+        let attempt = QueuedAttempt::new(key, head, now, outbox.clone(), link);
+        if self.table.borrow_mut().take_tombstone(key) {
+            return attempt.refuse(NotRunReason::Cancelled, Duration::ZERO);
+        }
+        if self.leaving.get() {
+            return attempt.refuse(NotRunReason::Leaving, Duration::ZERO);
+        }
+        let choice = self.gate.borrow_mut().ask(now, attempt.deadline(), key);
+        match choice {
+            GateChoice::Run => self.start(key, attempt.into_running()),
+            GateChoice::Queue => {
+                let state = AttemptState::Queued(attempt);
+                self.table.borrow_mut().insert(key, state);
+            }
+            GateChoice::Full(after) => attempt.refuse(NotRunReason::QueueFull, after),
+            GateChoice::Hopeless(after) => attempt.refuse(NotRunReason::DeadlineHopeless, after),
+        }
+    }
+
+    fn start(self: &Rc<Self>, key: AttemptKey, attempt: RunningAttempt) {
+        let state = AttemptState::Running(attempt.handle());
+        self.table.borrow_mut().insert(key, state);
+        spawn(attempt.run(self.clone())).detach();
+    }
+
+    /// Gives an attempt up.
+    pub(crate) fn cancel(&self, key: AttemptKey) {
+        let choice = self.table.borrow_mut().cancel(key);
+        match choice {
+            CancelChoice::NotRun => {
+                count(Counter::SidecarCancelled);
+                self.gate.borrow_mut().remove(key);
+                if let Some(attempt) = self.table.borrow_mut().take_queued(key) {
+                    attempt.refuse(NotRunReason::Cancelled, Duration::ZERO);
+                }
+            }
+            CancelChoice::Running => {
+                if let Some(handle) = self.table.borrow().running(key) {
+                    handle.abandon();
+                }
+            }
+            CancelChoice::Tombstone => count(Counter::SidecarCancelled),
+        }
+    }
+
+    /// Gives the slot of an attempt back and starts what waits.
+    ///
+    /// `spent` is `None` where the upstream was not reached.
+    pub(crate) fn finish_attempt(self: &Rc<Self>, key: AttemptKey, spent: Option<Duration>) {
+        self.table.borrow_mut().remove(key);
+        match spent {
+            Some(spent) => self.gate.borrow_mut().release(spent),
+            None => self.gate.borrow_mut().release_unused(),
+        }
+        self.start_waiting();
+    }
+
+    fn start_waiting(self: &Rc<Self>) {
+        loop {
+            let choice = self.gate.borrow_mut().next(self.clock.now());
+            match choice {
+                ReleaseChoice::Idle => return,
+                ReleaseChoice::Run(key) => {
+                    let attempt = self.table.borrow_mut().take_queued(key);
+                    match attempt {
+                        Some(attempt) => self.start(key, attempt.into_running()),
+                        None => self.gate.borrow_mut().release_unused(),
+                    }
+                }
+                ReleaseChoice::Drop(key) => {
+                    let wait = self.gate.borrow().expected_wait();
+                    if let Some(attempt) = self.table.borrow_mut().take_queued(key) {
+                        attempt.refuse(NotRunReason::DeadlineHopeless, wait);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Keeps a connection once hyper says that it can be used again.
+    pub(crate) async fn keep_connection(&self, mut connection: ClientConnection) {
+        if connection.ready().await {
+            self.pool.put_back(connection);
+        }
+    }
+
+    /// Announces that the upstream leaves, finishes what is in progress, closes the connections.
+    async fn drain(&self) {
+        let start = self.clock.now();
+        let limit = Duration::from_millis(self.options.drain_ms.into());
+        self.leaving.set(true);
+        self.announce();
+        tracing::info!(attempts = self.table.borrow().len(), "leaving");
+        loop {
+            sleep(DRAIN_POLL).await;
+            let spent = self.clock.now().since(start);
+            let idle = self.table.borrow().len() == 0;
+            if (idle && spent >= LEAVE_NOTICE) || spent >= limit {
+                break;
+            }
+        }
+        self.stopping.set(true);
+        let unfinished = self.table.borrow().len();
+        tracing::info!(unfinished, "drained");
+        self.links.borrow_mut().clear();
+        // The writers flush what is queued for them.
+        sleep(LEAVE_NOTICE).await;
+    }
+}
--- /dev/null
+++ b/crates/wax-standin/src/args.rs
@@ -0,0 +1,139 @@
+//! The command line.
+
+use pico_args::Arguments;
+use std::net::SocketAddr;
+use wax_types::ResourceVector;
+
+pub(crate) const USAGE: &str = "\
+Usage: waxwing-standin COMMAND [OPTIONS]
+
+  platform --listen ADDR
+  worker   --listen ADDR --platform ADDR --id ID --rack RACK --domain DOMAIN
+           [--cpu-milli N] [--memory-mib N] [--accelerators N] [--usage-ms N]
+  upstream --listen ADDR [--slots N] [--service-ms N]
+  load     --entry ADDR --team TEAM --service SERVICE --rate N --seconds N
+           [--deadline-ms N] [--connections N] [--path PATH] [--seed N]
+
+  fetch    METHOD URL [--header NAME:VALUE]... [--body TEXT]
+
+fetch prints the status, the outcome field and the body.
+Each server prints one line of JSON with its address when it is ready.
+Faults are set while a server runs: POST /faults with a JSON object.
+";
+
+#[derive(Debug)]
+pub(crate) enum Command {
+    Help,
+    Platform(PlatformOptions),
+    Worker(WorkerOptions),
+    Upstream(UpstreamOptions),
+    Load(LoadOptions),
+    Fetch(FetchOptions),
+}
+
+#[derive(Debug)]
+pub(crate) struct PlatformOptions {
+    pub(crate) listen: SocketAddr,
+}
+
+#[derive(Debug)]
+pub(crate) struct WorkerOptions {
+    pub(crate) listen: SocketAddr,
+    pub(crate) platform: SocketAddr,
+    pub(crate) id: String,
+    pub(crate) rack: String,
+    pub(crate) domain: String,
+    pub(crate) capacity: ResourceVector,
+    pub(crate) usage_ms: u64,
+}
+
+#[derive(Debug)]
+pub(crate) struct UpstreamOptions {
+    pub(crate) listen: SocketAddr,
+    pub(crate) slots: usize,
+    pub(crate) service_ms: u64,
+}
+
+#[derive(Debug)]
+pub(crate) struct LoadOptions {
+    pub(crate) entry: SocketAddr,
+    pub(crate) team: String,
+    pub(crate) service: String,
+    pub(crate) path: String,
+    pub(crate) rate: u32,
+    pub(crate) seconds: u32,
+    pub(crate) deadline_ms: u32,
+    pub(crate) connections: usize,
+    pub(crate) seed: u64,
+}
+
+#[derive(Debug)]
+pub(crate) struct FetchOptions {
+    pub(crate) method: String,
+    pub(crate) url: String,
+    pub(crate) headers: Vec<String>,
+    pub(crate) body: String,
+}
+
+pub(crate) fn parse() -> Result<Command, pico_args::Error> {
+    let mut args = Arguments::from_env();
+    if args.contains(["-h", "--help"]) {
+        return Ok(Command::Help);
+    }
+    let command = match args.subcommand()?.as_deref() {
+        Some("platform") => Command::Platform(PlatformOptions {
+            listen: args.value_from_str("--listen")?,
+        }),
+        Some("worker") => Command::Worker(parse_worker(&mut args)?),
+        Some("upstream") => Command::Upstream(UpstreamOptions {
+            listen: args.value_from_str("--listen")?,
+            slots: args.opt_value_from_str("--slots")?.unwrap_or(8),
+            service_ms: args.opt_value_from_str("--service-ms")?.unwrap_or(2),
+        }),
+        Some("fetch") => Command::Fetch(parse_fetch(&mut args)?),
+        Some("load") => Command::Load(parse_load(&mut args)?),
+        _ => Command::Help,
+    };
+    Ok(command)
+}
+
+fn parse_worker(args: &mut Arguments) -> Result<WorkerOptions, pico_args::Error> {
+    Ok(WorkerOptions {
+        listen: args.value_from_str("--listen")?,
+        platform: args.value_from_str("--platform")?,
+        id: args.value_from_str("--id")?,
+        rack: args.value_from_str("--rack")?,
+        domain: args.value_from_str("--domain")?,
+        capacity: ResourceVector::new(
+            args.opt_value_from_str("--cpu-milli")?.unwrap_or(16_000),
+            args.opt_value_from_str("--memory-mib")?.unwrap_or(61_440),
+            args.opt_value_from_str("--accelerators")?.unwrap_or(0),
+        ),
+        usage_ms: args.opt_value_from_str("--usage-ms")?.unwrap_or(500),
+    })
+}
+
+fn parse_load(args: &mut Arguments) -> Result<LoadOptions, pico_args::Error> {
+    Ok(LoadOptions {
+        entry: args.value_from_str("--entry")?,
+        team: args.value_from_str("--team")?,
+        service: args.value_from_str("--service")?,
+        path: args
+            .opt_value_from_str("--path")?
+            .unwrap_or_else(|| "/gauge".into()),
+        rate: args.value_from_str("--rate")?,
+        seconds: args.value_from_str("--seconds")?,
+        deadline_ms: args.opt_value_from_str("--deadline-ms")?.unwrap_or(1_000),
+        connections: args.opt_value_from_str("--connections")?.unwrap_or(64),
+        seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
+    })
+}
+
+fn parse_fetch(args: &mut Arguments) -> Result<FetchOptions, pico_args::Error> {
+    Ok(FetchOptions {
+        headers: args.values_from_str("--header")?,
+        body: args.opt_value_from_str("--body")?.unwrap_or_default(),
+        method: args.free_from_str()?,
+        url: args.free_from_str()?,
+    })
+}
--- /dev/null
+++ b/crates/wax-standin/src/load.rs
@@ -0,0 +1,148 @@
+//! Callers: an open loop of quick requests at a steady rate, bounded in count and time.
+
+use crate::args::LoadOptions;
+use compio::runtime::spawn;
+use compio::time::{sleep, timeout};
+use fastrand::Rng;
+use hdrhistogram::Histogram;
+use http::Request;
+use http_body_util::BodyExt;
+use serde_json::json;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use wax_http::{ClientConnection, ConnectionCount, ReplyBody};
+use wax_types::WaxError;
+
+/// How much longer than its deadline a caller waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+struct LoadState {
+    options: LoadOptions,
+    idle: RefCell<Vec<ClientConnection>>,
+    count: ConnectionCount,
+    latency: RefCell<Histogram<u64>>,
+    outcomes: RefCell<BTreeMap<String, u64>>,
+}
+
+pub(crate) async fn run(options: LoadOptions) -> Result<(), WaxError> {
+    let histogram = Histogram::new(3).expect("three digits are allowed");
+    let total = u64::from(options.rate) * u64::from(options.seconds);
+    let mut rng = Rng::with_seed(options.seed);
+    let mean = 1.0 / f64::from(options.rate.max(1));
+    let state = Rc::new(LoadState {
+        options,
+        idle: RefCell::default(),
+        count: ConnectionCount::default(),
+        latency: RefCell::new(histogram),
+        outcomes: RefCell::default(),
+    });
+    let start = Instant::now();
+    let mut due = Duration::ZERO;
+    let mut callers = Vec::new();
+    for _ in 0..total {
+        due += Duration::from_secs_f64(-mean * (1.0 - rng.f64()).ln());
+        let wait = due.saturating_sub(start.elapsed());
+        if !wait.is_zero() {
+            sleep(wait).await;
+        }
+        let state = state.clone();
+        let intended = start + due;
+        callers.push(spawn(async move { state.call(intended).await }));
+    }
+    for caller in callers {
+        // A caller that panicked is missing in the outcomes.
+        let _ = caller.await;
+    }
+    state.report(start.elapsed());
+    Ok(())
+}
+
+impl LoadState {
+    async fn call(&self, intended: Instant) {
+        let outcome = match timeout(self.limit(), self.exchange()).await {
+            Ok(outcome) => outcome,
+            Err(_) => "no answer".into(),
+        };
+        if outcome == "200 ran" {
+            let micros = intended.elapsed().as_micros() as u64;
+            // The histogram grows by itself and takes any value.
+            let _ = self.latency.borrow_mut().record(micros.max(1));
+        }
+        *self.outcomes.borrow_mut().entry(outcome).or_default() += 1;
+    }
+
+    fn limit(&self) -> Duration {
+        Duration::from_millis(u64::from(self.options.deadline_ms)) + PATIENCE
+    }
+
+    async fn connection(&self) -> Result<ClientConnection, WaxError> {
+        loop {
+            let Some(connection) = self.idle.borrow_mut().pop() else {
+                return connect(self.options.entry, &self.count).await;
+            };
+            if connection.is_ready() {
+                return Ok(connection);
+            }
+        }
+    }
+
+    async fn exchange(&self) -> String {
+        if self.count.get() >= self.options.connections && self.idle.borrow().is_empty() {
+            return "no free connection".into();
+        }
+        let mut connection = match self.connection().await {
+            Ok(connection) => connection,
+            Err(_) => return "cannot connect".into(),
+        };
+        let options = &self.options;
+        let request = Request::builder()
+            .uri(format!("/v1/call/{}{}", options.service, options.path))
+            .header("host", options.entry.to_string())
+            .header("waxwing-team", &options.team)
+            .header("waxwing-deadline-ms", options.deadline_ms)
+            .body(ReplyBody::empty());
+        let Ok(request) = request else {
+            return "bad request".into();
+        };
+        let Ok(response) = connection.send(request).await else {
+            return "connection lost".into();
+        };
+        let outcome = response
+            .headers()
+            .get("waxwing-outcome")
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or("none")
+            .to_owned();
+        let status = response.status().as_u16();
+        if response.into_body().collect().await.is_err() {
+            return "cut answer".into();
+        }
+        if connection.ready().await {
+            self.idle.borrow_mut().push(connection);
+        }
+        format!("{status} {outcome}")
+    }
+
+    fn report(&self, elapsed: Duration) {
+        let latency = self.latency.borrow();
+        let body = json!({
+            "seconds": elapsed.as_secs_f64(),
+            "outcomes": *self.outcomes.borrow(),
+            "p50_us": latency.value_at_quantile(0.5),
+            "p99_us": latency.value_at_quantile(0.99),
+            "p999_us": latency.value_at_quantile(0.999),
+            "max_us": latency.max(),
+        });
+        println!("{body}");
+    }
+}
+
+async fn connect(
+    address: SocketAddr,
+    count: &ConnectionCount,
+) -> Result<ClientConnection, WaxError> {
+    ClientConnection::open(address, Duration::from_secs(2), count).await
+}
--- /dev/null
+++ b/crates/wax-standin/src/main.rs
@@ -0,0 +1,40 @@
+//! Test-only stand-ins for the outside systems: platform, worker, upstream, and a load of callers.
+
+mod args;
+mod faults;
+mod fetch;
+mod load;
+mod objects;
+mod platform;
+mod table;
+mod upstream;
+mod worker;
+mod worker_runs;
+
+use crate::args::Command;
+
+#[compio::main]
+async fn main() {
+    let command = match args::parse() {
+        Ok(command) => command,
+        Err(error) => {
+            eprintln!("waxwing-standin: {error}\n\n{}", args::USAGE);
+            std::process::exit(2);
+        }
+    };
+    let result = match command {
+        Command::Help => {
+            print!("{}", args::USAGE);
+            return;
+        }
+        Command::Platform(options) => platform::run(options).await,
+        Command::Worker(options) => worker::run(options).await,
+        Command::Upstream(options) => upstream::run(options).await,
+        Command::Load(options) => load::run(options).await,
+        Command::Fetch(options) => fetch::run(options).await,
+    };
+    if let Err(error) = result {
+        eprintln!("waxwing-standin: {error}");
+        std::process::exit(1);
+    }
+}
--- /dev/null
+++ b/crates/wax-standin/src/worker.rs
@@ -0,0 +1,250 @@
+//! A worker: runs tasks under leases, as the platform would.
+
+use crate::args::WorkerOptions;
+use crate::worker_runs::{RunStep, RunTable};
+use compio::runtime::spawn;
+use compio::time::{interval, sleep};
+use http::StatusCode;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use wax_http::{
+    HttpHandler, HttpReply, HttpRequest, HttpServer, ShutdownSignal, bind_listener, empty_reply,
+    error_reply, json_reply, parse_json,
+};
+use wax_platform::{
+    CheckpointReply, ControlRequest, HttpCaller, ObjectClient, RenewReply, RenewRequest,
+    StartRequest, StoreHealth, StoreLimits, TaskMark, TaskRun, ThrottleRequest, WorkerInfo,
+};
+use wax_types::{ErrorKind, ProcessClock, ShardEpoch, Step, WaxError};
+
+const BODY_LIMIT: usize = 4 << 20;
+const TICK: Duration = Duration::from_millis(5);
+
+struct WorkerState {
+    runs: RefCell<RunTable>,
+    objects: ObjectClient,
+}
+
+/// The content of a checkpoint object.
+#[derive(Serialize, Deserialize)]
+struct CheckpointData {
+    done_ms: f64,
+}
+
+pub(crate) async fn run(options: WorkerOptions) -> Result<(), WaxError> {
+    let listener = bind_listener(options.listen)?;
+    let address = listener
+        .local_addr()
+        .map_err(|error| WaxError::new(ErrorKind::Invalid, Step::Listen, "worker", error))?;
+    let base = format!("http://{}", options.platform);
+    let limits = StoreLimits {
+        call: Duration::from_secs(2),
+        concurrency: 16,
+    };
+    let health = StoreHealth::new(&base, limits, ProcessClock::start())?;
+    let usage_every = Duration::from_millis(options.usage_ms);
+    let state = Rc::new(WorkerState {
+        runs: RefCell::new(RunTable::new(options.capacity, usage_every)),
+        objects: ObjectClient::new(health),
+    });
+    let info = WorkerInfo {
+        id: options.id.into(),
+        address: address.to_string().into(),
+        rack: options.rack.into(),
+        failure_domain: options.domain.into(),
+        capacity: options.capacity,
+    };
+    register(&base, &info).await?;
+    println!("{}", json!({ "worker": address }));
+    spawn(advance_runs(state.clone())).detach();
+    HttpServer::new(listener, state, ShutdownSignal::default())
+        .run()
+        .await;
+    Ok(())
+}
+
+async fn register(base: &str, info: &WorkerInfo) -> Result<(), WaxError> {
+    let caller = HttpCaller::new(Duration::from_secs(2))?;
+    let url = format!("{base}/workers");
+    let body = serde_json::to_vec(info).unwrap_or_default();
+    let request = caller.request(Step::Connect, http::Method::POST, &url, &[], body)?;
+    let (status, _) = caller.send(Step::Connect, &url, request).await?;
+    if status.is_success() {
+        return Ok(());
+    }
+    Err(WaxError::new(
+        ErrorKind::Protocol,
+        Step::Connect,
+        url,
+        status,
+    ))
+}
+
+async fn advance_runs(state: Rc<WorkerState>) {
+    let mut ticks = interval(TICK);
+    loop {
+        ticks.tick().await;
+        let steps = state.runs.borrow_mut().advance(Instant::now());
+        for RunStep::WriteResult(mark) in steps {
+            state.write_result(mark).await;
+        }
+    }
+}
+
+impl WorkerState {
+    async fn write_result(&self, mark: TaskMark) {
+        let key = format!("results/{}", mark.task);
+        let body = json!({ "task": mark.task, "epoch": mark.epoch, "answer": "done" });
+        let bytes = serde_json::to_vec(&body).unwrap_or_default();
+        if self.objects.create(&key, bytes).await.is_err() {
+            // The run stays finished but unreported; the next tick tries again.
+            return;
+        }
+        let mut runs = self.runs.borrow_mut();
+        runs.end(Instant::now(), mark, TaskRun::Done(key.into()));
+    }
+
+    async fn write_checkpoint(&self, mark: TaskMark) -> Option<Box<str>> {
+        let done_ms = self.runs.borrow().get(mark)?.progress_ms(Instant::now());
+        let key = format!(
+            "checkpoints/{}/{}/{}",
+            mark.task,
+            mark.epoch,
+            fastrand::u64(..)
+        );
+        let bytes = serde_json::to_vec(&CheckpointData { done_ms }).unwrap_or_default();
+        self.objects.create(&key, bytes).await.ok()?;
+        let key: Box<str> = key.into();
+        self.runs.borrow_mut().get_mut(mark)?.checkpoint = Some(key.clone());
+        Some(key)
+    }
+
+    async fn read_checkpoint(&self, key: Option<&str>) -> Result<f64, WaxError> {
+        let Some(key) = key else { return Ok(0.0) };
+        let bytes = self.objects.read(key).await?.ok_or_else(|| {
+            WaxError::new(
+                ErrorKind::NotFound,
+                Step::ReadObject,
+                key,
+                "no such checkpoint",
+            )
+        })?;
+        let data: CheckpointData = serde_json::from_slice(&bytes)
+            .map_err(|error| WaxError::new(ErrorKind::Protocol, Step::ReadObject, key, error))?;
+        Ok(data.done_ms)
+    }
+
+    /// Refuses an owner that a later one has replaced.
+    fn check_owner(&self, owner: ShardEpoch) -> Result<(), WaxError> {
+        if self.runs.borrow_mut().take_owner(owner) {
+            return Ok(());
+        }
+        let text = "a later owner has called this worker";
+        Err(WaxError::new(
+            ErrorKind::Conflict,
+            Step::CallWorker,
+            "worker",
+            text,
+        ))
+    }
+
+    async fn start(&self, request: StartRequest) -> Result<HttpReply, WaxError> {
+        let delay = self.runs.borrow().faults.start_delay_ms;
+        sleep(Duration::from_millis(delay)).await;
+        let done_ms = self.read_checkpoint(request.checkpoint.as_deref()).await?;
+        self.check_owner(request.owner)?;
+        let reply = self
+            .runs
+            .borrow_mut()
+            .start(Instant::now(), &request, done_ms);
+        Ok(json_reply(StatusCode::OK, &reply))
+    }
+
+    fn renew(&self, request: &RenewRequest) -> Result<HttpReply, WaxError> {
+        self.check_owner(request.owner)?;
+        let now = Instant::now();
+        let mut runs = self.runs.borrow_mut();
+        if runs.clock_ms(now) <= request.valid_until_ms {
+            runs.renew(now, &request.renew, request.lease_ms);
+        }
+        runs.forget(&request.forget);
+        let reply = RenewReply {
+            runs: runs.reports(),
+            usage: runs.take_usage(now, request.usage_through),
+            boot: runs.boot,
+            clock_ms: runs.clock_ms(now),
+        };
+        Ok(json_reply(StatusCode::OK, &reply))
+    }
+
+    async fn stop(&self, request: ControlRequest) -> Result<HttpReply, WaxError> {
+        self.check_owner(request.owner)?;
+        let mark = request.mark;
+        self.runs.borrow_mut().fence(mark);
+        let checkpoint = self.write_checkpoint(mark).await;
+        let mut runs = self.runs.borrow_mut();
+        runs.end(Instant::now(), mark, TaskRun::Stopped(checkpoint));
+        drop(runs);
+        Ok(self.run_reply(mark))
+    }
+
+    fn run_reply(&self, mark: TaskMark) -> HttpReply {
+        let runs = self.runs.borrow();
+        let run = runs.get(mark);
+        let reply = CheckpointReply {
+            run: run.map(|run| run.run.clone()),
+            checkpoint: run.and_then(|run| run.checkpoint.clone()),
+        };
+        json_reply(StatusCode::OK, &reply)
+    }
+
+    fn throttle(&self, request: &ThrottleRequest) -> Result<HttpReply, WaxError> {
+        self.check_owner(request.owner)?;
+        let speed = f64::from(request.percent.clamp(1, 100)) / 100.0;
+        if let Some(run) = self.runs.borrow_mut().get_mut(request.mark) {
+            run.set_speed(Instant::now(), speed);
+        }
+        Ok(self.run_reply(request.mark))
+    }
+
+    async fn answer(&self, request: HttpRequest) -> Result<HttpReply, WaxError> {
+        let path = request.uri().path().to_owned();
+        if path == "/faults" {
+            self.runs.borrow_mut().faults = parse_json(request, BODY_LIMIT).await?;
+            return Ok(empty_reply(StatusCode::NO_CONTENT));
+        }
+        if path == "/audit" {
+            let runs = self.runs.borrow();
+            let body = json!({ "runs": runs.audit, "worst_over": runs.worst_over });
+            return Ok(json_reply(StatusCode::OK, &body));
+        }
+        if self.runs.borrow().faults.cut {
+            return Ok(empty_reply(StatusCode::SERVICE_UNAVAILABLE));
+        }
+        match path.as_str() {
+            "/start" => self.start(parse_json(request, BODY_LIMIT).await?).await,
+            "/renew" => self.renew(&parse_json(request, BODY_LIMIT).await?),
+            "/stop" => self.stop(parse_json(request, BODY_LIMIT).await?).await,
+            "/checkpoint" => {
+                let request: ControlRequest = parse_json(request, BODY_LIMIT).await?;
+                self.check_owner(request.owner)?;
+                self.write_checkpoint(request.mark).await;
+                Ok(self.run_reply(request.mark))
+            }
+            "/throttle" => self.throttle(&parse_json(request, BODY_LIMIT).await?),
+            _ => Ok(empty_reply(StatusCode::NOT_FOUND)),
+        }
+    }
+}
+
+impl HttpHandler for WorkerState {
+    async fn handle(&self, request: HttpRequest) -> HttpReply {
+        match self.answer(request).await {
+            Ok(reply) => reply,
+            Err(error) => error_reply(&error),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wax-standin/src/worker_runs.rs
@@ -0,0 +1,375 @@
+//! The runs of tasks at one worker: progress, leases, checkpoints, usage.
+
+use serde::{Deserialize, Serialize};
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
+use wax_platform::{StartReply, StartRequest, TaskMark, TaskReport, TaskRun, UsageReport};
+use wax_types::{ResourceVector, ShardEpoch, TaskEpoch, TaskId, wall_clock_ms};
+
+/// Usage reports sent in one renewal.
+const USAGE_PAGE: usize = 200;
+
+/// What the stand-in reads of a job's input.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(default)]
+pub(crate) struct TaskInput {
+    pub(crate) work_ms: u64,
+    pub(crate) fail: bool,
+}
+
+impl Default for TaskInput {
+    fn default() -> Self {
+        Self {
+            work_ms: 100,
+            fail: false,
+        }
+    }
+}
+
+/// Faults of a worker; `POST /faults` replaces all of them.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(crate) struct WorkerFaults {
+    /// Every run fails at once.
+    pub(crate) fail_all: bool,
+    /// Usage is reported this much later.
+    pub(crate) usage_lag_ms: u64,
+    /// Usage that was acknowledged is reported again, and in reverse order.
+    pub(crate) usage_repeat: bool,
+    /// Calls are refused with 503, as if the worker could not be reached.
+    pub(crate) cut: bool,
+    /// Starts are answered this much later.
+    pub(crate) start_delay_ms: u64,
+}
+
+#[derive(Debug)]
+pub(crate) struct RunState {
+    pub(crate) mark: TaskMark,
+    pub(crate) size: ResourceVector,
+    pub(crate) input: TaskInput,
+    /// Work done before `since`, in milliseconds.
+    done_ms: f64,
+    since: Instant,
+    speed: f64,
+    lease_end: Instant,
+    pub(crate) run: TaskRun,
+    pub(crate) checkpoint: Option<Box<str>>,
+    interval: u32,
+    interval_start: Instant,
+    interval_start_ms: u64,
+}
+
+impl RunState {
+    pub(crate) fn progress_ms(&self, now: Instant) -> f64 {
+        let live = now
+            .min(self.lease_end)
+            .saturating_duration_since(self.since);
+        self.done_ms + live.as_secs_f64() * 1_000.0 * self.speed
+    }
+
+    pub(crate) fn set_speed(&mut self, now: Instant, speed: f64) {
+        self.done_ms = self.progress_ms(now);
+        self.since = now;
+        self.speed = speed;
+    }
+}
+
+/// One line of the audit: a run began or ended at this worker.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct AuditLine {
+    pub(crate) task: TaskId,
+    pub(crate) epoch: TaskEpoch,
+    pub(crate) start_ms: u64,
+    /// `None` while it runs.
+    pub(crate) end_ms: Option<u64>,
+    pub(crate) resumed_from: Option<Box<str>>,
+    pub(crate) cpu_milli_seconds: u64,
+}
+
+/// What the owner of a run has to do next.
+#[derive(Debug, PartialEq)]
+pub(crate) enum RunStep {
+    /// Write the result object, then call `finish`.
+    WriteResult(TaskMark),
+}
+
+#[derive(Debug)]
+pub(crate) struct RunTable {
+    capacity: ResourceVector,
+    usage_every: Duration,
+    runs: HashMap<TaskId, RunState>,
+    usage: VecDeque<(Instant, UsageReport)>,
+    acknowledged: VecDeque<UsageReport>,
+    sequence: u64,
+    pub(crate) faults: WorkerFaults,
+    pub(crate) audit: Vec<AuditLine>,
+    pub(crate) worst_over: u64,
+    /// Epochs that were stopped before they were started.
+    fenced: HashMap<TaskId, TaskEpoch>,
+    pub(crate) boot: u64,
+    owner: ShardEpoch,
+    origin: Instant,
+}
+
+impl RunTable {
+    pub(crate) fn new(capacity: ResourceVector, usage_every: Duration) -> Self {
+        Self {
+            capacity,
+            usage_every,
+            runs: HashMap::new(),
+            usage: VecDeque::new(),
+            acknowledged: VecDeque::new(),
+            sequence: 0,
+            faults: WorkerFaults::default(),
+            audit: Vec::new(),
+            worst_over: 0,
+            fenced: HashMap::new(),
+            boot: fastrand::u64(1..),
+            owner: ShardEpoch::default(),
+            origin: Instant::now(),
+        }
+    }
+
+    pub(crate) fn clock_ms(&self, now: Instant) -> u64 {
+        now.saturating_duration_since(self.origin).as_millis() as u64
+    }
+
+    /// Whether the owner is not replaced by a later one.
+    pub(crate) fn take_owner(&mut self, owner: ShardEpoch) -> bool {
+        self.owner = self.owner.max(owner);
+        owner == self.owner
+    }
+
+    /// No later start of this epoch or an earlier one has an effect.
+    pub(crate) fn fence(&mut self, mark: TaskMark) {
+        let epoch = self.fenced.entry(mark.task).or_default();
+        *epoch = mark.epoch.max(*epoch);
+    }
+
+    pub(crate) fn start(
+        &mut self,
+        now: Instant,
+        request: &StartRequest,
+        done_ms: f64,
+    ) -> StartReply {
+        if self.clock_ms(now) > request.valid_until_ms {
+            return StartReply::Late;
+        }
+        let fenced = self.fenced.get(&request.mark.task).copied();
+        if fenced.is_some_and(|epoch| epoch >= request.mark.epoch) {
+            return StartReply::Fenced;
+        }
+        if let Some(run) = self.runs.get(&request.mark.task) {
+            if run.mark.epoch == request.mark.epoch {
+                return StartReply::Already;
+            }
+            if run.mark.epoch > request.mark.epoch {
+                return StartReply::Fenced;
+            }
+            if run.run == TaskRun::Running {
+                return StartReply::Refused("an earlier epoch still runs".into());
+            }
+        }
+        let input: TaskInput = serde_json::from_value(request.input.clone()).unwrap_or_default();
+        let run = RunState {
+            mark: request.mark,
+            size: request.size,
+            input,
+            done_ms,
+            since: now,
+            speed: 1.0,
+            lease_end: now + Duration::from_millis(request.lease_ms),
+            run: TaskRun::Running,
+            checkpoint: request.checkpoint.clone(),
+            interval: 0,
+            interval_start: now,
+            interval_start_ms: wall_clock_ms(),
+        };
+        self.audit.push(AuditLine {
+            task: request.mark.task,
+            epoch: request.mark.epoch,
+            start_ms: wall_clock_ms(),
+            end_ms: None,
+            resumed_from: request.checkpoint.clone(),
+            cpu_milli_seconds: 0,
+        });
+        self.runs.insert(request.mark.task, run);
+        self.note_load();
+        StartReply::Started
+    }
+
+    /// Records by how much the running tasks exceed the worker.
+    fn note_load(&mut self) {
+        let load = self
+            .runs
+            .values()
+            .filter(|run| run.run == TaskRun::Running)
+            .fold(ResourceVector::ZERO, |sum, run| {
+                sum.checked_add(run.size).unwrap_or(sum)
+            });
+        let over = load.saturating_sub(self.capacity);
+        let over = u64::from(over.cpu_milli.max(over.memory_mib).max(over.accelerators));
+        self.worst_over = self.worst_over.max(over);
+    }
+
+    pub(crate) fn get(&self, mark: TaskMark) -> Option<&RunState> {
+        self.runs
+            .get(&mark.task)
+            .filter(|run| run.mark.epoch == mark.epoch)
+    }
+
+    pub(crate) fn get_mut(&mut self, mark: TaskMark) -> Option<&mut RunState> {
+        self.runs
+            .get_mut(&mark.task)
+            .filter(|run| run.mark.epoch == mark.epoch)
+    }
+
+    pub(crate) fn renew(&mut self, now: Instant, marks: &[TaskMark], lease_ms: u64) {
+        for mark in marks {
+            if let Some(run) = self.get_mut(*mark)
+                && run.run == TaskRun::Running
+                && now < run.lease_end
+            {
+                run.lease_end = now + Duration::from_millis(lease_ms);
+            }
+        }
+    }
+
+    pub(crate) fn forget(&mut self, marks: &[TaskMark]) {
+        for mark in marks {
+            if self
+                .get(*mark)
+                .is_some_and(|run| run.run != TaskRun::Running)
+            {
+                self.runs.remove(&mark.task);
+            }
+        }
+    }
+
+    pub(crate) fn reports(&self) -> Vec<TaskReport> {
+        self.runs
+            .values()
+            .map(|run| TaskReport {
+                mark: run.mark,
+                run: run.run.clone(),
+            })
+            .collect()
+    }
+
+    /// Ends a run, with its last usage interval.
+    pub(crate) fn end(&mut self, now: Instant, mark: TaskMark, outcome: TaskRun) {
+        if self.get(mark).is_none_or(|run| run.run != TaskRun::Running) {
+            return;
+        }
+        self.close_interval(now, mark);
+        let end = wall_clock_ms();
+        if let Some(run) = self.get_mut(mark) {
+            run.run = outcome;
+        }
+        if let Some(line) = self
+            .audit
+            .iter_mut()
+            .rfind(|line| line.task == mark.task && line.epoch == mark.epoch)
+        {
+            line.end_ms = Some(end);
+        }
+    }
+
+    /// Lets time pass: lapses leases, closes usage intervals, finds finished work.
+    pub(crate) fn advance(&mut self, now: Instant) -> Vec<RunStep> {
+        let running: Vec<TaskMark> = self
+            .runs
+            .values()
+            .filter(|run| run.run == TaskRun::Running)
+            .map(|run| run.mark)
+            .collect();
+        let mut steps = Vec::new();
+        for mark in running {
+            let Some(run) = self.get(mark) else { continue };
+            let lapsed = now >= run.lease_end;
+            let lease_end = run.lease_end;
+            let finished = run.progress_ms(now) >= run.input.work_ms as f64;
+            let failed = run.input.fail || self.faults.fail_all;
+            let due = now.saturating_duration_since(run.interval_start) >= self.usage_every;
+            let checkpoint = run.checkpoint.clone();
+            if lapsed {
+                self.end(lease_end, mark, TaskRun::Stopped(checkpoint));
+            } else if failed {
+                self.end(
+                    now,
+                    mark,
+                    TaskRun::Failed("the task exited with status 1".into()),
+                );
+            } else if finished {
+                steps.push(RunStep::WriteResult(mark));
+            } else if due {
+                self.close_interval(now, mark);
+            }
+        }
+        steps
+    }
+
+    fn close_interval(&mut self, now: Instant, mark: TaskMark) {
+        let sequence = self.sequence + 1;
+        let boot = self.boot;
+        let lag = Duration::from_millis(self.faults.usage_lag_ms);
+        let Some(run) = self.get_mut(mark) else {
+            return;
+        };
+        let length = now.saturating_duration_since(run.interval_start);
+        let length_ms = length.as_millis() as u32;
+        let cpu = u64::from(run.size.cpu_milli) * u64::from(length_ms) / 1_000;
+        let report = UsageReport {
+            sequence,
+            boot,
+            mark,
+            interval: run.interval,
+            start_ms: run.interval_start_ms,
+            length_ms,
+            cpu_milli_seconds: cpu,
+            memory_mib_seconds: u64::from(run.size.memory_mib) * u64::from(length_ms) / 1_000,
+            accelerator_ms: u64::from(run.size.accelerators) * u64::from(length_ms),
+            slowdown_percent: 100,
+        };
+        run.interval += 1;
+        run.interval_start += Duration::from_millis(u64::from(length_ms));
+        run.interval_start_ms += u64::from(length_ms);
+        self.sequence = sequence;
+        self.usage.push_back((now + lag, report));
+        if let Some(line) = self
+            .audit
+            .iter_mut()
+            .rfind(|line| line.task == mark.task && line.epoch == mark.epoch)
+        {
+            line.cpu_milli_seconds += cpu;
+        }
+    }
+
+    /// Reports that are due, after those acknowledged are dropped.
+    pub(crate) fn take_usage(&mut self, now: Instant, through: u64) -> Vec<UsageReport> {
+        while self
+            .usage
+            .front()
+            .is_some_and(|(_, report)| report.sequence <= through)
+        {
+            if let Some((_, report)) = self.usage.pop_front() {
+                self.acknowledged.push_back(report);
+            }
+        }
+        while self.acknowledged.len() > USAGE_PAGE {
+            self.acknowledged.pop_front();
+        }
+        let due = self
+            .usage
+            .iter()
+            .take_while(|(due, _)| *due <= now)
+            .map(|(_, report)| report.clone())
+            .take(USAGE_PAGE);
+        if self.faults.usage_repeat {
+            let mut all: Vec<UsageReport> = self.acknowledged.iter().cloned().chain(due).collect();
+            all.reverse();
+            return all;
+        }
+        due.collect()
+    }
+}
--- /dev/null
+++ b/crates/wax-tasks/src/commit.rs
@@ -0,0 +1,173 @@
+//! Builds one transaction from many changes of tasks; the guard on capacity is here.
+
+use crate::rows::{AllocRow, ClosedRow, alloc_key, closed_key, part_key, shard_key, task_key};
+use crate::shard_state::{PartKey, ShardState, TaskChange};
+use crate::term::OwnerTerm;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use wax_platform::TableTransaction;
+use wax_types::{RowVersion, TaskId, TimePoint, WorkerId};
+
+/// Changes that are committed together.
+#[derive(Debug)]
+pub(crate) struct ChangeGroup {
+    pub(crate) transaction: TableTransaction,
+    pub(crate) changes: Vec<TaskChange>,
+    allocs: BTreeMap<WorkerId, AllocRow>,
+    closing: Vec<PartKey>,
+}
+
+/// Builds the transaction; changes that would exceed a worker are left out.
+pub(crate) fn build_group(
+    state: &ShardState,
+    term: &OwnerTerm,
+    changes: Vec<TaskChange>,
+) -> ChangeGroup {
+    let mut allocs = BTreeMap::new();
+    let changes: Vec<TaskChange> = changes
+        .into_iter()
+        .filter(|change| change_allocs(state, &mut allocs, change))
+        .collect();
+    let closing = closing_parts(state, &changes);
+    let mut group = ChangeGroup {
+        transaction: TableTransaction::default(),
+        changes,
+        allocs,
+        closing,
+    };
+    group.fill(state, term);
+    group
+}
+
+/// Moves a task between allocation rows; refuses what exceeds a worker's capacity.
+fn change_allocs(
+    state: &ShardState,
+    allocs: &mut BTreeMap<WorkerId, AllocRow>,
+    change: &TaskChange,
+) -> bool {
+    if let Some(worker) = &change.reserve {
+        let Some(entry) = state.workers.get(worker) else {
+            return false;
+        };
+        let Some(added) = state.alloc_entry(change.task, change.next.epoch) else {
+            return false;
+        };
+        let mut row = allocs.get(worker).unwrap_or(&entry.alloc).clone();
+        row.tasks.push(added);
+        let fits = row
+            .reserved()
+            .is_some_and(|reserved| reserved.fits_in(entry.info.capacity));
+        if !fits {
+            return false;
+        }
+        allocs.insert(worker.clone(), row);
+    }
+    if let Some(worker) = &change.release
+        && let Some(entry) = state.workers.get(worker)
+    {
+        let row = allocs
+            .entry(worker.clone())
+            .or_insert_with(|| entry.alloc.clone());
+        row.tasks.retain(|alloc| alloc.task != change.task);
+    }
+    true
+}
+
+/// Parts whose last open tasks end with these changes.
+fn closing_parts(state: &ShardState, changes: &[TaskChange]) -> Vec<PartKey> {
+    let mut ending: HashMap<PartKey, u32> = HashMap::new();
+    for change in changes
+        .iter()
+        .filter(|change| change.next.state.is_terminal())
+    {
+        if let Some(entry) = state.tasks.get(&change.task) {
+            *ending.entry(entry.part).or_default() += 1;
+        }
+    }
+    ending
+        .into_iter()
+        .filter(|(key, ending)| {
+            state
+                .parts
+                .get(key)
+                .is_some_and(|part| part.open == *ending)
+        })
+        .map(|(key, _)| key)
+        .collect()
+}
+
+impl ChangeGroup {
+    fn fill(&mut self, state: &ShardState, term: &OwnerTerm) {
+        let shard = term.shard();
+        for key in self.closing.clone() {
+            self.close_part(state, term, key);
+        }
+        let closing: HashSet<PartKey> = self.closing.iter().copied().collect();
+        for change in &self.changes {
+            let Some(entry) = state.tasks.get(&change.task) else {
+                continue;
+            };
+            if !closing.contains(&entry.part) {
+                let key = task_key(shard, change.task);
+                self.transaction.put(key, entry.version, &change.next);
+            }
+        }
+        for (worker, row) in &self.allocs {
+            let version = state.workers.get(worker).map(|entry| entry.version);
+            let key = alloc_key(shard, worker);
+            self.transaction.put(key, version.unwrap_or_default(), row);
+        }
+        if !self.transaction.is_empty() {
+            self.transaction.require(shard_key(shard), term.version());
+        }
+    }
+
+    /// The ends of a part's tasks go into one row; the rows of the part and its tasks go.
+    fn close_part(&mut self, state: &ShardState, term: &OwnerTerm, key: PartKey) {
+        let Some(part) = state.parts.get(&key) else {
+            return;
+        };
+        let shard = term.shard();
+        let ids: Vec<TaskId> = (0..part.row.place.count)
+            .map(|offset| TaskId {
+                job: key.0,
+                index: key.1 + offset,
+            })
+            .collect();
+        let rows = ids.iter().filter_map(|task| {
+            let change = self.changes.iter().find(|change| change.task == *task);
+            match change {
+                Some(change) => Some(change.next.clone()),
+                None => state.tasks.get(task)?.row.clone(),
+            }
+        });
+        let closed = ClosedRow {
+            tasks: rows.collect(),
+        };
+        self.transaction
+            .put(closed_key(key.0, key.1), RowVersion::default(), &closed);
+        self.transaction
+            .delete(part_key(shard, key.0, key.1), part.version);
+        for task in ids {
+            let version = state.tasks.get(&task).map(|entry| entry.version);
+            if let Some(version) = version.filter(|version| *version != RowVersion::default()) {
+                self.transaction.delete(task_key(shard, task), version);
+            }
+        }
+    }
+
+    /// Takes the committed group into memory.
+    pub(crate) fn apply(&self, state: &mut ShardState, now: TimePoint, version: RowVersion) {
+        for change in &self.changes {
+            state.apply(now, change, version);
+        }
+        for (worker, row) in &self.allocs {
+            if let Some(entry) = state.workers.get_mut(worker) {
+                entry.alloc = row.clone();
+                entry.version = version;
+            }
+        }
+        for key in &self.closing {
+            state.drop_part(*key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/wax-tasks/src/coordinator.rs
@@ -0,0 +1,297 @@
+//! Gains and loses shards: one row of the table for each, one live member that ranks highest.
+
+use crate::ownership::{OwnIdentity, ShardChoice, decide_shard};
+use crate::rows::{SHARD_PREFIX, ShardRow, shard_key};
+use crate::shard::{ShardClients, ShardOptions, ShardShared, run_shard};
+use crate::term::OwnerTerm;
+use compio::runtime::spawn;
+use compio::time::sleep;
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+use wax_http::ShutdownSignal;
+use wax_member::MemberHandle;
+use wax_platform::{
+    CommitOutcome, ObjectClient, RowEntry, TableClient, TableTransaction, WorkerClient,
+    WorkerDirectory,
+};
+use wax_policy::{LeaseTerms, PlacePolicy, top_member};
+use wax_settings::CoordinatorSettings;
+use wax_trace::{Counter, count};
+use wax_types::{ProcessClock, RowVersion, ShardEpoch, ShardId, TimePoint, WaxError};
+
+/// A renewal that takes longer is given up.
+const WORKER_CALL: Duration = Duration::from_secs(1);
+/// For two clocks that differ in speed.
+const CLOCK_MARGIN: Duration = Duration::from_millis(200);
+/// A handover waits this long for calls under way.
+const HANDOVER_PAUSE: Duration = Duration::from_millis(50);
+
+/// A shard as it is shown.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardStatus {
+    /// The shard.
+    pub shard: ShardId,
+    /// Its epoch.
+    pub epoch: ShardEpoch,
+    /// Its workers.
+    pub workers: usize,
+    /// Workers that answer.
+    pub reachable: usize,
+    /// Workers in quarantine.
+    pub quarantined: Vec<Box<str>>,
+    /// Tasks that wait.
+    pub queued: usize,
+    /// Tasks that are placed.
+    pub placed: usize,
+    /// Milliseconds since the ownership was confirmed.
+    pub confirmed_ms: u64,
+}
+
+/// What the rest of the process sees of the shards owned here.
+#[derive(Clone, Default)]
+pub struct CoordinatorHandle {
+    shards: Rc<RefCell<BTreeMap<ShardId, Rc<ShardShared>>>>,
+}
+
+impl CoordinatorHandle {
+    /// The shards owned here.
+    pub fn status(&self, now: TimePoint) -> Vec<ShardStatus> {
+        self.shards
+            .borrow()
+            .values()
+            .map(|shared| shard_status(shared, now))
+            .collect()
+    }
+}
+
+fn shard_status(shared: &ShardShared, now: TimePoint) -> ShardStatus {
+    let state = shared.state.borrow();
+    let quarantined = state
+        .workers
+        .iter()
+        .filter(|(_, entry)| entry.quarantined_until.is_some_and(|until| until > now))
+        .map(|(worker, _)| (**worker).into())
+        .collect();
+    ShardStatus {
+        shard: shared.term.shard(),
+        epoch: shared.term.epoch(),
+        workers: state.workers.len(),
+        reachable: state
+            .workers
+            .values()
+            .filter(|entry| entry.contact.is_reachable())
+            .count(),
+        quarantined,
+        queued: state.queue.len(),
+        placed: state
+            .workers
+            .values()
+            .map(|entry| entry.alloc.tasks.len())
+            .sum(),
+        confirmed_ms: now.since(shared.term.confirmed()).as_millis() as u64,
+    }
+}
+
+/// The part of a daemon that owns shards.
+pub struct CoordinatorProcess {
+    settings: CoordinatorSettings,
+    options: ShardOptions,
+    clients: ShardClients,
+    members: MemberHandle,
+    clock: ProcessClock,
+    handle: CoordinatorHandle,
+    terms: HashMap<ShardId, OwnerTerm>,
+}
+
+impl CoordinatorProcess {
+    /// Prepares the part; nothing is owned yet.
+    ///
+    /// # Errors
+    ///
+    /// The HTTP client for workers cannot be built.
+    pub fn new(
+        settings: CoordinatorSettings,
+        table: TableClient,
+        objects: ObjectClient,
+        directory: WorkerDirectory,
+        members: MemberHandle,
+        policy: PlacePolicy,
+    ) -> Result<Self, WaxError> {
+        let terms = LeaseTerms {
+            lease: Duration::from_millis(settings.lease_ms.into()),
+            call: WORKER_CALL,
+            margin: CLOCK_MARGIN + Duration::from_millis(settings.lease_ms.into()) / 50,
+            grace: Duration::from_millis(settings.grace_ms.into()),
+        };
+        let options = ShardOptions {
+            shards: settings.shards,
+            terms,
+            renew: Duration::from_millis(settings.renew_ms.into()),
+            policy,
+        };
+        let clock = table.health().clock();
+        let workers = WorkerClient::new(WORKER_CALL)?;
+        Ok(Self {
+            settings,
+            options,
+            clients: ShardClients {
+                table,
+                objects,
+                directory,
+                workers,
+            },
+            members,
+            clock,
+            handle: CoordinatorHandle::default(),
+            terms: HashMap::new(),
+        })
+    }
+
+    /// What the rest of the process sees.
+    pub fn handle(&self) -> CoordinatorHandle {
+        self.handle.clone()
+    }
+
+    /// Gains and loses shards until `shutdown`, then hands all over.
+    pub async fn run(mut self, shutdown: ShutdownSignal) {
+        let period = Duration::from_millis(self.settings.heartbeat_ms.into());
+        while !shutdown.is_raised() {
+            // A failed look changes nothing: terms run on until their grace ends.
+            let _ = self.look(false).await;
+            sleep(period).await;
+        }
+        if let Err(error) = self.look(true).await {
+            tracing::info!(%error, "shards not handed over; others take them when we are gone");
+        }
+    }
+
+    async fn look(&mut self, leaving: bool) -> Result<(), WaxError> {
+        if self.members.observed().is_none() {
+            return Ok(());
+        }
+        let begun = self.clock.now();
+        let rows = self.clients.table.scan::<ShardRow>(SHARD_PREFIX).await?;
+        let mut rows: HashMap<Box<str>, RowEntry<ShardRow>> =
+            rows.into_iter().map(|row| (row.key.clone(), row)).collect();
+        let live = self.members.live(self.clock.now());
+        let candidates: Vec<&str> = live
+            .iter()
+            .filter(|member| member.coordinator && !member.leaving)
+            .map(|member| &*member.name)
+            .collect();
+        let own = self.members.own_row();
+        for index in 0..self.settings.shards {
+            let shard = ShardId(index);
+            let row = rows.remove(shard_key(shard).as_str());
+            let owner_alive = row.as_ref().is_some_and(|row| {
+                live.iter().any(|member| {
+                    row.value.owner.as_deref() == Some(&*member.name)
+                        && row.value.incarnation == member.incarnation
+                })
+            });
+            let identity = OwnIdentity {
+                name: &own.name,
+                incarnation: own.incarnation,
+                leaving: leaving || own.leaving,
+            };
+            let top = top_member(index.into(), candidates.iter().copied());
+            let value = row.as_ref().map(|row| &row.value);
+            match decide_shard(value, identity, top, owner_alive) {
+                ShardChoice::Keep => self.keep(shard, row.as_ref(), begun),
+                ShardChoice::Release => self.release(shard, row).await,
+                ShardChoice::Claim => self.claim(shard, row).await,
+                ShardChoice::Leave => self.leave(shard),
+            }
+        }
+        Ok(())
+    }
+
+    /// The row is ours: confirms the term, if it is this one's.
+    fn keep(&mut self, shard: ShardId, row: Option<&RowEntry<ShardRow>>, begun: TimePoint) {
+        let (Some(row), Some(term)) = (row, self.terms.get(&shard)) else {
+            // A claim whose reply was lost: it is claimed again under the next epoch.
+            if let Some(row) = row {
+                self.reclaim(shard, row, begun);
+            }
+            return;
+        };
+        if row.version == term.version() {
+            term.confirm(begun);
+        }
+        if !term.holds(self.clock.now()) {
+            self.leave(shard);
+        }
+    }
+
+    /// The row says that it is ours and no term runs: the term begins with this look.
+    fn reclaim(&mut self, shard: ShardId, row: &RowEntry<ShardRow>, begun: TimePoint) {
+        self.begin(shard, row.value.epoch, row.version, begun);
+    }
+
+    async fn claim(&mut self, shard: ShardId, row: Option<RowEntry<ShardRow>>) {
+        self.leave(shard);
+        let own = self.members.own_row();
+        let (version, epoch) = match &row {
+            Some(row) => (row.version, row.value.epoch.next()),
+            None => (RowVersion::default(), ShardEpoch(1)),
+        };
+        let next = ShardRow {
+            owner: Some(own.name),
+            incarnation: own.incarnation,
+            epoch,
+        };
+        let begun = self.clock.now();
+        let mut transaction = TableTransaction::default();
+        transaction.put(shard_key(shard), version, &next);
+        let deadline = begun + Duration::from_millis(self.settings.member_ttl_ms.into());
+        if let CommitOutcome::Committed(version) =
+            self.clients.table.commit(&transaction, deadline).await
+        {
+            self.begin(shard, epoch, version, begun);
+        }
+    }
+
+    fn begin(&mut self, shard: ShardId, epoch: ShardEpoch, version: RowVersion, begun: TimePoint) {
+        count(Counter::ShardsGained);
+        tracing::info!(%shard, %epoch, "shard gained");
+        let grace = self.options.terms.grace;
+        let term = OwnerTerm::new(shard, epoch, version, grace, begun, self.clock.now());
+        self.terms.insert(shard, term.clone());
+        let shards = self.handle.shards.clone();
+        let publish = move |shared: Option<Rc<ShardShared>>| {
+            match shared {
+                Some(shared) => shards.borrow_mut().insert(shard, shared),
+                None => shards.borrow_mut().remove(&shard),
+            };
+        };
+        let clients = self.clients.clone();
+        spawn(run_shard(term, self.options, clients, self.clock, publish)).detach();
+    }
+
+    /// Hands a shard over: acts no more, then gives the row away.
+    async fn release(&mut self, shard: ShardId, row: Option<RowEntry<ShardRow>>) {
+        self.leave(shard);
+        let Some(row) = row else { return };
+        sleep(HANDOVER_PAUSE).await;
+        let next = ShardRow {
+            owner: None,
+            ..row.value
+        };
+        let mut transaction = TableTransaction::default();
+        transaction.put(shard_key(shard), row.version, &next);
+        let deadline = self.clock.now() + Duration::from_millis(self.settings.heartbeat_ms.into());
+        // Where it fails, the others take it once this process is gone.
+        let _ = self.clients.table.commit(&transaction, deadline).await;
+    }
+
+    fn leave(&mut self, shard: ShardId) {
+        if let Some(term) = self.terms.remove(&shard) {
+            term.end();
+            count(Counter::ShardsLost);
+            tracing::info!(%shard, "shard lost");
+        }
+    }
+}
--- /dev/null
+++ b/crates/wax-tasks/src/lib.rs
@@ -0,0 +1,26 @@
+//! Jobs and their tasks: submission, shards and their owners, leases, placement, recovery.
+//!
+//! `desk` takes submissions at any entry. `coordinator` gains and loses shards. One `shard` task
+//! runs for each shard that is owned, and one `worker_link` task for each of its workers.
+
+mod commit;
+mod coordinator;
+mod desk;
+mod ledger_feed;
+mod ownership;
+mod rows;
+mod shard;
+mod shard_load;
+mod shard_state;
+mod split;
+mod term;
+mod transition;
+mod worker_link;
+
+pub use coordinator::{CoordinatorHandle, CoordinatorProcess, ShardStatus};
+pub use desk::{JobDesk, JobView, SubmitRequest, TaskView};
+pub use ownership::{ShardChoice, decide_shard};
+pub use rows::{AllocEntry, AllocRow, JobRow, JobSpec, PartRow, ShardRow, TaskRow, TaskState};
+pub use split::{WorkerShape, shard_of_worker, split_job};
+pub use term::OwnerTerm;
+pub use transition::{RunChoice, decide_run};
--- /dev/null
+++ b/crates/wax-tasks/src/shard_load.rs
@@ -0,0 +1,167 @@
+//! Reads the state of a shard from the table, at a takeover or after a surprise.
+
+use crate::rows::{
+    AllocRow, InboxRow, JobRow, PartRow, TaskRow, alloc_key, alloc_prefix, inbox_prefix, job_key,
+    part_prefix, task_prefix,
+};
+use crate::shard_state::{ShardState, StartState, WorkerEntry};
+use crate::split::shard_of_worker;
+use crate::term::OwnerTerm;
+use std::collections::{HashMap, HashSet};
+use wax_platform::{RowEntry, TableClient, WorkerDirectory, WorkerInfo};
+use wax_policy::{LeaseTerms, RunningTask, WorkerContact};
+use wax_settings::TaskClass;
+use wax_trace::{Counter, count};
+use wax_types::{RowVersion, ShardId, TimePoint, WaxError, WorkerId};
+
+/// Loads parts, tasks, workers and allocations.
+pub(crate) async fn load_shard(
+    table: &TableClient,
+    directory: &WorkerDirectory,
+    term: &OwnerTerm,
+    terms: &LeaseTerms,
+    shards: u16,
+    contacts: &HashMap<WorkerId, WorkerContact>,
+) -> Result<ShardState, WaxError> {
+    let shard = term.shard();
+    let mut state = ShardState::default();
+    for entry in table.scan::<PartRow>(&part_prefix(shard)).await? {
+        state.add_part(entry.value, entry.version);
+    }
+    for entry in table.scan::<TaskRow>(&task_prefix(shard)).await? {
+        let id = entry.key[task_prefix(shard).len()..].parse();
+        if let Ok(task) = id {
+            state.load_task(task, entry.value, entry.version);
+        }
+    }
+    let allocs = table.scan::<AllocRow>(&alloc_prefix(shard)).await?;
+    let mut allocs: HashMap<Box<str>, RowEntry<AllocRow>> = allocs
+        .into_iter()
+        .map(|entry| (entry.key.clone(), entry))
+        .collect();
+    for info in directory.list().await? {
+        if shard_of_worker(&info.id, shards) != shard {
+            continue;
+        }
+        let alloc = allocs.remove(alloc_key(shard, &info.id).as_str());
+        let contact = contact_of(contacts, &info.id, term, terms);
+        add_worker(&mut state, info, alloc, contact, term.claimed());
+    }
+    for (_, alloc) in allocs {
+        add_unlisted(&mut state, shard, alloc, contacts, term, terms);
+    }
+    load_cancelled(table, &mut state).await?;
+    Ok(state)
+}
+
+fn contact_of(
+    contacts: &HashMap<WorkerId, WorkerContact>,
+    worker: &WorkerId,
+    term: &OwnerTerm,
+    terms: &LeaseTerms,
+) -> WorkerContact {
+    contacts
+        .get(worker)
+        .copied()
+        .unwrap_or_else(|| WorkerContact::after_takeover(term.claimed(), terms))
+}
+
+/// Adds a worker with what is allocated on it.
+pub(crate) fn add_worker(
+    state: &mut ShardState,
+    info: WorkerInfo,
+    alloc: Option<RowEntry<AllocRow>>,
+    contact: WorkerContact,
+    now: TimePoint,
+) {
+    let (alloc, version) = match alloc {
+        Some(entry) => (entry.value, entry.version),
+        None => (AllocRow::default(), RowVersion::default()),
+    };
+    let key = state.table.add(info.capacity);
+    state.table.set_open(key, false);
+    for entry in &alloc.tasks {
+        let urgent = state
+            .part_of(entry.task)
+            .is_some_and(|part| part.row.spec.class == TaskClass::LatencyCritical);
+        let running = RunningTask {
+            task: entry.task,
+            size: entry.size,
+            evictable: !urgent,
+            saved: now,
+            settled: now,
+        };
+        if state.table.reserve(key, running) {
+            count(Counter::TasksAdopted);
+        }
+        if let Some(task) = state.tasks.get_mut(&entry.task) {
+            task.start = StartState::Unsure;
+        }
+    }
+    let id = info.id.clone();
+    state.worker_ids.insert(key, id.clone());
+    let entry = WorkerEntry {
+        info,
+        key,
+        alloc,
+        version,
+        contact,
+        clock: None,
+        boot: 0,
+        orphans: HashMap::new(),
+        forget: HashSet::new(),
+        usage_through: 0,
+        failures: 0,
+        quarantined_until: None,
+    };
+    state.workers.insert(id, entry);
+}
+
+/// A worker that the platform no longer lists, while tasks are allocated on it.
+fn add_unlisted(
+    state: &mut ShardState,
+    shard: ShardId,
+    alloc: RowEntry<AllocRow>,
+    contacts: &HashMap<WorkerId, WorkerContact>,
+    term: &OwnerTerm,
+    terms: &LeaseTerms,
+) {
+    if alloc.value.tasks.is_empty() {
+        return;
+    }
+    let id: WorkerId = alloc.key[alloc_prefix(shard).len()..].into();
+    let capacity = alloc.value.reserved().unwrap_or_default();
+    let info = WorkerInfo {
+        id: id.clone(),
+        address: "0.0.0.0:0".into(),
+        rack: "".into(),
+        failure_domain: "".into(),
+        capacity,
+    };
+    let contact = contact_of(contacts, &id, term, terms);
+    add_worker(state, info, Some(alloc), contact, term.claimed());
+}
+
+/// Finds out which of the loaded jobs were cancelled.
+async fn load_cancelled(table: &TableClient, state: &mut ShardState) -> Result<(), WaxError> {
+    let keys: Vec<String> = state.parts.keys().map(|(job, _)| job_key(*job)).collect();
+    for chunk in keys.chunks(200) {
+        let chunk: Vec<&str> = chunk.iter().map(String::as_str).collect();
+        for entry in table.read_many::<JobRow>(&chunk).await? {
+            if entry.value.cancelled
+                && let Ok(job) = entry.key["job/".len()..].parse()
+            {
+                state.cancelled.insert(job);
+            }
+        }
+    }
+    Ok(())
+}
+
+/// The notes that wait for the owner of a shard.
+pub(crate) async fn read_inbox(
+    table: &TableClient,
+    shard: ShardId,
+) -> Result<Vec<RowEntry<InboxRow>>, WaxError> {
+    table.scan::<InboxRow>(&inbox_prefix(shard)).await
+}
--- /dev/null
+++ b/crates/wax-tasks/src/split.rs
@@ -0,0 +1,108 @@
+//! Cuts a job into parts and chooses the shard of each.
+
+use crate::rows::PartPlace;
+use fastrand::Rng;
+use std::collections::BTreeMap;
+use wax_policy::rank_score;
+use wax_types::{ResourceVector, ShardId};
+
+/// Tasks in one part at most; a part is closed by one transaction.
+const PART_TASKS: u32 = 64;
+
+/// A worker as far as the split needs it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WorkerShape {
+    /// The shard of the worker.
+    pub shard: ShardId,
+    /// What it has.
+    pub capacity: ResourceVector,
+}
+
+/// The job cannot run anywhere.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ImpossibleJob {
+    /// Why, with the largest worker.
+    pub reason: Box<str>,
+}
+
+/// The shard of a worker, by its name.
+pub fn shard_of_worker(worker: &str, shards: u16) -> ShardId {
+    let index = rank_score(0, worker) % u64::from(shards.max(1));
+    ShardId(index as u16)
+}
+
+/// How many tasks of a size a worker can hold at once.
+fn slots_of(capacity: ResourceVector, size: ResourceVector) -> u32 {
+    let per = |have: u32, need: u32| have.checked_div(need).unwrap_or(u32::MAX);
+    per(capacity.cpu_milli, size.cpu_milli)
+        .min(per(capacity.memory_mib, size.memory_mib))
+        .min(per(capacity.accelerators, size.accelerators))
+}
+
+/// Cuts `tasks` tasks into parts, in proportion to what the shards' workers can hold.
+///
+/// # Errors
+///
+/// No worker is large enough for one task.
+pub fn split_job(
+    tasks: u32,
+    size: ResourceVector,
+    workers: &[WorkerShape],
+    rng: &mut Rng,
+) -> Result<Vec<PartPlace>, ImpossibleJob> {
+    let mut room: BTreeMap<ShardId, u64> = BTreeMap::new();
+    for worker in workers {
+        let slots = u64::from(slots_of(worker.capacity, size));
+        if slots > 0 {
+            *room.entry(worker.shard).or_default() += slots;
+        }
+    }
+    if room.is_empty() {
+        return Err(impossible(size, workers));
+    }
+    let total: u64 = room.values().sum();
+    let part = PART_TASKS.min(tasks.div_ceil(room.len() as u32).max(1));
+    let mut parts = Vec::new();
+    let mut first = 0;
+    while first < tasks {
+        let count = part.min(tasks - first);
+        let shard = draw_shard(&room, rng.u64(..total));
+        parts.push(PartPlace {
+            shard,
+            first,
+            count,
+        });
+        first += count;
+    }
+    Ok(parts)
+}
+
+fn draw_shard(room: &BTreeMap<ShardId, u64>, mut draw: u64) -> ShardId {
+    for (shard, slots) in room {
+        if draw < *slots {
+            return *shard;
+        }
+        draw -= slots;
+    }
+    ShardId::default()
+}
+
+fn impossible(size: ResourceVector, workers: &[WorkerShape]) -> ImpossibleJob {
+    let largest = workers
+        .iter()
+        .map(|worker| worker.capacity)
+        .max_by_key(|capacity| {
+            let excess = size.saturating_sub(*capacity);
+            std::cmp::Reverse((excess.accelerators, excess.cpu_milli, excess.memory_mib))
+        });
+    let reason = match largest {
+        None => "the platform lists no workers".to_owned(),
+        Some(capacity) => format!(
+            "a task of {size} fits no worker: {} exceeds the nearest worker, which has {capacity}",
+            size.first_excess(capacity).unwrap_or("the sum"),
+        ),
+    };
+    ImpossibleJob {
+        reason: reason.into(),
+    }
+}
--- /dev/null
+++ b/crates/wax-tasks/src/term.rs
@@ -0,0 +1,96 @@
+//! The owner's right to act: until the grace after its last confirmed contact with the store.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use wax_types::{RowVersion, ShardEpoch, ShardId, TimePoint};
+
+/// One term of ownership of one shard; shared by all tasks that act under it.
+#[derive(Debug, Clone)]
+pub struct OwnerTerm {
+    shared: Rc<TermShared>,
+}
+
+#[derive(Debug)]
+struct TermShared {
+    shard: ShardId,
+    epoch: ShardEpoch,
+    version: RowVersion,
+    grace: Duration,
+    claimed: TimePoint,
+    confirmed: Cell<TimePoint>,
+    ended: Cell<bool>,
+}
+
+impl OwnerTerm {
+    /// A term that began with the commit of a claim.
+    ///
+    /// `claimed` is the time after the commit; `confirmed` the time before it was sent.
+    pub fn new(
+        shard: ShardId,
+        epoch: ShardEpoch,
+        version: RowVersion,
+        grace: Duration,
+        confirmed: TimePoint,
+        claimed: TimePoint,
+    ) -> Self {
+        let shared = TermShared {
+            shard,
+            epoch,
+            version,
+            grace,
+            claimed,
+            confirmed: Cell::new(confirmed),
+            ended: Cell::new(false),
+        };
+        Self {
+            shared: Rc::new(shared),
+        }
+    }
+
+    /// The shard.
+    pub fn shard(&self) -> ShardId {
+        self.shared.shard
+    }
+
+    /// The owner's fencing token.
+    pub fn epoch(&self) -> ShardEpoch {
+        self.shared.epoch
+    }
+
+    /// The version of the shard's row, a condition of every commit of the owner.
+    pub fn version(&self) -> RowVersion {
+        self.shared.version
+    }
+
+    /// When the term began.
+    pub fn claimed(&self) -> TimePoint {
+        self.shared.claimed
+    }
+
+    /// When the ownership was last known to be confirmed.
+    pub fn confirmed(&self) -> TimePoint {
+        self.shared.confirmed.get()
+    }
+
+    /// The row was read and is still ours; the read was begun at `begun`.
+    pub fn confirm(&self, begun: TimePoint) {
+        let confirmed = self.shared.confirmed.get().max(begun);
+        self.shared.confirmed.set(confirmed);
+    }
+
+    /// The shard is lost, or handed over.
+    pub fn end(&self) {
+        self.shared.ended.set(true);
+    }
+
+    /// Whether the owner may act now. Asked again after every await.
+    pub fn holds(&self, now: TimePoint) -> bool {
+        !self.shared.ended.get() && now < self.expires()
+    }
+
+    /// Until when the owner may act, if nothing is confirmed again.
+    pub fn expires(&self) -> TimePoint {
+        self.shared.confirmed.get() + self.shared.grace
+    }
+}
--- /dev/null
+++ b/crates/wax-trace/src/counter.rs
@@ -0,0 +1,122 @@
+//! The counters of the process, one atomic each.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $variant:ident = $name:literal,)*) => {
+        /// What is counted; the name in metrics is `waxwing.` and the counter's name.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+        pub enum Counter {
+            $($(#[$doc])* $variant,)*
+        }
+
+        const NAMES: &[&str] = &[$($name),*];
+    };
+}
+
+counters! {
+    /// Quick requests received by an entry.
+    EntryRequests = "entry.requests",
+    /// Quick requests answered whole.
+    EntryAnswered = "entry.answered",
+    /// Quick requests refused before any attempt.
+    EntryRefused = "entry.refused",
+    /// Quick requests whose deadline passed.
+    EntryTimeouts = "entry.timeouts",
+    /// Further attempts after a "not run" or a lost answer.
+    EntryRetries = "entry.retries",
+    /// Hedged attempts of idempotent requests.
+    EntryHedges = "entry.hedges",
+    /// Answers for attempts that were no longer pending.
+    EntryLateAnswers = "entry.late_answers",
+    /// Answers that ended before they were whole.
+    EntryCutAnswers = "entry.cut_answers",
+    /// Repeated idempotency keys.
+    EntryRepeatedKeys = "entry.repeated_keys",
+    /// Requests that a sidecar dispatched to its upstream.
+    SidecarDispatched = "sidecar.dispatched",
+    /// Requests that a sidecar answered "not run".
+    SidecarNotRun = "sidecar.not_run",
+    /// Requests dispatched whose answer was lost.
+    SidecarLost = "sidecar.lost",
+    /// Cancels that met a queued or not yet arrived attempt.
+    SidecarCancelled = "sidecar.cancelled",
+    /// Connections opened to the upstream.
+    SidecarConnects = "sidecar.connects",
+    /// Peer connections opened or accepted.
+    LinksOpened = "links.opened",
+    /// Peer connections lost.
+    LinksLost = "links.lost",
+    /// Bytes of control frames sent, without bodies of requests and answers.
+    LinksControlBytes = "links.control_bytes",
+    /// Calls that read the table.
+    StoreReads = "store.reads",
+    /// Commits sent to the table.
+    StoreCommits = "store.commits",
+    /// Rows written by the commits sent.
+    StoreRowsWritten = "store.rows_written",
+    /// Commits that failed their conditions.
+    StoreConflicts = "store.conflicts",
+    /// Calls to the store that failed or timed out.
+    StoreFailures = "store.failures",
+    /// Commits whose lost reply was settled by sending them again.
+    StoreSettled = "store.settled",
+    /// Calls refused because the store is known to be down.
+    StoreRefused = "store.refused",
+    /// Jobs accepted.
+    JobsAccepted = "jobs.accepted",
+    /// Jobs refused because no worker can ever run them.
+    JobsImpossible = "jobs.impossible",
+    /// Tasks placed by a committed transaction.
+    TasksPlaced = "tasks.placed",
+    /// Tasks that ended with a result.
+    TasksDone = "tasks.done",
+    /// Tasks evicted with a checkpoint.
+    TasksEvicted = "tasks.evicted",
+    /// Task runs that failed.
+    TasksFailed = "tasks.failed",
+    /// Tasks lost with their worker and queued again.
+    TasksLost = "tasks.lost",
+    /// Tasks found running after a takeover and kept.
+    TasksAdopted = "tasks.adopted",
+    /// Task runs stopped because no allocation stands for them.
+    TasksOrphaned = "tasks.orphaned",
+    /// Lease renewals sent to workers.
+    LeaseRenewals = "leases.renewals",
+    /// Shards gained.
+    ShardsGained = "shards.gained",
+    /// Shards lost or handed over.
+    ShardsLost = "shards.lost",
+    /// Settings versions applied.
+    SettingsApplied = "settings.applied",
+    /// Settings versions refused because they were not greater.
+    SettingsStale = "settings.stale",
+    /// Usage intervals written to the ledger.
+    UsageIntervals = "usage.intervals",
+    /// Usage intervals received a second time.
+    UsageRepeated = "usage.repeated",
+    /// Workers quarantined because they fail every task.
+    WorkersQuarantined = "workers.quarantined",
+}
+
+const COUNTERS: usize = NAMES.len();
+
+static VALUES: [AtomicU64; COUNTERS] = [const { AtomicU64::new(0) }; COUNTERS];
+
+/// Adds one.
+pub fn count(counter: Counter) {
+    count_many(counter, 1);
+}
+
+/// Adds `amount`.
+pub fn count_many(counter: Counter, amount: u64) {
+    VALUES[counter as usize].fetch_add(amount, Ordering::Relaxed);
+}
+
+/// The name and value of every counter, in the order of their declaration.
+pub fn counter_values() -> impl Iterator<Item = (&'static str, u64)> {
+    NAMES
+        .iter()
+        .zip(&VALUES)
+        .map(|(name, value)| (*name, value.load(Ordering::Relaxed)))
+}
--- /dev/null
+++ b/crates/wax-trace/src/lib.rs
@@ -0,0 +1,11 @@
+//! Counters, log lines and trace contexts.
+
+mod context;
+mod counter;
+mod exporter;
+mod logs;
+
+pub use context::TraceContext;
+pub use counter::{Counter, count, count_many, counter_values};
+pub use exporter::MetricsExporter;
+pub use logs::{LogFormat, start_logs};
--- /dev/null
+++ b/crates/wax-types/src/lib.rs
@@ -0,0 +1,14 @@
+//! Keys, sizes, times and errors that every other crate shares.
+
+mod error;
+mod ids;
+mod resources;
+mod time;
+
+pub use error::{ErrorKind, RunOutcome, Step, WaxError};
+pub use ids::{
+    AttemptKey, JobId, ProcessIncarnation, RowVersion, SettingsVersion, ShardEpoch, ShardId,
+    TaskEpoch, TaskId, WorkerId,
+};
+pub use resources::ResourceVector;
+pub use time::{ProcessClock, TimePoint, wall_clock_ms};
--- /dev/null
+++ b/crates/wax-types/src/resources.rs
@@ -0,0 +1,93 @@
+//! Processors, memory and accelerators.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// An amount of each resource that a worker has or a task is given.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize, Deserialize, PartialOrd, Ord,
+)]
+#[serde(deny_unknown_fields)]
+pub struct ResourceVector {
+    /// Thousandths of a processor core.
+    pub cpu_milli: u32,
+    /// Mebibytes of memory.
+    pub memory_mib: u32,
+    /// Whole accelerators.
+    #[serde(default)]
+    pub accelerators: u32,
+}
+
+impl ResourceVector {
+    /// Nothing of any resource.
+    pub const ZERO: Self = Self::new(0, 0, 0);
+
+    /// Builds a vector from thousandths of a core, mebibytes and accelerators.
+    pub const fn new(cpu_milli: u32, memory_mib: u32, accelerators: u32) -> Self {
+        Self {
+            cpu_milli,
+            memory_mib,
+            accelerators,
+        }
+    }
+
+    /// Adds two vectors; `None` if a component overflows.
+    pub fn checked_add(self, other: Self) -> Option<Self> {
+        Some(Self {
+            cpu_milli: self.cpu_milli.checked_add(other.cpu_milli)?,
+            memory_mib: self.memory_mib.checked_add(other.memory_mib)?,
+            accelerators: self.accelerators.checked_add(other.accelerators)?,
+        })
+    }
+
+    /// Subtracts, stopping at zero in each component.
+    pub fn saturating_sub(self, other: Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
+            memory_mib: self.memory_mib.saturating_sub(other.memory_mib),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
+    /// Whether every component is at most that of `room`.
+    pub fn fits_in(self, room: Self) -> bool {
+        self.cpu_milli <= room.cpu_milli
+            && self.memory_mib <= room.memory_mib
+            && self.accelerators <= room.accelerators
+    }
+
+    /// The name of the first component that exceeds that of `room`.
+    pub fn first_excess(self, room: Self) -> Option<&'static str> {
+        if self.cpu_milli > room.cpu_milli {
+            Some("cpu_milli")
+        } else if self.memory_mib > room.memory_mib {
+            Some("memory_mib")
+        } else if self.accelerators > room.accelerators {
+            Some("accelerators")
+        } else {
+            None
+        }
+    }
+
+    /// The largest share, 0 to 1, that any component takes of `capacity`.
+    pub fn dominant_share(self, capacity: Self) -> f64 {
+        let share = |part: u32, whole: u32| match (part, whole) {
+            (0, _) => 0.0,
+            (_, 0) => f64::INFINITY,
+            (part, whole) => f64::from(part) / f64::from(whole),
+        };
+        share(self.cpu_milli, capacity.cpu_milli)
+            .max(share(self.memory_mib, capacity.memory_mib))
+            .max(share(self.accelerators, capacity.accelerators))
+    }
+}
+
+impl fmt::Display for ResourceVector {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} cpu_milli, {} memory_mib, {} accelerators",
+            self.cpu_milli, self.memory_mib, self.accelerators
+        )
+    }
+}
--- /dev/null
+++ b/crates/wax-types/src/time.rs
@@ -0,0 +1,65 @@
+//! The monotonic time that decisions are given as an argument.
+
+use std::ops::{Add, Sub};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Microseconds on the monotonic clock of one process, or on a replay's clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct TimePoint(pub u64);
+
+impl TimePoint {
+    /// Builds a time point from milliseconds.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// The time from `earlier` to this point; zero if `earlier` is later.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for TimePoint {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        Self(self.0.saturating_add(span.as_micros() as u64))
+    }
+}
+
+impl Sub<Duration> for TimePoint {
+    type Output = Self;
+
+    fn sub(self, span: Duration) -> Self {
+        Self(self.0.saturating_sub(span.as_micros() as u64))
+    }
+}
+
+/// Reads the monotonic clock relative to the start of the process.
+#[derive(Debug, Clone, Copy)]
+pub struct ProcessClock {
+    origin: Instant,
+}
+
+impl ProcessClock {
+    /// Starts the clock a day after zero, so that subtraction has room.
+    pub fn start() -> Self {
+        Self {
+            origin: Instant::now(),
+        }
+    }
+
+    /// The present time.
+    pub fn now(&self) -> TimePoint {
+        TimePoint::default() + Duration::from_secs(86_400) + self.origin.elapsed()
+    }
+}
+
+/// Milliseconds since the Unix epoch, for records that people read.
+///
+/// No decision about safety uses it.
+pub fn wall_clock_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |span| span.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/wax-wire/src/codec.rs
@@ -0,0 +1,60 @@
+//! Frames with a four-byte length in front and a bound on it.
+
+use crate::frame::PeerFrame;
+use bytes::{Bytes, BytesMut};
+use prost::Message;
+use std::io;
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+/// The largest frame accepted, in bytes; a longer length ends the connection.
+pub const MAX_FRAME_BYTES: usize = 4 << 20;
+
+/// Encodes and decodes [`PeerFrame`]s.
+#[derive(Debug)]
+pub struct PeerCodec {
+    lengths: LengthDelimitedCodec,
+}
+
+impl PeerCodec {
+    /// Builds a codec with the bound [`MAX_FRAME_BYTES`].
+    pub fn new() -> Self {
+        let lengths = LengthDelimitedCodec::builder()
+            .max_frame_length(MAX_FRAME_BYTES)
+            .new_codec();
+        Self { lengths }
+    }
+}
+
+impl Default for PeerCodec {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Decoder for PeerCodec {
+    type Item = PeerFrame;
+    type Error = io::Error;
+
+    fn decode(&mut self, buffer: &mut BytesMut) -> io::Result<Option<PeerFrame>> {
+        let Some(bytes) = self.lengths.decode(buffer)? else {
+            return Ok(None);
+        };
+        PeerFrame::decode(bytes.freeze())
+            .map(Some)
+            .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
+    }
+}
+
+impl Encoder<PeerFrame> for PeerCodec {
+    type Error = io::Error;
+
+    fn encode(&mut self, frame: PeerFrame, buffer: &mut BytesMut) -> io::Result<()> {
+        let length = frame.encoded_len();
+        if length > MAX_FRAME_BYTES {
+            let text = format!("frame of {length} bytes exceeds {MAX_FRAME_BYTES}");
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, text));
+        }
+        let bytes = Bytes::from(frame.encode_to_vec());
+        self.lengths.encode(bytes, buffer)
+    }
+}
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,185 @@
+//! Starts an entry, and the part that owns shards if the settings ask for it.
+
+use crate::signals::shutdown_signal;
+use compio::runtime::spawn;
+use compio::time::sleep;
+use std::time::Duration;
+use wax_http::bind_listener;
+use wax_member::{MemberHandle, MemberRow, keep_membership};
+use wax_platform::{
+    GroupWriter, ObjectClient, StoreHealth, StoreLimits, TableClient, WorkerDirectory,
+};
+use wax_policy::{PlacePolicy, RoutePolicy};
+use wax_route::{EntryProcess, EntryServices};
+use wax_settings::{CoordinatorSettings, DaemonSettings};
+use wax_tasks::{CoordinatorHandle, CoordinatorProcess, JobDesk};
+use wax_trace::MetricsExporter;
+use wax_types::{ErrorKind, ProcessClock, ProcessIncarnation, SettingsVersion, Step, WaxError};
+
+/// Between two exports of the counters.
+const METRICS_PERIOD: Duration = Duration::from_secs(10);
+
+pub(crate) async fn run(settings: DaemonSettings) -> Result<(), WaxError> {
+    let Some(options) = settings.entry.clone() else {
+        let text = "the section `entry` is missing";
+        return Err(WaxError::new(
+            ErrorKind::Invalid,
+            Step::ReadSettings,
+            "role",
+            text,
+        ));
+    };
+    export_metrics(&settings)?;
+    let listeners = (
+        bind_listener(options.callers)?,
+        bind_listener(options.operators)?,
+        bind_listener(options.peers)?,
+    );
+    let addresses = ListenAddresses::of(&listeners)?;
+    let clock = ProcessClock::start();
+    let health = store_health(&settings, clock)?;
+    let table = TableClient::new(health.clone());
+    let objects = ObjectClient::new(health.clone());
+    let directory = WorkerDirectory::new(health);
+    let terms = settings.coordinator.clone().unwrap_or_default();
+    let members = member_handle(&settings, &addresses, &terms);
+    let writer = GroupWriter::start(table.clone());
+    let shutdown = shutdown_signal();
+    let coordinator = match &settings.coordinator {
+        Some(options) => Some(CoordinatorProcess::new(
+            options.clone(),
+            table.clone(),
+            objects.clone(),
+            directory.clone(),
+            members.clone(),
+            PlacePolicy::default(),
+        )?),
+        None => None,
+    };
+    let handle = coordinator
+        .as_ref()
+        .map_or_else(CoordinatorHandle::default, CoordinatorProcess::handle);
+    let desk = JobDesk::new(
+        table.clone(),
+        writer.clone(),
+        objects.clone(),
+        directory,
+        terms.shards,
+    );
+    let services = EntryServices {
+        table: table.clone(),
+        writer,
+        objects,
+        members: members.clone(),
+        desk,
+        coordinator: handle,
+        policy: RoutePolicy::default(),
+    };
+    let process = EntryProcess::new(&settings, &options, services, listeners);
+    let period = Duration::from_millis(terms.heartbeat_ms.into());
+    spawn(keep_membership(
+        members,
+        table,
+        clock,
+        period,
+        shutdown.clone(),
+    ))
+    .detach();
+    let owner = coordinator.map(|coordinator| spawn(coordinator.run(shutdown.clone())));
+    println!("{}", addresses.ready_line());
+    process.run(shutdown).await;
+    if let Some(owner) = owner {
+        // A handover that panicked leaves the shards to be taken when this process is gone.
+        let _ = owner.await;
+    }
+    Ok(())
+}
+
+fn store_health(settings: &DaemonSettings, clock: ProcessClock) -> Result<StoreHealth, WaxError> {
+    let limits = StoreLimits {
+        call: Duration::from_millis(settings.platform.call_ms.into()),
+        concurrency: settings.platform.concurrency as usize,
+    };
+    let base = format!("http://{}", settings.platform.address);
+    StoreHealth::new(&base, limits, clock)
+}
+
+fn member_handle(
+    settings: &DaemonSettings,
+    addresses: &ListenAddresses,
+    terms: &CoordinatorSettings,
+) -> MemberHandle {
+    let row = MemberRow {
+        name: settings.name.clone(),
+        incarnation: ProcessIncarnation::draw(),
+        beat: 0,
+        region: settings.region.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        peers: Some(addresses.peers.clone()),
+        operators: Some(addresses.operators.clone()),
+        coordinator: settings.coordinator.is_some(),
+        leaving: false,
+        settings: SettingsVersion::default(),
+    };
+    MemberHandle::new(row, Duration::from_millis(terms.member_ttl_ms.into()))
+}
+
+/// Where this entry listens, with the ports that were taken.
+struct ListenAddresses {
+    callers: Box<str>,
+    operators: Box<str>,
+    peers: Box<str>,
+}
+
+type Listeners = (
+    compio::net::TcpListener,
+    compio::net::TcpListener,
+    compio::net::TcpListener,
+);
+
+impl ListenAddresses {
+    fn of(listeners: &Listeners) -> Result<Self, WaxError> {
+        let address = |listener: &compio::net::TcpListener| {
+            listener
+                .local_addr()
+                .map(|address| address.to_string().into())
+                .map_err(|error| WaxError::new(ErrorKind::Invalid, Step::Listen, "entry", error))
+        };
+        Ok(Self {
+            callers: address(&listeners.0)?,
+            operators: address(&listeners.1)?,
+            peers: address(&listeners.2)?,
+        })
+    }
+
+    /// One line of JSON, for whoever started the process.
+    fn ready_line(&self) -> String {
+        format!(
+            "{{\"ready\":{{\"role\":\"entry\",\"callers\":\"{}\",\"operators\":\"{}\",\"peers\":\"{}\"}}}}",
+            self.callers, self.operators, self.peers
+        )
+    }
+}
+
+/// Sends the counters to the address in the settings, if there is one.
+pub(crate) fn export_metrics(settings: &DaemonSettings) -> Result<(), WaxError> {
+    let Some(address) = settings.logs.metrics else {
+        return Ok(());
+    };
+    let mut exporter = MetricsExporter::connect(address, &settings.name).map_err(|error| {
+        WaxError::new(
+            ErrorKind::Invalid,
+            Step::Connect,
+            address.to_string(),
+            error,
+        )
+    })?;
+    spawn(async move {
+        loop {
+            sleep(METRICS_PERIOD).await;
+            exporter.send();
+        }
+    })
+    .detach();
+    Ok(())
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,69 @@
+//! `waxwingd`: one process of the system, as an entry or as a sidecar.
+
+mod args;
+mod entry;
+mod sidecar;
+mod signals;
+
+use crate::args::Command;
+use std::process::ExitCode;
+use wax_settings::{DaemonSettings, ProcessRole};
+use wax_trace::{LogFormat, start_logs};
+use wax_types::WaxError;
+
+/// Bad arguments or settings; nothing was started.
+const EXIT_USAGE: u8 = 2;
+/// Something failed while running.
+const EXIT_FAILURE: u8 = 1;
+
+fn main() -> ExitCode {
+    match args::parse() {
+        Ok(Command::Help) => {
+            print!("{}", args::USAGE);
+            ExitCode::SUCCESS
+        }
+        Ok(Command::Version) => {
+            println!("waxwingd {}", env!("CARGO_PKG_VERSION"));
+            ExitCode::SUCCESS
+        }
+        Ok(Command::Run(file)) => match DaemonSettings::read(&file) {
+            Ok(settings) => run(settings),
+            Err(error) => refuse(&error),
+        },
+        Err(error) => {
+            eprintln!("waxwingd: {error}\n\n{}", args::USAGE);
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
+
+fn refuse(error: &WaxError) -> ExitCode {
+    eprintln!("waxwingd: {error}");
+    ExitCode::from(EXIT_USAGE)
+}
+
+fn run(settings: DaemonSettings) -> ExitCode {
+    let format = if settings.logs.json {
+        LogFormat::Json
+    } else {
+        LogFormat::Plain
+    };
+    start_logs(format, &settings.logs.filter);
+    let runtime = match compio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("waxwingd: the runtime did not start: {error}");
+            return ExitCode::from(EXIT_FAILURE);
+        }
+    };
+    let result = runtime.block_on(async {
+        match settings.role {
+            ProcessRole::Entry => entry::run(settings).await,
+            ProcessRole::Sidecar => sidecar::run(settings).await,
+        }
+    });
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => refuse(&error),
+    }
+}
