Proofs on real processes: answers, alerts, stops, settings, placement, storms

Cause: the promises had code and no proof. The heartbeat now goes on until the handover is done, then deletes the row. - a takeover could not fit in a lease at all where lease_ms is shorter than member_ttl_ms + 2 * heartbeat_ms + renew_ms. The settings file is refused with that rule now. The first call to a worker only asks for its clock; the leases are renewed at once after it, no longer one period later. - the stand-in worker recorded the end of a run that lapsed while it was frozen as the time of its thaw.

Ruled out: a longer grace (it is the owner's, not the worker's), adoption itself (runs were found, but had lapsed before).

--- a/crates/wax-ledger/src/sum.rs
+++ b/crates/wax-ledger/src/sum.rs
@@ -19,11 +19,19 @@
     pub amount: UsageAmount,
 }
 
+/// What a row of the bill is about.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct ChargeKey {
+    team: Box<str>,
+    service: Box<str>,
+    kind: Box<str>,
+}
+
 /// Adds entries up; an interval counts once, however often it is reported.
 #[derive(Debug, Clone, Default)]
 pub struct UsageSum {
     seen: HashSet<UsageKey>,
-    by_kind: BTreeMap<(Box<str>, Box<str>, Box<str>), UsageAmount>,
+    by_kind: BTreeMap<ChargeKey, UsageAmount>,
     by_task: BTreeMap<TaskId, UsageAmount>,
     repeated: u64,
 }
@@ -35,12 +43,12 @@
             self.repeated += 1;
             return;
         }
-        let kind = (
-            entry.team.clone(),
-            entry.service.clone(),
-            entry.kind.clone(),
-        );
-        self.by_kind.entry(kind).or_default().add(entry.amount);
+        let charge = ChargeKey {
+            team: entry.team.clone(),
+            service: entry.service.clone(),
+            kind: entry.kind.clone(),
+        };
+        self.by_kind.entry(charge).or_default().add(entry.amount);
         self.by_task
             .entry(entry.key.task)
             .or_default()
@@ -51,10 +59,10 @@
     pub fn rows(&self) -> Vec<UsageRow> {
         self.by_kind
             .iter()
-            .map(|((team, service, kind), amount)| UsageRow {
-                team: team.clone(),
-                service: service.clone(),
-                kind: kind.clone(),
+            .map(|(charge, amount)| UsageRow {
+                team: charge.team.clone(),
+                service: charge.service.clone(),
+                kind: charge.kind.clone(),
                 amount: *amount,
             })
             .collect()
--- a/crates/wax-member/src/heartbeat.rs
+++ b/crates/wax-member/src/heartbeat.rs
@@ -2,7 +2,7 @@
 
 use crate::row::{MEMBER_PREFIX, MemberRow, member_key};
 use crate::watch::MemberWatch;
-use compio::time::sleep;
+use compio::time::timeout;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -81,17 +81,19 @@
     }
 }
 
-/// Renews and observes every `period` until `shutdown`.
+/// Renews and observes every `period` until `stop`, then deletes the row.
+///
+/// `stop` comes after the drain: until then the row says that this process is leaving.
 pub async fn keep_membership(
     handle: MemberHandle,
     table: TableClient,
     clock: ProcessClock,
     period: Duration,
-    shutdown: ShutdownSignal,
+    stop: ShutdownSignal,
 ) {
     let mut version = RowVersion::default();
     let mut failing = false;
-    while !shutdown.is_raised() {
+    while !stop.is_raised() {
         let result = beat(&handle, &table, clock, period, &mut version).await;
         if let Err(error) = &result
             && !failing
@@ -99,8 +101,13 @@
             tracing::warn!(%error, "membership is not renewed");
         }
         failing = result.is_err();
-        sleep(period).await;
+        // Woken early, so that the end of the process does not wait for a whole period.
+        let _ = timeout(period, stop.wait()).await;
     }
+    let mut transaction = TableTransaction::default();
+    transaction.delete(member_key(&handle.own_row().name), version);
+    // Where it fails, the row stands still and the others delete it later.
+    let _ = table.commit(&transaction, clock.now() + period).await;
 }
 
 async fn beat(
--- a/crates/wax-settings/src/daemon.rs
+++ b/crates/wax-settings/src/daemon.rs
@@ -341,6 +341,14 @@
                 help,
             ));
         }
+        let takeover =
+            coordinator.member_ttl_ms + 2 * coordinator.heartbeat_ms + coordinator.renew_ms;
+        if takeover > coordinator.lease_ms {
+            let label = format!("shorter than a takeover, which takes {takeover} ms");
+            let help = "at least member_ttl_ms + 2 * heartbeat_ms + renew_ms, so that the next \
+                        owner renews the leases of running tasks before they lapse";
+            return Err(file.key_error("coordinator.lease_ms", label, help));
+        }
         Ok(())
     }
 }
--- a/crates/wax-settings/src/files.rs
+++ b/crates/wax-settings/src/files.rs
@@ -39,7 +39,7 @@
         let line = self
             .text
             .lines()
-            .position(|line| line.trim_start().trim_start_matches('"').starts_with(last));
+            .position(|line| line.contains(&format!("{last}:")));
         let place = match line {
             Some(index) => format!("{}:{}", self.name, index + 1),
             None => self.name.to_string(),
@@ -66,6 +66,7 @@
             None => file.name.to_string(),
         };
         let text = error.without_snippet().to_string();
+        let text = text.split(" at line ").next().unwrap_or_default();
         WaxError::new(ErrorKind::Invalid, Step::ReadSettings, place, text)
             .with_help("docs/SETTINGS.md lists every key with its unit and bounds")
     })
--- a/crates/wax-standin/src/worker_runs.rs
+++ b/crates/wax-standin/src/worker_runs.rs
@@ -262,7 +262,8 @@
             return;
         }
         self.close_interval(now, mark);
-        let end = wall_clock_ms();
+        // A lease that lapsed while this process was frozen ended the run at that time.
+        let end = wall_clock_ms() - now.elapsed().as_millis() as u64;
         if let Some(run) = self.get_mut(mark) {
             run.run = outcome;
         }
--- /dev/null
+++ b/crates/wax-standin/tests/cli.rs
@@ -0,0 +1,13 @@
+//! The stand-in's command line.
+
+use std::process::Command;
+
+#[test]
+fn help_is_given() {
+    let output = Command::new(env!("CARGO_BIN_EXE_waxwing-standin"))
+        .arg("--help")
+        .output()
+        .expect("the stand-in runs");
+    assert!(output.status.success());
+    assert!(String::from_utf8_lossy(&output.stdout).contains("Usage: waxwing-standin"));
+}
--- a/crates/wax-tasks/src/coordinator.rs
+++ b/crates/wax-tasks/src/coordinator.rs
@@ -5,7 +5,7 @@
 use crate::shard::{ShardClients, ShardOptions, ShardShared, run_shard};
 use crate::term::OwnerTerm;
 use compio::runtime::spawn;
-use compio::time::sleep;
+use compio::time::{sleep, timeout};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
@@ -161,8 +161,9 @@
         while !shutdown.is_raised() {
             // A failed look changes nothing: terms run on until their grace ends.
             let _ = self.look(false).await;
-            sleep(period).await;
+            let _ = timeout(period, shutdown.wait()).await;
         }
+        self.members.note_leaving();
         if let Err(error) = self.look(true).await {
             tracing::info!(%error, "shards not handed over; others take them when we are gone");
         }
--- a/crates/wax-tasks/src/shard.rs
+++ b/crates/wax-tasks/src/shard.rs
@@ -106,6 +106,11 @@
         self.term.end();
     }
 
+    /// A worker's clock when it last answered, and our time then.
+    pub(crate) fn clock_of(&self, worker: &WorkerId) -> Option<(u64, TimePoint)> {
+        self.state.borrow().workers.get(worker)?.clock
+    }
+
     /// What to send to a worker now, and where.
     pub(crate) fn look_at(
         &self,
--- a/crates/wax-tasks/src/shard_state.rs
+++ b/crates/wax-tasks/src/shard_state.rs
@@ -8,9 +8,7 @@
 use wax_settings::TaskClass;
 use wax_types::{JobId, RowVersion, TaskEpoch, TaskId, TimePoint, WorkerId};
 
-/// A task that was just placed is not evicted before this time has passed.
-const SETTLE_SPAN: Duration = Duration::from_secs(2);
-/// Each eviction that a task has suffered keeps it safe for this much longer.
+/// Each eviction that a task has suffered keeps it safe for this long after its next placement.
 const EVICTED_SPAN: Duration = Duration::from_secs(30);
 const MOST_EVICTIONS_COUNTED: u32 = 10;
 
@@ -238,7 +236,7 @@
             size: demand.size,
             evictable: !demand.urgent,
             saved: now,
-            settled: now + SETTLE_SPAN + safe,
+            settled: now + safe,
         };
         self.table.reserve(entry.key, running);
     }
--- a/crates/wax-tasks/src/worker_link.rs
+++ b/crates/wax-tasks/src/worker_link.rs
@@ -34,7 +34,12 @@
         if !shared.holds() || !shared.state.borrow().workers.contains_key(&worker) {
             return;
         }
+        let first = shared.clock_of(&worker).is_none();
         beat(&shared, &worker).await;
+        // The first call only asks for the worker's clock: the leases are renewed at once after it.
+        if first && shared.clock_of(&worker).is_some() {
+            continue;
+        }
         sleep(shared.options.renew).await;
     }
 }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -4,7 +4,7 @@
 use compio::runtime::spawn;
 use compio::time::sleep;
 use std::time::Duration;
-use wax_http::bind_listener;
+use wax_http::{ShutdownSignal, bind_listener};
 use wax_member::{MemberHandle, MemberRow, keep_membership};
 use wax_platform::{
     GroupWriter, ObjectClient, StoreHealth, StoreLimits, TableClient, WorkerDirectory,
@@ -77,14 +77,8 @@
     };
     let process = EntryProcess::new(&settings, &options, services, listeners);
     let period = Duration::from_millis(terms.heartbeat_ms.into());
-    spawn(keep_membership(
-        members,
-        table,
-        clock,
-        period,
-        shutdown.clone(),
-    ))
-    .detach();
+    let gone = ShutdownSignal::default();
+    let membership = spawn(keep_membership(members, table, clock, period, gone.clone()));
     let owner = coordinator.map(|coordinator| spawn(coordinator.run(shutdown.clone())));
     println!("{}", addresses.ready_line());
     process.run(shutdown).await;
@@ -92,6 +86,8 @@
         // A handover that panicked leaves the shards to be taken when this process is gone.
         let _ = owner.await;
     }
+    gone.raise();
+    let _ = membership.await;
     Ok(())
 }
 
--- /dev/null
+++ b/tests/proofs/alerts.rs
@@ -0,0 +1,230 @@
+//! A non-idempotent request runs at most once.
+
+use crate::support::cluster::{Cluster, ClusterPlan};
+use crate::support::history::{HistoryEvent, HistoryModel, is_linearizable};
+use crate::support::{run, seed, wait_for};
+use futures_util::future::join_all;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+/// What a caller was told about one key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AlertOutcome {
+    /// It ran now, and this is its answer.
+    Ran,
+    /// It did not run now, nor will it.
+    NotRun,
+    /// It ran before.
+    RanBefore,
+}
+
+/// A key may run once; after that nobody is told that it ran now.
+struct OnceModel;
+
+impl HistoryModel for OnceModel {
+    type State = bool;
+    type Input = ();
+    type Output = AlertOutcome;
+
+    fn start(&self) -> bool {
+        false
+    }
+
+    fn step(&self, ran: &bool, (): &(), output: &AlertOutcome) -> Option<bool> {
+        match (output, ran) {
+            (AlertOutcome::Ran, false) => Some(true),
+            (AlertOutcome::NotRun, ran) => Some(*ran),
+            (AlertOutcome::RanBefore, true) => Some(true),
+            _ => None,
+        }
+    }
+
+    fn step_unknown(&self, ran: &bool, (): &()) -> Vec<bool> {
+        vec![*ran, true]
+    }
+}
+
+type AlertEvent = HistoryEvent<(), AlertOutcome>;
+
+/// Sends an alert and records what its caller learned.
+async fn send(cluster: &Cluster, entry: usize, key: &str, start: Instant) -> AlertEvent {
+    let called = start.elapsed().as_micros() as u64;
+    let answer = cluster.alert(entry, key).await;
+    let returned = start.elapsed().as_micros() as u64;
+    let output = answer
+        .ok()
+        .and_then(|answer| match (answer.status, answer.outcome.as_str()) {
+            (200, "ran") => Some(AlertOutcome::Ran),
+            (409, "ran") => Some(AlertOutcome::RanBefore),
+            (_, "not-run") => Some(AlertOutcome::NotRun),
+            _ => None,
+        });
+    AlertEvent {
+        input: (),
+        output,
+        called,
+        returned,
+    }
+}
+
+/// How often each key was executed at all upstreams.
+async fn executed(cluster: &Cluster, upstreams: usize) -> BTreeMap<String, u64> {
+    let mut counts = BTreeMap::new();
+    for n in 1..=upstreams {
+        let record = cluster.record(&format!("upstream-{n}")).await;
+        for (key, count) in record["keys"].as_object().cloned().unwrap_or_default() {
+            *counts.entry(key).or_default() += count.as_u64().unwrap_or(0);
+        }
+    }
+    counts
+}
+
+/// Checks the histories of all keys against what the upstreams executed.
+fn check(histories: &BTreeMap<String, Vec<AlertEvent>>, executed: &BTreeMap<String, u64>) {
+    for (key, events) in histories {
+        let count = executed.get(key).copied().unwrap_or(0);
+        assert!(count <= 1, "{key} ran {count} times");
+        assert!(is_linearizable(&OnceModel, events), "{key}: {events:?}");
+        let told = events
+            .iter()
+            .any(|event| event.output == Some(AlertOutcome::Ran));
+        assert!(!told || count == 1, "{key} was said to have run");
+        let all_refused = events
+            .iter()
+            .all(|event| event.output == Some(AlertOutcome::NotRun));
+        assert!(!all_refused || count == 0, "{key} was said not to have run");
+    }
+}
+
+/// Asks for each key several times, at both entries at once.
+async fn ask_everywhere(
+    cluster: &Cluster,
+    keys: &[String],
+    start: Instant,
+) -> BTreeMap<String, Vec<AlertEvent>> {
+    let calls = keys.iter().flat_map(|key| {
+        (0..4).map(move |turn| async move {
+            let event = send(cluster, turn % 2 + 1, key, start).await;
+            (key.clone(), event)
+        })
+    });
+    let mut histories: BTreeMap<String, Vec<AlertEvent>> = BTreeMap::new();
+    for (key, event) in join_all(calls).await {
+        histories.entry(key).or_default().push(event);
+    }
+    histories
+}
+
+#[test]
+fn a_key_asked_at_two_entries_runs_once() {
+    run(async {
+        let cluster = Cluster::start(ClusterPlan::default()).await;
+        let keys: Vec<String> = (0..20).map(|n| format!("race-{n}")).collect();
+        let histories = ask_everywhere(&cluster, &keys, Instant::now()).await;
+        let executed = executed(&cluster, 2).await;
+        check(&histories, &executed);
+        assert_eq!(
+            executed.len(),
+            keys.len(),
+            "every key runs where nothing fails"
+        );
+    });
+}
+
+#[test]
+fn lost_replies_do_not_run_a_key_twice() {
+    run(async {
+        let cluster = Cluster::start(ClusterPlan::default()).await;
+        let faults = json!({ "lose_replies_percent": 40, "lose_prefix": "once/" });
+        cluster.faults("platform", faults).await;
+        let keys: Vec<String> = (0..10).map(|n| format!("lost-{n}")).collect();
+        let histories = ask_everywhere(&cluster, &keys, Instant::now()).await;
+        cluster.faults("platform", json!({})).await;
+        check(&histories, &executed(&cluster, 2).await);
+    });
+}
+
+#[test]
+fn an_outage_refuses_at_once_and_the_key_runs_later() {
+    run(async {
+        let cluster = Cluster::start(ClusterPlan::default()).await;
+        cluster.faults("platform", json!({ "down": true })).await;
+        let start = Instant::now();
+        let first = send(&cluster, 1, "outage", start).await;
+        assert_eq!(first.output, Some(AlertOutcome::NotRun));
+        cluster.faults("platform", json!({})).await;
+        // The key may be held for a moment by the attempt whose fate was open.
+        wait_for("the key to run", || async {
+            let event = send(&cluster, 2, "outage", start).await;
+            (event.output == Some(AlertOutcome::Ran)).then_some(())
+        })
+        .await;
+        let executed = executed(&cluster, 2).await;
+        assert_eq!(executed.get("outage"), Some(&1));
+    });
+}
+
+#[test]
+fn entries_killed_in_between_do_not_run_a_key_twice() {
+    let mut rng = fastrand::Rng::with_seed(seed("entries_killed"));
+    run(async {
+        let mut cluster = Cluster::start(ClusterPlan {
+            service_ms: 30,
+            ..ClusterPlan::default()
+        })
+        .await;
+        let start = Instant::now();
+        let mut histories: BTreeMap<String, Vec<AlertEvent>> = BTreeMap::new();
+        for round in 0..6 {
+            let keys: Vec<String> = (0..4).map(|n| format!("kill-{round}-{n}")).collect();
+            let victim = rng.usize(1..=2);
+            let url = cluster.callers(victim);
+            // The first asks go to the entry that is killed while they are under way.
+            let asks: Vec<_> = keys
+                .iter()
+                .map(|key| {
+                    let (url, key) = (url.clone(), key.clone());
+                    compio::runtime::spawn(async move { ask_at(&url, &key, start).await })
+                })
+                .collect();
+            compio::time::sleep(std::time::Duration::from_millis(rng.u64(0..30))).await;
+            cluster.kill(&format!("entry-{victim}"));
+            for (key, ask) in keys.iter().zip(asks) {
+                let event = ask.await.expect("no panic");
+                histories.entry(key.clone()).or_default().push(event);
+            }
+            for key in &keys {
+                let event = send(&cluster, 3 - victim, key, start).await;
+                histories.entry(key.clone()).or_default().push(event);
+            }
+            cluster.restart(&format!("entry-{victim}"));
+            cluster.wait_routed(victim).await;
+        }
+        check(&histories, &executed(&cluster, 2).await);
+    });
+}
+
+/// As [`send`], without the cluster, which is changed meanwhile.
+async fn ask_at(callers: &str, key: &str, start: Instant) -> AlertEvent {
+    use crate::support::calls::call;
+    use crate::support::cluster::{SERVICE, TEAM};
+    let url = format!("{callers}/v1/watches/{SERVICE}/seuil/alerts");
+    let headers = [("waxwing-team", TEAM), ("idempotency-key", key)];
+    let called = start.elapsed().as_micros() as u64;
+    let answer = call(http::Method::POST, &url, &headers, b"{}".to_vec()).await;
+    let output = answer
+        .ok()
+        .and_then(|answer| match (answer.status, answer.outcome.as_str()) {
+            (200, "ran") => Some(AlertOutcome::Ran),
+            (409, "ran") => Some(AlertOutcome::RanBefore),
+            (_, "not-run") => Some(AlertOutcome::NotRun),
+            _ => None,
+        });
+    AlertEvent {
+        input: (),
+        output,
+        called,
+        returned: start.elapsed().as_micros() as u64,
+    }
+}
--- /dev/null
+++ b/tests/proofs/billing.rs
@@ -0,0 +1,63 @@
+//! Each team is billed for what it used, to the unit.
+
+use crate::support::audit::all_runs;
+use crate::support::calls::get_json;
+use crate::support::cluster::{Cluster, ClusterPlan};
+use crate::support::{run, wait_for};
+use serde_json::json;
+
+/// The bill of the team, summed over its kinds.
+async fn billed(cluster: &Cluster, entry: usize) -> Option<u64> {
+    let url = format!("{}/v1/usage?team=barrages", cluster.operators(entry));
+    let reply = get_json(&url).await?;
+    let rows = reply["rows"].as_array()?;
+    rows.iter()
+        .map(|row| row["cpu_milli_seconds"].as_u64())
+        .sum()
+}
+
+#[test]
+fn the_ledger_equals_what_the_workers_ran() {
+    run(async {
+        let mut cluster = Cluster::start(ClusterPlan {
+            shards: 1,
+            ..ClusterPlan::default()
+        })
+        .await;
+        cluster.wait_owned().await;
+        for worker in cluster.worker_names() {
+            let faults = json!({ "usage_lag_ms": 700, "usage_repeat": true });
+            cluster.faults(&worker, faults).await;
+        }
+        let mut jobs = Vec::new();
+        for n in 0..4 {
+            let input = json!({ "work_ms": 1500 });
+            jobs.push(
+                cluster
+                    .submit_surely("sommaire", 3, input, &format!("bill-{n}"))
+                    .await,
+            );
+        }
+        let urgent = cluster
+            .submit_surely("urgent", 2, json!({ "work_ms": 300 }), "bill-urgent")
+            .await;
+        cluster.wait_ended(&urgent).await;
+        // A takeover in the middle: reports before it are repeated to the next owner.
+        cluster.kill("entry-1");
+        for job in &jobs {
+            cluster.wait_ended(job).await;
+        }
+        let runs = all_runs(&cluster).await;
+        assert!(
+            runs.iter().all(|run| run.end_ms != u64::MAX),
+            "all runs have ended"
+        );
+        let truth: u64 = runs.iter().map(|run| run.cpu_milli_seconds).sum();
+        let bill = wait_for("late usage to be billed", || async {
+            let bill = billed(&cluster, 2).await?;
+            (bill >= truth).then_some(bill)
+        })
+        .await;
+        assert_eq!(bill, truth, "billed more than was used");
+    });
+}
--- /dev/null
+++ b/tests/proofs/outage.rs
@@ -0,0 +1,79 @@
+//! While the platform's store is down: quick requests go on, running tasks are not evicted.
+
+use crate::support::audit::{all_runs, check_one_place};
+use crate::support::cluster::{Cluster, ClusterPlan};
+use crate::support::{run, wait_for};
+use serde_json::json;
+
+#[test]
+fn running_tasks_outlive_an_outage_longer_than_their_leases() {
+    run(async {
+        let cluster = Cluster::start(ClusterPlan {
+            shards: 1,
+            lease_ms: 1_700,
+            grace_ms: 60_000,
+            ..ClusterPlan::default()
+        })
+        .await;
+        cluster.wait_owned().await;
+        let input = json!({ "work_ms": 7000 });
+        let job = cluster.submit_surely("sommaire", 3, input, "outage").await;
+        for index in 0..3 {
+            cluster.wait_running(&job, index).await;
+        }
+        cluster.faults("platform", json!({ "down": true })).await;
+        // Past several leases: what is waited for is work that a lapsed lease would have ended.
+        wait_for("quick requests through the outage", || async {
+            let answer = cluster.request(1, "/quick", &[]).await.expect("an answer");
+            assert_eq!(answer.outcome, "ran", "{}", answer.text());
+            let runs = all_runs(&cluster).await;
+            let start = runs.iter().map(|run| run.start_ms).min()?;
+            let now = std::time::SystemTime::now()
+                .duration_since(std::time::UNIX_EPOCH)
+                .ok()?
+                .as_millis() as u64;
+            (now > start + 5000).then_some(())
+        })
+        .await;
+        let answer = cluster
+            .submit(1, "sommaire", 1, json!({}), "refused")
+            .await
+            .expect("an answer");
+        assert_eq!(answer.status, 503, "{}", answer.text());
+        assert!(answer.retry_after.is_some());
+        cluster.faults("platform", json!({})).await;
+        let view = cluster.wait_ended(&job).await;
+        for task in view["tasks"].as_array().into_iter().flatten() {
+            assert!(task["state"]["done"].is_string(), "{task}");
+            assert_eq!(task["evictions"], 0, "evicted by an outage: {task}");
+        }
+        let runs = all_runs(&cluster).await;
+        assert_eq!(runs.len(), 3, "{runs:?}");
+        check_one_place(&runs);
+    });
+}
+
+#[test]
+fn a_submission_that_was_refused_is_taken_later_under_the_same_key() {
+    run(async {
+        let cluster = Cluster::start(ClusterPlan::default()).await;
+        let faults = json!({ "lose_replies_percent": 100, "lose_prefix": "jobkey/" });
+        cluster.faults("platform", faults).await;
+        let first = cluster
+            .submit(1, "sommaire", 1, json!({ "work_ms": 50 }), "same")
+            .await
+            .expect("an answer");
+        cluster.faults("platform", json!({})).await;
+        let job = cluster
+            .submit_surely("sommaire", 1, json!({ "work_ms": 50 }), "same")
+            .await;
+        let again = cluster
+            .submit_surely("sommaire", 1, json!({ "work_ms": 50 }), "same")
+            .await;
+        assert_eq!(job, again);
+        if first.status == 202 {
+            assert_eq!(first.json()["job"], *job);
+        }
+        cluster.wait_ended(&job).await;
+    });
+}
--- /dev/null
+++ b/tests/proofs/stops.rs
@@ -0,0 +1,190 @@
+//! A leaving upstream gets nothing new; a planned stop cuts nothing off.
+
+use crate::support::calls::{Answer, call, get_json};
+use crate::support::cluster::{Cluster, ClusterPlan, SERVICE, TEAM};
+use crate::support::{run, wait_for};
+use http::Method;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A steady load in the background, until it is stopped.
+struct SteadyLoad {
+    stopped: Rc<Cell<bool>>,
+    answers: Rc<RefCell<Vec<Result<Answer, String>>>>,
+    tasks: Vec<compio::runtime::JoinHandle<()>>,
+}
+
+impl SteadyLoad {
+    /// Several callers, each one request after another, over the given entries in turn.
+    fn start(callers: usize, entries: Vec<String>) -> Self {
+        let stopped = Rc::new(Cell::new(false));
+        let answers = Rc::new(RefCell::new(Vec::new()));
+        let tasks = (0..callers)
+            .map(|n| {
+                let (stopped, answers, entries) =
+                    (stopped.clone(), answers.clone(), entries.clone());
+                compio::runtime::spawn(async move {
+                    let mut turn = n;
+                    while !stopped.get() {
+                        turn += 1;
+                        let url =
+                            format!("{}/v1/call/{SERVICE}/load", entries[turn % entries.len()]);
+                        let headers = [("waxwing-team", TEAM), ("waxwing-deadline-ms", "15000")];
+                        let answer = call(Method::POST, &url, &headers, b"x".to_vec()).await;
+                        answers.borrow_mut().push(answer);
+                        // A balancer would not use a new connection for each request so fast.
+                        compio::time::sleep(Duration::from_millis(2)).await;
+                    }
+                })
+            })
+            .collect();
+        Self {
+            stopped,
+            answers,
+            tasks,
+        }
+    }
+
+    /// Waits for so many answers.
+    async fn reach(&self, count: usize) {
+        wait_for("answers under load", || async {
+            (self.answers.borrow().len() >= count).then_some(())
+        })
+        .await;
+    }
+
+    async fn stop(self) -> Vec<Result<Answer, String>> {
+        self.stopped.set(true);
+        for task in self.tasks {
+            task.await.expect("no panic");
+        }
+        self.answers.take()
+    }
+}
+
+#[test]
+fn a_drained_sidecar_cuts_nothing_off() {
+    run(async {
+        let mut cluster = Cluster::start(ClusterPlan {
+            service_ms: 20,
+            ..ClusterPlan::default()
+        })
+        .await;
+        let load = SteadyLoad::start(10, vec![cluster.callers(1), cluster.callers(2)]);
+        load.reach(50).await;
+        assert_eq!(cluster.drain("sidecar-1").await, Some(0));
+        let executed = cluster.record("upstream-1").await["executed"].clone();
+        let seen = load.answers.borrow().len();
+        load.reach(seen + 100).await;
+        let later = cluster.record("upstream-1").await["executed"].clone();
+        assert_eq!(executed, later, "a leaving upstream got new work");
+        for answer in load.stop().await {
+            let answer = answer.expect("an answer");
+            assert_eq!(
+                (answer.status, answer.outcome.as_str()),
+                (200, "ran"),
+                "{}",
+                answer.text()
+            );
+        }
+    });
+}
+
+#[test]
+fn all_daemons_rolled_in_turn_cut_nothing_off() {
+    run(async {
+        let mut cluster = Cluster::start(ClusterPlan {
+            entries: 2,
+            sidecars: 3,
+            service_ms: 10,
+            ..ClusterPlan::default()
+        })
+        .await;
+        for name in ["sidecar-1", "sidecar-2", "sidecar-3", "entry-1", "entry-2"] {
+            // The balancer keeps callers away from an entry that is about to stop.
+            let entries = (1..=2)
+                .filter(|n| name != format!("entry-{n}"))
+                .map(|n| cluster.callers(n))
+                .collect();
+            let load = SteadyLoad::start(6, entries);
+            load.reach(30).await;
+            assert_eq!(cluster.drain(name).await, Some(0), "{name}");
+            cluster.restart(name);
+            for n in 1..=2 {
+                cluster.wait_routed(n).await;
+            }
+            let seen = load.answers.borrow().len();
+            load.reach(seen + 30).await;
+            for answer in load.stop().await {
+                let answer = answer.unwrap_or_else(|error| panic!("{name}: {error}"));
+                assert_eq!(answer.outcome, "ran", "{name}: {}", answer.text());
+            }
+        }
+    });
+}
+
+#[test]
+fn an_entry_drains_a_long_answer() {
+    run(async {
+        let mut cluster = Cluster::start(ClusterPlan::default()).await;
+        let url = format!("{}/v1/call/{SERVICE}/long", cluster.callers(1));
+        let waiting = compio::runtime::spawn(async move {
+            let headers = [
+                ("waxwing-team", TEAM),
+                ("waxwing-deadline-ms", "20000"),
+                ("x-service-ms", "1500"),
+                ("x-answer-bytes", "6000000"),
+            ];
+            call(Method::GET, &url, &headers, Vec::new()).await
+        });
+        wait_for("the dispatch", || async {
+            let mut executed = 0;
+            for n in 1..=2 {
+                let record = cluster.record(&format!("upstream-{n}")).await;
+                executed += record["executed"].as_u64()?;
+            }
+            (executed > 0).then_some(())
+        })
+        .await;
+        assert_eq!(cluster.drain("entry-1").await, Some(0));
+        let answer = waiting.await.expect("no panic").expect("the whole answer");
+        assert_eq!((answer.status, answer.body.len()), (200, 6_000_000));
+    });
+}
+
+#[test]
+fn a_sidecar_frozen_while_it_leaves_gets_nothing_new() {
+    run(async {
+        let cluster = Cluster::start(ClusterPlan::default()).await;
+        cluster.signal("sidecar-1", libc::SIGTERM);
+        cluster.freeze("sidecar-1");
+        // The entries drop it for its silence; from then on every request goes elsewhere.
+        let url = format!("{}/v1/status", cluster.operators(1));
+        wait_for("the silence to be noticed", || async {
+            let status = get_json(&url).await?;
+            let members = status["members"].as_array()?;
+            let listed = members.iter().any(|member| member["name"] == "sidecar-1");
+            (!listed).then_some(())
+        })
+        .await;
+        for _ in 0..30 {
+            let answer = cluster
+                .request(1, "/elsewhere", &[])
+                .await
+                .expect("an answer");
+            assert_eq!(answer.outcome, "ran");
+        }
+        let before = cluster.record("upstream-1").await["executed"].clone();
+        cluster.thaw("sidecar-1");
+        for _ in 0..30 {
+            let answer = cluster
+                .request(1, "/elsewhere", &[])
+                .await
+                .expect("an answer");
+            assert_eq!(answer.outcome, "ran");
+        }
+        let after = cluster.record("upstream-1").await["executed"].clone();
+        assert_eq!(before, after, "a leaving upstream got new work");
+    });
+}
--- /dev/null
+++ b/tests/proofs/storms.rs
@@ -0,0 +1,107 @@
+//! Many failures together and twice: kills, freezes, outages, lost replies, in a seeded order.
+
+use crate::support::audit::{all_runs, check_one_place, check_resumed_once};
+use crate::support::cases;
+use crate::support::cluster::{Cluster, ClusterPlan};
+use crate::support::{seed, wait_for};
+use fastrand::Rng;
+use serde_json::json;
+use std::time::Duration;
+
+const JOBS: usize = 10;
+const TASKS: u32 = 3;
+const BLOWS: usize = 10;
+
+/// One failure; it is undone before the next but one.
+async fn blow(cluster: &mut Cluster, rng: &mut Rng) {
+    let pause = Duration::from_millis(rng.u64(100..1_500));
+    let entry = format!("entry-{}", rng.usize(1..=3));
+    let worker = format!("worker-{}", rng.usize(1..=3));
+    match rng.u32(0..6) {
+        0 => {
+            cluster.kill(&entry);
+            compio::time::sleep(pause).await;
+            cluster.restart(&entry);
+        }
+        1 => {
+            cluster.freeze(&entry);
+            compio::time::sleep(pause * 3).await;
+            cluster.thaw(&entry);
+        }
+        2 => {
+            cluster.freeze(&worker);
+            compio::time::sleep(pause * 2).await;
+            cluster.thaw(&worker);
+        }
+        3 => {
+            cluster.faults("platform", json!({ "down": true })).await;
+            compio::time::sleep(pause).await;
+            cluster.faults("platform", json!({})).await;
+        }
+        4 => {
+            let faults = json!({ "lose_replies_percent": 30, "delay_ms": 20 });
+            cluster.faults("platform", faults).await;
+            compio::time::sleep(pause * 2).await;
+            cluster.faults("platform", json!({})).await;
+        }
+        _ => {
+            cluster
+                .faults(&worker, json!({ "cut": true, "usage_repeat": true }))
+                .await;
+            compio::time::sleep(pause * 3).await;
+            cluster
+                .faults(&worker, json!({ "usage_repeat": true }))
+                .await;
+        }
+    }
+}
+
+/// Jobs under a storm: each task ends done, once; no worker over capacity; nothing in two places.
+async fn storm(number: u64) {
+    let seed = seed("storm").wrapping_add(number);
+    let mut rng = Rng::with_seed(seed);
+    let mut cluster = Cluster::start(ClusterPlan {
+        entries: 3,
+        shards: 3,
+        ..ClusterPlan::default()
+    })
+    .await;
+    cluster.wait_owned().await;
+    let mut jobs = Vec::new();
+    for n in 0..JOBS {
+        let kind = if n % 4 == 3 { "urgent" } else { "sommaire" };
+        let tasks = if kind == "urgent" { 1 } else { TASKS };
+        let input = json!({ "work_ms": rng.u64(200..2_500) });
+        let key = format!("storm-{n}");
+        jobs.push(cluster.submit_surely(kind, tasks, input, &key).await);
+        if n % 2 == 1 {
+            blow(&mut cluster, &mut rng).await;
+        }
+    }
+    for _ in JOBS / 2..BLOWS {
+        blow(&mut cluster, &mut rng).await;
+    }
+    for (n, job) in jobs.iter().enumerate() {
+        let view = cluster.wait_ended(job).await;
+        for task in view["tasks"].as_array().into_iter().flatten() {
+            assert!(
+                task["state"]["done"].is_string(),
+                "seed {seed}: job {n}: {task}"
+            );
+        }
+    }
+    let runs = wait_for("all runs to end", || async {
+        let runs = all_runs(&cluster).await;
+        runs.iter()
+            .all(|run| run.end_ms != u64::MAX)
+            .then_some(runs)
+    })
+    .await;
+    check_one_place(&runs);
+    check_resumed_once(&runs);
+}
+
+cases!(storm {
+    jobs_survive_a_first_storm: 1,
+    jobs_survive_a_second_storm: 2,
+});
