--- a/tests/proofs/bad_input.rs
+++ b/tests/proofs/bad_input.rs
@@ -55,12 +55,15 @@
     });
 }
 
+/// Header fields of a request, the status that it gets, and a part of the reason.
+type HeaderCase<'a> = (&'a [(&'a str, &'a str)], u16, &'a str);
+
 #[test]
 fn malformed_requests_get_a_clear_error() {
     run(async {
         let cluster = Cluster::start(ClusterPlan::default()).await;
         let url = format!("{}/v1/call/{SERVICE}/x", cluster.callers(1));
-        let cases: [(&[(&str, &str)], u16, &str); 5] = [
+        let cases: [HeaderCase<'_>; 5] = [
             (&[], 400, "waxwing-team"),
             (&[("waxwing-team", "nobody")], 404, "not declared"),
             (
--- a/tests/proofs/settings_force.rs
+++ b/tests/proofs/settings_force.rs
@@ -163,12 +163,11 @@
         })
         .await;
         for entry in 1..=2 {
-            let seen = wait_for("the next version", || async {
-                let now = version(&cluster, entry).await;
-                (now > before).then(|| async { weight(&cluster, entry).await })
+            wait_for("the next version", || async {
+                (version(&cluster, entry).await > before).then_some(())
             })
-            .await
             .await;
+            let seen = weight(&cluster, entry).await;
             assert_eq!(seen, Some(778), "a refused change was kept");
         }
     });
