--- /dev/null
+++ b/crates/wax-cli/src/commands/explain.rs
@@ -0,0 +1,51 @@
+//! `waxwing explain job ID`: why each task stands where it stands.
+
+use super::peers::ask_all;
+use crate::context::CommandContext;
+use crate::failure::CommandFailure;
+use crate::output::{field, items, json_text, plain, table_text};
+use serde_json::Value;
+
+pub(crate) async fn run(context: &mut CommandContext) -> Result<String, CommandFailure> {
+    let what = context.word("job")?;
+    if what != "job" {
+        return Err(CommandFailure::Usage(format!("cannot explain {what}")));
+    }
+    let job = context.word("ID")?;
+    context.finish()?;
+    let view = context.client.get(&format!("/v1/jobs/{job}")).await?;
+    let mut reasons = Vec::new();
+    for answer in ask_all(context, &format!("/v1/explain?job={job}")).await? {
+        reasons.extend(answer.body.as_array().cloned().unwrap_or_default());
+    }
+    if context.json {
+        return Ok(json_text(&Value::Array(reasons)));
+    }
+    let rows: Vec<Vec<String>> = items(&view, "tasks")
+        .iter()
+        .map(|task| {
+            let index = field(task, "index");
+            let owned = reasons
+                .iter()
+                .find(|reason| field(reason, "index") == index);
+            let reason = match owned {
+                Some(reason) => field(reason, "reason"),
+                None => ended_reason(task),
+            };
+            vec![index, reason]
+        })
+        .collect();
+    Ok(table_text(&["TASK", "REASON"], &rows))
+}
+
+/// The reason for a task that no owner holds any more.
+fn ended_reason(task: &Value) -> String {
+    match &task["state"] {
+        Value::Null => "its shard has no owner at the moment".to_owned(),
+        Value::Object(state) => state
+            .iter()
+            .map(|(name, value)| format!("{name}: {}", plain(value)))
+            .collect(),
+        other => plain(other),
+    }
+}
--- a/crates/wax-cli/src/commands/mod.rs
+++ b/crates/wax-cli/src/commands/mod.rs
@@ -1,7 +1,9 @@
 //! One file for each command, in a folder for each family.
 
 mod check;
+mod explain;
 mod job;
+mod peers;
 mod settings;
 mod status;
 mod submit;
@@ -21,6 +23,7 @@
   job show ID                shows a job and its tasks
   job cancel ID              cancels a job
   job result ID [INDEX]      prints the result of a task
+  explain job ID             why each task of a job waits, runs or was given up
   settings get               prints the tree in force
   settings explain PATH      prints each value in force and where it comes from
   settings set PATH KEY VALUE [--expected VERSION] [--wait SECONDS]
@@ -55,6 +58,7 @@
         "submit" => submit::run(&mut context).await,
         "job" => job::run(&mut context).await,
         "settings" => settings::run(&mut context).await,
+        "explain" => explain::run(&mut context).await,
         "usage" => usage::run(&mut context).await,
         other => Err(CommandFailure::Usage(format!("no command {other}"))),
     }
--- a/crates/wax-cli/src/commands/status.rs
+++ b/crates/wax-cli/src/commands/status.rs
@@ -1,6 +1,6 @@
 //! `waxwing status`: the system as one entry sees it.
 
-use crate::client::OperatorClient;
+use super::peers::ask_all;
 use crate::context::CommandContext;
 use crate::failure::CommandFailure;
 use crate::output::{field, items, json_text, table_text};
@@ -8,38 +8,18 @@
 
 pub(crate) async fn run(context: &mut CommandContext) -> Result<String, CommandFailure> {
     context.finish()?;
-    let mut status = context.client.get("/v1/status").await?;
-    gather_shards(&mut status).await;
-    if context.json {
-        return Ok(json_text(&status));
-    }
-    Ok(status_text(&status))
-}
-
-/// Adds the shards that other entries own; an entry that does not answer is left out.
-async fn gather_shards(status: &mut Value) {
-    let own = field(status, "entry");
-    let others: Vec<(String, String)> = items(status, "members")
+    let mut answers = ask_all(context, "/v1/status").await?;
+    let mut shards: Vec<Value> = answers
         .iter()
-        .filter(|member| field(member, "name") != own)
-        .filter_map(|member| {
-            Some((
-                field(member, "name"),
-                member["operators"].as_str()?.to_owned(),
-            ))
-        })
+        .flat_map(|answer| owned_by(&answer.body, &answer.entry))
         .collect();
-    let mut shards = owned_by(status, &own);
-    for (name, address) in others {
-        let Ok(client) = OperatorClient::new(&address) else {
-            continue;
-        };
-        if let Ok(other) = client.get("/v1/status").await {
-            shards.extend(owned_by(&other, &name));
-        }
-    }
     shards.sort_by_key(|shard| shard["shard"].as_u64());
+    let mut status = answers.swap_remove(0).body;
     status["shards"] = Value::Array(shards);
+    if context.json {
+        return Ok(json_text(&status));
+    }
+    Ok(status_text(&status))
 }
 
 /// The shards of one entry's answer, with the owner's name.
--- a/crates/wax-platform/src/wire.rs
+++ b/crates/wax-platform/src/wire.rs
@@ -206,6 +206,10 @@
     pub memory_mib_seconds: u64,
     /// Accelerator milliseconds used.
     pub accelerator_ms: u64,
+    /// The most processors used at once, thousandths of a core.
+    pub peak_cpu_milli: u32,
+    /// The most memory used at once, mebibytes.
+    pub peak_memory_mib: u32,
     /// How much longer each unit of work took than alone, in percent; 100 means no slowdown.
     pub slowdown_percent: u32,
 }
--- a/crates/wax-policy/src/lib.rs
+++ b/crates/wax-policy/src/lib.rs
@@ -6,10 +6,14 @@
 mod breaker;
 mod contact;
 mod gate;
+mod interference;
+mod kinds;
 mod placement;
 mod rendezvous;
 mod retry;
 mod routing;
+mod sizing;
+mod workday;
 
 pub use admission::{AdmitChoice, TeamKey, TeamLimits, TeamTable};
 pub use average::DecayedMean;
@@ -17,11 +21,16 @@
 pub use breaker::{BreakerChoice, StoreBreaker};
 pub use contact::{ContactChoice, LeaseTerms, WorkerContact};
 pub use gate::{GateChoice, ReleaseChoice, SlotGate};
+pub use interference::{LoadBand, PairEstimate, PairTable};
+pub use kinds::{KindKey, KindTable};
 pub use placement::{
-    PlaceChoice, PlacePolicy, RunningTask, TaskDemand, WorkerKey, WorkerSlot, WorkerTable,
+    FirmWeights, PlaceChoice, PlaceContext, PlacePolicy, RunningTask, TaskDemand, WorkerKey,
+    WorkerSlot, WorkerTable,
 };
 pub use rendezvous::{rank_score, top_member};
 pub use retry::RetryBudget;
 pub use routing::{
     AttemptEnd, RouteChoice, RoutePolicy, RouteTable, UpstreamKey, UpstreamLoad, UpstreamView,
 };
+pub use sizing::SizeTable;
+pub use workday::WorkDay;
--- a/crates/wax-policy/src/placement.rs
+++ b/crates/wax-policy/src/placement.rs
@@ -1,5 +1,7 @@
 //! Chooses the worker for a task, and the tasks that make room for an urgent one.
 
+use crate::interference::{LoadBand, PairTable};
+use crate::kinds::KindKey;
 use fastrand::Rng;
 use slotmap::{SlotMap, new_key_type};
 use std::str::FromStr;
@@ -11,10 +13,15 @@
     pub struct WorkerKey;
 }
 
+/// Workers that are scored for one task at most, so that the cost does not grow with their number.
+const SCORED_WORKERS: usize = 24;
+/// Workers on which evictions are weighed for one task at most.
+const WEIGHED_WORKERS: usize = 64;
+
 /// How a worker is chosen; all but the first are baselines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum PlacePolicy {
-    /// By a score of fit, spread and neighbours.
+    /// By a score of fit and of the harm that neighbours do to each other.
     #[default]
     Weighed,
     /// Any that fits.
@@ -42,19 +49,46 @@
     }
 }
 
+/// What counts for a firm; only the proportions matter.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FirmWeights {
+    /// Tail latency of what is latency-critical.
+    pub tail: f64,
+    /// Batch throughput.
+    pub throughput: f64,
+    /// Evictions.
+    pub eviction: f64,
+}
+
+impl Default for FirmWeights {
+    fn default() -> Self {
+        Self {
+            tail: 50.0,
+            throughput: 50.0,
+            eviction: 50.0,
+        }
+    }
+}
+
 /// A task that runs on a worker, as far as decisions need it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RunningTask {
     /// The task.
     pub task: TaskId,
+    /// Its kind.
+    pub kind: KindKey,
     /// What is reserved for it.
     pub size: ResourceVector,
+    /// Whether it is latency-critical.
+    pub urgent: bool,
     /// Whether it may be evicted for an urgent task.
     pub evictable: bool,
     /// When it started or was last checkpointed: later work would be lost.
     pub saved: TimePoint,
     /// It is not evicted again before this time.
     pub settled: TimePoint,
+    /// Whether an eviction would keep it from ending before evening.
+    pub due_today: bool,
 }
 
 /// A worker as far as decisions need it.
@@ -69,12 +103,27 @@
 /// What a task needs.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct TaskDemand {
+    /// Its kind.
+    pub kind: KindKey,
     /// What is reserved for it.
     pub size: ResourceVector,
     /// Whether it may evict batch tasks.
     pub urgent: bool,
 }
 
+/// What a choice looks at besides the workers.
+#[derive(Debug, Clone, Copy)]
+pub struct PlaceContext<'a> {
+    /// What is known of pairs of kinds.
+    pub pairs: &'a PairTable,
+    /// What counts for the firm.
+    pub weights: FirmWeights,
+    /// Workers on which the task failed.
+    pub avoid: &'a [WorkerKey],
+    /// How to choose.
+    pub policy: PlacePolicy,
+}
+
 /// What to do with a task that waits.
 #[derive(Debug, Clone, PartialEq)]
 pub enum PlaceChoice {
@@ -92,6 +141,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct WorkerTable {
     workers: SlotMap<WorkerKey, WorkerSlot>,
+    order: Vec<WorkerKey>,
     turn: usize,
 }
 
@@ -106,26 +156,43 @@
         self.capacity
     }
 
+    /// What is reserved.
+    pub fn used(&self) -> ResourceVector {
+        self.used
+    }
+
     /// What runs there.
     pub fn tasks(&self) -> &[RunningTask] {
         &self.tasks
     }
+
+    /// The band of its load.
+    pub fn band(&self) -> LoadBand {
+        LoadBand::of(self.load())
+    }
+
+    fn load(&self) -> f64 {
+        self.used.dominant_share(self.capacity)
+    }
 }
 
 impl WorkerTable {
     /// Adds an idle worker.
     pub fn add(&mut self, capacity: ResourceVector) -> WorkerKey {
-        self.workers.insert(WorkerSlot {
+        let key = self.workers.insert(WorkerSlot {
             capacity,
             used: ResourceVector::ZERO,
             open: true,
             tasks: Vec::new(),
-        })
+        });
+        self.order.push(key);
+        key
     }
 
     /// Removes a worker.
     pub fn remove(&mut self, key: WorkerKey) {
         self.workers.remove(key);
+        self.order.retain(|other| *other != key);
     }
 
     /// Whether new tasks may be placed on a worker.
@@ -161,61 +228,76 @@
     }
 
     /// Gives the room of a task back.
-    pub fn release(&mut self, key: WorkerKey, task: TaskId) {
-        if let Some(slot) = self.workers.get_mut(key)
-            && let Some(position) = slot.tasks.iter().position(|other| other.task == task)
-        {
-            let task = slot.tasks.swap_remove(position);
-            slot.used = slot.used.saturating_sub(task.size);
-        }
+    pub fn release(&mut self, key: WorkerKey, task: TaskId) -> Option<RunningTask> {
+        let slot = self.workers.get_mut(key)?;
+        let position = slot.tasks.iter().position(|other| other.task == task)?;
+        let task = slot.tasks.swap_remove(position);
+        slot.used = slot.used.saturating_sub(task.size);
+        Some(task)
     }
 
-    /// Chooses for one task; `avoid` are workers on which it failed.
+    /// Chooses for one task.
     pub fn choose(
         &mut self,
         now: TimePoint,
         demand: TaskDemand,
-        avoid: &[WorkerKey],
-        policy: PlacePolicy,
+        context: PlaceContext<'_>,
         rng: &mut Rng,
     ) -> PlaceChoice {
-        let fitting = |key: WorkerKey, slot: &WorkerSlot| {
-            slot.open && demand.size.fits_in(slot.free()) && !avoid.contains(&key)
-        };
-        let count = self.workers.len().max(1);
-        let start = match policy {
-            PlacePolicy::Random => rng.usize(..count),
+        let count = self.order.len().max(1);
+        let start = match context.policy {
+            PlacePolicy::FirstFit | PlacePolicy::LeastLoaded => 0,
             PlacePolicy::RoundRobin => self.turn % count,
-            _ => 0,
+            PlacePolicy::Random | PlacePolicy::Weighed => rng.usize(..count),
         };
         self.turn = self.turn.wrapping_add(1);
-        let mut candidates = self
-            .workers
-            .iter()
-            .cycle()
-            .skip(start)
-            .take(self.workers.len())
-            .filter(|(key, slot)| fitting(*key, slot));
-        let chosen = match policy {
+        let mut fitting = self.fitting(start, demand, context.avoid);
+        let chosen = match context.policy {
             PlacePolicy::Random | PlacePolicy::RoundRobin | PlacePolicy::FirstFit => {
-                candidates.next().map(|(key, _)| key)
+                fitting.next().map(|(key, _)| key)
             }
-            PlacePolicy::LeastLoaded => candidates
-                .min_by(|(_, a), (_, b)| load(a).total_cmp(&load(b)))
+            PlacePolicy::LeastLoaded => fitting
+                .min_by(|(_, a), (_, b)| a.load().total_cmp(&b.load()))
                 .map(|(key, _)| key),
-            PlacePolicy::Weighed => candidates
-                .map(|(key, slot)| (key, score(slot, demand)))
+            PlacePolicy::Weighed => fitting
+                .take(SCORED_WORKERS)
+                .map(|(key, slot)| (key, score(slot, demand, &context)))
                 .min_by(|(_, a), (_, b)| a.total_cmp(b))
                 .map(|(key, _)| key),
         };
         match chosen {
             Some(key) => PlaceChoice::Place(key),
-            None => self.choose_victims(now, demand),
+            None => self.choose_victims(now, start, demand, context.policy),
         }
     }
 
+    fn from(&self, start: usize) -> impl Iterator<Item = (WorkerKey, &WorkerSlot)> {
+        let (before, after) = self.order.split_at(start.min(self.order.len()));
+        after
+            .iter()
+            .chain(before)
+            .map(|key| (*key, &self.workers[*key]))
+    }
+
+    fn fitting<'a>(
+        &'a self,
+        start: usize,
+        demand: TaskDemand,
+        avoid: &'a [WorkerKey],
+    ) -> impl Iterator<Item = (WorkerKey, &'a WorkerSlot)> + 'a {
+        self.from(start).filter(move |(key, slot)| {
+            slot.open && demand.size.fits_in(slot.free()) && !avoid.contains(key)
+        })
+    }
+
     /// For an urgent task: the worker where eviction loses the least work.
-    fn choose_victims(&self, now: TimePoint, demand: TaskDemand) -> PlaceChoice {
+    fn choose_victims(
+        &self,
+        now: TimePoint,
+        start: usize,
+        demand: TaskDemand,
+        policy: PlacePolicy,
+    ) -> PlaceChoice {
         let possible = |slot: &WorkerSlot| demand.size.fits_in(slot.capacity);
         if !self.workers.values().any(possible) {
             return PlaceChoice::Impossible;
@@ -223,53 +305,118 @@
         if !demand.urgent {
             return PlaceChoice::Wait;
         }
-        self.workers
-            .iter()
+        let weighed = policy == PlacePolicy::Weighed;
+        let mut plans = self
+            .from(start)
             .filter(|(_, slot)| slot.open && possible(slot))
-            .filter_map(|(key, slot)| {
-                let (victims, lost) = victims_on(slot, now, demand.size)?;
-                Some((key, victims, lost))
-            })
-            .min_by_key(|(_, victims, lost)| (*lost, victims.len()))
-            .map_or(PlaceChoice::Wait, |(key, victims, _)| {
-                PlaceChoice::Evict(key, victims)
-            })
+            .filter_map(|(key, slot)| Some((key, victims_on(slot, now, demand.size, weighed)?)))
+            .take(WEIGHED_WORKERS);
+        let plan = if weighed {
+            plans.min_by_key(|(_, plan)| (plan.due_today, plan.lost, plan.victims.len()))
+        } else {
+            plans.next()
+        };
+        plan.map_or(PlaceChoice::Wait, |(key, plan)| {
+            PlaceChoice::Evict(key, plan.victims)
+        })
     }
 }
 
-fn load(slot: &WorkerSlot) -> f64 {
-    slot.used.dominant_share(slot.capacity)
-}
-
-/// Lower is better: batch packs tightly, urgent tasks spread.
-fn score(slot: &WorkerSlot, demand: TaskDemand) -> f64 {
+/// Lower is better: how full the worker becomes, and the harm that the neighbours do.
+fn score(slot: &WorkerSlot, demand: TaskDemand, context: &PlaceContext<'_>) -> f64 {
     let used = slot.used.checked_add(demand.size).unwrap_or(slot.used);
     let after = used.dominant_share(slot.capacity);
-    if demand.urgent { after } else { 1.0 - after }
+    let total = context.weights.tail + context.weights.throughput;
+    // Urgent tasks spread; batch packs a little, to leave room for large tasks.
+    let fit = if demand.urgent {
+        after
+    } else {
+        (1.0 - after) * 0.2
+    };
+    fit + harm(slot, demand, LoadBand::of(after), context) / total.max(1.0)
+}
+
+/// Expected slowdown of the neighbours by the task and of the task by them, weighed.
+///
+/// Where a latency-critical task is the victim the estimate is raised by its spread; where both
+/// are batch it is lowered, so that unknown pairs get tried.
+fn harm(slot: &WorkerSlot, demand: TaskDemand, band: LoadBand, context: &PlaceContext<'_>) -> f64 {
+    let weight = |urgent: bool| {
+        if urgent {
+            context.weights.tail
+        } else {
+            context.weights.throughput
+        }
+    };
+    let one = |victim: KindKey, urgent: bool, neighbour: KindKey| {
+        let estimate = context.pairs.estimate(victim, neighbour, band);
+        let margin = if urgent {
+            estimate.spread()
+        } else {
+            -0.5 * estimate.spread()
+        };
+        weight(urgent) * (estimate.excess + margin)
+    };
+    slot.tasks
+        .iter()
+        .map(|task| {
+            one(task.kind, task.urgent, demand.kind) + one(demand.kind, demand.urgent, task.kind)
+        })
+        .sum()
+}
+
+/// What an eviction on one worker costs.
+struct VictimPlan {
+    victims: Vec<TaskId>,
+    lost: Duration,
+    due_today: bool,
 }
 
-/// The evictable tasks, least work lost first, until the size fits; and the work lost.
+/// The evictable tasks until the size fits: least work lost first, or in the order of arrival.
 fn victims_on(
     slot: &WorkerSlot,
     now: TimePoint,
     size: ResourceVector,
-) -> Option<(Vec<TaskId>, Duration)> {
+    weighed: bool,
+) -> Option<VictimPlan> {
     let mut tasks: Vec<&RunningTask> = slot
         .tasks
         .iter()
         .filter(|task| task.evictable && task.settled <= now)
         .collect();
-    tasks.sort_by_key(|task| (now.since(task.saved), task.task));
+    if weighed {
+        tasks.sort_by_key(|task| (task.due_today, now.since(task.saved), task.task));
+    }
     let mut used = slot.used;
-    let mut victims = Vec::new();
-    let mut lost = Duration::ZERO;
+    let mut chosen: Vec<&RunningTask> = Vec::new();
     for task in tasks {
         used = used.saturating_sub(task.size);
-        victims.push(task.task);
-        lost += now.since(task.saved);
+        chosen.push(task);
         if size.fits_in(slot.capacity.saturating_sub(used)) {
-            return Some((victims, lost));
+            if weighed {
+                spare(&mut chosen, slot.capacity.saturating_sub(used), size);
+            }
+            return Some(VictimPlan {
+                lost: chosen.iter().map(|task| now.since(task.saved)).sum(),
+                due_today: chosen.iter().any(|task| task.due_today),
+                victims: chosen.iter().map(|task| task.task).collect(),
+            });
         }
     }
     None
 }
+
+/// Takes back victims that are not needed once later, larger ones were added.
+fn spare(chosen: &mut Vec<&RunningTask>, mut room: ResourceVector, size: ResourceVector) {
+    let mut index = 0;
+    while index < chosen.len() {
+        let without = room.saturating_sub(chosen[index].size);
+        let enough = size.fits_in(without) && chosen[index].size.fits_in(room);
+        if enough {
+            room = without;
+            chosen.remove(index);
+        } else {
+            index += 1;
+        }
+    }
+}
--- a/crates/wax-route/src/operators.rs
+++ b/crates/wax-route/src/operators.rs
@@ -64,6 +64,17 @@
         Ok(json_reply(StatusCode::OK, &reply))
     }
 
+    /// Why the tasks of a job stand where they stand, for the shards owned here.
+    fn explain(&self, request: &HttpRequest) -> Result<HttpReply, WaxError> {
+        let text = query_of(request, "job").unwrap_or_default();
+        let job = text
+            .parse()
+            .map_err(|error| WaxError::new(ErrorKind::Invalid, Step::ReadJob, text, error))?;
+        let now = self.shared.clock.now();
+        let reasons = self.shared.coordinator.explain(now, job);
+        Ok(json_reply(StatusCode::OK, &reasons))
+    }
+
     async fn answer(&self, request: HttpRequest) -> Result<HttpReply, WaxError> {
         let shared = &self.shared;
         let path = request.uri().path().to_owned();
@@ -76,6 +87,7 @@
                 let node = query_of(&request, "path").unwrap_or("/").to_owned();
                 settings_calls::explain(shared, &node).await
             }
+            (&Method::GET, "/v1/explain") => self.explain(&request),
             (&Method::GET, "/v1/usage") => self.usage(&request).await,
             (&Method::GET, "/readyz") if shared.leaving.get() => {
                 Ok(empty_reply(StatusCode::SERVICE_UNAVAILABLE))
--- a/crates/wax-route/src/process.rs
+++ b/crates/wax-route/src/process.rs
@@ -45,6 +45,8 @@
     pub objects: ObjectClient,
     /// Membership.
     pub members: MemberHandle,
+    /// The settings tree in force, shared with the shards.
+    pub tree: SettingsHolder,
     /// Submissions.
     pub desk: JobDesk,
     /// Shards owned by this process.
@@ -95,7 +97,7 @@
             peers_address: peers.local_addr().unwrap_or(options.peers),
             clock,
             started: clock.now(),
-            settings: SettingsHolder::default(),
+            settings: services.tree,
             settings_loaded: Cell::new(false),
             settings_acked: Event::new(),
             last_delta: RefCell::default(),
--- a/crates/wax-standin/src/worker_runs.rs
+++ b/crates/wax-standin/src/worker_runs.rs
@@ -15,6 +15,8 @@
 pub(crate) struct TaskInput {
     pub(crate) work_ms: u64,
     pub(crate) fail: bool,
+    /// What the task would use if nothing held it; its reserved size if it is not said.
+    pub(crate) true_cpu_milli: Option<u32>,
 }
 
 impl Default for TaskInput {
@@ -22,6 +24,7 @@
         Self {
             work_ms: 100,
             fail: false,
+            true_cpu_milli: None,
         }
     }
 }
@@ -74,6 +77,12 @@
     }
 }
 
+/// A task that is given less than it needs runs slower, in proportion.
+fn speed_of(request: &StartRequest, input: &TaskInput) -> f64 {
+    let needed = input.true_cpu_milli.unwrap_or(request.size.cpu_milli);
+    (f64::from(request.size.cpu_milli) / f64::from(needed.max(1))).min(1.0)
+}
+
 /// One line of the audit: a run began or ended at this worker.
 #[derive(Debug, Clone, Serialize)]
 pub(crate) struct AuditLine {
@@ -174,10 +183,10 @@
         let run = RunState {
             mark: request.mark,
             size: request.size,
-            input,
+            input: input.clone(),
             done_ms,
             since: now,
-            speed: 1.0,
+            speed: speed_of(request, &input),
             lease_end: now + Duration::from_millis(request.lease_ms),
             run: TaskRun::Running,
             checkpoint: request.checkpoint.clone(),
@@ -330,6 +339,8 @@
             cpu_milli_seconds: cpu,
             memory_mib_seconds: u64::from(run.size.memory_mib) * u64::from(length_ms) / 1_000,
             accelerator_ms: u64::from(run.size.accelerators) * u64::from(length_ms),
+            peak_cpu_milli: run.input.true_cpu_milli.unwrap_or(run.size.cpu_milli),
+            peak_memory_mib: run.size.memory_mib,
             slowdown_percent: 100,
         };
         run.interval += 1;
--- a/crates/wax-tasks/src/commit.rs
+++ b/crates/wax-tasks/src/commit.rs
@@ -5,7 +5,7 @@
 use crate::term::OwnerTerm;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use wax_platform::TableTransaction;
-use wax_types::{RowVersion, TaskId, TimePoint, WorkerId};
+use wax_types::{RowVersion, TaskId, TimePoint, WorkerId, wall_clock_ms};
 
 /// Changes that are committed together.
 #[derive(Debug)]
@@ -44,13 +44,10 @@
     allocs: &mut BTreeMap<WorkerId, AllocRow>,
     change: &TaskChange,
 ) -> bool {
-    if let Some(worker) = &change.reserve {
+    if let (Some((worker, _)), Some(added)) = (&change.reserve, change.allocation()) {
         let Some(entry) = state.workers.get(worker) else {
             return false;
         };
-        let Some(added) = state.alloc_entry(change.task, change.next.epoch) else {
-            return false;
-        };
         let mut row = allocs.get(worker).unwrap_or(&entry.alloc).clone();
         row.tasks.push(added);
         let fits = row
@@ -163,6 +160,7 @@
         for (worker, row) in &self.allocs {
             if let Some(entry) = state.workers.get_mut(worker) {
                 entry.alloc = row.clone();
+                entry.changed_ms = wall_clock_ms();
                 entry.version = version;
             }
         }
--- a/crates/wax-tasks/src/coordinator.rs
+++ b/crates/wax-tasks/src/coordinator.rs
@@ -18,7 +18,7 @@
     WorkerDirectory,
 };
 use wax_policy::{LeaseTerms, PlacePolicy, top_member};
-use wax_settings::CoordinatorSettings;
+use wax_settings::{CoordinatorSettings, SettingsHolder};
 use wax_trace::{Counter, count};
 use wax_types::{ProcessClock, RowVersion, ShardEpoch, ShardId, TimePoint, WaxError};
 
@@ -53,7 +53,7 @@
 /// What the rest of the process sees of the shards owned here.
 #[derive(Clone, Default)]
 pub struct CoordinatorHandle {
-    shards: Rc<RefCell<BTreeMap<ShardId, Rc<ShardShared>>>>,
+    pub(crate) shards: Rc<RefCell<BTreeMap<ShardId, Rc<ShardShared>>>>,
 }
 
 impl CoordinatorHandle {
@@ -118,6 +118,7 @@
         objects: ObjectClient,
         directory: WorkerDirectory,
         members: MemberHandle,
+        tree: SettingsHolder,
         policy: PlacePolicy,
     ) -> Result<Self, WaxError> {
         let terms = LeaseTerms {
@@ -142,6 +143,7 @@
                 objects,
                 directory,
                 workers,
+                settings: tree,
             },
             members,
             clock,
--- /dev/null
+++ b/crates/wax-tasks/src/explain.rs
@@ -0,0 +1,110 @@
+//! Says why a task stands where it stands, for operators.
+
+use crate::coordinator::CoordinatorHandle;
+use crate::rows::TaskState;
+use crate::shard::ShardShared;
+use crate::shard_state::{ShardState, StartState};
+use serde::{Deserialize, Serialize};
+use wax_types::{JobId, ResourceVector, ShardId, TaskId, TimePoint};
+
+/// Why one task stands where it stands, as its shard's owner sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskReason {
+    /// The index of the task.
+    pub index: u32,
+    /// Its shard.
+    pub shard: ShardId,
+    /// The reason, and what would change it.
+    pub reason: Box<str>,
+}
+
+impl CoordinatorHandle {
+    /// The reasons for the tasks of a job whose shards are owned here.
+    pub fn explain(&self, now: TimePoint, job: JobId) -> Vec<TaskReason> {
+        let shards = self.shards.borrow();
+        let mut reasons: Vec<TaskReason> = shards
+            .values()
+            .flat_map(|shared| explain_in(shared, now, job))
+            .collect();
+        reasons.sort_by_key(|reason| reason.index);
+        reasons
+    }
+}
+
+fn explain_in(shared: &ShardShared, now: TimePoint, job: JobId) -> Vec<TaskReason> {
+    let state = shared.state.borrow();
+    let tasks = state.tasks.keys().filter(|task| task.job == job);
+    tasks
+        .map(|task| TaskReason {
+            index: task.index,
+            shard: shared.term.shard(),
+            reason: reason_of(&state, now, *task).into(),
+        })
+        .collect()
+}
+
+fn reason_of(state: &ShardState, now: TimePoint, task: TaskId) -> String {
+    let Some(entry) = state.tasks.get(&task) else {
+        return "not known here".to_owned();
+    };
+    match entry.row.as_ref().map(|row| &row.state) {
+        Some(TaskState::Placed(worker)) if entry.stopping => {
+            format!("being stopped on {worker}, with a checkpoint")
+        }
+        Some(TaskState::Placed(worker)) => {
+            let reachable = state
+                .workers
+                .get(worker)
+                .is_some_and(|entry| entry.contact.is_reachable());
+            match (entry.start, reachable) {
+                (_, false) => format!(
+                    "placed on {worker}, which does not answer; it waits until the lease has lapsed"
+                ),
+                (StartState::Running(_), _) => format!("runs on {worker}"),
+                _ => format!("placed on {worker}, being started"),
+            }
+        }
+        Some(TaskState::Done(result)) => format!("done, its result is {result}"),
+        Some(TaskState::Failed(reason)) => format!("given up: {reason}"),
+        Some(TaskState::Cancelled) => "cancelled".to_owned(),
+        Some(TaskState::Waiting) | None => waiting_reason(state, now, task),
+    }
+}
+
+fn waiting_reason(state: &ShardState, now: TimePoint, task: TaskId) -> String {
+    let (Some(demand), Some(part)) = (state.demand(task), state.part_of(task)) else {
+        return "waits".to_owned();
+    };
+    let team = &part.row.spec.team;
+    if state.quotas.held_back().any(|held| *held == **team) {
+        return format!("waits: the quota of team {team} is used; raise it or wait for its tasks");
+    }
+    let quarantined = state
+        .workers
+        .values()
+        .filter(|entry| entry.quarantined_until.is_some_and(|until| until > now))
+        .count();
+    let silent = state
+        .workers
+        .values()
+        .filter(|entry| !entry.contact.is_reachable())
+        .count();
+    let most = state
+        .workers
+        .values()
+        .filter_map(|entry| state.table.get(entry.key))
+        .map(wax_policy::WorkerSlot::free)
+        .max_by_key(|free| (free.accelerators, free.cpu_milli, free.memory_mib))
+        .unwrap_or(ResourceVector::ZERO);
+    let ahead = state
+        .queue
+        .iter()
+        .take_while(|(_, _, other)| *other != task)
+        .count();
+    format!(
+        "waits for room: needs {}; the most that one of {} workers has free is {most} \
+         ({silent} do not answer, {quarantined} in quarantine); {ahead} tasks are ahead",
+        demand.size,
+        state.workers.len(),
+    )
+}
--- a/crates/wax-tasks/src/ledger_feed.rs
+++ b/crates/wax-tasks/src/ledger_feed.rs
@@ -55,6 +55,13 @@
         }
     }
 
+    /// Whether a report was never seen here before.
+    pub(crate) fn is_new(&self, worker: &WorkerId, report: &UsageReport) -> bool {
+        let stored = self.stored.get(&(worker.clone(), report.boot)).copied();
+        let key = (worker.clone(), report.boot, report.sequence);
+        report.sequence > stored.unwrap_or(0) && !self.waiting.contains_key(&key)
+    }
+
     fn note_charge(&mut self, state: &ShardState, report: &UsageReport) {
         let job = report.mark.task.job;
         if self.charges.contains_key(&job) {
--- a/crates/wax-tasks/src/lib.rs
+++ b/crates/wax-tasks/src/lib.rs
@@ -6,8 +6,10 @@
 mod commit;
 mod coordinator;
 mod desk;
+mod explain;
 mod ledger_feed;
 mod ownership;
+mod quota;
 mod rows;
 mod shard;
 mod shard_load;
@@ -19,7 +21,9 @@
 
 pub use coordinator::{CoordinatorHandle, CoordinatorProcess, ShardStatus};
 pub use desk::{JobDesk, JobView, SubmitRequest, TaskView};
+pub use explain::TaskReason;
 pub use ownership::{ShardChoice, decide_shard};
+pub use quota::QuotaRow;
 pub use rows::{AllocEntry, AllocRow, JobRow, JobSpec, PartRow, ShardRow, TaskRow, TaskState};
 pub use split::{WorkerShape, shard_of_worker, split_job};
 pub use term::OwnerTerm;
--- a/crates/wax-tasks/src/shard.rs
+++ b/crates/wax-tasks/src/shard.rs
@@ -2,6 +2,7 @@
 
 use crate::commit::{ChangeGroup, build_group};
 use crate::ledger_feed::LedgerFeed;
+use crate::quota::{adjust_grants, quota_of};
 use crate::rows::{InboxRow, PartRow, TaskRow, TaskState, part_key};
 use crate::shard_load::{add_worker, load_shard, read_inbox};
 use crate::shard_state::{ShardState, StartState, TaskChange};
@@ -21,12 +22,18 @@
     CommitOutcome, ObjectClient, RenewReply, TableClient, TableTransaction, TaskMark, TaskReport,
     TaskRun, WorkerClient, WorkerDirectory, WorkerInfo,
 };
-use wax_policy::{ContactChoice, LeaseTerms, PlaceChoice, PlacePolicy, WorkerContact};
+use wax_policy::{
+    ContactChoice, FirmWeights, LeaseTerms, PlaceChoice, PlaceContext, PlacePolicy, RunningTask,
+    WorkerContact,
+};
+use wax_settings::{NodePath, SettingsHolder, SettingsTree};
 use wax_trace::{Counter, count, count_many};
-use wax_types::{ProcessClock, TaskId, TimePoint, WaxError, WorkerId};
+use wax_types::{ProcessClock, ResourceVector, TaskId, TimePoint, WaxError, WorkerId};
 
 /// Between two looks at the notes of new jobs.
 const INBOX_PERIOD: Duration = Duration::from_millis(200);
+/// Between two looks at the grants of quotas.
+const QUOTA_PERIOD: Duration = Duration::from_millis(100);
 /// Between two looks at the platform's list of workers.
 const DIRECTORY_PERIOD: Duration = Duration::from_secs(2);
 /// After a load that failed.
@@ -62,6 +69,7 @@
     pub(crate) objects: ObjectClient,
     pub(crate) directory: WorkerDirectory,
     pub(crate) workers: WorkerClient,
+    pub(crate) settings: SettingsHolder,
     pub(crate) state: RefCell<ShardState>,
     pub(crate) ledger: RefCell<LedgerFeed>,
     events: UnboundedSender<WorkerEvent>,
@@ -74,6 +82,7 @@
     pub(crate) objects: ObjectClient,
     pub(crate) directory: WorkerDirectory,
     pub(crate) workers: WorkerClient,
+    pub(crate) settings: SettingsHolder,
 }
 
 /// Why a round of ownership ended.
@@ -159,6 +168,7 @@
             objects: clients.objects.clone(),
             directory: clients.directory.clone(),
             workers: clients.workers.clone(),
+            settings: clients.settings.clone(),
             state: RefCell::new(state),
             ledger: RefCell::default(),
             events,
@@ -190,6 +200,7 @@
     events: UnboundedReceiver<WorkerEvent>,
     rng: Rng,
     inbox_due: TimePoint,
+    quota_due: TimePoint,
     directory_due: TimePoint,
 }
 
@@ -201,6 +212,7 @@
             events,
             rng: Rng::new(),
             inbox_due: now,
+            quota_due: now,
             directory_due: now + DIRECTORY_PERIOD,
         }
     }
@@ -222,6 +234,7 @@
             self.stop_cancelled();
             self.stop_orphans();
             self.read_notes().await;
+            self.adjust_quotas().await;
             self.refresh_workers().await;
             sleep(SHARD_TICK).await;
         }
@@ -278,6 +291,11 @@
         }
         let missing = self.find_missing(worker, &reply, sent);
         changes.extend(missing);
+        for report in &reply.usage {
+            if self.shared.ledger.borrow().is_new(worker, report) {
+                self.shared.state.borrow_mut().learn(worker, report);
+            }
+        }
         self.shared
             .ledger
             .borrow_mut()
@@ -457,42 +475,106 @@
                 scratch.release(entry.key, change.task);
             }
         }
+        {
+            let mut state = self.shared.state.borrow_mut();
+            let placed = state.placed_by_team();
+            let placed = placed.iter().map(|(team, size)| (&**team, *size));
+            state.quotas.begin(placed);
+        }
+        let tree = self.shared.settings.tree();
         let mut changes = Vec::new();
         for task in waiting {
             if changes.len() >= PLACE_GROUP {
                 break;
             }
-            changes.extend(self.place_one(now, task, &mut scratch));
+            if !self.take_quota(&tree, task) {
+                continue;
+            }
+            match self.place_one(now, &tree, task, &mut scratch) {
+                Some(change) => changes.push(change),
+                None => self.put_quota_back(task),
+            }
         }
         changes
     }
 
+    /// Takes room for a task from its team's quota.
+    fn take_quota(&self, tree: &SettingsTree, task: TaskId) -> bool {
+        let mut state = self.shared.state.borrow_mut();
+        let Some((team, size)) = state.charge_of(task) else {
+            return false;
+        };
+        let quota = quota_of(tree, &team);
+        let shard = self.shared.term.shard();
+        state.quotas.take(shard, &team, size, quota)
+    }
+
+    fn put_quota_back(&self, task: TaskId) {
+        let mut state = self.shared.state.borrow_mut();
+        if let Some((team, size)) = state.charge_of(task) {
+            state.quotas.put_back(&team, size);
+        }
+    }
+
+    /// Asks for grants that are missing, and gives back what is not used.
+    async fn adjust_quotas(&mut self) {
+        if self.shared.now() < self.quota_due {
+            return;
+        }
+        self.quota_due = self.shared.now() + QUOTA_PERIOD;
+        if self.shared.state.borrow().queue.is_empty() {
+            let mut state = self.shared.state.borrow_mut();
+            let placed = state.placed_by_team();
+            let placed = placed.iter().map(|(team, size)| (&**team, *size));
+            state.quotas.begin(placed);
+        }
+        let book =
+            std::cell::RefCell::new(std::mem::take(&mut self.shared.state.borrow_mut().quotas));
+        let shard = self.shared.term.shard();
+        let key = crate::rows::shard_key(shard);
+        let deadline = self.shared.now() + COMMIT_SPAN;
+        let tree = self.shared.settings.tree();
+        let guard = (key.as_str(), self.shared.term.version());
+        // In an outage the grants stay as they are.
+        let _ = adjust_grants(&book, &self.shared.table, &tree, shard, guard, deadline).await;
+        self.shared.state.borrow_mut().quotas = book.into_inner();
+    }
+
     fn place_one(
         &mut self,
         now: TimePoint,
+        tree: &SettingsTree,
         task: TaskId,
         scratch: &mut wax_policy::WorkerTable,
     ) -> Option<TaskChange> {
         let state = self.shared.state.borrow();
         let demand = state.demand(task)?;
         let avoid = state.avoided(task);
-        let policy = self.shared.options.policy;
-        match scratch.choose(now, demand, &avoid, policy, &mut self.rng) {
+        let context = PlaceContext {
+            pairs: &state.pairs,
+            weights: weights_of(tree, &state.part_of(task)?.row.spec.team),
+            avoid: &avoid,
+            policy: self.shared.options.policy,
+        };
+        match scratch.choose(now, demand, context, &mut self.rng) {
             PlaceChoice::Place(key) => {
                 let worker = state.worker_ids.get(&key)?.clone();
                 let next = state.placed_row(task, &worker)?;
-                let running = wax_policy::RunningTask {
+                let running = RunningTask {
                     task,
+                    kind: demand.kind,
                     size: demand.size,
+                    urgent: demand.urgent,
                     evictable: false,
                     saved: now,
                     settled: now,
+                    due_today: false,
                 };
                 scratch.reserve(key, running).then_some(TaskChange {
                     task,
                     next,
                     release: None,
-                    reserve: Some(worker),
+                    reserve: Some((worker, demand.size)),
                 })
             }
             PlaceChoice::Evict(key, victims) => {
@@ -610,7 +692,7 @@
         group.apply(&mut self.shared.state.borrow_mut(), now, version);
         for change in &group.changes {
             count_change(&change.next);
-            if let Some(worker) = &change.reserve {
+            if let Some((worker, _)) = &change.reserve {
                 let mark = TaskMark {
                     task: change.task,
                     epoch: change.next.epoch,
@@ -692,6 +774,16 @@
     }
 }
 
+/// What counts for a team, from the settings in force.
+fn weights_of(tree: &SettingsTree, team: &str) -> FirmWeights {
+    let settings = tree.resolve(&NodePath::team(team));
+    FirmWeights {
+        tail: settings.weight_tail.into(),
+        throughput: settings.weight_throughput.into(),
+        eviction: settings.weight_eviction.into(),
+    }
+}
+
 fn count_change(row: &TaskRow) {
     let counter = match &row.state {
         TaskState::Placed(_) => Counter::TasksPlaced,
@@ -711,6 +803,13 @@
         }
     }
 
+    /// Whose quota a task is taken from, and how much of it.
+    fn charge_of(&self, task: TaskId) -> Option<(Box<str>, ResourceVector)> {
+        let size = self.demand(task)?.size;
+        let team = self.part_of(task)?.row.spec.team.clone();
+        Some((team, size))
+    }
+
     /// The row of a task that is cancelled before it runs again.
     fn cancelled_row(&self, task: TaskId) -> TaskRow {
         let row = self.tasks.get(&task).and_then(|entry| entry.row.clone());
--- a/crates/wax-tasks/src/shard_load.rs
+++ b/crates/wax-tasks/src/shard_load.rs
@@ -1,5 +1,6 @@
 //! Reads the state of a shard from the table, at a takeover or after a surprise.
 
+use crate::quota::{QUOTA_PREFIX, QuotaBook, QuotaRow};
 use crate::rows::{
     AllocRow, InboxRow, JobRow, PartRow, TaskRow, alloc_key, alloc_prefix, inbox_prefix, job_key,
     part_prefix, task_prefix,
@@ -9,10 +10,10 @@
 use crate::term::OwnerTerm;
 use std::collections::{HashMap, HashSet};
 use wax_platform::{RowEntry, TableClient, WorkerDirectory, WorkerInfo};
-use wax_policy::{LeaseTerms, RunningTask, WorkerContact};
+use wax_policy::{KindKey, LeaseTerms, RunningTask, WorkerContact};
 use wax_settings::TaskClass;
 use wax_trace::{Counter, count};
-use wax_types::{RowVersion, ShardId, TimePoint, WaxError, WorkerId};
+use wax_types::{RowVersion, ShardId, TimePoint, WaxError, WorkerId, wall_clock_ms};
 
 /// Loads parts, tasks, workers and allocations.
 pub(crate) async fn load_shard(
@@ -51,6 +52,7 @@
         add_unlisted(&mut state, shard, alloc, contacts, term, terms);
     }
     load_cancelled(table, &mut state).await?;
+    state.quotas = QuotaBook::load(table.scan::<QuotaRow>(QUOTA_PREFIX).await?);
     Ok(state)
 }
 
@@ -81,15 +83,17 @@
     let key = state.table.add(info.capacity);
     state.table.set_open(key, false);
     for entry in &alloc.tasks {
-        let urgent = state
-            .part_of(entry.task)
-            .is_some_and(|part| part.row.spec.class == TaskClass::LatencyCritical);
+        let part = state.part_of(entry.task);
+        let urgent = part.is_some_and(|part| part.row.spec.class == TaskClass::LatencyCritical);
         let running = RunningTask {
             task: entry.task,
+            kind: part.map_or_else(KindKey::default, |part| part.kind),
             size: entry.size,
+            urgent,
             evictable: !urgent,
             saved: now,
             settled: now,
+            due_today: false,
         };
         if state.table.reserve(key, running) {
             count(Counter::TasksAdopted);
@@ -113,6 +117,7 @@
         usage_through: 0,
         failures: 0,
         quarantined_until: None,
+        changed_ms: wall_clock_ms(),
     };
     state.workers.insert(id, entry);
 }
--- a/crates/wax-tasks/src/shard_state.rs
+++ b/crates/wax-tasks/src/shard_state.rs
@@ -1,12 +1,16 @@
 //! What the owner of a shard holds in memory; every change is committed to the table first.
 
+use crate::quota::QuotaBook;
 use crate::rows::{AllocEntry, AllocRow, PartRow, TaskRow, TaskState};
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
-use wax_platform::{TaskMark, WorkerInfo};
-use wax_policy::{RunningTask, TaskDemand, WorkerContact, WorkerKey, WorkerTable};
+use wax_platform::{TaskMark, UsageReport, WorkerInfo};
+use wax_policy::{
+    KindKey, KindTable, PairTable, RunningTask, SizeTable, TaskDemand, WorkerContact, WorkerKey,
+    WorkerTable,
+};
 use wax_settings::TaskClass;
-use wax_types::{JobId, RowVersion, TaskEpoch, TaskId, TimePoint, WorkerId};
+use wax_types::{JobId, ResourceVector, RowVersion, TaskEpoch, TaskId, TimePoint, WorkerId};
 
 /// Each eviction that a task has suffered keeps it safe for this long after its next placement.
 const EVICTED_SPAN: Duration = Duration::from_secs(30);
@@ -19,6 +23,7 @@
 #[derive(Debug)]
 pub(crate) struct PartEntry {
     pub(crate) row: PartRow,
+    pub(crate) kind: KindKey,
     pub(crate) version: RowVersion,
     /// Tasks that have not ended.
     pub(crate) open: u32,
@@ -63,6 +68,8 @@
     /// Runs that failed since one last succeeded.
     pub(crate) failures: u32,
     pub(crate) quarantined_until: Option<TimePoint>,
+    /// When the set of its tasks last changed, Unix milliseconds.
+    pub(crate) changed_ms: u64,
 }
 
 /// A change of one task, before it is committed.
@@ -72,8 +79,20 @@
     pub(crate) next: TaskRow,
     /// The worker whose room is given back.
     pub(crate) release: Option<WorkerId>,
-    /// The worker whose room is taken.
-    pub(crate) reserve: Option<WorkerId>,
+    /// The worker whose room is taken, and how much of it.
+    pub(crate) reserve: Option<(WorkerId, ResourceVector)>,
+}
+
+impl TaskChange {
+    /// The allocation that the change adds.
+    pub(crate) fn allocation(&self) -> Option<AllocEntry> {
+        let (_, size) = self.reserve.as_ref()?;
+        Some(AllocEntry {
+            task: self.task,
+            epoch: self.next.epoch,
+            size: *size,
+        })
+    }
 }
 
 /// The state of one shard.
@@ -87,6 +106,10 @@
     pub(crate) table: WorkerTable,
     pub(crate) worker_ids: HashMap<WorkerKey, WorkerId>,
     pub(crate) cancelled: HashSet<JobId>,
+    pub(crate) kinds: KindTable,
+    pub(crate) pairs: PairTable,
+    pub(crate) sizes: SizeTable,
+    pub(crate) quotas: QuotaBook,
 }
 
 impl ShardState {
@@ -113,8 +136,18 @@
             );
             self.queue.insert(queue_order(&row, task));
         }
+        let spec = &row.spec;
+        let kind = self
+            .kinds
+            .key(&format!("{}/{}/{}", spec.team, spec.service, spec.kind));
         let open = row.place.count;
-        self.parts.insert(key, PartEntry { row, version, open });
+        let entry = PartEntry {
+            row,
+            kind,
+            version,
+            open,
+        };
+        self.parts.insert(key, entry);
     }
 
     /// Takes the row of a task as it was loaded.
@@ -160,8 +193,17 @@
     /// What a task needs.
     pub(crate) fn demand(&self, task: TaskId) -> Option<TaskDemand> {
         let part = self.part_of(task)?;
+        let declared = part.row.spec.size;
+        let learned = self.sizes.reserve(part.kind, declared);
+        let fits = |entry: &WorkerEntry| learned.fits_in(entry.info.capacity);
         Some(TaskDemand {
-            size: part.row.spec.size,
+            kind: part.kind,
+            // What was learned never makes a task too large for every worker.
+            size: if self.workers.values().any(fits) {
+                learned
+            } else {
+                declared
+            },
             urgent: part.row.spec.class == TaskClass::LatencyCritical,
         })
     }
@@ -182,10 +224,46 @@
         Some(row)
     }
 
-    /// The allocation entry of a placed task.
-    pub(crate) fn alloc_entry(&self, task: TaskId, epoch: TaskEpoch) -> Option<AllocEntry> {
-        let size = self.part_of(task)?.row.spec.size;
-        Some(AllocEntry { task, epoch, size })
+    /// What each team has placed here.
+    pub(crate) fn placed_by_team(&self) -> Vec<(Box<str>, ResourceVector)> {
+        self.workers
+            .values()
+            .flat_map(|worker| &worker.alloc.tasks)
+            .filter_map(|alloc| {
+                let part = self.part_of(alloc.task)?;
+                Some((part.row.spec.team.clone(), alloc.size))
+            })
+            .collect()
+    }
+
+    /// Learns from late usage: true sizes, and what neighbours do to each other.
+    ///
+    /// A report from before the worker's tasks last changed says nothing about its neighbours of
+    /// now, and is used for the size only.
+    pub(crate) fn learn(&mut self, worker: &WorkerId, report: &UsageReport) {
+        let Some(part) = self.part_of(report.mark.task) else {
+            return;
+        };
+        let (kind, declared) = (part.kind, part.row.spec.size);
+        let used = ResourceVector::new(report.peak_cpu_milli, report.peak_memory_mib, 0);
+        self.sizes.learn(kind, declared, used);
+        let Some(entry) = self.workers.get(worker) else {
+            return;
+        };
+        let Some(slot) = self.table.get(entry.key) else {
+            return;
+        };
+        if report.start_ms < entry.changed_ms {
+            return;
+        }
+        let others = slot
+            .tasks()
+            .iter()
+            .filter(|task| task.task != report.mark.task);
+        let neighbours: Vec<KindKey> = others.map(|task| task.kind).collect();
+        let band = slot.band();
+        let excess = f64::from(report.slowdown_percent) / 100.0 - 1.0;
+        self.pairs.learn(kind, &neighbours, band, excess.max(0.0));
     }
 
     /// Takes a change that was committed.
@@ -212,8 +290,8 @@
         if let Some(worker) = &change.release {
             self.release(worker, change.task);
         }
-        if let Some(worker) = &change.reserve {
-            self.reserve(now, worker, change);
+        if let Some((worker, size)) = &change.reserve {
+            self.reserve(now, worker, *size, change);
         }
     }
 
@@ -223,7 +301,13 @@
         }
     }
 
-    fn reserve(&mut self, now: TimePoint, worker: &WorkerId, change: &TaskChange) {
+    fn reserve(
+        &mut self,
+        now: TimePoint,
+        worker: &WorkerId,
+        size: ResourceVector,
+        change: &TaskChange,
+    ) {
         let Some(demand) = self.demand(change.task) else {
             return;
         };
@@ -233,10 +317,13 @@
         let safe = EVICTED_SPAN * change.next.evictions.min(MOST_EVICTIONS_COUNTED);
         let running = RunningTask {
             task: change.task,
-            size: demand.size,
+            kind: demand.kind,
+            size,
+            urgent: demand.urgent,
             evictable: !demand.urgent,
             saved: now,
             settled: now + safe,
+            due_today: false,
         };
         self.table.reserve(entry.key, running);
     }
--- a/crates/wax-tasks/src/worker_link.rs
+++ b/crates/wax-tasks/src/worker_link.rs
@@ -192,6 +192,8 @@
     }
     let mut state = shared.state.borrow_mut();
     let spec = state.part_of(mark.task)?.row.spec.clone();
+    let allocs = &state.workers.get(worker)?.alloc.tasks;
+    let size = allocs.iter().find(|alloc| alloc.task == mark.task)?.size;
     let task = state.tasks.get_mut(&mark.task)?;
     task.start = StartState::Sending;
     let checkpoint = task.row.as_ref()?.checkpoint.clone();
@@ -201,7 +203,7 @@
     let request = StartRequest {
         owner: shared.term.epoch(),
         mark,
-        size: spec.size,
+        size,
         kind: spec.kind,
         input: spec.input,
         checkpoint,
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -11,7 +11,7 @@
 };
 use wax_policy::{PlacePolicy, RoutePolicy};
 use wax_route::{EntryProcess, EntryServices};
-use wax_settings::{CoordinatorSettings, DaemonSettings};
+use wax_settings::{CoordinatorSettings, DaemonSettings, SettingsHolder};
 use wax_tasks::{CoordinatorHandle, CoordinatorProcess, JobDesk};
 use wax_trace::MetricsExporter;
 use wax_types::{ErrorKind, ProcessClock, ProcessIncarnation, SettingsVersion, Step, WaxError};
@@ -45,6 +45,7 @@
     let members = member_handle(&settings, &addresses, &terms);
     let writer = GroupWriter::start(table.clone());
     let shutdown = shutdown_signal();
+    let tree = SettingsHolder::default();
     let coordinator = match &settings.coordinator {
         Some(options) => Some(CoordinatorProcess::new(
             options.clone(),
@@ -52,6 +53,7 @@
             objects.clone(),
             directory.clone(),
             members.clone(),
+            tree.clone(),
             PlacePolicy::default(),
         )?),
         None => None,
@@ -71,6 +73,7 @@
         writer,
         objects,
         members: members.clone(),
+        tree,
         desk,
         coordinator: handle,
         policy: RoutePolicy::default(),
--- a/tests/proofs/placement.rs
+++ b/tests/proofs/placement.rs
@@ -120,6 +120,81 @@
     a_frozen_workers_task_never_runs_in_two_places: true,
 });
 
+#[test]
+fn a_cut_off_workers_task_waits_for_its_lease() {
+    crate::support::run(async {
+        let cluster = Cluster::start(one_shard()).await;
+        cluster.wait_owned().await;
+        let input = json!({ "work_ms": 9000 });
+        let job = cluster.submit_surely("sommaire", 1, input, "cut").await;
+        let worker = cluster.wait_running(&job, 0).await;
+        // The worker answers no call of ours, at once, and goes on until its lease lapses.
+        cluster.faults(&worker, json!({ "cut": true })).await;
+        wait_for("the task to run elsewhere", || async {
+            let view = cluster.job(&job).await?;
+            (view["tasks"][0]["epoch"].as_u64()? > 1).then_some(())
+        })
+        .await;
+        cluster.faults(&worker, json!({})).await;
+        cluster.wait_ended(&job).await;
+        check_one_place(&all_runs(&cluster).await);
+    });
+}
+
+#[test]
+fn a_lowered_quota_stops_new_starts_and_a_raised_one_lets_them_go() {
+    crate::support::run(async {
+        let cluster = Cluster::start(ClusterPlan::default()).await;
+        cluster.wait_owned().await;
+        let set = |value: u64| {
+            let url = format!("{}/v1/settings", cluster.operators(1));
+            let body = json!({
+                "author": "test",
+                "edits": [{ "path": "/barrages", "key": "quota_cpu_milli", "value": value }],
+                "wait_ms": 60_000,
+            });
+            async move {
+                let answer = crate::support::calls::post_json(&url, &body).await;
+                assert_eq!(answer.map(|answer| answer.status), Ok(200));
+            }
+        };
+        set(4000).await;
+        let input = json!({ "work_ms": 1000 });
+        let job = cluster
+            .submit_surely("sommaire", 8, input.clone(), "quota")
+            .await;
+        cluster.wait_ended(&job).await;
+        let mut runs = all_runs(&cluster).await;
+        runs.sort_by_key(|run| run.start_ms);
+        for run in &runs {
+            let beside = runs
+                .iter()
+                .filter(|other| other.start_ms <= run.start_ms && run.start_ms < other.end_ms);
+            assert!(beside.count() <= 2, "4000 hold two tasks of 2000: {runs:?}");
+        }
+        set(0).await;
+        let held = cluster.submit_surely("sommaire", 2, input, "held").await;
+        let explained = wait_for("the reason", || async {
+            for n in 1..=2 {
+                let url = format!("{}/v1/explain?job={held}", cluster.operators(n));
+                let reasons = get_json(&url).await?;
+                let reason = reasons[0]["reason"].as_str().unwrap_or_default().to_owned();
+                if reason.contains("quota") {
+                    return Some(reason);
+                }
+            }
+            None
+        })
+        .await;
+        assert!(
+            explained.contains("the quota of team barrages is used"),
+            "{explained}"
+        );
+        set(100_000).await;
+        cluster.wait_ended(&held).await;
+    });
+}
+
 /// An urgent task evicts batch tasks; those resume from their checkpoints, once.
 async fn eviction(lost_replies: u32) {
     let cluster = Cluster::start(ClusterPlan {
