Replay of recorded traces against baselines; relief of noisy neighbours

Cause: the decisions had no measurement. waxwing replay feeds a trace to the same routing, gate, placement, relief, sizing and pair code that the daemons run; 17 traces of both firms are committed with their stated outcomes.

Kept: spreading, harm to latency-critical tasks that saturates, room on one worker, throttling by the firm's weights.

--- a/crates/wax-cli/src/commands/mod.rs
+++ b/crates/wax-cli/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod explain;
 mod job;
 mod peers;
+mod replay;
 mod settings;
 mod status;
 mod submit;
@@ -31,6 +32,9 @@
   settings export DIR        writes the tree in force as files for `apply`
   settings log               the newest changes
   usage [--team TEAM] [--from DAY] [--to DAY] [--csv]
+  replay TRACE [--policy NAME] [--seed N]
+                             a recorded trace through the decisions of the daemons
+  replay TRACE --compare N   ours against every baseline, over N seeds
 
   --entry ADDR   operators' address of an entry (or WAXWING_ENTRY; default 127.0.0.1:7002)
   --json         prints the answer as JSON
@@ -59,6 +63,7 @@
         "job" => job::run(&mut context).await,
         "settings" => settings::run(&mut context).await,
         "explain" => explain::run(&mut context).await,
+        "replay" => replay::run(&mut context).await,
         "usage" => usage::run(&mut context).await,
         other => Err(CommandFailure::Usage(format!("no command {other}"))),
     }
--- a/crates/wax-policy/src/lib.rs
+++ b/crates/wax-policy/src/lib.rs
@@ -9,6 +9,7 @@
 mod interference;
 mod kinds;
 mod placement;
+mod relief;
 mod rendezvous;
 mod retry;
 mod routing;
@@ -27,6 +28,7 @@
     FirmWeights, PlaceChoice, PlaceContext, PlacePolicy, RunningTask, TaskDemand, WorkerKey,
     WorkerSlot, WorkerTable,
 };
+pub use relief::{ReliefChoice, ReliefState, THROTTLED_PERCENT};
 pub use rendezvous::{rank_score, top_member};
 pub use retry::RetryBudget;
 pub use routing::{
--- a/crates/wax-policy/src/placement.rs
+++ b/crates/wax-policy/src/placement.rs
@@ -15,6 +15,12 @@
 
 /// Workers that are scored for one task at most, so that the cost does not grow with their number.
 const SCORED_WORKERS: usize = 24;
+/// How much a full worker counts against a task that takes twice as long.
+const FIT_WEIGHT: f64 = 0.15;
+/// Slowdown of a latency-critical task beyond which more of it matters little.
+const SATURATION: f64 = 0.5;
+/// Workers that keep room for an urgent task, so that it need not evict; each costs batch work.
+const HEADROOM_WORKERS: usize = 1;
 /// Workers on which evictions are weighed for one task at most.
 const WEIGHED_WORKERS: usize = 64;
 
@@ -143,6 +149,8 @@
     workers: SlotMap<WorkerKey, WorkerSlot>,
     order: Vec<WorkerKey>,
     turn: usize,
+    /// The largest of the latest urgent tasks: room for it is kept free somewhere.
+    urgent_size: Option<ResourceVector>,
 }
 
 impl WorkerSlot {
@@ -251,7 +259,17 @@
             PlacePolicy::Random | PlacePolicy::Weighed => rng.usize(..count),
         };
         self.turn = self.turn.wrapping_add(1);
-        let mut fitting = self.fitting(start, demand, context.avoid);
+        if demand.urgent
+            && self
+                .urgent_size
+                .is_none_or(|size| !demand.size.fits_in(size))
+        {
+            self.urgent_size = Some(demand.size);
+        }
+        let headroom = self.headroom(demand, context.policy);
+        let mut fitting = self
+            .fitting(start, demand, context.avoid)
+            .filter(|(_, slot)| headroom.is_none_or(|size| keeps_room(slot, demand, size)));
         let chosen = match context.policy {
             PlacePolicy::Random | PlacePolicy::RoundRobin | PlacePolicy::FirstFit => {
                 fitting.next().map(|(key, _)| key)
@@ -271,6 +289,21 @@
         }
     }
 
+    /// The size for which a batch task must leave room, where few workers have it.
+    fn headroom(&self, demand: TaskDemand, policy: PlacePolicy) -> Option<ResourceVector> {
+        let size = self.urgent_size?;
+        if demand.urgent || policy != PlacePolicy::Weighed {
+            return None;
+        }
+        let roomy = self
+            .workers
+            .values()
+            .filter(|slot| slot.open && size.fits_in(slot.free()))
+            .take(HEADROOM_WORKERS + 1)
+            .count();
+        (roomy <= HEADROOM_WORKERS).then_some(size)
+    }
+
     fn from(&self, start: usize) -> impl Iterator<Item = (WorkerKey, &WorkerSlot)> {
         let (before, after) = self.order.split_at(start.min(self.order.len()));
         after
@@ -322,47 +355,73 @@
     }
 }
 
+/// Whether a worker has no room for `size` anyway, or has it also beside the new task.
+fn keeps_room(slot: &WorkerSlot, demand: TaskDemand, size: ResourceVector) -> bool {
+    let free = slot.free();
+    !size.fits_in(free) || size.fits_in(free.saturating_sub(demand.size))
+}
+
 /// Lower is better: how full the worker becomes, and the harm that the neighbours do.
+///
+/// All tasks spread: a fuller worker is in the worse band for everybody on it.
 fn score(slot: &WorkerSlot, demand: TaskDemand, context: &PlaceContext<'_>) -> f64 {
     let used = slot.used.checked_add(demand.size).unwrap_or(slot.used);
     let after = used.dominant_share(slot.capacity);
     let total = context.weights.tail + context.weights.throughput;
-    // Urgent tasks spread; batch packs a little, to leave room for large tasks.
-    let fit = if demand.urgent {
-        after
-    } else {
-        (1.0 - after) * 0.2
-    };
-    fit + harm(slot, demand, LoadBand::of(after), context) / total.max(1.0)
+    let harm = harm(slot, demand, LoadBand::of(after), context);
+    after * FIT_WEIGHT + harm / total.max(1.0)
 }
 
-/// Expected slowdown of the neighbours by the task and of the task by them, weighed.
+/// The cost of a slowdown of a latency-critical task, between 0 and 1.
 ///
-/// Where a latency-critical task is the victim the estimate is raised by its spread; where both
-/// are batch it is lowered, so that unknown pairs get tried.
+/// It saturates: requests are routed elsewhere by then, so noise is better kept in one place.
+fn saturate(excess: f64) -> f64 {
+    1.0 - libm::exp(-excess / SATURATION)
+}
+
+/// Expected slowdown of one victim by one neighbour.
+///
+/// Where the victim is latency-critical the estimate is raised by its spread; where it is batch it
+/// is lowered, so that unknown pairs get tried.
+fn expected(
+    pairs: &PairTable,
+    (victim, urgent): (KindKey, bool),
+    neighbour: KindKey,
+    band: LoadBand,
+) -> f64 {
+    let estimate = pairs.estimate(victim, neighbour, band);
+    let margin = if urgent { 1.0 } else { -0.5 };
+    (estimate.excess + margin * estimate.spread()).max(0.0)
+}
+
+/// Expected slowdown of the neighbours by the task and of the task by them, weighed.
 fn harm(slot: &WorkerSlot, demand: TaskDemand, band: LoadBand, context: &PlaceContext<'_>) -> f64 {
-    let weight = |urgent: bool| {
-        if urgent {
-            context.weights.tail
-        } else {
-            context.weights.throughput
-        }
-    };
-    let one = |victim: KindKey, urgent: bool, neighbour: KindKey| {
-        let estimate = context.pairs.estimate(victim, neighbour, band);
-        let margin = if urgent {
-            estimate.spread()
+    let weights = context.weights;
+    let mut cost = 0.0;
+    for task in &slot.tasks {
+        let victim = (task.kind, task.urgent);
+        let added = expected(context.pairs, victim, demand.kind, band);
+        cost += if task.urgent {
+            let others = slot.tasks.iter().filter(|other| other.task != task.task);
+            let before: f64 = others
+                .map(|other| expected(context.pairs, victim, other.kind, band))
+                .sum();
+            weights.tail * (saturate(before + added) - saturate(before))
         } else {
-            -0.5 * estimate.spread()
+            weights.throughput * added
         };
-        weight(urgent) * (estimate.excess + margin)
-    };
-    slot.tasks
+    }
+    let victim = (demand.kind, demand.urgent);
+    let suffered: f64 = slot
+        .tasks
         .iter()
-        .map(|task| {
-            one(task.kind, task.urgent, demand.kind) + one(demand.kind, demand.urgent, task.kind)
-        })
-        .sum()
+        .map(|task| expected(context.pairs, victim, task.kind, band))
+        .sum();
+    cost + if demand.urgent {
+        weights.tail * saturate(suffered)
+    } else {
+        weights.throughput * suffered
+    }
 }
 
 /// What an eviction on one worker costs.
--- a/crates/wax-policy/src/routing.rs
+++ b/crates/wax-policy/src/routing.rs
@@ -21,6 +21,10 @@
 const DOMAIN_PENALTY: Duration = Duration::from_millis(2);
 /// A sidecar that has said nothing for this long gets nothing; it speaks every second.
 const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+/// An answer that takes this many times as long as usual is slow.
+const SLOW_FACTOR: f64 = 2.0;
+/// A second attempt must be sent this many usual times before the deadline.
+const IN_TIME_FACTOR: f64 = 1.4;
 /// A newcomer's expected time counts this much more at first, falling to 1.
 const NEWCOMER_FACTOR: f64 = 3.0;
 const NEWCOMER_SPAN: Duration = Duration::from_secs(5);
@@ -396,9 +400,18 @@
         local.into_iter().chain(remote).min_by_key(score)
     }
 
-    /// How long an answer takes that is slow enough to send a second attempt.
-    pub fn hedge_delay(&self, key: UpstreamKey) -> Duration {
-        let view = self.upstreams.get(key);
-        view.map_or(LATENCY_PRIOR, UpstreamView::service_time) * 3
+    /// When a second attempt is worth sending: the answer is slow, and another can still be in time.
+    pub fn hedge_time(
+        &self,
+        now: TimePoint,
+        key: UpstreamKey,
+        deadline: TimePoint,
+    ) -> Option<TimePoint> {
+        let view = self.upstreams.get(key)?;
+        let usual = view.service_time() + view.wait();
+        let slow = now + usual.mul_f64(SLOW_FACTOR);
+        let latest = deadline - view.service_time().mul_f64(IN_TIME_FACTOR);
+        let at = slow.min(latest);
+        (at > now + usual).then_some(at)
     }
 }
--- /dev/null
+++ b/crates/wax-replay/src/quick.rs
@@ -0,0 +1,364 @@
+//! Quick requests through routing, the sidecar's gate, retries and hedges.
+
+use crate::engine::ReplayRun;
+use crate::events::ReplayEvent;
+use crate::report::{LatencyRecord, QuickReport};
+use crate::world::ReplayWorld;
+use std::time::Duration;
+use wax_policy::{
+    AttemptEnd, GateChoice, ReleaseChoice, RetryBudget, RouteChoice, RoutePolicy, RouteTable,
+    SlotGate, UpstreamKey, UpstreamLoad, UpstreamView,
+};
+use wax_types::TimePoint;
+
+/// Retries and hedges in percent of the requests, as the settings' defaults have it.
+const RETRY_PERCENT: u32 = 10;
+const HEDGE_PERCENT: u32 = 4;
+/// Requests that may wait at a sidecar.
+const QUEUE_LIMIT: usize = 64;
+/// From an entry to a sidecar of its own failure domain.
+const LOCAL_HOP: Duration = Duration::from_micros(100);
+
+/// How an attempt ended at its sidecar.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AttemptFate {
+    Open,
+    Answered,
+    Refused,
+}
+
+#[derive(Debug)]
+struct AttemptState {
+    request: usize,
+    upstream: usize,
+    sent: TimePoint,
+    started: TimePoint,
+    fate: AttemptFate,
+    /// The entry no longer waits for it.
+    closed: bool,
+}
+
+#[derive(Debug, Default)]
+struct RequestState {
+    arrived: TimePoint,
+    deadline: TimePoint,
+    live: Vec<usize>,
+    tried: Vec<UpstreamKey>,
+    ended: bool,
+}
+
+/// The state of all quick requests.
+pub(crate) struct QuickState {
+    routes: RouteTable,
+    pub(crate) keys: Vec<UpstreamKey>,
+    gates: Vec<SlotGate<usize>>,
+    requests: Vec<RequestState>,
+    attempts: Vec<AttemptState>,
+    retries: RetryBudget,
+    hedges: RetryBudget,
+    latency: LatencyRecord,
+    answered: u64,
+    misses: u64,
+    refused: u64,
+    hedged: u64,
+}
+
+impl QuickState {
+    pub(crate) fn new(world: &ReplayWorld, now: TimePoint) -> Self {
+        let mut routes = RouteTable::default();
+        // The entry stands in the failure domain of the first worker.
+        let home = world.workers.first().map(|worker| worker.domain.clone());
+        let keys = world
+            .upstreams
+            .iter()
+            .map(|upstream| {
+                let domain = &world.workers[upstream.worker].domain;
+                let local = Some(domain) == home.as_ref();
+                let view = UpstreamView::new(&upstream.service, local, upstream.slots, now);
+                routes.add(view)
+            })
+            .collect();
+        let gates = world
+            .upstreams
+            .iter()
+            .map(|upstream| SlotGate::new(upstream.slots as usize, QUEUE_LIMIT))
+            .collect();
+        let requests = world.quicks.iter().map(|_| RequestState::default());
+        Self {
+            routes,
+            keys,
+            gates,
+            requests: requests.collect(),
+            attempts: Vec::new(),
+            retries: RetryBudget::default(),
+            hedges: RetryBudget::default(),
+            latency: LatencyRecord::new(),
+            answered: 0,
+            misses: 0,
+            refused: 0,
+            hedged: 0,
+        }
+    }
+
+    pub(crate) fn report(&self) -> QuickReport {
+        QuickReport {
+            requests: self.requests.len() as u64,
+            answered: self.answered,
+            misses: self.misses,
+            refused: self.refused,
+            hedges: self.hedged,
+            p50_us: self.latency.quantile(0.5),
+            p99_us: self.latency.quantile(0.99),
+            p999_us: self.latency.quantile(0.999),
+        }
+    }
+
+    fn index_of(&self, key: UpstreamKey) -> usize {
+        self.keys
+            .iter()
+            .position(|known| *known == key)
+            .unwrap_or(0)
+    }
+}
+
+impl ReplayRun {
+    fn hop(&self, upstream: usize) -> Duration {
+        let home = &self.world.workers[0].domain;
+        let worker = self.world.upstreams[upstream].worker;
+        if self.world.workers[worker].domain == *home {
+            LOCAL_HOP
+        } else {
+            self.world.options.domain_hop
+        }
+    }
+
+    pub(crate) fn quick_arrives(&mut self, now: TimePoint, request: usize) {
+        let deadline = now + self.world.quicks[request].allowed;
+        let state = &mut self.quick.requests[request];
+        state.arrived = now;
+        state.deadline = deadline;
+        self.quick.retries.earn(RETRY_PERCENT);
+        self.quick.hedges.earn(HEDGE_PERCENT);
+        let event = ReplayEvent::DeadlinePasses(request);
+        self.world.queue.push(deadline, event);
+        if !self.send_attempt(now, request) {
+            self.refuse(now, request);
+        }
+    }
+
+    /// Sends one attempt; says whether there was somewhere to send it.
+    fn send_attempt(&mut self, now: TimePoint, request: usize) -> bool {
+        let quick = &mut self.quick;
+        let state = &quick.requests[request];
+        let choice = quick.routes.choose(
+            now,
+            &self.world.quicks[request].service,
+            state.deadline,
+            &state.tried,
+            self.world.policy.route,
+            &mut self.world.rng,
+        );
+        let RouteChoice::Send(key) = choice else {
+            return false;
+        };
+        quick.routes.begin(key);
+        let upstream = quick.index_of(key);
+        let attempt = quick.attempts.len();
+        quick.attempts.push(AttemptState {
+            request,
+            upstream,
+            sent: now,
+            started: now,
+            fate: AttemptFate::Open,
+            closed: false,
+        });
+        let state = &mut quick.requests[request];
+        state.live.push(attempt);
+        state.tried.push(key);
+        let first = state.tried.len() == 1;
+        let hedge_at = quick.routes.hedge_time(now, key, state.deadline);
+        let arrival = now + self.hop(upstream);
+        let queue = &mut self.world.queue;
+        queue.push(arrival, ReplayEvent::AttemptArrives(attempt));
+        let hedges = first && self.world.policy.route == RoutePolicy::Weighed;
+        if let Some(hedge_at) = hedge_at.filter(|_| hedges) {
+            queue.push(hedge_at, ReplayEvent::HedgeDue(request));
+        }
+        true
+    }
+
+    pub(crate) fn hedge_due(&mut self, now: TimePoint, request: usize) {
+        let state = &self.quick.requests[request];
+        if state.ended || state.tried.len() != 1 || state.live.is_empty() {
+            return;
+        }
+        if self.quick.hedges.spend() && self.send_attempt(now, request) {
+            self.quick.hedged += 1;
+        }
+    }
+
+    pub(crate) fn attempt_arrives(&mut self, now: TimePoint, attempt: usize) {
+        let state = &self.quick.attempts[attempt];
+        let (upstream, request) = (state.upstream, state.request);
+        let worker = self.world.upstreams[upstream].worker;
+        if state.closed {
+            return;
+        }
+        if self.world.workers[worker].down {
+            return self.answer(now, attempt, AttemptFate::Refused);
+        }
+        let deadline = self.quick.requests[request].deadline;
+        match self.quick.gates[upstream].ask(now, deadline, attempt) {
+            GateChoice::Run => self.start_attempt(now, attempt),
+            GateChoice::Queue => {}
+            GateChoice::Full(_) | GateChoice::Hopeless(_) => {
+                self.answer(now, attempt, AttemptFate::Refused);
+            }
+        }
+    }
+
+    fn start_attempt(&mut self, now: TimePoint, attempt: usize) {
+        let state = &mut self.quick.attempts[attempt];
+        state.started = now;
+        let (upstream, request) = (state.upstream, state.request);
+        let slowdown = self.service_slowdown(upstream);
+        let hiccup = self.world.draw_hiccup();
+        let work = self.world.quicks[request].work.mul_f64(slowdown * hiccup);
+        self.world
+            .queue
+            .push(now + work, ReplayEvent::AttemptEnds(attempt));
+    }
+
+    /// How much longer a request takes at an upstream now than alone.
+    fn service_slowdown(&self, upstream: usize) -> f64 {
+        let truth = &self.world.upstreams[upstream];
+        let excess = self.excess_of(truth.worker, truth.kind, None);
+        truth.slow * (1.0 + excess)
+    }
+
+    pub(crate) fn attempt_ends(&mut self, now: TimePoint, attempt: usize) {
+        let state = &self.quick.attempts[attempt];
+        let upstream = state.upstream;
+        let spent = now.since(state.started);
+        self.quick.gates[upstream].release(spent);
+        if self.world.workers[self.world.upstreams[upstream].worker].down {
+            // It died with its worker; the entry learns of it by its deadline or its hedge.
+            return;
+        }
+        self.answer(now, attempt, AttemptFate::Answered);
+        self.start_waiting(now, upstream);
+    }
+
+    fn start_waiting(&mut self, now: TimePoint, upstream: usize) {
+        loop {
+            match self.quick.gates[upstream].next(now) {
+                ReleaseChoice::Idle => return,
+                ReleaseChoice::Drop(attempt) => self.answer(now, attempt, AttemptFate::Refused),
+                ReleaseChoice::Run(attempt) if self.quick.attempts[attempt].closed => {
+                    self.quick.gates[upstream].release_unused();
+                }
+                ReleaseChoice::Run(attempt) => self.start_attempt(now, attempt),
+            }
+        }
+    }
+
+    fn answer(&mut self, now: TimePoint, attempt: usize, fate: AttemptFate) {
+        self.quick.attempts[attempt].fate = fate;
+        let arrival = now + self.hop(self.quick.attempts[attempt].upstream);
+        let event = ReplayEvent::AnswerArrives(attempt);
+        self.world.queue.push(arrival, event);
+    }
+
+    pub(crate) fn answer_arrives(&mut self, now: TimePoint, attempt: usize) {
+        let state = &mut self.quick.attempts[attempt];
+        if state.closed {
+            return;
+        }
+        state.closed = true;
+        let (request, sent, fate) = (state.request, state.sent, state.fate);
+        let key = self.quick.keys[state.upstream];
+        let end = match fate {
+            AttemptFate::Answered => AttemptEnd::Answered(now.since(sent)),
+            _ => AttemptEnd::Refused,
+        };
+        self.quick.routes.end(now, key, end);
+        let state = &mut self.quick.requests[request];
+        state.live.retain(|live| *live != attempt);
+        if state.ended {
+            return;
+        }
+        if fate == AttemptFate::Answered {
+            state.ended = true;
+            let latency = now.since(state.arrived);
+            self.quick.latency.add(latency);
+            self.quick.answered += 1;
+            return self.abandon(now, request);
+        }
+        let alone = state.live.is_empty();
+        let others = state.tried.len() < self.quick.keys.len();
+        if !alone {
+            return;
+        }
+        if !(others && self.quick.retries.spend() && self.send_attempt(now, request)) {
+            self.refuse(now, request);
+        }
+    }
+
+    /// Gives up the attempts that a request still has under way.
+    fn abandon(&mut self, now: TimePoint, request: usize) {
+        let live = std::mem::take(&mut self.quick.requests[request].live);
+        for attempt in live {
+            let state = &mut self.quick.attempts[attempt];
+            state.closed = true;
+            let (key, upstream) = (self.quick.keys[state.upstream], state.upstream);
+            self.quick.gates[upstream].remove(attempt);
+            self.quick.routes.end(now, key, AttemptEnd::Abandoned);
+        }
+    }
+
+    fn refuse(&mut self, now: TimePoint, request: usize) {
+        self.quick.refused += 1;
+        self.miss(now, request);
+    }
+
+    /// A request without an answer counts as its whole deadline.
+    fn miss(&mut self, now: TimePoint, request: usize) {
+        let state = &mut self.quick.requests[request];
+        state.ended = true;
+        let allowed = self.world.quicks[request].allowed;
+        self.quick.latency.add(allowed);
+        self.quick.misses += 1;
+        self.abandon(now, request);
+    }
+
+    pub(crate) fn deadline_passes(&mut self, now: TimePoint, request: usize) {
+        if self.quick.requests[request].ended {
+            return;
+        }
+        for attempt in self.quick.requests[request].live.clone() {
+            let key = self.quick.keys[self.quick.attempts[attempt].upstream];
+            self.quick.attempts[attempt].closed = true;
+            self.quick.routes.end(now, key, AttemptEnd::Failed);
+        }
+        self.quick.requests[request].live.clear();
+        self.miss(now, request);
+    }
+
+    pub(crate) fn report_loads(&mut self, now: TimePoint) {
+        for (upstream, truth) in self.world.upstreams.iter().enumerate() {
+            let gate = &self.quick.gates[upstream];
+            let load = UpstreamLoad {
+                slots_used: gate.used() as u32,
+                queued: gate.queued() as u32,
+                service_time: gate.service_time(),
+                leaving: false,
+                up: true,
+            };
+            // A sidecar that is down says nothing.
+            if !self.world.workers[truth.worker].down {
+                let key = self.quick.keys[upstream];
+                self.quick.routes.report(now, key, load);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/wax-replay/src/world.rs
@@ -0,0 +1,434 @@
+//! What is true in a replay, which the decisions only learn late or never.
+
+use crate::events::{EventQueue, ReplayEvent};
+use crate::trace::{ReplayPolicy, TraceError, TraceLine};
+use fastrand::Rng;
+use std::collections::HashMap;
+use std::time::Duration;
+use wax_policy::{FirmWeights, KindKey, KindTable, WorkDay};
+use wax_settings::TaskClass;
+use wax_types::{ResourceVector, TimePoint};
+
+/// Start of every trace: a day after zero, so that subtraction has room.
+pub(crate) const TRACE_START: TimePoint = TimePoint::from_millis(86_400_000);
+
+/// What holds for the whole trace.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ReplayOptions {
+    pub(crate) usage_lag: Duration,
+    pub(crate) weights: FirmWeights,
+    pub(crate) day: WorkDay,
+    pub(crate) domain_hop: Duration,
+    pub(crate) until: TimePoint,
+}
+
+/// A worker.
+#[derive(Debug, Clone)]
+pub(crate) struct WorkerTruth {
+    pub(crate) name: Box<str>,
+    pub(crate) domain: Box<str>,
+    pub(crate) capacity: ResourceVector,
+    pub(crate) fails: bool,
+    pub(crate) down: bool,
+}
+
+/// An upstream.
+#[derive(Debug, Clone)]
+pub(crate) struct UpstreamTruth {
+    pub(crate) name: Box<str>,
+    pub(crate) worker: usize,
+    pub(crate) service: Box<str>,
+    pub(crate) kind: KindKey,
+    pub(crate) slots: u32,
+    pub(crate) size: ResourceVector,
+    pub(crate) slow: f64,
+}
+
+/// A kind of task.
+#[derive(Debug, Clone)]
+pub(crate) struct KindTruth {
+    pub(crate) name: Box<str>,
+    pub(crate) key: KindKey,
+    pub(crate) urgent: bool,
+    pub(crate) declared: ResourceVector,
+    pub(crate) true_cpu_milli: u32,
+    pub(crate) attempts: u32,
+}
+
+/// A job.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct JobTruth {
+    pub(crate) kind: usize,
+    pub(crate) tasks: u32,
+    pub(crate) work: Duration,
+}
+
+/// A quick request.
+#[derive(Debug, Clone)]
+pub(crate) struct QuickTruth {
+    pub(crate) service: Box<str>,
+    pub(crate) work: Duration,
+    pub(crate) allowed: Duration,
+}
+
+/// A fault with a begin and an end.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum FaultTruth {
+    WorkerFails(usize),
+    WorkerDown(usize),
+    UpstreamSlow(usize, f64),
+    StoreDown,
+}
+
+/// Jobs that are cancelled together.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CancelTruth {
+    pub(crate) kind: usize,
+    pub(crate) percent: u32,
+}
+
+/// All of it.
+#[derive(Debug)]
+pub(crate) struct ReplayWorld {
+    pub(crate) options: ReplayOptions,
+    pub(crate) policy: ReplayPolicy,
+    pub(crate) workers: Vec<WorkerTruth>,
+    pub(crate) upstreams: Vec<UpstreamTruth>,
+    pub(crate) kinds: Vec<KindTruth>,
+    pub(crate) kind_keys: KindTable,
+    pairs: HashMap<(KindKey, KindKey), (f64, f64)>,
+    pub(crate) jobs: Vec<JobTruth>,
+    pub(crate) quicks: Vec<QuickTruth>,
+    pub(crate) faults: Vec<FaultTruth>,
+    pub(crate) cancels: Vec<CancelTruth>,
+    pub(crate) store_down: bool,
+    pub(crate) rng: Rng,
+    pub(crate) queue: EventQueue,
+}
+
+/// The time of the trace's clock.
+pub(crate) fn at(millis: u64) -> TimePoint {
+    TRACE_START + Duration::from_millis(millis)
+}
+
+impl ReplayWorld {
+    /// Reads a trace and draws what it leaves to chance.
+    pub(crate) fn build(
+        lines: &[TraceLine],
+        policy: ReplayPolicy,
+        seed: u64,
+    ) -> Result<Self, TraceError> {
+        let mut world = Self {
+            options: ReplayOptions {
+                usage_lag: Duration::from_secs(2),
+                weights: FirmWeights::default(),
+                day: WorkDay::default(),
+                domain_hop: Duration::from_micros(500),
+                until: at(60_000),
+            },
+            policy,
+            workers: Vec::new(),
+            upstreams: Vec::new(),
+            kinds: Vec::new(),
+            kind_keys: KindTable::default(),
+            pairs: HashMap::new(),
+            jobs: Vec::new(),
+            quicks: Vec::new(),
+            faults: Vec::new(),
+            cancels: Vec::new(),
+            store_down: false,
+            rng: Rng::with_seed(seed),
+            queue: EventQueue::default(),
+        };
+        for (index, line) in lines.iter().enumerate() {
+            world.take(line).map_err(|label| TraceError {
+                line: index + 1,
+                label: label.into(),
+            })?;
+        }
+        Ok(world)
+    }
+
+    fn take(&mut self, line: &TraceLine) -> Result<(), String> {
+        match line {
+            TraceLine::Options { .. } => self.take_options(line),
+            TraceLine::Worker {
+                name,
+                domain,
+                cpu_milli,
+                memory_mib,
+            } => self.workers.push(WorkerTruth {
+                name: name.clone(),
+                domain: domain.clone(),
+                capacity: ResourceVector::new(*cpu_milli, *memory_mib, 0),
+                fails: false,
+                down: false,
+            }),
+            TraceLine::Upstream {
+                name,
+                worker,
+                service,
+                slots,
+                cpu_milli,
+                memory_mib,
+            } => {
+                let upstream = UpstreamTruth {
+                    name: name.clone(),
+                    worker: self.worker(worker)?,
+                    service: service.clone(),
+                    kind: self.kind_keys.key(service),
+                    slots: *slots,
+                    size: ResourceVector::new(*cpu_milli, *memory_mib, 0),
+                    slow: 1.0,
+                };
+                self.upstreams.push(upstream);
+            }
+            TraceLine::Kind {
+                name,
+                class,
+                cpu_milli,
+                memory_mib,
+                true_cpu_milli,
+                attempts,
+                ..
+            } => {
+                let kind = KindTruth {
+                    name: name.clone(),
+                    key: self.kind_keys.key(name),
+                    urgent: *class == TaskClass::LatencyCritical,
+                    declared: ResourceVector::new(*cpu_milli, *memory_mib, 0),
+                    true_cpu_milli: true_cpu_milli.unwrap_or(*cpu_milli),
+                    attempts: *attempts,
+                };
+                self.kinds.push(kind);
+            }
+            TraceLine::Pair {
+                victim,
+                neighbour,
+                light,
+                loaded,
+            } => {
+                let pair = (self.kind_keys.key(victim), self.kind_keys.key(neighbour));
+                self.pairs.insert(pair, (*light, *loaded));
+            }
+            other => return self.take_arrivals(other),
+        }
+        Ok(())
+    }
+
+    fn take_options(&mut self, line: &TraceLine) {
+        let TraceLine::Options {
+            usage_lag_ms,
+            weight_tail,
+            weight_throughput,
+            weight_eviction,
+            day_start_min,
+            day_end_min,
+            domain_us,
+            until_ms,
+        } = line
+        else {
+            return;
+        };
+        let minutes = |count: &u32| Duration::from_secs(u64::from(*count) * 60);
+        self.options = ReplayOptions {
+            usage_lag: Duration::from_millis(*usage_lag_ms),
+            weights: FirmWeights {
+                tail: (*weight_tail).into(),
+                throughput: (*weight_throughput).into(),
+                eviction: (*weight_eviction).into(),
+            },
+            day: WorkDay {
+                start: minutes(day_start_min),
+                end: minutes(day_end_min),
+            },
+            domain_hop: Duration::from_micros(*domain_us),
+            until: at(*until_ms),
+        };
+    }
+
+    fn take_arrivals(&mut self, line: &TraceLine) -> Result<(), String> {
+        match line {
+            TraceLine::Job {
+                at_ms,
+                kind,
+                tasks,
+                work_ms,
+            } => self.add_job(at(*at_ms), kind, *tasks, Duration::from_millis(*work_ms))?,
+            TraceLine::JobStream {
+                from_ms,
+                to_ms,
+                kind,
+                per_minute,
+                tasks,
+                work_ms,
+            } => {
+                let mean = 60_000.0 / per_minute.max(1e-9);
+                let mut millis = *from_ms as f64;
+                while millis < *to_ms as f64 {
+                    let share = 0.5 + self.rng.f64();
+                    let work = Duration::from_micros((*work_ms as f64 * 1_000.0 * share) as u64);
+                    self.add_job(at(millis as u64), kind, *tasks, work)?;
+                    millis += self.exponential(mean);
+                }
+            }
+            TraceLine::Quick {
+                at_ms,
+                service,
+                service_us,
+                deadline_ms,
+            } => {
+                let work = Duration::from_micros(*service_us);
+                self.add_quick(at(*at_ms), service, work, *deadline_ms);
+            }
+            TraceLine::QuickStream {
+                from_ms,
+                to_ms,
+                service,
+                rate,
+                service_us,
+                deadline_ms,
+            } => {
+                let mean = 1_000_000.0 / rate.max(1e-9);
+                let mut micros = (*from_ms * 1_000) as f64;
+                while micros < (*to_ms * 1_000) as f64 {
+                    let work = self.draw_service(*service_us as f64);
+                    let arrival = TRACE_START + Duration::from_micros(micros as u64);
+                    self.add_quick(arrival, service, work, *deadline_ms);
+                    micros += self.exponential(mean);
+                }
+            }
+            other => return self.take_fault(other),
+        }
+        Ok(())
+    }
+
+    fn take_fault(&mut self, line: &TraceLine) -> Result<(), String> {
+        let (from, until, fault) = match line {
+            TraceLine::WorkerFails {
+                at_ms,
+                until_ms,
+                worker,
+            } => (
+                at_ms,
+                until_ms,
+                FaultTruth::WorkerFails(self.worker(worker)?),
+            ),
+            TraceLine::WorkerDown {
+                at_ms,
+                until_ms,
+                worker,
+            } => (
+                at_ms,
+                until_ms,
+                FaultTruth::WorkerDown(self.worker(worker)?),
+            ),
+            TraceLine::UpstreamSlow {
+                at_ms,
+                until_ms,
+                upstream,
+                factor,
+            } => {
+                let index = self
+                    .upstreams
+                    .iter()
+                    .position(|known| known.name == *upstream)
+                    .ok_or_else(|| format!("no upstream {upstream}"))?;
+                (at_ms, until_ms, FaultTruth::UpstreamSlow(index, *factor))
+            }
+            TraceLine::StoreDown { at_ms, until_ms } => (at_ms, until_ms, FaultTruth::StoreDown),
+            TraceLine::CancelWave {
+                at_ms,
+                kind,
+                percent,
+            } => {
+                let cancel = CancelTruth {
+                    kind: self.kind(kind)?,
+                    percent: *percent,
+                };
+                let event = ReplayEvent::Cancelled(self.cancels.len());
+                self.cancels.push(cancel);
+                self.queue.push(at(*at_ms), event);
+                return Ok(());
+            }
+            _ => return Ok(()),
+        };
+        let index = self.faults.len();
+        self.faults.push(fault);
+        self.queue
+            .push(at(*from), ReplayEvent::FaultChanges(index, true));
+        self.queue
+            .push(at(*until), ReplayEvent::FaultChanges(index, false));
+        Ok(())
+    }
+
+    fn worker(&self, name: &str) -> Result<usize, String> {
+        let found = self.workers.iter().position(|worker| *worker.name == *name);
+        found.ok_or_else(|| format!("no worker {name}"))
+    }
+
+    fn kind(&self, name: &str) -> Result<usize, String> {
+        let found = self.kinds.iter().position(|kind| *kind.name == *name);
+        found.ok_or_else(|| format!("no kind {name}"))
+    }
+
+    fn add_job(
+        &mut self,
+        at: TimePoint,
+        kind: &str,
+        tasks: u32,
+        work: Duration,
+    ) -> Result<(), String> {
+        let kind = self.kind(kind)?;
+        let event = ReplayEvent::JobArrives(self.jobs.len());
+        self.jobs.push(JobTruth { kind, tasks, work });
+        self.queue.push(at, event);
+        Ok(())
+    }
+
+    fn add_quick(&mut self, at: TimePoint, service: &str, work: Duration, deadline_ms: u64) {
+        let event = ReplayEvent::QuickArrives(self.quicks.len());
+        self.quicks.push(QuickTruth {
+            service: service.into(),
+            work,
+            allowed: Duration::from_millis(deadline_ms),
+        });
+        self.queue.push(at, event);
+    }
+
+    /// By `libm`, so that a seed gives the same times on every machine.
+    fn exponential(&mut self, mean: f64) -> f64 {
+        -mean * libm::log(1.0 - self.rng.f64())
+    }
+
+    /// Between 0.6 and 1.4 of the mean.
+    fn draw_service(&mut self, mean: f64) -> Duration {
+        let factor = 0.6 + 0.8 * self.rng.f64();
+        Duration::from_micros((mean * factor) as u64)
+    }
+
+    /// One attempt in a hundred meets a pause of its upstream and takes several times as long.
+    pub(crate) fn draw_hiccup(&mut self) -> f64 {
+        if self.rng.u32(0..100) == 0 {
+            2.0 + 4.0 * self.rng.f64()
+        } else {
+            1.0
+        }
+    }
+
+    /// How much longer a victim takes beside these neighbours, each with its share of full speed.
+    pub(crate) fn excess(
+        &self,
+        victim: KindKey,
+        neighbours: impl Iterator<Item = (KindKey, f64)>,
+        loaded: bool,
+    ) -> f64 {
+        neighbours
+            .map(|(neighbour, speed)| {
+                let pair = self.pairs.get(&(victim, neighbour));
+                let harm = pair.map_or(0.0, |(light, full)| if loaded { *full } else { *light });
+                harm * speed
+            })
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/wax-replay/tests/traces.rs
@@ -0,0 +1,71 @@
+//! The committed traces, each with its stated outcome.
+
+use std::path::Path;
+use wax_replay::{ReplayPolicy, parse_trace, replay};
+
+/// The seed of the stated outcomes.
+const SEED: u64 = 1;
+
+fn read(name: &str) -> String {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/traces");
+    std::fs::read_to_string(folder.join(format!("{name}.jsonl"))).expect("the trace is committed")
+}
+
+macro_rules! traces {
+    ($($name:ident: $file:literal,)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let lines = parse_trace(&read($file)).expect("the trace is correct");
+                let report = replay(&lines, ReplayPolicy::WEIGHED, SEED).expect("it runs");
+                assert_eq!(report.worst_over_milli, 0, "a worker was given more than it has");
+                assert_eq!(report.batch.failed, 0, "no task of these traces may be given up");
+                let text = serde_json::to_string_pretty(&report).expect("plain data");
+                insta::assert_snapshot!($file, text);
+            }
+        )*
+    };
+}
+
+traces! {
+    riveneige_calm: "riveneige-calm",
+    riveneige_noisy_wave: "riveneige-noisy-wave",
+    riveneige_load_shift: "riveneige-load-shift",
+    riveneige_bad_worker: "riveneige-bad-worker",
+    riveneige_cancel_wave: "riveneige-cancel-wave",
+    riveneige_outage: "riveneige-outage",
+    riveneige_far_off_sizes: "riveneige-far-off-sizes",
+    riveneige_mixed: "riveneige-mixed",
+    mares_calm: "mares-calm",
+    mares_noisy_wave: "mares-noisy-wave",
+    mares_load_shift: "mares-load-shift",
+    mares_bad_worker: "mares-bad-worker",
+    mares_cancel_wave: "mares-cancel-wave",
+    mares_outage: "mares-outage",
+    mares_far_off_sizes: "mares-far-off-sizes",
+    mares_mixed: "mares-mixed",
+    mares_evening: "mares-evening",
+}
+
+#[test]
+fn the_same_seed_gives_the_same_verdict() {
+    let lines = parse_trace(&read("riveneige-mixed")).expect("correct");
+    let first = replay(&lines, ReplayPolicy::WEIGHED, 7).expect("it runs");
+    let second = replay(&lines, ReplayPolicy::WEIGHED, 7).expect("it runs");
+    assert_eq!(first, second);
+}
+
+#[test]
+fn a_bad_line_is_named() {
+    let error = parse_trace("{\"event\":\"worker\"}\n").expect_err("fields are missing");
+    assert_eq!(error.line, 1);
+    let lines =
+        parse_trace("{\"event\":\"job\",\"at_ms\":1,\"kind\":\"none\",\"tasks\":1,\"work_ms\":1}");
+    let error = replay(&lines.expect("well formed"), ReplayPolicy::WEIGHED, 1);
+    assert!(
+        error
+            .expect_err("no such kind")
+            .to_string()
+            .contains("no kind none")
+    );
+}
--- a/crates/wax-route/src/request.rs
+++ b/crates/wax-route/src/request.rs
@@ -274,8 +274,8 @@
             && self.tried.len() == 1
             && self.shared.routes.borrow().count(&self.parts.service) > 1;
         if may {
-            let delay = self.shared.routes.borrow().hedge_delay(upstream);
-            self.hedge_at = Some(now + delay);
+            let routes = self.shared.routes.borrow();
+            self.hedge_at = routes.hedge_time(now, upstream, self.parts.deadline);
         }
     }
 
--- a/crates/wax-settings/src/node.rs
+++ b/crates/wax-settings/src/node.rs
@@ -75,7 +75,7 @@
     /// Retries, in percent of a team's requests.
     retry_percent: u32 = 10, Some(0), Some(100);
     /// Hedged attempts, in percent of a team's idempotent requests.
-    hedge_percent: u32 = 2, Some(0), Some(100);
+    hedge_percent: u32 = 4, Some(0), Some(100);
     /// Quick requests of a team under way at one entry.
     requests_in_flight: u32 = 256, Some(0), Some(100_000);
     /// Largest body of a request, kibibytes.
--- a/crates/wax-tasks/src/shard.rs
+++ b/crates/wax-tasks/src/shard.rs
@@ -9,7 +9,7 @@
 use crate::split::shard_of_worker;
 use crate::term::OwnerTerm;
 use crate::transition::{RunChoice, decide_run};
-use crate::worker_link::{SHARD_TICK, WorkerEvent, keep_worker, start_run, stop_run};
+use crate::worker_link::{SHARD_TICK, WorkerEvent, keep_worker, start_run, stop_run, throttle_run};
 use compio::runtime::spawn;
 use compio::time::sleep;
 use fastrand::Rng;
@@ -20,11 +20,11 @@
 use std::time::Duration;
 use wax_platform::{
     CommitOutcome, ObjectClient, RenewReply, TableClient, TableTransaction, TaskMark, TaskReport,
-    TaskRun, WorkerClient, WorkerDirectory, WorkerInfo,
+    TaskRun, UsageReport, WorkerClient, WorkerDirectory, WorkerInfo,
 };
 use wax_policy::{
-    ContactChoice, FirmWeights, LeaseTerms, PlaceChoice, PlaceContext, PlacePolicy, RunningTask,
-    WorkerContact,
+    ContactChoice, FirmWeights, LeaseTerms, PlaceChoice, PlaceContext, PlacePolicy, ReliefChoice,
+    RunningTask, THROTTLED_PERCENT, WorkerContact,
 };
 use wax_settings::{NodePath, SettingsHolder, SettingsTree};
 use wax_trace::{Counter, count, count_many};
@@ -46,6 +46,8 @@
 const COMMIT_SPAN: Duration = Duration::from_secs(2);
 /// After a commit that could not be sent.
 const COMMIT_PAUSE: Duration = Duration::from_millis(100);
+/// A task that is no longer throttled, in percent of its size.
+const WHOLE_SIZE: u8 = 100;
 /// Failed runs in a row after which a worker is quarantined.
 const FAILURES_TO_QUARANTINE: u32 = 5;
 /// After this time a quarantined worker gets a task again, as a probe.
@@ -291,6 +293,7 @@
         }
         let missing = self.find_missing(worker, &reply, sent);
         changes.extend(missing);
+        self.relieve(worker, &reply.usage);
         for report in &reply.usage {
             if self.shared.ledger.borrow().is_new(worker, report) {
                 self.shared.state.borrow_mut().learn(worker, report);
@@ -303,6 +306,36 @@
         changes
     }
 
+    /// Throttles, restores or evicts one neighbour of a slowed latency-critical task.
+    fn relieve(&self, worker: &WorkerId, usage: &[UsageReport]) {
+        let now = self.shared.now();
+        let tree = self.shared.settings.tree();
+        let choice = self
+            .shared
+            .state
+            .borrow_mut()
+            .choose_relief(now, worker, usage, &tree);
+        match choice {
+            ReliefChoice::Keep => {}
+            ReliefChoice::Throttle(task) => self.throttle(worker, task, THROTTLED_PERCENT),
+            ReliefChoice::Restore(task) => self.throttle(worker, task, WHOLE_SIZE),
+            ReliefChoice::Evict(task) => self.stop(worker, task),
+        }
+    }
+
+    fn throttle(&self, worker: &WorkerId, task: TaskId, percent: u8) {
+        let state = self.shared.state.borrow();
+        let Some(row) = state.tasks.get(&task).and_then(|entry| entry.row.as_ref()) else {
+            return;
+        };
+        let mark = TaskMark {
+            task,
+            epoch: row.epoch,
+        };
+        let call = throttle_run(self.shared.clone(), worker.clone(), mark, percent);
+        spawn(call).detach();
+    }
+
     /// A worker that started anew has forgotten what it was told to keep.
     fn note_boot(&self, worker: &WorkerId, boot: u64) {
         let mut state = self.shared.state.borrow_mut();
@@ -796,6 +829,43 @@
 }
 
 impl ShardState {
+    /// Decides what to do about the worst slowdown of a latency-critical task at a worker.
+    fn choose_relief(
+        &mut self,
+        now: TimePoint,
+        worker: &WorkerId,
+        usage: &[UsageReport],
+        tree: &SettingsTree,
+    ) -> ReliefChoice {
+        let Some(entry) = self.workers.get_mut(worker) else {
+            return ReliefChoice::Keep;
+        };
+        let Some(slot) = self.table.get(entry.key) else {
+            return ReliefChoice::Keep;
+        };
+        let worst = usage
+            .iter()
+            .filter_map(|report| {
+                let mut urgent = slot.tasks().iter().filter(|task| task.urgent);
+                let task = urgent.find(|task| task.task == report.mark.task)?;
+                Some((*task, f64::from(report.slowdown_percent) / 100.0 - 1.0))
+            })
+            .max_by(|(_, a), (_, b)| a.total_cmp(b));
+        let Some((victim, excess)) = worst else {
+            return ReliefChoice::Keep;
+        };
+        let part = self
+            .tasks
+            .get(&victim.task)
+            .and_then(|task| self.parts.get(&task.part));
+        let weights = part.map_or_else(FirmWeights::default, |part| {
+            weights_of(tree, &part.row.spec.team)
+        });
+        entry
+            .relief
+            .decide(now, slot, &victim, excess, &self.pairs, weights)
+    }
+
     /// Forgets stops that an earlier round began.
     fn queue_cancelled_stops(&mut self) {
         for task in self.tasks.values_mut() {
--- a/crates/wax-tasks/src/shard_load.rs
+++ b/crates/wax-tasks/src/shard_load.rs
@@ -10,7 +10,7 @@
 use crate::term::OwnerTerm;
 use std::collections::{HashMap, HashSet};
 use wax_platform::{RowEntry, TableClient, WorkerDirectory, WorkerInfo};
-use wax_policy::{KindKey, LeaseTerms, RunningTask, WorkerContact};
+use wax_policy::{KindKey, LeaseTerms, ReliefState, RunningTask, WorkerContact};
 use wax_settings::TaskClass;
 use wax_trace::{Counter, count};
 use wax_types::{RowVersion, ShardId, TimePoint, WaxError, WorkerId, wall_clock_ms};
@@ -118,6 +118,7 @@
         failures: 0,
         quarantined_until: None,
         changed_ms: wall_clock_ms(),
+        relief: ReliefState::default(),
     };
     state.workers.insert(id, entry);
 }
--- a/crates/wax-tasks/src/worker_link.rs
+++ b/crates/wax-tasks/src/worker_link.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use wax_platform::{
     ControlRequest, RenewReply, RenewRequest, StartReply, StartRequest, TaskMark, TaskReport,
-    TaskRun,
+    TaskRun, ThrottleRequest,
 };
 use wax_policy::ContactChoice;
 use wax_trace::{Counter, count};
@@ -246,5 +246,27 @@
     }
 }
 
+/// Lets a run use a share of its size; a call that does not get through is decided anew later.
+pub(crate) async fn throttle_run(
+    shared: Rc<ShardShared>,
+    worker: WorkerId,
+    mark: TaskMark,
+    percent: u8,
+) {
+    let Some((_, address)) = shared.look_at(&worker, shared.now()) else {
+        return;
+    };
+    if !shared.holds() {
+        return;
+    }
+    let request = ThrottleRequest {
+        owner: shared.term.epoch(),
+        mark,
+        percent,
+    };
+    let result = shared.workers.throttle(&address, &request).await;
+    tracing::debug!(%worker, task = %mark.task, percent, ok = result.is_ok(), "throttled");
+}
+
 /// The pause between two looks of a shard at its inbox and its queue.
 pub(crate) const SHARD_TICK: Duration = Duration::from_millis(25);
