Prove both ends of the peer connection against a played peer

Cause: taking out the sidecar's refusal while it leaves, or its drain, failed no test, since entries learn by push and requests were short. The tests now play an entry or a sidecar themselves: a leaving sidecar refuses and finishes, tombstones, queued cancels, repeated, reordered, late and cut answers, late settings. Storms compare the bill with what the workers ran.

--- a/tests/proofs/main.rs
+++ b/tests/proofs/main.rs
@@ -14,3 +14,4 @@
 mod stops;
 mod storms;
 mod support;
+mod wire_edges;
--- a/tests/proofs/storms.rs
+++ b/tests/proofs/storms.rs
@@ -1,5 +1,6 @@
 //! Many failures together and twice: kills, freezes, outages, lost replies, in a seeded order.
 
+use crate::billing::billed;
 use crate::support::audit::{all_runs, check_one_place, check_resumed_once};
 use crate::support::cases;
 use crate::support::cluster::{Cluster, ClusterPlan};
@@ -99,6 +100,14 @@
     .await;
     check_one_place(&runs);
     check_resumed_once(&runs);
+    // No worker was killed, so that all usage is still reported: the bill comes out to the unit.
+    let truth: u64 = runs.iter().map(|run| run.cpu_milli_seconds).sum();
+    let bill = wait_for("late usage to be billed", || async {
+        let bill = billed(&cluster, 1).await?;
+        (bill >= truth).then_some(bill)
+    })
+    .await;
+    assert_eq!(bill, truth, "seed {seed}: billed more than was used");
 }
 
 cases!(storm {
--- /dev/null
+++ b/tests/proofs/wire_edges.rs
@@ -0,0 +1,394 @@
+//! The two ends of the peer connection against a peer that a test plays.
+
+use crate::support::calls::{Answer, call};
+use crate::support::cluster::{Cluster, ClusterPlan, SERVICE, TEAM};
+use crate::support::run;
+use compio::net::{TcpListener, TcpStream};
+use http::Method;
+use serde_json::json;
+use wax_wire::{
+    AttemptId, BodyChunk, CancelRequest, FrameReader, FrameWriter, LoadReport, NotRunReason,
+    PeerBody, PeerHello, RequestHead, ResponseHead, split_stream,
+};
+
+/// The run of the entry that a test plays.
+const INCARNATION: u64 = 77;
+
+/// An entry that a test plays, with the sidecar that connected to it.
+struct PlayedEntry {
+    reader: FrameReader,
+    writer: FrameWriter,
+}
+
+impl PlayedEntry {
+    /// Starts a sidecar that knows only this entry.
+    async fn with_sidecar(cluster: &mut Cluster) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let address = listener.local_addr().expect("bound").to_string();
+        cluster.start_upstream(9);
+        cluster.start_sidecar_for(9, &address);
+        let (stream, _) = listener.accept().await.expect("the sidecar connects");
+        let (reader, writer) = split_stream(stream);
+        let mut entry = Self { reader, writer };
+        let hello = entry.next().await;
+        assert!(matches!(hello, PeerBody::Hello(_)), "{hello:?}");
+        let hello = PeerHello {
+            protocol: PeerHello::PROTOCOL,
+            incarnation: INCARNATION,
+            name: "played".into(),
+            ..PeerHello::default()
+        };
+        entry.send(PeerBody::Hello(hello)).await;
+        entry
+    }
+
+    async fn send(&mut self, body: PeerBody) {
+        self.writer.write(body).await.expect("sent");
+    }
+
+    async fn next(&mut self) -> PeerBody {
+        self.reader.read().await.expect("read").expect("a frame")
+    }
+
+    /// The next frame that is about an attempt.
+    async fn next_answer(&mut self) -> PeerBody {
+        loop {
+            match self.next().await {
+                PeerBody::Load(_) | PeerBody::SettingsAck(_) => {}
+                body => return body,
+            }
+        }
+    }
+
+    async fn request(&mut self, sequence: u64, service_ms: u32) {
+        let header = |name: &str, value: String| wax_wire::HeaderField {
+            name: name.to_owned(),
+            value: value.into(),
+        };
+        let head = RequestHead {
+            attempt: Some(attempt(sequence)),
+            method: "POST".into(),
+            path: "/played".into(),
+            headers: vec![
+                header("x-service-ms", service_ms.to_string()),
+                header("idempotency-key", format!("played-{sequence}")),
+            ],
+            deadline_ms: 60_000,
+            body_complete: true,
+            ..RequestHead::default()
+        };
+        self.send(PeerBody::Request(head)).await;
+    }
+}
+
+fn attempt(sequence: u64) -> AttemptId {
+    AttemptId {
+        incarnation: INCARNATION,
+        sequence,
+    }
+}
+
+fn refused(body: PeerBody, sequence: u64, reason: NotRunReason) {
+    match body {
+        PeerBody::NotRun(answer) => {
+            assert_eq!(answer.attempt, Some(attempt(sequence)));
+            assert_eq!(answer.reason(), reason);
+        }
+        other => panic!("expected a refusal: {other:?}"),
+    }
+}
+
+fn answered(body: &PeerBody, sequence: u64) {
+    match body {
+        PeerBody::Response(head) => assert_eq!(head.attempt, Some(attempt(sequence))),
+        other => panic!("expected an answer: {other:?}"),
+    }
+}
+
+fn one_entry() -> ClusterPlan {
+    ClusterPlan {
+        entries: 1,
+        sidecars: 1,
+        workers: 1,
+        ..ClusterPlan::default()
+    }
+}
+
+/// An entry that missed the announcement sends to a sidecar that leaves, while a request runs.
+#[test]
+fn a_leaving_sidecar_refuses_and_finishes() {
+    run(async {
+        let mut cluster = Cluster::start(one_entry()).await;
+        let mut entry = PlayedEntry::with_sidecar(&mut cluster).await;
+        entry.request(1, 1_500).await;
+        cluster.wait_executed(9, "played-1").await;
+        cluster.signal("sidecar-9", libc::SIGTERM);
+        loop {
+            if let PeerBody::Load(LoadReport { leaving: true, .. }) = entry.next().await {
+                break;
+            }
+        }
+        entry.request(2, 1).await;
+        refused(entry.next_answer().await, 2, NotRunReason::Leaving);
+        // What ran when the stop was asked for comes whole.
+        answered(&entry.next_answer().await, 1);
+        let mut bytes = 0;
+        loop {
+            match entry.next_answer().await {
+                PeerBody::Chunk(chunk) if chunk.last => {
+                    assert_eq!(chunk.total_bytes, bytes + chunk.data.len() as u64);
+                    break;
+                }
+                PeerBody::Chunk(chunk) => bytes += chunk.data.len() as u64,
+                other => panic!("expected the body: {other:?}"),
+            }
+        }
+        let record = cluster.record("upstream-9").await;
+        assert_eq!(
+            record["keys"].as_object().map(serde_json::Map::len),
+            Some(1),
+            "{record}"
+        );
+    });
+}
+
+#[test]
+fn a_cancel_before_its_request_leaves_a_tombstone() {
+    run(async {
+        let mut cluster = Cluster::start(one_entry()).await;
+        let mut entry = PlayedEntry::with_sidecar(&mut cluster).await;
+        let cancel = CancelRequest {
+            attempt: Some(attempt(5)),
+        };
+        entry.send(PeerBody::Cancel(cancel)).await;
+        entry.request(5, 1).await;
+        refused(entry.next_answer().await, 5, NotRunReason::Cancelled);
+        entry.request(6, 1).await;
+        answered(&entry.next_answer().await, 6);
+        let record = cluster.record("upstream-9").await;
+        assert!(record["keys"].get("played-5").is_none(), "{record}");
+    });
+}
+
+#[test]
+fn a_cancel_of_a_queued_request_is_truly_not_run() {
+    run(async {
+        let mut cluster = Cluster::start(one_entry()).await;
+        let mut entry = PlayedEntry::with_sidecar(&mut cluster).await;
+        // Eight slots are taken; the ninth waits.
+        for sequence in 1..=9 {
+            entry.request(sequence, 400).await;
+        }
+        let cancel = CancelRequest {
+            attempt: Some(attempt(9)),
+        };
+        entry.send(PeerBody::Cancel(cancel)).await;
+        refused(entry.next_answer().await, 9, NotRunReason::Cancelled);
+        for _ in 1..=8 {
+            while !matches!(entry.next_answer().await, PeerBody::Chunk(chunk) if chunk.last) {}
+        }
+        let record = cluster.record("upstream-9").await;
+        assert_eq!(record["most_running"], 8, "{record}");
+        assert!(record["keys"].get("played-9").is_none(), "{record}");
+    });
+}
+
+#[test]
+fn a_repeated_request_frame_runs_once() {
+    run(async {
+        let mut cluster = Cluster::start(one_entry()).await;
+        let mut entry = PlayedEntry::with_sidecar(&mut cluster).await;
+        entry.request(3, 200).await;
+        entry.request(3, 200).await;
+        answered(&entry.next_answer().await, 3);
+        let record = cluster.record("upstream-9").await;
+        assert_eq!(record["keys"]["played-3"], 1, "{record}");
+    });
+}
+
+/// A sidecar that a test plays; its service is its own.
+struct PlayedSidecar {
+    reader: FrameReader,
+    writer: FrameWriter,
+}
+
+const PLAYED_SERVICE: &str = "played";
+
+impl PlayedSidecar {
+    async fn connect(cluster: &Cluster) -> Self {
+        let address = cluster.address("entry-1", "peers");
+        let stream = TcpStream::connect(address).await.expect("connected");
+        let (reader, writer) = split_stream(stream);
+        let mut sidecar = Self { reader, writer };
+        let hello = PeerHello {
+            protocol: PeerHello::PROTOCOL,
+            incarnation: 5,
+            name: "played-sidecar".into(),
+            failure_domain: "domain-1".into(),
+            service: PLAYED_SERVICE.into(),
+            slots: 8,
+        };
+        sidecar.send(PeerBody::Hello(hello)).await;
+        let load = LoadReport {
+            upstream_up: true,
+            ..LoadReport::default()
+        };
+        sidecar.send(PeerBody::Load(load)).await;
+        sidecar
+    }
+
+    async fn send(&mut self, body: PeerBody) {
+        self.writer.write(body).await.expect("sent");
+    }
+
+    async fn next_request(&mut self) -> AttemptId {
+        loop {
+            let body = self.reader.read().await.expect("read").expect("a frame");
+            if let PeerBody::Request(head) = body {
+                return head.attempt.expect("a request has a key");
+            }
+        }
+    }
+
+    async fn answer(&mut self, id: AttemptId, text: &'static str, total_bytes: u64) {
+        let head = ResponseHead {
+            attempt: Some(id),
+            status: 200,
+            headers: Vec::new(),
+        };
+        self.send(PeerBody::Response(head)).await;
+        let chunk = BodyChunk {
+            attempt: Some(id),
+            data: text.into(),
+            last: true,
+            total_bytes,
+        };
+        self.send(PeerBody::Chunk(chunk)).await;
+    }
+}
+
+/// Declares the played service, and asks for it.
+async fn declare_played(cluster: &Cluster) {
+    let url = format!("{}/v1/settings", cluster.operators(1));
+    let edit = json!({ "path": "/barrages/played", "key": "weight", "value": 100 });
+    let body = json!({ "author": "test", "edits": [edit] });
+    let answer = crate::support::calls::post_json(&url, &body)
+        .await
+        .expect("an answer");
+    assert_eq!(answer.status, 200, "{}", answer.text());
+}
+
+fn ask(
+    cluster: &Cluster,
+    method: Method,
+    path: &str,
+) -> compio::runtime::JoinHandle<Result<Answer, String>> {
+    let url = format!("{}/v1/call/{PLAYED_SERVICE}{path}", cluster.callers(1));
+    compio::runtime::spawn(async move {
+        let headers = [("waxwing-team", TEAM), ("waxwing-deadline-ms", "15000")];
+        call(method, &url, &headers, Vec::new()).await
+    })
+}
+
+#[test]
+fn reordered_and_repeated_answers_reach_their_own_requests() {
+    run(async {
+        let cluster = Cluster::start(one_entry()).await;
+        declare_played(&cluster).await;
+        let mut sidecar = PlayedSidecar::connect(&cluster).await;
+        let first = ask(&cluster, Method::POST, "/first");
+        let first_id = sidecar.next_request().await;
+        let second = ask(&cluster, Method::POST, "/second");
+        let second_id = sidecar.next_request().await;
+        sidecar.answer(second_id, "second", 6).await;
+        sidecar.answer(second_id, "again!", 6).await;
+        sidecar.answer(first_id, "first", 5).await;
+        let first = first.await.expect("no panic").expect("an answer");
+        let second = second.await.expect("no panic").expect("an answer");
+        assert_eq!(
+            (first.text().as_str(), second.text().as_str()),
+            ("first", "second")
+        );
+    });
+}
+
+#[test]
+fn an_answer_of_an_earlier_incarnation_reaches_nobody() {
+    run(async {
+        let cluster = Cluster::start(one_entry()).await;
+        declare_played(&cluster).await;
+        let mut sidecar = PlayedSidecar::connect(&cluster).await;
+        let asked = ask(&cluster, Method::POST, "/now");
+        let id = sidecar.next_request().await;
+        let earlier = AttemptId {
+            incarnation: id.incarnation ^ 1,
+            sequence: id.sequence,
+        };
+        sidecar.answer(earlier, "of another run", 14).await;
+        sidecar.answer(id, "mine", 4).await;
+        let answer = asked.await.expect("no panic").expect("an answer");
+        assert_eq!(answer.text(), "mine");
+    });
+}
+
+#[test]
+fn an_answer_whose_parts_do_not_add_up_is_not_given() {
+    run(async {
+        let cluster = Cluster::start(one_entry()).await;
+        declare_played(&cluster).await;
+        let mut sidecar = PlayedSidecar::connect(&cluster).await;
+        let asked = ask(&cluster, Method::POST, "/cut");
+        let id = sidecar.next_request().await;
+        sidecar.answer(id, "half", 8).await;
+        let answer = asked.await.expect("no panic").expect("a final answer");
+        assert_eq!((answer.status, answer.outcome.as_str()), (502, "unknown"));
+    });
+}
+
+#[test]
+fn a_sidecar_lost_with_a_request_leaves_unknown_and_other_services_go_on() {
+    run(async {
+        let cluster = Cluster::start(one_entry()).await;
+        declare_played(&cluster).await;
+        let mut sidecar = PlayedSidecar::connect(&cluster).await;
+        let asked = ask(&cluster, Method::POST, "/lost");
+        sidecar.next_request().await;
+        drop(sidecar);
+        let answer = asked.await.expect("no panic").expect("a final answer");
+        assert_eq!((answer.status, answer.outcome.as_str()), (502, "unknown"));
+        let other = cluster.request(1, "/other", &[]).await.expect("an answer");
+        assert_eq!((other.outcome.as_str(), SERVICE), ("ran", SERVICE));
+    });
+}
+
+/// Old settings that come late do not replace newer ones, in either direction.
+#[test]
+fn settings_that_come_late_revert_nothing() {
+    run(async {
+        let cluster = Cluster::start(one_entry()).await;
+        declare_played(&cluster).await;
+        let mut sidecar = PlayedSidecar::connect(&cluster).await;
+        let status = || async {
+            let url = format!("{}/v1/status", cluster.operators(1));
+            crate::support::calls::get_json(&url).await
+        };
+        let before = status().await.expect("a status")["settings"]["version"].as_u64();
+        let old = json!({ "version": 1, "nodes": {} });
+        let push = wax_wire::SettingsPush {
+            version: 1,
+            tree: old.to_string().into_bytes().into(),
+            delta: Default::default(),
+        };
+        sidecar.send(PeerBody::Settings(push)).await;
+        // The answer to a request that is sent after the push shows that the push was taken.
+        let asked = ask(&cluster, Method::POST, "/after");
+        let id = sidecar.next_request().await;
+        sidecar.answer(id, "ok", 2).await;
+        assert_eq!(
+            asked.await.expect("no panic").expect("an answer").status,
+            200
+        );
+        let after = status().await.expect("a status")["settings"]["version"].as_u64();
+        assert_eq!(before, after);
+    });
+}
