--- a/crates/wax-platform/src/table.rs
+++ b/crates/wax-platform/src/table.rs
@@ -106,6 +106,20 @@
         self.writes.len()
     }
 
+    /// The version that a row must have, if the row is a condition.
+    pub fn required_version(&self, key: &str) -> Option<RowVersion> {
+        let condition = self
+            .conditions
+            .iter()
+            .find(|condition| *condition.key == *key)?;
+        Some(condition.version)
+    }
+
+    /// The keys of all rows that are written or deleted.
+    pub fn written_keys(&self) -> impl Iterator<Item = &str> {
+        self.writes.iter().map(|write| &*write.key)
+    }
+
     /// The keys of all conditions.
     pub fn keys(&self) -> impl Iterator<Item = &str> {
         self.conditions.iter().map(|condition| &*condition.key)
--- /dev/null
+++ b/crates/wax-policy/tests/limits.rs
@@ -0,0 +1,231 @@
+//! Bounds that hold whatever comes: slots, places, capacity, ejections.
+
+use fastrand::Rng;
+use proptest::prelude::*;
+use std::time::Duration;
+use wax_policy::{
+    AdmitChoice, AttemptEnd, FirmWeights, GateChoice, KindKey, PairTable, PlaceChoice,
+    PlaceContext, PlacePolicy, ReleaseChoice, RouteChoice, RoutePolicy, RouteTable, RunningTask,
+    SlotGate, TaskDemand, TeamLimits, TeamTable, UpstreamLoad, UpstreamView, WorkerTable,
+};
+use wax_types::{JobId, ResourceVector, TaskId, TimePoint};
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint::from_millis(1_000_000 + millis)
+}
+
+proptest! {
+    #[test]
+    fn a_gate_never_runs_more_than_its_slots(
+        slots in 1_usize..9,
+        queue in 0_usize..20,
+        steps in prop::collection::vec((any::<bool>(), 1_u64..2_000), 1..200),
+    ) {
+        let mut gate = SlotGate::new(slots, queue);
+        let mut running = 0_usize;
+        for (index, (arrives, millis)) in steps.into_iter().enumerate() {
+            let now = at(index as u64);
+            if arrives {
+                let choice = gate.ask(now, now + Duration::from_millis(millis), index);
+                running += usize::from(choice == GateChoice::Run);
+            } else if running > 0 {
+                gate.release(Duration::from_millis(millis / 100));
+                running -= 1;
+                loop {
+                    match gate.next(now) {
+                        ReleaseChoice::Run(_) => running += 1,
+                        ReleaseChoice::Drop(_) => {}
+                        ReleaseChoice::Idle => break,
+                    }
+                }
+            }
+            prop_assert!(running <= slots);
+            prop_assert_eq!(running, gate.used());
+            prop_assert!(gate.queued() <= queue);
+        }
+    }
+
+    #[test]
+    fn no_policy_reserves_more_than_a_worker_has(
+        policy in prop::sample::select(vec![
+            PlacePolicy::Weighed, PlacePolicy::Random, PlacePolicy::RoundRobin,
+            PlacePolicy::LeastLoaded, PlacePolicy::FirstFit,
+        ]),
+        sizes in prop::collection::vec((1_u32..5_000, 1_u32..9_000, any::<bool>()), 1..80),
+        seed in any::<u64>(),
+    ) {
+        let mut rng = Rng::with_seed(seed);
+        let mut table = WorkerTable::default();
+        for _ in 0..4 {
+            table.add(ResourceVector::new(8_000, 16_000, 0));
+        }
+        let pairs = PairTable::default();
+        for (index, (cpu, memory, urgent)) in sizes.into_iter().enumerate() {
+            let demand = TaskDemand {
+                kind: KindKey::default(),
+                size: ResourceVector::new(cpu, memory, 0),
+                urgent,
+            };
+            let context = PlaceContext {
+                pairs: &pairs,
+                weights: FirmWeights::default(),
+                avoid: &[],
+                policy,
+            };
+            let now = at(index as u64 * 1_000);
+            match table.choose(now, demand, context, &mut rng) {
+                PlaceChoice::Place(key) => {
+                    let task = TaskId { job: JobId(1), index: index as u32 };
+                    let running = RunningTask {
+                        task, kind: demand.kind, size: demand.size, urgent,
+                        evictable: !urgent, saved: now, settled: now, due_today: false,
+                    };
+                    prop_assert!(table.reserve(key, running), "a choice that does not fit");
+                }
+                PlaceChoice::Evict(key, victims) => {
+                    prop_assert!(urgent, "a batch task evicts");
+                    for victim in victims {
+                        let gone = table.release(key, victim).expect("it runs there");
+                        prop_assert!(!gone.urgent, "an urgent task is evicted");
+                    }
+                    let slot = table.get(key).expect("known");
+                    prop_assert!(demand.size.fits_in(slot.free()), "not enough was evicted");
+                }
+                PlaceChoice::Wait | PlaceChoice::Impossible => {}
+            }
+            for key in table.keys() {
+                let slot = table.get(key).expect("known");
+                prop_assert!(slot.used().fits_in(slot.capacity()));
+            }
+        }
+    }
+}
+
+const LIMITS: TeamLimits = TeamLimits {
+    in_flight: 1_000,
+    weight: 100,
+    retry_percent: 10,
+    hedge_percent: 0,
+};
+
+#[test]
+fn a_busy_team_leaves_the_others_their_share() {
+    let mut table = TeamTable::new(100);
+    let greedy = (0..100)
+        .filter(|_| matches!(table.admit("greedy", LIMITS), AdmitChoice::Admit(_)))
+        .count();
+    assert_eq!(greedy, 100, "what nobody uses is lent");
+    let mut table = TeamTable::new(100);
+    let mut admitted = [0, 0];
+    for turn in 0..200 {
+        let name = ["one", "two"][turn % 2];
+        if let AdmitChoice::Admit(_) = table.admit(name, LIMITS) {
+            admitted[turn % 2] += 1;
+        }
+    }
+    assert_eq!(admitted, [50, 50]);
+}
+
+#[test]
+fn a_quota_is_kept_and_tells_when_to_come_back() {
+    let mut table = TeamTable::new(100);
+    let limits = TeamLimits {
+        in_flight: 2,
+        ..LIMITS
+    };
+    let AdmitChoice::Admit(key) = table.admit("team", limits) else {
+        panic!("the first is admitted");
+    };
+    assert!(matches!(table.admit("team", limits), AdmitChoice::Admit(_)));
+    assert!(
+        matches!(table.admit("team", limits), AdmitChoice::OverQuota(after) if !after.is_zero())
+    );
+    table.release(key, Duration::from_millis(80));
+    assert!(matches!(table.admit("team", limits), AdmitChoice::Admit(_)));
+}
+
+fn route_table(count: usize) -> (RouteTable, Vec<wax_policy::UpstreamKey>) {
+    let mut table = RouteTable::default();
+    let keys = (0..count)
+        .map(|index| table.add(UpstreamView::new("service", index % 2 == 0, 8, at(0))))
+        .collect();
+    (table, keys)
+}
+
+#[test]
+fn a_wave_of_failures_ejects_at_most_half() {
+    let (mut table, keys) = route_table(6);
+    for _ in 0..50 {
+        for key in &keys {
+            table.begin(*key);
+            table.end(at(10), *key, AttemptEnd::Failed);
+        }
+    }
+    let mut rng = Rng::with_seed(1);
+    let mut chosen = std::collections::BTreeSet::new();
+    for _ in 0..200 {
+        let deadline = at(5_000);
+        let choice = table.choose(
+            at(20),
+            "service",
+            deadline,
+            &[],
+            RoutePolicy::Random,
+            &mut rng,
+        );
+        if let RouteChoice::Send(key) = choice {
+            chosen.insert(key);
+        }
+    }
+    assert_eq!(chosen.len(), 3);
+}
+
+#[test]
+fn a_leaving_or_silent_upstream_gets_nothing() {
+    let (mut table, keys) = route_table(2);
+    let mut rng = Rng::with_seed(1);
+    let leaving = UpstreamLoad {
+        leaving: true,
+        up: true,
+        ..UpstreamLoad::default()
+    };
+    table.report(at(10), keys[0], leaving);
+    let mut choose = |table: &mut RouteTable, now: TimePoint| {
+        let deadline = now + Duration::from_secs(1);
+        table.choose(
+            now,
+            "service",
+            deadline,
+            &[],
+            RoutePolicy::Weighed,
+            &mut rng,
+        )
+    };
+    for _ in 0..50 {
+        assert_eq!(choose(&mut table, at(20)), RouteChoice::Send(keys[1]));
+    }
+    assert_eq!(choose(&mut table, at(60_000)), RouteChoice::Nobody);
+}
+
+#[test]
+fn a_hopeless_request_is_refused_with_a_time() {
+    let (mut table, keys) = route_table(1);
+    let busy = UpstreamLoad {
+        slots_used: 8,
+        queued: 64,
+        service_time: Duration::from_millis(500),
+        leaving: false,
+        up: true,
+    };
+    table.report(at(10), keys[0], busy);
+    let mut rng = Rng::with_seed(1);
+    let choice = table.choose(
+        at(20),
+        "service",
+        at(200),
+        &[],
+        RoutePolicy::Weighed,
+        &mut rng,
+    );
+    assert!(matches!(choice, RouteChoice::Late(after) if after > Duration::from_secs(1)));
+}
--- /dev/null
+++ b/crates/wax-tasks/src/commit_tests.rs
@@ -0,0 +1,152 @@
+//! The group commit keeps the capacity of workers and the fence of the shard.
+
+use crate::commit::build_group;
+use crate::rows::{JobSpec, PartPlace, PartRow, TaskRow, TaskState, shard_key};
+use crate::shard_load::add_worker;
+use crate::shard_state::{ShardState, TaskChange};
+use crate::term::OwnerTerm;
+use std::time::Duration;
+use wax_platform::WorkerInfo;
+use wax_policy::{LeaseTerms, WorkerContact};
+use wax_settings::TaskClass;
+use wax_types::{
+    JobId, ResourceVector, RowVersion, ShardEpoch, ShardId, TaskEpoch, TaskId, TimePoint, WorkerId,
+};
+
+const TERMS: LeaseTerms = LeaseTerms {
+    lease: Duration::from_secs(1),
+    call: Duration::from_secs(1),
+    margin: Duration::from_secs(1),
+    grace: Duration::from_secs(1),
+};
+const SIZE: ResourceVector = ResourceVector::new(3_000, 100, 0);
+
+fn term() -> OwnerTerm {
+    let now = TimePoint::from_millis(1_000);
+    let grace = Duration::from_secs(10);
+    OwnerTerm::new(ShardId(2), ShardEpoch(7), RowVersion(41), grace, now, now)
+}
+
+/// A shard with one worker of 8000 and a job of five tasks.
+fn state() -> ShardState {
+    let mut state = ShardState::default();
+    let spec = JobSpec {
+        team: "team".into(),
+        service: "service".into(),
+        kind: "kind".into(),
+        tasks: 5,
+        class: TaskClass::Batch,
+        size: SIZE,
+        run_time_s: 1,
+        attempts: 3,
+        input: serde_json::Value::Null,
+    };
+    let place = PartPlace {
+        shard: ShardId(2),
+        first: 0,
+        count: 5,
+    };
+    let part = PartRow {
+        job: JobId(9),
+        place,
+        spec,
+        submitted_ms: 0,
+    };
+    state.add_part(part, RowVersion(5));
+    let info = WorkerInfo {
+        id: "worker".into(),
+        address: "127.0.0.1:1".into(),
+        rack: "rack".into(),
+        failure_domain: "domain".into(),
+        capacity: ResourceVector::new(8_000, 8_000, 0),
+    };
+    let now = TimePoint::from_millis(1_000);
+    add_worker(
+        &mut state,
+        info,
+        None,
+        WorkerContact::after_takeover(now, &TERMS),
+        now,
+    );
+    state
+}
+
+fn placement(index: u32) -> TaskChange {
+    let worker: WorkerId = "worker".into();
+    TaskChange {
+        task: TaskId {
+            job: JobId(9),
+            index,
+        },
+        next: TaskRow {
+            epoch: TaskEpoch(1),
+            state: TaskState::Placed(worker.clone()),
+            failures: 0,
+            failed_on: Vec::new(),
+            checkpoint: None,
+            evictions: 0,
+        },
+        release: None,
+        reserve: Some((worker, SIZE)),
+    }
+}
+
+#[test]
+fn placements_beyond_the_capacity_are_left_out() {
+    let state = state();
+    let changes = (0..5).map(placement).collect();
+    let group = build_group(&state, &term(), changes);
+    assert_eq!(group.changes.len(), 2, "8000 hold two tasks of 3000");
+}
+
+#[test]
+fn placements_are_counted_on_top_of_what_the_row_holds() {
+    let mut state = state();
+    let term = term();
+    let now = TimePoint::from_millis(1_000);
+    let group = build_group(&state, &term, vec![placement(0)]);
+    group.apply(&mut state, now, RowVersion(50));
+    let group = build_group(&state, &term, vec![placement(1), placement(2)]);
+    assert_eq!(group.changes.len(), 1);
+}
+
+#[test]
+fn every_commit_of_an_owner_requires_the_row_of_its_shard() {
+    let state = state();
+    let group = build_group(&state, &term(), vec![placement(0)]);
+    let key = shard_key(ShardId(2));
+    assert_eq!(
+        group.transaction.required_version(&key),
+        Some(RowVersion(41))
+    );
+}
+
+#[test]
+fn every_row_that_is_written_is_a_condition() {
+    let state = state();
+    let group = build_group(&state, &term(), vec![placement(0), placement(1)]);
+    for key in group.transaction.written_keys() {
+        assert!(group.transaction.required_version(key).is_some(), "{key}");
+    }
+}
+
+#[test]
+fn a_part_closes_with_its_last_task_and_in_one_transaction() {
+    let mut state = state();
+    let term = term();
+    let now = TimePoint::from_millis(1_000);
+    let done = |index| TaskChange {
+        next: TaskRow {
+            state: TaskState::Done("result".into()),
+            ..placement(index).next
+        },
+        reserve: None,
+        ..placement(index)
+    };
+    let group = build_group(&state, &term, (0..4).map(done).collect());
+    group.apply(&mut state, now, RowVersion(60));
+    assert_eq!(state.parts.len(), 1);
+    let group = build_group(&state, &term, vec![done(4)]);
+    group.apply(&mut state, now, RowVersion(61));
+    assert!(state.parts.is_empty() && state.tasks.is_empty() && state.queue.is_empty());
+}
--- a/crates/wax-tasks/src/lib.rs
+++ b/crates/wax-tasks/src/lib.rs
@@ -4,6 +4,8 @@
 //! runs for each shard that is owned, and one `worker_link` task for each of its workers.
 
 mod commit;
+#[cfg(test)]
+mod commit_tests;
 mod coordinator;
 mod desk;
 mod explain;
@@ -22,7 +24,7 @@
 pub use coordinator::{CoordinatorHandle, CoordinatorProcess, ShardStatus};
 pub use desk::{JobDesk, JobView, SubmitRequest, TaskView};
 pub use explain::TaskReason;
-pub use ownership::{ShardChoice, decide_shard};
+pub use ownership::{OwnIdentity, ShardChoice, decide_shard};
 pub use quota::QuotaRow;
 pub use rows::{AllocEntry, AllocRow, JobRow, JobSpec, PartRow, ShardRow, TaskRow, TaskState};
 pub use split::{WorkerShape, shard_of_worker, split_job};
