--- /dev/null
+++ b/benches/plain_process.rs
@@ -0,0 +1,71 @@
+//! A process for a measurement; it ends with its owner.
+
+use serde_json::Value;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+/// A running process.
+#[derive(Debug)]
+pub struct PlainProcess {
+    child: Child,
+    ready: Value,
+}
+
+fn binary(name: &str) -> PathBuf {
+    let path = Path::new(env!("CARGO_BIN_EXE_waxwingd")).with_file_name(name);
+    assert!(
+        path.exists(),
+        "{name} is not built: run `cargo build --release --workspace`"
+    );
+    path
+}
+
+impl PlainProcess {
+    /// Starts a binary and waits for its line of addresses.
+    pub fn start(name: &str, args: &[&str]) -> Self {
+        let mut child = Command::new(binary(name))
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the process starts");
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().expect("stdout is piped"))
+            .read_line(&mut line)
+            .expect("the process prints");
+        let ready = serde_json::from_str(&line).expect("the process is ready");
+        Self { child, ready }
+    }
+
+    /// An address that it printed.
+    pub fn address(&self, key: &str) -> String {
+        let value = self.ready.get("ready").unwrap_or(&self.ready);
+        value[key]
+            .as_str()
+            .expect("the address is printed")
+            .to_owned()
+    }
+
+    /// Its id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+}
+
+impl Drop for PlainProcess {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Runs a binary to its end; gives what it printed.
+pub fn output(name: &str, args: &[String]) -> String {
+    let output = Command::new(binary(name))
+        .args(args)
+        .output()
+        .expect("it runs");
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
--- a/crates/wax-standin/src/args.rs
+++ b/crates/wax-standin/src/args.rs
@@ -10,9 +10,12 @@
   platform --listen ADDR
   worker   --listen ADDR --platform ADDR --id ID --rack RACK --domain DOMAIN
            [--cpu-milli N] [--memory-mib N] [--accelerators N] [--usage-ms N]
+           [--count N]  (N workers in one process, on free ports, named ID-1 and so on)
   upstream --listen ADDR [--slots N] [--service-ms N]
+  peers    --entry ADDR --service SERVICE --count N  (plays N sidecars)
   load     --entry ADDR --team TEAM --service SERVICE --rate N --seconds N
            [--deadline-ms N] [--connections N] [--path PATH] [--seed N]
+           [--direct]  (ENTRY is an upstream, asked without the system)
 
   fetch    METHOD URL [--header NAME:VALUE]... [--body TEXT]
 
@@ -29,6 +32,14 @@
     Upstream(UpstreamOptions),
     Load(LoadOptions),
     Fetch(FetchOptions),
+    Peers(PeersOptions),
+}
+
+#[derive(Debug)]
+pub(crate) struct PeersOptions {
+    pub(crate) entry: SocketAddr,
+    pub(crate) service: String,
+    pub(crate) count: u32,
 }
 
 #[derive(Debug)]
@@ -45,6 +56,7 @@
     pub(crate) domain: String,
     pub(crate) capacity: ResourceVector,
     pub(crate) usage_ms: u64,
+    pub(crate) count: u32,
 }
 
 #[derive(Debug)]
@@ -65,6 +77,7 @@
     pub(crate) deadline_ms: u32,
     pub(crate) connections: usize,
     pub(crate) seed: u64,
+    pub(crate) direct: bool,
 }
 
 #[derive(Debug)]
@@ -91,6 +104,11 @@
             service_ms: args.opt_value_from_str("--service-ms")?.unwrap_or(2),
         }),
         Some("fetch") => Command::Fetch(parse_fetch(&mut args)?),
+        Some("peers") => Command::Peers(PeersOptions {
+            entry: args.value_from_str("--entry")?,
+            service: args.value_from_str("--service")?,
+            count: args.value_from_str("--count")?,
+        }),
         Some("load") => Command::Load(parse_load(&mut args)?),
         _ => Command::Help,
     };
@@ -110,6 +128,7 @@
             args.opt_value_from_str("--accelerators")?.unwrap_or(0),
         ),
         usage_ms: args.opt_value_from_str("--usage-ms")?.unwrap_or(500),
+        count: args.opt_value_from_str("--count")?.unwrap_or(1),
     })
 }
 
@@ -126,6 +145,7 @@
         deadline_ms: args.opt_value_from_str("--deadline-ms")?.unwrap_or(1_000),
         connections: args.opt_value_from_str("--connections")?.unwrap_or(64),
         seed: args.opt_value_from_str("--seed")?.unwrap_or(1),
+        direct: args.contains("--direct"),
     })
 }
 
--- a/crates/wax-standin/src/main.rs
+++ b/crates/wax-standin/src/main.rs
@@ -5,6 +5,7 @@
 mod fetch;
 mod load;
 mod objects;
+mod peers;
 mod platform;
 mod table;
 mod upstream;
@@ -31,6 +32,7 @@
         Command::Worker(options) => worker::run(options).await,
         Command::Upstream(options) => upstream::run(options).await,
         Command::Load(options) => load::run(options).await,
+        Command::Peers(options) => peers::run(options).await,
         Command::Fetch(options) => fetch::run(options).await,
     };
     if let Err(error) = result {
--- a/crates/wax-standin/src/worker.rs
+++ b/crates/wax-standin/src/worker.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use wax_http::{
@@ -35,7 +36,29 @@
 }
 
 pub(crate) async fn run(options: WorkerOptions) -> Result<(), WaxError> {
-    let listener = bind_listener(options.listen)?;
+    if options.count == 1 {
+        let id = options.id.clone();
+        let (address, server) = prepare(&options, id, options.listen).await?;
+        println!("{}", json!({ "worker": address }));
+        server.run().await;
+        return Ok(());
+    }
+    let any = SocketAddr::new(options.listen.ip(), 0);
+    for n in 1..=options.count {
+        let (_, server) = prepare(&options, format!("{}-{n}", options.id), any).await?;
+        spawn(server.run()).detach();
+    }
+    println!("{}", json!({ "workers": options.count }));
+    std::future::pending().await
+}
+
+/// Registers one worker with the platform.
+async fn prepare(
+    options: &WorkerOptions,
+    id: String,
+    listen: SocketAddr,
+) -> Result<(SocketAddr, HttpServer<WorkerState>), WaxError> {
+    let listener = bind_listener(listen)?;
     let address = listener
         .local_addr()
         .map_err(|error| WaxError::new(ErrorKind::Invalid, Step::Listen, "worker", error))?;
@@ -51,19 +74,18 @@
         objects: ObjectClient::new(health),
     });
     let info = WorkerInfo {
-        id: options.id.into(),
+        id: id.into(),
         address: address.to_string().into(),
-        rack: options.rack.into(),
-        failure_domain: options.domain.into(),
+        rack: options.rack.as_str().into(),
+        failure_domain: options.domain.as_str().into(),
         capacity: options.capacity,
     };
     register(&base, &info).await?;
-    println!("{}", json!({ "worker": address }));
     spawn(advance_runs(state.clone())).detach();
-    HttpServer::new(listener, state, ShutdownSignal::default())
-        .run()
-        .await;
-    Ok(())
+    Ok((
+        address,
+        HttpServer::new(listener, state, ShutdownSignal::default()),
+    ))
 }
 
 async fn register(base: &str, info: &WorkerInfo) -> Result<(), WaxError> {
--- a/crates/wax-wire/src/frame.rs
+++ b/crates/wax-wire/src/frame.rs
@@ -52,6 +52,20 @@
     Peers(PeerList),
 }
 
+impl PeerBody {
+    /// Whether the frame is none of a request or an answer.
+    pub fn is_control(&self) -> bool {
+        matches!(
+            self,
+            Self::Hello(_)
+                | Self::Load(_)
+                | Self::Settings(_)
+                | Self::SettingsAck(_)
+                | Self::Peers(_)
+        )
+    }
+}
+
 impl From<PeerBody> for PeerFrame {
     fn from(body: PeerBody) -> Self {
         Self { body: Some(body) }
--- a/crates/wax-wire/src/link.rs
+++ b/crates/wax-wire/src/link.rs
@@ -7,14 +7,19 @@
 use futures_channel::mpsc::UnboundedReceiver;
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
+use prost::Message;
 use std::io;
 use std::pin::Pin;
 use tokio_util::codec::Framed;
 use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
+use wax_trace::{Counter, count_many};
 
 /// Bytes of one body that may be under way before the receiver grants more.
 pub const WINDOW_BYTES: u32 = 256 << 10;
 
+/// The length in front of each frame.
+const LENGTH_BYTES: usize = 4;
+
 type FramedStream = Framed<Compat<Pin<Box<AsyncStream<TcpStream>>>>, PeerCodec>;
 
 /// The reading half of a connection.
@@ -65,6 +70,15 @@
         self.sink.send(body.into()).await
     }
 
+    async fn feed(&mut self, body: PeerBody) -> io::Result<()> {
+        let frame = PeerFrame::from(body);
+        if frame.body.as_ref().is_some_and(PeerBody::is_control) {
+            let bytes = frame.encoded_len() + LENGTH_BYTES;
+            count_many(Counter::LinksControlBytes, bytes as u64);
+        }
+        self.sink.feed(frame).await
+    }
+
     /// Sends what arrives on `outbox`, flushing when it is empty, until it closes.
     ///
     /// # Errors
@@ -72,9 +86,9 @@
     /// The first I/O error.
     pub async fn drain(&mut self, outbox: &mut UnboundedReceiver<PeerBody>) -> io::Result<()> {
         while let Some(body) = outbox.next().await {
-            self.sink.feed(body.into()).await?;
+            self.feed(body).await?;
             while let Ok(body) = outbox.try_recv() {
-                self.sink.feed(body.into()).await?;
+                self.feed(body).await?;
             }
             self.sink.flush().await?;
         }
