Fence the removal of notes; one row for the tasks of a part

An owner that was already replaced read the note of a new part and deleted it; the new owner had loaded the shard before the note was written and never saw the part. The deletion was the one commit of an owner without the shard's row as a condition. Ruled out: a lost commit of the submission (the job's row was there), a lapse (no lease was due), quotas.

--- a/benches/plain_process.rs
+++ b/benches/plain_process.rs
@@ -7,7 +7,7 @@
 
 /// A running process.
 #[derive(Debug)]
-pub struct PlainProcess {
+pub(crate) struct PlainProcess {
     child: Child,
     ready: Value,
 }
@@ -23,7 +23,7 @@
 
 impl PlainProcess {
     /// Starts a binary and waits for its line of addresses.
-    pub fn start(name: &str, args: &[&str]) -> Self {
+    pub(crate) fn start(name: &str, args: &[&str]) -> Self {
         let mut child = Command::new(binary(name))
             .args(args)
             .stdin(Stdio::null())
@@ -39,7 +39,7 @@
     }
 
     /// An address that it printed.
-    pub fn address(&self, key: &str) -> String {
+    pub(crate) fn address(&self, key: &str) -> String {
         let value = self.ready.get("ready").unwrap_or(&self.ready);
         value[key]
             .as_str()
@@ -48,7 +48,7 @@
     }
 
     /// Its id.
-    pub fn pid(&self) -> u32 {
+    pub(crate) fn pid(&self) -> u32 {
         self.child.id()
     }
 }
@@ -62,7 +62,7 @@
 }
 
 /// Runs a binary to its end; gives what it printed.
-pub fn output(name: &str, args: &[String]) -> String {
+pub(crate) fn output(name: &str, args: &[String]) -> String {
     let output = Command::new(binary(name))
         .args(args)
         .output()
--- a/crates/wax-route/src/peer_link.rs
+++ b/crates/wax-route/src/peer_link.rs
@@ -34,8 +34,9 @@
     }
 }
 
-/// Says the version in force and the addresses of all entries, every second.
+/// Says the version in force every second, and the addresses of all entries where they change.
 pub(crate) async fn beat_peers(shared: Rc<EntryShared>) {
+    let mut said = Vec::new();
     loop {
         sleep(HEARTBEAT).await;
         let version = shared.settings.version().0;
@@ -43,9 +44,12 @@
             .peers
             .send_all(&PeerBody::SettingsAck(SettingsAck { version }));
         let addresses = shared.entry_addresses();
-        shared
-            .peers
-            .send_all(&PeerBody::Peers(PeerList { addresses }));
+        if addresses != said {
+            said.clone_from(&addresses);
+            shared
+                .peers
+                .send_all(&PeerBody::Peers(PeerList { addresses }));
+        }
     }
 }
 
@@ -112,6 +116,10 @@
         leaving: Cell::new(false),
     });
     shared.peers.add(peer.clone());
+    let addresses = shared.entry_addresses();
+    let _ = peer
+        .outbox
+        .unbounded_send(PeerBody::Peers(PeerList { addresses }));
     peer
 }
 
--- a/crates/wax-settings/src/lib.rs
+++ b/crates/wax-settings/src/lib.rs
@@ -12,7 +12,7 @@
 };
 pub use files::{SettingsFile, parse_yaml};
 pub use holder::{ApplyChoice, SettingsHolder};
-pub use node::{NodeSettings, TaskClass};
+pub use node::{KeyInfo, NodeSettings, TaskClass, key_table};
 pub use tree::{
     EffectiveSettings, NodeLevel, NodePath, SettingsTree, TreeChange, TreeDelta, ValueOrigin,
 };
--- a/crates/wax-settings/src/node.rs
+++ b/crates/wax-settings/src/node.rs
@@ -28,15 +28,20 @@
         }
 
         /// Name, default and bounds of each key.
-        pub(crate) struct KeyInfo {
-            pub(crate) key: &'static str,
-            pub(crate) default: Value,
-            pub(crate) least: Option<u64>,
-            pub(crate) most: Option<u64>,
+        #[derive(Debug, Clone, PartialEq)]
+        pub struct KeyInfo {
+            /// Its name.
+            pub key: &'static str,
+            /// Its value where no level sets it.
+            pub default: Value,
+            /// The least that is accepted; `None` where the value is no number.
+            pub least: Option<u64>,
+            /// The most that is accepted.
+            pub most: Option<u64>,
         }
 
         /// Every key, in the order of declaration.
-        pub(crate) fn key_table() -> Vec<KeyInfo> {
+        pub fn key_table() -> Vec<KeyInfo> {
             vec![$(KeyInfo {
                 key: stringify!($key),
                 default: serde_json::json!($default),
--- /dev/null
+++ b/crates/wax-settings/tests/pages.rs
@@ -0,0 +1,102 @@
+//! `docs/SETTINGS.md` has every key with its default and bounds, and the examples are correct.
+
+use wax_settings::{DaemonSettings, SettingsFile, key_table};
+
+fn read(path: &str) -> String {
+    let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
+    std::fs::read_to_string(format!("{root}/{path}")).expect(path)
+}
+
+#[test]
+fn the_page_has_every_key_of_the_tree() {
+    let page = read("docs/SETTINGS.md");
+    for info in key_table() {
+        let default = match info.default.as_str() {
+            Some(text) => text.to_owned(),
+            None => info.default.to_string(),
+        };
+        let bounds = match (info.least, info.most) {
+            (Some(least), Some(most)) => format!("{least} to {most}"),
+            _ => "`batch` or `latency-critical`".to_owned(),
+        };
+        let row = format!("| `{}` | {default} | {bounds} |", info.key);
+        assert!(page.contains(&row), "docs/SETTINGS.md lacks: {row}");
+    }
+}
+
+/// Keys of the daemon's file with their defaults and bounds, as the code has them.
+const DAEMON_ROWS: &[&str] = &[
+    "| `platform.call_ms` | 1000 | 10 to 60000 |",
+    "| `platform.concurrency` | 16 | 1 to 256 |",
+    "| `entry.max_requests` | 4096 | 1 to 100000 |",
+    "| `entry.settings_poll_ms` | 1000 | 50 to 2000 |",
+    "| `sidecar.slots` | 8 | 1 to 1024 |",
+    "| `sidecar.connections` | 64 | `slots` to 65535 |",
+    "| `sidecar.queue` | 64 | 0 to 10000 |",
+    "| `sidecar.answer_ms` | 60000 | 10 to 3600000 |",
+    "| `sidecar.drain_ms` | 30000 | 0 to 3600000 |",
+    "| `coordinator.shards` | 4 | 1 to 4096 |",
+    "| `coordinator.heartbeat_ms` | 1000 | 20 to 60000 |",
+    "| `coordinator.member_ttl_ms` | 5000 | 100 to 600000 |",
+    "| `coordinator.lease_ms` | 10000 | 100 to 600000 |",
+    "| `coordinator.renew_ms` | 2000 | 20 to 300000 |",
+    "| `coordinator.grace_ms` | 600000 | 0 to 86400000 |",
+];
+
+const BASE: &str = "name: a\nregion: b\nfailure_domain: c\n";
+const PLATFORM: &str = "platform: {address: '127.0.0.1:1'}\n";
+const ENTRY: &str =
+    "entry: {callers: '127.0.0.1:0', operators: '127.0.0.1:0', peers: '127.0.0.1:0'}\n";
+
+/// A file in which one key has one value.
+fn file_with(key: &str, value: u64) -> SettingsFile {
+    let (section, name) = key.split_once('.').expect("a section and a key");
+    let entry = ENTRY.trim_end().trim_end_matches('}');
+    let text = match section {
+        "platform" => format!(
+            "role: entry\n{BASE}platform: {{address: '127.0.0.1:1', {name}: {value}}}\n{ENTRY}"
+        ),
+        "entry" => format!("role: entry\n{BASE}{PLATFORM}{entry}, {name}: {value}}}\n"),
+        "sidecar" => format!(
+            "role: sidecar\n{BASE}{PLATFORM}sidecar: {{service: s, upstream: '127.0.0.1:1', entries: ['127.0.0.1:1'], {name}: {value}}}\n"
+        ),
+        _ => format!("role: entry\n{BASE}{PLATFORM}{ENTRY}coordinator: {{{name}: {value}}}\n"),
+    };
+    SettingsFile {
+        name: "test.yaml".into(),
+        text: text.into(),
+    }
+}
+
+#[test]
+fn the_page_has_every_key_of_the_daemons_file_and_the_bounds_hold() {
+    let page = read("docs/SETTINGS.md");
+    for row in DAEMON_ROWS {
+        assert!(page.contains(row), "docs/SETTINGS.md lacks: {row}");
+        let cells: Vec<&str> = row.split('|').map(str::trim).collect();
+        let key = cells[1].trim_matches('`');
+        let most = cells[3]
+            .rsplit(' ')
+            .next()
+            .and_then(|text| text.parse::<u64>().ok());
+        let over = most.expect("a bound") + 1;
+        let error = DaemonSettings::parse(&file_with(key, over)).expect_err(key);
+        assert!(error.label.contains("out of range"), "{key}: {error}");
+    }
+}
+
+#[test]
+fn the_example_daemons_are_correct() {
+    for path in [
+        "examples/riveneige/daemons/entry.yaml",
+        "examples/riveneige/daemons/sidecar.yaml",
+        "examples/mares-patentes/daemons/entry.yaml",
+        "examples/mares-patentes/daemons/sidecar.yaml",
+    ] {
+        let file = SettingsFile {
+            name: path.into(),
+            text: read(path).into(),
+        };
+        DaemonSettings::parse(&file).expect(path);
+    }
+}
--- a/crates/wax-tasks/src/commit.rs
+++ b/crates/wax-tasks/src/commit.rs
@@ -1,9 +1,11 @@
 //! Builds one transaction from many changes of tasks; the guard on capacity is here.
 
-use crate::rows::{AllocRow, ClosedRow, alloc_key, closed_key, part_key, shard_key, task_key};
-use crate::shard_state::{PartKey, ShardState, TaskChange};
+use crate::rows::{
+    AllocRow, ClosedRow, TaskRow, TasksRow, alloc_key, closed_key, part_key, shard_key, tasks_key,
+};
+use crate::shard_state::{PartEntry, PartKey, ShardState, TaskChange};
 use crate::term::OwnerTerm;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use wax_platform::TableTransaction;
 use wax_types::{RowVersion, TaskId, TimePoint, WorkerId, wall_clock_ms};
 
@@ -38,6 +40,22 @@
     group
 }
 
+/// Deletes notes that were taken.
+///
+/// An owner that was replaced must not: the next one may have loaded the shard before the notes
+/// were written, and would never see their jobs.
+pub(crate) fn build_removal(
+    term: &OwnerTerm,
+    notes: Vec<(Box<str>, RowVersion)>,
+) -> TableTransaction {
+    let mut transaction = TableTransaction::default();
+    for (key, version) in notes {
+        transaction.delete(key, version);
+    }
+    transaction.require(shard_key(term.shard()), term.version());
+    transaction
+}
+
 /// Moves a task between allocation rows; refuses what exceeds a worker's capacity.
 fn change_allocs(
     state: &ShardState,
@@ -98,14 +116,14 @@
         for key in self.closing.clone() {
             self.close_part(state, term, key);
         }
-        let closing: HashSet<PartKey> = self.closing.iter().copied().collect();
-        for change in &self.changes {
-            let Some(entry) = state.tasks.get(&change.task) else {
-                continue;
-            };
-            if !closing.contains(&entry.part) {
-                let key = task_key(shard, change.task);
-                self.transaction.put(key, entry.version, &change.next);
+        for key in self.open_parts(state) {
+            if let Some(part) = state.parts.get(&key) {
+                let row = TasksRow {
+                    tasks: self.rows_of(state, part),
+                };
+                let version = part.tasks_version;
+                self.transaction
+                    .put(tasks_key(shard, key.0, key.1), version, &row);
             }
         }
         for (worker, row) in &self.allocs {
@@ -118,37 +136,49 @@
         }
     }
 
+    /// The parts that change and stay open, each once.
+    fn open_parts(&self, state: &ShardState) -> BTreeSet<PartKey> {
+        let changed = self
+            .changes
+            .iter()
+            .filter_map(|change| Some(state.tasks.get(&change.task)?.part));
+        changed.filter(|key| !self.closing.contains(key)).collect()
+    }
+
+    /// How the tasks of a part stand with the changes.
+    fn rows_of(&self, state: &ShardState, part: &PartEntry) -> Vec<Option<TaskRow>> {
+        let place = part.row.place;
+        let tasks = (place.first..place.first + place.count).map(|index| TaskId {
+            job: part.row.job,
+            index,
+        });
+        tasks
+            .map(|task| {
+                let change = self.changes.iter().find(|change| change.task == task);
+                match change {
+                    Some(change) => Some(change.next.clone()),
+                    None => state.tasks.get(&task)?.row.clone(),
+                }
+            })
+            .collect()
+    }
+
     /// The ends of a part's tasks go into one row; the rows of the part and its tasks go.
     fn close_part(&mut self, state: &ShardState, term: &OwnerTerm, key: PartKey) {
         let Some(part) = state.parts.get(&key) else {
             return;
         };
         let shard = term.shard();
-        let ids: Vec<TaskId> = (0..part.row.place.count)
-            .map(|offset| TaskId {
-                job: key.0,
-                index: key.1 + offset,
-            })
-            .collect();
-        let rows = ids.iter().filter_map(|task| {
-            let change = self.changes.iter().find(|change| change.task == *task);
-            match change {
-                Some(change) => Some(change.next.clone()),
-                None => state.tasks.get(task)?.row.clone(),
-            }
-        });
         let closed = ClosedRow {
-            tasks: rows.collect(),
+            tasks: self.rows_of(state, part).into_iter().flatten().collect(),
         };
         self.transaction
             .put(closed_key(key.0, key.1), RowVersion::default(), &closed);
         self.transaction
             .delete(part_key(shard, key.0, key.1), part.version);
-        for task in ids {
-            let version = state.tasks.get(&task).map(|entry| entry.version);
-            if let Some(version) = version.filter(|version| *version != RowVersion::default()) {
-                self.transaction.delete(task_key(shard, task), version);
-            }
+        if part.tasks_version != RowVersion::default() {
+            self.transaction
+                .delete(tasks_key(shard, key.0, key.1), part.tasks_version);
         }
     }
 
--- a/crates/wax-tasks/src/commit_tests.rs
+++ b/crates/wax-tasks/src/commit_tests.rs
@@ -1,6 +1,6 @@
 //! The group commit keeps the capacity of workers and the fence of the shard.
 
-use crate::commit::build_group;
+use crate::commit::{build_group, build_removal};
 use crate::rows::{JobSpec, PartPlace, PartRow, TaskRow, TaskState, shard_key};
 use crate::shard_load::add_worker;
 use crate::shard_state::{ShardState, TaskChange};
@@ -121,6 +121,14 @@
     );
 }
 
+#[test]
+fn only_the_owner_of_now_removes_the_notes_of_new_jobs() {
+    let notes = vec![("inbox/0002/job.0".into(), RowVersion(12))];
+    let transaction = build_removal(&term(), notes);
+    let key = shard_key(ShardId(2));
+    assert_eq!(transaction.required_version(&key), Some(RowVersion(41)));
+}
+
 #[test]
 fn every_row_that_is_written_is_a_condition() {
     let state = state();
--- a/crates/wax-tasks/src/desk.rs
+++ b/crates/wax-tasks/src/desk.rs
@@ -1,8 +1,9 @@
 //! Takes submissions and cancellations, and shows jobs, at any entry.
 
 use crate::rows::{
-    ClosedRow, InboxRow, JobKeyRow, JobRow, JobSpec, PartRow, TaskRow, TaskState, closed_key,
-    inbox_cancel_key, inbox_part_key, job_key, jobkey_key, part_key, task_prefix,
+    ClosedRow, InboxRow, JobKeyRow, JobRow, JobSpec, PartPlace, PartRow, TaskRow, TaskState,
+    TasksRow, closed_key, inbox_cancel_key, inbox_part_key, job_key, jobkey_key, part_key,
+    tasks_key,
 };
 use crate::split::{WorkerShape, shard_of_worker, split_job};
 use fastrand::Rng;
@@ -220,9 +221,7 @@
         let mut ended = true;
         for place in &row.parts {
             // The open rows first: a part that closes in between shows as closed.
-            let open = self
-                .open_rows(job, place.shard, place.first, place.count)
-                .await?;
+            let open = self.open_rows(job, *place).await?;
             let closed = self
                 .table
                 .read::<ClosedRow>(&closed_key(job, place.first))
@@ -252,19 +251,12 @@
     async fn open_rows(
         &self,
         job: JobId,
-        shard: wax_types::ShardId,
-        first: u32,
-        count: u32,
+        place: PartPlace,
     ) -> Result<Vec<Option<TaskRow>>, WaxError> {
-        let prefix = format!("{}{job}.", task_prefix(shard));
-        let mut rows = vec![None; count as usize];
-        for entry in self.table.scan::<TaskRow>(&prefix).await? {
-            let index: Option<u32> = entry.key[prefix.len()..].parse().ok();
-            let offset = index.and_then(|index| index.checked_sub(first));
-            if let Some(slot) = offset.and_then(|offset| rows.get_mut(offset as usize)) {
-                *slot = Some(entry.value);
-            }
-        }
+        let key = tasks_key(place.shard, job, place.first);
+        let row = self.table.read::<TasksRow>(&key).await?;
+        let mut rows = row.map_or_else(Vec::new, |entry| entry.value.tasks);
+        rows.resize(place.count as usize, None);
         Ok(rows)
     }
 
--- a/crates/wax-tasks/src/rows.rs
+++ b/crates/wax-tasks/src/rows.rs
@@ -107,7 +107,7 @@
     }
 }
 
-/// Row `task/SHARD/TASK`; a task without a row waits for its first placement.
+/// How one task stands; a task without it waits for its first placement.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskRow {
     /// Counts the placements.
@@ -127,6 +127,14 @@
     pub evictions: u32,
 }
 
+/// Row `tasks/SHARD/JOB.FIRST`: how the tasks of a part stand, from its first task on.
+///
+/// One row for the whole part, so that a commit that moves several of its tasks writes it once.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct TasksRow {
+    pub(crate) tasks: Vec<Option<TaskRow>>,
+}
+
 /// One task in an allocation row.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AllocEntry {
@@ -203,12 +211,12 @@
     format!("{}{job}/cancel", inbox_prefix(shard))
 }
 
-pub(crate) fn task_prefix(shard: ShardId) -> String {
-    format!("task/{:04}/", shard.0)
+pub(crate) fn tasks_prefix(shard: ShardId) -> String {
+    format!("tasks/{:04}/", shard.0)
 }
 
-pub(crate) fn task_key(shard: ShardId, task: TaskId) -> String {
-    format!("{}{task}", task_prefix(shard))
+pub(crate) fn tasks_key(shard: ShardId, job: JobId, first: u32) -> String {
+    format!("{}{job}.{first}", tasks_prefix(shard))
 }
 
 pub(crate) fn alloc_prefix(shard: ShardId) -> String {
--- a/crates/wax-tasks/src/shard.rs
+++ b/crates/wax-tasks/src/shard.rs
@@ -1,6 +1,6 @@
 //! The owner of one shard: takes reports, places tasks, commits, and starts what was placed.
 
-use crate::commit::{ChangeGroup, build_group};
+use crate::commit::{ChangeGroup, build_group, build_removal};
 use crate::ledger_feed::LedgerFeed;
 use crate::quota::{adjust_grants, quota_of};
 use crate::rows::{InboxRow, PartRow, TaskRow, TaskState, part_key};
@@ -19,8 +19,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_platform::{
-    CommitOutcome, ObjectClient, RenewReply, TableClient, TableTransaction, TaskMark, TaskReport,
-    TaskRun, UsageReport, WorkerClient, WorkerDirectory, WorkerInfo,
+    CommitOutcome, ObjectClient, RenewReply, TableClient, TaskMark, TaskReport, TaskRun,
+    UsageReport, WorkerClient, WorkerDirectory, WorkerInfo,
 };
 use wax_policy::{
     ContactChoice, FirmWeights, LeaseTerms, PlaceChoice, PlaceContext, PlacePolicy, ReliefChoice,
@@ -745,12 +745,15 @@
         let Ok(notes) = read_inbox(&self.shared.table, shard).await else {
             return;
         };
+        let mut taken = Vec::new();
         for note in notes {
             if self.take_note(note.value).await.is_err() {
-                return;
+                break;
             }
-            let mut transaction = TableTransaction::default();
-            transaction.delete(note.key, note.version);
+            taken.push((note.key, note.version));
+        }
+        if !taken.is_empty() {
+            let transaction = build_removal(&self.shared.term, taken);
             let deadline = self.shared.now() + COMMIT_SPAN;
             // A note that stays is taken again, which changes nothing.
             let _ = self.shared.table.commit(&transaction, deadline).await;
--- a/crates/wax-tasks/src/shard_load.rs
+++ b/crates/wax-tasks/src/shard_load.rs
@@ -2,8 +2,8 @@
 
 use crate::quota::{QUOTA_PREFIX, QuotaBook, QuotaRow};
 use crate::rows::{
-    AllocRow, InboxRow, JobRow, PartRow, TaskRow, alloc_key, alloc_prefix, inbox_prefix, job_key,
-    part_prefix, task_prefix,
+    AllocRow, InboxRow, JobRow, PartRow, TasksRow, alloc_key, alloc_prefix, inbox_prefix, job_key,
+    part_prefix, tasks_prefix,
 };
 use crate::shard_state::{ShardState, StartState, WorkerEntry};
 use crate::split::shard_of_worker;
@@ -13,7 +13,7 @@
 use wax_policy::{KindKey, LeaseTerms, ReliefState, RunningTask, WorkerContact};
 use wax_settings::TaskClass;
 use wax_trace::{Counter, count};
-use wax_types::{RowVersion, ShardId, TimePoint, WaxError, WorkerId, wall_clock_ms};
+use wax_types::{RowVersion, ShardId, TaskId, TimePoint, WaxError, WorkerId, wall_clock_ms};
 
 /// Loads parts, tasks, workers and allocations.
 pub(crate) async fn load_shard(
@@ -29,10 +29,11 @@
     for entry in table.scan::<PartRow>(&part_prefix(shard)).await? {
         state.add_part(entry.value, entry.version);
     }
-    for entry in table.scan::<TaskRow>(&task_prefix(shard)).await? {
-        let id = entry.key[task_prefix(shard).len()..].parse();
-        if let Ok(task) = id {
-            state.load_task(task, entry.value, entry.version);
+    for entry in table.scan::<TasksRow>(&tasks_prefix(shard)).await? {
+        // The key ends like the id of the part's first task.
+        let first = entry.key[tasks_prefix(shard).len()..].parse::<TaskId>();
+        if let Ok(first) = first {
+            state.load_tasks((first.job, first.index), entry.value, entry.version);
         }
     }
     let allocs = table.scan::<AllocRow>(&alloc_prefix(shard)).await?;
--- a/crates/wax-tasks/src/shard_state.rs
+++ b/crates/wax-tasks/src/shard_state.rs
@@ -1,7 +1,7 @@
 //! What the owner of a shard holds in memory; every change is committed to the table first.
 
 use crate::quota::QuotaBook;
-use crate::rows::{AllocEntry, AllocRow, PartRow, TaskRow, TaskState};
+use crate::rows::{AllocEntry, AllocRow, PartRow, TaskRow, TaskState, TasksRow};
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 use wax_platform::{TaskMark, UsageReport, WorkerInfo};
@@ -25,6 +25,8 @@
     pub(crate) row: PartRow,
     pub(crate) kind: KindKey,
     pub(crate) version: RowVersion,
+    /// The version of the row that says how its tasks stand; 0 before there is one.
+    pub(crate) tasks_version: RowVersion,
     /// Tasks that have not ended.
     pub(crate) open: u32,
 }
@@ -45,7 +47,6 @@
 pub(crate) struct TaskEntry {
     pub(crate) part: PartKey,
     pub(crate) row: Option<TaskRow>,
-    pub(crate) version: RowVersion,
     pub(crate) start: StartState,
     /// A stop is under way, for an eviction or a cancellation.
     pub(crate) stopping: bool,
@@ -130,7 +131,6 @@
                 TaskEntry {
                     part: key,
                     row: None,
-                    version: RowVersion::default(),
                     start: StartState::Unsure,
                     stopping: false,
                 },
@@ -146,17 +146,32 @@
             row,
             kind,
             version,
+            tasks_version: RowVersion::default(),
             open,
         };
         self.parts.insert(key, entry);
     }
 
-    /// Takes the row of a task as it was loaded.
-    pub(crate) fn load_task(&mut self, task: TaskId, row: TaskRow, version: RowVersion) {
+    /// Takes the row of a part's tasks as it was loaded.
+    pub(crate) fn load_tasks(&mut self, key: PartKey, row: TasksRow, version: RowVersion) {
+        if let Some(part) = self.parts.get_mut(&key) {
+            part.tasks_version = version;
+        }
+        for (offset, row) in row.tasks.into_iter().enumerate() {
+            let task = TaskId {
+                job: key.0,
+                index: key.1 + offset as u32,
+            };
+            if let Some(row) = row {
+                self.load_task(task, row);
+            }
+        }
+    }
+
+    fn load_task(&mut self, task: TaskId, row: TaskRow) {
         let Some(entry) = self.tasks.get_mut(&task) else {
             return;
         };
-        entry.version = version;
         let part = entry.part;
         let waiting = row.state == TaskState::Waiting;
         let ended = row.state.is_terminal();
@@ -272,12 +287,12 @@
         let Some(entry) = self.tasks.get_mut(&change.task) else {
             return;
         };
-        entry.version = version;
         entry.row = Some(change.next.clone());
         entry.start = StartState::Unsure;
         entry.stopping = false;
         let part = entry.part;
         if let Some(part) = self.parts.get_mut(&part) {
+            part.tasks_version = version;
             let order = queue_order(&part.row, change.task);
             if change.next.state == TaskState::Waiting {
                 self.queue.insert(order);
--- a/crates/wax-tasks/src/split.rs
+++ b/crates/wax-tasks/src/split.rs
@@ -6,8 +6,8 @@
 use wax_policy::rank_score;
 use wax_types::{ResourceVector, ShardId};
 
-/// Tasks in one part at most; a part is closed by one transaction.
-const PART_TASKS: u32 = 64;
+/// Tasks in one part at most; one row says how all of them stand.
+const PART_TASKS: u32 = 32;
 
 /// A worker as far as the split needs it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
