Routing shuns what refuses, fails or answers nothing

A machine that is gone looks idle and fast: the weighed choice kept sending to it, its refusals came at once and used up the retry budget. The replay also counted an unreachable upstream as an ordinary refusal, which the daemons do not. Ruled out: the worker that fails its tasks (without worker_down: 0 misses), hedging, slow start. Test: limits::an_upstream_that_answers_nothing_gets_nothing_more, shown failing with the overdue check taken out.

--- a/crates/wax-policy/src/routing.rs
+++ b/crates/wax-policy/src/routing.rs
@@ -21,6 +21,13 @@
 const DOMAIN_PENALTY: Duration = Duration::from_millis(2);
 /// A sidecar that has said nothing for this long gets nothing; it speaks every second.
 const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+/// For how long others are preferred to an upstream that refused or failed.
+const REFUSAL_SPAN: Duration = Duration::from_millis(200);
+/// An upstream that answers nothing for so many usual times is overdue.
+const OVERDUE_FACTOR: f64 = 2.5;
+const OVERDUE_FLOOR: Duration = Duration::from_millis(40);
+/// How much worse an upstream counts that is shunned.
+const OVERDUE_PENALTY: f64 = 20.0;
 /// An answer that takes this many times as long as usual is slow.
 const SLOW_FACTOR: f64 = 2.0;
 /// A second attempt must be sent this many usual times before the deadline.
@@ -91,6 +98,10 @@
     failures: u32,
     ejections: u32,
     ejected_until: TimePoint,
+    /// Since when requests are under way without any answer.
+    unanswered_since: Option<TimePoint>,
+    /// It refused a request; until this time others are preferred.
+    refusing_until: TimePoint,
 }
 
 /// What to do with a request.
@@ -144,6 +155,8 @@
             failures: 0,
             ejections: 0,
             ejected_until: TimePoint::default(),
+            unanswered_since: None,
+            refusing_until: TimePoint::default(),
         }
     }
 
@@ -155,6 +168,22 @@
         now < self.ejected_until
     }
 
+    /// Whether it has answered nothing for much longer than one request takes.
+    ///
+    /// A machine that is gone looks idle to everybody but those who wait for it.
+    fn is_overdue(&self, now: TimePoint) -> bool {
+        let limit = self.service_time().mul_f64(OVERDUE_FACTOR) + self.wait();
+        self.unanswered_since
+            .is_some_and(|since| now.since(since) > limit.max(OVERDUE_FLOOR))
+    }
+
+    /// Whether others are preferred: it refuses, or it answers nothing.
+    ///
+    /// What refuses at once looks idle and fast, and would draw ever more requests.
+    fn is_shunned(&self, now: TimePoint) -> bool {
+        now < self.refusing_until || self.is_overdue(now)
+    }
+
     /// Requests under way there, as far as known.
     fn depth(&self) -> u32 {
         let reported = self.load.slots_used + self.load.queued + self.sent_since_report;
@@ -197,7 +226,12 @@
         } else {
             DOMAIN_PENALTY
         };
-        time.mul_f64(factor) + penalty
+        let overdue = if self.is_shunned(now) {
+            OVERDUE_PENALTY
+        } else {
+            1.0
+        };
+        time.mul_f64(factor * overdue) + penalty
     }
 }
 
@@ -239,8 +273,9 @@
     }
 
     /// Counts an attempt that is sent.
-    pub fn begin(&mut self, key: UpstreamKey) {
+    pub fn begin(&mut self, now: TimePoint, key: UpstreamKey) {
         if let Some(view) = self.upstreams.get_mut(key) {
+            view.unanswered_since.get_or_insert(now);
             view.in_flight += 1;
             view.sent_since_report += 1;
         }
@@ -254,6 +289,12 @@
         };
         view.in_flight = view.in_flight.saturating_sub(1);
         view.sent_since_report = view.sent_since_report.saturating_sub(1);
+        let heard = matches!(end, AttemptEnd::Answered(_) | AttemptEnd::Refused);
+        if view.in_flight == 0 {
+            view.unanswered_since = None;
+        } else if heard {
+            view.unanswered_since = Some(now);
+        }
         match end {
             AttemptEnd::Answered(time) => {
                 view.latency.add(time.as_secs_f64());
@@ -261,6 +302,7 @@
                 view.ejections = 0;
             }
             AttemptEnd::Failed => {
+                view.refusing_until = now + REFUSAL_SPAN;
                 view.failures += 1;
                 if view.failures >= FAILURES_TO_EJECT && may_eject {
                     let span = EJECT_FLOOR * (1 << view.ejections.min(5));
@@ -269,7 +311,8 @@
                     view.failures = 0;
                 }
             }
-            AttemptEnd::Refused | AttemptEnd::Abandoned => {}
+            AttemptEnd::Refused => view.refusing_until = now + REFUSAL_SPAN,
+            AttemptEnd::Abandoned => {}
         }
     }
 
@@ -388,6 +431,7 @@
             .min_by_key(score);
         if let Some(key) = local
             && self.upstreams[key].wait() == Duration::ZERO
+            && !self.upstreams[key].is_shunned(now)
             && !tried.contains(&key)
         {
             return Some(key);
--- a/crates/wax-policy/tests/limits.rs
+++ b/crates/wax-policy/tests/limits.rs
@@ -157,7 +157,7 @@
     let (mut table, keys) = route_table(6);
     for _ in 0..50 {
         for key in &keys {
-            table.begin(*key);
+            table.begin(at(10), *key);
             table.end(at(10), *key, AttemptEnd::Failed);
         }
     }
@@ -207,6 +207,28 @@
     assert_eq!(choose(&mut table, at(60_000)), RouteChoice::Nobody);
 }
 
+#[test]
+fn an_upstream_that_answers_nothing_gets_nothing_more() {
+    let (mut table, keys) = route_table(4);
+    let mut rng = Rng::with_seed(1);
+    for key in &keys {
+        table.begin(at(0), *key);
+        table.end(
+            at(10),
+            *key,
+            AttemptEnd::Answered(Duration::from_millis(10)),
+        );
+    }
+    // The first one, in the own failure domain, has died with a request under way.
+    table.begin(at(20), keys[0]);
+    for millis in 100..200 {
+        let deadline = at(5_000);
+        let policy = RoutePolicy::Weighed;
+        let choice = table.choose(at(millis), "service", deadline, &[], policy, &mut rng);
+        assert_ne!(choice, RouteChoice::Send(keys[0]));
+    }
+}
+
 #[test]
 fn a_hopeless_request_is_refused_with_a_time() {
     let (mut table, keys) = route_table(1);
--- a/crates/wax-replay/src/quick.rs
+++ b/crates/wax-replay/src/quick.rs
@@ -25,6 +25,8 @@
     Open,
     Answered,
     Refused,
+    /// The connection to the sidecar or the upstream is refused.
+    Unreachable,
 }
 
 #[derive(Debug)]
@@ -161,7 +163,7 @@
         let RouteChoice::Send(key) = choice else {
             return false;
         };
-        quick.routes.begin(key);
+        quick.routes.begin(now, key);
         let upstream = quick.index_of(key);
         let attempt = quick.attempts.len();
         quick.attempts.push(AttemptState {
@@ -205,7 +207,7 @@
             return;
         }
         if self.world.workers[worker].down {
-            return self.answer(now, attempt, AttemptFate::Refused);
+            return self.answer(now, attempt, AttemptFate::Unreachable);
         }
         let deadline = self.quick.requests[request].deadline;
         match self.quick.gates[upstream].ask(now, deadline, attempt) {
@@ -279,7 +281,8 @@
         let key = self.quick.keys[state.upstream];
         let end = match fate {
             AttemptFate::Answered => AttemptEnd::Answered(now.since(sent)),
-            _ => AttemptEnd::Refused,
+            AttemptFate::Unreachable => AttemptEnd::Failed,
+            AttemptFate::Refused | AttemptFate::Open => AttemptEnd::Refused,
         };
         self.quick.routes.end(now, key, end);
         let state = &mut self.quick.requests[request];
--- a/crates/wax-route/src/request.rs
+++ b/crates/wax-route/src/request.rs
@@ -241,7 +241,7 @@
             body_complete: self.parts.body_complete,
             team: self.parts.fields.team.to_string(),
         };
-        self.shared.routes.borrow_mut().begin(upstream);
+        self.shared.routes.borrow_mut().begin(now, upstream);
         self.tried.push(upstream);
         self.live.push(LiveAttempt {
             shared: self.shared.clone(),
