Quota grants no longer flap while a task finds no room

A waiting task that its grant let through and that found no room gave the grant back; the next look asked for it again, a commit each 100 ms. Ruled out: membership (1.0 a second at every size), usage (objects, not rows). The grant is kept for the largest such task. Weighed: for all of them, which would hold other shards back. Shown failing first: quota_tests::a_task_without_room_keeps_its_grant; passing after.

--- a/crates/wax-tasks/src/lib.rs
+++ b/crates/wax-tasks/src/lib.rs
@@ -12,6 +12,8 @@
 mod ledger_feed;
 mod ownership;
 mod quota;
+#[cfg(test)]
+mod quota_tests;
 mod rows;
 mod shard;
 mod shard_load;
--- a/crates/wax-tasks/src/quota.rs
+++ b/crates/wax-tasks/src/quota.rs
@@ -51,6 +51,15 @@
     }
 }
 
+/// The larger of two in each component.
+fn largest(a: ResourceVector, b: ResourceVector) -> ResourceVector {
+    ResourceVector {
+        cpu_milli: a.cpu_milli.max(b.cpu_milli),
+        memory_mib: a.memory_mib.max(b.memory_mib),
+        accelerators: a.accelerators.max(b.accelerators),
+    }
+}
+
 /// The quota of a team in the settings in force.
 pub(crate) fn quota_of(tree: &SettingsTree, team: &str) -> ResourceVector {
     let settings = tree.resolve(&NodePath::team(team));
@@ -67,6 +76,15 @@
     used: ResourceVector,
     /// Waiting tasks that the grant did not let through in the last look at the queue.
     wanted: ResourceVector,
+    /// The largest waiting task that the grant did let through and that found no room.
+    kept: ResourceVector,
+}
+
+impl TeamGrant {
+    /// What the grant should be: all that runs or waits.
+    fn due(&self) -> ResourceVector {
+        saturating_add(saturating_add(self.used, self.wanted), self.kept)
+    }
 }
 
 /// What one shard knows of the quotas.
@@ -97,6 +115,7 @@
         for grant in self.teams.values_mut() {
             grant.used = ResourceVector::ZERO;
             grant.wanted = ResourceVector::ZERO;
+            grant.kept = ResourceVector::ZERO;
         }
         for (team, size) in placed {
             let grant = self.grant_mut(team);
@@ -132,10 +151,14 @@
         false
     }
 
-    /// Gives back what [`QuotaBook::take`] took for a task that was not placed after all.
+    /// Gives back what [`QuotaBook::take`] took for a task that found no room.
+    ///
+    /// The grant is kept for the largest such task: given back and asked for again, it would be
+    /// written each time; kept for all, it would hold back other shards that have room.
     pub(crate) fn put_back(&mut self, team: &str, size: ResourceVector) {
         let grant = self.grant_mut(team);
         grant.used = grant.used.saturating_sub(size);
+        grant.kept = largest(grant.kept, size);
     }
 
     /// Teams whose grant should change: too little for what waits, or more than is used.
@@ -144,12 +167,33 @@
             .iter()
             .filter(|(_, grant)| {
                 let own = grant.row.grants.get(&shard).copied().unwrap_or_default();
-                saturating_add(grant.used, grant.wanted) != own
+                grant.due() != own
             })
             .map(|(team, _)| team.clone())
             .collect()
     }
 
+    /// What a team's grant should become, if that is another than it is.
+    #[cfg(test)]
+    pub(crate) fn wish(&self, shard: ShardId, team: &str) -> Option<ResourceVector> {
+        let due = self.due(shard);
+        due.iter()
+            .find(|due| ***due == *team)
+            .map(|team| self.teams[team].due())
+    }
+
+    /// Grants at once what the table would grant.
+    #[cfg(test)]
+    pub(crate) fn grant(
+        &mut self,
+        shard: ShardId,
+        team: &str,
+        wanted: ResourceVector,
+        quota: ResourceVector,
+    ) {
+        self.grant_mut(team).row.adjust(shard, wanted, quota);
+    }
+
     /// Teams with waiting tasks that the quota holds back.
     pub(crate) fn held_back(&self) -> impl Iterator<Item = &str> {
         self.teams
@@ -184,7 +228,7 @@
         let wanted = {
             let book = book.borrow();
             let grant = &book.teams[&team];
-            saturating_add(grant.used, grant.wanted)
+            grant.due()
         };
         row.adjust(shard, wanted, quota_of(tree, &team));
         if row != before {
