Split the shard's owner by job; a sidecar's stop waits for its last frames

A stopping sidecar slept 200 ms for its writers to flush, and cut a slow entry off; it now closes its connections and waits until their last frames are flushed, at most 5 s. Two runs of lines that stood twice are one (log of the settings, alerts of the proofs).

--- a/crates/wax-route/src/settings_sync.rs
+++ b/crates/wax-route/src/settings_sync.rs
@@ -71,19 +71,7 @@
         take_tree(shared, tree);
         return Ok(());
     }
-    let keys: Vec<String> = (own.0 + 1..=target.0)
-        .map(|version| log_key(SettingsVersion(version)))
-        .collect();
-    let keys: Vec<&str> = keys.iter().map(String::as_str).collect();
-    let mut deltas: Vec<TreeDelta> = shared
-        .table
-        .read_many::<TreeDelta>(&keys)
-        .await?
-        .into_iter()
-        .map(|row| row.value)
-        .collect();
-    deltas.sort_by_key(|delta| delta.version);
-    for delta in deltas {
+    for delta in read_deltas(shared, own.next(), target).await? {
         take_delta(shared, delta);
     }
     if shared.settings.version() < target {
@@ -249,19 +237,25 @@
 ///
 /// The store does not answer.
 pub(crate) async fn read_log(shared: &EntryShared, most: u64) -> Result<Vec<TreeDelta>, WaxError> {
-    let newest = shared.settings.version().0;
-    let oldest = newest.saturating_sub(most) + 1;
-    let keys: Vec<String> = (oldest..=newest)
+    let newest = shared.settings.version();
+    let oldest = SettingsVersion(newest.0.saturating_sub(most) + 1);
+    let mut log = read_deltas(shared, oldest, newest).await?;
+    log.reverse();
+    Ok(log)
+}
+
+/// The deltas of the versions `from` to `to`, both included, in their order.
+async fn read_deltas(
+    shared: &EntryShared,
+    from: SettingsVersion,
+    to: SettingsVersion,
+) -> Result<Vec<TreeDelta>, WaxError> {
+    let keys: Vec<String> = (from.0..=to.0)
         .map(|version| log_key(SettingsVersion(version)))
         .collect();
     let keys: Vec<&str> = keys.iter().map(String::as_str).collect();
-    let mut log: Vec<TreeDelta> = shared
-        .table
-        .read_many::<TreeDelta>(&keys)
-        .await?
-        .into_iter()
-        .map(|row| row.value)
-        .collect();
-    log.sort_by_key(|delta| std::cmp::Reverse(delta.version));
-    Ok(log)
+    let rows = shared.table.read_many::<TreeDelta>(&keys).await?;
+    let mut deltas: Vec<TreeDelta> = rows.into_iter().map(|row| row.value).collect();
+    deltas.sort_by_key(|delta| delta.version);
+    Ok(deltas)
 }
--- a/crates/wax-sidecar/src/link.rs
+++ b/crates/wax-sidecar/src/link.rs
@@ -6,7 +6,9 @@
 use compio::time::{sleep, timeout};
 use fastrand::Rng;
 use futures_channel::mpsc::{UnboundedSender, unbounded};
+use futures_util::future::{Either, select};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use wax_policy::BackoffPlan;
@@ -77,7 +79,15 @@
     let link = shared.add_link(outbox.clone());
     count(Counter::LinksOpened);
     tracing::info!(entry = %hello.name, %address, "entry connected");
-    let result = read_frames(shared, &mut reader, &outbox, link).await;
+    shared.change_open_links(1);
+    let result = {
+        let reading = pin!(read_frames(shared, &mut reader, &outbox, link));
+        let stopping = pin!(shared.wait_stopping());
+        match select(stopping, reading).await {
+            Either::Left(_) => "leaving".into(),
+            Either::Right((reason, _)) => reason,
+        }
+    };
     shared.remove_link(link);
     drop(outbox);
     count(Counter::LinksLost);
@@ -86,6 +96,7 @@
         // The last answers are flushed before the process ends.
         let _ = writing.await;
     }
+    shared.change_open_links(-1);
     Ok(())
 }
 
--- a/crates/wax-sidecar/src/process.rs
+++ b/crates/wax-sidecar/src/process.rs
@@ -24,6 +24,8 @@
 
 /// How often the drain looks whether it is done.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
+/// A connection that takes none of its last frames for this long is cut.
+const FLUSH_LIMIT: Duration = Duration::from_secs(5);
 /// For how long entries may still send to an upstream that has said that it leaves.
 const LEAVE_NOTICE: Duration = Duration::from_millis(200);
 
@@ -44,7 +46,8 @@
     next_link: Cell<u64>,
     entries: RefCell<BTreeSet<SocketAddr>>,
     leaving: Cell<bool>,
-    stopping: Cell<bool>,
+    stopping: ShutdownSignal,
+    open_links: Cell<usize>,
 }
 
 impl SidecarProcess {
@@ -72,7 +75,8 @@
             next_link: Cell::new(0),
             entries: RefCell::default(),
             leaving: Cell::new(false),
-            stopping: Cell::new(false),
+            stopping: ShutdownSignal::default(),
+            open_links: Cell::new(0),
         };
         Self {
             shared: Rc::new(shared),
@@ -117,7 +121,18 @@
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.get()
+        self.stopping.is_raised()
+    }
+
+    /// Waits until the drain is done and connections are to be closed.
+    pub(crate) async fn wait_stopping(&self) {
+        self.stopping.wait().await;
+    }
+
+    /// Counts the connections whose last frames are not flushed.
+    pub(crate) fn change_open_links(&self, change: isize) {
+        let open = self.open_links.get().saturating_add_signed(change);
+        self.open_links.set(open);
     }
 
     /// Connects to an entry unless it is connected already.
@@ -302,11 +317,12 @@
                 break;
             }
         }
-        self.stopping.set(true);
         let unfinished = self.table.borrow().len();
-        tracing::info!(unfinished, "drained");
-        self.links.borrow_mut().clear();
-        // The writers flush what is queued for them.
-        sleep(LEAVE_NOTICE).await;
+        self.stopping.raise();
+        let closing = self.clock.now();
+        while self.open_links.get() > 0 && self.clock.now().since(closing) < FLUSH_LIMIT {
+            sleep(DRAIN_POLL).await;
+        }
+        tracing::info!(unfinished, unflushed = self.open_links.get(), "drained");
     }
 }
--- a/crates/wax-tasks/src/lib.rs
+++ b/crates/wax-tasks/src/lib.rs
@@ -11,9 +11,12 @@
 mod explain;
 mod ledger_feed;
 mod ownership;
+mod placing;
 mod quota;
 #[cfg(test)]
 mod quota_tests;
+mod reports;
+mod round;
 mod rows;
 mod shard;
 mod shard_load;
@@ -21,6 +24,7 @@
 mod split;
 mod term;
 mod transition;
+mod upkeep;
 mod worker_link;
 
 pub use coordinator::{CoordinatorHandle, CoordinatorProcess, ShardStatus};
--- /dev/null
+++ b/crates/wax-tasks/src/placing.rs
@@ -0,0 +1,290 @@
+//! Places waiting tasks within quotas, and stops what must make room or was cancelled.
+
+use crate::quota::{adjust_grants, quota_of};
+use crate::round::{COMMIT_SPAN, ShardRound};
+use crate::rows::{TaskRow, TaskState};
+use crate::shard_state::{ShardState, TaskChange};
+use crate::worker_link::stop_run;
+use compio::runtime::spawn;
+use std::cell::RefCell;
+use std::time::Duration;
+use wax_platform::TaskMark;
+use wax_policy::{FirmWeights, PlaceChoice, PlaceContext, RunningTask};
+use wax_settings::{NodePath, SettingsTree};
+use wax_types::{ResourceVector, TaskId, TimePoint, WorkerId};
+
+/// Between two looks at the grants of quotas.
+const QUOTA_PERIOD: Duration = Duration::from_millis(100);
+/// Tasks placed in one transaction at most.
+const PLACE_GROUP: usize = 64;
+/// Tasks of the queue that are looked at in one tick.
+const QUEUE_LOOK: usize = 256;
+
+impl ShardRound {
+    /// Waiting tasks of cancelled jobs end.
+    pub(crate) fn cancel_waiting(&self) -> Vec<TaskChange> {
+        let state = self.shared.state.borrow();
+        if state.cancelled.is_empty() {
+            return Vec::new();
+        }
+        state
+            .queue
+            .iter()
+            .filter(|(_, _, task)| state.cancelled.contains(&task.job))
+            .take(QUEUE_LOOK)
+            .map(|(_, _, task)| TaskChange {
+                task: *task,
+                next: state.cancelled_row(*task),
+                release: None,
+                reserve: None,
+            })
+            .collect()
+    }
+
+    /// Places waiting tasks, urgent ones first; starts evictions where an urgent one needs room.
+    pub(crate) fn place_waiting(&mut self, before: &[TaskChange]) -> Vec<TaskChange> {
+        let now = self.shared.now();
+        let waiting: Vec<TaskId> = {
+            let state = self.shared.state.borrow();
+            let changing = |task: &TaskId| before.iter().any(|change| change.task == *task);
+            let tasks = state.queue.iter().map(|(_, _, task)| *task);
+            tasks
+                .filter(|task| !changing(task))
+                .take(QUEUE_LOOK)
+                .collect()
+        };
+        if waiting.is_empty() {
+            return Vec::new();
+        }
+        let mut scratch = self.shared.state.borrow().table_without_stopping();
+        for change in before {
+            if let Some(worker) = &change.release
+                && let Some(entry) = self.shared.state.borrow().workers.get(worker)
+            {
+                scratch.release(entry.key, change.task);
+            }
+        }
+        {
+            let mut state = self.shared.state.borrow_mut();
+            let placed = state.placed_by_team();
+            let placed = placed.iter().map(|(team, size)| (&**team, *size));
+            state.quotas.begin(placed);
+        }
+        let tree = self.shared.settings.tree();
+        let mut changes = Vec::new();
+        for task in waiting {
+            if changes.len() >= PLACE_GROUP {
+                break;
+            }
+            if !self.take_quota(&tree, task) {
+                continue;
+            }
+            match self.place_one(now, &tree, task, &mut scratch) {
+                Some(change) => changes.push(change),
+                None => self.put_quota_back(task),
+            }
+        }
+        changes
+    }
+
+    /// Takes room for a task from its team's quota.
+    pub(crate) fn take_quota(&self, tree: &SettingsTree, task: TaskId) -> bool {
+        let mut state = self.shared.state.borrow_mut();
+        let Some((team, size)) = state.charge_of(task) else {
+            return false;
+        };
+        let quota = quota_of(tree, &team);
+        let shard = self.shared.term.shard();
+        state.quotas.take(shard, &team, size, quota)
+    }
+
+    pub(crate) fn put_quota_back(&self, task: TaskId) {
+        let mut state = self.shared.state.borrow_mut();
+        if let Some((team, size)) = state.charge_of(task) {
+            state.quotas.put_back(&team, size);
+        }
+    }
+
+    /// Asks for grants that are missing, and gives back what is not used.
+    pub(crate) async fn adjust_quotas(&mut self) {
+        if self.shared.now() < self.quota_due {
+            return;
+        }
+        self.quota_due = self.shared.now() + QUOTA_PERIOD;
+        if self.shared.state.borrow().queue.is_empty() {
+            let mut state = self.shared.state.borrow_mut();
+            let placed = state.placed_by_team();
+            let placed = placed.iter().map(|(team, size)| (&**team, *size));
+            state.quotas.begin(placed);
+        }
+        let book = RefCell::new(std::mem::take(&mut self.shared.state.borrow_mut().quotas));
+        let shard = self.shared.term.shard();
+        let key = crate::rows::shard_key(shard);
+        let deadline = self.shared.now() + COMMIT_SPAN;
+        let tree = self.shared.settings.tree();
+        let guard = (key.as_str(), self.shared.term.version());
+        // In an outage the grants stay as they are.
+        let _ = adjust_grants(&book, &self.shared.table, &tree, shard, guard, deadline).await;
+        self.shared.state.borrow_mut().quotas = book.into_inner();
+    }
+
+    pub(crate) fn place_one(
+        &mut self,
+        now: TimePoint,
+        tree: &SettingsTree,
+        task: TaskId,
+        scratch: &mut wax_policy::WorkerTable,
+    ) -> Option<TaskChange> {
+        let state = self.shared.state.borrow();
+        let demand = state.demand(task)?;
+        let avoid = state.avoided(task);
+        let context = PlaceContext {
+            pairs: &state.pairs,
+            weights: weights_of(tree, &state.part_of(task)?.row.spec.team),
+            avoid: &avoid,
+            policy: self.shared.options.policy,
+        };
+        match scratch.choose(now, demand, context, &mut self.rng) {
+            PlaceChoice::Place(key) => {
+                let worker = state.worker_ids.get(&key)?.clone();
+                let next = state.placed_row(task, &worker)?;
+                let running = RunningTask {
+                    task,
+                    kind: demand.kind,
+                    size: demand.size,
+                    urgent: demand.urgent,
+                    evictable: false,
+                    saved: now,
+                    settled: now,
+                    due_today: false,
+                };
+                scratch.reserve(key, running).then_some(TaskChange {
+                    task,
+                    next,
+                    release: None,
+                    reserve: Some((worker, demand.size)),
+                })
+            }
+            PlaceChoice::Evict(key, victims) => {
+                let worker = state.worker_ids.get(&key)?.clone();
+                drop(state);
+                for victim in victims {
+                    scratch.release(key, victim);
+                    self.stop(&worker, victim);
+                }
+                None
+            }
+            PlaceChoice::Wait | PlaceChoice::Impossible => None,
+        }
+    }
+
+    /// Begins to stop a placed task, unless that is under way.
+    pub(crate) fn stop(&self, worker: &WorkerId, task: TaskId) {
+        let mut state = self.shared.state.borrow_mut();
+        let Some(entry) = state.tasks.get_mut(&task) else {
+            return;
+        };
+        let Some(row) = entry.row.as_ref().filter(|_| !entry.stopping) else {
+            return;
+        };
+        let mark = TaskMark {
+            task,
+            epoch: row.epoch,
+        };
+        entry.stopping = true;
+        spawn(stop_run(self.shared.clone(), worker.clone(), mark)).detach();
+    }
+
+    pub(crate) fn stop_cancelled(&self) {
+        let placed: Vec<(TaskId, WorkerId)> = {
+            let state = self.shared.state.borrow();
+            if state.cancelled.is_empty() {
+                return;
+            }
+            state.cancelled_runs()
+        };
+        for (task, worker) in placed {
+            self.stop(&worker, task);
+        }
+    }
+}
+
+impl ShardState {
+    /// Whose quota a task is taken from, and how much of it.
+    pub(crate) fn charge_of(&self, task: TaskId) -> Option<(Box<str>, ResourceVector)> {
+        let size = self.demand(task)?.size;
+        let team = self.part_of(task)?.row.spec.team.clone();
+        Some((team, size))
+    }
+
+    /// The row of a task that is cancelled before it runs again.
+    pub(crate) fn cancelled_row(&self, task: TaskId) -> TaskRow {
+        let row = self.tasks.get(&task).and_then(|entry| entry.row.clone());
+        TaskRow {
+            state: TaskState::Cancelled,
+            ..row.unwrap_or(TaskRow {
+                epoch: wax_types::TaskEpoch::default(),
+                state: TaskState::Cancelled,
+                failures: 0,
+                failed_on: Vec::new(),
+                checkpoint: None,
+                evictions: 0,
+            })
+        }
+    }
+
+    /// The workers as they will be once the stops under way are done.
+    ///
+    /// A placement that comes too early is left out of the commit; it keeps others from evicting
+    /// more than is needed.
+    pub(crate) fn table_without_stopping(&self) -> wax_policy::WorkerTable {
+        let mut table = self.table.clone();
+        for (task, entry) in self.tasks.iter().filter(|(_, entry)| entry.stopping) {
+            if let Some(TaskState::Placed(worker)) = entry.row.as_ref().map(|row| &row.state)
+                && let Some(worker) = self.workers.get(worker)
+            {
+                table.release(worker.key, *task);
+            }
+        }
+        table
+    }
+
+    /// Placed tasks of cancelled jobs.
+    pub(crate) fn cancelled_runs(&self) -> Vec<(TaskId, WorkerId)> {
+        self.tasks
+            .iter()
+            .filter(|(task, entry)| self.cancelled.contains(&task.job) && !entry.stopping)
+            .filter_map(|(task, entry)| match &entry.row.as_ref()?.state {
+                TaskState::Placed(worker) => Some((*task, worker.clone())),
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// The workers on which a task failed.
+    pub(crate) fn avoided(&self, task: TaskId) -> Vec<wax_policy::WorkerKey> {
+        let row = self.tasks.get(&task).and_then(|entry| entry.row.as_ref());
+        row.map_or_else(Vec::new, |row| {
+            let known = row.failed_on.iter();
+            let keys: Vec<_> = known
+                .filter_map(|worker| self.workers.get(worker).map(|entry| entry.key))
+                .collect();
+            // Where it failed everywhere, it may be tried anywhere.
+            if keys.len() >= self.workers.len() {
+                Vec::new()
+            } else {
+                keys
+            }
+        })
+    }
+}
+
+/// What counts for a team, from the settings in force.
+pub(crate) fn weights_of(tree: &SettingsTree, team: &str) -> FirmWeights {
+    let settings = tree.resolve(&NodePath::team(team));
+    FirmWeights {
+        tail: settings.weight_tail.into(),
+        throughput: settings.weight_throughput.into(),
+        eviction: settings.weight_eviction.into(),
+    }
+}
--- a/tests/proofs/alerts.rs
+++ b/tests/proofs/alerts.rs
@@ -49,23 +49,7 @@
 
 /// Sends an alert and records what its caller learned.
 async fn send(cluster: &Cluster, entry: usize, key: &str, start: Instant) -> AlertEvent {
-    let called = start.elapsed().as_micros() as u64;
-    let answer = cluster.alert(entry, key).await;
-    let returned = start.elapsed().as_micros() as u64;
-    let output = answer
-        .ok()
-        .and_then(|answer| match (answer.status, answer.outcome.as_str()) {
-            (200, "ran") => Some(AlertOutcome::Ran),
-            (409, "ran") => Some(AlertOutcome::RanBefore),
-            (_, "not-run") => Some(AlertOutcome::NotRun),
-            _ => None,
-        });
-    AlertEvent {
-        input: (),
-        output,
-        called,
-        returned,
-    }
+    ask_at(&cluster.callers(entry), key, start).await
 }
 
 /// How often each key was executed at all upstreams.
--- a/tests/proofs/support/cluster.rs
+++ b/tests/proofs/support/cluster.rs
@@ -350,13 +350,6 @@
         call(Method::GET, &url, &all, Vec::new()).await
     }
 
-    /// A standing watch's alert.
-    pub(crate) async fn alert(&self, entry: usize, key: &str) -> Result<Answer, String> {
-        let url = format!("{}/v1/watches/{SERVICE}/seuil/alerts", self.callers(entry));
-        let headers = [("waxwing-team", TEAM), ("idempotency-key", key)];
-        call(Method::POST, &url, &headers, b"{}".to_vec()).await
-    }
-
     /// Submits a job.
     pub(crate) async fn submit(
         &self,
