Answer by the deadline, whatever the table does

Cause: GroupWriter tried the parts of a group whose fate was open one after the other, so that a store that answers nothing held callers of alerts far beyond their deadlines. The users ask for the final answer at once. The wait for a commit and for a read ends with the caller's deadline now; what nobody waits for is not sent; the parts of a group are tried side by side; a request whose deadline passed while its key was reserved is not dispatched. Ruled out: the breaker (replies that are lost in the midst of others keep it closed), the limit on one call.

--- a/crates/wax-platform/src/group.rs
+++ b/crates/wax-platform/src/group.rs
@@ -1,12 +1,14 @@
 //! Merges small transactions of many requests into few commits.
 
 use crate::table::{CommitOutcome, TableClient, TableTransaction};
+use compio::time::timeout;
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 use futures_channel::oneshot;
 use futures_util::StreamExt;
+use futures_util::future::join_all;
 use std::collections::HashSet;
 use std::time::Duration;
-use wax_types::{ErrorKind, Step, TimePoint, WaxError};
+use wax_types::{ErrorKind, ProcessClock, Step, TimePoint, WaxError};
 
 /// Transactions merged into one commit at most.
 const GROUP_LIMIT: usize = 64;
@@ -22,14 +24,16 @@
 #[derive(Debug, Clone)]
 pub struct GroupWriter {
     queue: UnboundedSender<GroupItem>,
+    clock: ProcessClock,
 }
 
 impl GroupWriter {
     /// Starts the committing task; it ends when the last clone of the writer is dropped.
     pub fn start(table: TableClient) -> Self {
         let (queue, items) = unbounded();
+        let clock = table.health().clock();
         compio::runtime::spawn(write_groups(table, items)).detach();
-        Self { queue }
+        Self { queue, clock }
     }
 
     /// Commits a transaction together with others that wait.
@@ -53,9 +57,12 @@
         if self.queue.unbounded_send(item).is_err() {
             return CommitOutcome::NotSent(stopped("the writer has stopped"));
         }
-        outcome
-            .await
-            .unwrap_or_else(|_| CommitOutcome::Unknown(stopped("the writer stopped")))
+        // Whoever waits is told by the deadline, whatever else the writer is busy with.
+        match timeout(deadline.since(self.clock.now()), outcome).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(_)) => CommitOutcome::Unknown(stopped("the writer stopped")),
+            Err(_) => CommitOutcome::Unknown(stopped("the table did not answer in time")),
+        }
     }
 }
 
@@ -71,7 +78,11 @@
         };
         let mut group = vec![first];
         held = fill_group(&mut group, &mut items);
-        commit_group(&table, group).await;
+        // What nobody waits for any more was never sent, and need not be.
+        group.retain(|item| !item.reply.is_canceled());
+        if !group.is_empty() {
+            commit_group(&table, group).await;
+        }
     }
 }
 
@@ -106,13 +117,14 @@
             shared => return answer_all(group, &shared),
         }
     }
-    for item in group {
+    let alone = group.into_iter().map(|item| async move {
         let outcome = table
             .commit_again(&item.transaction, item.deadline, sent)
             .await;
         // A requester that went away no longer needs the outcome.
         let _ = item.reply.send(outcome);
-    }
+    });
+    join_all(alone).await;
 }
 
 fn answer_all(group: Vec<GroupItem>, outcome: &CommitOutcome) {
--- a/crates/wax-route/src/once.rs
+++ b/crates/wax-route/src/once.rs
@@ -1,6 +1,7 @@
 //! At most once: a caller's idempotency key is reserved in the table before the first dispatch.
 
 use crate::process::EntryShared;
+use compio::time::timeout;
 use serde::{Deserialize, Serialize};
 use std::rc::Rc;
 use std::time::Duration;
@@ -92,7 +93,14 @@
             }
             CommitOutcome::Conflict(_) => {}
         }
-        match shared.table.read::<OnceRow>(&key).await {
+        let left = deadline.since(shared.clock.now());
+        let Ok(found) = timeout(left, shared.table.read::<OnceRow>(&key)).await else {
+            let kind = ErrorKind::Unavailable(Duration::from_secs(1));
+            let text = "the table did not answer in time";
+            let error = WaxError::new(kind, Step::ReserveKey, "table", text);
+            return ReserveChoice::Unavailable(unavailable(error));
+        };
+        match found {
             Ok(Some(found)) if found.value.state == OnceState::Released => version = found.version,
             Ok(Some(found)) => return ReserveChoice::Repeated(found.value.state),
             Ok(None) => version = RowVersion::default(),
--- a/crates/wax-route/src/request.rs
+++ b/crates/wax-route/src/request.rs
@@ -177,6 +177,9 @@
 
     /// Runs to the final answer.
     pub(crate) async fn run(mut self) -> FinalAnswer {
+        if self.shared.clock.now() >= self.parts.deadline {
+            return self.give_up();
+        }
         if let Some(answer) = self.send_attempt() {
             return answer;
         }
--- a/tests/proofs/alerts.rs
+++ b/tests/proofs/alerts.rs
@@ -129,6 +129,26 @@
     });
 }
 
+#[test]
+fn a_store_that_answers_nothing_holds_no_caller() {
+    run(async {
+        let cluster = Cluster::start(ClusterPlan::default()).await;
+        let faults = json!({ "lose_replies_percent": 100, "lose_prefix": "once/" });
+        cluster.faults("platform", faults).await;
+        let keys: Vec<String> = (0..40).map(|n| format!("hung-{n}")).collect();
+        let start = Instant::now();
+        let calls = keys.iter().map(|key| send(&cluster, 1, key, start));
+        for event in join_all(calls).await {
+            // No final answer within the patience of a caller would be an unknown outcome.
+            assert_eq!(event.output, Some(AlertOutcome::NotRun));
+        }
+        assert!(
+            executed(&cluster, 2).await.is_empty(),
+            "a refused alert ran"
+        );
+    });
+}
+
 #[test]
 fn an_outage_refuses_at_once_and_the_key_runs_later() {
     run(async {
