A term that has ended is not revived by a late confirmation

In an outage longer than the grace the round of a shard ended, as it must; when the store was back, the coordinator confirmed the same term, which held again, and nobody worked on the shard. OwnerTerm::holds says no for ever once it has said no, and the coordinator looks at the term before it confirms it.

--- a/crates/wax-tasks/src/coordinator.rs
+++ b/crates/wax-tasks/src/coordinator.rs
@@ -221,12 +221,13 @@
             }
             return;
         };
+        // Looked at before it is confirmed: a term that ended in an outage is begun anew.
+        if !term.holds(self.clock.now()) {
+            return self.leave(shard);
+        }
         if row.version == term.version() {
             term.confirm(begun);
         }
-        if !term.holds(self.clock.now()) {
-            self.leave(shard);
-        }
     }
 
     /// The row says that it is ours and no term runs: the term begins with this look.
@@ -265,10 +266,17 @@
         self.terms.insert(shard, term.clone());
         let shards = self.handle.shards.clone();
         let publish = move |shared: Option<Rc<ShardShared>>| {
+            let mut shards = shards.borrow_mut();
             match shared {
-                Some(shared) => shards.borrow_mut().insert(shard, shared),
-                None => shards.borrow_mut().remove(&shard),
-            };
+                Some(shared) => {
+                    shards.insert(shard, shared);
+                }
+                // A later term may have begun before the end of this one was noticed.
+                None if shards.get(&shard).is_some_and(|shared| !shared.holds()) => {
+                    shards.remove(&shard);
+                }
+                None => {}
+            }
         };
         let clients = self.clients.clone();
         spawn(run_shard(term, self.options, clients, self.clock, publish)).detach();
--- a/crates/wax-tasks/src/term.rs
+++ b/crates/wax-tasks/src/term.rs
@@ -85,8 +85,14 @@
     }
 
     /// Whether the owner may act now. Asked again after every await.
+    ///
+    /// Once it has said no it says no for ever: whoever saw that has stopped for good, and a later
+    /// confirmation must not leave a shard that is owned and that nobody works on.
     pub fn holds(&self, now: TimePoint) -> bool {
-        !self.shared.ended.get() && now < self.expires()
+        if now >= self.expires() {
+            self.end();
+        }
+        !self.shared.ended.get()
     }
 
     /// Until when the owner may act, if nothing is confirmed again.
--- a/tests/proofs/outage.rs
+++ b/tests/proofs/outage.rs
@@ -77,3 +77,37 @@
         cluster.wait_ended(&job).await;
     });
 }
+
+#[test]
+fn after_an_outage_longer_than_the_grace_work_goes_on() {
+    run(async {
+        let cluster = Cluster::start(ClusterPlan {
+            shards: 1,
+            grace_ms: 800,
+            ..ClusterPlan::default()
+        })
+        .await;
+        cluster.wait_owned().await;
+        let input = json!({ "work_ms": 2500 });
+        let job = cluster.submit_surely("sommaire", 2, input, "long").await;
+        cluster.wait_running(&job, 0).await;
+        cluster.faults("platform", json!({ "down": true })).await;
+        wait_for("the owner to stop acting", || async {
+            let mut owned = 0;
+            for n in 1..=2 {
+                let url = format!("{}/v1/status", cluster.operators(n));
+                let status = crate::support::calls::get_json(&url).await?;
+                owned += status["shards"].as_array()?.len();
+            }
+            (owned == 0).then_some(())
+        })
+        .await;
+        cluster.faults("platform", json!({})).await;
+        cluster.wait_ended(&job).await;
+        let later = cluster
+            .submit_surely("sommaire", 2, json!({ "work_ms": 100 }), "later")
+            .await;
+        cluster.wait_ended(&later).await;
+        check_one_place(&all_runs(&cluster).await);
+    });
+}
