Tests of the tool on a running system, and of the StatsD export

Cause: the round trip of export and apply, the dry run, the conflict's text and the counters on the wire were not tested. Ruled out: nothing.

--- a/tests/proofs/main.rs
+++ b/tests/proofs/main.rs
@@ -14,4 +14,5 @@
 mod stops;
 mod storms;
 mod support;
+mod tool;
 mod wire_edges;
