--- a/crates/wax-policy/tests/limits.rs
+++ b/crates/wax-policy/tests/limits.rs
@@ -235,6 +235,34 @@
     }
 }
 
+#[test]
+fn an_upstream_that_refuses_at_once_draws_no_more_requests() {
+    for end in [AttemptEnd::Refused, AttemptEnd::Failed] {
+        let (mut table, keys) = route_table(4);
+        let mut rng = Rng::with_seed(1);
+        // The others are busier and slower; the first one refuses at once and so looks idle.
+        for key in &keys[1..] {
+            table.begin(at(0), *key);
+            table.end(
+                at(30),
+                *key,
+                AttemptEnd::Answered(Duration::from_millis(30)),
+            );
+            for _ in 0..4 {
+                table.begin(at(95), *key);
+            }
+        }
+        table.begin(at(99), keys[0]);
+        table.end(at(100), keys[0], end);
+        for millis in 100..130 {
+            let deadline = at(5_000);
+            let policy = RoutePolicy::Weighed;
+            let choice = table.choose(at(millis), "service", deadline, &[], policy, &mut rng);
+            assert_ne!(choice, RouteChoice::Send(keys[0]));
+        }
+    }
+}
+
 #[test]
 fn a_hopeless_request_is_refused_with_a_time() {
     let (mut table, keys) = route_table(1);
