Relief in small steps, with one view of the worker

Cause: decide and next_step took the same six arguments and one of them did throttling, eviction and restoring in one body.

--- a/crates/wax-policy/src/lib.rs
+++ b/crates/wax-policy/src/lib.rs
@@ -28,7 +28,7 @@
     FirmWeights, PlaceChoice, PlaceContext, PlacePolicy, RunningTask, TaskDemand, WorkerKey,
     WorkerSlot, WorkerTable,
 };
-pub use relief::{ReliefChoice, ReliefState, THROTTLED_PERCENT};
+pub use relief::{ReliefChoice, ReliefState, ReliefView, THROTTLED_PERCENT};
 pub use rendezvous::{rank_score, top_member};
 pub use retry::RetryBudget;
 pub use routing::{
--- a/crates/wax-policy/src/relief.rs
+++ b/crates/wax-policy/src/relief.rs
@@ -43,80 +43,98 @@
     Evict(TaskId),
 }
 
+/// One worker with a slowed latency-critical task, as the latest usage shows it.
+#[derive(Debug, Clone, Copy)]
+pub struct ReliefView<'a> {
+    /// The worker.
+    pub slot: &'a WorkerSlot,
+    /// Its latency-critical task that is slowed most.
+    pub victim: &'a RunningTask,
+    /// How much longer that task takes than alone; 0.5 is half as long again.
+    pub excess: f64,
+    /// What is known of pairs of kinds.
+    pub pairs: &'a PairTable,
+    /// What counts for the firm.
+    pub weights: FirmWeights,
+}
+
 impl ReliefState {
-    /// Decides about one worker; `worst` is the greatest slowdown of a latency-critical task
-    /// there in the latest usage, and `victim` is that task.
-    pub fn decide(
-        &mut self,
-        now: TimePoint,
-        slot: &WorkerSlot,
-        victim: &RunningTask,
-        worst: f64,
-        pairs: &PairTable,
-        weights: FirmWeights,
-    ) -> ReliefChoice {
-        self.throttled
-            .retain(|task| slot.tasks().iter().any(|running| running.task == *task));
-        if worst >= threshold(weights) * RESTORE_SHARE {
-            self.calm_since = None;
-        } else if self.calm_since.is_none() {
-            self.calm_since = Some(now);
-        }
+    /// Decides about one worker.
+    pub fn decide(&mut self, now: TimePoint, view: ReliefView<'_>) -> ReliefChoice {
+        let runs = |task: &TaskId| {
+            view.slot
+                .tasks()
+                .iter()
+                .any(|running| running.task == *task)
+        };
+        self.throttled.retain(runs);
+        self.note_calm(now, view);
         if now.since(self.last_step) < STEP_PAUSE {
             return ReliefChoice::Keep;
         }
-        let choice = self.next_step(now, slot, victim, worst, pairs, weights);
+        let choice = match self.relieve(now, view) {
+            ReliefChoice::Keep => self.restore(now),
+            choice => choice,
+        };
         if choice != ReliefChoice::Keep {
             self.last_step = now;
         }
         choice
     }
 
-    fn next_step(
-        &mut self,
-        now: TimePoint,
-        slot: &WorkerSlot,
-        victim: &RunningTask,
-        worst: f64,
-        pairs: &PairTable,
-        weights: FirmWeights,
-    ) -> ReliefChoice {
-        let limit = threshold(weights);
-        if worst > limit {
-            let noisiest = |throttled: bool| {
-                slot.tasks()
-                    .iter()
-                    .filter(|task| task.evictable)
-                    .filter(|task| self.throttled.contains(&task.task) == throttled)
-                    .max_by(|a, b| {
-                        let harm = |task: &RunningTask| {
-                            pairs.estimate(victim.kind, task.kind, slot.band()).excess
-                        };
-                        harm(a).total_cmp(&harm(b))
-                    })
-            };
-            if let Some(task) = noisiest(false) {
-                let task = task.task;
-                self.throttled.push(task);
-                return ReliefChoice::Throttle(task);
-            }
-            let may_evict = worst > limit * EVICT_FACTOR && weights.tail > weights.eviction;
-            if let Some(task) = noisiest(true).filter(|task| may_evict && task.settled <= now) {
-                return ReliefChoice::Evict(task.task);
-            }
+    fn note_calm(&mut self, now: TimePoint, view: ReliefView<'_>) {
+        if view.excess >= threshold(view.weights) * RESTORE_SHARE {
+            self.calm_since = None;
+        } else if self.calm_since.is_none() {
+            self.calm_since = Some(now);
+        }
+    }
+
+    /// Throttles the noisiest neighbour; evicts one only where all are throttled.
+    fn relieve(&mut self, now: TimePoint, view: ReliefView<'_>) -> ReliefChoice {
+        let limit = threshold(view.weights);
+        if view.excess <= limit {
+            return ReliefChoice::Keep;
         }
+        if let Some(task) = self.noisiest(view, false) {
+            self.throttled.push(task.task);
+            return ReliefChoice::Throttle(task.task);
+        }
+        let may_evict =
+            view.excess > limit * EVICT_FACTOR && view.weights.tail > view.weights.eviction;
+        match self.noisiest(view, true) {
+            Some(task) if may_evict && task.settled <= now => ReliefChoice::Evict(task.task),
+            _ => ReliefChoice::Keep,
+        }
+    }
+
+    /// The neighbour that does the victim the most harm, among those throttled or not.
+    fn noisiest(&self, view: ReliefView<'_>, throttled: bool) -> Option<RunningTask> {
+        let harm = |task: &RunningTask| {
+            let band = view.slot.band();
+            view.pairs
+                .estimate(view.victim.kind, task.kind, band)
+                .excess
+        };
+        view.slot
+            .tasks()
+            .iter()
+            .filter(|task| task.evictable)
+            .filter(|task| self.throttled.contains(&task.task) == throttled)
+            .max_by(|a, b| harm(a).total_cmp(&harm(b)))
+            .copied()
+    }
+
+    /// Restores the task that was throttled last, once the worker was calm for long enough.
+    fn restore(&mut self, now: TimePoint) -> ReliefChoice {
         let calm = self
             .calm_since
             .is_some_and(|since| now.since(since) >= CALM_SPAN);
-        match self.throttled.pop() {
-            Some(task) if calm => {
+        match self.throttled.pop_if(|_| calm) {
+            Some(task) => {
                 self.calm_since = Some(now);
                 ReliefChoice::Restore(task)
             }
-            Some(task) => {
-                self.throttled.push(task);
-                ReliefChoice::Keep
-            }
             None => ReliefChoice::Keep,
         }
     }
--- a/crates/wax-replay/src/batch.rs
+++ b/crates/wax-replay/src/batch.rs
@@ -7,8 +7,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 use wax_policy::{
-    LoadBand, PairTable, PlaceChoice, PlaceContext, ReliefChoice, ReliefState, RunningTask,
-    SizeTable, THROTTLED_PERCENT, TaskDemand, WorkerKey, WorkerTable,
+    LoadBand, PairTable, PlaceChoice, PlaceContext, ReliefChoice, ReliefState, ReliefView,
+    RunningTask, SizeTable, THROTTLED_PERCENT, TaskDemand, WorkerKey, WorkerTable,
 };
 use wax_types::{JobId, ResourceVector, TaskId, TimePoint};
 
@@ -664,7 +664,14 @@
         };
         let weights = self.world.options.weights;
         let relief = &mut self.batch.records[worker].relief;
-        let choice = relief.decide(now, slot, &victim, excess, &self.batch.pairs, weights);
+        let view = ReliefView {
+            slot,
+            victim: &victim,
+            excess,
+            pairs: &self.batch.pairs,
+            weights,
+        };
+        let choice = relief.decide(now, view);
         match choice {
             ReliefChoice::Keep => {}
             ReliefChoice::Throttle(task) => {
--- a/crates/wax-tasks/src/reports.rs
+++ b/crates/wax-tasks/src/reports.rs
@@ -10,7 +10,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 use wax_platform::{RenewReply, TaskMark, TaskReport, TaskRun, UsageReport};
-use wax_policy::{FirmWeights, ReliefChoice, THROTTLED_PERCENT};
+use wax_policy::{FirmWeights, ReliefChoice, ReliefView, THROTTLED_PERCENT};
 use wax_settings::SettingsTree;
 use wax_trace::{Counter, count, count_many};
 use wax_types::{TaskId, TimePoint, WorkerId};
@@ -279,9 +279,14 @@
         let weights = part.map_or_else(FirmWeights::default, |part| {
             weights_of(tree, &part.row.spec.team)
         });
-        entry
-            .relief
-            .decide(now, slot, &victim, excess, &self.pairs, weights)
+        let view = ReliefView {
+            slot,
+            victim: &victim,
+            excess,
+            pairs: &self.pairs,
+            weights,
+        };
+        entry.relief.decide(now, view)
     }
 
     /// Learns about the worker from the end of a run: one that fails every task is quarantined.
