--- /dev/null
+++ b/crates/wax-agent/src/driver.rs
@@ -0,0 +1,241 @@
+//! Drives the worker: one hold after another, which extends leases and brings ends at once.
+
+use crate::state::{AgentState, WorkerBoot};
+use compio::time::{sleep, timeout};
+use platform::{HoldReply, HoldRequest, WorkerRefusal};
+use std::rc::Rc;
+use std::time::Duration;
+use wax_batch::WorkerView;
+use wax_types::TimePoint;
+use wax_wire::{PoolBody, RefusalFrame, RunNews, WorkerGone, WorkerUp};
+
+/// How long the worker may wait for an end before it answers a hold.
+const HOLD_WAIT: Duration = Duration::from_millis(500);
+/// Longest time for a hold beside its wait.
+const HOLD_LIMIT: Duration = Duration::from_millis(800);
+/// After a hold that failed, or that brought nothing sooner than its wait.
+const HOLD_PAUSE: Duration = Duration::from_millis(60);
+/// Without a worker or an owner the driver looks again after this, if nothing wakes it.
+const IDLE_PAUSE: Duration = Duration::from_millis(500);
+
+/// What a hold has led to.
+enum HoldStep {
+    /// It was answered.
+    Answered,
+    /// It brought nothing new, sooner than it might have.
+    Idle,
+    /// It was not answered, or refused for now.
+    Failed,
+    /// Another boot answers at the address.
+    OtherBoot,
+}
+
+/// Drives whatever boot of the worker there is, for the life of the process.
+pub(crate) async fn drive_worker(state: Rc<AgentState>) {
+    loop {
+        take_candidate(&state).await;
+        let boot = state
+            .boot
+            .borrow()
+            .as_ref()
+            .map(|boot| boot.view.id.clone());
+        let Some(boot) = boot.filter(|_| state.token.get() > 0) else {
+            wait_change(&state).await;
+            continue;
+        };
+        match hold_once(&state, &boot).await {
+            HoldStep::Answered => {}
+            HoldStep::Idle | HoldStep::Failed => sleep(HOLD_PAUSE).await,
+            HoldStep::OtherBoot => drop_boot(&state, &boot, "another boot answers"),
+        }
+        drop_lapsed(&state, &boot);
+    }
+}
+
+async fn wait_change(state: &AgentState) {
+    let listener = state.changed.listen();
+    // Either the change or the pause; both lead to another look.
+    let _ = timeout(IDLE_PAUSE, listener).await;
+}
+
+/// Looks whether a boot that has checked in answers; if so it replaces the one before.
+async fn take_candidate(state: &Rc<AgentState>) {
+    if state.token.get() == 0 {
+        return;
+    }
+    let Some((view, sequence)) = state.candidate.borrow_mut().take() else {
+        return;
+    };
+    let request = HoldRequest {
+        lease_until_ms: None,
+        token: state.token.get(),
+        ack_cursor: 0,
+        wait_ms: 0,
+    };
+    match state.worker.hold(&view.id, &request, HOLD_LIMIT).await {
+        Ok(Ok(_)) => replace_boot(state, view, sequence),
+        Ok(Err(WorkerRefusal::OtherBoot)) => {
+            tracing::info!(worker = %view.id, "check-in of a boot that does not answer");
+            state.dead.borrow_mut().insert(view.id);
+        }
+        Ok(Err(refusal)) => tracing::warn!(worker = %view.id, ?refusal, "first hold refused"),
+        Err(error) => tracing::warn!(worker = %view.id, %error, "first hold failed"),
+    }
+}
+
+fn replace_boot(state: &Rc<AgentState>, view: WorkerView, sequence: u64) {
+    let before = state
+        .boot
+        .borrow()
+        .as_ref()
+        .map(|boot| boot.view.id.clone());
+    if let Some(before) = before {
+        drop_boot(state, &before, "a new boot has checked in");
+    }
+    tracing::info!(worker = %view.id, service = %view.service, state = ?view.state, "worker registered");
+    let mut boot = WorkerBoot::new(view, sequence);
+    // An earlier process on this machine may have extended leases this far.
+    let longest = state.lease_rules.ahead + state.lease_rules.grace;
+    boot.lease.assume(state.now(), longest);
+    *state.boot.borrow_mut() = Some(boot);
+}
+
+fn drop_boot(state: &Rc<AgentState>, id: &str, why: &str) {
+    let mut boot = state.boot.borrow_mut();
+    if boot.as_ref().is_some_and(|boot| *boot.view.id == *id) {
+        *boot = None;
+        state.dead.borrow_mut().insert(id.into());
+        tracing::warn!(worker = id, why, "worker is gone");
+        state.tell(PoolBody::WorkerGone(WorkerGone { worker: id.into() }));
+    }
+}
+
+/// Once all leases have lapsed nothing runs there any more; the boot must be verified anew.
+fn drop_lapsed(state: &Rc<AgentState>, id: &str) {
+    let now = state.now();
+    let mut boot = state.boot.borrow_mut();
+    let Some(lapsed) = boot
+        .as_mut()
+        .filter(|boot| *boot.view.id == *id && boot.lease.has_lapsed(now))
+    else {
+        return;
+    };
+    let view = lapsed.view.clone();
+    let sequence = lapsed.sequence;
+    *boot = None;
+    tracing::warn!(worker = id, "leases have lapsed");
+    state.tell(PoolBody::WorkerGone(WorkerGone { worker: id.into() }));
+    *state.candidate.borrow_mut() = Some((view, sequence));
+}
+
+async fn hold_once(state: &Rc<AgentState>, id: &str) -> HoldStep {
+    let generation = state
+        .link
+        .borrow()
+        .as_ref()
+        .map_or(0, |link| link.generation);
+    let begun = state.now();
+    let Some((request, told)) = prepare(state, id, begun) else {
+        return HoldStep::Failed;
+    };
+    let tells = generation != 0 && told != generation;
+    let request = HoldRequest {
+        wait_ms: if tells {
+            0
+        } else {
+            HOLD_WAIT.as_millis() as u64
+        },
+        ..request
+    };
+    match state.worker.hold(id, &request, HOLD_LIMIT).await {
+        Ok(Ok(reply)) => {
+            let fresh = note_reply(state, id, &reply, generation, tells);
+            pace(state, id);
+            let early = state.now().since(begun) < HOLD_WAIT / 4;
+            if !fresh && early && !tells {
+                HoldStep::Idle
+            } else {
+                HoldStep::Answered
+            }
+        }
+        Ok(Err(WorkerRefusal::OtherBoot)) => HoldStep::OtherBoot,
+        Ok(Err(refusal)) => {
+            tracing::warn!(worker = id, ?refusal, "hold refused");
+            HoldStep::Failed
+        }
+        Err(error) => {
+            tracing::warn!(worker = id, %error, "hold failed");
+            HoldStep::Failed
+        }
+    }
+}
+
+fn prepare(state: &AgentState, id: &str, now: TimePoint) -> Option<(HoldRequest, u64)> {
+    let mut boot = state.boot.borrow_mut();
+    let boot = boot.as_mut().filter(|boot| *boot.view.id == *id)?;
+    boot.hold += 1;
+    let request = HoldRequest {
+        lease_until_ms: boot
+            .lease
+            .extend(now, state.authority.get(), &state.lease_rules),
+        token: state.token.get(),
+        ack_cursor: boot.ack_cursor,
+        wait_ms: 0,
+    };
+    Some((request, boot.told))
+}
+
+/// Takes the lists into the table and tells the owner; says whether they brought anything.
+fn note_reply(
+    state: &AgentState,
+    id: &str,
+    reply: &HoldReply,
+    generation: u64,
+    tells: bool,
+) -> bool {
+    let now = state.now();
+    let mut boot = state.boot.borrow_mut();
+    let Some(boot) = boot.as_mut().filter(|boot| *boot.view.id == *id) else {
+        return false;
+    };
+    boot.verified = true;
+    boot.lease.note(now, reply.clock_ms);
+    let hold = boot.hold;
+    let news = boot.table.observe(&reply.running, &reply.ended, hold);
+    if tells {
+        boot.told = generation;
+        let up = WorkerUp {
+            worker: (&boot.view).into(),
+            runs: boot.table.reports().iter().map(Into::into).collect(),
+            ends: reply.ended.iter().map(Into::into).collect(),
+        };
+        state.tell(PoolBody::WorkerUp(up));
+        return true;
+    }
+    let fresh = !news.ends.is_empty() || !news.never.is_empty();
+    if fresh || !news.going.is_empty() {
+        let refused = news.never.iter();
+        let refused = refused.map(|mark| RefusalFrame::new(*mark, wax_batch::StartRefusal::Unwell));
+        let news = RunNews {
+            started: Vec::new(),
+            refused: refused.collect(),
+            going: news.going.iter().map(Into::into).collect(),
+            ends: news.ends.iter().map(Into::into).collect(),
+        };
+        state.tell(PoolBody::News(news));
+    }
+    fresh
+}
+
+fn pace(state: &Rc<AgentState>, id: &str) {
+    let now = state.now();
+    let percent = {
+        let mut boot = state.boot.borrow_mut();
+        let Some(boot) = boot.as_mut().filter(|boot| *boot.view.id == *id) else {
+            return;
+        };
+        let worst = boot.table.worst_tail();
+        boot.pace.decide(worst, now, &state.pace_rules)
+    };
+    state.order_pace(percent);
+}
--- /dev/null
+++ b/crates/wax-agent/src/lib.rs
@@ -0,0 +1,20 @@
+//! The process beside a worker: the only one that gives it orders.
+//!
+//! It starts only what fits beside everything that runs, is being stopped, or may begin yet, and
+//! extends the worker's leases only while an owner has confirmed its authority lately.
+
+mod check_ins;
+mod driver;
+mod lease;
+mod orders;
+mod owner_link;
+mod pace;
+mod process;
+mod state;
+mod table;
+
+pub use lease::{LeaseClock, LeaseRules};
+pub use owner_link::OwnerDirectory;
+pub use pace::{PaceControl, PaceRules};
+pub use process::run_agent;
+pub use table::{HoldNews, RunStand, RunTable, SeatInfo};
--- /dev/null
+++ b/crates/wax-agent/src/orders.rs
@@ -0,0 +1,206 @@
+//! Carries out the owner's orders, one task each, until their fate is known.
+
+use crate::state::AgentState;
+use crate::table::{RunStand, SeatInfo};
+use compio::runtime::spawn;
+use compio::time::sleep;
+use platform::{CallError, OrderOutcome, StartRequest, WorkerRefusal};
+use std::rc::Rc;
+use std::time::Duration;
+use wax_batch::{RunMark, StartRefusal};
+use wax_wire::{PoolBody, RefusalFrame, RunNews, SeatFrame, StartRun};
+
+/// A start that is not answered for this long is stopped instead.
+const START_LIMIT: Duration = Duration::from_millis(700);
+/// Longest time for a stop or a change of pace.
+const ORDER_LIMIT: Duration = Duration::from_millis(500);
+/// Between two tries of a stop.
+const STOP_PAUSE: Duration = Duration::from_millis(100);
+
+impl From<&SeatFrame> for SeatInfo {
+    fn from(frame: &SeatFrame) -> Self {
+        Self {
+            booked: frame.booked(),
+            fills: frame.fills,
+            tail_target_ms: frame.tail_target_ms,
+            image: frame.image.as_str().into(),
+        }
+    }
+}
+
+impl AgentState {
+    /// Starts a run, if the worker is the one that was meant and has room.
+    pub(crate) fn order_start(self: &Rc<Self>, order: StartRun) {
+        let mark = RunMark::from(&order.seat.mark);
+        match self.admit(&order, mark) {
+            Err(refusal) => self.tell_refusal(mark, refusal),
+            Ok(request) => {
+                let state = self.clone();
+                spawn(async move { state.start(order.worker.into(), request).await }).detach();
+            }
+        }
+    }
+
+    /// The guard: what starts must fit, and the owner's authority must reach to now.
+    fn admit(&self, order: &StartRun, mark: RunMark) -> Result<StartRequest, StartRefusal> {
+        let now = self.now();
+        let mut boot = self.boot.borrow_mut();
+        let Some(boot) = boot.as_mut().filter(|boot| *boot.view.id == *order.worker) else {
+            return Err(StartRefusal::Stale);
+        };
+        if now >= self.authority.get() || !self.is_kept() {
+            return Err(StartRefusal::Stale);
+        }
+        let authority = self.authority.get();
+        let Some(lease_until_ms) = boot.lease.extend(now, authority, &self.lease_rules) else {
+            return Err(StartRefusal::Stale);
+        };
+        boot.table.begin(mark, (&order.seat).into(), &boot.view)?;
+        Ok(StartRequest {
+            mark,
+            text: order.text.as_str().into(),
+            lease_until_ms,
+            token: self.token.get(),
+            checkpoint: order.checkpoint.as_str().into(),
+            ticket: order.ticket.as_str().into(),
+        })
+    }
+
+    async fn start(self: Rc<Self>, boot: Box<str>, request: StartRequest) {
+        let mark = request.mark;
+        let answer = self.worker.start(&boot, &request, START_LIMIT).await;
+        match answer {
+            Ok(OrderOutcome::Done) => self.note_started(&boot, mark),
+            Ok(OrderOutcome::Refused(refusal)) => self.note_refused(&boot, mark, refusal),
+            Err(CallError::NotSent(error)) => {
+                tracing::warn!(%error, task = %mark.task, run = mark.run, "start was not sent");
+                self.note_refused(&boot, mark, WorkerRefusal::Unwell);
+            }
+            Err(CallError::Unknown(error)) => {
+                tracing::warn!(%error, task = %mark.task, run = mark.run, "start without an answer");
+                self.settle_start(boot, mark).await;
+            }
+        }
+    }
+
+    /// Ends the doubt about a start: a hold may have shown it running, else a stop forbids it.
+    async fn settle_start(self: Rc<Self>, boot: Box<str>, mark: RunMark) {
+        let starting =
+            self.with_table(&boot, |table| table.stand(mark) == Some(RunStand::Starting));
+        if starting == Some(true) {
+            self.stop(boot, mark).await;
+        }
+    }
+
+    fn note_started(&self, boot: &str, mark: RunMark) {
+        let known = self.with_table(boot, |table| {
+            table.started(mark);
+            table.stand(mark) == Some(RunStand::Running)
+        });
+        if known == Some(true) {
+            let news = RunNews {
+                started: vec![mark.into()],
+                ..Default::default()
+            };
+            self.tell(PoolBody::News(news));
+        }
+    }
+
+    fn note_refused(&self, boot: &str, mark: RunMark, refusal: WorkerRefusal) {
+        let refusal = match refusal {
+            WorkerRefusal::Room => StartRefusal::Room,
+            WorkerRefusal::Unwell | WorkerRefusal::Invalid => StartRefusal::Unwell,
+            _ => StartRefusal::Stale,
+        };
+        if self.with_table(boot, |table| table.remove(mark)) == Some(true) {
+            self.tell_refusal(mark, refusal);
+        }
+    }
+
+    fn tell_refusal(&self, mark: RunMark, refusal: StartRefusal) {
+        tracing::info!(task = %mark.task, run = mark.run, why = ?refusal, "start refused");
+        let news = RunNews {
+            refused: vec![RefusalFrame::new(mark, refusal)],
+            ..Default::default()
+        };
+        self.tell(PoolBody::News(news));
+    }
+
+    /// Stops a run by the owner's order.
+    pub(crate) fn order_stop(self: &Rc<Self>, mark: RunMark) {
+        let Some(boot) = self.boot.borrow().as_ref().map(|boot| boot.view.id.clone()) else {
+            return;
+        };
+        let state = self.clone();
+        spawn(async move { state.stop(boot, mark).await }).detach();
+    }
+
+    /// Sends a stop until it is answered, or the boot is another.
+    pub(crate) async fn stop(self: Rc<Self>, boot: Box<str>, mark: RunMark) {
+        loop {
+            if self.with_table(&boot, |table| table.stopping(mark)) != Some(true) {
+                // The run has ended, or its boot has.
+                self.tell_refusal(mark, StartRefusal::Stale);
+                return;
+            }
+            let answer = self
+                .worker
+                .stop(&boot, mark, self.token.get(), ORDER_LIMIT)
+                .await;
+            match answer {
+                Ok(OrderOutcome::Done) => {
+                    let mut state = self.boot.borrow_mut();
+                    if let Some(state) = state.as_mut().filter(|state| state.view.id == boot) {
+                        let hold = state.hold;
+                        state.table.stopped(mark, hold);
+                    }
+                    return;
+                }
+                Ok(OrderOutcome::Refused(WorkerRefusal::OtherBoot)) => return,
+                Ok(OrderOutcome::Refused(refusal)) => {
+                    tracing::warn!(task = %mark.task, run = mark.run, ?refusal, "stop refused");
+                }
+                Err(error) => {
+                    tracing::warn!(%error, task = %mark.task, run = mark.run, "stop without an answer");
+                }
+            }
+            sleep(STOP_PAUSE).await;
+        }
+    }
+
+    /// Sets the pace of all runs that fill.
+    pub(crate) fn order_pace(self: &Rc<Self>, percent: u32) {
+        let (boot, marks) = {
+            let mut boot = self.boot.borrow_mut();
+            let Some(boot) = boot.as_mut() else {
+                return;
+            };
+            (boot.view.id.clone(), boot.table.repace(percent))
+        };
+        for mark in marks {
+            let state = self.clone();
+            let boot = boot.clone();
+            spawn(async move {
+                let token = state.token.get();
+                let answer = state
+                    .worker
+                    .pace(&boot, mark, percent, token, ORDER_LIMIT)
+                    .await;
+                if !matches!(answer, Ok(OrderOutcome::Done)) {
+                    state.with_table(&boot, |table| table.pace_lost(mark));
+                }
+            })
+            .detach();
+        }
+    }
+
+    pub(crate) fn with_table<T>(
+        &self,
+        boot: &str,
+        act: impl FnOnce(&mut crate::table::RunTable) -> T,
+    ) -> Option<T> {
+        let mut state = self.boot.borrow_mut();
+        let state = state.as_mut().filter(|state| *state.view.id == *boot)?;
+        Some(act(&mut state.table))
+    }
+}
--- /dev/null
+++ b/crates/wax-agent/src/owner_link.rs
@@ -0,0 +1,222 @@
+//! Finds the owner of the shard and keeps a link to it.
+
+use crate::state::{AgentState, OwnerLink};
+use compio::net::TcpStream;
+use compio::runtime::spawn;
+use compio::time::{sleep, timeout};
+use futures_channel::mpsc::{UnboundedReceiver, unbounded};
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use wax_batch::RunMark;
+use wax_types::TimePoint;
+use wax_wire::{
+    AgentHello, LinkPing, PoolBody, PoolReader, PoolWriter, WorkerKept, split_pool_stream,
+};
+
+/// Longest time for a connection and its first answer.
+const CONNECT_LIMIT: Duration = Duration::from_millis(600);
+/// Between two heartbeats.
+const PING_PERIOD: Duration = Duration::from_millis(500);
+/// A link without an answer to its heartbeats for this long is given up.
+const LINK_LIMIT: Duration = Duration::from_millis(1_800);
+/// The same while the owner still loads its shard and has not taken over the worker's runs.
+const TAKEOVER_LIMIT: Duration = Duration::from_millis(5_000);
+/// Between two rounds of the search, with as much again at random.
+const SEARCH_PAUSE: Duration = Duration::from_millis(120);
+
+/// Where an owner may be found.
+pub trait OwnerDirectory {
+    /// The owner's address as the store has it.
+    fn read(&self) -> impl Future<Output = Option<SocketAddr>>;
+}
+
+/// Keeps a link to the owner for the life of the process.
+pub(crate) async fn keep_owner_link(
+    state: Rc<AgentState>,
+    seeds: Vec<SocketAddr>,
+    directory: impl OwnerDirectory,
+) {
+    let mut hint = None;
+    let mut generation = 0;
+    let mut round = 0_usize;
+    loop {
+        // The store is asked in one round of four: the other rounds cost the platform nothing.
+        let address = match hint.take() {
+            Some(address) => Some(address),
+            None if round % 4 == 3 => directory.read().await,
+            None if seeds.is_empty() => directory.read().await,
+            None => seeds.get(round % seeds.len()).copied(),
+        };
+        round += 1;
+        let Some(address) = address else {
+            pause().await;
+            continue;
+        };
+        match open(&state, address).await {
+            Ok(Opened::Owner(link)) => {
+                generation += 1;
+                let link = *link;
+                tracing::info!(owner = %address, epoch = link.epoch, "linked to the owner");
+                let why = run_link(&state, link, generation).await;
+                tracing::warn!(owner = %address, why, "link to the owner lost");
+                *state.link.borrow_mut() = None;
+                hint = Some(address);
+            }
+            Ok(Opened::Elsewhere(Some(other))) if other != address => hint = Some(other),
+            Ok(Opened::Elsewhere(_)) | Err(_) => pause().await,
+        }
+    }
+}
+
+async fn pause() {
+    sleep(SEARCH_PAUSE + SEARCH_PAUSE.mul_f64(fastrand::f64())).await;
+}
+
+struct OpenLink {
+    reader: PoolReader,
+    writer: PoolWriter,
+    epoch: u64,
+    token: u64,
+}
+
+enum Opened {
+    Owner(Box<OpenLink>),
+    Elsewhere(Option<SocketAddr>),
+}
+
+async fn open(state: &AgentState, address: SocketAddr) -> io::Result<Opened> {
+    let late = || io::Error::new(io::ErrorKind::TimedOut, "no answer in time");
+    timeout(CONNECT_LIMIT, greet(state, address))
+        .await
+        .map_err(|_| late())?
+}
+
+async fn greet(state: &AgentState, address: SocketAddr) -> io::Result<Opened> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (mut reader, mut writer) = split_pool_stream(stream);
+    let hello = AgentHello {
+        node: state.node.to_string(),
+    };
+    writer.write(PoolBody::AgentHello(hello)).await?;
+    match reader.read().await? {
+        Some(PoolBody::Welcome(welcome)) => Ok(Opened::Owner(Box::new(OpenLink {
+            reader,
+            writer,
+            epoch: welcome.epoch,
+            token: welcome.token,
+        }))),
+        Some(PoolBody::NotOwner(other)) => Ok(Opened::Elsewhere(other.address.parse().ok())),
+        _ => Err(io::Error::new(io::ErrorKind::InvalidData, "no welcome")),
+    }
+}
+
+async fn run_link(state: &Rc<AgentState>, link: OpenLink, generation: u64) -> &'static str {
+    if link.token <= state.token.get() {
+        return "an owner of the past";
+    }
+    let (outbox, inbox) = unbounded();
+    state.token.set(link.token);
+    state.granted.set(TimePoint::default());
+    *state.link.borrow_mut() = Some(OwnerLink {
+        generation,
+        outbox: outbox.clone(),
+        kept: false,
+    });
+    state.changed.notify(usize::MAX);
+    let heard = Rc::new(Cell::new(state.now()));
+    let writing = spawn(write_link(link.writer, inbox));
+    let pinging = spawn(ping(state.clone(), outbox, heard.clone()));
+    let why = read_link(state, link.reader, &heard).await;
+    // Dropped tasks are cancelled; the connection closes with them.
+    drop(pinging);
+    drop(writing);
+    why
+}
+
+async fn write_link(mut writer: PoolWriter, mut inbox: UnboundedReceiver<PoolBody>) {
+    if let Err(error) = writer.drain(&mut inbox).await {
+        tracing::info!(%error, "writing to the owner failed");
+    }
+}
+
+async fn ping(
+    state: Rc<AgentState>,
+    outbox: futures_channel::mpsc::UnboundedSender<PoolBody>,
+    heard: Rc<Cell<TimePoint>>,
+) {
+    while state.now().since(heard.get()) < silence_limit(&state) {
+        let ping = LinkPing {
+            sent_us: state.now().0,
+            config: 0,
+        };
+        if outbox.unbounded_send(PoolBody::Ping(ping)).is_err() {
+            return;
+        }
+        sleep(PING_PERIOD).await;
+    }
+}
+
+fn silence_limit(state: &AgentState) -> Duration {
+    if state.is_kept() || state.boot.borrow().is_none() {
+        LINK_LIMIT
+    } else {
+        TAKEOVER_LIMIT
+    }
+}
+
+async fn read_link(
+    state: &Rc<AgentState>,
+    mut reader: PoolReader,
+    heard: &Cell<TimePoint>,
+) -> &'static str {
+    loop {
+        let limit = silence_limit(state);
+        let left = limit.saturating_sub(state.now().since(heard.get()));
+        let body = match timeout(left.max(Duration::from_millis(1)), reader.read()).await {
+            Ok(Ok(Some(body))) => body,
+            Ok(Ok(None)) => return "the owner closed it",
+            Ok(Err(_)) => return "it broke",
+            Err(_) if state.now().since(heard.get()) >= limit => return "the owner is silent",
+            Err(_) => continue,
+        };
+        heard.set(state.now());
+        take_message(state, body);
+    }
+}
+
+fn take_message(state: &Rc<AgentState>, body: PoolBody) {
+    match body {
+        PoolBody::Grant(grant) => {
+            let until = TimePoint(grant.sent_us) + Duration::from_millis(grant.valid_ms);
+            state.take_grant(until);
+        }
+        PoolBody::WorkerKept(kept) => keep_worker(state, &kept),
+        PoolBody::Start(order) => state.order_start(order),
+        PoolBody::Stop(order) => state.order_stop(RunMark::from(&order.mark)),
+        PoolBody::Ack(ack) => {
+            let mut boot = state.boot.borrow_mut();
+            if let Some(boot) = boot.as_mut().filter(|boot| *boot.view.id == *ack.worker) {
+                boot.ack_cursor = boot.ack_cursor.max(ack.cursor);
+            }
+        }
+        other => tracing::warn!(?other, "unexpected message of the owner"),
+    }
+}
+
+fn keep_worker(state: &AgentState, kept: &WorkerKept) {
+    let mut boot = state.boot.borrow_mut();
+    let Some(boot) = boot.as_mut().filter(|boot| *boot.view.id == *kept.worker) else {
+        return;
+    };
+    for seat in &kept.seats {
+        boot.table.learn(RunMark::from(&seat.mark), seat.into());
+    }
+    if let Some(link) = state.link.borrow_mut().as_mut() {
+        link.kept = true;
+    }
+    state.take_grant(state.granted.get());
+}
--- /dev/null
+++ b/crates/wax-agent/src/process.rs
@@ -0,0 +1,67 @@
+//! Starts an agent and keeps it until it is told to stop.
+
+use crate::check_ins::CheckInHandler;
+use crate::driver::drive_worker;
+use crate::lease::LeaseRules;
+use crate::owner_link::{OwnerDirectory, keep_owner_link};
+use crate::pace::PaceRules;
+use crate::state::AgentState;
+use compio::runtime::spawn;
+use event_listener::Event;
+use platform::WorkerClient;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use wax_http::{HttpServer, ShutdownSignal, bind_listener};
+use wax_settings::DaemonSettings;
+use wax_types::{ErrorKind, ProcessClock, Step, TimePoint, WaxError};
+
+/// Runs an agent until `shutdown`; its worker's tasks go on under their leases.
+///
+/// # Errors
+///
+/// A section of the settings is missing, or an address is taken.
+pub async fn run_agent(
+    settings: &DaemonSettings,
+    directory: impl OwnerDirectory + 'static,
+    shutdown: ShutdownSignal,
+) -> Result<(), WaxError> {
+    let missing = |key: &str| {
+        let text = format!("pool.{key} is missing");
+        WaxError::new(ErrorKind::Invalid, Step::ReadSettings, "role", text)
+            .with_help("an agent needs pool.check_ins and pool.worker")
+    };
+    let pool = settings.pool.as_ref().ok_or_else(|| missing("peers"))?;
+    let check_ins = pool.check_ins.ok_or_else(|| missing("check_ins"))?;
+    let worker = pool.worker.ok_or_else(|| missing("worker"))?;
+    let state = Rc::new(new_state(&settings.name, worker));
+    let listener = bind_listener(check_ins)?;
+    let handler = Rc::new(CheckInHandler {
+        state: state.clone(),
+    });
+    let server = HttpServer::new(listener, handler, shutdown.clone());
+    spawn(drive_worker(state.clone())).detach();
+    spawn(keep_owner_link(state, pool.peer_seeds(), directory)).detach();
+    tracing::info!(name = %settings.name, %check_ins, %worker, "agent started");
+    server.run().await;
+    tracing::info!(name = %settings.name, "agent stopped");
+    Ok(())
+}
+
+fn new_state(node: &str, worker: SocketAddr) -> AgentState {
+    AgentState {
+        node: node.into(),
+        clock: ProcessClock::start(),
+        worker: WorkerClient::new(worker),
+        lease_rules: LeaseRules::default(),
+        pace_rules: PaceRules::default(),
+        link: RefCell::default(),
+        boot: RefCell::default(),
+        candidate: RefCell::default(),
+        dead: RefCell::default(),
+        granted: Cell::new(TimePoint::default()),
+        authority: Cell::new(TimePoint::default()),
+        token: Cell::new(0),
+        changed: Event::new(),
+    }
+}
--- /dev/null
+++ b/crates/wax-agent/src/state.rs
@@ -0,0 +1,109 @@
+//! What the tasks of one agent share.
+
+use crate::lease::{LeaseClock, LeaseRules};
+use crate::pace::{PaceControl, PaceRules};
+use crate::table::RunTable;
+use event_listener::Event;
+use futures_channel::mpsc::UnboundedSender;
+use platform::WorkerClient;
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
+use wax_batch::WorkerView;
+use wax_types::{ProcessClock, TimePoint};
+use wax_wire::PoolBody;
+
+/// The link to the owner.
+#[derive(Debug)]
+pub(crate) struct OwnerLink {
+    /// Rises with each link.
+    pub(crate) generation: u64,
+    pub(crate) outbox: UnboundedSender<PoolBody>,
+    /// Whether the owner has taken over the worker's runs on this link.
+    pub(crate) kept: bool,
+}
+
+/// One boot of the worker.
+#[derive(Debug)]
+pub(crate) struct WorkerBoot {
+    pub(crate) view: WorkerView,
+    pub(crate) sequence: u64,
+    /// Whether a hold has shown that this boot answers.
+    pub(crate) verified: bool,
+    /// The link on which its runs were told last.
+    pub(crate) told: u64,
+    pub(crate) table: RunTable,
+    pub(crate) lease: LeaseClock,
+    pub(crate) pace: PaceControl,
+    /// Ends up to here are in the store.
+    pub(crate) ack_cursor: u64,
+    /// The number of the hold that is under way.
+    pub(crate) hold: u64,
+}
+
+impl WorkerBoot {
+    pub(crate) fn new(view: WorkerView, sequence: u64) -> Self {
+        Self {
+            view,
+            sequence,
+            verified: false,
+            told: 0,
+            table: RunTable::default(),
+            lease: LeaseClock::default(),
+            pace: PaceControl::default(),
+            ack_cursor: 0,
+            hold: 0,
+        }
+    }
+}
+
+/// Shared by all tasks of the process.
+#[derive(Debug)]
+pub(crate) struct AgentState {
+    pub(crate) node: Box<str>,
+    pub(crate) clock: ProcessClock,
+    pub(crate) worker: WorkerClient,
+    pub(crate) lease_rules: LeaseRules,
+    pub(crate) pace_rules: PaceRules,
+    pub(crate) link: RefCell<Option<OwnerLink>>,
+    /// The boot that is driven.
+    pub(crate) boot: RefCell<Option<WorkerBoot>>,
+    /// A boot that has checked in and is not verified yet.
+    pub(crate) candidate: RefCell<Option<(WorkerView, u64)>>,
+    /// Boots that are known to be dead: their late check-ins count for nothing.
+    pub(crate) dead: RefCell<HashSet<Box<str>>>,
+    /// The last grant of this link; it counts once the owner has taken over the worker's runs.
+    pub(crate) granted: Cell<TimePoint>,
+    /// Until when the owner's authority reaches.
+    pub(crate) authority: Cell<TimePoint>,
+    /// The highest token that was ever used.
+    pub(crate) token: Cell<u64>,
+    /// Something has changed that the driver waits for.
+    pub(crate) changed: Event,
+}
+
+impl AgentState {
+    pub(crate) fn now(&self) -> TimePoint {
+        self.clock.now()
+    }
+
+    /// Sends a message to the owner, if there is a link.
+    pub(crate) fn tell(&self, body: PoolBody) {
+        if let Some(link) = &*self.link.borrow() {
+            // A link that is closing is replaced, and all is told anew on the next one.
+            let _ = link.outbox.unbounded_send(body);
+        }
+    }
+
+    /// Notes a grant; before the owner has taken over the worker's runs it extends nothing.
+    pub(crate) fn take_grant(&self, until: TimePoint) {
+        self.granted.set(self.granted.get().max(until));
+        if self.is_kept() {
+            self.authority.set(self.authority.get().max(until));
+        }
+    }
+
+    /// Whether the link has taken over the worker's runs, so that orders and news count.
+    pub(crate) fn is_kept(&self) -> bool {
+        self.link.borrow().as_ref().is_some_and(|link| link.kept)
+    }
+}
--- /dev/null
+++ b/crates/wax-agent/src/table.rs
@@ -0,0 +1,264 @@
+//! Everything that runs on the worker, is being stopped there, or may begin yet.
+
+use std::collections::HashMap;
+use wax_batch::{RunEnd, RunMark, RunReport, StartRefusal, TaskSize, WorkerState, WorkerView};
+
+/// Where a run stands by what this process knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunStand {
+    /// Its start was sent and not answered.
+    Starting,
+    /// It runs.
+    Running,
+    /// Its stop was sent, or will be again.
+    Stopping,
+    /// Its stop was answered while this hold was under way: it is gone once a later one omits it.
+    Stopped {
+        /// The number of the hold.
+        hold: u64,
+    },
+}
+
+/// What is known of a run besides its name.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct SeatInfo {
+    /// What it books.
+    pub booked: TaskSize,
+    /// Whether it gets only what others leave.
+    pub fills: bool,
+    /// Bound on its tail latency, milliseconds; 0 for none.
+    pub tail_target_ms: u32,
+    /// Its image.
+    pub image: Box<str>,
+}
+
+#[derive(Debug, Clone)]
+struct RunRow {
+    seat: Option<SeatInfo>,
+    stand: RunStand,
+    report: RunReport,
+    percent_sent: u32,
+    checkpoint_sent: Box<str>,
+    pace: u32,
+}
+
+/// What a hold has brought that the owner does not know yet.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct HoldNews {
+    /// Runs that went on.
+    pub going: Vec<RunReport>,
+    /// Runs that ended.
+    pub ends: Vec<RunEnd>,
+    /// Runs that never began and never will.
+    pub never: Vec<RunMark>,
+}
+
+/// The guard of the worker's capacity.
+#[derive(Debug, Default)]
+pub struct RunTable {
+    rows: HashMap<RunMark, RunRow>,
+    heard: u64,
+}
+
+impl RunTable {
+    /// Whether a run may be started beside all others; books its size if so.
+    ///
+    /// # Errors
+    ///
+    /// Why it may not.
+    pub fn begin(
+        &mut self,
+        mark: RunMark,
+        seat: SeatInfo,
+        view: &WorkerView,
+    ) -> Result<(), StartRefusal> {
+        if view.state == WorkerState::Draining || self.rows.contains_key(&mark) {
+            return Err(StartRefusal::Stale);
+        }
+        let Some(booked) = self.booked() else {
+            return Err(StartRefusal::Room);
+        };
+        if !seat.booked.plus(booked).fits(view.capacity) {
+            return Err(StartRefusal::Room);
+        }
+        let row = RunRow::new(mark, Some(seat), RunStand::Starting);
+        self.rows.insert(mark, row);
+        Ok(())
+    }
+
+    /// The sum of what all rows book; `None` while a row's size is not known.
+    pub fn booked(&self) -> Option<TaskSize> {
+        let mut sum = TaskSize::default();
+        for row in self.rows.values() {
+            sum = sum.plus(row.seat.as_ref()?.booked);
+        }
+        Some(sum)
+    }
+
+    /// The worker has begun the run.
+    pub fn started(&mut self, mark: RunMark) {
+        if let Some(row) = self.rows.get_mut(&mark)
+            && row.stand == RunStand::Starting
+        {
+            row.stand = RunStand::Running;
+        }
+    }
+
+    /// The worker has refused the run, or it has ended: nothing of it is left.
+    pub fn remove(&mut self, mark: RunMark) -> bool {
+        self.rows.remove(&mark).is_some()
+    }
+
+    /// Notes that a stop is on its way; says whether the run is known.
+    pub fn stopping(&mut self, mark: RunMark) -> bool {
+        let Some(row) = self.rows.get_mut(&mark) else {
+            return false;
+        };
+        if !matches!(row.stand, RunStand::Stopped { .. }) {
+            row.stand = RunStand::Stopping;
+        }
+        true
+    }
+
+    /// The worker has answered the stop while hold number `hold` was under way.
+    pub fn stopped(&mut self, mark: RunMark, hold: u64) {
+        if let Some(row) = self.rows.get_mut(&mark) {
+            row.stand = RunStand::Stopped { hold };
+        }
+    }
+
+    /// Where a run stands.
+    pub fn stand(&self, mark: RunMark) -> Option<RunStand> {
+        self.rows.get(&mark).map(|row| row.stand)
+    }
+
+    /// Takes sizes that only the owner knew.
+    pub fn learn(&mut self, mark: RunMark, seat: SeatInfo) {
+        if let Some(row) = self.rows.get_mut(&mark) {
+            row.seat = Some(seat);
+        }
+    }
+
+    /// Compares a worker's lists, of hold number `hold`, with the table.
+    pub fn observe(&mut self, running: &[RunReport], ended: &[RunEnd], hold: u64) -> HoldNews {
+        let mut news = HoldNews::default();
+        for report in running {
+            let row = self
+                .rows
+                .entry(report.mark)
+                .or_insert_with(|| RunRow::new(report.mark, None, RunStand::Running));
+            if row.stand == RunStand::Starting {
+                row.stand = RunStand::Running;
+            }
+            row.report = report.clone();
+            if row.has_news() {
+                row.percent_sent = report.percent;
+                row.checkpoint_sent = report.checkpoint.clone();
+                news.going.push(report.clone());
+            }
+        }
+        for end in ended.iter().filter(|end| end.number > self.heard) {
+            self.rows.remove(&end.mark);
+            news.ends.push(end.clone());
+        }
+        self.heard = ended
+            .iter()
+            .map(|end| end.number)
+            .fold(self.heard, u64::max);
+        let listed = |mark: &RunMark| running.iter().any(|report| report.mark == *mark);
+        let gone: Vec<RunMark> = self
+            .rows
+            .iter()
+            .filter(|(mark, row)| row.stopped_before(hold) && !listed(mark))
+            .map(|(mark, _)| *mark)
+            .collect();
+        for mark in gone {
+            self.rows.remove(&mark);
+            news.never.push(mark);
+        }
+        news
+    }
+
+    /// All rows as the owner must count them.
+    pub fn reports(&self) -> Vec<RunReport> {
+        self.rows.values().map(|row| row.report.clone()).collect()
+    }
+
+    /// Whether a run's size is missing.
+    pub fn is_sized(&self) -> bool {
+        self.rows.values().all(|row| row.seat.is_some())
+    }
+
+    /// The greatest share of its target that a serving run's tail takes; 0 without one.
+    pub fn worst_tail(&self) -> f64 {
+        let share = |row: &RunRow| {
+            let target = row.seat.as_ref().map_or(0, |seat| seat.tail_target_ms);
+            if target == 0 || row.report.percent < 100 {
+                return 0.0;
+            }
+            f64::from(row.report.figure) / f64::from(target)
+        };
+        self.rows.values().map(share).fold(0.0, f64::max)
+    }
+
+    /// Runs that fill and whose pace is not `percent`; notes it as sent.
+    pub fn repace(&mut self, percent: u32) -> Vec<RunMark> {
+        let mut marks = Vec::new();
+        for (mark, row) in &mut self.rows {
+            let fills = row.seat.as_ref().is_some_and(|seat| seat.fills);
+            if fills && row.stand == RunStand::Running && row.pace != percent {
+                row.pace = percent;
+                marks.push(*mark);
+            }
+        }
+        marks
+    }
+
+    /// A pace was not taken; it is due again.
+    pub fn pace_lost(&mut self, mark: RunMark) {
+        if let Some(row) = self.rows.get_mut(&mark) {
+            row.pace = u32::MAX;
+        }
+    }
+
+    /// How many rows there are.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Whether there is no row.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+}
+
+/// A change of this much of a run's work is told to the owner.
+const PERCENT_STEP: u32 = 20;
+
+impl RunRow {
+    fn new(mark: RunMark, seat: Option<SeatInfo>, stand: RunStand) -> Self {
+        Self {
+            seat,
+            stand,
+            report: RunReport {
+                mark,
+                checkpoint: "".into(),
+                percent: 0,
+                figure: 0,
+            },
+            percent_sent: 0,
+            checkpoint_sent: "".into(),
+            pace: 100,
+        }
+    }
+
+    fn has_news(&self) -> bool {
+        self.report.checkpoint != self.checkpoint_sent
+            || self.report.percent >= self.percent_sent + PERCENT_STEP
+            || (self.report.percent == 100) != (self.percent_sent == 100)
+    }
+
+    fn stopped_before(&self, hold: u64) -> bool {
+        matches!(self.stand, RunStand::Stopped { hold: stopped } if stopped < hold)
+    }
+}
--- /dev/null
+++ b/crates/wax-batch/src/book.rs
@@ -0,0 +1,655 @@
+//! All open jobs of a shard and the workers that run them, in their owner's memory.
+
+use crate::life::{JobLife, OccurrenceLife, TaskLife, TaskSeat, TaskStand};
+use crate::names::{JobName, RunMark, TaskName};
+use crate::place::PlaceRules;
+use crate::progress::{JobOutcome, JobProgress, JobRow};
+use crate::queue::{QueueConfig, QueueRules};
+use crate::spec::{JobSpec, TaskSize};
+use crate::worker::{WorkerKey, WorkerView};
+use slotmap::SlotMap;
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+use wax_types::TimePoint;
+
+slotmap::new_key_type! {
+    /// A job that an owner knows.
+    pub struct JobKey;
+}
+
+/// A step of an occurrence of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct StepAt {
+    /// The job.
+    pub job: JobKey,
+    /// The occurrence.
+    pub occurrence: u32,
+    /// The step.
+    pub step: u16,
+}
+
+/// A task of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TaskAt {
+    /// The step.
+    pub step: StepAt,
+    /// The index within it.
+    pub index: u32,
+}
+
+/// A run to start.
+#[derive(Debug, Clone)]
+pub struct StartOrder {
+    /// Where.
+    pub worker: WorkerKey,
+    /// Which task, with the number of the start.
+    pub mark: RunMark,
+    /// The task's job.
+    pub spec: Rc<JobSpec>,
+    /// The checkpoint to resume from; empty for none.
+    pub checkpoint: Box<str>,
+}
+
+/// A run to stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopOrder {
+    /// Where.
+    pub worker: WorkerKey,
+    /// Which run.
+    pub mark: RunMark,
+    /// Why; for the log.
+    pub why: &'static str,
+}
+
+/// What a caller is told of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct JobInfo {
+    /// How it ended, by the store.
+    pub outcome: JobOutcome,
+    /// Whether any task has begun.
+    pub begun: bool,
+}
+
+/// Changes of a job for the store.
+#[derive(Debug, Clone)]
+pub struct BookNote {
+    /// The job.
+    pub job: JobKey,
+    /// Its name.
+    pub name: JobName,
+    /// The count of changes that the note covers.
+    pub changes: u64,
+    /// What to write.
+    pub progress: JobProgress,
+}
+
+/// An end that the store must learn before the worker may forget it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PendingEnd {
+    pub(crate) number: u64,
+    /// The job and the count of its changes that covers the end; `None` needs nothing stored.
+    pub(crate) covered: Option<(JobKey, u64)>,
+}
+
+/// A worker and what is placed on it.
+#[derive(Debug)]
+pub struct WorkerLife {
+    /// What it says of itself.
+    pub view: WorkerView,
+    /// Runs placed here; each books its size until it has ended.
+    pub runs: HashMap<RunMark, RunSeat>,
+    /// The sum of what the runs book.
+    pub booked: TaskSize,
+    /// Thousandths of a core that runs which fill ask for.
+    pub filling_milli: u32,
+    /// Thousandths of a core that lasting runs ask for.
+    pub lasting_milli: u32,
+    /// The last number of an end that was heard.
+    pub heard: u64,
+    /// Ends up to here may be forgotten by the worker.
+    pub cursor: u64,
+    pub(crate) pending: VecDeque<PendingEnd>,
+    /// Failed runs since the last run that was done here.
+    pub failed_in_row: u32,
+    /// Until when it gets no work, after failures.
+    pub shunned_until: TimePoint,
+    /// Whether its agent can be reached now.
+    pub reachable: bool,
+}
+
+/// One run on a worker.
+#[derive(Debug, Clone, Copy)]
+pub struct RunSeat {
+    /// The task; `None` for a run that no known job asked for.
+    pub task: Option<TaskAt>,
+    /// What it books.
+    pub booked: TaskSize,
+    /// Thousandths of a core that it asks for, if it fills.
+    pub filling_milli: u32,
+    /// Thousandths of a core that it asks for, if it lasts.
+    pub lasting_milli: u32,
+}
+
+/// Runs started in a later term of ownership are numbered from a multiple of this.
+const RUNS_PER_TERM: u64 = 1 << 16;
+
+/// The owner's memory of a shard.
+#[derive(Debug)]
+pub struct JobBook {
+    pub(crate) jobs: SlotMap<JobKey, JobLife>,
+    pub(crate) names: HashMap<JobName, JobKey>,
+    pub(crate) workers: SlotMap<WorkerKey, WorkerLife>,
+    pub(crate) ready: BTreeSet<StepAt>,
+    pub(crate) dirty: BTreeSet<JobKey>,
+    pub(crate) stops: Vec<StopOrder>,
+    pub(crate) config: Rc<QueueConfig>,
+    pub(crate) rules: PlaceRules,
+    /// The owner's term.
+    pub(crate) epoch: u64,
+    /// Whether tasks of jobs of earlier terms may be started: all who may run them were heard.
+    pub(crate) settled: bool,
+}
+
+impl JobBook {
+    /// An empty book of the term `epoch`.
+    pub fn new(epoch: u64, rules: PlaceRules) -> Self {
+        Self {
+            jobs: SlotMap::with_key(),
+            names: HashMap::new(),
+            workers: SlotMap::with_key(),
+            ready: BTreeSet::new(),
+            dirty: BTreeSet::new(),
+            stops: Vec::new(),
+            config: Rc::default(),
+            rules,
+            epoch,
+            settled: false,
+        }
+    }
+
+    /// Takes a version of the config.
+    pub fn set_config(&mut self, config: Rc<QueueConfig>) {
+        for queue in &config.queues {
+            for job in self.jobs.values_mut() {
+                if job.queue.name == queue.name {
+                    job.queue = queue.clone();
+                }
+            }
+        }
+        self.config = config;
+    }
+
+    /// All who may run tasks of earlier terms were heard or have lapsed.
+    pub fn settle(&mut self) {
+        self.settled = true;
+    }
+
+    /// Whether tasks of earlier terms may be started.
+    pub fn is_settled(&self) -> bool {
+        self.settled
+    }
+
+    /// Takes a job from its rows; a job that is known already is left as it is.
+    pub fn add_job(
+        &mut self,
+        name: JobName,
+        row: JobRow,
+        progress: Option<&JobProgress>,
+        now: TimePoint,
+        now_ms: u64,
+    ) {
+        if self.names.contains_key(&name) {
+            return;
+        }
+        let queue = self.queue_rules(&row);
+        let age = Duration::from_millis(now_ms.saturating_sub(row.accepted_ms));
+        let mut job = JobLife {
+            name,
+            queue,
+            service: row.service.as_str().into(),
+            epoch: row.epoch,
+            accepted: now - age,
+            occurrences: Default::default(),
+            next_occurrence: 0,
+            outcome: JobOutcome::Open,
+            ended_ms: 0,
+            stored_outcome: JobOutcome::Open,
+            begun: false,
+            reason: None,
+            changes: 0,
+            stored_changes: 0,
+            spec: Rc::new(row.into_spec()),
+        };
+        if let Some(progress) = progress {
+            job.restore(progress);
+        }
+        let over = job.is_over();
+        let key = self.jobs.insert(job);
+        self.names.insert(name, key);
+        if !over {
+            self.open_occurrences(key, now, now_ms);
+            self.open_all(key);
+            self.settle_job(key, now_ms);
+        }
+    }
+
+    fn queue_rules(&self, row: &JobRow) -> Rc<QueueRules> {
+        let known = self
+            .config
+            .queues
+            .iter()
+            .find(|queue| *queue.name == *row.queue);
+        known.cloned().unwrap_or_else(|| {
+            Rc::new(QueueRules {
+                name: row.queue.as_str().into(),
+                host: "".into(),
+                prefix: "".into(),
+                service: row.service.as_str().into(),
+                priority: 1,
+                most_attempts: 2,
+                stretch: 2.0,
+                target_latency_ms: 1_000,
+                timeout_ms: 0,
+                advice: None,
+            })
+        })
+    }
+
+    /// Begins occurrences that are due; says when the next one is, Unix milliseconds.
+    fn open_occurrences(&mut self, key: JobKey, now: TimePoint, now_ms: u64) -> Option<u64> {
+        let job = &mut self.jobs[key];
+        let all = job.spec.occurrences();
+        while job.next_occurrence < all {
+            let due = match job.spec.repeat {
+                Some(plan) if plan.due_ms(job.next_occurrence) > now_ms => {
+                    return Some(plan.due_ms(job.next_occurrence));
+                }
+                Some(plan) => {
+                    let late = now_ms - plan.due_ms(job.next_occurrence);
+                    now - Duration::from_millis(late)
+                }
+                None => job.accepted,
+            };
+            let occurrence = OccurrenceLife::new(&job.spec, due);
+            job.occurrences.insert(job.next_occurrence, occurrence);
+            job.next_occurrence += 1;
+        }
+        None
+    }
+
+    /// Begins what is due now in all timed jobs; returns when to look again, Unix milliseconds.
+    pub fn open_due(&mut self, now: TimePoint, now_ms: u64) -> Option<u64> {
+        let timed: Vec<JobKey> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.spec.repeat.is_some() && !job.is_over())
+            .map(|(key, _)| key)
+            .collect();
+        let mut next = None;
+        for key in timed {
+            let due = self.open_occurrences(key, now, now_ms);
+            self.open_all(key);
+            next = [next, due].into_iter().flatten().min();
+        }
+        next
+    }
+
+    /// Opens every step that can be, in all occurrences of a job.
+    pub(crate) fn open_all(&mut self, key: JobKey) {
+        let job = &mut self.jobs[key];
+        let spec = job.spec.clone();
+        for (number, occurrence) in &mut job.occurrences {
+            occurrence.open_steps(&spec);
+            for (step, life) in occurrence.steps.iter().enumerate() {
+                if life.open && life.waiting > 0 {
+                    self.ready.insert(StepAt {
+                        job: key,
+                        occurrence: *number,
+                        step: step as u16,
+                    });
+                }
+            }
+        }
+    }
+
+    /// Closes finished occurrences, and the job if that was all.
+    pub(crate) fn settle_job(&mut self, key: JobKey, now_ms: u64) {
+        let job = &mut self.jobs[key];
+        if job.is_over() {
+            return;
+        }
+        let spec = job.spec.clone();
+        // Only a prefix is dropped, since the store keeps the first number that is not done.
+        while let Some(first) = job.occurrences.first_entry() {
+            if !first.get().is_done(&spec) {
+                break;
+            }
+            first.remove();
+        }
+        if job.occurrences.is_empty() && job.next_occurrence >= spec.occurrences() {
+            self.end_job(key, JobOutcome::Completed, None, now_ms);
+        }
+    }
+
+    /// Ends a job; what still runs of it is stopped.
+    pub(crate) fn end_job(
+        &mut self,
+        key: JobKey,
+        outcome: JobOutcome,
+        reason: Option<Box<str>>,
+        now_ms: u64,
+    ) {
+        let job = &mut self.jobs[key];
+        if job.is_over() {
+            return;
+        }
+        job.outcome = outcome;
+        job.reason = reason;
+        job.ended_ms = now_ms;
+        self.touch(key);
+        self.stop_all(key, "the job has ended");
+        let from = StepAt {
+            job: key,
+            occurrence: 0,
+            step: 0,
+        };
+        let stale: Vec<StepAt> = self
+            .ready
+            .range(from..)
+            .take_while(|step| step.job == key)
+            .copied()
+            .collect();
+        for step in stale {
+            self.ready.remove(&step);
+        }
+    }
+
+    fn stop_all(&mut self, key: JobKey, why: &'static str) {
+        let job = &mut self.jobs[key];
+        for (number, occurrence) in &mut job.occurrences {
+            for (step, life) in occurrence.steps.iter_mut().enumerate() {
+                for (index, task) in life.tasks.iter_mut().enumerate() {
+                    let Some(seat) = task.seat_mut().filter(|seat| !seat.stopping) else {
+                        continue;
+                    };
+                    seat.stopping = true;
+                    let mark = RunMark {
+                        task: TaskName {
+                            job: job.name,
+                            occurrence: *number,
+                            step: step as u16,
+                            index: index as u32,
+                        },
+                        run: seat.run,
+                    };
+                    self.stops.push(StopOrder {
+                        worker: seat.worker,
+                        mark,
+                        why,
+                    });
+                }
+            }
+        }
+    }
+
+    /// Notes a change that the store must learn.
+    pub(crate) fn touch(&mut self, key: JobKey) {
+        self.jobs[key].changes += 1;
+        self.dirty.insert(key);
+    }
+
+    /// The caller of a job has cancelled it; the store knows.
+    pub fn cancel(&mut self, name: JobName, now_ms: u64) {
+        if let Some(key) = self.names.get(&name).copied() {
+            self.end_job(key, JobOutcome::Cancelled, None, now_ms);
+        }
+    }
+
+    /// What a caller may be told of a job; `None` if it is not known here.
+    pub fn info(&self, name: JobName) -> Option<JobInfo> {
+        let job = self.jobs.get(*self.names.get(&name)?)?;
+        Some(JobInfo {
+            outcome: job.stored_outcome,
+            begun: job.begun,
+        })
+    }
+
+    /// Accepted jobs of a queue of which no task has begun.
+    pub fn pending(&self, queue: &str) -> u64 {
+        let waits = |job: &&JobLife| *job.queue.name == *queue && !job.begun && !job.is_over();
+        self.jobs.values().filter(waits).count() as u64
+    }
+
+    /// Changes for the store, `most` jobs at a time.
+    pub fn take_notes(&mut self, most: usize) -> Vec<BookNote> {
+        let keys: Vec<JobKey> = self.dirty.iter().take(most).copied().collect();
+        let mut notes = Vec::with_capacity(keys.len());
+        for key in keys {
+            self.dirty.remove(&key);
+            if let Some(job) = self.jobs.get(key) {
+                notes.push(BookNote {
+                    job: key,
+                    name: job.name,
+                    changes: job.changes,
+                    progress: job.progress(),
+                });
+            }
+        }
+        notes
+    }
+
+    /// Whether the store must learn anything.
+    pub fn has_notes(&self) -> bool {
+        !self.dirty.is_empty()
+    }
+
+    /// Whether a job waits to be shown as ended.
+    pub fn has_urgent_notes(&self) -> bool {
+        let over = |key: &JobKey| self.jobs.get(*key).is_some_and(JobLife::is_over);
+        self.dirty.iter().any(over)
+    }
+
+    /// The store has these notes.
+    pub fn notes_stored(&mut self, notes: &[BookNote]) {
+        for note in notes {
+            if let Some(job) = self.jobs.get_mut(note.job) {
+                job.stored_changes = job.stored_changes.max(note.changes);
+                job.stored_outcome = note.progress.outcome();
+            }
+        }
+    }
+
+    /// These notes did not reach the store; they are due again.
+    pub fn notes_failed(&mut self, notes: &[BookNote]) {
+        self.dirty.extend(notes.iter().map(|note| note.job));
+    }
+
+    /// Orders to stop runs since the last call.
+    pub fn take_stops(&mut self) -> Vec<StopOrder> {
+        std::mem::take(&mut self.stops)
+    }
+
+    /// Jobs that ended before `before_ms` and can be forgotten.
+    pub fn forgettable(&self, before_ms: u64, most: usize) -> Vec<JobName> {
+        let old = |job: &&JobLife| {
+            job.is_over()
+                && job.ended_ms < before_ms
+                && job.stored_changes == job.changes
+                && job.stored_outcome != JobOutcome::Open
+        };
+        self.jobs
+            .values()
+            .filter(old)
+            .take(most)
+            .map(|job| job.name)
+            .collect()
+    }
+
+    /// Forgets a job whose rows are gone.
+    pub fn forget(&mut self, name: JobName) {
+        if let Some(key) = self.names.remove(&name) {
+            self.jobs.remove(key);
+            self.dirty.remove(&key);
+        }
+    }
+
+    /// How many jobs are open.
+    pub fn open_jobs(&self) -> usize {
+        self.jobs.values().filter(|job| !job.is_over()).count()
+    }
+
+    /// A job by its name, for explanations.
+    pub fn job(&self, name: JobName) -> Option<&JobLife> {
+        self.jobs.get(*self.names.get(&name)?)
+    }
+
+    /// All workers.
+    pub fn workers(&self) -> impl Iterator<Item = (WorkerKey, &WorkerLife)> {
+        self.workers.iter()
+    }
+
+    pub(crate) fn task_name(&self, at: TaskAt) -> TaskName {
+        TaskName {
+            job: self.jobs[at.step.job].name,
+            occurrence: at.step.occurrence,
+            step: at.step.step,
+            index: at.index,
+        }
+    }
+
+    /// The task of a name, if its job is known and open; makes room for its state.
+    pub(crate) fn task_at(&mut self, name: TaskName, now: TimePoint) -> Option<TaskAt> {
+        let key = *self.names.get(&name.job)?;
+        let job = &mut self.jobs[key];
+        if job.is_over() {
+            return None;
+        }
+        let spec = job.spec.clone();
+        let step_spec = spec.steps.get(usize::from(name.step))?;
+        let known = job
+            .occurrences
+            .keys()
+            .next()
+            .copied()
+            .unwrap_or(job.next_occurrence);
+        if name.index >= step_spec.count
+            || name.occurrence >= spec.occurrences()
+            || name.occurrence < known
+        {
+            return None;
+        }
+        while job.next_occurrence <= name.occurrence {
+            let occurrence = OccurrenceLife::new(&spec, now);
+            job.occurrences.insert(job.next_occurrence, occurrence);
+            job.next_occurrence += 1;
+        }
+        let occurrence = job.occurrences.get_mut(&name.occurrence)?;
+        let step = &mut occurrence.steps[usize::from(name.step)];
+        if step.is_done(step_spec) {
+            return None;
+        }
+        if step.tasks.is_empty() {
+            step.tasks = vec![TaskLife::default(); step_spec.count as usize];
+            step.waiting = step_spec.count;
+        }
+        Some(TaskAt {
+            step: StepAt {
+                job: key,
+                occurrence: name.occurrence,
+                step: name.step,
+            },
+            index: name.index,
+        })
+    }
+
+    pub(crate) fn task_mut(&mut self, at: TaskAt) -> Option<&mut TaskLife> {
+        let job = self.jobs.get_mut(at.step.job)?;
+        let occurrence = job.occurrences.get_mut(&at.step.occurrence)?;
+        let step = occurrence.steps.get_mut(usize::from(at.step.step))?;
+        step.tasks.get_mut(at.index as usize)
+    }
+
+    /// The number of a task's next start.
+    pub(crate) fn next_run(&self, job: &JobLife, last_run: u64) -> u64 {
+        let floor = self.epoch.saturating_sub(job.epoch) * RUNS_PER_TERM;
+        last_run.max(floor) + 1
+    }
+
+    /// Seats a task on a worker: books its size and notes where it is.
+    pub(crate) fn seat(
+        &mut self,
+        at: TaskAt,
+        worker: WorkerKey,
+        run: u64,
+        running: bool,
+        now: TimePoint,
+    ) {
+        let job = &mut self.jobs[at.step.job];
+        let spec = job.spec.clone();
+        let step_spec = &spec.steps[usize::from(at.step.step)];
+        let Some(occurrence) = job.occurrences.get_mut(&at.step.occurrence) else {
+            return;
+        };
+        let step = &mut occurrence.steps[usize::from(at.step.step)];
+        let task = &mut step.tasks[at.index as usize];
+        if matches!(task.stand, TaskStand::Waiting) {
+            step.waiting -= 1;
+        }
+        task.last_run = task.last_run.max(run);
+        task.stand = TaskStand::Placed(TaskSeat {
+            worker,
+            run,
+            since: now,
+            running,
+            stopping: false,
+            percent: 0,
+            moved: now,
+        });
+        *step.spread.entry(worker).or_default() += 1;
+        if running {
+            job.begun = true;
+        }
+        if step.waiting == 0 {
+            self.ready.remove(&at.step);
+        }
+        let mark = RunMark {
+            task: self.task_name(at),
+            run,
+        };
+        let seat = RunSeat {
+            task: Some(at),
+            booked: step_spec.booked(),
+            filling_milli: if step_spec.fills {
+                step_spec.size.cpu_milli
+            } else {
+                0
+            },
+            lasting_milli: if step_spec.lasts {
+                step_spec.size.cpu_milli
+            } else {
+                0
+            },
+        };
+        self.book_run(worker, mark, seat);
+    }
+
+    pub(crate) fn book_run(&mut self, worker: WorkerKey, mark: RunMark, seat: RunSeat) {
+        if let Some(life) = self.workers.get_mut(worker) {
+            life.booked = life.booked.plus(seat.booked);
+            life.filling_milli += seat.filling_milli;
+            life.lasting_milli += seat.lasting_milli;
+            life.runs.insert(mark, seat);
+        }
+    }
+
+    /// Frees what a run booked; says which task it was of.
+    pub(crate) fn free_run(&mut self, worker: WorkerKey, mark: RunMark) -> Option<RunSeat> {
+        let life = self.workers.get_mut(worker)?;
+        let seat = life.runs.remove(&mark)?;
+        life.booked = life.booked.minus(seat.booked);
+        life.filling_milli = life.filling_milli.saturating_sub(seat.filling_milli);
+        life.lasting_milli = life.lasting_milli.saturating_sub(seat.lasting_milli);
+        Some(seat)
+    }
+}
--- /dev/null
+++ b/crates/wax-batch/src/lib.rs
@@ -0,0 +1,29 @@
+//! Jobs of dependent steps on workers: model, life, stored progress and decisions.
+//!
+//! Nothing here does I/O; the present time is an argument of everything that decides.
+
+mod book;
+mod ends;
+mod life;
+mod names;
+mod place;
+mod progress;
+mod queue;
+mod rank;
+mod spec;
+mod worker;
+
+pub use book::{
+    BookNote, JobBook, JobInfo, JobKey, RunSeat, StartOrder, StepAt, StopOrder, TaskAt, WorkerLife,
+};
+pub use ends::StartRefusal;
+pub use life::{JobLife, OccurrenceLife, StepLife, TaskLife, TaskStand};
+pub use names::{JobName, RunMark, TaskName};
+pub use place::{PlaceChoice, PlaceRules};
+pub use progress::{
+    JobOutcome, JobProgress, JobRow, OccurrenceProgress, StepProgress, TaskFailures,
+};
+pub use queue::{AdviceRules, QueueConfig, QueueRules, QueueTable, ServiceRules};
+pub use rank::{JobRank, latest_start_ms, longest_chain_ms};
+pub use spec::{JobSpec, RepeatPlan, SpecError, StepSpec, TaskSize};
+pub use worker::{RunEnd, RunEndKind, RunReport, WorkerKey, WorkerState, WorkerView};
--- /dev/null
+++ b/crates/wax-batch/src/place.rs
@@ -0,0 +1,254 @@
+//! Which task starts where.
+
+use crate::book::{JobBook, StartOrder, StepAt, TaskAt, WorkerLife};
+use crate::life::TaskStand;
+use crate::names::RunMark;
+use crate::rank::JobRank;
+use crate::spec::{StepSpec, TaskSize};
+use crate::worker::{WorkerKey, WorkerState};
+use wax_types::TimePoint;
+
+/// What placement assumes of workers.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PlaceRules {
+    /// The share of its processors that a lasting task uses on average.
+    pub lasting_use: f64,
+    /// Tasks that fill may ask for this many times the processors that are left to them.
+    pub fill_limit: f64,
+    /// Cost of a worker on another rack than the data, in shares of a worker's processors.
+    pub far_cost: f64,
+    /// Cost of the worker on which the task failed last.
+    pub shun_cost: f64,
+    /// Cost of a worker that has just started.
+    pub cold_cost: f64,
+}
+
+impl Default for PlaceRules {
+    fn default() -> Self {
+        Self {
+            lasting_use: 0.6,
+            fill_limit: 1.0,
+            far_cost: 0.5,
+            shun_cost: 2.0,
+            cold_cost: 0.3,
+        }
+    }
+}
+
+/// Why a step's task could, or could not, be placed now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlaceChoice {
+    /// Here.
+    Worker(WorkerKey),
+    /// No worker has room now.
+    NoRoom,
+}
+
+impl WorkerLife {
+    /// What is not booked.
+    pub fn room(&self) -> TaskSize {
+        self.view.capacity.minus(self.booked)
+    }
+
+    fn takes(&self, service: &str, step: &StepSpec, now: TimePoint) -> bool {
+        let label = step.label.as_ref();
+        *self.view.service == *service
+            && self.view.state == WorkerState::Ready
+            && self.reachable
+            && now >= self.shunned_until
+            && label.is_none_or(|label| self.view.labels.contains(label))
+    }
+
+    /// Thousandths of a core that are left to tasks that fill.
+    fn fill_room_milli(&self, rules: &PlaceRules) -> f64 {
+        let lasting = f64::from(self.lasting_milli);
+        let batch = f64::from(self.booked.cpu_milli) - lasting;
+        let left = f64::from(self.view.capacity.cpu_milli) - batch - lasting * rules.lasting_use;
+        left * rules.fill_limit - f64::from(self.filling_milli)
+    }
+
+    /// The cost of one more task of the step, in shares of the worker's processors.
+    fn cost(&self, step: &StepSpec, rules: &PlaceRules) -> f64 {
+        let capacity = f64::from(self.view.capacity.cpu_milli.max(1));
+        let used = f64::from(self.booked.cpu_milli)
+            - f64::from(self.lasting_milli) * (1.0 - rules.lasting_use)
+            + f64::from(self.filling_milli);
+        let mut cost = (used + f64::from(step.size.cpu_milli)) / capacity;
+        if step.data_rack.is_some() && step.data_rack != self.view.rack {
+            cost += rules.far_cost;
+        }
+        if self.view.cold_ms > 0 {
+            cost += rules.cold_cost;
+        }
+        cost
+    }
+}
+
+impl JobBook {
+    /// Places what can be placed now, the most urgent first.
+    pub fn place(&mut self, now: TimePoint) -> Vec<StartOrder> {
+        let mut ranked: Vec<(JobRank, StepAt)> = Vec::with_capacity(self.ready.len());
+        for at in &self.ready {
+            let job = &self.jobs[at.job];
+            if !self.settled && job.epoch < self.epoch {
+                continue;
+            }
+            let due = job
+                .occurrences
+                .get(&at.occurrence)
+                .map_or(job.accepted, |life| life.due);
+            ranked.push((JobRank::new(job, at.step, due, now), *at));
+        }
+        ranked.sort_unstable();
+        let mut orders = Vec::new();
+        for (_, at) in ranked {
+            self.place_step(at, now, &mut orders);
+        }
+        orders
+    }
+
+    fn place_step(&mut self, at: StepAt, now: TimePoint, orders: &mut Vec<StartOrder>) {
+        let job = &self.jobs[at.job];
+        let spec = job.spec.clone();
+        let service = job.queue.service.clone();
+        let step = &spec.steps[usize::from(at.step)];
+        let Some(occurrence) = job.occurrences.get(&at.occurrence) else {
+            return;
+        };
+        let life = &occurrence.steps[usize::from(at.step)];
+        let waiting: Vec<u32> = (0..)
+            .zip(&life.tasks)
+            .filter(|(_, task)| matches!(task.stand, TaskStand::Waiting))
+            .map(|(index, _)| index)
+            .collect();
+        if step.gang {
+            if waiting.len() == step.count as usize {
+                self.place_gang(at, &service, step, now, orders);
+            }
+            return;
+        }
+        for index in waiting {
+            let task = TaskAt { step: at, index };
+            match self.choose(task, &service, step, now) {
+                PlaceChoice::Worker(worker) => orders.push(self.order(task, worker, None, now)),
+                PlaceChoice::NoRoom => return,
+            }
+        }
+    }
+
+    /// Seats all members or none.
+    fn place_gang(
+        &mut self,
+        at: StepAt,
+        service: &str,
+        step: &StepSpec,
+        now: TimePoint,
+        orders: &mut Vec<StartOrder>,
+    ) {
+        let last_run = self.last_run(at);
+        let run = self.next_run(&self.jobs[at.job], last_run);
+        let mut members = Vec::with_capacity(step.count as usize);
+        for index in 0..step.count {
+            let task = TaskAt { step: at, index };
+            match self.choose(task, service, step, now) {
+                PlaceChoice::Worker(worker) => {
+                    members.push(self.order(task, worker, Some(run), now))
+                }
+                PlaceChoice::NoRoom => {
+                    for member in members {
+                        self.take_back(at, &member);
+                    }
+                    return;
+                }
+            }
+        }
+        orders.extend(members);
+    }
+
+    fn last_run(&self, at: StepAt) -> u64 {
+        let tasks = self.jobs[at.job]
+            .occurrences
+            .get(&at.occurrence)
+            .map(|occurrence| &occurrence.steps[usize::from(at.step)].tasks);
+        tasks
+            .into_iter()
+            .flatten()
+            .map(|task| task.last_run)
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// Undoes a seat whose order was not given out.
+    fn take_back(&mut self, at: StepAt, order: &StartOrder) {
+        let task = TaskAt {
+            step: at,
+            index: order.mark.task.index,
+        };
+        self.free_run(order.worker, order.mark);
+        self.unseat(task, order.worker);
+    }
+
+    fn choose(
+        &mut self,
+        at: TaskAt,
+        service: &str,
+        step: &StepSpec,
+        now: TimePoint,
+    ) -> PlaceChoice {
+        let job = &self.jobs[at.step.job];
+        let Some(occurrence) = job.occurrences.get(&at.step.occurrence) else {
+            return PlaceChoice::NoRoom;
+        };
+        let life = &occurrence.steps[usize::from(at.step.step)];
+        let shuns = life.tasks[at.index as usize].shuns;
+        let most = if step.most_per_worker == 0 {
+            u32::MAX
+        } else {
+            step.most_per_worker
+        };
+        let booked = step.booked();
+        let mut best: Option<(f64, WorkerKey)> = None;
+        for (key, worker) in &self.workers {
+            let here = life.spread.get(&key).copied().unwrap_or(0);
+            if !worker.takes(service, step, now) || here >= most || !booked.fits(worker.room()) {
+                continue;
+            }
+            if step.fills && worker.fill_room_milli(&self.rules) < f64::from(step.size.cpu_milli) {
+                continue;
+            }
+            let mut cost = worker.cost(step, &self.rules);
+            if shuns == Some(key) {
+                cost += self.rules.shun_cost;
+            }
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, key));
+            }
+        }
+        best.map_or(PlaceChoice::NoRoom, |(_, key)| PlaceChoice::Worker(key))
+    }
+
+    fn order(
+        &mut self,
+        at: TaskAt,
+        worker: WorkerKey,
+        run: Option<u64>,
+        now: TimePoint,
+    ) -> StartOrder {
+        let job = &self.jobs[at.step.job];
+        let spec = job.spec.clone();
+        let occurrence = &job.occurrences[&at.step.occurrence];
+        let task = &occurrence.steps[usize::from(at.step.step)].tasks[at.index as usize];
+        let checkpoint = task.checkpoint.clone();
+        let run = run.unwrap_or_else(|| self.next_run(job, task.last_run));
+        self.seat(at, worker, run, false, now);
+        StartOrder {
+            worker,
+            mark: RunMark {
+                task: self.task_name(at),
+                run,
+            },
+            spec,
+            checkpoint,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wax-batch/src/rank.rs
@@ -0,0 +1,72 @@
+//! In which order waiting steps are served.
+
+use crate::life::JobLife;
+use crate::spec::JobSpec;
+use std::time::Duration;
+use wax_types::TimePoint;
+
+/// Longest chain of estimated work from each step to the end, milliseconds, that step included.
+pub fn longest_chain_ms(spec: &JobSpec) -> Vec<u64> {
+    let mut chain: Vec<u64> = spec
+        .steps
+        .iter()
+        .map(|step| step.estimate_ms.into())
+        .collect();
+    for number in (0..spec.steps.len()).rev() {
+        for earlier in &spec.steps[number].after {
+            let earlier = usize::from(*earlier);
+            let through = u64::from(spec.steps[earlier].estimate_ms) + chain[number];
+            chain[earlier] = chain[earlier].max(through);
+        }
+    }
+    chain
+}
+
+/// An objective counts as late, but still for something, up to this many times its length.
+const LATE_FACTOR: f64 = 3.0;
+
+/// How urgent a waiting step is; the least goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct JobRank {
+    /// 0 makes its objective, 1 is late but counts, 2 counts for nothing any more.
+    pub hope: u8,
+    /// The queue's priority.
+    pub priority: u32,
+    /// The latest start that still makes it.
+    pub latest_start: TimePoint,
+}
+
+/// The latest start of a step that keeps `stretch` times the job's chain and the target latency.
+///
+/// Milliseconds after the job's (or occurrence's) beginning; negative values become 0.
+pub fn latest_start_ms(job: &JobLife, step: u16, factor: f64) -> u64 {
+    let chain = longest_chain_ms(&job.spec);
+    let whole = chain.iter().copied().max().unwrap_or(0) as f64;
+    let objective = job.queue.stretch * whole + f64::from(job.queue.target_latency_ms);
+    let left = chain.get(usize::from(step)).copied().unwrap_or(0) as f64;
+    (objective * factor - left).max(0.0) as u64
+}
+
+impl JobRank {
+    /// Ranks a step of an occurrence that began at `due`.
+    pub fn new(job: &JobLife, step: u16, due: TimePoint, now: TimePoint) -> Self {
+        let start = |factor| due + Duration::from_millis(latest_start_ms(job, step, factor));
+        let (hope, latest_start) = if now <= start(1.0) {
+            (0, start(1.0))
+        } else if now <= start(LATE_FACTOR) {
+            (1, start(LATE_FACTOR))
+        } else {
+            (2, start(LATE_FACTOR))
+        };
+        let lasts = job
+            .spec
+            .steps
+            .get(usize::from(step))
+            .is_some_and(|step| step.lasts);
+        Self {
+            hope: if lasts { 0 } else { hope },
+            priority: job.queue.priority,
+            latest_start,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wax-batch/src/worker.rs
@@ -0,0 +1,85 @@
+//! Workers as an owner sees them, and what they report.
+
+use crate::names::RunMark;
+use crate::spec::TaskSize;
+
+slotmap::new_key_type! {
+    /// A worker that an owner knows.
+    pub struct WorkerKey;
+}
+
+/// How a worker stands by its own word.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum WorkerState {
+    /// It takes work.
+    #[default]
+    Ready,
+    /// It is about to leave.
+    Draining,
+}
+
+/// What a worker says of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct WorkerView {
+    /// One boot of a worker; another boot has another id.
+    pub id: Box<str>,
+    /// The service whose tasks it runs.
+    pub service: Box<str>,
+    /// Its failure domain.
+    pub failure_domain: Box<str>,
+    /// Its rack, if it names one.
+    pub rack: Option<Box<str>>,
+    /// Its labels.
+    pub labels: Vec<Box<str>>,
+    /// What it has.
+    pub capacity: TaskSize,
+    /// Whether it takes work.
+    pub state: WorkerState,
+    /// How much longer it is slow after its start, milliseconds.
+    pub cold_ms: u32,
+    /// How long it stays at least while it drains, milliseconds.
+    pub remaining_ms: u32,
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunEndKind {
+    /// With its result.
+    Done,
+    /// By its own fault or the worker's.
+    Failed,
+    /// By a stop.
+    Stopped,
+    /// Its lease lapsed.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// The other members of its gang did not come.
+    Alone,
+}
+
+/// An end as the worker lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunEnd {
+    /// The worker's own count of ends in this boot, from 1.
+    pub number: u64,
+    /// The run.
+    pub mark: RunMark,
+    /// How it ended.
+    pub kind: RunEndKind,
+    /// Its last checkpoint; empty for none.
+    pub checkpoint: Box<str>,
+}
+
+/// A run that goes on, as the worker lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunReport {
+    /// The run.
+    pub mark: RunMark,
+    /// Its last checkpoint; empty for none.
+    pub checkpoint: Box<str>,
+    /// How much of its work is done; 100 for a lasting task at work.
+    pub percent: u32,
+    /// For a serving task its tail latency in milliseconds, else the thousandths of a core in use.
+    pub figure: u32,
+}
--- /dev/null
+++ b/crates/wax-front/src/accept.rs
@@ -0,0 +1,100 @@
+//! Accepts a job: stored once, then acknowledged.
+
+use crate::state::{FrontState, STORE_RETRY};
+use platform::{RowWrite, TxRequest};
+use prost::Message;
+use wax_batch::{JobName, JobRow, JobSpec, QueueRules};
+use wax_owner::{TxFate, job_key, note_owner_row, owner_key, transact};
+use wax_types::{ErrorKind, Step, TimePoint, WaxError, wall_clock_ms};
+
+/// How a job came to be stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AcceptOutcome {
+    /// By this request.
+    Stored,
+    /// By an earlier request of the same name.
+    Known,
+}
+
+/// Stores a job if no job of its name is stored.
+///
+/// # Errors
+///
+/// `Unavailable`: it was not stored and never will be by this request; `Timeout`: not known.
+pub(crate) async fn accept_job(
+    state: &FrontState,
+    queue: &QueueRules,
+    job: JobName,
+    spec: &JobSpec,
+    deadline: TimePoint,
+) -> Result<AcceptOutcome, WaxError> {
+    let shared = &state.shared;
+    let mut row = JobRow::new(
+        spec,
+        &queue.name,
+        &queue.service,
+        wall_clock_ms(),
+        fastrand::u64(1..),
+    );
+    loop {
+        let owner = shared.owner.borrow().clone();
+        // Owners of terms before this one have never seen the job.
+        row.epoch = owner.as_ref().map_or(0, |owner| owner.epoch);
+        let owner_version = owner.as_ref().map_or(0, |owner| owner.row_version);
+        let tx = TxRequest {
+            expect: vec![(owner_key(), owner_version), (job_key(job), 0)],
+            writes: vec![RowWrite {
+                key: job_key(job),
+                value: row.encode_to_vec(),
+            }],
+            remove: Vec::new(),
+        };
+        match transact(&shared.store, shared.clock, &tx, deadline).await {
+            TxFate::Committed(_) => {
+                state.note_store(true);
+                return Ok(AcceptOutcome::Stored);
+            }
+            TxFate::Conflict(rows) => {
+                state.note_store(true);
+                if let Some(stored) = rows.iter().find(|row| row.key == job_key(job)) {
+                    let ours = JobRow::decode(&*stored.value)
+                        .is_ok_and(|stored| stored.nonce == row.nonce);
+                    return Ok(if ours {
+                        AcceptOutcome::Stored
+                    } else {
+                        AcceptOutcome::Known
+                    });
+                }
+                // The owner has changed meanwhile; its row is taken from the answer.
+                if !note_owner_row(shared, &rows) {
+                    shared.owner.borrow_mut().take();
+                }
+                if shared.now() >= deadline {
+                    return Err(not_stored("the owner changes again and again"));
+                }
+            }
+            TxFate::NotSent(error) => {
+                state.note_store(false);
+                return Err(not_stored(&error.label));
+            }
+            TxFate::Unknown(error) => {
+                state.note_store(false);
+                let text = format!("it is not known whether the job is stored: {}", error.label);
+                return Err(
+                    WaxError::new(ErrorKind::Timeout, Step::SubmitJob, "store", text)
+                        .with_help("submit the same job again"),
+                );
+            }
+        }
+    }
+}
+
+fn not_stored(text: &str) -> WaxError {
+    WaxError::new(
+        ErrorKind::Unavailable(STORE_RETRY),
+        Step::SubmitJob,
+        "store",
+        text,
+    )
+    .with_help("the job was not accepted; submit it again after the given time")
+}
--- /dev/null
+++ b/crates/wax-front/src/lib.rs
@@ -0,0 +1,12 @@
+//! Takes jobs of callers into queues: each is stored once before it is accepted.
+
+mod accept;
+mod cancel;
+mod handler;
+mod owner_link;
+mod process;
+mod readiness;
+mod show;
+mod state;
+
+pub use process::run_front;
--- /dev/null
+++ b/crates/wax-front/src/owner_link.rs
@@ -0,0 +1,145 @@
+//! A front's link to the owner: questions about jobs, versions of the config, and heartbeats.
+
+use crate::state::FrontState;
+use compio::net::TcpStream;
+use compio::runtime::spawn;
+use compio::time::{sleep, timeout};
+use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use wax_wire::{
+    ConfigPush, EntryHello, LinkPing, PoolBody, PoolReader, PoolWriter, split_pool_stream,
+};
+
+/// Longest time for a connection and its first answer.
+const CONNECT_LIMIT: Duration = Duration::from_millis(600);
+/// Between two heartbeats.
+const PING_PERIOD: Duration = Duration::from_millis(500);
+/// A link without an answer for this long is given up.
+const LINK_LIMIT: Duration = Duration::from_millis(1_500);
+/// Between two tries, with as much again at random.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// Keeps a link to the owner for the life of the process.
+pub(crate) async fn keep_owner_link(state: Rc<FrontState>, seeds: Vec<SocketAddr>) {
+    let mut hint = None;
+    let mut round = 0_usize;
+    loop {
+        let known = known_owner(&state);
+        let seed = seeds.get(round % seeds.len().max(1)).copied();
+        round += 1;
+        let address = hint.take().or(known).or(seed);
+        match address.filter(|address| *address != state.shared.address) {
+            Some(address) if state.shared.current_tenure().is_none() => {
+                hint = try_owner(&state, address).await;
+            }
+            _ => {}
+        }
+        sleep(RETRY_PAUSE + RETRY_PAUSE.mul_f64(fastrand::f64())).await;
+    }
+}
+
+fn known_owner(state: &FrontState) -> Option<SocketAddr> {
+    let owner = state.shared.owner.borrow();
+    owner.as_ref().filter(|owner| !owner.released)?.address
+}
+
+/// Links to the owner at `address`; returns where else it may be.
+async fn try_owner(state: &Rc<FrontState>, address: SocketAddr) -> Option<SocketAddr> {
+    match timeout(CONNECT_LIMIT, greet(state, address)).await {
+        Ok(Ok(Greeting::Owner(reader, writer))) => {
+            tracing::info!(owner = %address, "linked to the owner");
+            run_link(state, reader, writer).await;
+            tracing::info!(owner = %address, "link to the owner ended");
+            None
+        }
+        Ok(Ok(Greeting::Elsewhere(other))) => other,
+        Ok(Err(_)) | Err(_) => None,
+    }
+}
+
+enum Greeting {
+    Owner(PoolReader, PoolWriter),
+    Elsewhere(Option<SocketAddr>),
+}
+
+async fn greet(state: &FrontState, address: SocketAddr) -> io::Result<Greeting> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (mut reader, mut writer) = split_pool_stream(stream);
+    let hello = EntryHello {
+        node: state.shared.node.to_string(),
+    };
+    writer.write(PoolBody::EntryHello(hello)).await?;
+    match reader.read().await? {
+        Some(PoolBody::Welcome(_)) => Ok(Greeting::Owner(reader, writer)),
+        Some(PoolBody::NotOwner(other)) => Ok(Greeting::Elsewhere(other.address.parse().ok())),
+        _ => Err(io::Error::new(io::ErrorKind::InvalidData, "no welcome")),
+    }
+}
+
+async fn run_link(state: &Rc<FrontState>, mut reader: PoolReader, writer: PoolWriter) {
+    let (outbox, inbox) = unbounded();
+    *state.outbox.borrow_mut() = Some(outbox.clone());
+    state.shared.owner_heard.set(state.shared.now());
+    let writing = spawn(write_link(writer, inbox));
+    let pinging = spawn(ping(state.clone(), outbox));
+    while let Ok(Ok(Some(body))) = timeout(LINK_LIMIT, reader.read()).await {
+        take_message(state, body);
+    }
+    *state.outbox.borrow_mut() = None;
+    state.asks.borrow_mut().clear();
+    // Dropped tasks are cancelled; the connection closes with them.
+    drop(pinging);
+    drop(writing);
+}
+
+async fn write_link(mut writer: PoolWriter, mut inbox: UnboundedReceiver<PoolBody>) {
+    if let Err(error) = writer.drain(&mut inbox).await {
+        tracing::info!(%error, "writing to the owner failed");
+    }
+}
+
+async fn ping(state: Rc<FrontState>, outbox: UnboundedSender<PoolBody>) {
+    loop {
+        let ping = LinkPing {
+            sent_us: state.shared.now().0,
+            config: state.shared.config_version(),
+        };
+        if outbox.unbounded_send(PoolBody::Ping(ping)).is_err() {
+            return;
+        }
+        sleep(PING_PERIOD).await;
+    }
+}
+
+fn take_message(state: &FrontState, body: PoolBody) {
+    match body {
+        PoolBody::Grant(grant) => {
+            if !grant.store_lost {
+                state.shared.owner_heard.set(state.shared.now());
+            }
+            if grant.config < state.shared.config_version() {
+                let text = state.shared.config_text.borrow().clone();
+                if let Some(outbox) = &*state.outbox.borrow() {
+                    // A closed link is replaced, and versions are compared anew.
+                    let _ = outbox.unbounded_send(PoolBody::Config(ConfigPush { text }));
+                }
+            }
+        }
+        PoolBody::Told(told) => {
+            if let Some(asker) = state.asks.borrow_mut().remove(&told.ask) {
+                // An asker that has given up does not need the answer.
+                let _ = asker.send(told);
+            }
+        }
+        PoolBody::Config(push) => {
+            if let Err(error) = state.shared.offer_config(&push.text, "the owner") {
+                tracing::error!(%error, "config of the owner refused");
+            }
+        }
+        other => tracing::warn!(?other, "unexpected message of the owner"),
+    }
+}
--- /dev/null
+++ b/crates/wax-front/src/show.rs
@@ -0,0 +1,120 @@
+//! Tells callers of jobs and queues: by the owner's memory, else by the store.
+
+use crate::cancel::read_job_rows;
+use crate::state::FrontState;
+use compio::time::timeout;
+use futures_channel::oneshot;
+use platform::JobState;
+use prost::Message;
+use std::time::Duration;
+use wax_batch::{JobName, JobOutcome, JobProgress};
+use wax_owner::{JobWord, cancel_key, job_key, progress_key};
+use wax_types::{ErrorKind, Step, TimePoint, WaxError};
+use wax_wire::{JobAsk, JobTold, PoolBody};
+
+/// The owner is asked for this long before the store is.
+const OWNER_LIMIT: Duration = Duration::from_millis(400);
+
+/// The state of a job; `None` if there is no such job.
+///
+/// # Errors
+///
+/// Neither the owner nor the store answers.
+pub(crate) async fn job_state(
+    state: &FrontState,
+    job: JobName,
+    deadline: TimePoint,
+) -> Result<Option<JobState>, WaxError> {
+    if let Some((outcome, begun)) = ask_owner(state, job).await {
+        return Ok(Some(to_state(outcome, begun)));
+    }
+    let left = deadline.since(state.shared.now());
+    let rows = read_job_rows(state, job, left).await?;
+    if !rows.iter().any(|row| row.key == job_key(job)) {
+        return Ok(None);
+    }
+    let progress = state
+        .shared
+        .store
+        .read_row(&progress_key(job), left)
+        .await?;
+    let progress = match progress {
+        Some(row) => JobProgress::decode(&*row.value)
+            .map_err(|error| WaxError::new(ErrorKind::Protocol, Step::ReadJob, "store", error))?,
+        None => JobProgress::default(),
+    };
+    let cancelled = rows.iter().any(|row| row.key == cancel_key(job));
+    let outcome = match progress.outcome() {
+        JobOutcome::Open if cancelled => JobOutcome::Cancelled,
+        outcome => outcome,
+    };
+    Ok(Some(to_state(outcome, !progress.occurrences.is_empty())))
+}
+
+fn to_state(outcome: JobOutcome, begun: bool) -> JobState {
+    match outcome {
+        JobOutcome::Completed => JobState::Completed,
+        JobOutcome::Failed => JobState::Failed,
+        JobOutcome::Cancelled => JobState::Cancelled,
+        JobOutcome::Open if begun => JobState::Running,
+        JobOutcome::Open => JobState::Queued,
+    }
+}
+
+async fn ask_owner(state: &FrontState, job: JobName) -> Option<(JobOutcome, bool)> {
+    if let Some(tenure) = state.shared.current_tenure() {
+        return match tenure.job_word(job) {
+            JobWord::Known { outcome, begun } => Some((outcome, begun)),
+            JobWord::Unknown => None,
+        };
+    }
+    let told = ask(state, job.0, "").await.filter(|told| told.known)?;
+    let outcome = JobOutcome::try_from(told.outcome).ok()?;
+    Some((outcome, told.begun))
+}
+
+/// How many accepted jobs of a queue have not begun.
+///
+/// # Errors
+///
+/// The owner does not answer.
+pub(crate) async fn queue_pending(state: &FrontState, queue: &str) -> Result<u64, WaxError> {
+    let pending = match state.shared.current_tenure() {
+        Some(tenure) => tenure.pending(queue),
+        None => ask(state, 0, queue)
+            .await
+            .filter(|told| told.known)
+            .map(|told| told.pending),
+    };
+    pending.ok_or_else(|| {
+        let kind = ErrorKind::Unavailable(Duration::from_secs(1));
+        WaxError::new(
+            kind,
+            Step::ReadJob,
+            "owner",
+            "no owner has the whole queue now",
+        )
+        .with_help("ask again after the given time")
+    })
+}
+
+async fn ask(state: &FrontState, job: u64, queue: &str) -> Option<JobTold> {
+    let number = state.next_ask.get();
+    state.next_ask.set(number + 1);
+    let (sender, answer) = oneshot::channel();
+    let ask = JobAsk {
+        ask: number,
+        job,
+        queue: queue.into(),
+    };
+    state
+        .outbox
+        .borrow()
+        .as_ref()?
+        .unbounded_send(PoolBody::Ask(ask))
+        .ok()?;
+    state.asks.borrow_mut().insert(number, sender);
+    let told = timeout(OWNER_LIMIT, answer).await;
+    state.asks.borrow_mut().remove(&number);
+    told.ok()?.ok()
+}
--- /dev/null
+++ b/crates/wax-front/src/state.rs
@@ -0,0 +1,61 @@
+//! What the tasks of a front share beyond the pool's state.
+
+use futures_channel::mpsc::UnboundedSender;
+use futures_channel::oneshot;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use wax_owner::PoolShared;
+use wax_types::TimePoint;
+use wax_wire::{JobTold, PoolBody};
+
+/// A front's own state.
+#[derive(Debug)]
+pub(crate) struct FrontState {
+    pub(crate) shared: Rc<PoolShared>,
+    /// The link to the owner, while there is one.
+    pub(crate) outbox: RefCell<Option<UnboundedSender<PoolBody>>>,
+    /// Questions to the owner that are not answered yet.
+    pub(crate) asks: RefCell<HashMap<u64, oneshot::Sender<JobTold>>>,
+    pub(crate) next_ask: Cell<u64>,
+    /// Since when the store has not answered this process; `None` while it does.
+    pub(crate) store_lost: Cell<Option<TimePoint>>,
+}
+
+/// While the store does not answer, callers are told to come back after this.
+pub(crate) const STORE_RETRY: Duration = Duration::from_millis(700);
+
+impl FrontState {
+    pub(crate) fn new(shared: Rc<PoolShared>) -> Self {
+        Self {
+            shared,
+            outbox: RefCell::default(),
+            asks: RefCell::default(),
+            next_ask: Cell::new(1),
+            store_lost: Cell::new(None),
+        }
+    }
+
+    /// Notes whether the store has answered.
+    pub(crate) fn note_store(&self, answered: bool) {
+        let now = self.shared.now();
+        match (answered, self.store_lost.get()) {
+            (true, Some(since)) => {
+                self.store_lost.set(None);
+                tracing::info!(
+                    seconds = now.since(since).as_secs_f64(),
+                    "the store answers again"
+                );
+            }
+            (false, None) => {
+                self.store_lost.set(Some(now));
+                tracing::warn!("the store does not answer");
+            }
+            _ => {}
+        }
+        if answered {
+            self.shared.store_heard.set(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/wax-owner/src/agents.rs
@@ -0,0 +1,324 @@
+//! The owner's side of a link with an agent.
+
+use crate::dispatch::seat_frame;
+use crate::shared::PoolShared;
+use crate::tenure::{AgentLife, RowStand, Tenure};
+use crate::writer::silent_for;
+use compio::runtime::spawn;
+use compio::time::timeout;
+use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+use futures_util::future::{Either, select};
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use wax_batch::{RunEnd, RunMark, RunReport, WorkerKey, WorkerView};
+use wax_types::{TimePoint, wall_clock_ms};
+use wax_wire::{
+    LeaseGrant, LinkPing, OwnerWelcome, PoolBody, PoolReader, PoolWriter, RunNews, WorkerKept,
+    WorkerUp,
+};
+
+/// Serves one link until it breaks, falls silent, or the term ends.
+pub(crate) async fn serve_agent(
+    shared: &PoolShared,
+    tenure: &Rc<Tenure>,
+    node: Box<str>,
+    reader: PoolReader,
+    writer: PoolWriter,
+) {
+    let (link, token) = tenure.next_token();
+    let (outbox, inbox) = unbounded();
+    let welcome = OwnerWelcome {
+        epoch: tenure.epoch,
+        token,
+    };
+    // The queue is new: it takes the first message.
+    let _ = outbox.unbounded_send(PoolBody::Welcome(welcome));
+    open_link(shared, tenure, &node, link, &outbox);
+    let writing = spawn(write_link(writer, inbox));
+    let link_life = AgentLink {
+        shared,
+        tenure,
+        node: &node,
+        link,
+        outbox,
+    };
+    let why = {
+        let read = pin!(link_life.read(reader));
+        let over = pin!(tenure.over.wait());
+        match select(read, over).await {
+            Either::Left((why, _)) => why,
+            Either::Right(_) => "the term has ended",
+        }
+    };
+    drop(writing);
+    close_link(shared, tenure, &node, link, why);
+}
+
+pub(crate) async fn write_link(mut writer: PoolWriter, mut inbox: UnboundedReceiver<PoolBody>) {
+    if let Err(error) = writer.drain(&mut inbox).await {
+        tracing::info!(%error, "writing to a peer failed");
+    }
+}
+
+fn open_link(
+    shared: &PoolShared,
+    tenure: &Tenure,
+    node: &str,
+    link: u64,
+    outbox: &UnboundedSender<PoolBody>,
+) {
+    let now = shared.now();
+    let mut agents = tenure.agents.borrow_mut();
+    let agent = agents.entry(node.into()).or_insert_with(|| AgentLife {
+        link,
+        outbox: None,
+        worker: None,
+        grant_end: now,
+        lapse_at: None,
+        row: RowStand::Absent,
+    });
+    // Until its worker's runs are told on this link, those of the link before count.
+    if agent.lapse_at.is_none() && agent.worker.is_some() {
+        agent.lapse_at = Some(agent.grant_end + shared.spans.lapse_after_grant());
+    }
+    agent.link = link;
+    agent.outbox = Some(outbox.clone());
+    tracing::info!(agent = node, link, epoch = tenure.epoch, "agent linked");
+}
+
+fn close_link(shared: &PoolShared, tenure: &Tenure, node: &str, link: u64, why: &str) {
+    let mut agents = tenure.agents.borrow_mut();
+    let Some(agent) = agents.get_mut(node).filter(|agent| agent.link == link) else {
+        return;
+    };
+    agent.outbox = None;
+    agent.link = 0;
+    let lapse_at = agent.grant_end + shared.spans.lapse_after_grant();
+    agent.lapse_at.get_or_insert(lapse_at);
+    if let Some((worker, _)) = &agent.worker {
+        tenure.book.borrow_mut().worker_reachable(*worker, false);
+    }
+    tracing::warn!(agent = node, link, why, "agent unlinked");
+}
+
+struct AgentLink<'a> {
+    shared: &'a PoolShared,
+    tenure: &'a Rc<Tenure>,
+    node: &'a str,
+    link: u64,
+    outbox: UnboundedSender<PoolBody>,
+}
+
+impl AgentLink<'_> {
+    async fn read(&self, mut reader: PoolReader) -> &'static str {
+        loop {
+            let body = match timeout(self.shared.spans.link, reader.read()).await {
+                Ok(Ok(Some(body))) => body,
+                Ok(Ok(None)) => return "the agent closed it",
+                Ok(Err(_)) => return "it broke",
+                Err(_) => return "the agent is silent",
+            };
+            if !self.is_current() {
+                return "the agent has a newer link";
+            }
+            self.take(body).await;
+        }
+    }
+
+    fn is_current(&self) -> bool {
+        let agents = self.tenure.agents.borrow();
+        agents
+            .get(self.node)
+            .is_some_and(|agent| agent.link == self.link)
+    }
+
+    fn send(&self, body: PoolBody) {
+        // A writer that has failed ends the link at its next read.
+        let _ = self.outbox.unbounded_send(body);
+    }
+
+    async fn take(&self, body: PoolBody) {
+        match body {
+            PoolBody::Ping(ping) => self.grant(&ping),
+            PoolBody::WorkerUp(up) => self.worker_up(up).await,
+            PoolBody::WorkerChanged(frame) => self.worker_changed(frame.into()),
+            PoolBody::WorkerGone(gone) => self.worker_gone(&gone.worker),
+            PoolBody::News(news) => self.news(&news),
+            other => tracing::warn!(?other, agent = self.node, "unexpected message of an agent"),
+        }
+    }
+
+    fn grant(&self, ping: &LinkPing) {
+        let now = self.shared.now();
+        let spans = &self.shared.spans;
+        let acting_left = (self.tenure.confirmed.get() + spans.acting).since(now);
+        let valid = if self.tenure.letting_go.is_raised() {
+            Duration::ZERO
+        } else {
+            acting_left.min(spans.grant)
+        };
+        if let Some(agent) = self.tenure.agents.borrow_mut().get_mut(self.node) {
+            // The heartbeat was sent before now, so that the grant ends before this.
+            agent.grant_end = agent.grant_end.max(now + valid);
+        }
+        self.send(PoolBody::Grant(LeaseGrant {
+            sent_us: ping.sent_us,
+            valid_ms: valid.as_millis() as u64,
+            store_lost: silent_for(self.tenure, now) > spans.silence,
+            config: 0,
+        }));
+    }
+
+    /// Takes over a worker's runs, once the store knows that this agent may be given orders.
+    async fn worker_up(&self, up: WorkerUp) {
+        self.tenure.loaded.wait().await;
+        self.store_row().await;
+        if self.tenure.over.is_raised() || !self.is_current() {
+            return;
+        }
+        let (now, now_ms) = (self.shared.now(), wall_clock_ms());
+        let view: WorkerView = up.worker.into();
+        let runs: Vec<RunReport> = up.runs.iter().map(Into::into).collect();
+        let ends: Vec<RunEnd> = up.ends.iter().map(Into::into).collect();
+        let id = view.id.clone();
+        let worker = self.join(view, now);
+        let mut book = self.tenure.book.borrow_mut();
+        book.sync_worker(worker, &runs, &ends, now, now_ms);
+        let mut seats = Vec::with_capacity(runs.len());
+        for run in &runs {
+            let task = run.mark.task;
+            let step = book
+                .job(task.job)
+                .and_then(|job| job.spec.steps.get(usize::from(task.step)));
+            seats.extend(step.map(|step| seat_frame(run.mark, step)));
+        }
+        drop(book);
+        tracing::info!(agent = self.node, worker = %id, runs = runs.len(), ends = ends.len(), "worker taken over");
+        let kept = WorkerKept {
+            worker: id.into(),
+            seats,
+        };
+        self.send(PoolBody::WorkerKept(kept));
+        self.tenure.dispatch.notify(usize::MAX);
+    }
+
+    fn join(&self, view: WorkerView, now: TimePoint) -> WorkerKey {
+        let mut agents = self.tenure.agents.borrow_mut();
+        let before = agents.get_mut(self.node).and_then(|agent| {
+            agent.lapse_at = None;
+            agent.worker.take()
+        });
+        drop(agents);
+        let id = view.id.clone();
+        let key = match before {
+            Some((key, known)) if known == id => {
+                let mut book = self.tenure.book.borrow_mut();
+                book.worker_changed(key, view);
+                book.worker_reachable(key, true);
+                key
+            }
+            Some((key, _)) => {
+                self.tenure.lose_worker(key, now);
+                self.tenure.book.borrow_mut().worker_joined(view)
+            }
+            None => self.tenure.book.borrow_mut().worker_joined(view),
+        };
+        if let Some(agent) = self.tenure.agents.borrow_mut().get_mut(self.node) {
+            agent.worker = Some((key, id));
+        }
+        key
+    }
+
+    async fn store_row(&self) {
+        loop {
+            let listener = self.tenure.rows_stored.listen();
+            let stand = self
+                .tenure
+                .agents
+                .borrow()
+                .get(self.node)
+                .map(|agent| agent.row);
+            match stand {
+                Some(RowStand::Stored) | None => return,
+                Some(RowStand::Absent) => {
+                    if let Some(agent) = self.tenure.agents.borrow_mut().get_mut(self.node) {
+                        agent.row = RowStand::Queued;
+                    }
+                    self.tenure
+                        .agent_rows
+                        .borrow_mut()
+                        .insert(self.node.into(), true);
+                    self.tenure.write.notify(usize::MAX);
+                }
+                Some(RowStand::Queued) => {}
+            }
+            if self.tenure.over.is_raised() {
+                return;
+            }
+            listener.await;
+        }
+    }
+
+    fn worker(&self) -> Option<WorkerKey> {
+        let agents = self.tenure.agents.borrow();
+        agents.get(self.node)?.worker.as_ref().map(|(key, _)| *key)
+    }
+
+    fn worker_changed(&self, view: WorkerView) {
+        let known = self
+            .tenure
+            .agents
+            .borrow()
+            .get(self.node)
+            .and_then(|agent| agent.worker.clone());
+        if let Some((key, _)) = known.filter(|(_, id)| *id == view.id) {
+            self.tenure.book.borrow_mut().worker_changed(key, view);
+            self.tenure.dispatch.notify(usize::MAX);
+        }
+    }
+
+    fn worker_gone(&self, id: &str) {
+        let now = self.shared.now();
+        let gone = {
+            let mut agents = self.tenure.agents.borrow_mut();
+            agents.get_mut(self.node).and_then(|agent| {
+                let gone = agent.worker.take_if(|(_, known)| **known == *id);
+                if gone.is_some() {
+                    agent.lapse_at = None;
+                }
+                gone
+            })
+        };
+        if let Some((key, _)) = gone {
+            tracing::warn!(agent = self.node, worker = id, "worker is gone");
+            self.tenure.lose_worker(key, now);
+        }
+    }
+
+    fn news(&self, news: &RunNews) {
+        let Some(worker) = self.worker() else {
+            return;
+        };
+        let (now, now_ms) = (self.shared.now(), wall_clock_ms());
+        let mut book = self.tenure.book.borrow_mut();
+        for mark in &news.started {
+            book.run_started(worker, RunMark::from(mark), now);
+        }
+        for refusal in &news.refused {
+            let (mark, why) = refusal.decode();
+            tracing::info!(task = %mark.task, run = mark.run, agent = self.node, ?why, "start refused");
+            book.run_refused(worker, mark, why, now, now_ms);
+        }
+        for report in &news.going {
+            book.adopt(worker, &report.into(), now);
+        }
+        for end in &news.ends {
+            let end = RunEnd::from(end);
+            tracing::info!(task = %end.mark.task, run = end.mark.run, agent = self.node, how = ?end.kind, "run ended");
+            book.run_ended(worker, &end, now, now_ms);
+        }
+        drop(book);
+        self.tenure.dispatch.notify(usize::MAX);
+    }
+}
--- /dev/null
+++ b/crates/wax-owner/src/config_feed.rs
@@ -0,0 +1,63 @@
+//! Follows the operator's config in the store.
+
+use crate::shared::PoolShared;
+use compio::time::sleep;
+use platform::{CONFIG_KEY, FeedReply, OPERATOR_TABLE, RowChange, RowKey, StoredRow};
+use std::rc::Rc;
+use std::time::Duration;
+use wax_types::WaxError;
+
+/// How long the store may wait for a change before it answers.
+const FEED_WAIT: Duration = Duration::from_secs(8);
+/// Longest time for a read.
+const READ_LIMIT: Duration = Duration::from_millis(1_000);
+/// After a failure, with as much again at random.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Follows the config for the life of the process.
+pub async fn keep_config(shared: Rc<PoolShared>) {
+    loop {
+        if let Err(error) = follow(&shared).await {
+            tracing::warn!(%error, "config feed failed");
+            sleep(RETRY_PAUSE + RETRY_PAUSE.mul_f64(fastrand::f64())).await;
+        }
+    }
+}
+
+async fn follow(shared: &PoolShared) -> Result<(), WaxError> {
+    let key = RowKey::new(OPERATOR_TABLE, "", CONFIG_KEY);
+    let (rows, mut after) = shared
+        .store
+        .read_all(OPERATOR_TABLE, "", READ_LIMIT)
+        .await?;
+    shared.store_heard.set(shared.now());
+    for row in rows {
+        take(shared, &key, row);
+    }
+    loop {
+        match shared
+            .store
+            .follow(OPERATOR_TABLE, after, FEED_WAIT)
+            .await?
+        {
+            FeedReply::Forgotten => return Ok(()),
+            FeedReply::Changes(changes, version) => {
+                shared.store_heard.set(shared.now());
+                after = version;
+                for change in changes {
+                    if let RowChange::Written(row) = change {
+                        take(shared, &key, row);
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn take(shared: &PoolShared, key: &RowKey, row: StoredRow) {
+    if row.key == *key
+        && let Err(error) = shared.offer_config(&row.value, "the store")
+    {
+        tracing::error!(%error, "config refused");
+    }
+}
--- /dev/null
+++ b/crates/wax-owner/src/dispatch.rs
@@ -0,0 +1,143 @@
+//! Gives out orders: starts, stops and acknowledgements.
+
+use crate::shared::PoolShared;
+use crate::tenure::Tenure;
+use compio::time::timeout;
+use std::rc::Rc;
+use std::time::Duration;
+use wax_batch::{StartOrder, WorkerKey};
+use wax_types::{TimePoint, wall_clock_ms};
+use wax_wire::{AckEnds, PoolBody, SeatFrame, StartRun, StopRun};
+
+/// Without a change the book is looked through this often: times pass, too.
+const IDLE_PERIOD: Duration = Duration::from_millis(100);
+/// Changes that come together are dispatched together.
+const GATHER: Duration = Duration::from_millis(2);
+
+/// Dispatches until the term ends.
+pub(crate) async fn dispatch_orders(shared: Rc<PoolShared>, tenure: Rc<Tenure>) {
+    while !tenure.over.is_raised() {
+        let listener = tenure.dispatch.listen();
+        // Either a change or the time; both lead to another look.
+        if timeout(IDLE_PERIOD, listener).await.is_ok() {
+            compio::time::sleep(GATHER).await;
+        }
+        dispatch_once(&shared, &tenure);
+    }
+}
+
+fn dispatch_once(shared: &PoolShared, tenure: &Tenure) {
+    let now = shared.now();
+    if !tenure.loaded.is_raised() || tenure.over.is_raised() {
+        return;
+    }
+    drop_lapsed(tenure, now);
+    settle(tenure);
+    if tenure.may_act(now, shared.spans.acting) {
+        tenure.book.borrow_mut().open_due(now, wall_clock_ms());
+        let orders = tenure.book.borrow_mut().place(now);
+        for order in orders {
+            send_start(tenure, &order);
+        }
+    }
+    let stops = tenure.book.borrow_mut().take_stops();
+    for stop in stops {
+        tracing::info!(task = %stop.mark.task, run = stop.mark.run, why = stop.why, "stop ordered");
+        let mark = stop.mark.into();
+        tenure.tell_worker(stop.worker, PoolBody::Stop(StopRun { mark }));
+    }
+    let cursors = tenure.book.borrow_mut().take_cursors();
+    for (worker, cursor) in cursors {
+        let id = worker_id(tenure, worker);
+        let ack = AckEnds {
+            worker: id.into(),
+            cursor,
+        };
+        tenure.tell_worker(worker, PoolBody::Ack(ack));
+    }
+    if tenure.book.borrow().has_notes() {
+        tenure.write.notify(usize::MAX);
+    }
+}
+
+fn worker_id(tenure: &Tenure, worker: WorkerKey) -> Box<str> {
+    let agents = tenure.agents.borrow();
+    let mut workers = agents.values().filter_map(|agent| agent.worker.as_ref());
+    let found = workers.find(|(key, _)| *key == worker);
+    found.map_or_else(|| "".into(), |(_, id)| id.clone())
+}
+
+fn send_start(tenure: &Tenure, order: &StartOrder) {
+    let step = &order.spec.steps[usize::from(order.mark.task.step)];
+    tracing::info!(
+        task = %order.mark.task,
+        run = order.mark.run,
+        worker = %worker_id(tenure, order.worker),
+        resumes = !order.checkpoint.is_empty(),
+        "start ordered"
+    );
+    let start = StartRun {
+        seat: seat_frame(order.mark, step),
+        text: order.spec.text.to_string(),
+        checkpoint: order.checkpoint.to_string(),
+        ticket: String::new(),
+        worker: worker_id(tenure, order.worker).into(),
+    };
+    tenure.tell_worker(order.worker, PoolBody::Start(start));
+}
+
+/// What an agent must know of a run.
+pub(crate) fn seat_frame(mark: wax_batch::RunMark, step: &wax_batch::StepSpec) -> SeatFrame {
+    SeatFrame {
+        mark: mark.into(),
+        cpu_milli: step.size.cpu_milli,
+        memory_mb: step.size.memory_mb,
+        accelerators: step.size.accelerators,
+        fills: step.fills,
+        tail_target_ms: step.tail_target_ms,
+        image: step.image.to_string(),
+    }
+}
+
+/// Takes out workers of which nothing was heard until all their leases had lapsed.
+fn drop_lapsed(tenure: &Tenure, now: TimePoint) {
+    let mut lost = Vec::new();
+    {
+        let mut agents = tenure.agents.borrow_mut();
+        agents.retain(|node, agent| {
+            if agent.lapse_at.is_none_or(|at| now < at) {
+                return true;
+            }
+            tracing::warn!(agent = %node, "leases have lapsed unheard");
+            agent.lapse_at = None;
+            lost.extend(agent.worker.take().map(|(key, _)| key));
+            if agent.outbox.is_some() {
+                return true;
+            }
+            tenure.agent_rows.borrow_mut().insert(node.clone(), false);
+            false
+        });
+    }
+    if !lost.is_empty() {
+        tenure.write.notify(usize::MAX);
+    }
+    for worker in lost {
+        tenure.lose_worker(worker, now);
+    }
+}
+
+/// Once everyone who may run tasks of earlier terms was heard, or has lapsed, all may start.
+fn settle(tenure: &Tenure) {
+    if tenure.book.borrow().is_settled() {
+        return;
+    }
+    if tenure
+        .agents
+        .borrow()
+        .values()
+        .all(|agent| agent.lapse_at.is_none())
+    {
+        tenure.book.borrow_mut().settle();
+        tracing::info!(epoch = tenure.epoch, "all workers heard or lapsed");
+    }
+}
--- /dev/null
+++ b/crates/wax-owner/src/entries.rs
@@ -0,0 +1,102 @@
+//! The owner's side of a link with another front.
+
+use crate::agents::write_link;
+use crate::shared::PoolShared;
+use crate::tenure::{JobWord, Tenure};
+use crate::writer::silent_for;
+use compio::runtime::spawn;
+use compio::time::timeout;
+use futures_channel::mpsc::unbounded;
+use futures_util::future::{Either, select};
+use std::pin::pin;
+use std::rc::Rc;
+use wax_batch::JobName;
+use wax_wire::{
+    ConfigPush, JobAsk, JobTold, LeaseGrant, LinkPing, OwnerWelcome, PoolBody, PoolReader,
+    PoolWriter,
+};
+
+/// Serves one link until it breaks, falls silent, or the term ends.
+pub(crate) async fn serve_entry(
+    shared: &PoolShared,
+    tenure: &Rc<Tenure>,
+    node: &str,
+    mut reader: PoolReader,
+    writer: PoolWriter,
+) {
+    let (outbox, inbox) = unbounded();
+    let welcome = OwnerWelcome {
+        epoch: tenure.epoch,
+        token: 0,
+    };
+    // The queue is new: it takes the first message.
+    let _ = outbox.unbounded_send(PoolBody::Welcome(welcome));
+    let writing = spawn(write_link(writer, inbox));
+    let serve = async {
+        while let Ok(Ok(Some(body))) = timeout(shared.spans.link, reader.read()).await {
+            for answer in answers(shared, tenure, node, body) {
+                if outbox.unbounded_send(answer).is_err() {
+                    return;
+                }
+            }
+        }
+    };
+    let serve = pin!(serve);
+    let over = pin!(tenure.over.wait());
+    match select(serve, over).await {
+        Either::Left(_) => tracing::info!(front = node, "front unlinked"),
+        Either::Right(_) => tracing::info!(front = node, "front unlinked with the term"),
+    }
+    drop(writing);
+}
+
+fn answers(shared: &PoolShared, tenure: &Tenure, node: &str, body: PoolBody) -> Vec<PoolBody> {
+    match body {
+        PoolBody::Ping(ping) => heartbeat(shared, tenure, &ping),
+        PoolBody::Ask(ask) => vec![PoolBody::Told(tell(tenure, &ask))],
+        PoolBody::Config(push) => {
+            if let Err(error) = shared.offer_config(&push.text, node) {
+                tracing::error!(%error, "config of a peer refused");
+            }
+            Vec::new()
+        }
+        other => {
+            tracing::warn!(?other, front = node, "unexpected message of a front");
+            Vec::new()
+        }
+    }
+}
+
+fn heartbeat(shared: &PoolShared, tenure: &Tenure, ping: &LinkPing) -> Vec<PoolBody> {
+    let version = shared.config_version();
+    let mut answers = vec![PoolBody::Grant(LeaseGrant {
+        sent_us: ping.sent_us,
+        valid_ms: 0,
+        store_lost: silent_for(tenure, shared.now()) > shared.spans.beat * 2,
+        config: version,
+    })];
+    if ping.config < version {
+        let text = shared.config_text.borrow().clone();
+        answers.push(PoolBody::Config(ConfigPush { text }));
+    }
+    answers
+}
+
+fn tell(tenure: &Tenure, ask: &JobAsk) -> JobTold {
+    let mut told = JobTold {
+        ask: ask.ask,
+        ..Default::default()
+    };
+    if !ask.queue.is_empty() {
+        let pending = tenure.pending(&ask.queue);
+        told.known = pending.is_some();
+        told.pending = pending.unwrap_or(0);
+        return told;
+    }
+    if let JobWord::Known { outcome, begun } = tenure.job_word(JobName(ask.job)) {
+        told.known = true;
+        told.outcome = outcome.into();
+        told.begun = begun;
+    }
+    told
+}
--- /dev/null
+++ b/crates/wax-owner/src/fate.rs
@@ -0,0 +1,60 @@
+//! Sends a transaction until its fate is known.
+
+use compio::time::sleep;
+use fastrand::Rng;
+use platform::{CallError, StoreClient, StoredRow, TxOutcome, TxRequest};
+use std::time::Duration;
+use wax_policy::BackoffPlan;
+use wax_types::{ProcessClock, TimePoint, WaxError};
+
+/// Longest time for one try.
+const TRY_LIMIT: Duration = Duration::from_millis(1_000);
+const RETRY_FLOOR: Duration = Duration::from_millis(40);
+const RETRY_CEILING: Duration = Duration::from_millis(500);
+
+/// What became of a transaction.
+#[derive(Debug)]
+pub enum TxFate {
+    /// It took effect; its rows have this version.
+    Committed(u64),
+    /// It did not take effect, unless an earlier try with a lost answer did: the rows that exist tell.
+    Conflict(Vec<StoredRow>),
+    /// It has had no effect and will have none.
+    NotSent(WaxError),
+    /// It may have taken effect, or may yet.
+    Unknown(WaxError),
+}
+
+/// Sends a transaction, unchanged, until it is answered or `deadline` has passed.
+///
+/// Its conditions name the versions of what it writes, so that it takes effect once at most.
+pub async fn transact(
+    store: &StoreClient,
+    clock: ProcessClock,
+    tx: &TxRequest,
+    deadline: TimePoint,
+) -> TxFate {
+    let mut doubt = false;
+    let mut backoff = BackoffPlan::new(RETRY_FLOOR, RETRY_CEILING);
+    loop {
+        let left = deadline.since(clock.now()).clamp(RETRY_FLOOR, TRY_LIMIT);
+        let error = match store.transact(tx, left).await {
+            Ok(TxOutcome::Committed(version)) => return TxFate::Committed(version),
+            Ok(TxOutcome::Conflict(rows)) => return TxFate::Conflict(rows),
+            Err(CallError::NotSent(error)) => error,
+            Err(CallError::Unknown(error)) => {
+                doubt = true;
+                error
+            }
+        };
+        let wait = backoff.fail(&mut Rng::new());
+        if clock.now() + wait >= deadline {
+            return if doubt {
+                TxFate::Unknown(error)
+            } else {
+                TxFate::NotSent(error)
+            };
+        }
+        sleep(wait).await;
+    }
+}
--- /dev/null
+++ b/crates/wax-owner/src/job_feed.rs
@@ -0,0 +1,83 @@
+//! Follows the table of jobs: new ones and cancels reach the book within milliseconds.
+
+use crate::load::{add_jobs, load};
+use crate::rows::{JOB_TABLE, PART};
+use crate::shared::PoolShared;
+use crate::tenure::Tenure;
+use compio::time::sleep;
+use futures_util::future::{Either, select};
+use platform::{FeedReply, RowChange, StoredRow};
+use std::collections::HashMap;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use wax_types::WaxError;
+
+/// How long the store may wait for a change before it answers.
+const FEED_WAIT: Duration = Duration::from_secs(5);
+/// Longest time for one page of a read.
+const PAGE_LIMIT: Duration = Duration::from_millis(1_500);
+/// After a failure.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// Loads the shard and follows its jobs until the term ends.
+pub(crate) async fn follow_jobs(shared: Rc<PoolShared>, tenure: Rc<Tenure>) {
+    let over = tenure.over.clone();
+    let follow = pin!(load_and_follow(shared, tenure));
+    let stop = pin!(over.wait());
+    if let Either::Left(((), _)) = select(follow, stop).await {
+        tracing::error!("the feed of jobs has ended before its term");
+    }
+}
+
+async fn load_and_follow(shared: Rc<PoolShared>, tenure: Rc<Tenure>) {
+    let mut after = loop {
+        match load(&shared, &tenure).await {
+            Ok(version) => break version,
+            Err(error) => {
+                tracing::warn!(%error, "loading the shard failed");
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    };
+    tenure.loaded.raise();
+    tenure.dispatch.notify(usize::MAX);
+    loop {
+        match follow_once(&shared, &tenure, after).await {
+            Ok(version) => after = version,
+            Err(error) => {
+                tracing::warn!(%error, "the feed of jobs failed");
+                sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn follow_once(shared: &PoolShared, tenure: &Tenure, after: u64) -> Result<u64, WaxError> {
+    match shared.store.follow(JOB_TABLE, after, FEED_WAIT).await? {
+        FeedReply::Changes(changes, version) => {
+            let rows: Vec<StoredRow> = changes.into_iter().filter_map(written).collect();
+            if !rows.is_empty() {
+                add_jobs(shared, tenure, &rows, &HashMap::new());
+                tenure.dispatch.notify(usize::MAX);
+                tenure.write.notify(usize::MAX);
+            }
+            Ok(version)
+        }
+        FeedReply::Forgotten => {
+            // The history was dropped: what is known already is left as it is.
+            let (rows, version) = shared.store.read_all(JOB_TABLE, PART, PAGE_LIMIT).await?;
+            add_jobs(shared, tenure, &rows, &HashMap::new());
+            tenure.dispatch.notify(usize::MAX);
+            tenure.write.notify(usize::MAX);
+            Ok(version)
+        }
+    }
+}
+
+fn written(change: RowChange) -> Option<StoredRow> {
+    match change {
+        RowChange::Written(row) if &*row.key.part == PART => Some(row),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/wax-owner/src/lib.rs
@@ -0,0 +1,32 @@
+//! Owns a shard: its term, its jobs, the workers that run them, and what the store keeps.
+//!
+//! Every front is a candidate. Who owns is decided by a conditional write in the platform's store
+//! alone; an owner of the past is fenced there by the versions of two rows, and at each agent by
+//! its fencing token.
+
+mod agents;
+mod config_feed;
+mod dispatch;
+mod entries;
+mod fate;
+mod job_feed;
+mod listener;
+mod load;
+mod rows;
+mod shared;
+mod spans;
+mod tenure;
+mod watch;
+mod writer;
+
+pub use config_feed::keep_config;
+pub use fate::{TxFate, transact};
+pub use listener::serve_peers;
+pub use rows::{
+    CANCEL_SUFFIX, JOB_TABLE, OWNER_TABLE, OwnerRow, PROGRESS_TABLE, cancel_key, job_key,
+    owner_key, progress_key,
+};
+pub use shared::{KnownOwner, PoolShared};
+pub use spans::OwnerSpans;
+pub use tenure::{JobWord, Tenure};
+pub use watch::{keep_ownership, note_owner_row};
--- /dev/null
+++ b/crates/wax-owner/src/load.rs
@@ -0,0 +1,93 @@
+//! Fills the book from the store at a takeover, and follows jobs from there on.
+
+use crate::rows::{AGENT_TABLE, CANCEL_SUFFIX, JOB_TABLE, PART, PROGRESS_TABLE};
+use crate::shared::PoolShared;
+use crate::tenure::{AgentLife, RowStand, Tenure};
+use platform::StoredRow;
+use prost::Message;
+use std::collections::HashMap;
+use std::time::Duration;
+use wax_batch::{JobName, JobProgress, JobRow};
+use wax_types::{TimePoint, WaxError, wall_clock_ms};
+
+/// Longest time for one page.
+const PAGE_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Reads everything; returns the version from which jobs are followed.
+pub(crate) async fn load(shared: &PoolShared, tenure: &Tenure) -> Result<u64, WaxError> {
+    let (agents, _) = shared.store.read_all(AGENT_TABLE, PART, PAGE_LIMIT).await?;
+    let (progress, _) = shared
+        .store
+        .read_all(PROGRESS_TABLE, PART, PAGE_LIMIT)
+        .await?;
+    let (jobs, version) = shared.store.read_all(JOB_TABLE, PART, PAGE_LIMIT).await?;
+    shared.store_heard.set(shared.now());
+    let lapse_at = tenure.began + shared.spans.lapse_after_takeover();
+    for row in &agents {
+        add_agent(tenure, row, lapse_at);
+    }
+    let progress = decode_progress(&progress);
+    add_jobs(shared, tenure, &jobs, &progress);
+    tracing::info!(
+        epoch = tenure.epoch,
+        jobs = jobs.len(),
+        agents = agents.len(),
+        "shard loaded"
+    );
+    Ok(version)
+}
+
+fn add_agent(tenure: &Tenure, row: &StoredRow, lapse_at: TimePoint) {
+    let mut agents = tenure.agents.borrow_mut();
+    let agent = agents
+        .entry(row.key.key.clone())
+        .or_insert_with(|| AgentLife {
+            link: 0,
+            outbox: None,
+            worker: None,
+            grant_end: TimePoint::default(),
+            lapse_at: None,
+            row: RowStand::Absent,
+        });
+    agent.row = RowStand::Stored;
+    agent.lapse_at = Some(lapse_at);
+}
+
+fn decode_progress(rows: &[StoredRow]) -> HashMap<JobName, JobProgress> {
+    let mut progress = HashMap::with_capacity(rows.len());
+    for row in rows {
+        let name = row.key.key.parse::<JobName>();
+        match (name, JobProgress::decode(&*row.value)) {
+            (Ok(name), Ok(value)) => {
+                progress.insert(name, value);
+            }
+            _ => tracing::error!(key = %row.key.key, "a row of progress does not decode"),
+        }
+    }
+    progress
+}
+
+/// Takes rows of the job table, cancels included, into the book.
+pub(crate) fn add_jobs(
+    shared: &PoolShared,
+    tenure: &Tenure,
+    rows: &[StoredRow],
+    progress: &HashMap<JobName, JobProgress>,
+) {
+    let (now, now_ms) = (shared.now(), wall_clock_ms());
+    let mut book = tenure.book.borrow_mut();
+    let mut cancels = Vec::new();
+    for row in rows {
+        if let Some(name) = row.key.key.strip_suffix(CANCEL_SUFFIX) {
+            cancels.extend(name.parse::<JobName>().ok());
+            continue;
+        }
+        match (row.key.key.parse::<JobName>(), JobRow::decode(&*row.value)) {
+            (Ok(name), Ok(value)) => book.add_job(name, value, progress.get(&name), now, now_ms),
+            _ => tracing::error!(key = %row.key.key, "a row of a job does not decode"),
+        }
+    }
+    for name in cancels {
+        book.cancel(name, now_ms);
+    }
+}
--- /dev/null
+++ b/crates/wax-owner/src/rows.rs
@@ -0,0 +1,87 @@
+//! The rows of a shard, all in one part so that one transaction covers them.
+
+use platform::RowKey;
+use prost::Message;
+use wax_batch::JobName;
+
+/// Who owns the shard; changes at a takeover only.
+pub const OWNER_TABLE: &str = "owner";
+/// The owner's beat; changes with each of its transactions.
+pub(crate) const BEAT_TABLE: &str = "beat";
+/// Jobs as they were accepted, and cancels.
+pub const JOB_TABLE: &str = "job";
+/// What the owner has taken note of.
+pub const PROGRESS_TABLE: &str = "progress";
+/// Agents that may have been given orders.
+pub(crate) const AGENT_TABLE: &str = "agent";
+/// The shard's part. A pool up to the size that one owner carries has one shard.
+pub(crate) const PART: &str = "s0";
+/// The key of the cancel of a job is the job's with this behind it.
+pub const CANCEL_SUFFIX: &str = ".cancel";
+
+/// The owner's row.
+#[derive(Clone, PartialEq, Message)]
+pub struct OwnerRow {
+    /// The term; rises with each takeover.
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    /// Where agents and fronts reach the owner.
+    #[prost(string, tag = "2")]
+    pub address: String,
+    /// The owner's name.
+    #[prost(string, tag = "3")]
+    pub node: String,
+    /// Whether it has let go: anyone may take over at once.
+    #[prost(bool, tag = "4")]
+    pub released: bool,
+    /// Draws the takeovers of one process apart.
+    #[prost(fixed64, tag = "5")]
+    pub nonce: u64,
+}
+
+/// The beat row.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct BeatRow {
+    /// The term.
+    #[prost(uint64, tag = "1")]
+    pub(crate) epoch: u64,
+    /// The count of the owner's transactions in it.
+    #[prost(uint64, tag = "2")]
+    pub(crate) count: u64,
+}
+
+/// An agent's row.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct AgentRow {
+    /// The machine's name.
+    #[prost(string, tag = "1")]
+    pub(crate) node: String,
+}
+
+/// The key of the owner's row.
+pub fn owner_key() -> RowKey {
+    RowKey::new(OWNER_TABLE, PART, "owner")
+}
+
+pub(crate) fn beat_key() -> RowKey {
+    RowKey::new(BEAT_TABLE, PART, "beat")
+}
+
+/// The key of a job's row.
+pub fn job_key(job: JobName) -> RowKey {
+    RowKey::new(JOB_TABLE, PART, job.to_string())
+}
+
+/// The key of a job's cancel.
+pub fn cancel_key(job: JobName) -> RowKey {
+    RowKey::new(JOB_TABLE, PART, format!("{job}{CANCEL_SUFFIX}"))
+}
+
+/// The key of a job's progress.
+pub fn progress_key(job: JobName) -> RowKey {
+    RowKey::new(PROGRESS_TABLE, PART, job.to_string())
+}
+
+pub(crate) fn agent_key(node: &str) -> RowKey {
+    RowKey::new(AGENT_TABLE, PART, node)
+}
--- /dev/null
+++ b/crates/wax-owner/src/shared.rs
@@ -0,0 +1,132 @@
+//! What all tasks of a front share.
+
+use crate::spans::OwnerSpans;
+use crate::tenure::Tenure;
+use event_listener::Event;
+use platform::{StoreClient, decode_config};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use wax_batch::QueueTable;
+use wax_types::{ErrorKind, ProcessClock, Step, TimePoint, WaxError};
+
+/// The owner as this process knows it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KnownOwner {
+    /// Its term.
+    pub epoch: u64,
+    /// Where it is reached.
+    pub address: Option<SocketAddr>,
+    /// The version of its row.
+    pub row_version: u64,
+    /// Whether it has let go.
+    pub released: bool,
+}
+
+/// Shared by all tasks of the process.
+#[derive(Debug)]
+pub struct PoolShared {
+    /// The machine's name.
+    pub node: Box<str>,
+    /// Where other processes reach this one.
+    pub address: SocketAddr,
+    /// The process's clock.
+    pub clock: ProcessClock,
+    /// The platform's store.
+    pub store: StoreClient,
+    /// Spans of ownership.
+    pub spans: OwnerSpans,
+    /// How long ended jobs are kept.
+    pub keep_ended: Duration,
+    /// The config in force.
+    pub config: RefCell<QueueTable>,
+    /// The operator's text of the config in force.
+    pub config_text: RefCell<Vec<u8>>,
+    /// Notified when a greater version of the config is in force.
+    pub config_changed: Event,
+    /// The owner as last heard of.
+    pub owner: RefCell<Option<KnownOwner>>,
+    /// Notified when another owner is heard of.
+    pub owner_changed: Event,
+    /// Set while this process owns the shard.
+    pub tenure: RefCell<Option<Rc<Tenure>>>,
+    /// When an owner whose store answers was last heard by this process's link.
+    pub owner_heard: Cell<TimePoint>,
+    /// When the store last answered this process.
+    pub store_heard: Cell<TimePoint>,
+}
+
+impl PoolShared {
+    /// Prepares the state of a front.
+    pub fn new(node: &str, address: SocketAddr, store: StoreClient, keep_ended: Duration) -> Self {
+        Self {
+            node: node.into(),
+            address,
+            clock: ProcessClock::start(),
+            store,
+            spans: OwnerSpans::default(),
+            keep_ended,
+            config: RefCell::default(),
+            config_text: RefCell::default(),
+            config_changed: Event::new(),
+            owner: RefCell::default(),
+            owner_changed: Event::new(),
+            tenure: RefCell::default(),
+            owner_heard: Cell::default(),
+            store_heard: Cell::default(),
+        }
+    }
+
+    /// The present time.
+    pub fn now(&self) -> TimePoint {
+        self.clock.now()
+    }
+
+    /// The version of the config in force; 0 without one.
+    pub fn config_version(&self) -> u64 {
+        self.config.borrow().version().unwrap_or(0)
+    }
+
+    /// Takes the operator's text of a config if its version is greater than the one in force.
+    ///
+    /// # Errors
+    ///
+    /// The text does not decode; the config in force stays.
+    pub fn offer_config(&self, text: &[u8], from: &str) -> Result<(), WaxError> {
+        let config = decode_config(text).map_err(|error| {
+            WaxError::new(ErrorKind::Protocol, Step::ChangeSettings, from, error)
+        })?;
+        let version = config.version;
+        if !self.config.borrow_mut().offer(config) {
+            return Ok(());
+        }
+        *self.config_text.borrow_mut() = text.to_vec();
+        tracing::info!(version, from, "config in force");
+        if let Some(tenure) = &*self.tenure.borrow() {
+            tenure.apply_config();
+        }
+        self.config_changed.notify(usize::MAX);
+        Ok(())
+    }
+
+    /// Notes an owner if its row is newer than what is known.
+    pub fn offer_owner(&self, owner: KnownOwner) {
+        let newer = {
+            let known = self.owner.borrow();
+            known
+                .as_ref()
+                .is_none_or(|known| owner.row_version > known.row_version)
+        };
+        if newer {
+            tracing::info!(epoch = owner.epoch, address = ?owner.address, released = owner.released, "owner known");
+            *self.owner.borrow_mut() = Some(owner);
+            self.owner_changed.notify(usize::MAX);
+        }
+    }
+
+    /// The tenure of this process, if it owns the shard.
+    pub fn current_tenure(&self) -> Option<Rc<Tenure>> {
+        self.tenure.borrow().clone()
+    }
+}
--- /dev/null
+++ b/crates/wax-owner/src/spans.rs
@@ -0,0 +1,51 @@
+//! The spans of time that ownership keeps; all are counted on a clock that suspension does not stop.
+
+use std::time::Duration;
+
+/// Spans of one shard's ownership.
+#[derive(Debug, Clone, Copy)]
+pub struct OwnerSpans {
+    /// A candidate takes over when the beat row has stood still for this long.
+    pub silence: Duration,
+    /// An owner acts for this long after the store last confirmed its term.
+    pub acting: Duration,
+    /// An agent's authority reaches this far beyond its heartbeat.
+    pub grant: Duration,
+    /// An agent extends leases this long beyond its authority.
+    pub lease_grace: Duration,
+    /// Room for clocks that differ by some hundredths.
+    pub slack: Duration,
+    /// The beat row is written at least this often.
+    pub beat: Duration,
+    /// Ends are written at least this often.
+    pub flush: Duration,
+    /// A link without a heartbeat for this long is closed.
+    pub link: Duration,
+}
+
+impl Default for OwnerSpans {
+    fn default() -> Self {
+        Self {
+            silence: Duration::from_millis(3_000),
+            acting: Duration::from_millis(6_000),
+            grant: Duration::from_millis(2_500),
+            lease_grace: Duration::from_millis(6_000),
+            slack: Duration::from_millis(500),
+            beat: Duration::from_millis(1_000),
+            flush: Duration::from_millis(250),
+            link: Duration::from_millis(2_500),
+        }
+    }
+}
+
+impl OwnerSpans {
+    /// After the last grant to an agent, everything on its worker has lapsed by then.
+    pub fn lapse_after_grant(&self) -> Duration {
+        self.lease_grace + self.slack
+    }
+
+    /// After a takeover, everything on a worker that the new owner has not heard of has lapsed.
+    pub fn lapse_after_takeover(&self) -> Duration {
+        self.acting + self.grant + self.lapse_after_grant()
+    }
+}
--- /dev/null
+++ b/crates/wax-owner/src/tenure.rs
@@ -0,0 +1,206 @@
+//! One term of ownership: the book, the agents, and whether it still holds.
+
+use crate::rows::OwnerRow;
+use crate::shared::PoolShared;
+use event_listener::Event;
+use futures_channel::mpsc::UnboundedSender;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+use wax_batch::{JobBook, JobName, JobOutcome, PlaceRules, WorkerKey};
+use wax_http::ShutdownSignal;
+use wax_types::{TimePoint, wall_clock_ms};
+use wax_wire::PoolBody;
+
+/// How far an agent's row is in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RowStand {
+    Absent,
+    Queued,
+    Stored,
+}
+
+/// An agent as the owner knows it.
+#[derive(Debug)]
+pub(crate) struct AgentLife {
+    /// The number of its link; 0 without one.
+    pub(crate) link: u64,
+    pub(crate) outbox: Option<UnboundedSender<PoolBody>>,
+    /// Its worker, once its runs were taken over.
+    pub(crate) worker: Option<(WorkerKey, Box<str>)>,
+    /// Until when the last grant reaches.
+    pub(crate) grant_end: TimePoint,
+    /// Set while nothing certain is known of its worker: by then everything there has lapsed.
+    pub(crate) lapse_at: Option<TimePoint>,
+    pub(crate) row: RowStand,
+}
+
+/// What a caller may be told of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JobWord {
+    /// The owner knows it.
+    Known {
+        /// How it ended, by the store.
+        outcome: JobOutcome,
+        /// Whether any task has begun.
+        begun: bool,
+    },
+    /// The owner does not know it, or not yet.
+    Unknown,
+}
+
+/// One term of ownership.
+#[derive(Debug)]
+pub struct Tenure {
+    pub(crate) shared: Weak<PoolShared>,
+    /// The number of the term.
+    pub epoch: u64,
+    /// The version of the owner's row: every transaction of the term requires it.
+    pub(crate) owner_version: Cell<u64>,
+    pub(crate) owner_row: OwnerRow,
+    pub(crate) began: TimePoint,
+    pub(crate) book: RefCell<JobBook>,
+    pub(crate) agents: RefCell<HashMap<Box<str>, AgentLife>>,
+    /// Whether the book holds all that the store held at the takeover.
+    pub(crate) loaded: ShutdownSignal,
+    /// When the transaction was sent that last confirmed the term.
+    pub(crate) confirmed: Cell<TimePoint>,
+    /// Links opened in this term.
+    pub(crate) links: Cell<u64>,
+    /// Rows of agents to write or remove.
+    pub(crate) agent_rows: RefCell<HashMap<Box<str>, bool>>,
+    /// Notified when agents' rows were stored.
+    pub(crate) rows_stored: Event,
+    /// There may be something to place, stop or acknowledge.
+    pub(crate) dispatch: Event,
+    /// There may be something to write.
+    pub(crate) write: Event,
+    /// Raised when the term is to be let go.
+    pub(crate) letting_go: ShutdownSignal,
+    /// Raised when the term has ended.
+    pub(crate) over: ShutdownSignal,
+}
+
+/// Bits of a fencing token that count the links of one term.
+const LINK_BITS: u32 = 24;
+
+impl Tenure {
+    pub(crate) fn new(
+        shared: &Rc<PoolShared>,
+        row: OwnerRow,
+        version: u64,
+        confirmed: TimePoint,
+    ) -> Self {
+        let mut book = JobBook::new(row.epoch, PlaceRules::default());
+        if let Some(config) = shared.config.borrow().config() {
+            book.set_config(config.clone());
+        }
+        Self {
+            shared: Rc::downgrade(shared),
+            epoch: row.epoch,
+            owner_version: Cell::new(version),
+            owner_row: row,
+            began: shared.now(),
+            book: RefCell::new(book),
+            agents: RefCell::default(),
+            loaded: ShutdownSignal::default(),
+            confirmed: Cell::new(confirmed),
+            links: Cell::new(0),
+            agent_rows: RefCell::default(),
+            rows_stored: Event::new(),
+            dispatch: Event::new(),
+            write: Event::new(),
+            letting_go: ShutdownSignal::default(),
+            over: ShutdownSignal::default(),
+        }
+    }
+
+    /// Whether orders may be given now: the store has confirmed the term lately enough.
+    pub(crate) fn may_act(&self, now: TimePoint, acting: Duration) -> bool {
+        !self.over.is_raised()
+            && !self.letting_go.is_raised()
+            && now < self.confirmed.get() + acting
+    }
+
+    /// A fencing token that is higher than any of this term or an earlier one.
+    pub(crate) fn next_token(&self) -> (u64, u64) {
+        let link = self.links.get() + 1;
+        self.links.set(link);
+        (link, self.epoch << LINK_BITS | link)
+    }
+
+    /// The config in force has changed.
+    pub(crate) fn apply_config(&self) {
+        let Some(shared) = self.shared.upgrade() else {
+            return;
+        };
+        if let Some(config) = shared.config.borrow().config() {
+            self.book.borrow_mut().set_config(config.clone());
+        }
+        self.dispatch.notify(usize::MAX);
+    }
+
+    /// What a caller may be told of a job.
+    pub fn job_word(&self, job: JobName) -> JobWord {
+        if !self.loaded.is_raised() || self.over.is_raised() {
+            return JobWord::Unknown;
+        }
+        match self.book.borrow().info(job) {
+            Some(info) => JobWord::Known {
+                outcome: info.outcome,
+                begun: info.begun,
+            },
+            None => JobWord::Unknown,
+        }
+    }
+
+    /// Accepted jobs of a queue of which no task has begun; `None` while the book is not whole.
+    pub fn pending(&self, queue: &str) -> Option<u64> {
+        self.loaded
+            .is_raised()
+            .then(|| self.book.borrow().pending(queue))
+    }
+
+    /// Asks the term to be let go; it ends once the store has all that was taken note of.
+    pub fn let_go(&self) {
+        self.letting_go.raise();
+        self.write.notify(usize::MAX);
+    }
+
+    /// Waits until the term has ended.
+    pub async fn ended(&self) {
+        self.over.wait().await;
+    }
+
+    pub(crate) fn end(&self, why: &str) {
+        if self.over.is_raised() {
+            return;
+        }
+        tracing::warn!(epoch = self.epoch, why, "term ended");
+        self.over.raise();
+        self.dispatch.notify(usize::MAX);
+        self.write.notify(usize::MAX);
+        self.rows_stored.notify(usize::MAX);
+    }
+
+    /// Sends a message to the agent of a worker, if it is linked.
+    pub(crate) fn tell_worker(&self, worker: WorkerKey, body: PoolBody) {
+        let agents = self.agents.borrow();
+        let agent = agents
+            .values()
+            .find(|agent| agent.worker.as_ref().is_some_and(|(key, _)| *key == worker));
+        if let Some(outbox) = agent.and_then(|agent| agent.outbox.as_ref()) {
+            // A link that has just closed leads to a new one, on which all is compared.
+            let _ = outbox.unbounded_send(body);
+        }
+    }
+
+    /// Takes a worker whose runs have surely ended out of the book.
+    pub(crate) fn lose_worker(&self, worker: WorkerKey, now: TimePoint) {
+        self.book
+            .borrow_mut()
+            .worker_lost(worker, now, wall_clock_ms());
+        self.dispatch.notify(usize::MAX);
+    }
+}
--- a/crates/wax-settings/src/daemon.rs
+++ b/crates/wax-settings/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The settings file of one daemon: who it is and where its peers are.
 
 use crate::files::{SettingsFile, parse_yaml};
+use crate::pool::PoolSettings;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -14,6 +15,10 @@
     Entry,
     /// Stands beside one upstream.
     Sidecar,
+    /// Takes jobs of callers into queues, and may own a shard of them.
+    Front,
+    /// Stands beside one worker and carries out orders of the owner of its shard.
+    Agent,
 }
 
 /// The whole file.
@@ -36,6 +41,8 @@
     pub sidecar: Option<SidecarSettings>,
     /// Whether and how this daemon owns shards; absent means that it does not.
     pub coordinator: Option<CoordinatorSettings>,
+    /// Needed for the roles `front` and `agent`.
+    pub pool: Option<PoolSettings>,
     /// Log lines, metrics and traces.
     #[serde(default)]
     pub logs: LogSettings,
@@ -211,14 +218,14 @@
 }
 
 /// A number in the file and the bounds that it must keep.
-struct BoundCheck {
+pub(crate) struct BoundCheck {
     key: &'static str,
     value: u64,
     least: u64,
     most: u64,
 }
 
-const fn bound(key: &'static str, value: u64, least: u64, most: u64) -> BoundCheck {
+pub(crate) const fn bound(key: &'static str, value: u64, least: u64, most: u64) -> BoundCheck {
     BoundCheck {
         key,
         value,
@@ -256,6 +263,7 @@
         let missing = match self.role {
             ProcessRole::Entry => self.entry.is_none().then_some("entry"),
             ProcessRole::Sidecar => self.sidecar.is_none().then_some("sidecar"),
+            ProcessRole::Front | ProcessRole::Agent => self.pool.is_none().then_some("pool"),
         };
         if let Some(section) = missing {
             let help = format!("add a section `{section}:` with its addresses");
@@ -319,6 +327,9 @@
                 3_600_000,
             ));
         }
+        if let Some(pool) = &self.pool {
+            checks.extend(pool.bounds());
+        }
         if let Some(coordinator) = &self.coordinator {
             checks.extend(coordinator.bounds());
         }
--- /dev/null
+++ b/crates/wax-settings/src/pool.rs
@@ -0,0 +1,72 @@
+//! Settings of the roles `front` and `agent`.
+
+use crate::daemon::{BoundCheck, bound};
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// Where a process of the pool listens, whom it calls, and the spans it keeps.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PoolSettings {
+    /// Where other processes of the pool connect; the port is the same on all machines.
+    pub peers: SocketAddr,
+    /// Addresses of some fronts, of any port; they may be stale.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Front: where callers connect.
+    pub callers: Option<SocketAddr>,
+    /// Front: where the balancer asks whether it takes connections.
+    pub readiness: Option<SocketAddr>,
+    /// Agent: where the worker checks in.
+    pub check_ins: Option<SocketAddr>,
+    /// Agent: where the worker takes orders.
+    pub worker: Option<SocketAddr>,
+    /// Where counters and histograms are served.
+    pub metrics: Option<SocketAddr>,
+    /// Where workers are asked for that a queue's policy allows.
+    pub advisor: Option<SocketAddr>,
+    /// The platform's list of machines.
+    pub machines: Option<SocketAddr>,
+    /// Longest lease that a worker takes, milliseconds.
+    #[serde(default = "defaults::most_lease_ms")]
+    pub most_lease_ms: u32,
+    /// How long a job that has ended can still be asked for, seconds.
+    #[serde(default = "defaults::keep_ended_s")]
+    pub keep_ended_s: u32,
+    /// After SIGTERM the process is killed after this, seconds.
+    #[serde(default = "defaults::stop_grace_s")]
+    pub stop_grace_s: u32,
+}
+
+mod defaults {
+    pub(super) fn most_lease_ms() -> u32 {
+        10_000
+    }
+    pub(super) fn keep_ended_s() -> u32 {
+        120
+    }
+    pub(super) fn stop_grace_s() -> u32 {
+        6
+    }
+}
+
+impl PoolSettings {
+    /// The seeds' peer addresses: their machines with our own port.
+    pub fn peer_seeds(&self) -> Vec<SocketAddr> {
+        let peer = |seed: &SocketAddr| SocketAddr::new(seed.ip(), self.peers.port());
+        self.seeds.iter().map(peer).collect()
+    }
+
+    pub(crate) fn bounds(&self) -> [BoundCheck; 3] {
+        [
+            bound(
+                "pool.most_lease_ms",
+                self.most_lease_ms.into(),
+                1_000,
+                600_000,
+            ),
+            bound("pool.keep_ended_s", self.keep_ended_s.into(), 1, 86_400),
+            bound("pool.stop_grace_s", self.stop_grace_s.into(), 1, 3_600),
+        ]
+    }
+}
--- a/crates/wax-types/src/time.rs
+++ b/crates/wax-types/src/time.rs
@@ -1,7 +1,8 @@
 //! The monotonic time that decisions are given as an argument.
 
+use rustix::time::{ClockId, clock_gettime};
 use std::ops::{Add, Sub};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Microseconds on the monotonic clock of one process, or on a replay's clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
@@ -35,26 +36,34 @@
     }
 }
 
-/// Reads the monotonic clock relative to the start of the process.
+/// Reads the machine's clock since its boot, which also counts while the machine is suspended.
+///
+/// Leases and terms are judged by it: after a suspension they are seen to have lapsed.
 #[derive(Debug, Clone, Copy)]
 pub struct ProcessClock {
-    origin: Instant,
+    origin: Duration,
 }
 
 impl ProcessClock {
     /// Starts the clock a day after zero, so that subtraction has room.
     pub fn start() -> Self {
         Self {
-            origin: Instant::now(),
+            origin: since_boot(),
         }
     }
 
     /// The present time.
     pub fn now(&self) -> TimePoint {
-        TimePoint::default() + Duration::from_secs(86_400) + self.origin.elapsed()
+        let elapsed = since_boot().saturating_sub(self.origin);
+        TimePoint::default() + Duration::from_secs(86_400) + elapsed
     }
 }
 
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
 /// Milliseconds since the Unix epoch, for records that people read.
 ///
 /// No decision about safety uses it.
--- a/crates/wax-wire/src/codec.rs
+++ b/crates/wax-wire/src/codec.rs
@@ -4,51 +4,56 @@
 use bytes::{Bytes, BytesMut};
 use prost::Message;
 use std::io;
+use std::marker::PhantomData;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
 /// The largest frame accepted, in bytes; a longer length ends the connection.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
 
-/// Encodes and decodes [`PeerFrame`]s.
+/// Encodes and decodes messages of one type, [`PeerFrame`]s unless it is named.
 #[derive(Debug)]
-pub struct PeerCodec {
+pub struct PeerCodec<M = PeerFrame> {
     lengths: LengthDelimitedCodec,
+    message: PhantomData<M>,
 }
 
-impl PeerCodec {
+impl<M> PeerCodec<M> {
     /// Builds a codec with the bound [`MAX_FRAME_BYTES`].
     pub fn new() -> Self {
         let lengths = LengthDelimitedCodec::builder()
             .max_frame_length(MAX_FRAME_BYTES)
             .new_codec();
-        Self { lengths }
+        Self {
+            lengths,
+            message: PhantomData,
+        }
     }
 }
 
-impl Default for PeerCodec {
+impl<M> Default for PeerCodec<M> {
     fn default() -> Self {
         Self::new()
     }
 }
 
-impl Decoder for PeerCodec {
-    type Item = PeerFrame;
+impl<M: Message + Default> Decoder for PeerCodec<M> {
+    type Item = M;
     type Error = io::Error;
 
-    fn decode(&mut self, buffer: &mut BytesMut) -> io::Result<Option<PeerFrame>> {
+    fn decode(&mut self, buffer: &mut BytesMut) -> io::Result<Option<M>> {
         let Some(bytes) = self.lengths.decode(buffer)? else {
             return Ok(None);
         };
-        PeerFrame::decode(bytes.freeze())
+        M::decode(bytes.freeze())
             .map(Some)
             .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
     }
 }
 
-impl Encoder<PeerFrame> for PeerCodec {
+impl<M: Message> Encoder<M> for PeerCodec<M> {
     type Error = io::Error;
 
-    fn encode(&mut self, frame: PeerFrame, buffer: &mut BytesMut) -> io::Result<()> {
+    fn encode(&mut self, frame: M, buffer: &mut BytesMut) -> io::Result<()> {
         let length = frame.encoded_len();
         if length > MAX_FRAME_BYTES {
             let text = format!("frame of {length} bytes exceeds {MAX_FRAME_BYTES}");
--- a/crates/wax-wire/src/lib.rs
+++ b/crates/wax-wire/src/lib.rs
@@ -3,6 +3,8 @@
 mod codec;
 mod frame;
 mod link;
+mod pool;
+mod pool_link;
 
 pub use codec::{MAX_FRAME_BYTES, PeerCodec};
 pub use frame::{
@@ -11,3 +13,9 @@
     SettingsAck, SettingsPush,
 };
 pub use link::{FrameReader, FrameWriter, WINDOW_BYTES, split_stream};
+pub use pool::{
+    AckEnds, AgentHello, ConfigPush, EndFrame, EntryHello, JobAsk, JobTold, LeaseGrant, LinkPing,
+    MarkFrame, NotOwner, OwnerWelcome, PoolBody, PoolFrame, RefusalFrame, ReportFrame, RunNews,
+    SeatFrame, StartRun, StopRun, WorkerFrame, WorkerGone, WorkerKept, WorkerUp,
+};
+pub use pool_link::{PoolReader, PoolWriter, split_pool_stream};
--- /dev/null
+++ b/crates/wax-wire/src/pool.rs
@@ -0,0 +1,537 @@
+//! Messages between the owner of a shard, the agents beside workers, and entries.
+
+use prost::{Message, Oneof};
+use wax_batch::{
+    JobName, RunEnd, RunEndKind, RunMark, RunReport, StartRefusal, TaskName, TaskSize, WorkerState,
+    WorkerView,
+};
+
+/// One message.
+#[derive(Clone, PartialEq, Message)]
+pub struct PoolFrame {
+    /// What it says; a message without a known body is a protocol error.
+    #[prost(oneof = "PoolBody", tags = "1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17")]
+    pub body: Option<PoolBody>,
+}
+
+/// The kinds of message.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum PoolBody {
+    /// Agent to owner, first.
+    #[prost(message, tag = "1")]
+    AgentHello(AgentHello),
+    /// Entry to owner, first.
+    #[prost(message, tag = "2")]
+    EntryHello(EntryHello),
+    /// Owner's answer to either hello.
+    #[prost(message, tag = "3")]
+    Welcome(OwnerWelcome),
+    /// Answer of a process that owns nothing: who does.
+    #[prost(message, tag = "4")]
+    NotOwner(NotOwner),
+    /// Agent or entry to owner: heartbeat.
+    #[prost(message, tag = "5")]
+    Ping(LinkPing),
+    /// Owner's answer to a heartbeat: authority until a time on the asker's clock.
+    #[prost(message, tag = "6")]
+    Grant(LeaseGrant),
+    /// Agent to owner: all that its worker runs and has ended.
+    #[prost(message, tag = "7")]
+    WorkerUp(WorkerUp),
+    /// Owner to agent: the runs that are kept, and that leases may be extended.
+    #[prost(message, tag = "8")]
+    WorkerKept(WorkerKept),
+    /// Agent to owner: the worker says something new of itself.
+    #[prost(message, tag = "9")]
+    WorkerChanged(WorkerFrame),
+    /// Agent to owner: all that ran on the worker has surely ended.
+    #[prost(message, tag = "10")]
+    WorkerGone(WorkerGone),
+    /// Agent to owner: what became of runs.
+    #[prost(message, tag = "11")]
+    News(RunNews),
+    /// Owner to agent.
+    #[prost(message, tag = "12")]
+    Start(StartRun),
+    /// Owner to agent.
+    #[prost(message, tag = "13")]
+    Stop(StopRun),
+    /// Owner to agent: these ends are in the store.
+    #[prost(message, tag = "14")]
+    Ack(AckEnds),
+    /// Entry to owner: asks for a job or a queue.
+    #[prost(message, tag = "15")]
+    Ask(JobAsk),
+    /// Owner to entry.
+    #[prost(message, tag = "16")]
+    Told(JobTold),
+    /// Either direction between owner and entry: a version of the config.
+    #[prost(message, tag = "17")]
+    Config(ConfigPush),
+}
+
+impl From<PoolBody> for PoolFrame {
+    fn from(body: PoolBody) -> Self {
+        Self { body: Some(body) }
+    }
+}
+
+/// First message of an agent.
+#[derive(Clone, PartialEq, Message)]
+pub struct AgentHello {
+    /// The machine's name.
+    #[prost(string, tag = "1")]
+    pub node: String,
+}
+
+/// First message of an entry.
+#[derive(Clone, PartialEq, Message)]
+pub struct EntryHello {
+    /// The machine's name.
+    #[prost(string, tag = "1")]
+    pub node: String,
+}
+
+/// The owner takes the link.
+#[derive(Clone, PartialEq, Message)]
+pub struct OwnerWelcome {
+    /// Its term.
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    /// The fencing token of this link: higher than that of any earlier one.
+    #[prost(uint64, tag = "2")]
+    pub token: u64,
+}
+
+/// The process is not the owner.
+#[derive(Clone, PartialEq, Message)]
+pub struct NotOwner {
+    /// The owner's address as this process knows it; empty if it knows none.
+    #[prost(string, tag = "1")]
+    pub address: String,
+    /// The owner's term.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+}
+
+/// A heartbeat.
+#[derive(Clone, PartialEq, Message)]
+pub struct LinkPing {
+    /// The sender's clock, microseconds.
+    #[prost(uint64, tag = "1")]
+    pub sent_us: u64,
+    /// The config version in force at the sender.
+    #[prost(uint64, tag = "2")]
+    pub config: u64,
+}
+
+/// Authority, counted from the heartbeat that it answers.
+#[derive(Clone, PartialEq, Message)]
+pub struct LeaseGrant {
+    /// The clock of the heartbeat.
+    #[prost(uint64, tag = "1")]
+    pub sent_us: u64,
+    /// For how long from then on, milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub valid_ms: u64,
+    /// Whether the owner's store has not answered for a while.
+    #[prost(bool, tag = "3")]
+    pub store_lost: bool,
+    /// The config version in force at the owner.
+    #[prost(uint64, tag = "4")]
+    pub config: u64,
+}
+
+/// A run of a task.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct MarkFrame {
+    #[prost(fixed64, tag = "1")]
+    job: u64,
+    #[prost(uint32, tag = "2")]
+    occurrence: u32,
+    #[prost(uint32, tag = "3")]
+    step: u32,
+    #[prost(uint32, tag = "4")]
+    index: u32,
+    #[prost(uint64, tag = "5")]
+    run: u64,
+}
+
+impl From<RunMark> for MarkFrame {
+    fn from(mark: RunMark) -> Self {
+        Self {
+            job: mark.task.job.0,
+            occurrence: mark.task.occurrence,
+            step: mark.task.step.into(),
+            index: mark.task.index,
+            run: mark.run,
+        }
+    }
+}
+
+impl From<&MarkFrame> for RunMark {
+    fn from(frame: &MarkFrame) -> Self {
+        Self {
+            task: TaskName {
+                job: JobName(frame.job),
+                occurrence: frame.occurrence,
+                step: frame.step as u16,
+                index: frame.index,
+            },
+            run: frame.run,
+        }
+    }
+}
+
+/// A worker's own words.
+#[derive(Clone, PartialEq, Message)]
+pub struct WorkerFrame {
+    #[prost(string, tag = "1")]
+    id: String,
+    #[prost(string, tag = "2")]
+    service: String,
+    #[prost(string, tag = "3")]
+    failure_domain: String,
+    #[prost(string, optional, tag = "4")]
+    rack: Option<String>,
+    #[prost(string, repeated, tag = "5")]
+    labels: Vec<String>,
+    #[prost(uint32, tag = "6")]
+    cpu_milli: u32,
+    #[prost(uint32, tag = "7")]
+    memory_mb: u32,
+    #[prost(uint32, tag = "8")]
+    accelerators: u32,
+    #[prost(bool, tag = "9")]
+    draining: bool,
+    #[prost(uint32, tag = "10")]
+    cold_ms: u32,
+    #[prost(uint32, tag = "11")]
+    remaining_ms: u32,
+}
+
+impl From<&WorkerView> for WorkerFrame {
+    fn from(view: &WorkerView) -> Self {
+        Self {
+            id: view.id.to_string(),
+            service: view.service.to_string(),
+            failure_domain: view.failure_domain.to_string(),
+            rack: view.rack.as_deref().map(Into::into),
+            labels: view.labels.iter().map(ToString::to_string).collect(),
+            cpu_milli: view.capacity.cpu_milli,
+            memory_mb: view.capacity.memory_mb,
+            accelerators: view.capacity.accelerators,
+            draining: view.state == WorkerState::Draining,
+            cold_ms: view.cold_ms,
+            remaining_ms: view.remaining_ms,
+        }
+    }
+}
+
+impl From<WorkerFrame> for WorkerView {
+    fn from(frame: WorkerFrame) -> Self {
+        Self {
+            id: frame.id.into(),
+            service: frame.service.into(),
+            failure_domain: frame.failure_domain.into(),
+            rack: frame.rack.map(Into::into),
+            labels: frame.labels.into_iter().map(Into::into).collect(),
+            capacity: TaskSize {
+                cpu_milli: frame.cpu_milli,
+                memory_mb: frame.memory_mb,
+                accelerators: frame.accelerators,
+            },
+            state: if frame.draining {
+                WorkerState::Draining
+            } else {
+                WorkerState::Ready
+            },
+            cold_ms: frame.cold_ms,
+            remaining_ms: frame.remaining_ms,
+        }
+    }
+}
+
+/// A run that goes on.
+#[derive(Clone, PartialEq, Message)]
+pub struct ReportFrame {
+    #[prost(message, required, tag = "1")]
+    mark: MarkFrame,
+    #[prost(string, tag = "2")]
+    checkpoint: String,
+    #[prost(uint32, tag = "3")]
+    percent: u32,
+    #[prost(uint32, tag = "4")]
+    figure: u32,
+}
+
+impl From<&RunReport> for ReportFrame {
+    fn from(report: &RunReport) -> Self {
+        Self {
+            mark: report.mark.into(),
+            checkpoint: report.checkpoint.to_string(),
+            percent: report.percent,
+            figure: report.figure,
+        }
+    }
+}
+
+impl From<&ReportFrame> for RunReport {
+    fn from(frame: &ReportFrame) -> Self {
+        Self {
+            mark: (&frame.mark).into(),
+            checkpoint: frame.checkpoint.as_str().into(),
+            percent: frame.percent,
+            figure: frame.figure,
+        }
+    }
+}
+
+/// A run that has ended.
+#[derive(Clone, PartialEq, Message)]
+pub struct EndFrame {
+    #[prost(uint64, tag = "1")]
+    number: u64,
+    #[prost(message, required, tag = "2")]
+    mark: MarkFrame,
+    #[prost(uint32, tag = "3")]
+    kind: u32,
+    #[prost(string, tag = "4")]
+    checkpoint: String,
+}
+
+/// Kinds of end in the order of their numbers on the wire.
+const END_KINDS: [RunEndKind; 6] = [
+    RunEndKind::Stopped,
+    RunEndKind::Done,
+    RunEndKind::Failed,
+    RunEndKind::Lapsed,
+    RunEndKind::Broken,
+    RunEndKind::Alone,
+];
+
+impl From<&RunEnd> for EndFrame {
+    fn from(end: &RunEnd) -> Self {
+        let kind = END_KINDS.iter().position(|kind| *kind == end.kind);
+        Self {
+            number: end.number,
+            mark: end.mark.into(),
+            kind: kind.unwrap_or_default() as u32,
+            checkpoint: end.checkpoint.to_string(),
+        }
+    }
+}
+
+impl From<&EndFrame> for RunEnd {
+    fn from(frame: &EndFrame) -> Self {
+        let kind = END_KINDS.get(frame.kind as usize).copied();
+        Self {
+            number: frame.number,
+            mark: (&frame.mark).into(),
+            kind: kind.unwrap_or(RunEndKind::Stopped),
+            checkpoint: frame.checkpoint.as_str().into(),
+        }
+    }
+}
+
+/// All that a worker runs and has ended, as of one moment.
+#[derive(Clone, PartialEq, Message)]
+pub struct WorkerUp {
+    /// The worker.
+    #[prost(message, required, tag = "1")]
+    pub worker: WorkerFrame,
+    /// What runs, or may begin yet.
+    #[prost(message, repeated, tag = "2")]
+    pub runs: Vec<ReportFrame>,
+    /// Ends that the worker still lists.
+    #[prost(message, repeated, tag = "3")]
+    pub ends: Vec<EndFrame>,
+}
+
+/// What a run books and how it behaves.
+#[derive(Clone, PartialEq, Message)]
+pub struct SeatFrame {
+    /// The run.
+    #[prost(message, required, tag = "1")]
+    pub mark: MarkFrame,
+    /// Thousandths of a core.
+    #[prost(uint32, tag = "2")]
+    pub cpu_milli: u32,
+    /// Mebibytes.
+    #[prost(uint32, tag = "3")]
+    pub memory_mb: u32,
+    /// Accelerators.
+    #[prost(uint32, tag = "4")]
+    pub accelerators: u32,
+    /// Whether it gets only what others leave; its processors are not booked.
+    #[prost(bool, tag = "5")]
+    pub fills: bool,
+    /// Bound on its tail latency, milliseconds; 0 for none.
+    #[prost(uint32, tag = "6")]
+    pub tail_target_ms: u32,
+    /// Its image.
+    #[prost(string, tag = "7")]
+    pub image: String,
+}
+
+impl SeatFrame {
+    /// What the run books.
+    pub fn booked(&self) -> TaskSize {
+        TaskSize {
+            cpu_milli: if self.fills { 0 } else { self.cpu_milli },
+            memory_mb: self.memory_mb,
+            accelerators: self.accelerators,
+        }
+    }
+}
+
+/// Answer to [`WorkerUp`].
+#[derive(Clone, PartialEq, Message)]
+pub struct WorkerKept {
+    /// The worker's id.
+    #[prost(string, tag = "1")]
+    pub worker: String,
+    /// The runs that were named, with what is known of them.
+    #[prost(message, repeated, tag = "2")]
+    pub seats: Vec<SeatFrame>,
+}
+
+/// All that ran on the worker has surely ended.
+#[derive(Clone, PartialEq, Message)]
+pub struct WorkerGone {
+    /// The worker's id.
+    #[prost(string, tag = "1")]
+    pub worker: String,
+}
+
+/// A run that did not begin and never will.
+#[derive(Clone, PartialEq, Message)]
+pub struct RefusalFrame {
+    #[prost(message, required, tag = "1")]
+    mark: MarkFrame,
+    #[prost(uint32, tag = "2")]
+    why: u32,
+}
+
+impl RefusalFrame {
+    /// Encodes a refusal.
+    pub fn new(mark: RunMark, refusal: StartRefusal) -> Self {
+        let why = match refusal {
+            StartRefusal::Stale => 0,
+            StartRefusal::Room => 1,
+            StartRefusal::Unwell => 2,
+        };
+        Self {
+            mark: mark.into(),
+            why,
+        }
+    }
+
+    /// Decodes it.
+    pub fn decode(&self) -> (RunMark, StartRefusal) {
+        let refusal = match self.why {
+            1 => StartRefusal::Room,
+            2 => StartRefusal::Unwell,
+            _ => StartRefusal::Stale,
+        };
+        ((&self.mark).into(), refusal)
+    }
+}
+
+/// What became of runs since the last news.
+#[derive(Clone, PartialEq, Message)]
+pub struct RunNews {
+    /// Begun.
+    #[prost(message, repeated, tag = "1")]
+    pub started: Vec<MarkFrame>,
+    /// Not begun.
+    #[prost(message, repeated, tag = "2")]
+    pub refused: Vec<RefusalFrame>,
+    /// Gone on.
+    #[prost(message, repeated, tag = "3")]
+    pub going: Vec<ReportFrame>,
+    /// Ended.
+    #[prost(message, repeated, tag = "4")]
+    pub ends: Vec<EndFrame>,
+}
+
+/// An order to start a run.
+#[derive(Clone, PartialEq, Message)]
+pub struct StartRun {
+    /// The run and what it books.
+    #[prost(message, required, tag = "1")]
+    pub seat: SeatFrame,
+    /// The job's text.
+    #[prost(string, tag = "2")]
+    pub text: String,
+    /// The checkpoint to resume from; empty for none.
+    #[prost(string, tag = "3")]
+    pub checkpoint: String,
+    /// The advisor's ticket; empty for none.
+    #[prost(string, tag = "4")]
+    pub ticket: String,
+    /// The worker for which it is meant.
+    #[prost(string, tag = "5")]
+    pub worker: String,
+}
+
+/// An order to stop a run.
+#[derive(Clone, PartialEq, Message)]
+pub struct StopRun {
+    /// The run.
+    #[prost(message, required, tag = "1")]
+    pub mark: MarkFrame,
+}
+
+/// Ends up to a number are in the store.
+#[derive(Clone, PartialEq, Message)]
+pub struct AckEnds {
+    /// The worker's id.
+    #[prost(string, tag = "1")]
+    pub worker: String,
+    /// The number.
+    #[prost(uint64, tag = "2")]
+    pub cursor: u64,
+}
+
+/// Asks for a job, or for a queue if it is named.
+#[derive(Clone, PartialEq, Message)]
+pub struct JobAsk {
+    /// Pairs the answer with the question.
+    #[prost(uint64, tag = "1")]
+    pub ask: u64,
+    /// The job.
+    #[prost(fixed64, tag = "2")]
+    pub job: u64,
+    /// The queue; empty for a job.
+    #[prost(string, tag = "3")]
+    pub queue: String,
+}
+
+/// Answer to [`JobAsk`].
+#[derive(Clone, PartialEq, Message)]
+pub struct JobTold {
+    /// Pairs the answer with the question.
+    #[prost(uint64, tag = "1")]
+    pub ask: u64,
+    /// Whether the owner knows the job.
+    #[prost(bool, tag = "2")]
+    pub known: bool,
+    /// How it ended, by the store, as in its row.
+    #[prost(int32, tag = "3")]
+    pub outcome: i32,
+    /// Whether any task has begun.
+    #[prost(bool, tag = "4")]
+    pub begun: bool,
+    /// The queue's jobs of which no task has begun.
+    #[prost(uint64, tag = "5")]
+    pub pending: u64,
+}
+
+/// A version of the config, as the operator wrote it.
+#[derive(Clone, PartialEq, Message)]
+pub struct ConfigPush {
+    /// The operator's text.
+    #[prost(bytes = "vec", tag = "1")]
+    pub text: Vec<u8>,
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 mod args;
 mod entry;
+mod pool;
 mod sidecar;
 mod signals;
 
@@ -60,6 +61,8 @@
         match settings.role {
             ProcessRole::Entry => entry::run(settings).await,
             ProcessRole::Sidecar => sidecar::run(settings).await,
+            ProcessRole::Front => pool::run_front(settings).await,
+            ProcessRole::Agent => pool::run_agent(settings).await,
         }
     });
     match result {
