--- a/crates/wax-agent/src/driver.rs
+++ b/crates/wax-agent/src/driver.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use wax_batch::WorkerView;
 use wax_types::TimePoint;
-use wax_wire::{PoolBody, RefusalFrame, RunNews, WorkerGone, WorkerUp};
+use wax_wire::{PoolBody, PressFrame, PressNews, RefusalFrame, RunNews, WorkerGone, WorkerUp};
 
 /// How long the worker may wait for an end before it answers a hold.
 const HOLD_WAIT: Duration = Duration::from_millis(500);
@@ -229,13 +229,26 @@
 
 fn pace(state: &Rc<AgentState>, id: &str) {
     let now = state.now();
-    let percent = {
+    {
         let mut boot = state.boot.borrow_mut();
         let Some(boot) = boot.as_mut().filter(|boot| *boot.view.id == *id) else {
             return;
         };
-        let worst = boot.table.worst_tail();
-        boot.pace.decide(worst, now, &state.pace_rules)
-    };
-    state.order_pace(percent);
+        let sample = boot.table.pace_sample();
+        if !boot.pace.look(&sample, now, &state.pace_rules) {
+            return;
+        }
+        if boot.pace.has_news() {
+            let fresh = boot.pace.take_fresh();
+            let pairs = fresh
+                .iter()
+                .map(|(serving, filling, press)| PressFrame::new(serving, filling, *press));
+            let news = PressNews {
+                pairs: pairs.collect(),
+                room: boot.pace.room() as f32,
+            };
+            state.tell(PoolBody::Presses(news));
+        }
+    }
+    state.order_paces();
 }
--- a/crates/wax-agent/src/lib.rs
+++ b/crates/wax-agent/src/lib.rs
@@ -15,6 +15,6 @@
 
 pub use lease::{LeaseClock, LeaseRules};
 pub use owner_link::OwnerDirectory;
-pub use pace::{PaceControl, PaceRules};
+pub use pace::{FillingSample, PaceControl, PaceRules, PaceSample, ServingSample};
 pub use process::run_agent;
 pub use table::{HoldNews, RunStand, RunTable, SeatInfo};
--- a/crates/wax-agent/src/orders.rs
+++ b/crates/wax-agent/src/orders.rs
@@ -21,6 +21,7 @@
     fn from(frame: &SeatFrame) -> Self {
         Self {
             booked: frame.booked(),
+            cpu_milli: frame.cpu_milli,
             fills: frame.fills,
             tail_target_ms: frame.tail_target_ms,
             image: frame.image.as_str().into(),
@@ -168,16 +169,16 @@
         }
     }
 
-    /// Sets the pace of all runs that fill.
-    pub(crate) fn order_pace(self: &Rc<Self>, percent: u32) {
+    /// Sets the paces of runs that fill.
+    pub(crate) fn order_paces(self: &Rc<Self>) {
         let (boot, marks) = {
             let mut boot = self.boot.borrow_mut();
             let Some(boot) = boot.as_mut() else {
                 return;
             };
-            (boot.view.id.clone(), boot.table.repace(percent))
+            (boot.view.id.clone(), boot.table.repace(&boot.pace))
         };
-        for mark in marks {
+        for (mark, percent) in marks {
             let state = self.clone();
             let boot = boot.clone();
             spawn(async move {
--- a/crates/wax-agent/src/owner_link.rs
+++ b/crates/wax-agent/src/owner_link.rs
@@ -203,6 +203,14 @@
                 boot.ack_cursor = boot.ack_cursor.max(ack.cursor);
             }
         }
+        PoolBody::Presses(news) => {
+            if let Some(boot) = state.boot.borrow_mut().as_mut() {
+                for pair in &news.pairs {
+                    boot.pace
+                        .set_pair(&pair.serving, &pair.filling, pair.press());
+                }
+            }
+        }
         other => tracing::warn!(?other, "unexpected message of the owner"),
     }
 }
--- a/crates/wax-agent/src/table.rs
+++ b/crates/wax-agent/src/table.rs
@@ -1,5 +1,6 @@
 //! Everything that runs on the worker, is being stopped there, or may begin yet.
 
+use crate::pace::{PaceControl, PaceSample, ServingSample};
 use std::collections::HashMap;
 use wax_batch::{RunEnd, RunMark, RunReport, StartRefusal, TaskSize, WorkerState, WorkerView};
 
@@ -24,6 +25,8 @@
 pub struct SeatInfo {
     /// What it books.
     pub booked: TaskSize,
+    /// Thousandths of a core that it asks for, booked or not.
+    pub cpu_milli: u32,
     /// Whether it gets only what others leave.
     pub fills: bool,
     /// Bound on its tail latency, milliseconds; 0 for none.
@@ -189,26 +192,39 @@
         self.rows.values().all(|row| row.seat.is_some())
     }
 
-    /// The greatest share of its target that a serving run's tail takes; 0 without one.
-    pub fn worst_tail(&self) -> f64 {
-        let share = |row: &RunRow| {
-            let target = row.seat.as_ref().map_or(0, |seat| seat.tail_target_ms);
-            if target == 0 || row.report.percent < 100 {
-                return 0.0;
+    /// What the last hold shows of runs that serve and runs that fill.
+    pub fn pace_sample(&self) -> PaceSample {
+        let mut sample = PaceSample::default();
+        for (mark, row) in &self.rows {
+            let Some(seat) = row.seat.as_ref().filter(|_| row.stand == RunStand::Running) else {
+                continue;
+            };
+            if seat.fills {
+                let fill = sample.filling.entry(seat.image.clone()).or_default();
+                fill.used += f64::from(row.report.figure) / 1_000.0;
+                fill.wanted += f64::from(seat.cpu_milli) / 1_000.0;
+            } else if seat.tail_target_ms > 0 && row.report.percent == 100 {
+                sample.serving.push(ServingSample {
+                    mark: *mark,
+                    image: seat.image.clone(),
+                    tail: f64::from(row.report.figure) / f64::from(seat.tail_target_ms),
+                });
             }
-            f64::from(row.report.figure) / f64::from(target)
-        };
-        self.rows.values().map(share).fold(0.0, f64::max)
+        }
+        sample
     }
 
-    /// Runs that fill and whose pace is not `percent`; notes it as sent.
-    pub fn repace(&mut self, percent: u32) -> Vec<RunMark> {
+    /// Runs that fill and whose pace is not the planned one, which is noted as sent.
+    pub fn repace(&mut self, control: &PaceControl) -> Vec<(RunMark, u32)> {
         let mut marks = Vec::new();
         for (mark, row) in &mut self.rows {
-            let fills = row.seat.as_ref().is_some_and(|seat| seat.fills);
-            if fills && row.stand == RunStand::Running && row.pace != percent {
+            let Some(seat) = row.seat.as_ref().filter(|seat| seat.fills) else {
+                continue;
+            };
+            let percent = control.pace(&seat.image);
+            if row.stand == RunStand::Running && row.pace.abs_diff(percent) >= PACE_STEP {
                 row.pace = percent;
-                marks.push(*mark);
+                marks.push((*mark, percent));
             }
         }
         marks
@@ -217,7 +233,7 @@
     /// A pace was not taken; it is due again.
     pub fn pace_lost(&mut self, mark: RunMark) {
         if let Some(row) = self.rows.get_mut(&mark) {
-            row.pace = u32::MAX;
+            row.pace = PACE_UNKNOWN;
         }
     }
 
@@ -232,6 +248,10 @@
     }
 }
 
+/// After a lost order the pace is not known; no planned one is near it.
+const PACE_UNKNOWN: u32 = 1_000;
+/// Smaller changes of a pace are not worth an order, percent.
+const PACE_STEP: u32 = 4;
 /// A change of this much of a run's work is told to the owner.
 const PERCENT_STEP: u32 = 20;
 
--- a/crates/wax-batch/src/book.rs
+++ b/crates/wax-batch/src/book.rs
@@ -2,13 +2,14 @@
 
 use crate::life::{JobLife, OccurrenceLife, TaskLife, TaskSeat, TaskStand};
 use crate::names::{JobName, RunMark, TaskName};
+use crate::pairs::{PairPress, PairTable};
 use crate::place::PlaceRules;
 use crate::progress::{JobOutcome, JobProgress, JobRow};
 use crate::queue::{QueueConfig, QueueRules};
 use crate::spec::{JobSpec, TaskSize};
 use crate::worker::{WorkerKey, WorkerView};
 use slotmap::SlotMap;
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 use wax_types::TimePoint;
@@ -116,6 +117,10 @@
     pub shunned_until: TimePoint,
     /// Whether its agent can be reached now.
     pub reachable: bool,
+    /// Lasting runs by image.
+    pub lasting_images: BTreeMap<Box<str>, u32>,
+    /// How much more press its serving runs bear, by its agent's word less what was placed since.
+    pub press_room: f64,
 }
 
 /// One run on a worker.
@@ -129,6 +134,8 @@
     pub filling_milli: u32,
     /// Thousandths of a core that it asks for, if it lasts.
     pub lasting_milli: u32,
+    /// Whether it lasts: then its worker counts its image.
+    pub lasts: bool,
 }
 
 /// Runs started in a later term of ownership are numbered from a multiple of this.
@@ -145,6 +152,8 @@
     pub(crate) stops: Vec<StopOrder>,
     pub(crate) config: Rc<QueueConfig>,
     pub(crate) rules: PlaceRules,
+    /// What filling images press on serving ones.
+    pub(crate) pairs: PairTable,
     /// The owner's term.
     pub(crate) epoch: u64,
     /// Whether tasks of jobs of earlier terms may be started: all who may run them were heard.
@@ -163,6 +172,7 @@
             stops: Vec::new(),
             config: Rc::default(),
             rules,
+            pairs: PairTable::default(),
             epoch,
             settled: false,
         }
@@ -190,6 +200,18 @@
         self.settled
     }
 
+    /// Notes how much more press a worker bears.
+    pub fn set_press_room(&mut self, worker: WorkerKey, room: f64) {
+        if let Some(life) = self.workers.get_mut(worker) {
+            life.press_room = room;
+        }
+    }
+
+    /// Merges what an agent has learned of a pair of images; says what is known now.
+    pub fn merge_press(&mut self, serving: &str, filling: &str, press: PairPress) -> PairPress {
+        self.pairs.merge(serving, filling, press)
+    }
+
     /// Takes a job from its rows; a job that is known already is left as it is.
     pub fn add_job(
         &mut self,
@@ -630,7 +652,16 @@
             } else {
                 0
             },
+            lasts: step_spec.lasts,
         };
+        if step_spec.lasts
+            && let Some(life) = self.workers.get_mut(worker)
+        {
+            *life
+                .lasting_images
+                .entry(step_spec.image.clone())
+                .or_default() += 1;
+        }
         self.book_run(worker, mark, seat);
     }
 
@@ -650,6 +681,14 @@
         life.booked = life.booked.minus(seat.booked);
         life.filling_milli = life.filling_milli.saturating_sub(seat.filling_milli);
         life.lasting_milli = life.lasting_milli.saturating_sub(seat.lasting_milli);
+        if let Some(at) = seat.task.filter(|_| seat.lasts)
+            && let Some(job) = self.jobs.get(at.step.job)
+        {
+            let image = &job.spec.steps[usize::from(at.step.step)].image;
+            if let Some(runs) = life.lasting_images.get_mut(image) {
+                *runs = runs.saturating_sub(1);
+            }
+        }
         Some(seat)
     }
 }
--- a/crates/wax-batch/src/ends.rs
+++ b/crates/wax-batch/src/ends.rs
@@ -6,7 +6,7 @@
 use crate::progress::JobOutcome;
 use crate::spec::TaskSize;
 use crate::worker::{RunEnd, RunEndKind, RunReport, WorkerKey, WorkerView};
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 use wax_types::TimePoint;
 
@@ -41,6 +41,8 @@
             failed_in_row: 0,
             shunned_until: TimePoint::default(),
             reachable: true,
+            lasting_images: BTreeMap::new(),
+            press_room: 0.5,
         })
     }
 
@@ -138,6 +140,7 @@
             booked,
             filling_milli: 0,
             lasting_milli: 0,
+            lasts: false,
         };
         self.book_run(worker, mark, seat);
         let why = "no job asks for it";
--- a/crates/wax-batch/src/lib.rs
+++ b/crates/wax-batch/src/lib.rs
@@ -6,6 +6,7 @@
 mod ends;
 mod life;
 mod names;
+mod pairs;
 mod place;
 mod progress;
 mod queue;
@@ -19,6 +20,7 @@
 pub use ends::StartRefusal;
 pub use life::{JobLife, OccurrenceLife, StepLife, TaskLife, TaskStand};
 pub use names::{JobName, RunMark, TaskName};
+pub use pairs::{PairPress, PairTable};
 pub use place::{PlaceChoice, PlaceRules};
 pub use progress::{
     JobOutcome, JobProgress, JobRow, OccurrenceProgress, StepProgress, TaskFailures,
--- a/crates/wax-batch/src/place.rs
+++ b/crates/wax-batch/src/place.rs
@@ -3,6 +3,7 @@
 use crate::book::{JobBook, StartOrder, StepAt, TaskAt, WorkerLife};
 use crate::life::TaskStand;
 use crate::names::RunMark;
+use crate::pairs::PairTable;
 use crate::rank::JobRank;
 use crate::spec::{StepSpec, TaskSize};
 use crate::worker::{WorkerKey, WorkerState};
@@ -21,6 +22,16 @@
     pub shun_cost: f64,
     /// Cost of a worker that has just started.
     pub cold_cost: f64,
+    /// Cost of each unit of press beyond what a worker bears.
+    pub press_cost: f64,
+    /// What a core presses before anything is known.
+    pub first_press: f64,
+    /// How many observations that assumption is worth.
+    pub first_weight: f64,
+    /// Cost of lasting tasks of other images on the worker.
+    pub stranger_cost: f64,
+    /// Cost of a worker without lasting tasks, for one that lasts.
+    pub open_cost: f64,
 }
 
 impl Default for PlaceRules {
@@ -31,6 +42,11 @@
             far_cost: 0.5,
             shun_cost: 2.0,
             cold_cost: 0.3,
+            press_cost: 4.0,
+            first_press: 0.06,
+            first_weight: 5.0,
+            stranger_cost: 2.0,
+            open_cost: 1.0,
         }
     }
 }
@@ -67,8 +83,27 @@
         left * rules.fill_limit - f64::from(self.filling_milli)
     }
 
+    /// How much one more task of a step that fills would press on the worst of what serves here.
+    fn press_of(&self, step: &StepSpec, pairs: &PairTable, rules: &PlaceRules) -> f64 {
+        let cores = f64::from(step.size.cpu_milli) / 1_000.0;
+        let serving = self.lasting_images.iter().filter(|(_, runs)| **runs > 0);
+        let presses = serving.map(|(image, _)| {
+            let known = pairs.get(image, &step.image);
+            let sure = known.weight / (known.weight + rules.first_weight);
+            known.per_core * sure + rules.first_press * (1.0 - sure)
+        });
+        presses.fold(0.0, f64::max) * cores
+    }
+
+    /// The share of lasting runs here that are of another image.
+    fn strangers(&self, image: &str) -> f64 {
+        let all: u32 = self.lasting_images.values().sum();
+        let own = self.lasting_images.get(image).copied().unwrap_or(0);
+        f64::from(all - own) / f64::from(all.max(1))
+    }
+
     /// The cost of one more task of the step, in shares of the worker's processors.
-    fn cost(&self, step: &StepSpec, rules: &PlaceRules) -> f64 {
+    fn cost(&self, step: &StepSpec, pairs: &PairTable, rules: &PlaceRules) -> f64 {
         let capacity = f64::from(self.view.capacity.cpu_milli.max(1));
         let used = f64::from(self.booked.cpu_milli)
             - f64::from(self.lasting_milli) * (1.0 - rules.lasting_use)
@@ -77,6 +112,17 @@
         if step.data_rack.is_some() && step.data_rack != self.view.rack {
             cost += rules.far_cost;
         }
+        if step.fills {
+            let over = self.press_of(step, pairs, rules) - self.press_room.max(0.0);
+            cost += rules.press_cost * over.max(0.0);
+        }
+        if step.lasts {
+            // Lasting tasks of one image keep together, so that others leave room for what presses on it.
+            cost += rules.stranger_cost * self.strangers(&step.image);
+            if self.lasting_images.values().all(|runs| *runs == 0) {
+                cost += rules.open_cost;
+            }
+        }
         if self.view.cold_ms > 0 {
             cost += rules.cold_cost;
         }
@@ -216,7 +262,7 @@
             if step.fills && worker.fill_room_milli(&self.rules) < f64::from(step.size.cpu_milli) {
                 continue;
             }
-            let mut cost = worker.cost(step, &self.rules);
+            let mut cost = worker.cost(step, &self.pairs, &self.rules);
             if shuns == Some(key) {
                 cost += self.rules.shun_cost;
             }
@@ -241,6 +287,12 @@
         let checkpoint = task.checkpoint.clone();
         let run = run.unwrap_or_else(|| self.next_run(job, task.last_run));
         self.seat(at, worker, run, false, now);
+        let step = &spec.steps[usize::from(at.step.step)];
+        if step.fills
+            && let Some(life) = self.workers.get_mut(worker)
+        {
+            life.press_room -= life.press_of(step, &self.pairs, &self.rules);
+        }
         StartOrder {
             worker,
             mark: RunMark {
--- a/crates/wax-owner/src/agents.rs
+++ b/crates/wax-owner/src/agents.rs
@@ -14,8 +14,8 @@
 use wax_batch::{RunEnd, RunMark, RunReport, WorkerKey, WorkerView};
 use wax_types::{TimePoint, wall_clock_ms};
 use wax_wire::{
-    LeaseGrant, LinkPing, OwnerWelcome, PoolBody, PoolReader, PoolWriter, RunNews, WorkerKept,
-    WorkerUp,
+    LeaseGrant, LinkPing, OwnerWelcome, PoolBody, PoolReader, PoolWriter, PressFrame, PressNews,
+    RunNews, WorkerKept, WorkerUp,
 };
 
 /// Serves one link until it breaks, falls silent, or the term ends.
@@ -145,6 +145,7 @@
             PoolBody::WorkerChanged(frame) => self.worker_changed(frame.into()),
             PoolBody::WorkerGone(gone) => self.worker_gone(&gone.worker),
             PoolBody::News(news) => self.news(&news),
+            PoolBody::Presses(news) => self.presses(&news),
             other => tracing::warn!(?other, agent = self.node, "unexpected message of an agent"),
         }
     }
@@ -296,6 +297,25 @@
         }
     }
 
+    /// Gathers what the agents have learned; all are told of what has changed.
+    fn presses(&self, news: &PressNews) {
+        let Some(worker) = self.worker() else {
+            return;
+        };
+        let mut book = self.tenure.book.borrow_mut();
+        book.set_press_room(worker, f64::from(news.room));
+        let mut told = Vec::with_capacity(news.pairs.len());
+        for pair in &news.pairs {
+            let known = book.merge_press(&pair.serving, &pair.filling, pair.press());
+            told.push(PressFrame::new(&pair.serving, &pair.filling, known));
+        }
+        drop(book);
+        self.tenure.press_news.borrow_mut().extend(
+            told.into_iter()
+                .map(|pair| ((pair.serving.clone(), pair.filling.clone()), pair)),
+        );
+    }
+
     fn news(&self, news: &RunNews) {
         let Some(worker) = self.worker() else {
             return;
--- a/crates/wax-owner/src/dispatch.rs
+++ b/crates/wax-owner/src/dispatch.rs
@@ -11,12 +11,19 @@
 
 /// Without a change the book is looked through this often: times pass, too.
 const IDLE_PERIOD: Duration = Duration::from_millis(100);
+/// Agents are told this often of presses that have changed.
+const PRESS_PERIOD: Duration = Duration::from_millis(1_000);
 /// Changes that come together are dispatched together.
 const GATHER: Duration = Duration::from_millis(2);
 
 /// Dispatches until the term ends.
 pub(crate) async fn dispatch_orders(shared: Rc<PoolShared>, tenure: Rc<Tenure>) {
+    let mut pressed = shared.now();
     while !tenure.over.is_raised() {
+        if shared.now().since(pressed) >= PRESS_PERIOD {
+            pressed = shared.now();
+            tenure.tell_presses();
+        }
         let listener = tenure.dispatch.listen();
         // Either a change or the time; both lead to another look.
         if timeout(IDLE_PERIOD, listener).await.is_ok() {
--- a/crates/wax-owner/src/tenure.rs
+++ b/crates/wax-owner/src/tenure.rs
@@ -11,7 +11,7 @@
 use wax_batch::{JobBook, JobName, JobOutcome, PlaceRules, WorkerKey};
 use wax_http::ShutdownSignal;
 use wax_types::{TimePoint, wall_clock_ms};
-use wax_wire::PoolBody;
+use wax_wire::{PoolBody, PressFrame, PressNews};
 
 /// How far an agent's row is in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -70,6 +70,8 @@
     pub(crate) links: Cell<u64>,
     /// Rows of agents to write or remove.
     pub(crate) agent_rows: RefCell<HashMap<Box<str>, bool>>,
+    /// Presses that have changed since the agents were told.
+    pub(crate) press_news: RefCell<HashMap<(String, String), PressFrame>>,
     /// Notified when agents' rows were stored.
     pub(crate) rows_stored: Event,
     /// There may be something to place, stop or acknowledge.
@@ -108,6 +110,7 @@
             confirmed: Cell::new(confirmed),
             links: Cell::new(0),
             agent_rows: RefCell::default(),
+            press_news: RefCell::default(),
             rows_stored: Event::new(),
             dispatch: Event::new(),
             write: Event::new(),
@@ -196,6 +199,24 @@
         }
     }
 
+    /// Tells all agents of presses that have changed.
+    pub(crate) fn tell_presses(&self) {
+        let changed = std::mem::take(&mut *self.press_news.borrow_mut());
+        if changed.is_empty() {
+            return;
+        }
+        let news = PressNews {
+            pairs: changed.into_values().collect(),
+            room: 0.0,
+        };
+        for agent in self.agents.borrow().values() {
+            if let Some(outbox) = &agent.outbox {
+                // A link that has just closed is replaced; presses are learned again.
+                let _ = outbox.unbounded_send(PoolBody::Presses(news.clone()));
+            }
+        }
+    }
+
     /// Takes a worker whose runs have surely ended out of the book.
     pub(crate) fn lose_worker(&self, worker: WorkerKey, now: TimePoint) {
         self.book
--- a/crates/wax-wire/src/pool.rs
+++ b/crates/wax-wire/src/pool.rs
@@ -2,15 +2,18 @@
 
 use prost::{Message, Oneof};
 use wax_batch::{
-    JobName, RunEnd, RunEndKind, RunMark, RunReport, StartRefusal, TaskName, TaskSize, WorkerState,
-    WorkerView,
+    JobName, PairPress, RunEnd, RunEndKind, RunMark, RunReport, StartRefusal, TaskName, TaskSize,
+    WorkerState, WorkerView,
 };
 
 /// One message.
 #[derive(Clone, PartialEq, Message)]
 pub struct PoolFrame {
     /// What it says; a message without a known body is a protocol error.
-    #[prost(oneof = "PoolBody", tags = "1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17")]
+    #[prost(
+        oneof = "PoolBody",
+        tags = "1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18"
+    )]
     pub body: Option<PoolBody>,
 }
 
@@ -68,6 +71,9 @@
     /// Either direction between owner and entry: a version of the config.
     #[prost(message, tag = "17")]
     Config(ConfigPush),
+    /// Either direction between agent and owner: what filling images press on serving ones.
+    #[prost(message, tag = "18")]
+    Presses(PressNews),
 }
 
 impl From<PoolBody> for PoolFrame {
@@ -535,3 +541,49 @@
     #[prost(bytes = "vec", tag = "1")]
     pub text: Vec<u8>,
 }
+
+/// What a core of a filling image presses on a serving image.
+#[derive(Clone, PartialEq, Message)]
+pub struct PressFrame {
+    /// The image that serves.
+    #[prost(string, tag = "1")]
+    pub serving: String,
+    /// The image that fills.
+    #[prost(string, tag = "2")]
+    pub filling: String,
+    #[prost(float, tag = "3")]
+    per_core: f32,
+    #[prost(float, tag = "4")]
+    weight: f32,
+}
+
+impl PressFrame {
+    /// Encodes a pair.
+    pub fn new(serving: &str, filling: &str, press: PairPress) -> Self {
+        Self {
+            serving: serving.into(),
+            filling: filling.into(),
+            per_core: press.per_core as f32,
+            weight: press.weight as f32,
+        }
+    }
+
+    /// Decodes what is known of the pair.
+    pub fn press(&self) -> PairPress {
+        PairPress {
+            per_core: f64::from(self.per_core),
+            weight: f64::from(self.weight),
+        }
+    }
+}
+
+/// Presses that the sender has learned or gathered.
+#[derive(Clone, PartialEq, Message)]
+pub struct PressNews {
+    /// The pairs.
+    #[prost(message, repeated, tag = "1")]
+    pub pairs: Vec<PressFrame>,
+    /// Agent to owner: how much more press its worker bears.
+    #[prost(float, tag = "2")]
+    pub room: f32,
+}
