--- a/crates/wax-agent/src/orders.rs
+++ b/crates/wax-agent/src/orders.rs
@@ -93,7 +93,7 @@
         }
     }
 
-    fn note_started(&self, boot: &str, mark: RunMark) {
+    fn note_started(self: &Rc<Self>, boot: &str, mark: RunMark) {
         let known = self.with_table(boot, |table| {
             table.started(mark);
             table.stand(mark) == Some(RunStand::Running)
@@ -104,6 +104,7 @@
                 ..Default::default()
             };
             self.tell(PoolBody::News(news));
+            self.order_paces();
         }
     }
 
@@ -176,6 +177,8 @@
             let Some(boot) = boot.as_mut() else {
                 return;
             };
+            let sample = boot.table.pace_sample();
+            boot.pace.plan(&sample, self.now(), &self.pace_rules);
             (boot.view.id.clone(), boot.table.repace(&boot.pace))
         };
         for (mark, percent) in marks {
--- a/crates/wax-agent/src/pace.rs
+++ b/crates/wax-agent/src/pace.rs
@@ -42,7 +42,7 @@
     fn default() -> Self {
         Self {
             period: Duration::from_millis(450),
-            aim: 0.75,
+            aim: 0.78,
             alarm: 1.0,
             settle: Duration::from_millis(1_400),
             least: 5,
@@ -50,12 +50,19 @@
             own_rate: 0.3,
             first_press: 0.06,
             first_idle: 0.17,
-            benign_press: 0.02,
+            benign_press: 0.025,
             benign_weight: 8.0,
         }
     }
 }
 
+impl PaceRules {
+    /// Whether a pair is known well enough to press on nothing.
+    fn is_benign(&self, pair: PairPress) -> bool {
+        pair.per_core < self.benign_press && pair.weight >= self.benign_weight
+    }
+}
+
 /// One serving run as the worker shows it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServingSample {
@@ -251,7 +258,8 @@
         }
     }
 
-    fn plan(&mut self, sample: &PaceSample, now: TimePoint, rules: &PaceRules) {
+    /// Plans the paces by what is known: also before new runs show in the worker's figures.
+    pub fn plan(&mut self, sample: &PaceSample, now: TimePoint, rules: &PaceRules) {
         let mut shares: BTreeMap<Box<str>, f64> = sample
             .filling
             .keys()
@@ -274,19 +282,21 @@
             } else {
                 (aim / load.own - 1.0).max(0.0)
             };
-            let presses: Vec<(&Box<str>, f64)> = sample
+            let mut presses: Vec<(&Box<str>, f64, f64)> = sample
                 .filling
                 .iter()
                 .map(|(image, fill)| (image, self.press_of(&run.image, image, rules), fill))
-                .filter(|(_, pair, _)| {
-                    pair.per_core >= rules.benign_press || pair.weight < rules.benign_weight
-                })
-                .map(|(image, pair, fill)| (image, pair.per_core * fill.wanted))
+                .filter(|(_, pair, _)| !rules.is_benign(*pair))
+                .map(|(image, pair, fill)| (image, pair.per_core, pair.per_core * fill.wanted))
                 .collect();
-            let whole: f64 = presses.iter().map(|(_, press)| press).sum();
+            let whole: f64 = presses.iter().map(|(.., press)| press).sum();
             self.room = self.room.min(room - whole);
-            let share = if whole > room { room / whole } else { 1.0 };
-            for (image, _) in presses {
+            // What presses least for its work goes first; the rest shares what is left.
+            presses.sort_by(|one, other| one.1.total_cmp(&other.1));
+            let mut left = room;
+            for (image, _, press) in presses {
+                let share = if press > left { left / press } else { 1.0 };
+                left = (left - press).max(0.0);
                 if let Some(least) = shares.get_mut(image) {
                     *least = least.min(share);
                 }
--- a/crates/wax-batch/src/place.rs
+++ b/crates/wax-batch/src/place.rs
@@ -117,8 +117,9 @@
             cost += rules.press_cost * over.max(0.0);
         }
         if step.lasts {
-            // Lasting tasks of one image keep together, so that others leave room for what presses on it.
-            cost += rules.stranger_cost * self.strangers(&step.image);
+            // Lasting tasks of one image keep together, and fill a worker before they open another:
+            // so other workers are left to what presses on the image.
+            cost = 1.0 - cost + rules.stranger_cost * self.strangers(&step.image);
             if self.lasting_images.values().all(|runs| *runs == 0) {
                 cost += rules.open_cost;
             }
