--- a/crates/wax-agent/src/table.rs
+++ b/crates/wax-agent/src/table.rs
@@ -253,7 +253,7 @@
 /// Smaller changes of a pace are not worth an order, percent.
 const PACE_STEP: u32 = 4;
 /// A change of this much of a run's work is told to the owner.
-const PERCENT_STEP: u32 = 20;
+const PERCENT_STEP: u32 = 10;
 
 impl RunRow {
     fn new(mark: RunMark, seat: Option<SeatInfo>, stand: RunStand) -> Self {
--- a/crates/wax-batch/src/book.rs
+++ b/crates/wax-batch/src/book.rs
@@ -251,7 +251,7 @@
         self.names.insert(name, key);
         if !over {
             self.open_occurrences(key, now, now_ms);
-            self.open_all(key);
+            self.open_all(key, now);
             self.settle_job(key, now_ms);
         }
     }
@@ -311,18 +311,18 @@
         let mut next = None;
         for key in timed {
             let due = self.open_occurrences(key, now, now_ms);
-            self.open_all(key);
+            self.open_all(key, now);
             next = [next, due].into_iter().flatten().min();
         }
         next
     }
 
     /// Opens every step that can be, in all occurrences of a job.
-    pub(crate) fn open_all(&mut self, key: JobKey) {
+    pub(crate) fn open_all(&mut self, key: JobKey, now: TimePoint) {
         let job = &mut self.jobs[key];
         let spec = job.spec.clone();
         for (number, occurrence) in &mut job.occurrences {
-            occurrence.open_steps(&spec);
+            occurrence.open_steps(&spec, now);
             for (step, life) in occurrence.steps.iter().enumerate() {
                 if life.open && life.waiting > 0 {
                     self.ready.insert(StepAt {
--- a/crates/wax-batch/src/ends.rs
+++ b/crates/wax-batch/src/ends.rs
@@ -257,7 +257,7 @@
         }
         let key = at.step.job;
         if self.jobs[key].is_over() {
-            self.unseat(at, worker);
+            self.unseat(at, worker, now);
             return Some((key, self.jobs[key].changes));
         }
         if !checkpoint.is_empty()
@@ -265,9 +265,9 @@
         {
             task.checkpoint = checkpoint.into();
         }
-        self.unseat(at, worker);
+        self.unseat(at, worker, now);
         let stored = match kind {
-            RunEndKind::Done => self.task_done(at, worker, now_ms),
+            RunEndKind::Done => self.task_done(at, worker, now, now_ms),
             RunEndKind::Failed => self.task_failed(at, worker, now, now_ms),
             RunEndKind::Stopped | RunEndKind::Lapsed | RunEndKind::Broken | RunEndKind::Alone => {
                 false
@@ -313,7 +313,7 @@
     }
 
     /// Takes a task from its worker; it waits again.
-    pub(crate) fn unseat(&mut self, at: TaskAt, worker: WorkerKey) {
+    pub(crate) fn unseat(&mut self, at: TaskAt, worker: WorkerKey, now: TimePoint) {
         let job = &mut self.jobs[at.step.job];
         let over = job.is_over();
         let Some(occurrence) = job.occurrences.get_mut(&at.step.occurrence) else {
@@ -325,6 +325,7 @@
         };
         task.stand = TaskStand::Waiting;
         step.waiting += 1;
+        step.since = now;
         if let Some(tasks) = step.spread.get_mut(&worker) {
             *tasks = tasks.saturating_sub(1);
         }
@@ -333,7 +334,7 @@
         }
     }
 
-    fn task_done(&mut self, at: TaskAt, worker: WorkerKey, now_ms: u64) -> bool {
+    fn task_done(&mut self, at: TaskAt, worker: WorkerKey, now: TimePoint, now_ms: u64) -> bool {
         if let Some(life) = self.workers.get_mut(worker) {
             life.failed_in_row = 0;
             life.shunned_until = TimePoint::default();
@@ -369,7 +370,7 @@
         if step.is_done(step_spec) {
             step.tasks = Vec::new();
             step.spread.clear();
-            self.open_all(at.step.job);
+            self.open_all(at.step.job, now);
         }
         self.touch(at.step.job);
         self.settle_job(at.step.job, now_ms);
--- a/crates/wax-batch/src/lib.rs
+++ b/crates/wax-batch/src/lib.rs
@@ -5,6 +5,7 @@
 mod book;
 mod ends;
 mod life;
+mod moves;
 mod names;
 mod pairs;
 mod place;
--- a/crates/wax-batch/src/life.rs
+++ b/crates/wax-batch/src/life.rs
@@ -80,6 +80,8 @@
     pub open: bool,
     /// The tasks; empty until the step is open.
     pub tasks: Vec<TaskLife>,
+    /// Since when a task of the step has waited that could be placed.
+    pub since: TimePoint,
     /// How many tasks wait.
     pub waiting: u32,
     /// How many tasks are done.
@@ -95,8 +97,9 @@
     }
 
     /// Opens the step: its tasks may be placed.
-    pub fn open(&mut self, spec: &StepSpec) {
+    pub fn open(&mut self, spec: &StepSpec, now: TimePoint) {
         self.open = true;
+        self.since = now;
         if self.tasks.is_empty() && !self.is_done(spec) {
             self.tasks = vec![TaskLife::default(); spec.count as usize];
             self.waiting = spec.count;
@@ -166,7 +169,7 @@
     }
 
     /// Opens steps whose earlier steps are done; returns their numbers.
-    pub(crate) fn open_steps(&mut self, spec: &JobSpec) -> Vec<u16> {
+    pub(crate) fn open_steps(&mut self, spec: &JobSpec, now: TimePoint) -> Vec<u16> {
         let mut opened = Vec::new();
         for (number, step_spec) in spec.steps.iter().enumerate() {
             if self.steps[number].open {
@@ -177,7 +180,7 @@
                 self.steps[earlier].is_done(&spec.steps[earlier])
             });
             if free {
-                self.steps[number].open(step_spec);
+                self.steps[number].open(step_spec, now);
                 opened.push(number as u16);
             }
         }
--- /dev/null
+++ b/crates/wax-batch/src/moves.rs
@@ -0,0 +1,84 @@
+//! Moves runs that fill and that their worker lets stand still.
+
+use crate::book::{JobBook, StopOrder, TaskAt};
+use crate::names::RunMark;
+use crate::worker::WorkerKey;
+use std::time::Duration;
+use wax_types::TimePoint;
+
+/// Work that is nearly done is not worth a move, percent.
+const NEARLY_DONE: u32 = 80;
+
+impl JobBook {
+    /// Orders the stop of runs that stand still and that another worker would bear.
+    ///
+    /// They keep their checkpoint, and are placed anew when their end is heard.
+    pub fn move_stalled(&mut self, now: TimePoint) {
+        let mut stalled: Vec<(Duration, WorkerKey, RunMark, TaskAt)> = Vec::new();
+        for (key, worker) in &self.workers {
+            for (mark, run) in worker.runs.iter().filter(|(_, run)| run.filling_milli > 0) {
+                let still = run
+                    .task
+                    .and_then(|at| Some((at, self.stands_still(at, now)?)));
+                stalled.extend(still.map(|(at, still)| (still, key, *mark, at)));
+            }
+        }
+        stalled.sort_unstable_by(|one, other| other.0.cmp(&one.0));
+        stalled.truncate(self.rules.most_moves);
+        for (_, worker, mark, at) in stalled {
+            if self.borne_elsewhere(at, worker, now) {
+                self.stop_seat(at, worker, mark);
+            }
+        }
+    }
+
+    /// For how long a run has stood still, if that is long enough to move it.
+    fn stands_still(&self, at: TaskAt, now: TimePoint) -> Option<Duration> {
+        let job = self.jobs.get(at.step.job).filter(|job| !job.is_over())?;
+        let spec = &job.spec.steps[usize::from(at.step.step)];
+        let occurrence = job.occurrences.get(&at.step.occurrence)?;
+        let task = occurrence.steps[usize::from(at.step.step)]
+            .tasks
+            .get(at.index as usize)?;
+        let seat = task.seat().filter(|seat| seat.running && !seat.stopping)?;
+        if !spec.checkpoints || seat.percent >= NEARLY_DONE {
+            return None;
+        }
+        let share = Duration::from_millis(spec.estimate_ms.into()).mul_f64(self.rules.stall_share);
+        let still = now.since(seat.moved);
+        (still >= self.rules.stall.max(share)).then_some(still)
+    }
+
+    fn borne_elsewhere(&self, at: TaskAt, worker: WorkerKey, now: TimePoint) -> bool {
+        let Some(job) = self.jobs.get(at.step.job) else {
+            return false;
+        };
+        let step = &job.spec.steps[usize::from(at.step.step)];
+        let mut others = self.workers.iter().filter(|(key, _)| *key != worker);
+        others.any(|(_, other)| {
+            other.has_room(&job.queue.service, step, &self.rules, now)
+                && other.bears(step, &self.pairs, &self.rules)
+        })
+    }
+
+    fn stop_seat(&mut self, at: TaskAt, worker: WorkerKey, mark: RunMark) {
+        if let Some(seat) = self.task_mut(at).and_then(|task| task.seat_mut()) {
+            seat.stopping = true;
+            let why = "it stands still here";
+            self.stops.push(StopOrder { worker, mark, why });
+        }
+        let job = &self.jobs[at.step.job];
+        let spec = job.spec.clone();
+        // Its room elsewhere is taken from now on, so that not all move to the same place.
+        let step = &spec.steps[usize::from(at.step.step)];
+        let best = self
+            .workers
+            .iter()
+            .filter(|(key, other)| *key != worker && other.bears(step, &self.pairs, &self.rules))
+            .max_by(|(_, one), (_, other)| one.press_room.total_cmp(&other.press_room))
+            .map(|(key, _)| key);
+        if let Some(best) = best.and_then(|key| self.workers.get_mut(key)) {
+            best.press_room -= best.press_of(step, &self.pairs, &self.rules);
+        }
+    }
+}
--- a/crates/wax-batch/src/place.rs
+++ b/crates/wax-batch/src/place.rs
@@ -7,6 +7,7 @@
 use crate::rank::JobRank;
 use crate::spec::{StepSpec, TaskSize};
 use crate::worker::{WorkerKey, WorkerState};
+use std::time::Duration;
 use wax_types::TimePoint;
 
 /// What placement assumes of workers.
@@ -24,6 +25,16 @@
     pub cold_cost: f64,
     /// Cost of each unit of press beyond what a worker bears.
     pub press_cost: f64,
+    /// A press below this is borne by every worker.
+    pub least_room: f64,
+    /// A task that fills waits this long for a worker that bears it, then takes any.
+    pub fill_patience: Duration,
+    /// A run without progress for this long is moved, if another worker bears it.
+    pub stall: Duration,
+    /// The same as a share of its estimated time.
+    pub stall_share: f64,
+    /// At most this many runs are moved at once.
+    pub most_moves: usize,
     /// What a core presses before anything is known.
     pub first_press: f64,
     /// How many observations that assumption is worth.
@@ -43,6 +54,11 @@
             shun_cost: 2.0,
             cold_cost: 0.3,
             press_cost: 4.0,
+            least_room: 0.03,
+            fill_patience: Duration::from_millis(1_000),
+            stall: Duration::from_millis(1_000),
+            stall_share: 0.25,
+            most_moves: 6,
             first_press: 0.06,
             first_weight: 5.0,
             stranger_cost: 2.0,
@@ -75,6 +91,19 @@
             && label.is_none_or(|label| self.view.labels.contains(label))
     }
 
+    /// Whether one more task of the step fits here now.
+    pub(crate) fn has_room(
+        &self,
+        service: &str,
+        step: &StepSpec,
+        rules: &PlaceRules,
+        now: TimePoint,
+    ) -> bool {
+        self.takes(service, step, now)
+            && step.booked().fits(self.room())
+            && (!step.fills || self.fill_room_milli(rules) >= f64::from(step.size.cpu_milli))
+    }
+
     /// Thousandths of a core that are left to tasks that fill.
     fn fill_room_milli(&self, rules: &PlaceRules) -> f64 {
         let lasting = f64::from(self.lasting_milli);
@@ -84,7 +113,7 @@
     }
 
     /// How much one more task of a step that fills would press on the worst of what serves here.
-    fn press_of(&self, step: &StepSpec, pairs: &PairTable, rules: &PlaceRules) -> f64 {
+    pub(crate) fn press_of(&self, step: &StepSpec, pairs: &PairTable, rules: &PlaceRules) -> f64 {
         let cores = f64::from(step.size.cpu_milli) / 1_000.0;
         let serving = self.lasting_images.iter().filter(|(_, runs)| **runs > 0);
         let presses = serving.map(|(image, _)| {
@@ -95,6 +124,11 @@
         presses.fold(0.0, f64::max) * cores
     }
 
+    /// Whether one more task of the step would work here at its full pace.
+    pub(crate) fn bears(&self, step: &StepSpec, pairs: &PairTable, rules: &PlaceRules) -> bool {
+        !step.fills || self.press_of(step, pairs, rules) <= self.press_room.max(rules.least_room)
+    }
+
     /// The share of lasting runs here that are of another image.
     fn strangers(&self, image: &str) -> f64 {
         let all: u32 = self.lasting_images.values().sum();
@@ -203,7 +237,7 @@
                 }
                 PlaceChoice::NoRoom => {
                     for member in members {
-                        self.take_back(at, &member);
+                        self.take_back(at, &member, now);
                     }
                     return;
                 }
@@ -226,13 +260,13 @@
     }
 
     /// Undoes a seat whose order was not given out.
-    fn take_back(&mut self, at: StepAt, order: &StartOrder) {
+    fn take_back(&mut self, at: StepAt, order: &StartOrder, now: TimePoint) {
         let task = TaskAt {
             step: at,
             index: order.mark.task.index,
         };
         self.free_run(order.worker, order.mark);
-        self.unseat(task, order.worker);
+        self.unseat(task, order.worker, now);
     }
 
     fn choose(
@@ -248,19 +282,19 @@
         };
         let life = &occurrence.steps[usize::from(at.step.step)];
         let shuns = life.tasks[at.index as usize].shuns;
+        let patient = now.since(life.since) < self.rules.fill_patience;
         let most = if step.most_per_worker == 0 {
             u32::MAX
         } else {
             step.most_per_worker
         };
-        let booked = step.booked();
         let mut best: Option<(f64, WorkerKey)> = None;
         for (key, worker) in &self.workers {
             let here = life.spread.get(&key).copied().unwrap_or(0);
-            if !worker.takes(service, step, now) || here >= most || !booked.fits(worker.room()) {
+            if here >= most || !worker.has_room(service, step, &self.rules, now) {
                 continue;
             }
-            if step.fills && worker.fill_room_milli(&self.rules) < f64::from(step.size.cpu_milli) {
+            if patient && !worker.bears(step, &self.pairs, &self.rules) {
                 continue;
             }
             let mut cost = worker.cost(step, &self.pairs, &self.rules);
--- a/crates/wax-owner/src/dispatch.rs
+++ b/crates/wax-owner/src/dispatch.rs
@@ -42,6 +42,7 @@
     settle(tenure);
     if tenure.may_act(now, shared.spans.acting) {
         tenure.book.borrow_mut().open_due(now, wall_clock_ms());
+        tenure.book.borrow_mut().move_stalled(now);
         let orders = tenure.book.borrow_mut().place(now);
         for order in orders {
             send_start(tenure, &order);
