SIGHUP does not end a process; a changed settings file is taken without a signal

The file is looked at each second, SIGHUP is ignored; pending is answered only by a book whose feed was heard within 2.5 s, else 503. Ruled out for pending: counting at the store (a read of the whole table a question).

--- a/crates/wax-front/src/process.rs
+++ b/crates/wax-front/src/process.rs
@@ -6,6 +6,8 @@
 use crate::state::FrontState;
 use compio::runtime::spawn;
 use compio::time::sleep;
+use futures_channel::mpsc::UnboundedReceiver;
+use futures_util::StreamExt;
 use platform::StoreClient;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -27,6 +29,7 @@
 /// A section of the settings is missing, or an address is taken.
 pub async fn run_front(
     settings: &DaemonSettings,
+    changes: UnboundedReceiver<DaemonSettings>,
     shutdown: ShutdownSignal,
 ) -> Result<(), WaxError> {
     let missing = |key: &str| {
@@ -63,6 +66,7 @@
         ShutdownSignal::default(),
     );
     spawn(serve_peers(shared.clone(), bind_listener(pool.peers)?)).detach();
+    spawn(apply_changes(shared.clone(), changes)).detach();
     spawn(readiness_server.run()).detach();
     spawn(keep_config(shared.clone())).detach();
     spawn(keep_owner_link(state.clone(), pool.peer_seeds())).detach();
@@ -79,6 +83,14 @@
     Ok(())
 }
 
+/// Applies what may change while the process runs: where the store is.
+async fn apply_changes(shared: Rc<PoolShared>, mut changes: UnboundedReceiver<DaemonSettings>) {
+    while let Some(settings) = changes.next().await {
+        shared.store.set_address(settings.platform.address);
+        tracing::info!(store = %settings.platform.address, "settings reloaded");
+    }
+}
+
 async fn close_later(shutdown: ShutdownSignal, closed: ShutdownSignal) {
     shutdown.wait().await;
     sleep(LEAVE_ROTATION).await;
--- a/crates/wax-front/src/show.rs
+++ b/crates/wax-front/src/show.rs
@@ -80,7 +80,7 @@
 /// The owner does not answer.
 pub(crate) async fn queue_pending(state: &FrontState, queue: &str) -> Result<u64, WaxError> {
     let pending = match state.shared.current_tenure() {
-        Some(tenure) => tenure.pending(queue),
+        Some(tenure) => tenure.pending(queue, state.shared.now()),
         None => ask(state, 0, queue)
             .await
             .filter(|told| told.known)
--- a/crates/wax-owner/src/entries.rs
+++ b/crates/wax-owner/src/entries.rs
@@ -11,6 +11,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use wax_batch::JobName;
+use wax_types::TimePoint;
 use wax_wire::{
     ConfigPush, JobAsk, JobTold, LeaseGrant, LinkPing, OwnerWelcome, PoolBody, PoolReader,
     PoolWriter,
@@ -53,7 +54,7 @@
 fn answers(shared: &PoolShared, tenure: &Tenure, node: &str, body: PoolBody) -> Vec<PoolBody> {
     match body {
         PoolBody::Ping(ping) => heartbeat(shared, tenure, &ping),
-        PoolBody::Ask(ask) => vec![PoolBody::Told(tell(tenure, &ask))],
+        PoolBody::Ask(ask) => vec![PoolBody::Told(tell(tenure, &ask, shared.now()))],
         PoolBody::Config(push) => {
             if let Err(error) = shared.offer_config(&push.text, node) {
                 tracing::error!(%error, "config of a peer refused");
@@ -82,13 +83,13 @@
     answers
 }
 
-fn tell(tenure: &Tenure, ask: &JobAsk) -> JobTold {
+fn tell(tenure: &Tenure, ask: &JobAsk, now: TimePoint) -> JobTold {
     let mut told = JobTold {
         ask: ask.ask,
         ..Default::default()
     };
     if !ask.queue.is_empty() {
-        let pending = tenure.pending(&ask.queue);
+        let pending = tenure.pending(&ask.queue, now);
         told.known = pending.is_some();
         told.pending = pending.unwrap_or(0);
         return told;
--- a/crates/wax-owner/src/job_feed.rs
+++ b/crates/wax-owner/src/job_feed.rs
@@ -14,7 +14,9 @@
 use wax_types::WaxError;
 
 /// How long the store may wait for a change before it answers.
-const FEED_WAIT: Duration = Duration::from_secs(5);
+///
+/// An answer without changes is word, too: it shows that no job is missing.
+const FEED_WAIT: Duration = Duration::from_millis(1_500);
 /// Longest time for one page of a read.
 const PAGE_LIMIT: Duration = Duration::from_millis(1_500);
 /// After a failure.
@@ -40,6 +42,7 @@
             }
         }
     };
+    tenure.jobs_heard.set(shared.now());
     tenure.loaded.raise();
     tenure.dispatch.notify(usize::MAX);
     loop {
@@ -54,7 +57,10 @@
 }
 
 async fn follow_once(shared: &PoolShared, tenure: &Tenure, after: u64) -> Result<u64, WaxError> {
-    match shared.store.follow(JOB_TABLE, after, FEED_WAIT).await? {
+    let asked = shared.now();
+    let reply = shared.store.follow(JOB_TABLE, after, FEED_WAIT).await?;
+    tenure.jobs_heard.set(asked);
+    match reply {
         FeedReply::Changes(changes, version) => {
             let rows: Vec<StoredRow> = changes.into_iter().filter_map(written).collect();
             if !rows.is_empty() {
--- a/crates/wax-owner/src/tenure.rs
+++ b/crates/wax-owner/src/tenure.rs
@@ -66,6 +66,8 @@
     pub(crate) loaded: ShutdownSignal,
     /// When the transaction was sent that last confirmed the term.
     pub(crate) confirmed: Cell<TimePoint>,
+    /// When the feed of jobs was last heard.
+    pub(crate) jobs_heard: Cell<TimePoint>,
     /// Links opened in this term.
     pub(crate) links: Cell<u64>,
     /// Rows of agents to write or remove.
@@ -84,6 +86,8 @@
     pub(crate) over: ShutdownSignal,
 }
 
+/// A book without word of the feed for longer may lack jobs; the feed waits shorter than that.
+const JOBS_FRESH: Duration = Duration::from_millis(2_500);
 /// Bits of a fencing token that count the links of one term.
 const LINK_BITS: u32 = 24;
 
@@ -108,6 +112,7 @@
             agents: RefCell::default(),
             loaded: ShutdownSignal::default(),
             confirmed: Cell::new(confirmed),
+            jobs_heard: Cell::new(TimePoint::default()),
             links: Cell::new(0),
             agent_rows: RefCell::default(),
             press_news: RefCell::default(),
@@ -158,11 +163,12 @@
         }
     }
 
-    /// Accepted jobs of a queue of which no task has begun; `None` while the book is not whole.
-    pub fn pending(&self, queue: &str) -> Option<u64> {
-        self.loaded
-            .is_raised()
-            .then(|| self.book.borrow().pending(queue))
+    /// Accepted jobs of a queue of which no task has begun; `None` while the book is not whole
+    /// or may lack jobs that were accepted a while ago.
+    pub fn pending(&self, queue: &str, now: TimePoint) -> Option<u64> {
+        let fresh = now.since(self.jobs_heard.get()) < JOBS_FRESH;
+        let whole = self.loaded.is_raised() && !self.over.is_raised() && fresh;
+        whole.then(|| self.book.borrow().pending(queue))
     }
 
     /// Asks the term to be let go; it ends once the store has all that was taken note of.
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,6 +7,7 @@
 mod signals;
 
 use crate::args::Command;
+use std::path::Path;
 use std::process::ExitCode;
 use wax_settings::{DaemonSettings, ProcessRole};
 use wax_trace::{LogFormat, start_logs};
@@ -28,7 +29,7 @@
             ExitCode::SUCCESS
         }
         Ok(Command::Run(file)) => match DaemonSettings::read(&file) {
-            Ok(settings) => run(settings),
+            Ok(settings) => run(settings, &file),
             Err(error) => refuse(&error),
         },
         Err(error) => {
@@ -43,7 +44,7 @@
     ExitCode::from(EXIT_USAGE)
 }
 
-fn run(settings: DaemonSettings) -> ExitCode {
+fn run(settings: DaemonSettings, file: &Path) -> ExitCode {
     let format = if settings.logs.json {
         LogFormat::Json
     } else {
@@ -61,8 +62,8 @@
         match settings.role {
             ProcessRole::Entry => entry::run(settings).await,
             ProcessRole::Sidecar => sidecar::run(settings).await,
-            ProcessRole::Front => pool::run_front(settings).await,
-            ProcessRole::Agent => pool::run_agent(settings).await,
+            ProcessRole::Front => pool::run_front(settings, file).await,
+            ProcessRole::Agent => pool::run_agent(settings, file).await,
         }
     });
     match result {
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -1,29 +1,77 @@
 //! Starts the roles of the pool: a front, or an agent beside a worker.
 
-use crate::signals::shutdown_signal;
+use crate::signals::{ignore_hangup, shutdown_signal};
+use compio::runtime::spawn;
+use compio::time::sleep;
+use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+use futures_util::StreamExt;
 use platform::StoreClient;
 use prost::Message;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
 use std::time::Duration;
 use wax_agent::OwnerDirectory;
 use wax_owner::{OwnerRow, owner_key};
-use wax_settings::DaemonSettings;
+use wax_settings::{DaemonSettings, SettingsFile};
 use wax_types::WaxError;
 
 /// Longest time for a look at the owner's row.
 const LOOK_LIMIT: Duration = Duration::from_millis(600);
+/// The settings file is looked at this often: it may change with or without SIGHUP.
+const SETTINGS_PERIOD: Duration = Duration::from_millis(1_000);
 
-pub(crate) async fn run_front(settings: DaemonSettings) -> Result<(), WaxError> {
-    wax_front::run_front(&settings, shutdown_signal()).await
+pub(crate) async fn run_front(settings: DaemonSettings, file: &Path) -> Result<(), WaxError> {
+    wax_front::run_front(&settings, watch_settings(file), shutdown_signal()).await
 }
 
-pub(crate) async fn run_agent(settings: DaemonSettings) -> Result<(), WaxError> {
-    let directory = StoreDirectory(StoreClient::new(settings.platform.address));
-    wax_agent::run_agent(&settings, directory, shutdown_signal()).await
+pub(crate) async fn run_agent(settings: DaemonSettings, file: &Path) -> Result<(), WaxError> {
+    let store = Rc::new(StoreClient::new(settings.platform.address));
+    spawn(apply_changes(store.clone(), watch_settings(file))).detach();
+    wax_agent::run_agent(&settings, StoreDirectory(store), shutdown_signal()).await
+}
+
+async fn apply_changes(store: Rc<StoreClient>, mut changes: UnboundedReceiver<DaemonSettings>) {
+    while let Some(settings) = changes.next().await {
+        store.set_address(settings.platform.address);
+        tracing::info!(store = %settings.platform.address, "settings reloaded");
+    }
+}
+
+/// Gives the settings anew whenever the file has changed; a file that does not pass changes nothing.
+fn watch_settings(file: &Path) -> UnboundedReceiver<DaemonSettings> {
+    ignore_hangup();
+    let (sender, changes) = unbounded();
+    spawn(follow_file(file.to_owned(), sender)).detach();
+    changes
+}
+
+async fn follow_file(path: PathBuf, sender: UnboundedSender<DaemonSettings>) {
+    let mut known = SettingsFile::read(&path).ok().map(|file| file.text);
+    loop {
+        sleep(SETTINGS_PERIOD).await;
+        let file = match SettingsFile::read(&path) {
+            Ok(file) if known.as_ref() != Some(&file.text) => file,
+            Ok(_) => continue,
+            Err(error) => {
+                tracing::warn!(%error, "the settings file cannot be read");
+                continue;
+            }
+        };
+        match DaemonSettings::parse(&file) {
+            Ok(settings) => {
+                if sender.unbounded_send(settings).is_err() {
+                    return;
+                }
+            }
+            Err(error) => tracing::error!(%error, "changed settings refused; those before stay"),
+        }
+        known = Some(file.text);
+    }
 }
 
 /// Finds the owner by its row in the store.
-struct StoreDirectory(StoreClient);
+struct StoreDirectory(Rc<StoreClient>);
 
 impl OwnerDirectory for StoreDirectory {
     async fn read(&self) -> Option<SocketAddr> {
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -18,3 +18,11 @@
     .detach();
     shutdown
 }
+
+/// Lets SIGHUP pass: the settings file is looked at anyway, and the default would end the process.
+pub(crate) fn ignore_hangup() {
+    // SAFETY: SIG_IGN installs no handler, and no other code of the process uses SIGHUP.
+    unsafe {
+        libc::signal(libc::SIGHUP, libc::SIG_IGN);
+    }
+}
