--- a/crates/wax-agent/src/check_ins.rs
+++ b/crates/wax-agent/src/check_ins.rs
@@ -64,7 +64,7 @@
                 }
                 if told.state != boot.view.state || told.cold_ms != boot.view.cold_ms {
                     self.state
-                        .tell(PoolBody::WorkerChanged((&boot.view).into()));
+                        .tell(PoolBody::WorkerChanged((&boot.shown_view()).into()));
                 }
             }
             None => {
--- a/crates/wax-agent/src/driver.rs
+++ b/crates/wax-agent/src/driver.rs
@@ -147,7 +147,9 @@
         },
         ..request
     };
-    match state.worker.hold(id, &request, HOLD_LIMIT).await {
+    let answer = state.worker.hold(id, &request, HOLD_LIMIT).await;
+    state.note_answer(id, matches!(answer, Ok(Ok(_))));
+    match answer {
         Ok(Ok(reply)) => {
             let fresh = note_reply(state, id, &reply, generation, tells);
             pace(state, id);
@@ -198,14 +200,13 @@
     let Some(boot) = boot.as_mut().filter(|boot| *boot.view.id == *id) else {
         return false;
     };
-    boot.verified = true;
     boot.lease.note(now, reply.clock_ms);
     let hold = boot.hold;
     let news = boot.table.observe(&reply.running, &reply.ended, hold);
     if tells {
         boot.told = generation;
         let up = WorkerUp {
-            worker: (&boot.view).into(),
+            worker: (&boot.shown_view()).into(),
             runs: boot.table.reports().iter().map(Into::into).collect(),
             ends: reply.ended.iter().map(Into::into).collect(),
         };
--- a/crates/wax-agent/src/lease.rs
+++ b/crates/wax-agent/src/lease.rs
@@ -23,6 +23,9 @@
 
 /// The worker's clock may be this much slower than ours, in thousandths.
 const SLOW_CLOCK_MILLI: u64 = 20;
+/// A worker that has not answered for this long gets no extension until it does: otherwise its
+/// leases could never be taken as lapsed.
+const ANSWER_LIMIT: Duration = Duration::from_millis(1_000);
 /// An extension shorter than this is not worth an order.
 const LEAST_EXTENSION: Duration = Duration::from_millis(50);
 
@@ -49,6 +52,9 @@
         rules: &LeaseRules,
     ) -> Option<u64> {
         let (read_at, clock_ms) = self.read?;
+        if now.since(read_at) > ANSWER_LIMIT {
+            return None;
+        }
         let end = (now + rules.ahead).min(authority + rules.grace);
         if end.since(now) < LEAST_EXTENSION {
             return None;
--- a/crates/wax-agent/src/pace.rs
+++ b/crates/wax-agent/src/pace.rs
@@ -20,6 +20,14 @@
     pub aim: f64,
     /// A tail over this share of its target slows what may be the cause at once.
     pub alarm: f64,
+    /// Tails over this share of their target count as too long in a row.
+    pub near: f64,
+    /// Tails that are too long for this long stop all that fills.
+    pub bear: Duration,
+    /// A stop that has not helped after this long shows another cause.
+    pub relief: Duration,
+    /// What fills then goes on for this long, whatever the tail.
+    pub cleared: Duration,
     /// After an alarm, figures show for this long what is over already.
     pub settle: Duration,
     /// The least pace, percent: what stands still teaches nothing.
@@ -44,14 +52,18 @@
             period: Duration::from_millis(450),
             aim: 0.78,
             alarm: 1.0,
+            near: 0.95,
+            bear: Duration::from_millis(1_700),
+            relief: Duration::from_millis(1_900),
+            cleared: Duration::from_millis(4_000),
             settle: Duration::from_millis(1_400),
             least: 5,
             press_rate: 0.3,
             own_rate: 0.3,
             first_press: 0.06,
             first_idle: 0.17,
-            benign_press: 0.025,
-            benign_weight: 8.0,
+            benign_press: 0.09,
+            benign_weight: 12.0,
         }
     }
 }
@@ -99,6 +111,46 @@
     own: f64,
     /// When its tail was last over the alarm.
     alarmed: TimePoint,
+    /// Since when its tail has been near its target or over it.
+    over_since: Option<TimePoint>,
+    /// Since when all that fills stands still for it.
+    relief_since: Option<TimePoint>,
+    /// Until when what fills is taken as not the cause: relief has not helped.
+    cleared_until: TimePoint,
+}
+
+impl ServingLoad {
+    fn new(own: f64) -> Self {
+        Self {
+            own,
+            alarmed: TimePoint::default(),
+            over_since: None,
+            relief_since: None,
+            cleared_until: TimePoint::default(),
+        }
+    }
+
+    /// Follows how long the tail has been too long, and whether relief helps.
+    fn follow(&mut self, tail: f64, now: TimePoint, rules: &PaceRules) {
+        if tail < rules.near {
+            self.over_since = None;
+            self.relief_since = None;
+            return;
+        }
+        let since = *self.over_since.get_or_insert(now);
+        if now < self.cleared_until {
+            return;
+        }
+        match self.relief_since {
+            None if now.since(since) >= rules.bear => self.relief_since = Some(now),
+            Some(relief) if now.since(relief) >= rules.relief => {
+                self.relief_since = None;
+                self.over_since = Some(now);
+                self.cleared_until = now + rules.cleared;
+            }
+            _ => {}
+        }
+    }
 }
 
 /// The paces of all images that fill on one worker.
@@ -120,6 +172,8 @@
 const ROOM_STEP: f64 = 0.05;
 /// The greatest press of a core that is believed.
 const MOST_PRESS: f64 = 2.0;
+/// A press fades by this much with each observation.
+const FADE: f64 = 0.002;
 /// Loads beyond this cannot be told apart by their tails.
 const MOST_LOAD: f64 = 0.95;
 /// Own loads below this are taken as this: what presses on them cannot be seen.
@@ -214,11 +268,13 @@
     ) {
         let load = self.load_of(run, rules);
         let press = self.press(&run.image, filling, rules);
-        let known = self.loads.get(&run.mark).copied().unwrap_or(ServingLoad {
-            own: load / (1.0 + press),
-            alarmed: TimePoint::default(),
-        });
+        let known = self
+            .loads
+            .get(&run.mark)
+            .copied()
+            .unwrap_or_else(|| ServingLoad::new(load / (1.0 + press)));
         let mut next = known;
+        next.follow(run.tail, now, rules);
         if run.tail > rules.alarm {
             // The tail only bounds the load from below; the first look of an alarm shows the cause.
             if now.since(known.alarmed) > rules.settle {
@@ -247,7 +303,8 @@
             let step = missed * fill.used / (squares + 0.5);
             let weight = fill.used.min(1.0);
             let learned = PairPress {
-                per_core: (known.per_core + step).clamp(0.0, MOST_PRESS),
+                // Noise only ever adds up above zero; what is not seen again fades.
+                per_core: (known.per_core + step - FADE * weight).clamp(0.0, MOST_PRESS),
                 weight: known.weight + weight,
             };
             self.pairs.set(&run.image, image, learned);
@@ -302,7 +359,12 @@
                 }
             }
         }
-        let percent = |share: f64| ((share * 100.0) as u32).clamp(rules.least, 100);
+        // Nobody's tail stays too long on account of what fills, whatever was learned so far.
+        let relief = self.loads.values().any(|load| load.relief_since.is_some());
+        let percent = |share: f64| match relief {
+            true => 0,
+            false => ((share * 100.0) as u32).clamp(rules.least, 100),
+        };
         self.paces = shares
             .into_iter()
             .map(|(image, share)| (image, percent(share)))
--- a/crates/wax-agent/src/state.rs
+++ b/crates/wax-agent/src/state.rs
@@ -8,7 +8,7 @@
 use platform::WorkerClient;
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
-use wax_batch::WorkerView;
+use wax_batch::{WorkerState, WorkerView};
 use wax_types::{ProcessClock, TimePoint};
 use wax_wire::PoolBody;
 
@@ -27,8 +27,8 @@
 pub(crate) struct WorkerBoot {
     pub(crate) view: WorkerView,
     pub(crate) sequence: u64,
-    /// Whether a hold has shown that this boot answers.
-    pub(crate) verified: bool,
+    /// Holds without an answer since the last one with it.
+    pub(crate) unanswered: u32,
     /// The link on which its runs were told last.
     pub(crate) told: u64,
     pub(crate) table: RunTable,
@@ -40,12 +40,24 @@
     pub(crate) hold: u64,
 }
 
+/// After this many holds without an answer a worker counts as silent.
+const SILENT_AFTER: u32 = 2;
+
 impl WorkerBoot {
+    /// What the owner is shown of the worker.
+    pub(crate) fn shown_view(&self) -> WorkerView {
+        let mut view = self.view.clone();
+        if self.unanswered >= SILENT_AFTER && view.state == WorkerState::Ready {
+            view.state = WorkerState::Silent;
+        }
+        view
+    }
+
     pub(crate) fn new(view: WorkerView, sequence: u64) -> Self {
         Self {
             view,
             sequence,
-            verified: false,
+            unanswered: 0,
             told: 0,
             table: RunTable::default(),
             lease: LeaseClock::default(),
@@ -102,6 +114,21 @@
         }
     }
 
+    /// Notes whether a hold was answered; the owner hears of a worker that falls silent or is back.
+    pub(crate) fn note_answer(&self, id: &str, answered: bool) {
+        let mut boot = self.boot.borrow_mut();
+        let Some(boot) = boot.as_mut().filter(|boot| *boot.view.id == *id) else {
+            return;
+        };
+        let was_silent = boot.unanswered >= SILENT_AFTER;
+        boot.unanswered = if answered { 0 } else { boot.unanswered + 1 };
+        let is_silent = boot.unanswered >= SILENT_AFTER;
+        if was_silent != is_silent {
+            tracing::info!(worker = id, silent = is_silent, "worker answers changed");
+            self.tell(PoolBody::WorkerChanged((&boot.shown_view()).into()));
+        }
+    }
+
     /// Whether the link has taken over the worker's runs, so that orders and news count.
     pub(crate) fn is_kept(&self) -> bool {
         self.link.borrow().as_ref().is_some_and(|link| link.kept)
--- a/crates/wax-batch/src/ends.rs
+++ b/crates/wax-batch/src/ends.rs
@@ -15,6 +15,9 @@
 /// How long a worker that fails what it starts gets no work.
 const SHUN_FOR: Duration = Duration::from_secs(3);
 
+/// How long a worker gets no work whose agent has refused an order by a newer view than ours.
+const SHUN_BRIEFLY: Duration = Duration::from_millis(100);
+
 /// Why a worker did not start a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StartRefusal {
@@ -176,11 +179,21 @@
         now: TimePoint,
         now_ms: u64,
     ) {
-        self.end_run(worker, mark, RunEndKind::Stopped, "", now, now_ms);
-        if refusal == StartRefusal::Unwell
-            && let Some(life) = self.workers.get_mut(worker)
+        if !self
+            .workers
+            .get(worker)
+            .is_some_and(|life| life.runs.contains_key(&mark))
         {
-            life.shunned_until = now + SHUN_FOR;
+            return;
+        }
+        self.end_run(worker, mark, RunEndKind::Stopped, "", now, now_ms);
+        let shun = match refusal {
+            StartRefusal::Unwell => SHUN_FOR,
+            // The views differ for a moment; without a pause the same order would go out at once.
+            StartRefusal::Room | StartRefusal::Stale => SHUN_BRIEFLY,
+        };
+        if let Some(life) = self.workers.get_mut(worker) {
+            life.shunned_until = life.shunned_until.max(now + shun);
         }
     }
 
--- a/crates/wax-batch/src/moves.rs
+++ b/crates/wax-batch/src/moves.rs
@@ -56,8 +56,12 @@
         let step = &job.spec.steps[usize::from(at.step.step)];
         let mut others = self.workers.iter().filter(|(key, _)| *key != worker);
         others.any(|(_, other)| {
-            other.has_room(&job.queue.service, step, &self.rules, now)
-                && other.bears(step, &self.pairs, &self.rules)
+            other.has_room(
+                &job.queue.service,
+                step,
+                (self.rules.fill_limit, &self.rules),
+                now,
+            ) && other.bears(step, &self.pairs, &self.rules)
         })
     }
 
--- a/crates/wax-batch/src/place.rs
+++ b/crates/wax-batch/src/place.rs
@@ -17,6 +17,8 @@
     pub lasting_use: f64,
     /// Tasks that fill may ask for this many times the processors that are left to them.
     pub fill_limit: f64,
+    /// The same for tasks that have waited long: those that stand still must not keep all others out.
+    pub late_fill_limit: f64,
     /// Cost of a worker on another rack than the data, in shares of a worker's processors.
     pub far_cost: f64,
     /// Cost of the worker on which the task failed last.
@@ -35,6 +37,10 @@
     pub stall_share: f64,
     /// At most this many runs are moved at once.
     pub most_moves: usize,
+    /// A press of a core below this, borne out well, is none.
+    pub benign_press: f64,
+    /// Observations that bear out well.
+    pub benign_weight: f64,
     /// What a core presses before anything is known.
     pub first_press: f64,
     /// How many observations that assumption is worth.
@@ -50,6 +56,7 @@
         Self {
             lasting_use: 0.6,
             fill_limit: 1.0,
+            late_fill_limit: 1.5,
             far_cost: 0.5,
             shun_cost: 2.0,
             cold_cost: 0.3,
@@ -59,6 +66,8 @@
             stall: Duration::from_millis(1_000),
             stall_share: 0.25,
             most_moves: 6,
+            benign_press: 0.09,
+            benign_weight: 12.0,
             first_press: 0.06,
             first_weight: 5.0,
             stranger_cost: 2.0,
@@ -91,25 +100,26 @@
             && label.is_none_or(|label| self.view.labels.contains(label))
     }
 
-    /// Whether one more task of the step fits here now.
+    /// Whether one more task of the step fits here now; `fill_limit` bounds what fills ask for.
     pub(crate) fn has_room(
         &self,
         service: &str,
         step: &StepSpec,
-        rules: &PlaceRules,
+        (fill_limit, rules): (f64, &PlaceRules),
         now: TimePoint,
     ) -> bool {
+        let left = self.fill_room_milli(fill_limit, rules);
         self.takes(service, step, now)
             && step.booked().fits(self.room())
-            && (!step.fills || self.fill_room_milli(rules) >= f64::from(step.size.cpu_milli))
+            && (!step.fills || left >= f64::from(step.size.cpu_milli))
     }
 
     /// Thousandths of a core that are left to tasks that fill.
-    fn fill_room_milli(&self, rules: &PlaceRules) -> f64 {
+    fn fill_room_milli(&self, fill_limit: f64, rules: &PlaceRules) -> f64 {
         let lasting = f64::from(self.lasting_milli);
         let batch = f64::from(self.booked.cpu_milli) - lasting;
         let left = f64::from(self.view.capacity.cpu_milli) - batch - lasting * rules.lasting_use;
-        left * rules.fill_limit - f64::from(self.filling_milli)
+        left * fill_limit - f64::from(self.filling_milli)
     }
 
     /// How much one more task of a step that fills would press on the worst of what serves here.
@@ -118,6 +128,9 @@
         let serving = self.lasting_images.iter().filter(|(_, runs)| **runs > 0);
         let presses = serving.map(|(image, _)| {
             let known = pairs.get(image, &step.image);
+            if known.per_core < rules.benign_press && known.weight >= rules.benign_weight {
+                return 0.0;
+            }
             let sure = known.weight / (known.weight + rules.first_weight);
             known.per_core * sure + rules.first_press * (1.0 - sure)
         });
@@ -283,6 +296,11 @@
         let life = &occurrence.steps[usize::from(at.step.step)];
         let shuns = life.tasks[at.index as usize].shuns;
         let patient = now.since(life.since) < self.rules.fill_patience;
+        let fill_limit = if patient {
+            self.rules.fill_limit
+        } else {
+            self.rules.late_fill_limit
+        };
         let most = if step.most_per_worker == 0 {
             u32::MAX
         } else {
@@ -291,7 +309,7 @@
         let mut best: Option<(f64, WorkerKey)> = None;
         for (key, worker) in &self.workers {
             let here = life.spread.get(&key).copied().unwrap_or(0);
-            if here >= most || !worker.has_room(service, step, &self.rules, now) {
+            if here >= most || !worker.has_room(service, step, (fill_limit, &self.rules), now) {
                 continue;
             }
             if patient && !worker.bears(step, &self.pairs, &self.rules) {
--- a/crates/wax-batch/src/worker.rs
+++ b/crates/wax-batch/src/worker.rs
@@ -16,6 +16,8 @@
     Ready,
     /// It is about to leave.
     Draining,
+    /// Its agent gets no answer from it; it may be gone.
+    Silent,
 }
 
 /// What a worker says of itself.
--- a/crates/wax-wire/src/pool.rs
+++ b/crates/wax-wire/src/pool.rs
@@ -214,6 +214,8 @@
     cold_ms: u32,
     #[prost(uint32, tag = "11")]
     remaining_ms: u32,
+    #[prost(bool, tag = "12")]
+    silent: bool,
 }
 
 impl From<&WorkerView> for WorkerFrame {
@@ -230,6 +232,7 @@
             draining: view.state == WorkerState::Draining,
             cold_ms: view.cold_ms,
             remaining_ms: view.remaining_ms,
+            silent: view.state == WorkerState::Silent,
         }
     }
 }
@@ -247,10 +250,10 @@
                 memory_mb: frame.memory_mb,
                 accelerators: frame.accelerators,
             },
-            state: if frame.draining {
-                WorkerState::Draining
-            } else {
-                WorkerState::Ready
+            state: match (frame.draining, frame.silent) {
+                (true, _) => WorkerState::Draining,
+                (false, true) => WorkerState::Silent,
+                (false, false) => WorkerState::Ready,
             },
             cold_ms: frame.cold_ms,
             remaining_ms: frame.remaining_ms,
