--- a/crates/wax-batch/src/place.rs
+++ b/crates/wax-batch/src/place.rs
@@ -187,11 +187,7 @@
             if !self.settled && job.epoch < self.epoch {
                 continue;
             }
-            let due = job
-                .occurrences
-                .get(&at.occurrence)
-                .map_or(job.accepted, |life| life.due);
-            ranked.push((JobRank::new(job, at.step, due, now), *at));
+            ranked.push((JobRank::new(job, at.occurrence, at.step, now), *at));
         }
         ranked.sort_unstable();
         let mut orders = Vec::new();
--- a/crates/wax-batch/src/rank.rs
+++ b/crates/wax-batch/src/rank.rs
@@ -1,6 +1,6 @@
 //! In which order waiting steps are served.
 
-use crate::life::JobLife;
+use crate::life::{JobLife, OccurrenceLife};
 use crate::spec::JobSpec;
 use std::time::Duration;
 use wax_types::TimePoint;
@@ -32,10 +32,24 @@
     pub hope: u8,
     /// The queue's priority.
     pub priority: u32,
+    /// What is left of the job, core milliseconds: the least goes first, since under overload it
+    /// earns most for its work, and what is nearly done is not kept from its end.
+    pub left: u64,
     /// The latest start that still makes it.
     pub latest_start: TimePoint,
 }
 
+/// The work that is left of an occurrence, in core milliseconds by the caller's guess.
+fn work_left(job: &JobLife, occurrence: Option<&OccurrenceLife>) -> u64 {
+    let steps = job.spec.steps.iter().enumerate();
+    let work = steps.map(|(number, step)| {
+        let done = occurrence.map_or(0, |life| life.steps[number].done);
+        let tasks = u64::from(step.count.saturating_sub(done));
+        tasks * u64::from(step.estimate_ms) * u64::from(step.size.cpu_milli) / 1_000
+    });
+    work.sum()
+}
+
 /// The latest start of a step that keeps `stretch` times the job's chain and the target latency.
 ///
 /// Milliseconds after the job's (or occurrence's) beginning; negative values become 0.
@@ -48,8 +62,10 @@
 }
 
 impl JobRank {
-    /// Ranks a step of an occurrence that began at `due`.
-    pub fn new(job: &JobLife, step: u16, due: TimePoint, now: TimePoint) -> Self {
+    /// Ranks a step of an occurrence.
+    pub fn new(job: &JobLife, number: u32, step: u16, now: TimePoint) -> Self {
+        let occurrence = job.occurrences.get(&number);
+        let due = occurrence.map_or(job.accepted, |life| life.due);
         let start = |factor| due + Duration::from_millis(latest_start_ms(job, step, factor));
         let (hope, latest_start) = if now <= start(1.0) {
             (0, start(1.0))
@@ -66,6 +82,7 @@
         Self {
             hope: if lasts { 0 } else { hope },
             priority: job.queue.priority,
+            left: work_left(job, occurrence),
             latest_start,
         }
     }
