--- a/crates/wax-batch/src/life.rs
+++ b/crates/wax-batch/src/life.rs
@@ -234,6 +234,16 @@
         self.outcome != JobOutcome::Open
     }
 
+    /// Whether any of its tasks is on a worker.
+    pub fn has_placed(&self) -> bool {
+        let steps = self
+            .occurrences
+            .values()
+            .flat_map(|occurrence| &occurrence.steps);
+        let mut tasks = steps.flat_map(|step| &step.tasks);
+        tasks.any(|task| task.seat().is_some())
+    }
+
     /// What the store must know.
     pub fn progress(&self) -> JobProgress {
         let mut progress = JobProgress {
--- a/crates/wax-batch/src/place.rs
+++ b/crates/wax-batch/src/place.rs
@@ -1,7 +1,7 @@
 //! Which task starts where.
 
 use crate::book::{JobBook, StartOrder, StepAt, TaskAt, WorkerLife};
-use crate::life::TaskStand;
+use crate::life::{JobLife, StepLife, TaskStand};
 use crate::names::RunMark;
 use crate::pairs::PairTable;
 use crate::rank::JobRank;
@@ -17,8 +17,6 @@
     pub lasting_use: f64,
     /// Tasks that fill may ask for this many times the processors that are left to them.
     pub fill_limit: f64,
-    /// The same for tasks that have waited long: those that stand still must not keep all others out.
-    pub late_fill_limit: f64,
     /// Cost of a worker on another rack than the data, in shares of a worker's processors.
     pub far_cost: f64,
     /// Cost of the worker on which the task failed last.
@@ -31,6 +29,8 @@
     pub least_room: f64,
     /// A task that fills waits this long for a worker that bears it, then takes any.
     pub fill_patience: Duration,
+    /// A job of which nothing has run for this long gets one task placed, however full it is.
+    pub starvation: Duration,
     /// A run without progress for this long is moved, if another worker bears it.
     pub stall: Duration,
     /// The same as a share of its estimated time.
@@ -56,13 +56,13 @@
         Self {
             lasting_use: 0.6,
             fill_limit: 1.0,
-            late_fill_limit: 1.5,
             far_cost: 0.5,
             shun_cost: 2.0,
             cold_cost: 0.3,
             press_cost: 4.0,
             least_room: 0.03,
-            fill_patience: Duration::from_millis(1_000),
+            fill_patience: Duration::from_millis(4_000),
+            starvation: Duration::from_millis(5_000),
             stall: Duration::from_millis(1_000),
             stall_share: 0.25,
             most_moves: 6,
@@ -76,6 +76,30 @@
     }
 }
 
+/// What a task that fills puts up with by now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FillPatience {
+    /// It waits for a worker with processors to spare that bears it.
+    Careful,
+    /// It takes any worker with processors to spare.
+    Late,
+    /// Its job must go on somewhere.
+    Starved,
+}
+
+impl PlaceRules {
+    fn patience(&self, job: &JobLife, step: &StepLife, now: TimePoint) -> FillPatience {
+        let waited = now.since(step.since);
+        if waited < self.fill_patience {
+            FillPatience::Careful
+        } else if waited < self.starvation || job.has_placed() {
+            FillPatience::Late
+        } else {
+            FillPatience::Starved
+        }
+    }
+}
+
 /// Why a step's task could, or could not, be placed now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PlaceChoice {
@@ -291,11 +315,10 @@
         };
         let life = &occurrence.steps[usize::from(at.step.step)];
         let shuns = life.tasks[at.index as usize].shuns;
-        let patient = now.since(life.since) < self.rules.fill_patience;
-        let fill_limit = if patient {
-            self.rules.fill_limit
-        } else {
-            self.rules.late_fill_limit
+        let patience = self.rules.patience(job, life, now);
+        let fill_limit = match patience {
+            FillPatience::Careful | FillPatience::Late => self.rules.fill_limit,
+            FillPatience::Starved => f64::INFINITY,
         };
         let most = if step.most_per_worker == 0 {
             u32::MAX
@@ -308,7 +331,7 @@
             if here >= most || !worker.has_room(service, step, (fill_limit, &self.rules), now) {
                 continue;
             }
-            if patient && !worker.bears(step, &self.pairs, &self.rules) {
+            if patience == FillPatience::Careful && !worker.bears(step, &self.pairs, &self.rules) {
                 continue;
             }
             let mut cost = worker.cost(step, &self.pairs, &self.rules);
