--- a/crates/wax-batch/src/ends.rs
+++ b/crates/wax-batch/src/ends.rs
@@ -1,6 +1,6 @@
 //! What workers report, and what follows from it.
 
-use crate::book::{JobBook, PendingEnd, RunSeat, StopOrder, TaskAt, WorkerLife};
+use crate::book::{JobBook, JobKey, PendingEnd, RunSeat, StopOrder, TaskAt, WorkerLife};
 use crate::life::TaskStand;
 use crate::names::RunMark;
 use crate::progress::JobOutcome;
@@ -179,11 +179,7 @@
         now: TimePoint,
         now_ms: u64,
     ) {
-        if !self
-            .workers
-            .get(worker)
-            .is_some_and(|life| life.runs.contains_key(&mark))
-        {
+        if !self.knows_run(worker, mark) {
             return;
         }
         self.end_run(worker, mark, RunEndKind::Stopped, "", now, now_ms);
@@ -230,7 +226,12 @@
         if !life.runs.contains_key(&end.mark) {
             self.adopt_end(worker, end, now);
         }
-        let covered = self.end_run(worker, end.mark, end.kind, &end.checkpoint, now, now_ms);
+        let known = self.knows_run(worker, end.mark);
+        let covered = if known {
+            self.end_run(worker, end.mark, end.kind, &end.checkpoint, now, now_ms)
+        } else {
+            self.late_end(end, now, now_ms)
+        };
         if let Some(life) = self.workers.get_mut(worker) {
             let number = end.number;
             life.pending.push_back(PendingEnd { number, covered });
@@ -259,7 +260,7 @@
         checkpoint: &str,
         now: TimePoint,
         now_ms: u64,
-    ) -> Option<(crate::book::JobKey, u64)> {
+    ) -> Option<(JobKey, u64)> {
         let at = self.free_run(worker, mark)?.task?;
         let stands = self
             .task_mut(at)?
@@ -281,7 +282,7 @@
         self.unseat(at, worker, now);
         let stored = match kind {
             RunEndKind::Done => self.task_done(at, worker, now, now_ms),
-            RunEndKind::Failed => self.task_failed(at, worker, now, now_ms),
+            RunEndKind::Failed => self.task_failed(at, mark.run, worker, now, now_ms),
             RunEndKind::Stopped | RunEndKind::Lapsed | RunEndKind::Broken | RunEndKind::Alone => {
                 false
             }
@@ -390,16 +391,34 @@
         true
     }
 
-    fn task_failed(&mut self, at: TaskAt, worker: WorkerKey, now: TimePoint, now_ms: u64) -> bool {
+    fn task_failed(
+        &mut self,
+        at: TaskAt,
+        run: u64,
+        worker: WorkerKey,
+        now: TimePoint,
+        now_ms: u64,
+    ) -> bool {
         if let Some(life) = self.workers.get_mut(worker) {
             life.failed_in_row += 1;
             if life.failed_in_row >= SHUN_AFTER {
                 life.shunned_until = now + SHUN_FOR;
             }
         }
+        if let Some(task) = self.task_mut(at) {
+            task.shuns = Some(worker);
+        }
+        self.count_failure(at, run, now_ms)
+    }
+
+    /// Counts a failed run once, however often its end is heard; says whether it counts.
+    fn count_failure(&mut self, at: TaskAt, run: u64, now_ms: u64) -> bool {
         let key = at.step.job;
         let spec = self.jobs[key].spec.clone();
         let step_spec = &spec.steps[usize::from(at.step.step)];
+        if step_spec.lasts {
+            return false;
+        }
         // A gang fails as one: its first member keeps the count.
         let counted = TaskAt {
             index: if step_spec.gang { 0 } else { at.index },
@@ -408,12 +427,10 @@
         let Some(task) = self.task_mut(counted) else {
             return false;
         };
-        task.failures += 1;
-        task.shuns = Some(worker);
-        let failures = task.failures;
-        if step_spec.lasts {
-            return false;
+        if !task.failed_runs.contains(&run) {
+            task.failed_runs.push(run);
         }
+        let failures = task.failed_runs.len() as u32;
         self.touch(key);
         if failures >= self.jobs[key].queue.most_attempts.max(1) {
             let name = self.task_name(at);
@@ -423,6 +440,43 @@
         true
     }
 
+    /// Takes an end of a run that the book has given up, as its worker had been taken as lost.
+    fn late_end(&mut self, end: &RunEnd, now: TimePoint, now_ms: u64) -> Option<(JobKey, u64)> {
+        let at = self.task_at(end.mark.task, now)?;
+        let counts = match end.kind {
+            RunEndKind::Failed => self.count_failure(at, end.mark.run, now_ms),
+            RunEndKind::Done => self.late_done(at, now, now_ms),
+            _ => false,
+        };
+        counts.then(|| (at.step.job, self.jobs[at.step.job].changes))
+    }
+
+    /// The task has been done by a run that was given up: another run of it is needless.
+    fn late_done(&mut self, at: TaskAt, now: TimePoint, now_ms: u64) -> bool {
+        let name = self.task_name(at);
+        let seat = self.task_mut(at).and_then(|task| task.seat().copied());
+        let Some(seat) = seat else {
+            return false;
+        };
+        let mark = RunMark {
+            task: name,
+            run: seat.run,
+        };
+        let why = "another run has done the task";
+        self.stops.push(StopOrder {
+            worker: seat.worker,
+            mark,
+            why,
+        });
+        self.unseat(at, seat.worker, now);
+        self.task_done(at, seat.worker, now, now_ms)
+    }
+
+    fn knows_run(&self, worker: WorkerKey, mark: RunMark) -> bool {
+        let life = self.workers.get(worker);
+        life.is_some_and(|life| life.runs.contains_key(&mark))
+    }
+
     fn run_task(&self, worker: WorkerKey, mark: RunMark) -> Option<TaskAt> {
         self.workers.get(worker)?.runs.get(&mark)?.task
     }
--- a/crates/wax-batch/src/life.rs
+++ b/crates/wax-batch/src/life.rs
@@ -45,8 +45,8 @@
 pub struct TaskLife {
     /// Where it stands.
     pub stand: TaskStand,
-    /// Runs that ended by a fault.
-    pub failures: u32,
+    /// The numbers of runs that ended by a fault; kept for tasks that do not last.
+    pub failed_runs: Vec<u64>,
     /// The number of its last start.
     pub last_run: u64,
     /// The checkpoint to resume from; empty for none.
@@ -116,10 +116,10 @@
             if matches!(task.stand, TaskStand::Done) {
                 progress.mark_done(index as u32);
             }
-            if task.failures > 0 && !spec.lasts {
+            if !task.failed_runs.is_empty() && !spec.lasts {
                 progress.failures.push(TaskFailures {
                     index: index as u32,
-                    count: task.failures,
+                    runs: task.failed_runs.clone(),
                 });
             }
         }
@@ -145,7 +145,8 @@
         }
         for failure in &progress.failures {
             if let Some(task) = self.tasks.get_mut(failure.index as usize) {
-                task.failures = failure.count;
+                task.last_run = failure.runs.iter().copied().max().unwrap_or(0);
+                task.failed_runs.clone_from(&failure.runs);
             }
         }
     }
--- a/crates/wax-batch/src/progress.rs
+++ b/crates/wax-batch/src/progress.rs
@@ -225,9 +225,9 @@
     /// The task's index.
     #[prost(uint32, tag = "1")]
     pub index: u32,
-    /// How many of its runs have failed.
-    #[prost(uint32, tag = "2")]
-    pub count: u32,
+    /// The numbers of its runs that have failed; a list, so that an end heard twice counts once.
+    #[prost(uint64, repeated, tag = "2")]
+    pub runs: Vec<u64>,
 }
 
 impl StepProgress {
--- a/crates/wax-front/src/cancel.rs
+++ b/crates/wax-front/src/cancel.rs
@@ -6,6 +6,7 @@
 use wax_batch::JobName;
 use wax_owner::{JOB_TABLE, TxFate, cancel_key, job_key, transact};
 use wax_types::{ErrorKind, Step, TimePoint, WaxError};
+use wax_wire::{JobCancelled, PoolBody};
 
 /// What became of a cancel.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -62,7 +63,10 @@
             remove: Vec::new(),
         };
         match transact(&shared.store, shared.clock, &tx, deadline).await {
-            TxFate::Committed(_) => return Ok(CancelOutcome::Cancelled),
+            TxFate::Committed(_) => {
+                tell_owner(state, job);
+                return Ok(CancelOutcome::Cancelled);
+            }
             // Another cancel was first, or the job was forgotten: the rows tell.
             TxFate::Conflict(_) => {}
             TxFate::NotSent(error) | TxFate::Unknown(error) => {
@@ -83,3 +87,13 @@
         }
     }
 }
+
+/// Tells the owner at once: its own feed may be cut off while callers are served.
+fn tell_owner(state: &FrontState, job: JobName) {
+    if let Some(tenure) = state.shared.current_tenure() {
+        tenure.cancel(job);
+    } else if let Some(outbox) = &*state.outbox.borrow() {
+        // Without a link the feed of the owner brings it.
+        let _ = outbox.unbounded_send(PoolBody::Cancelled(JobCancelled { job: job.0 }));
+    }
+}
--- a/crates/wax-owner/src/entries.rs
+++ b/crates/wax-owner/src/entries.rs
@@ -55,6 +55,10 @@
     match body {
         PoolBody::Ping(ping) => heartbeat(shared, tenure, &ping),
         PoolBody::Ask(ask) => vec![PoolBody::Told(tell(tenure, &ask, shared.now()))],
+        PoolBody::Cancelled(cancel) => {
+            tenure.cancel(JobName(cancel.job));
+            Vec::new()
+        }
         PoolBody::Config(push) => {
             if let Err(error) = shared.offer_config(&push.text, node) {
                 tracing::error!(%error, "config of a peer refused");
@@ -73,7 +77,7 @@
     let mut answers = vec![PoolBody::Grant(LeaseGrant {
         sent_us: ping.sent_us,
         valid_ms: 0,
-        store_lost: silent_for(tenure, shared.now()) > shared.spans.beat * 2,
+        store_lost: silent_for(tenure, shared.now()) > shared.spans.doubt,
         config: version,
     })];
     if ping.config < version {
--- a/crates/wax-owner/src/spans.rs
+++ b/crates/wax-owner/src/spans.rs
@@ -7,6 +7,8 @@
 pub struct OwnerSpans {
     /// A candidate takes over when the beat row has stood still for this long.
     pub silence: Duration,
+    /// Fronts look at the beat row themselves once the owner's store has been silent for this long.
+    pub doubt: Duration,
     /// An owner acts for this long after the store last confirmed its term.
     pub acting: Duration,
     /// An agent's authority reaches this far beyond its heartbeat.
@@ -26,7 +28,8 @@
 impl Default for OwnerSpans {
     fn default() -> Self {
         Self {
-            silence: Duration::from_millis(3_000),
+            silence: Duration::from_millis(2_200),
+            doubt: Duration::from_millis(1_400),
             acting: Duration::from_millis(6_000),
             grant: Duration::from_millis(2_500),
             lease_grace: Duration::from_millis(6_000),
--- a/crates/wax-owner/src/tenure.rs
+++ b/crates/wax-owner/src/tenure.rs
@@ -171,6 +171,13 @@
         whole.then(|| self.book.borrow().pending(queue))
     }
 
+    /// The store has a cancel of a job; the feed may bring it later.
+    pub fn cancel(&self, job: JobName) {
+        self.book.borrow_mut().cancel(job, wall_clock_ms());
+        self.dispatch.notify(usize::MAX);
+        self.write.notify(usize::MAX);
+    }
+
     /// Asks the term to be let go; it ends once the store has all that was taken note of.
     pub fn let_go(&self) {
         self.letting_go.raise();
--- a/crates/wax-wire/src/lib.rs
+++ b/crates/wax-wire/src/lib.rs
@@ -14,9 +14,9 @@
 };
 pub use link::{FrameReader, FrameWriter, WINDOW_BYTES, split_stream};
 pub use pool::{
-    AckEnds, AgentHello, ConfigPush, EndFrame, EntryHello, JobAsk, JobTold, LeaseGrant, LinkPing,
-    MarkFrame, NotOwner, OwnerWelcome, PoolBody, PoolFrame, PressFrame, PressNews, RefusalFrame,
-    ReportFrame, RunNews, SeatFrame, StartRun, StopRun, WorkerFrame, WorkerGone, WorkerKept,
-    WorkerUp,
+    AckEnds, AgentHello, ConfigPush, EndFrame, EntryHello, JobAsk, JobCancelled, JobTold,
+    LeaseGrant, LinkPing, MarkFrame, NotOwner, OwnerWelcome, PoolBody, PoolFrame, PressFrame,
+    PressNews, RefusalFrame, ReportFrame, RunNews, SeatFrame, StartRun, StopRun, WorkerFrame,
+    WorkerGone, WorkerKept, WorkerUp,
 };
 pub use pool_link::{PoolReader, PoolWriter, split_pool_stream};
--- a/crates/wax-wire/src/pool.rs
+++ b/crates/wax-wire/src/pool.rs
@@ -74,6 +74,9 @@
     /// Either direction between agent and owner: what filling images press on serving ones.
     #[prost(message, tag = "18")]
     Presses(PressNews),
+    /// Entry to owner: the store has a cancel; the owner's feed may be cut off.
+    #[prost(message, tag = "19")]
+    Cancelled(JobCancelled),
 }
 
 impl From<PoolBody> for PoolFrame {
@@ -590,3 +593,11 @@
     #[prost(float, tag = "2")]
     pub room: f32,
 }
+
+/// A cancel that is in the store.
+#[derive(Clone, PartialEq, Message)]
+pub struct JobCancelled {
+    /// The job.
+    #[prost(fixed64, tag = "1")]
+    pub job: u64,
+}
