--- a/crates/wax-agent/src/orders.rs
+++ b/crates/wax-agent/src/orders.rs
@@ -141,8 +141,8 @@
     pub(crate) async fn stop(self: Rc<Self>, boot: Box<str>, mark: RunMark) {
         loop {
             if self.with_table(&boot, |table| table.stopping(mark)) != Some(true) {
-                // The run has ended, or its boot has.
-                self.tell_refusal(mark, StartRefusal::Stale);
+                // The run has ended, or its boot has: the end tells, on this link or the next. To
+                // answer that the run never began would let a task that is done run again.
                 return;
             }
             let answer = self
--- a/crates/wax-batch/src/ends.rs
+++ b/crates/wax-batch/src/ends.rs
@@ -90,6 +90,7 @@
         let listed: HashSet<RunMark> = runs.iter().map(|run| run.mark).collect();
         for run in runs {
             self.adopt(worker, run, now);
+            self.stop_again(worker, run.mark);
         }
         let Some(life) = self.workers.get(worker) else {
             return;
@@ -130,6 +131,17 @@
         }
     }
 
+    /// Repeats a stop whose order may have been lost with a link.
+    fn stop_again(&mut self, worker: WorkerKey, mark: RunMark) {
+        let seat = self
+            .run_task(worker, mark)
+            .and_then(|at| self.task_mut(at)?.seat().copied());
+        if seat.is_some_and(|seat| seat.stopping && seat.run == mark.run) {
+            let why = "the stop is repeated on a new link";
+            self.stops.push(StopOrder { worker, mark, why });
+        }
+    }
+
     fn stop_orphan(&mut self, worker: WorkerKey, mark: RunMark) {
         let size = self.known_size(mark);
         // Of a job that is gone the size is not known: nothing else fits until it has ended.
--- a/crates/wax-batch/src/moves.rs
+++ b/crates/wax-batch/src/moves.rs
@@ -15,7 +15,7 @@
     /// They keep their checkpoint, and are placed anew when their end is heard.
     pub fn move_stalled(&mut self, now: TimePoint) {
         let mut stalled: Vec<(Duration, WorkerKey, RunMark, TaskAt)> = Vec::new();
-        for (key, worker) in &self.workers {
+        for (key, worker) in self.workers.iter().filter(|(_, worker)| worker.reachable) {
             for (mark, run) in worker.runs.iter().filter(|(_, run)| run.filling_milli > 0) {
                 let still = run
                     .task
--- a/crates/wax-batch/src/place.rs
+++ b/crates/wax-batch/src/place.rs
@@ -29,7 +29,9 @@
     pub least_room: f64,
     /// A task that fills waits this long for a worker that bears it, then takes any.
     pub fill_patience: Duration,
-    /// A job of which nothing has run for this long gets one task placed, however full it is.
+    /// A job of this age counts as old.
+    pub old_age: Duration,
+    /// An old job of which nothing has run for this long gets one task placed, however full it is.
     pub starvation: Duration,
     /// A run without progress for this long is moved, if another worker bears it.
     pub stall: Duration,
@@ -62,7 +64,8 @@
             press_cost: 4.0,
             least_room: 0.03,
             fill_patience: Duration::from_millis(4_000),
-            starvation: Duration::from_millis(5_000),
+            old_age: Duration::from_millis(10_000),
+            starvation: Duration::from_millis(1_200),
             stall: Duration::from_millis(1_000),
             stall_share: 0.25,
             most_moves: 6,
@@ -90,12 +93,13 @@
 impl PlaceRules {
     fn patience(&self, job: &JobLife, step: &StepLife, now: TimePoint) -> FillPatience {
         let waited = now.since(step.since);
-        if waited < self.fill_patience {
+        let old = now.since(job.accepted) >= self.old_age && waited >= self.starvation;
+        if old && !job.has_placed() {
+            FillPatience::Starved
+        } else if waited < self.fill_patience {
             FillPatience::Careful
-        } else if waited < self.starvation || job.has_placed() {
-            FillPatience::Late
         } else {
-            FillPatience::Starved
+            FillPatience::Late
         }
     }
 }
--- /dev/null
+++ b/crates/wax-batch/tests/places.rs
@@ -0,0 +1,231 @@
+//! Where tasks are placed: never over a worker's capacity, and so that nobody starves.
+
+mod support;
+
+use support::*;
+use wax_batch::{JobBook, PairPress, StepSpec, TaskSize, WorkerKey};
+
+fn filling(count: u32, cpu_milli: u32, image: &str) -> StepSpec {
+    StepSpec {
+        fills: true,
+        checkpoints: true,
+        image: image.into(),
+        ..step(count, cpu_milli)
+    }
+}
+
+fn lasting(count: u32, cpu_milli: u32, image: &str) -> StepSpec {
+    StepSpec {
+        lasts: true,
+        tail_target_ms: 100,
+        image: image.into(),
+        ..step(count, cpu_milli)
+    }
+}
+
+fn known(press: f64) -> PairPress {
+    PairPress {
+        per_core: press,
+        weight: 100.0,
+    }
+}
+
+fn count_on(book: &JobBook, worker: WorkerKey) -> usize {
+    book.workers()
+        .find(|(key, _)| *key == worker)
+        .map_or(0, |(_, life)| life.runs.len())
+}
+
+#[test]
+fn capacity_is_never_exceeded_and_the_rest_waits() {
+    let mut book = book(1);
+    let one = worker(&mut book, "one", 2_500);
+    let other = worker(&mut book, "other", 1_000);
+    add(&mut book, 7, 1, &spec(vec![step(9, 1_000)]), None);
+    let orders = book.place(at(0));
+    assert_eq!(orders.len(), 3);
+    assert_eq!((count_on(&book, one), count_on(&book, other)), (2, 1));
+}
+
+#[test]
+fn tasks_kept_apart_are_limited_on_each_worker() {
+    let mut book = book(1);
+    worker(&mut book, "one", 8_000);
+    worker(&mut book, "other", 8_000);
+    let apart = StepSpec {
+        most_per_worker: 1,
+        ..step(5, 1_000)
+    };
+    add(&mut book, 7, 1, &spec(vec![apart]), None);
+    assert_eq!(book.place(at(0)).len(), 2);
+}
+
+#[test]
+fn a_label_is_required_and_a_rack_preferred() {
+    let mut book = book(1);
+    worker(&mut book, "plain", 8_000);
+    let view = wax_batch::WorkerView {
+        id: "special".into(),
+        service: "svc".into(),
+        labels: vec!["gpu".into(), "r1".into()],
+        rack: Some("r1".into()),
+        capacity: TaskSize {
+            memory_mb: 60_000,
+            ..size(8_000)
+        },
+        ..Default::default()
+    };
+    let special = book.worker_joined(view);
+    let labelled = StepSpec {
+        label: Some("gpu".into()),
+        ..step(1, 1_000)
+    };
+    let near = StepSpec {
+        data_rack: Some("r1".into()),
+        ..step(1, 1_000)
+    };
+    add(&mut book, 7, 1, &spec(vec![labelled, near]), None);
+    let orders = book.place(at(0));
+    assert_eq!(orders.len(), 2);
+    assert!(orders.iter().all(|order| order.worker == special));
+}
+
+#[test]
+fn lasting_tasks_of_one_image_keep_together() {
+    let mut book = book(1);
+    for id in ["a", "b", "c", "d"] {
+        worker(&mut book, id, 8_000);
+    }
+    add(&mut book, 7, 1, &spec(vec![lasting(4, 2_000, "red")]), None);
+    add(
+        &mut book,
+        8,
+        1,
+        &spec(vec![lasting(4, 2_000, "blue")]),
+        None,
+    );
+    assert_eq!(book.place(at(0)).len(), 8);
+    let empty = book
+        .workers()
+        .filter(|(_, life)| life.runs.is_empty())
+        .count();
+    assert_eq!(empty, 2, "two workers stay free for what presses on them");
+    let mixed = book.workers().filter(|(_, life)| {
+        life.lasting_images
+            .values()
+            .filter(|runs| **runs > 0)
+            .count()
+            > 1
+    });
+    assert_eq!(mixed.count(), 0);
+}
+
+#[test]
+fn what_presses_waits_for_a_worker_that_bears_it_but_not_for_ever() {
+    let mut book = book(1);
+    let busy = worker(&mut book, "busy", 8_000);
+    add(&mut book, 7, 1, &spec(vec![lasting(1, 2_000, "red")]), None);
+    let orders = book.place(at(0));
+    start_all(&mut book, &orders, at(0));
+    book.merge_press("red", "heavy", known(0.5));
+    book.set_press_room(busy, 0.1);
+    add(
+        &mut book,
+        8,
+        1,
+        &spec(vec![filling(1, 2_000, "heavy")]),
+        None,
+    );
+    assert!(book.place(at(100)).is_empty());
+    book.merge_press("red", "light", known(0.01));
+    add(
+        &mut book,
+        9,
+        1,
+        &spec(vec![filling(1, 2_000, "light")]),
+        None,
+    );
+    assert_eq!(
+        book.place(at(200)).len(),
+        1,
+        "what does not press is placed"
+    );
+    assert_eq!(
+        book.place(at(4_100)).len(),
+        1,
+        "after its patience it takes any worker"
+    );
+}
+
+#[test]
+fn an_old_job_of_which_nothing_runs_gets_one_task_placed_however_full_it_is() {
+    let mut book = book(1);
+    worker(&mut book, "w", 4_000);
+    add(&mut book, 7, 1, &spec(vec![filling(4, 1_000, "a")]), None);
+    let orders = book.place(at(0));
+    assert_eq!(orders.len(), 4, "all processors are asked for");
+    start_all(&mut book, &orders, at(0));
+    add(&mut book, 8, 1, &spec(vec![filling(3, 1_000, "a")]), None);
+    assert!(book.place(at(5_000)).is_empty());
+    let orders = book.place(at(10_500));
+    assert_eq!(orders.len(), 1);
+    assert_eq!(orders[0].mark.task.job.0, 8);
+}
+
+#[test]
+fn a_run_that_stands_still_is_moved_if_another_worker_bears_it() {
+    let mut book = book(1);
+    let first = worker(&mut book, "first", 4_000);
+    add(&mut book, 7, 1, &spec(vec![filling(1, 1_000, "a")]), None);
+    let orders = book.place(at(0));
+    start_all(&mut book, &orders, at(0));
+    book.move_stalled(at(5_000));
+    assert!(book.take_stops().is_empty(), "there is no other worker");
+    let other = worker(&mut book, "other", 4_000);
+    book.move_stalled(at(5_000));
+    let stops = book.take_stops();
+    assert_eq!(stops.len(), 1);
+    let stopped = wax_batch::RunEnd {
+        checkpoint: "saved".into(),
+        ..end(1, stops[0].mark, wax_batch::RunEndKind::Stopped)
+    };
+    book.run_ended(first, &stopped, at(5_100), wall(5_100));
+    let again = book.place(at(5_200));
+    assert_eq!(&*again[0].checkpoint, "saved");
+    let _ = other;
+}
+
+#[test]
+fn the_job_with_the_least_work_left_goes_first() {
+    let mut book = book(1);
+    worker(&mut book, "w", 1_000);
+    add(&mut book, 7, 1, &spec(vec![step(9, 1_000)]), None);
+    add(&mut book, 8, 1, &spec(vec![step(1, 1_000)]), None);
+    let orders = book.place(at(0));
+    assert_eq!(orders[0].mark.task.job.0, 8);
+}
+
+#[test]
+fn a_worker_that_fails_all_it_starts_gets_no_work_for_a_while() {
+    let mut book = book(1);
+    let bad = worker(&mut book, "bad", 1_000);
+    let mut now = 0;
+    for number in 1..=3 {
+        add(&mut book, number, 1, &spec(vec![step(1, 1_000)]), None);
+        let orders = book.place(at(now));
+        assert_eq!(orders.len(), 1);
+        book.run_ended(
+            bad,
+            &end(number, orders[0].mark, wax_batch::RunEndKind::Failed),
+            at(now),
+            wall(now),
+        );
+        now += 10;
+    }
+    assert!(book.place(at(now)).is_empty());
+    assert_eq!(
+        book.place(at(now + 3_100)).len(),
+        1,
+        "then one is tried again"
+    );
+}
--- a/crates/wax-owner/src/agents.rs
+++ b/crates/wax-owner/src/agents.rs
@@ -82,6 +82,9 @@
     if agent.lapse_at.is_none() && agent.worker.is_some() {
         agent.lapse_at = Some(agent.grant_end + shared.spans.lapse_after_grant());
     }
+    if let Some((worker, _)) = &agent.worker {
+        tenure.book.borrow_mut().worker_reachable(*worker, false);
+    }
     agent.link = link;
     agent.outbox = Some(outbox.clone());
     tracing::info!(agent = node, link, epoch = tenure.epoch, "agent linked");
--- a/crates/wax-owner/src/dispatch.rs
+++ b/crates/wax-owner/src/dispatch.rs
@@ -11,6 +11,10 @@
 
 /// Without a change the book is looked through this often: times pass, too.
 const IDLE_PERIOD: Duration = Duration::from_millis(100);
+/// A gap between two rounds beyond this means that the process, not the workers, stood still.
+const STOOD_STILL: Duration = Duration::from_millis(500);
+/// After that, progress comes in anew within this time.
+const BLIND_AFTER: Duration = Duration::from_millis(2_000);
 /// Agents are told this often of presses that have changed.
 const PRESS_PERIOD: Duration = Duration::from_millis(1_000);
 /// Changes that come together are dispatched together.
@@ -38,11 +42,16 @@
     if !tenure.loaded.is_raised() || tenure.over.is_raised() {
         return;
     }
+    if now.since(tenure.dispatched.replace(now)) > STOOD_STILL {
+        tenure.blind_until.set(now + BLIND_AFTER);
+    }
     drop_lapsed(tenure, now);
     settle(tenure);
     if tenure.may_act(now, shared.spans.acting) {
         tenure.book.borrow_mut().open_due(now, wall_clock_ms());
-        tenure.book.borrow_mut().move_stalled(now);
+        if now >= tenure.blind_until.get() {
+            tenure.book.borrow_mut().move_stalled(now);
+        }
         let orders = tenure.book.borrow_mut().place(now);
         for order in orders {
             send_start(tenure, &order);
--- a/crates/wax-owner/src/load.rs
+++ b/crates/wax-owner/src/load.rs
@@ -83,6 +83,11 @@
             continue;
         }
         match (row.key.key.parse::<JobName>(), JobRow::decode(&*row.value)) {
+            (Ok(_), Ok(value)) if value.epoch > tenure.epoch => {
+                // It was accepted under another owner, whose alone it is.
+                tenure.end("a job of a later term was accepted");
+                return;
+            }
             (Ok(name), Ok(value)) => book.add_job(name, value, progress.get(&name), now, now_ms),
             _ => tracing::error!(key = %row.key.key, "a row of a job does not decode"),
         }
--- a/crates/wax-owner/src/tenure.rs
+++ b/crates/wax-owner/src/tenure.rs
@@ -66,6 +66,10 @@
     pub(crate) loaded: ShutdownSignal,
     /// When the transaction was sent that last confirmed the term.
     pub(crate) confirmed: Cell<TimePoint>,
+    /// When orders were last gone through; a long gap means that this process stood still.
+    pub(crate) dispatched: Cell<TimePoint>,
+    /// Until when progress that was not heard says nothing of the workers.
+    pub(crate) blind_until: Cell<TimePoint>,
     /// When the feed of jobs was last heard.
     pub(crate) jobs_heard: Cell<TimePoint>,
     /// Links opened in this term.
@@ -112,6 +116,8 @@
             agents: RefCell::default(),
             loaded: ShutdownSignal::default(),
             confirmed: Cell::new(confirmed),
+            dispatched: Cell::new(shared.now()),
+            blind_until: Cell::new(TimePoint::default()),
             jobs_heard: Cell::new(TimePoint::default()),
             links: Cell::new(0),
             agent_rows: RefCell::default(),
@@ -200,12 +206,14 @@
         self.rows_stored.notify(usize::MAX);
     }
 
-    /// Sends a message to the agent of a worker, if it is linked.
+    /// Sends a message to the agent of a worker, if it is linked and its runs were compared on
+    /// this link: an order by an older view could undo what the agent has yet to tell.
     pub(crate) fn tell_worker(&self, worker: WorkerKey, body: PoolBody) {
         let agents = self.agents.borrow();
-        let agent = agents
-            .values()
-            .find(|agent| agent.worker.as_ref().is_some_and(|(key, _)| *key == worker));
+        let agent = agents.values().find(|agent| {
+            let known = agent.worker.as_ref().is_some_and(|(key, _)| *key == worker);
+            known && agent.lapse_at.is_none()
+        });
         if let Some(outbox) = agent.and_then(|agent| agent.outbox.as_ref()) {
             // A link that has just closed leads to a new one, on which all is compared.
             let _ = outbox.unbounded_send(body);
