Blame what is known to press; cancels decode; feeds log their first failure and their last

Pacing: a steady worker in a test swung between no pace and relief: an alarm that went on blamed once, benign images took as much blame as heavy ones, and fading turned heavy ones benign.

--- a/crates/wax-agent/src/pace.rs
+++ b/crates/wax-agent/src/pace.rs
@@ -34,8 +34,14 @@
     pub least: u32,
     /// How much of an error goes to the presses.
     pub press_rate: f64,
+    /// An alarm adds at least this much press to what was at work.
+    pub alarm_press: f64,
     /// How much of an error goes to the own load.
     pub own_rate: f64,
+    /// The same while next to nothing that fills is at work.
+    pub alone_rate: f64,
+    /// Cores of fills up to which a serving task counts as alone.
+    pub alone_cores: f64,
     /// What a core of an image presses before anything is known.
     pub first_press: f64,
     /// The share of its target that a tail without load takes, before anything is known.
@@ -59,7 +65,10 @@
             settle: Duration::from_millis(1_400),
             least: 5,
             press_rate: 0.3,
+            alarm_press: 0.4,
             own_rate: 0.3,
+            alone_rate: 0.6,
+            alone_cores: 0.6,
             first_press: 0.06,
             first_idle: 0.17,
             benign_press: 0.09,
@@ -111,6 +120,8 @@
     own: f64,
     /// When its tail was last over the alarm.
     alarmed: TimePoint,
+    /// When what was at work was last blamed for that.
+    blamed: TimePoint,
     /// Since when its tail has been near its target or over it.
     over_since: Option<TimePoint>,
     /// Since when all that fills stands still for it.
@@ -124,6 +135,7 @@
         Self {
             own,
             alarmed: TimePoint::default(),
+            blamed: TimePoint::default(),
             over_since: None,
             relief_since: None,
             cleared_until: TimePoint::default(),
@@ -172,8 +184,12 @@
 const ROOM_STEP: f64 = 0.05;
 /// The greatest press of a core that is believed.
 const MOST_PRESS: f64 = 2.0;
-/// A press fades by this much with each observation.
+/// Suspicion of an image that is known to press on nothing, as if it did by this much.
+const SUSPICION: f64 = 0.04;
+/// A press that may be noise fades by this much with each observation.
 const FADE: f64 = 0.002;
+/// Presses up to this may be noise.
+const NOISE: f64 = 0.11;
 /// Loads beyond this cannot be told apart by their tails.
 const MOST_LOAD: f64 = 0.95;
 /// Own loads below this are taken as this: what presses on them cannot be seen.
@@ -276,20 +292,29 @@
         let mut next = known;
         next.follow(run.tail, now, rules);
         if run.tail > rules.alarm {
-            // The tail only bounds the load from below; the first look of an alarm shows the cause.
-            if now.since(known.alarmed) > rules.settle {
+            // The tail only bounds the load from below. What is at work at the first look of an
+            // alarm is the cause, and again whenever the alarm goes on.
+            if now.since(known.blamed) > rules.settle {
+                next.blamed = now;
                 self.blame(
                     run,
                     filling,
-                    (load - known.own * (1.0 + press)) / known.own,
+                    rules
+                        .alarm_press
+                        .max(2.0 * (load - known.own * (1.0 + press)) / known.own),
                     rules,
                 );
             }
             next.alarmed = now;
         } else if now.since(known.alarmed) > rules.settle {
             let error = load - known.own * (1.0 + press);
-            next.own =
-                (known.own + rules.own_rate * error / (1.0 + press)).clamp(LEAST_LOAD, MOST_LOAD);
+            let used: f64 = filling.values().map(|fill| fill.used).sum();
+            let rate = if used < rules.alone_cores {
+                rules.alone_rate
+            } else {
+                rules.own_rate
+            };
+            next.own = (known.own + rate * error / (1.0 + press)).clamp(LEAST_LOAD, MOST_LOAD);
             self.blame(run, filling, rules.press_rate * error / known.own, rules);
         }
         self.loads.insert(run.mark, next);
@@ -297,14 +322,26 @@
 
     /// Spreads a press that was not predicted over the images that were at work.
     fn blame(&mut self, run: &ServingSample, filling: &FillingMap, missed: f64, rules: &PaceRules) {
-        let squares: f64 = filling.values().map(|fill| fill.used * fill.used).sum();
+        // What is known to press takes most of the blame: few images do.
+        let suspicion = |known: PairPress| known.per_core + SUSPICION;
+        let sum: f64 = filling
+            .iter()
+            .map(|(image, fill)| {
+                suspicion(self.press_of(&run.image, image, rules)) * fill.used * fill.used
+            })
+            .sum();
         for (image, fill) in filling.iter().filter(|(_, fill)| fill.used > LEAST_USED) {
             let known = self.press_of(&run.image, image, rules);
-            let step = missed * fill.used / (squares + 0.5);
+            let step = missed * suspicion(known) * fill.used / (sum + SUSPICION);
             let weight = fill.used.min(1.0);
+            let fade = if known.per_core < NOISE {
+                FADE * weight
+            } else {
+                0.0
+            };
             let learned = PairPress {
                 // Noise only ever adds up above zero; what is not seen again fades.
-                per_core: (known.per_core + step - FADE * weight).clamp(0.0, MOST_PRESS),
+                per_core: (known.per_core + step - fade).clamp(0.0, MOST_PRESS),
                 weight: known.weight + weight,
             };
             self.pairs.set(&run.image, image, learned);
--- a/crates/wax-batch/tests/life.rs
+++ b/crates/wax-batch/tests/life.rs
@@ -382,7 +382,12 @@
     gang.gang = true;
     add(&mut book, 8, 1, &spec(vec![gang]), None);
     let members = book.place(at(20));
-    book.run_ended(worker, &end(1, members[0].mark, RunEndKind::Failed), at(30), wall(30));
+    book.run_ended(
+        worker,
+        &end(1, members[0].mark, RunEndKind::Failed),
+        at(30),
+        wall(30),
+    );
     assert_eq!(book.take_stops().len(), 1);
     let runs = [running(orders[0].mark), running(members[1].mark)];
     book.sync_worker(worker, &runs, &[], at(40), wall(40));
--- a/crates/wax-front/src/owner_link.rs
+++ b/crates/wax-front/src/owner_link.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use wax_types::TimePoint;
 use wax_wire::{
     ConfigPush, EntryHello, LinkPing, PoolBody, PoolReader, PoolWriter, split_pool_stream,
 };
@@ -118,9 +119,13 @@
 fn take_message(state: &FrontState, body: PoolBody) {
     match body {
         PoolBody::Grant(grant) => {
-            if !grant.store_lost {
-                state.shared.owner_heard.set(state.shared.now());
-            }
+            // An owner without its store is in doubt at once: its beat is looked at.
+            let heard = if grant.store_lost {
+                TimePoint::default()
+            } else {
+                state.shared.now()
+            };
+            state.shared.owner_heard.set(heard);
             if grant.config < state.shared.config_version() {
                 let text = state.shared.config_text.borrow().clone();
                 if let Some(outbox) = &*state.outbox.borrow() {
--- a/crates/wax-owner/src/config_feed.rs
+++ b/crates/wax-owner/src/config_feed.rs
@@ -5,6 +5,7 @@
 use platform::{CONFIG_KEY, FeedReply, OPERATOR_TABLE, RowChange, RowKey, StoredRow};
 use std::rc::Rc;
 use std::time::Duration;
+use wax_trace::FailureStreak;
 use wax_types::WaxError;
 
 /// How long the store may wait for a change before it answers.
@@ -16,20 +17,22 @@
 
 /// Follows the config for the life of the process.
 pub async fn keep_config(shared: Rc<PoolShared>) {
+    let streak = FailureStreak::new("feed of the config");
     loop {
-        if let Err(error) = follow(&shared).await {
-            tracing::warn!(%error, "config feed failed");
+        if let Err(error) = follow(&shared, &streak).await {
+            streak.fail(&error);
             sleep(RETRY_PAUSE + RETRY_PAUSE.mul_f64(fastrand::f64())).await;
         }
     }
 }
 
-async fn follow(shared: &PoolShared) -> Result<(), WaxError> {
+async fn follow(shared: &PoolShared, streak: &FailureStreak) -> Result<(), WaxError> {
     let key = RowKey::new(OPERATOR_TABLE, "", CONFIG_KEY);
     let (rows, mut after) = shared
         .store
         .read_all(OPERATOR_TABLE, "", READ_LIMIT)
         .await?;
+    streak.succeed();
     shared.store_heard.set(shared.now());
     for row in rows {
         take(shared, &key, row);
--- a/crates/wax-owner/src/job_feed.rs
+++ b/crates/wax-owner/src/job_feed.rs
@@ -11,6 +11,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
+use wax_trace::FailureStreak;
 use wax_types::WaxError;
 
 /// How long the store may wait for a change before it answers.
@@ -33,11 +34,12 @@
 }
 
 async fn load_and_follow(shared: Rc<PoolShared>, tenure: Rc<Tenure>) {
+    let streak = FailureStreak::new("feed of jobs");
     let mut after = loop {
         match load(&shared, &tenure).await {
             Ok(version) => break version,
             Err(error) => {
-                tracing::warn!(%error, "loading the shard failed");
+                streak.fail(&error);
                 sleep(RETRY_PAUSE).await;
             }
         }
@@ -47,9 +49,12 @@
     tenure.dispatch.notify(usize::MAX);
     loop {
         match follow_once(&shared, &tenure, after).await {
-            Ok(version) => after = version,
+            Ok(version) => {
+                streak.succeed();
+                after = version;
+            }
             Err(error) => {
-                tracing::warn!(%error, "the feed of jobs failed");
+                streak.fail(&error);
                 sleep(RETRY_PAUSE).await;
             }
         }
--- a/crates/wax-owner/src/watch.rs
+++ b/crates/wax-owner/src/watch.rs
@@ -14,6 +14,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_http::ShutdownSignal;
+use wax_trace::FailureStreak;
 use wax_types::{TimePoint, WaxError};
 
 /// How long the store may wait for a change before it answers.
@@ -33,6 +34,7 @@
 pub async fn keep_ownership(shared: Rc<PoolShared>, shutdown: ShutdownSignal) {
     spawn(follow_owner(shared.clone())).detach();
     let mut watch = BeatWatch::default();
+    let streak = FailureStreak::new("beat of the owner");
     while !shutdown.is_raised() {
         if let Some(tenure) = shared.current_tenure() {
             hold_tenure(&shared, &tenure, &shutdown).await;
@@ -41,9 +43,12 @@
         }
         match look(&shared, &mut watch).await {
             Ok(Look::TakeOver(beat)) => take_over(&shared, beat).await,
-            Ok(Look::Wait) => wait_look(&shared).await,
+            Ok(Look::Wait) => {
+                streak.succeed();
+                wait_look(&shared).await;
+            }
             Err(error) => {
-                tracing::info!(%error, "the beat could not be read");
+                streak.fail(&error);
                 sleep(RETRY_PAUSE + RETRY_PAUSE.mul_f64(fastrand::f64())).await;
             }
         }
@@ -71,16 +76,18 @@
 
 /// Follows the owner's row for the life of the process.
 async fn follow_owner(shared: Rc<PoolShared>) {
+    let streak = FailureStreak::new("feed of owners");
     loop {
-        if let Err(error) = follow_owner_once(&shared).await {
-            tracing::info!(%error, "the feed of owners failed");
+        if let Err(error) = follow_owner_once(&shared, &streak).await {
+            streak.fail(&error);
             sleep(RETRY_PAUSE + RETRY_PAUSE.mul_f64(fastrand::f64())).await;
         }
     }
 }
 
-async fn follow_owner_once(shared: &PoolShared) -> Result<(), WaxError> {
+async fn follow_owner_once(shared: &PoolShared, streak: &FailureStreak) -> Result<(), WaxError> {
     let (rows, mut after) = shared.store.read_all(OWNER_TABLE, PART, READ_LIMIT).await?;
+    streak.succeed();
     for row in &rows {
         note_owner(shared, row);
     }
--- a/crates/wax-wire/src/pool.rs
+++ b/crates/wax-wire/src/pool.rs
@@ -12,7 +12,7 @@
     /// What it says; a message without a known body is a protocol error.
     #[prost(
         oneof = "PoolBody",
-        tags = "1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18"
+        tags = "1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19"
     )]
     pub body: Option<PoolBody>,
 }
--- /dev/null
+++ b/crates/wax-wire/tests/pool.rs
@@ -0,0 +1,134 @@
+//! Every kind of message of the pool survives the wire.
+
+use bytes::BytesMut;
+use tokio_util::codec::{Decoder, Encoder};
+use wax_batch::{
+    JobName, PairPress, RunEnd, RunEndKind, RunMark, RunReport, StartRefusal, TaskName, TaskSize,
+    WorkerState, WorkerView,
+};
+use wax_wire::*;
+
+fn mark() -> RunMark {
+    RunMark {
+        task: TaskName {
+            job: JobName(0x5c0e_7a21_d94b_36f8),
+            occurrence: 3,
+            step: 2,
+            index: 17,
+        },
+        run: 65_537,
+    }
+}
+
+fn view() -> WorkerView {
+    WorkerView {
+        id: "i-1".into(),
+        service: "svc".into(),
+        failure_domain: "a".into(),
+        rack: Some("r1".into()),
+        labels: vec!["a".into(), "r1".into()],
+        capacity: TaskSize {
+            cpu_milli: 16_000,
+            memory_mb: 64_000,
+            accelerators: 2,
+        },
+        state: WorkerState::Silent,
+        cold_ms: 5,
+        remaining_ms: 7,
+    }
+}
+
+fn report() -> RunReport {
+    RunReport {
+        mark: mark(),
+        checkpoint: "00bb".into(),
+        percent: 41,
+        figure: 12,
+    }
+}
+
+fn end() -> RunEnd {
+    RunEnd {
+        number: 58,
+        mark: mark(),
+        kind: RunEndKind::Broken,
+        checkpoint: "".into(),
+    }
+}
+
+fn seat() -> SeatFrame {
+    SeatFrame {
+        mark: mark().into(),
+        cpu_milli: 100,
+        memory_mb: 200,
+        accelerators: 0,
+        fills: true,
+        tail_target_ms: 150,
+        image: "red".into(),
+    }
+}
+
+macro_rules! survives {
+    ($($name:ident: $body:expr,)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let frame = PoolFrame::from($body);
+                let mut bytes = BytesMut::new();
+                PeerCodec::new().encode(frame.clone(), &mut bytes).expect("it encodes");
+                let decoded = PeerCodec::<PoolFrame>::new().decode(&mut bytes).expect("it decodes");
+                assert_eq!(decoded, Some(frame));
+            }
+        )*
+    };
+}
+
+survives! {
+    agent_hello: PoolBody::AgentHello(AgentHello { node: "side-1".into() }),
+    entry_hello: PoolBody::EntryHello(EntryHello { node: "edge-1".into() }),
+    welcome: PoolBody::Welcome(OwnerWelcome { epoch: 3, token: 9 }),
+    not_owner: PoolBody::NotOwner(NotOwner { address: "10.0.0.1:7".into(), epoch: 3 }),
+    ping: PoolBody::Ping(LinkPing { sent_us: 5, config: 7 }),
+    grant: PoolBody::Grant(LeaseGrant { sent_us: 5, valid_ms: 2_500, store_lost: true, config: 7 }),
+    worker_up: PoolBody::WorkerUp(WorkerUp {
+        worker: (&view()).into(),
+        runs: vec![(&report()).into()],
+        ends: vec![(&end()).into()],
+    }),
+    worker_kept: PoolBody::WorkerKept(WorkerKept { worker: "i-1".into(), seats: vec![seat()] }),
+    worker_changed: PoolBody::WorkerChanged((&view()).into()),
+    worker_gone: PoolBody::WorkerGone(WorkerGone { worker: "i-1".into() }),
+    news: PoolBody::News(RunNews {
+        started: vec![mark().into()],
+        refused: vec![RefusalFrame::new(mark(), StartRefusal::Unwell)],
+        going: vec![(&report()).into()],
+        ends: vec![(&end()).into()],
+    }),
+    start: PoolBody::Start(StartRun {
+        seat: seat(),
+        text: "work".into(),
+        checkpoint: "".into(),
+        ticket: "t".into(),
+        worker: "i-1".into(),
+    }),
+    stop: PoolBody::Stop(StopRun { mark: mark().into() }),
+    ack: PoolBody::Ack(AckEnds { worker: "i-1".into(), cursor: 57 }),
+    ask: PoolBody::Ask(JobAsk { ask: 1, job: 2, queue: "q".into() }),
+    told: PoolBody::Told(JobTold { ask: 1, known: true, outcome: 1, begun: true, pending: 4 }),
+    config: PoolBody::Config(ConfigPush { text: b"{}".to_vec() }),
+    presses: PoolBody::Presses(PressNews {
+        pairs: vec![PressFrame::new("red", "heavy", PairPress { per_core: 0.25, weight: 2.0 })],
+        room: 0.5,
+    }),
+    cancelled: PoolBody::Cancelled(JobCancelled { job: 7 }),
+}
+
+#[test]
+fn typed_parts_come_back_as_they_were() {
+    assert_eq!(RunMark::from(&MarkFrame::from(mark())), mark());
+    assert_eq!(WorkerView::from(WorkerFrame::from(&view())), view());
+    assert_eq!(RunReport::from(&ReportFrame::from(&report())), report());
+    assert_eq!(RunEnd::from(&EndFrame::from(&end())), end());
+    let refusal = RefusalFrame::new(mark(), StartRefusal::Room);
+    assert_eq!(refusal.decode(), (mark(), StartRefusal::Room));
+}
