--- a/crates/wax-agent/src/driver.rs
+++ b/crates/wax-agent/src/driver.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_batch::WorkerView;
+use wax_trace::{Counter, count};
 use wax_types::TimePoint;
 use wax_wire::{PoolBody, PressFrame, PressNews, RefusalFrame, RunNews, WorkerGone, WorkerUp};
 
@@ -105,6 +106,7 @@
     if boot.as_ref().is_some_and(|boot| *boot.view.id == *id) {
         *boot = None;
         state.dead.borrow_mut().insert(id.into());
+        count(Counter::WorkersGone);
         tracing::warn!(worker = id, why, "worker is gone");
         state.tell(PoolBody::WorkerGone(WorkerGone { worker: id.into() }));
     }
@@ -123,6 +125,7 @@
     let view = lapsed.view.clone();
     let sequence = lapsed.sequence;
     *boot = None;
+    count(Counter::WorkersGone);
     tracing::warn!(worker = id, "leases have lapsed");
     state.tell(PoolBody::WorkerGone(WorkerGone { worker: id.into() }));
     *state.candidate.borrow_mut() = Some((view, sequence));
@@ -166,7 +169,8 @@
             HoldStep::Failed
         }
         Err(error) => {
-            tracing::warn!(worker = id, %error, "hold failed");
+            count(Counter::HoldsUnanswered);
+            tracing::debug!(worker = id, %error, "hold failed");
             HoldStep::Failed
         }
     }
--- a/crates/wax-agent/src/orders.rs
+++ b/crates/wax-agent/src/orders.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_batch::{RunMark, StartRefusal};
+use wax_trace::{Counter, Latency, count, count_many, note_latency};
 use wax_wire::{PoolBody, RefusalFrame, RunNews, SeatFrame, StartRun};
 
 /// A start that is not answered for this long is stopped instead.
@@ -69,7 +70,9 @@
 
     async fn start(self: Rc<Self>, boot: Box<str>, request: StartRequest) {
         let mark = request.mark;
+        let sent = self.now();
         let answer = self.worker.start(&boot, &request, START_LIMIT).await;
+        note_latency(Latency::StartRun, self.now().since(sent));
         match answer {
             Ok(OrderOutcome::Done) => self.note_started(&boot, mark),
             Ok(OrderOutcome::Refused(refusal)) => self.note_refused(&boot, mark, refusal),
@@ -78,6 +81,7 @@
                 self.note_refused(&boot, mark, WorkerRefusal::Unwell);
             }
             Err(CallError::Unknown(error)) => {
+                count(Counter::StartsUnanswered);
                 tracing::warn!(%error, task = %mark.task, run = mark.run, "start without an answer");
                 self.settle_start(boot, mark).await;
             }
@@ -120,6 +124,7 @@
     }
 
     fn tell_refusal(&self, mark: RunMark, refusal: StartRefusal) {
+        count(Counter::StartsRefused);
         tracing::info!(task = %mark.task, run = mark.run, why = ?refusal, "start refused");
         let news = RunNews {
             refused: vec![RefusalFrame::new(mark, refusal)],
@@ -181,6 +186,7 @@
             boot.pace.plan(&sample, self.now(), &self.pace_rules);
             (boot.view.id.clone(), boot.table.repace(&boot.pace))
         };
+        count_many(Counter::PaceOrders, marks.len() as u64);
         for (mark, percent) in marks {
             let state = self.clone();
             let boot = boot.clone();
--- a/crates/wax-batch/src/moves.rs
+++ b/crates/wax-batch/src/moves.rs
@@ -23,7 +23,7 @@
                 stalled.extend(still.map(|(at, still)| (still, key, *mark, at)));
             }
         }
-        stalled.sort_unstable_by(|one, other| other.0.cmp(&one.0));
+        stalled.sort_unstable_by_key(|(still, ..)| std::cmp::Reverse(*still));
         stalled.truncate(self.rules.most_moves);
         for (_, worker, mark, at) in stalled {
             if self.borne_elsewhere(at, worker, now) {
--- a/crates/wax-batch/tests/support/mod.rs
+++ b/crates/wax-batch/tests/support/mod.rs
@@ -2,7 +2,6 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
-use std::time::Duration;
 use wax_batch::{
     JobBook, JobName, JobProgress, JobRow, JobSpec, PlaceRules, QueueConfig, QueueRules, RunEnd,
     RunEndKind, RunMark, RunReport, StartOrder, StepSpec, TaskName, TaskSize, WorkerKey,
@@ -11,17 +10,17 @@
 use wax_types::TimePoint;
 
 /// Unix milliseconds at [`at`] zero.
-pub const EPOCH_MS: u64 = 1_000_000;
+pub(crate) const EPOCH_MS: u64 = 1_000_000;
 
-pub fn at(millis: u64) -> TimePoint {
+pub(crate) fn at(millis: u64) -> TimePoint {
     TimePoint::from_millis(100_000 + millis)
 }
 
-pub fn wall(millis: u64) -> u64 {
+pub(crate) fn wall(millis: u64) -> u64 {
     EPOCH_MS + millis
 }
 
-pub fn size(cpu_milli: u32) -> TaskSize {
+pub(crate) fn size(cpu_milli: u32) -> TaskSize {
     TaskSize {
         cpu_milli,
         memory_mb: 100,
@@ -29,7 +28,7 @@
     }
 }
 
-pub fn step(count: u32, cpu_milli: u32) -> StepSpec {
+pub(crate) fn step(count: u32, cpu_milli: u32) -> StepSpec {
     StepSpec {
         count,
         size: size(cpu_milli),
@@ -38,7 +37,7 @@
     }
 }
 
-pub fn spec(steps: Vec<StepSpec>) -> JobSpec {
+pub(crate) fn spec(steps: Vec<StepSpec>) -> JobSpec {
     JobSpec {
         text: "work".into(),
         steps: steps.into(),
@@ -46,7 +45,7 @@
     }
 }
 
-pub fn config(most_attempts: u32) -> QueueConfig {
+pub(crate) fn config(most_attempts: u32) -> QueueConfig {
     QueueConfig {
         version: 1,
         queues: vec![
@@ -70,14 +69,14 @@
 }
 
 /// A settled book of term `epoch`.
-pub fn book(epoch: u64) -> JobBook {
+pub(crate) fn book(epoch: u64) -> JobBook {
     let mut book = JobBook::new(epoch, PlaceRules::default());
     book.set_config(config(2).into());
     book.settle();
     book
 }
 
-pub fn add(
+pub(crate) fn add(
     book: &mut JobBook,
     job: u64,
     epoch: u64,
@@ -90,7 +89,7 @@
     JobName(job)
 }
 
-pub fn worker(book: &mut JobBook, id: &str, cpu_milli: u32) -> WorkerKey {
+pub(crate) fn worker(book: &mut JobBook, id: &str, cpu_milli: u32) -> WorkerKey {
     book.worker_joined(WorkerView {
         id: id.into(),
         service: "svc".into(),
@@ -103,7 +102,7 @@
     })
 }
 
-pub fn mark(job: u64, step: u16, index: u32, run: u64) -> RunMark {
+pub(crate) fn mark(job: u64, step: u16, index: u32, run: u64) -> RunMark {
     RunMark {
         task: TaskName {
             job: JobName(job),
@@ -115,7 +114,7 @@
     }
 }
 
-pub fn end(number: u64, mark: RunMark, kind: RunEndKind) -> RunEnd {
+pub(crate) fn end(number: u64, mark: RunMark, kind: RunEndKind) -> RunEnd {
     RunEnd {
         number,
         mark,
@@ -124,7 +123,7 @@
     }
 }
 
-pub fn running(mark: RunMark) -> RunReport {
+pub(crate) fn running(mark: RunMark) -> RunReport {
     RunReport {
         mark,
         checkpoint: "".into(),
@@ -134,14 +133,14 @@
 }
 
 /// Tells the book that all orders were carried out.
-pub fn start_all(book: &mut JobBook, orders: &[StartOrder], now: TimePoint) {
+pub(crate) fn start_all(book: &mut JobBook, orders: &[StartOrder], now: TimePoint) {
     for order in orders {
         book.run_started(order.worker, order.mark, now);
     }
 }
 
 /// Writes everything to the store and returns what was written.
-pub fn store_all(book: &mut JobBook) -> Vec<(JobName, JobProgress)> {
+pub(crate) fn store_all(book: &mut JobBook) -> Vec<(JobName, JobProgress)> {
     let notes = book.take_notes(1_000);
     book.notes_stored(&notes);
     notes
@@ -149,7 +148,3 @@
         .map(|note| (note.name, note.progress))
         .collect()
 }
-
-pub fn seconds(count: u64) -> Duration {
-    Duration::from_secs(count)
-}
--- a/crates/wax-front/src/handler.rs
+++ b/crates/wax-front/src/handler.rs
@@ -12,6 +12,7 @@
 use wax_http::{
     HttpHandler, HttpReply, HttpRequest, collect_body, empty_reply, error_reply, json_reply,
 };
+use wax_trace::{Counter, Latency, count, note_latency};
 use wax_types::{ErrorKind, Step, TimePoint, WaxError};
 
 /// Callers that do not say how long they wait are taken to wait this long.
@@ -122,6 +123,12 @@
             .map_err(|text| invalid(text, "correct the job and submit it again"))?;
         let outcome = accept_job(&self.state, queue, job, &spec, deadline).await;
         let took_ms = self.state.shared.now().since(began).as_millis() as u64;
+        note_latency(Latency::AcceptJob, Duration::from_millis(took_ms));
+        count(match &outcome {
+            Ok(AcceptOutcome::Stored) => Counter::JobsAccepted,
+            Ok(AcceptOutcome::Known) => Counter::JobsRepeated,
+            Err(_) => Counter::JobsNotAccepted,
+        });
         match &outcome {
             Ok(AcceptOutcome::Stored) => {
                 tracing::info!(%job, queue = %queue.name, took_ms, "job accepted")
@@ -151,6 +158,9 @@
     ) -> Result<HttpReply, WaxError> {
         let outcome = cancel_job(&self.state, job, deadline).await?;
         tracing::info!(%job, queue = %queue.name, ?outcome, "job cancel");
+        if outcome == CancelOutcome::Cancelled {
+            count(Counter::JobsCancelled);
+        }
         Ok(empty_reply(match outcome {
             CancelOutcome::Cancelled => StatusCode::OK,
             CancelOutcome::NoJob => StatusCode::GONE,
--- a/crates/wax-owner/src/dispatch.rs
+++ b/crates/wax-owner/src/dispatch.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_batch::{StartOrder, WorkerKey};
+use wax_trace::{Counter, Latency, count, note_latency};
 use wax_types::{TimePoint, wall_clock_ms};
 use wax_wire::{AckEnds, PoolBody, SeatFrame, StartRun, StopRun};
 
@@ -46,7 +47,7 @@
         tenure.blind_until.set(now + BLIND_AFTER);
     }
     drop_lapsed(tenure, now);
-    settle(tenure);
+    settle(tenure, now);
     if tenure.may_act(now, shared.spans.acting) {
         tenure.book.borrow_mut().open_due(now, wall_clock_ms());
         if now >= tenure.blind_until.get() {
@@ -60,6 +61,7 @@
     let stops = tenure.book.borrow_mut().take_stops();
     for stop in stops {
         tracing::info!(task = %stop.mark.task, run = stop.mark.run, why = stop.why, "stop ordered");
+        count(Counter::StopsOrdered);
         let mark = stop.mark.into();
         tenure.tell_worker(stop.worker, PoolBody::Stop(StopRun { mark }));
     }
@@ -85,6 +87,7 @@
 }
 
 fn send_start(tenure: &Tenure, order: &StartOrder) {
+    count(Counter::StartsOrdered);
     let step = &order.spec.steps[usize::from(order.mark.task.step)];
     tracing::info!(
         task = %order.mark.task,
@@ -144,7 +147,7 @@
 }
 
 /// Once everyone who may run tasks of earlier terms was heard, or has lapsed, all may start.
-fn settle(tenure: &Tenure) {
+fn settle(tenure: &Tenure, now: TimePoint) {
     if tenure.book.borrow().is_settled() {
         return;
     }
@@ -155,6 +158,7 @@
         .all(|agent| agent.lapse_at.is_none())
     {
         tenure.book.borrow_mut().settle();
+        note_latency(Latency::Settle, now.since(tenure.began));
         tracing::info!(epoch = tenure.epoch, "all workers heard or lapsed");
     }
 }
--- a/crates/wax-owner/src/load.rs
+++ b/crates/wax-owner/src/load.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 use wax_batch::{JobName, JobProgress, JobRow};
+use wax_trace::{Latency, note_latency};
 use wax_types::{TimePoint, WaxError, wall_clock_ms};
 
 /// Longest time for one page.
@@ -28,6 +29,7 @@
     }
     let progress = decode_progress(&progress);
     add_jobs(shared, tenure, &jobs, &progress);
+    note_latency(Latency::Load, shared.now().since(tenure.began));
     tracing::info!(
         epoch = tenure.epoch,
         jobs = jobs.len(),
--- a/crates/wax-owner/src/tenure.rs
+++ b/crates/wax-owner/src/tenure.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use wax_batch::{JobBook, JobName, JobOutcome, PlaceRules, WorkerKey};
 use wax_http::ShutdownSignal;
+use wax_trace::{Counter, count};
 use wax_types::{TimePoint, wall_clock_ms};
 use wax_wire::{PoolBody, PressFrame, PressNews};
 
@@ -200,6 +201,7 @@
             return;
         }
         tracing::warn!(epoch = self.epoch, why, "term ended");
+        count(Counter::TermsEnded);
         self.over.raise();
         self.dispatch.notify(usize::MAX);
         self.write.notify(usize::MAX);
--- a/crates/wax-owner/src/watch.rs
+++ b/crates/wax-owner/src/watch.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_http::ShutdownSignal;
-use wax_trace::FailureStreak;
+use wax_trace::{Counter, FailureStreak, count};
 use wax_types::{TimePoint, WaxError};
 
 /// How long the store may wait for a change before it answers.
@@ -223,6 +223,7 @@
             return;
         }
     };
+    count(Counter::TermsBegun);
     tracing::info!(epoch = row.epoch, "took over the shard");
     begin_tenure(shared, row, version, sent);
 }
--- a/crates/wax-owner/src/writer.rs
+++ b/crates/wax-owner/src/writer.rs
@@ -12,7 +12,8 @@
 use prost::Message;
 use std::rc::Rc;
 use std::time::Duration;
-use wax_batch::{BookNote, JobName};
+use wax_batch::{BookNote, JobName, JobOutcome};
+use wax_trace::{Counter, Latency, count, count_many, note_latency};
 use wax_types::{TimePoint, wall_clock_ms};
 
 /// Jobs whose progress goes into one transaction.
@@ -40,22 +41,23 @@
 
 /// Writes until the term ends.
 pub(crate) async fn write_chain(shared: Rc<PoolShared>, tenure: Rc<Tenure>, mut beat_version: u64) {
-    let mut count = 0_u64;
+    let mut number = 0_u64;
     loop {
         wait_work(&shared, &tenure).await;
         if tenure.over.is_raised() {
             return;
         }
-        count += 1;
-        let item = next_item(&shared, &tenure, beat_version, count);
+        number += 1;
+        let item = next_item(&shared, &tenure, beat_version, number);
         let sent = shared.now();
-        match send_item(&shared, &tenure, &item, count).await {
+        match send_item(&shared, &tenure, &item, number).await {
             ChainStep::Lost => {
                 tenure.end("another owner has written");
                 return;
             }
             ChainStep::Stored(version) => {
                 beat_version = version;
+                count_item(&item, shared.now().since(sent));
                 tenure.confirmed.set(sent);
                 shared.store_heard.set(shared.now());
                 note_stored(&tenure, &item);
@@ -182,6 +184,16 @@
     ours.map_or(ChainStep::Lost, ChainStep::Stored)
 }
 
+fn count_item(item: &ChainItem, took: Duration) {
+    count(Counter::ChainWrites);
+    note_latency(Latency::ChainWrite, took);
+    let ended = item
+        .notes
+        .iter()
+        .filter(|note| note.progress.outcome() != JobOutcome::Open);
+    count_many(Counter::JobsEnded, ended.count() as u64);
+}
+
 fn note_stored(tenure: &Tenure, item: &ChainItem) {
     let mut book = tenure.book.borrow_mut();
     book.notes_stored(&item.notes);
--- a/crates/wax-settings/src/daemon.rs
+++ b/crates/wax-settings/src/daemon.rs
@@ -150,6 +150,8 @@
 pub struct LogSettings {
     /// One JSON object a line instead of text.
     pub json: bool,
+    /// Log lines go to standard output instead of standard error.
+    pub stdout: bool,
     /// Filter directive.
     pub filter: Box<str>,
     /// One in this many requests without a `traceparent` is traced; 0 for none.
@@ -162,6 +164,7 @@
     fn default() -> Self {
         Self {
             json: false,
+            stdout: false,
             filter: "info".into(),
             trace_one_in: 1_000,
             metrics: None,
--- a/crates/wax-standin/src/args.rs
+++ b/crates/wax-standin/src/args.rs
@@ -17,6 +17,10 @@
            [--deadline-ms N] [--connections N] [--path PATH] [--seed N]
            [--direct]  (ENTRY is an upstream, asked without the system)
 
+  site        --listen ADDR  (the users' platform: its store)
+  site-worker --listen ADDR --agent ADDR --service SERVICE --id ID
+              [--cpu-milli N] [--memory-mb N]  (a worker that obeys its agent)
+
   fetch    METHOD URL [--header NAME:VALUE]... [--body TEXT]
 
 fetch prints the status, the outcome field and the body.
@@ -33,6 +37,23 @@
     Load(LoadOptions),
     Fetch(FetchOptions),
     Peers(PeersOptions),
+    Site(SiteOptions),
+    SiteWorker(SiteWorkerOptions),
+}
+
+#[derive(Debug)]
+pub(crate) struct SiteOptions {
+    pub(crate) listen: SocketAddr,
+}
+
+#[derive(Debug)]
+pub(crate) struct SiteWorkerOptions {
+    pub(crate) listen: SocketAddr,
+    pub(crate) agent: SocketAddr,
+    pub(crate) service: String,
+    pub(crate) id: String,
+    pub(crate) cpu_milli: u32,
+    pub(crate) memory_mb: u32,
 }
 
 #[derive(Debug)]
@@ -109,6 +130,17 @@
             service: args.value_from_str("--service")?,
             count: args.value_from_str("--count")?,
         }),
+        Some("site") => Command::Site(SiteOptions {
+            listen: args.value_from_str("--listen")?,
+        }),
+        Some("site-worker") => Command::SiteWorker(SiteWorkerOptions {
+            listen: args.value_from_str("--listen")?,
+            agent: args.value_from_str("--agent")?,
+            service: args.value_from_str("--service")?,
+            id: args.value_from_str("--id")?,
+            cpu_milli: args.opt_value_from_str("--cpu-milli")?.unwrap_or(4_000),
+            memory_mb: args.opt_value_from_str("--memory-mb")?.unwrap_or(8_000),
+        }),
         Some("load") => Command::Load(parse_load(&mut args)?),
         _ => Command::Help,
     };
--- a/crates/wax-standin/src/main.rs
+++ b/crates/wax-standin/src/main.rs
@@ -7,6 +7,10 @@
 mod objects;
 mod peers;
 mod platform;
+mod site;
+mod site_rows;
+mod site_runs;
+mod site_worker;
 mod table;
 mod upstream;
 mod worker;
@@ -33,6 +37,8 @@
         Command::Upstream(options) => upstream::run(options).await,
         Command::Load(options) => load::run(options).await,
         Command::Peers(options) => peers::run(options).await,
+        Command::Site(options) => site::run(options).await,
+        Command::SiteWorker(options) => site_worker::run(options).await,
         Command::Fetch(options) => fetch::run(options).await,
     };
     if let Err(error) = result {
--- /dev/null
+++ b/crates/wax-standin/src/site.rs
@@ -0,0 +1,166 @@
+//! The store of the users' platform, in its published forms: rows, transactions, a feed.
+
+use crate::args::SiteOptions;
+use crate::site_rows::{SiteRows, TxBody};
+use compio::time::{sleep, timeout};
+use event_listener::Event;
+use http::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use wax_http::{
+    HttpHandler, HttpReply, HttpRequest, HttpServer, ShutdownSignal, bind_listener, empty_reply,
+    error_reply, json_reply, parse_json,
+};
+use wax_types::{ErrorKind, Step, WaxError};
+
+const BODY_LIMIT: usize = 2 << 20;
+/// How long a call hangs whose answer is lost.
+const LOST_REPLY: Duration = Duration::from_secs(30);
+
+/// What is wrong with the store now.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default)]
+struct SiteFaults {
+    /// Every call is refused.
+    down: bool,
+    /// Every call waits this long first.
+    delay_ms: u64,
+    /// This share of the transactions is done and not answered.
+    lose_percent: u32,
+    /// The history is dropped: the next look at the feed is refused.
+    forget: bool,
+}
+
+struct SiteState {
+    rows: RefCell<SiteRows>,
+    changed: Event,
+    faults: RefCell<SiteFaults>,
+    began: Instant,
+}
+
+pub(crate) async fn run(options: SiteOptions) -> Result<(), WaxError> {
+    let listener = bind_listener(options.listen)?;
+    let address = listener
+        .local_addr()
+        .map_err(|error| WaxError::new(ErrorKind::Invalid, Step::Listen, "site", error))?;
+    println!("{}", json!({ "site": address }));
+    let state = Rc::new(SiteState {
+        rows: RefCell::default(),
+        changed: Event::new(),
+        faults: RefCell::default(),
+        began: Instant::now(),
+    });
+    HttpServer::new(listener, state, ShutdownSignal::default())
+        .run()
+        .await;
+    Ok(())
+}
+
+fn query(request: &HttpRequest, name: &str) -> String {
+    let query = request.uri().query().unwrap_or_default();
+    let value = query.split('&').find_map(|pair| {
+        let (key, value) = pair.split_once('=')?;
+        (key == name).then_some(value)
+    });
+    value.unwrap_or_default().replace("%00", "\0")
+}
+
+impl HttpHandler for SiteState {
+    async fn handle(&self, request: HttpRequest) -> HttpReply {
+        let path = request.uri().path().to_owned();
+        if path == "/faults" {
+            return match parse_json::<SiteFaults>(request, BODY_LIMIT).await {
+                Ok(faults) => {
+                    *self.faults.borrow_mut() = faults;
+                    empty_reply(StatusCode::OK)
+                }
+                Err(error) => error_reply(&error),
+            };
+        }
+        let faults = self.faults.borrow().clone();
+        sleep(Duration::from_millis(faults.delay_ms)).await;
+        if faults.down {
+            return empty_reply(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        match (request.method(), path.as_str()) {
+            (&Method::POST, "/v1/rows-tx") => self.transact(request, faults.lose_percent).await,
+            (&Method::GET, "/v1/rows-get") => self.get(&request),
+            (&Method::GET, "/v1/rows-feed") => self.feed(&request).await,
+            _ => empty_reply(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+impl SiteState {
+    fn now_ms(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+
+    async fn transact(&self, request: HttpRequest, lose_percent: u32) -> HttpReply {
+        // Only the operator writes its tables.
+        let operator = request.headers().contains_key("x-operator");
+        let body: TxBody = match parse_json(request, BODY_LIMIT).await {
+            Ok(body) => body,
+            Err(error) => return error_reply(&error),
+        };
+        if !operator && body.touches_operator() {
+            return empty_reply(StatusCode::FORBIDDEN);
+        }
+        let outcome = self.rows.borrow_mut().apply(body);
+        self.changed.notify(usize::MAX);
+        if fastrand::u32(0..100) < lose_percent {
+            sleep(LOST_REPLY).await;
+            return empty_reply(StatusCode::GATEWAY_TIMEOUT);
+        }
+        let now_ms = self.now_ms();
+        match outcome {
+            Ok(version) => json_reply(
+                StatusCode::OK,
+                &json!({ "rowVersion": version, "nowMs": now_ms }),
+            ),
+            Err((rows, version)) => {
+                let body = json!({ "rows": rows, "rowVersion": version, "nowMs": now_ms });
+                json_reply(StatusCode::PRECONDITION_FAILED, &body)
+            }
+        }
+    }
+
+    fn get(&self, request: &HttpRequest) -> HttpReply {
+        let limit = query(request, "limit").parse().unwrap_or(500);
+        let rows = self.rows.borrow();
+        let (page, more) = rows.range(
+            &query(request, "table"),
+            &query(request, "part"),
+            &query(request, "from"),
+            &query(request, "to"),
+            limit,
+        );
+        let body = json!({ "rows": page, "hasMore": more, "rowVersion": rows.version(), "nowMs": self.now_ms() });
+        json_reply(StatusCode::OK, &body)
+    }
+
+    async fn feed(&self, request: &HttpRequest) -> HttpReply {
+        let table = query(request, "table");
+        let after: u64 = query(request, "after").parse().unwrap_or_default();
+        let wait = Duration::from_millis(query(request, "waitMs").parse().unwrap_or_default());
+        let began = Instant::now();
+        loop {
+            if std::mem::take(&mut self.faults.borrow_mut().forget) {
+                return empty_reply(StatusCode::GONE);
+            }
+            let listener = self.changed.listen();
+            let (changes, version) = self.rows.borrow().changes(&table, after);
+            let left = wait.saturating_sub(began.elapsed());
+            if !changes.is_empty() || left.is_zero() {
+                let body =
+                    json!({ "rows": changes, "rowVersion": version, "nowMs": self.now_ms() });
+                return json_reply(StatusCode::OK, &body);
+            }
+            // Either a change or the end of the wait; both lead to another look.
+            let _ = timeout(left, listener).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/wax-standin/src/site_rows.rs
@@ -0,0 +1,152 @@
+//! The rows of the platform's store and their history.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+type Key = (String, String, String);
+
+/// A row, or the mark of one that was removed.
+#[derive(Debug, Clone, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub(crate) struct SiteRow {
+    table: String,
+    part: String,
+    key: String,
+    value: String,
+    row_version: u64,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    deleted: bool,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ExpectEntry {
+    table: String,
+    part: String,
+    key: String,
+    row_version: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct WriteEntry {
+    table: String,
+    part: String,
+    key: String,
+    value: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct RemoveEntry {
+    table: String,
+    part: String,
+    key: String,
+}
+
+/// Body of a transaction.
+#[derive(Debug, Deserialize)]
+#[serde(default)]
+#[derive(Default)]
+pub(crate) struct TxBody {
+    expect: Vec<ExpectEntry>,
+    writes: Vec<WriteEntry>,
+    remove: Vec<RemoveEntry>,
+}
+
+impl TxBody {
+    /// Whether it writes a table that is the operator's alone.
+    pub(crate) fn touches_operator(&self) -> bool {
+        self.writes.iter().any(|write| write.table == "op")
+    }
+}
+
+/// All rows, and what changed when.
+#[derive(Debug, Default)]
+pub(crate) struct SiteRows {
+    rows: BTreeMap<Key, SiteRow>,
+    history: Vec<SiteRow>,
+    version: u64,
+}
+
+impl SiteRows {
+    /// The newest version.
+    pub(crate) fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Applies a transaction; else gives the rows of its conditions as they are.
+    pub(crate) fn apply(&mut self, body: TxBody) -> Result<u64, (Vec<SiteRow>, u64)> {
+        let holds = |entry: &ExpectEntry| {
+            let key = (entry.table.clone(), entry.part.clone(), entry.key.clone());
+            self.rows.get(&key).map_or(0, |row| row.row_version) == entry.row_version
+        };
+        if !body.expect.iter().all(holds) {
+            let keys = body
+                .expect
+                .into_iter()
+                .map(|entry| (entry.table, entry.part, entry.key));
+            let rows = keys
+                .filter_map(|key| self.rows.get(&key).cloned())
+                .collect();
+            return Err((rows, self.version));
+        }
+        self.version += 1;
+        let row_version = self.version;
+        for WriteEntry {
+            table,
+            part,
+            key,
+            value,
+        } in body.writes
+        {
+            let row = SiteRow {
+                table: table.clone(),
+                part: part.clone(),
+                key: key.clone(),
+                value,
+                row_version,
+                deleted: false,
+            };
+            self.rows.insert((table, part, key), row.clone());
+            self.history.push(row);
+        }
+        for RemoveEntry { table, part, key } in body.remove {
+            if let Some(mut row) = self.rows.remove(&(table, part, key)) {
+                row.deleted = true;
+                row.row_version = row_version;
+                self.history.push(row);
+            }
+        }
+        Ok(row_version)
+    }
+
+    /// One page of a part, and whether there is more.
+    pub(crate) fn range(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        to: &str,
+        limit: usize,
+    ) -> (Vec<SiteRow>, bool) {
+        let start = (table.to_owned(), part.to_owned(), from.to_owned());
+        let mut rows = self
+            .rows
+            .range(start..)
+            .take_while(|((in_table, in_part, key), _)| {
+                in_table == table && in_part == part && (to.is_empty() || key.as_str() < to)
+            })
+            .map(|(_, row)| row.clone());
+        let page: Vec<SiteRow> = rows.by_ref().take(limit).collect();
+        let more = rows.next().is_some();
+        (page, more)
+    }
+
+    /// The changes of a table after a version, and the version to continue from.
+    pub(crate) fn changes(&self, table: &str, after: u64) -> (Vec<SiteRow>, u64) {
+        let changed = |row: &&SiteRow| row.table == table && row.row_version > after;
+        (
+            self.history.iter().filter(changed).cloned().collect(),
+            self.version,
+        )
+    }
+}
--- /dev/null
+++ b/crates/wax-standin/src/site_runs.rs
@@ -0,0 +1,245 @@
+//! The runs of a worker of the users' platform: leases, ends, and a history for audits.
+
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// An order to a worker; a stop has no `spec`.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub(crate) struct RunOrder {
+    task: String,
+    run: u64,
+    spec: String,
+    deadline_ms: u64,
+    fencing_token: u64,
+    checkpoint: String,
+}
+
+/// What a job's text says of its tasks.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(default)]
+struct TaskWork {
+    /// How long a task works, milliseconds.
+    ms: u64,
+    /// What it takes; the worker checks that it is not given more than it has.
+    cpu: u32,
+    mem: u32,
+    /// Whether it fails at its end.
+    fail: bool,
+}
+
+impl Default for TaskWork {
+    fn default() -> Self {
+        Self {
+            ms: 50,
+            cpu: 1_000,
+            mem: 100,
+            fail: false,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct RunLife {
+    run: u64,
+    work: TaskWork,
+    began_ms: u64,
+}
+
+/// Answer to an order.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub(crate) struct OrderAnswer {
+    clock_ms: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) reason: Option<&'static str>,
+}
+
+type EndRow = (u64, String, u64, &'static str, String);
+
+/// All runs.
+#[derive(Debug)]
+pub(crate) struct SiteRuns {
+    began: Instant,
+    cpu_milli: u32,
+    memory_mb: u32,
+    running: BTreeMap<String, RunLife>,
+    ends: Vec<EndRow>,
+    ended: u64,
+    /// The highest run of a task that was stopped or has ended here.
+    closed: HashMap<String, u64>,
+    token: u64,
+    lease_ms: u64,
+    history: Vec<Value>,
+}
+
+impl SiteRuns {
+    pub(crate) fn new(cpu_milli: u32, memory_mb: u32) -> Self {
+        Self {
+            began: Instant::now(),
+            cpu_milli,
+            memory_mb,
+            running: BTreeMap::new(),
+            ends: Vec::new(),
+            ended: 0,
+            closed: HashMap::new(),
+            token: 0,
+            lease_ms: 0,
+            history: Vec::new(),
+        }
+    }
+
+    pub(crate) fn clock_ms(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+
+    /// How many ends there were.
+    pub(crate) fn ended(&self) -> u64 {
+        self.ended
+    }
+
+    pub(crate) fn history(&self) -> &Vec<Value> {
+        &self.history
+    }
+
+    pub(crate) fn answer(&self, reason: Option<&'static str>) -> OrderAnswer {
+        OrderAnswer {
+            clock_ms: self.clock_ms(),
+            reason,
+        }
+    }
+
+    fn fence(&mut self, token: u64) -> bool {
+        let passes = token >= self.token;
+        self.token = self.token.max(token);
+        passes
+    }
+
+    fn note(&mut self, what: &str, task: &str, run: u64) {
+        let unix_ms = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |span| span.as_micros() as u64);
+        self.history
+            .push(json!({ "what": what, "task": task, "run": run, "at": unix_ms }));
+    }
+
+    pub(crate) fn start(&mut self, order: RunOrder) -> OrderAnswer {
+        if !self.fence(order.fencing_token) {
+            return self.answer(Some("fence"));
+        }
+        let old = self
+            .closed
+            .get(&order.task)
+            .is_some_and(|closed| order.run <= *closed);
+        if let Some(life) = self.running.get(&order.task)
+            && life.run == order.run
+        {
+            return self.answer(None);
+        }
+        if old || self.running.contains_key(&order.task) {
+            return self.answer(Some("old"));
+        }
+        if order.deadline_ms <= self.clock_ms() {
+            return self.answer(Some("late"));
+        }
+        self.lease_ms = self.lease_ms.max(order.deadline_ms);
+        let work: TaskWork = serde_json::from_str(&order.spec).unwrap_or_default();
+        let life = RunLife {
+            run: order.run,
+            work,
+            began_ms: self.clock_ms(),
+        };
+        self.running.insert(order.task.clone(), life);
+        let cpu: u32 = self.running.values().map(|life| life.work.cpu).sum();
+        let memory: u32 = self.running.values().map(|life| life.work.mem).sum();
+        self.note("start", &order.task, order.run);
+        if cpu > self.cpu_milli || memory > self.memory_mb {
+            self.note("over", &order.task, order.run);
+        }
+        self.answer(None)
+    }
+
+    pub(crate) fn stop(&mut self, order: RunOrder) -> OrderAnswer {
+        if !self.fence(order.fencing_token) {
+            return self.answer(Some("fence"));
+        }
+        if self
+            .running
+            .get(&order.task)
+            .is_some_and(|life| life.run == order.run)
+        {
+            self.end(&order.task, "stopped");
+        }
+        let closed = self.closed.entry(order.task).or_default();
+        *closed = (*closed).max(order.run);
+        self.answer(None)
+    }
+
+    pub(crate) fn hold(&mut self, token: u64, until_ms: Option<u64>, cursor: u64) -> OrderAnswer {
+        if !self.fence(token) {
+            return self.answer(Some("fence"));
+        }
+        self.lease_ms = self.lease_ms.max(until_ms.unwrap_or(0));
+        let acknowledged: Vec<EndRow> = self
+            .ends
+            .iter()
+            .filter(|end| end.0 <= cursor)
+            .cloned()
+            .collect();
+        for end in acknowledged {
+            self.note("ack", &end.1, end.2);
+        }
+        self.ends.retain(|end| end.0 > cursor);
+        self.answer(None)
+    }
+
+    /// Ends what is done, and everything once the lease has lapsed.
+    pub(crate) fn tick(&mut self, fail: bool) {
+        let now = self.clock_ms();
+        let lapsed = now > self.lease_ms;
+        let over: Vec<(String, &'static str)> = self
+            .running
+            .iter()
+            .filter_map(|(task, life)| {
+                let done = now >= life.began_ms + life.work.ms;
+                match (done, lapsed) {
+                    (true, _) if fail || life.work.fail => Some((task.clone(), "failed")),
+                    (true, _) => Some((task.clone(), "done")),
+                    (false, true) => Some((task.clone(), "lapsed")),
+                    (false, false) => None,
+                }
+            })
+            .collect();
+        for (task, how) in over {
+            self.end(&task, how);
+        }
+    }
+
+    fn end(&mut self, task: &str, how: &'static str) {
+        let Some(life) = self.running.remove(task) else {
+            return;
+        };
+        self.ended += 1;
+        self.ends
+            .push((self.ended, task.to_owned(), life.run, how, String::new()));
+        let closed = self.closed.entry(task.to_owned()).or_default();
+        *closed = (*closed).max(life.run);
+        self.note(how, task, life.run);
+    }
+
+    /// Both lists, as a hold answers them.
+    pub(crate) fn lists(&self) -> Value {
+        let running: Vec<Value> = self
+            .running
+            .iter()
+            .map(|(task, life)| {
+                let done = self.clock_ms() - life.began_ms;
+                let percent = (done * 100 / life.work.ms.max(1)).min(100);
+                json!([task, life.run, "", percent, life.work.cpu])
+            })
+            .collect();
+        json!({ "clockMs": self.clock_ms(), "running": running, "finished": self.ends })
+    }
+}
--- /dev/null
+++ b/crates/wax-standin/src/site_worker.rs
@@ -0,0 +1,204 @@
+//! A worker of the users' platform: obeys the process on its machine and keeps its own record.
+
+use crate::args::SiteWorkerOptions;
+use crate::site_runs::{OrderAnswer, RunOrder, SiteRuns};
+use compio::runtime::spawn;
+use compio::time::sleep;
+use cyper::Client;
+use http::StatusCode;
+use serde::Deserialize;
+use serde_json::json;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use wax_http::{
+    HttpHandler, HttpReply, HttpRequest, HttpServer, ShutdownSignal, bind_listener, empty_reply,
+    error_reply, json_reply, parse_json,
+};
+use wax_types::{ErrorKind, Step, WaxError};
+
+const BODY_LIMIT: usize = 1 << 20;
+const TICK: Duration = Duration::from_millis(5);
+const CHECK_IN_PERIOD: Duration = Duration::from_millis(300);
+/// How long an order hangs whose answer is lost.
+const LOST_REPLY: Duration = Duration::from_secs(30);
+
+/// What is wrong with the worker now.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default)]
+struct WorkerFaults {
+    /// Every run fails at its end.
+    fail: bool,
+    /// This share of the starts is carried out after this long and never answered.
+    late_percent: u32,
+    late_ms: u64,
+    /// It says that it leaves.
+    draining: bool,
+}
+
+struct WorkerState {
+    id: String,
+    runs: RefCell<SiteRuns>,
+    faults: RefCell<WorkerFaults>,
+    sequence: Cell<u64>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+#[derive(Default)]
+struct HoldBody {
+    deadline_ms: Option<u64>,
+    fencing_token: u64,
+    ack_cursor: u64,
+    wait_ms: u64,
+}
+
+pub(crate) async fn run(options: SiteWorkerOptions) -> Result<(), WaxError> {
+    let listener = bind_listener(options.listen)?;
+    let address = listener
+        .local_addr()
+        .map_err(|error| WaxError::new(ErrorKind::Invalid, Step::Listen, "worker", error))?;
+    println!("{}", json!({ "worker": address }));
+    let state = Rc::new(WorkerState {
+        id: options.id.clone(),
+        runs: RefCell::new(SiteRuns::new(options.cpu_milli, options.memory_mb)),
+        faults: RefCell::default(),
+        sequence: Cell::new(0),
+    });
+    spawn(tick(state.clone())).detach();
+    spawn(check_in(state.clone(), options, address)).detach();
+    HttpServer::new(listener, state, ShutdownSignal::default())
+        .run()
+        .await;
+    Ok(())
+}
+
+async fn tick(state: Rc<WorkerState>) {
+    loop {
+        sleep(TICK).await;
+        let fail = state.faults.borrow().fail;
+        state.runs.borrow_mut().tick(fail);
+    }
+}
+
+async fn check_in(state: Rc<WorkerState>, options: SiteWorkerOptions, address: SocketAddr) {
+    let Ok(client) = Client::new() else {
+        return;
+    };
+    let url = format!(
+        "http://{}/v1/instances/{}/heartbeat",
+        options.agent, options.id
+    );
+    loop {
+        state.sequence.set(state.sequence.get() + 1);
+        let word = if state.faults.borrow().draining {
+            "draining"
+        } else {
+            "ready"
+        };
+        let body = json!({
+            "service": options.service, "address": address.to_string(), "zone": "a", "version": "v1",
+            "slots": 8, "state": word, "coldRemainingMs": 0,
+            "capacity": { "cpu": options.cpu_milli, "memMb": options.memory_mb, "gpu": 0 },
+            "labels": ["a", "r1"], "clockMs": state.runs.borrow().clock_ms(), "sequence": state.sequence.get(),
+        });
+        if let Ok(request) = client.post(&url)
+            && let Ok(request) = request.json(&body)
+        {
+            // An agent that is away is told at the next check-in.
+            let _ = request.send().await;
+        }
+        sleep(CHECK_IN_PERIOD).await;
+    }
+}
+
+impl HttpHandler for WorkerState {
+    async fn handle(&self, request: HttpRequest) -> HttpReply {
+        let path = request.uri().path().to_owned();
+        match path.as_str() {
+            "/faults" => {
+                return match parse_json::<WorkerFaults>(request, BODY_LIMIT).await {
+                    Ok(faults) => {
+                        *self.faults.borrow_mut() = faults;
+                        empty_reply(StatusCode::OK)
+                    }
+                    Err(error) => error_reply(&error),
+                };
+            }
+            "/history" => return json_reply(StatusCode::OK, self.runs.borrow().history()),
+            _ => {}
+        }
+        let expected = request.headers().get("waxwingfield-expected-instance");
+        if expected.is_some_and(|id| id.as_bytes() != self.id.as_bytes()) {
+            return empty_reply(StatusCode::MISDIRECTED_REQUEST);
+        }
+        match path.as_str() {
+            "/v1/run-start" => self.start(request).await,
+            "/v1/run-stop" => self.order(request, SiteRuns::stop).await,
+            "/v1/pace" => self.order(request, |runs, _| runs.answer(None)).await,
+            "/v1/hold" => self.hold(request).await,
+            _ => empty_reply(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+fn reply(answer: &OrderAnswer) -> HttpReply {
+    let status = if answer.reason.is_some() {
+        StatusCode::CONFLICT
+    } else {
+        StatusCode::OK
+    };
+    json_reply(status, answer)
+}
+
+impl WorkerState {
+    async fn start(&self, request: HttpRequest) -> HttpReply {
+        let order: RunOrder = match parse_json(request, BODY_LIMIT).await {
+            Ok(order) => order,
+            Err(error) => return error_reply(&error),
+        };
+        let faults = self.faults.borrow().clone();
+        if fastrand::u32(0..100) < faults.late_percent {
+            sleep(Duration::from_millis(faults.late_ms)).await;
+            self.runs.borrow_mut().start(order);
+            sleep(LOST_REPLY).await;
+            return empty_reply(StatusCode::GATEWAY_TIMEOUT);
+        }
+        reply(&self.runs.borrow_mut().start(order))
+    }
+
+    async fn order(
+        &self,
+        request: HttpRequest,
+        act: impl Fn(&mut SiteRuns, RunOrder) -> OrderAnswer,
+    ) -> HttpReply {
+        match parse_json(request, BODY_LIMIT).await {
+            Ok(order) => reply(&act(&mut self.runs.borrow_mut(), order)),
+            Err(error) => error_reply(&error),
+        }
+    }
+
+    async fn hold(&self, request: HttpRequest) -> HttpReply {
+        let body: HoldBody = match parse_json(request, BODY_LIMIT).await {
+            Ok(body) => body,
+            Err(error) => return error_reply(&error),
+        };
+        let answer =
+            self.runs
+                .borrow_mut()
+                .hold(body.fencing_token, body.deadline_ms, body.ack_cursor);
+        if answer.reason.is_some() {
+            return reply(&answer);
+        }
+        let ended = self.runs.borrow().ended();
+        let waits = (body.wait_ms / TICK.as_millis() as u64).max(1);
+        for _ in 0..waits {
+            if self.runs.borrow().ended() > ended || body.wait_ms == 0 {
+                break;
+            }
+            sleep(TICK).await;
+        }
+        json_reply(StatusCode::OK, &self.runs.borrow().lists())
+    }
+}
--- a/crates/wax-trace/src/counter.rs
+++ b/crates/wax-trace/src/counter.rs
@@ -95,6 +95,34 @@
     UsageIntervals = "usage.intervals",
     /// Usage intervals received a second time.
     UsageRepeated = "usage.repeated",
+    /// Requests that submitted a job which was already known.
+    JobsRepeated = "jobs.repeated",
+    /// Jobs that were not accepted, or of which it is not known.
+    JobsNotAccepted = "jobs.not_accepted",
+    /// Cancels stored.
+    JobsCancelled = "jobs.cancelled",
+    /// Jobs whose end the store has.
+    JobsEnded = "jobs.ended",
+    /// Terms of ownership begun.
+    TermsBegun = "terms.begun",
+    /// Terms of ownership ended.
+    TermsEnded = "terms.ended",
+    /// Transactions of an owner's chain.
+    ChainWrites = "chain.writes",
+    /// Starts ordered from agents.
+    StartsOrdered = "starts.ordered",
+    /// Starts that a worker or its agent refused.
+    StartsRefused = "starts.refused",
+    /// Starts without an answer.
+    StartsUnanswered = "starts.unanswered",
+    /// Stops ordered from agents.
+    StopsOrdered = "stops.ordered",
+    /// Holds without an answer.
+    HoldsUnanswered = "holds.unanswered",
+    /// Changes of pace ordered from a worker.
+    PaceOrders = "pace.orders",
+    /// Boots of workers that are gone, or whose leases have lapsed.
+    WorkersGone = "workers.gone",
     /// Workers quarantined because they fail every task.
     WorkersQuarantined = "workers.quarantined",
 }
--- a/crates/wax-trace/src/lib.rs
+++ b/crates/wax-trace/src/lib.rs
@@ -3,11 +3,13 @@
 mod context;
 mod counter;
 mod exporter;
+mod latency;
 mod logs;
 mod streak;
 
 pub use context::TraceContext;
 pub use counter::{Counter, count, count_many, counter_values};
 pub use exporter::MetricsExporter;
-pub use logs::{LogFormat, start_logs};
+pub use latency::{Latency, note_latency, render_latencies};
+pub use logs::{LogFormat, LogOutput, start_logs};
 pub use streak::FailureStreak;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 mod args;
 mod entry;
+mod metrics;
 mod pool;
 mod sidecar;
 mod signals;
@@ -10,7 +11,7 @@
 use std::path::Path;
 use std::process::ExitCode;
 use wax_settings::{DaemonSettings, ProcessRole};
-use wax_trace::{LogFormat, start_logs};
+use wax_trace::{LogFormat, LogOutput, start_logs};
 use wax_types::WaxError;
 
 /// Bad arguments or settings; nothing was started.
@@ -50,7 +51,12 @@
     } else {
         LogFormat::Plain
     };
-    start_logs(format, &settings.logs.filter);
+    let output = if settings.logs.stdout {
+        LogOutput::Stdout
+    } else {
+        LogOutput::Stderr
+    };
+    start_logs(format, output, &settings.logs.filter);
     let runtime = match compio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(error) => {
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,53 @@
+//! Serves counters and latency histograms as text.
+
+use compio::runtime::spawn;
+use http::{Response, StatusCode, header};
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use wax_http::{
+    HttpHandler, HttpReply, HttpRequest, HttpServer, ReplyBody, ShutdownSignal, bind_listener,
+    empty_reply,
+};
+use wax_trace::{counter_values, render_latencies};
+use wax_types::WaxError;
+
+struct MetricsHandler;
+
+impl HttpHandler for MetricsHandler {
+    async fn handle(&self, request: HttpRequest) -> HttpReply {
+        if request.uri().path() != "/metrics" {
+            return empty_reply(StatusCode::NOT_FOUND);
+        }
+        let mut reply = Response::new(ReplyBody::whole(render()));
+        let plain = header::HeaderValue::from_static("text/plain; version=0.0.4");
+        reply.headers_mut().insert(header::CONTENT_TYPE, plain);
+        reply
+    }
+}
+
+fn render() -> String {
+    let mut text = String::new();
+    for (name, value) in counter_values() {
+        if value > 0 {
+            // Writing to a string does not fail.
+            let _ = writeln!(text, "waxwing_{} {value}", name.replace('.', "_"));
+        }
+    }
+    render_latencies(&mut text);
+    text
+}
+
+/// Serves metrics on `address` for the life of the process, if it is set.
+///
+/// # Errors
+///
+/// The address is taken.
+pub(crate) fn serve_metrics(address: Option<SocketAddr>) -> Result<(), WaxError> {
+    if let Some(address) = address {
+        let listener = bind_listener(address)?;
+        let server = HttpServer::new(listener, Rc::new(MetricsHandler), ShutdownSignal::default());
+        spawn(server.run()).detach();
+    }
+    Ok(())
+}
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -1,5 +1,6 @@
 //! Starts the roles of the pool: a front, or an agent beside a worker.
 
+use crate::metrics::serve_metrics;
 use crate::signals::{ignore_hangup, shutdown_signal};
 use compio::runtime::spawn;
 use compio::time::sleep;
@@ -22,10 +23,12 @@
 const SETTINGS_PERIOD: Duration = Duration::from_millis(1_000);
 
 pub(crate) async fn run_front(settings: DaemonSettings, file: &Path) -> Result<(), WaxError> {
+    serve_metrics(settings.pool.as_ref().and_then(|pool| pool.metrics))?;
     wax_front::run_front(&settings, watch_settings(file), shutdown_signal()).await
 }
 
 pub(crate) async fn run_agent(settings: DaemonSettings, file: &Path) -> Result<(), WaxError> {
+    serve_metrics(settings.pool.as_ref().and_then(|pool| pool.metrics))?;
     let store = Rc::new(StoreClient::new(settings.platform.address));
     spawn(apply_changes(store.clone(), watch_settings(file))).detach();
     wax_agent::run_agent(&settings, StoreDirectory(store), shutdown_signal()).await
--- /dev/null
+++ b/tests/pool/jobs.rs
@@ -0,0 +1,152 @@
+//! Jobs from their submission to their end, without troubles.
+
+use crate::site::{Site, job, name, run, wait_for};
+use http::Method;
+use serde_json::json;
+
+#[test]
+fn a_job_runs_its_steps_in_turn_and_completes() {
+    run(async {
+        let site = Site::start("completes", 2, 2).await;
+        site.submit(&name(1), &job(2, 6, 40)).await;
+        site.wait_state(&name(1), "completed").await;
+        assert_eq!(site.starts(&name(1)).await, 12);
+        // A front that has no link to the owner yet refuses to tell.
+        let pending = wait_for("the queue to be told", || async {
+            let answer = site.ask(1, Method::GET, "", Vec::new()).await.ok()?;
+            (answer.status == 200).then_some(answer)
+        });
+        assert_eq!(pending.await.json(), json!({ "pending": 0 }));
+        site.audit().await;
+    });
+}
+
+#[test]
+fn the_same_job_submitted_again_anywhere_stays_one_job() {
+    run(async {
+        let site = Site::start("again", 2, 1).await;
+        let body = job(1, 3, 30);
+        for front in [0, 1, 0] {
+            let answer = site
+                .ask(front, Method::POST, &name(1), body.to_string().into_bytes())
+                .await;
+            assert_eq!(answer.expect("a front answers").status, 200);
+        }
+        site.wait_state(&name(1), "completed").await;
+        assert_eq!(site.starts(&name(1)).await, 3);
+        site.audit().await;
+    });
+}
+
+#[test]
+fn a_job_whose_tasks_always_fail_ends_as_failed() {
+    run(async {
+        let site = Site::start("fails", 1, 2).await;
+        let mut body = job(1, 1, 20);
+        body["spec"] = json!(json!({ "ms": 20, "fail": true }).to_string());
+        site.submit(&name(1), &body).await;
+        site.wait_state(&name(1), "failed").await;
+        assert_eq!(
+            site.starts(&name(1)).await,
+            2,
+            "as often as its queue allows"
+        );
+    });
+}
+
+#[test]
+fn a_cancelled_job_leaves_nothing_running() {
+    run(async {
+        let site = Site::start("cancel", 2, 1).await;
+        site.submit(&name(1), &job(1, 2, 600_000)).await;
+        site.wait_running(&name(1)).await;
+        let answer = site
+            .ask(1, Method::DELETE, &name(1), Vec::new())
+            .await
+            .expect("a front answers");
+        assert_eq!(answer.status, 200);
+        site.wait_state(&name(1), "cancelled").await;
+        // Only a worker that is free again can take a job of its whole size.
+        site.submit(&name(2), &job(1, 4, 10)).await;
+        site.wait_state(&name(2), "completed").await;
+        let gone = site
+            .ask(0, Method::DELETE, &name(9), Vec::new())
+            .await
+            .expect("a front answers");
+        assert_eq!(gone.status, 410);
+        site.audit().await;
+    });
+}
+
+#[test]
+fn a_config_is_in_force_on_all_fronts_and_unknown_queues_are_refused() {
+    run(async {
+        let mut site = Site::start("config", 2, 1).await;
+        let body = job(1, 1, 10).to_string().into_bytes();
+        for front in 0..2 {
+            let url = format!("http://{}/new/{}", site.fronts[front].callers, name(1));
+            let answer =
+                crate::calls::call(Method::POST, &url, &[("host", "h.example")], body.clone())
+                    .await;
+            assert_eq!(answer.expect("a front answers").status, 404);
+        }
+        site.put_config(&["/g/", "/new/"]).await;
+        for front in 0..2 {
+            let url = format!("http://{}/new/{}", site.fronts[front].callers, name(1));
+            wait_for("the new queue", || async {
+                let answer =
+                    crate::calls::call(Method::POST, &url, &[("host", "h.example")], body.clone())
+                        .await;
+                answer.ok().filter(|answer| answer.status == 200)
+            })
+            .await;
+        }
+    });
+}
+
+#[test]
+fn malformed_jobs_get_a_clear_refusal_and_leave_nothing() {
+    run(async {
+        let site = Site::start("malformed", 1, 1).await;
+        let huge = vec![b'x'; 1 << 20];
+        let cases: [(&str, Vec<u8>); 4] = [
+            ("1234", job(1, 1, 10).to_string().into_bytes()),
+            (&name(1), b"{".to_vec()),
+            (
+                &name(1),
+                json!({ "spec": "x", "phases": [{ "count": 1, "after": [1] }] })
+                    .to_string()
+                    .into_bytes(),
+            ),
+            (&name(1), huge),
+        ];
+        for (job, body) in cases {
+            let answer = site
+                .ask(0, Method::POST, job, body)
+                .await
+                .expect("a front answers");
+            assert_eq!(answer.status, 400, "{}", answer.text());
+            assert!(answer.text().contains("help"), "{}", answer.text());
+        }
+        let gone = site
+            .ask(0, Method::GET, &name(1), Vec::new())
+            .await
+            .expect("a front answers");
+        assert_eq!(gone.status, 410);
+    });
+}
+
+#[test]
+fn metrics_are_served_as_text() {
+    run(async {
+        let site = Site::start("metrics", 1, 1).await;
+        site.submit(&name(1), &job(1, 1, 10)).await;
+        let url = format!("http://{}/metrics", site.fronts[0].metrics);
+        let text = crate::calls::call(Method::GET, &url, &[], Vec::new())
+            .await
+            .expect("metrics")
+            .text();
+        assert!(text.contains("waxwing_jobs_accepted 1"), "{text}");
+        assert!(text.contains("waxwing_accept_job_ms_count 1"), "{text}");
+    });
+}
--- /dev/null
+++ b/tests/pool/main.rs
@@ -0,0 +1,10 @@
+//! The roles of the pool on real processes, against stand-ins of the users' platform.
+//!
+//! Tests wait for states, never for times. After each, the workers' own histories are audited.
+
+#[path = "../proofs/support/calls.rs"]
+#[allow(dead_code, reason = "shared with the proofs, which use all of it")]
+mod calls;
+mod jobs;
+mod site;
+mod troubles;
--- /dev/null
+++ b/tests/pool/site.rs
@@ -0,0 +1,525 @@
+//! A small installation: a store, fronts, agents and their workers.
+
+use crate::calls::{Answer, call, get_json, post_json};
+use http::Method;
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::fs::File;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// A state that has not come after this time will not come: the test fails.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Runs a test on a runtime of its own.
+pub(crate) fn run<T>(test: impl Future<Output = T>) -> T {
+    compio::runtime::Runtime::new()
+        .expect("the runtime starts")
+        .block_on(test)
+}
+
+/// Waits until `look` gives a value.
+pub(crate) async fn wait_for<T, F>(what: &str, mut look: impl FnMut() -> F) -> T
+where
+    F: Future<Output = Option<T>>,
+{
+    let start = Instant::now();
+    loop {
+        if let Some(value) = look().await {
+            return value;
+        }
+        assert!(start.elapsed() < PATIENCE, "waited in vain for: {what}");
+        compio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// A process that a test started; it ends with the test.
+pub(crate) struct SiteProcess {
+    child: Child,
+    log: PathBuf,
+}
+
+impl SiteProcess {
+    fn start(name: &str, args: &[String], log: PathBuf) -> Self {
+        let daemon = Path::new(env!("CARGO_BIN_EXE_waxwingd"));
+        let path = daemon.with_file_name(name);
+        assert!(
+            path.exists(),
+            "{name} is not built: run `cargo test --workspace`"
+        );
+        let output = File::options()
+            .create(true)
+            .append(true)
+            .open(&log)
+            .expect("the log opens");
+        let errors = output.try_clone().expect("the log opens twice");
+        let child = Command::new(path)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(output)
+            .stderr(errors)
+            .spawn()
+            .expect("the process starts");
+        Self { child, log }
+    }
+
+    pub(crate) fn signal(&self, signal: i32) {
+        let pid = self.child.id() as i32;
+        // SAFETY: `kill` takes plain numbers; the process is our own child, not yet waited for.
+        let result = unsafe { libc::kill(pid, signal) };
+        assert_eq!(result, 0, "signal {signal} to {pid}");
+    }
+
+    pub(crate) fn is_running(&mut self) -> bool {
+        self.child
+            .try_wait()
+            .expect("the process can be waited for")
+            .is_none()
+    }
+
+    fn end(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for SiteProcess {
+    fn drop(&mut self) {
+        self.end();
+        if std::thread::panicking() {
+            let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+            eprintln!("--- {}", self.log.display());
+            let tail: Vec<&str> = log.lines().rev().take(12).collect();
+            for line in tail.iter().rev() {
+                eprintln!("{line}");
+            }
+        }
+    }
+}
+
+/// Ports are free when they are taken; each installation has an address of its own.
+fn free_port(ip: &str) -> SocketAddr {
+    let listener = TcpListener::bind((ip, 0)).expect("a port is free");
+    listener.local_addr().expect("it has an address")
+}
+
+/// One front.
+pub(crate) struct Front {
+    pub(crate) process: Option<SiteProcess>,
+    settings: PathBuf,
+    pub(crate) callers: SocketAddr,
+    pub(crate) readiness: SocketAddr,
+    pub(crate) metrics: SocketAddr,
+}
+
+/// One machine with a worker and its agent.
+pub(crate) struct Machine {
+    pub(crate) agent: Option<SiteProcess>,
+    pub(crate) worker: Option<SiteProcess>,
+    settings: PathBuf,
+    pub(crate) app: SocketAddr,
+    check_ins: SocketAddr,
+    name: String,
+    boots: u32,
+}
+
+/// The installation.
+pub(crate) struct Site {
+    _store: SiteProcess,
+    store: SocketAddr,
+    pub(crate) fronts: Vec<Front>,
+    pub(crate) machines: Vec<Machine>,
+    folder: PathBuf,
+    config: u64,
+    /// Histories of workers that were killed.
+    past: Vec<Value>,
+}
+
+const PROCESSOR_MILLI: u32 = 4_000;
+
+impl Site {
+    /// Starts an installation and waits until its first front is ready.
+    pub(crate) async fn start(test: &str, fronts: usize, machines: usize) -> Self {
+        let folder =
+            std::env::temp_dir().join(format!("waxwing-pool-{}-{test}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("the folder is made");
+        let store = free_port("127.0.0.1");
+        let args = ["site", "--listen", &store.to_string()].map(String::from);
+        let mut site = Self {
+            _store: SiteProcess::start("waxwing-standin", &args, folder.join("store.log")),
+            store,
+            fronts: Vec::new(),
+            machines: Vec::new(),
+            folder,
+            config: 0,
+            past: Vec::new(),
+        };
+        let first_look = format!("http://{store}/v1/rows-get?table=op&part=");
+        wait_for("the store", || get_json(&first_look)).await;
+        site.put_config(&["/g/"]).await;
+        // All peers share a port, as on the platform's machines: each has an address of its own.
+        let port = free_port("127.0.0.1").port();
+        let base = fastrand::u8(2..250);
+        for number in 0..fronts {
+            site.add_front(&format!("127.{base}.1.{}", number + 1), port);
+        }
+        let seeds: Vec<String> = site
+            .fronts
+            .iter()
+            .map(|front| front.callers.to_string())
+            .collect();
+        for number in 0..machines {
+            site.add_machine(&format!("127.{base}.2.{}", number + 1), port, &seeds);
+        }
+        for number in 0..fronts {
+            site.wait_ready(number).await;
+        }
+        site
+    }
+
+    fn add_front(&mut self, ip: &str, port: u16) {
+        let number = self.fronts.len();
+        let (callers, readiness, metrics) = (free_port(ip), free_port(ip), free_port(ip));
+        let settings = self.folder.join(format!("front-{number}.yaml"));
+        let text = format!(
+            "role: front\nname: front-{number}\nregion: r\nfailure_domain: a\nplatform:\n  address: {}\n\
+             pool:\n  peers: {ip}:{port}\n  callers: {callers}\n  readiness: {readiness}\n  metrics: {metrics}\n\
+             logs:\n  stdout: true\n",
+            self.store
+        );
+        std::fs::write(&settings, text).expect("the settings are written");
+        self.fronts.push(Front {
+            process: None,
+            settings,
+            callers,
+            readiness,
+            metrics,
+        });
+        self.start_front(number);
+    }
+
+    pub(crate) fn start_front(&mut self, number: usize) {
+        let front = &mut self.fronts[number];
+        let args = [
+            "--settings".to_owned(),
+            front.settings.display().to_string(),
+        ];
+        let log = self.folder.join(format!("front-{number}.log"));
+        front.process = Some(SiteProcess::start("waxwingd", &args, log));
+    }
+
+    pub(crate) fn kill_front(&mut self, number: usize) {
+        self.fronts[number].process = None;
+    }
+
+    fn add_machine(&mut self, ip: &str, port: u16, seeds: &[String]) {
+        let name = format!("side-{}", self.machines.len());
+        let (app, check_ins) = (free_port(ip), free_port(ip));
+        let settings = self.folder.join(format!("{name}.yaml"));
+        let text = format!(
+            "role: agent\nname: {name}\nregion: r\nfailure_domain: a\nplatform:\n  address: {}\n\
+             pool:\n  peers: {ip}:{port}\n  seeds: [{}]\n  check_ins: {check_ins}\n  worker: {app}\n\
+             logs:\n  stdout: true\n",
+            self.store,
+            seeds.join(", ")
+        );
+        std::fs::write(&settings, text).expect("the settings are written");
+        self.machines.push(Machine {
+            agent: None,
+            worker: None,
+            settings,
+            app,
+            check_ins,
+            name,
+            boots: 0,
+        });
+        let number = self.machines.len() - 1;
+        self.start_agent(number);
+        self.start_worker(number);
+    }
+
+    pub(crate) fn start_agent(&mut self, number: usize) {
+        let machine = &mut self.machines[number];
+        let args = [
+            "--settings".to_owned(),
+            machine.settings.display().to_string(),
+        ];
+        let log = self.folder.join(format!("{}.log", machine.name));
+        machine.agent = Some(SiteProcess::start("waxwingd", &args, log));
+    }
+
+    pub(crate) fn kill_agent(&mut self, number: usize) {
+        self.machines[number].agent = None;
+    }
+
+    pub(crate) fn start_worker(&mut self, number: usize) {
+        let machine = &mut self.machines[number];
+        machine.boots += 1;
+        let id = format!("i-{}-{}", machine.name, machine.boots);
+        let args = [
+            "site-worker",
+            "--listen",
+            &machine.app.to_string(),
+            "--agent",
+            &machine.check_ins.to_string(),
+            "--service",
+            "svc",
+            "--id",
+            &id,
+            "--cpu-milli",
+            &PROCESSOR_MILLI.to_string(),
+        ]
+        .map(String::from);
+        let log = self.folder.join(format!("{}-worker.log", machine.name));
+        machine.worker = Some(SiteProcess::start("waxwing-standin", &args, log));
+    }
+
+    pub(crate) async fn kill_worker(&mut self, number: usize) {
+        let history = self.history(number).await;
+        self.machines[number].worker = None;
+        self.past.push(with_deaths(&history));
+    }
+
+    pub(crate) async fn wait_ready(&self, front: usize) {
+        let url = format!("http://{}/v1/ready", self.fronts[front].readiness);
+        wait_for("a front to be ready", || async {
+            call(Method::GET, &url, &[], Vec::new())
+                .await
+                .ok()
+                .filter(|answer| answer.status == 200)
+        })
+        .await;
+    }
+
+    /// Writes a config with a queue for each prefix.
+    pub(crate) async fn put_config(&mut self, prefixes: &[&str]) {
+        self.config += 3;
+        let routes: Vec<Value> = prefixes
+            .iter()
+            .map(|prefix| {
+                json!({ "name": format!("q{}", prefix.replace('/', "-")), "host": "h.example", "pathPrefix": prefix,
+                    "service": "svc", "maxAttempts": 2, "stretch": 2.0, "targetLatencyMs": 500, "timeoutMs": 3000 })
+            })
+            .collect();
+        let config = json!({ "version": self.config, "routes": routes, "services": [{ "name": "svc" }], "limits": {} });
+        let value = base64(config.to_string().as_bytes());
+        let body = json!({ "expect": [], "writes": [{ "table": "op", "part": "", "key": "config", "value": value }] });
+        let headers = [("content-type", "application/json"), ("x-operator", "1")];
+        let url = format!("http://{}/v1/rows-tx", self.store);
+        let answer = call(Method::POST, &url, &headers, body.to_string().into_bytes()).await;
+        assert_eq!(answer.expect("the store answers").status, 200);
+    }
+
+    pub(crate) async fn store_faults(&self, faults: Value) {
+        let answer = post_json(&format!("http://{}/faults", self.store), &faults).await;
+        assert_eq!(answer.expect("the store answers").status, 200);
+    }
+
+    pub(crate) async fn worker_faults(&self, number: usize, faults: Value) {
+        let url = format!("http://{}/faults", self.machines[number].app);
+        let answer = wait_for("a worker", || async { post_json(&url, &faults).await.ok() }).await;
+        assert_eq!(answer.status, 200);
+    }
+
+    fn url(&self, front: usize, job: &str) -> String {
+        format!("http://{}/g/{job}", self.fronts[front].callers)
+    }
+
+    pub(crate) async fn ask(
+        &self,
+        front: usize,
+        method: Method,
+        job: &str,
+        body: Vec<u8>,
+    ) -> Result<Answer, String> {
+        call(
+            method,
+            &self.url(front, job),
+            &[("host", "h.example")],
+            body,
+        )
+        .await
+    }
+
+    /// Submits a job until a front answers for good.
+    pub(crate) async fn submit(&self, job: &str, body: &Value) {
+        wait_for("a job to be accepted", || async {
+            for front in 0..self.fronts.len() {
+                let answer = self
+                    .ask(front, Method::POST, job, body.to_string().into_bytes())
+                    .await;
+                if answer.is_ok_and(|answer| answer.status == 200) {
+                    return Some(());
+                }
+            }
+            None
+        })
+        .await;
+    }
+
+    /// A job's state by any front that answers.
+    pub(crate) async fn state(&self, job: &str) -> Option<String> {
+        for front in 0..self.fronts.len() {
+            if let Ok(answer) = self.ask(front, Method::GET, job, Vec::new()).await
+                && answer.status == 200
+            {
+                return answer.json()["state"].as_str().map(Into::into);
+            }
+        }
+        None
+    }
+
+    pub(crate) async fn wait_state(&self, job: &str, state: &str) {
+        wait_for(&format!("{job} to be {state}"), || async {
+            self.state(job).await.filter(|known| known == state)
+        })
+        .await;
+    }
+
+    async fn history(&self, number: usize) -> Value {
+        let url = format!("http://{}/history", self.machines[number].app);
+        wait_for("a history", || get_json(&url)).await
+    }
+
+    /// Waits until a task of the job runs on a worker.
+    pub(crate) async fn wait_running(&self, job: &str) -> usize {
+        wait_for("a task to run", || async {
+            for number in 0..self.machines.len() {
+                let url = format!("http://{}/history", self.machines[number].app);
+                let history = get_json(&url).await.unwrap_or_default();
+                let rows = history.as_array().cloned().unwrap_or_default();
+                if rows
+                    .iter()
+                    .any(|row| row["what"] == "start" && names(row, job))
+                {
+                    return Some(number);
+                }
+            }
+            None
+        })
+        .await
+    }
+
+    /// How many starts of a job's tasks there were.
+    pub(crate) async fn starts(&self, job: &str) -> usize {
+        let mut starts = 0;
+        for number in 0..self.machines.len() {
+            let history = self.history(number).await;
+            let rows = history.as_array().cloned().unwrap_or_default();
+            starts += rows
+                .iter()
+                .filter(|row| row["what"] == "start" && names(row, job))
+                .count();
+        }
+        starts
+    }
+
+    /// Checks the promises against what the workers themselves have seen.
+    pub(crate) async fn audit(&self) {
+        let mut rows = Vec::new();
+        for history in &self.past {
+            rows.extend(history.as_array().cloned().unwrap_or_default());
+        }
+        for number in 0..self.machines.len() {
+            rows.extend(
+                self.history(number)
+                    .await
+                    .as_array()
+                    .cloned()
+                    .unwrap_or_default(),
+            );
+        }
+        rows.sort_by_key(|row| row["at"].as_u64());
+        let mut running: HashMap<String, u64> = HashMap::new();
+        let mut done: BTreeMap<String, u64> = BTreeMap::new();
+        let mut acknowledged: HashSet<(String, u64)> = HashSet::new();
+        for row in &rows {
+            let task = row["task"].as_str().unwrap_or_default().to_owned();
+            let run = row["run"].as_u64().unwrap_or_default();
+            match row["what"].as_str().unwrap_or_default() {
+                "over" => panic!("a worker was given more than it has: {row}"),
+                "start" => {
+                    let other = running.insert(task.clone(), run);
+                    assert!(other.is_none(), "{task} runs twice: {other:?} and {run}");
+                    let ended = done
+                        .get(&task)
+                        .is_some_and(|run| acknowledged.contains(&(task.clone(), *run)));
+                    assert!(!ended, "{task} was started after its end was taken note of");
+                }
+                "ack" => {
+                    acknowledged.insert((task, run));
+                }
+                how => {
+                    running.remove(&task);
+                    if how == "done" {
+                        done.insert(task, run);
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            // The folder is in the system's own place for such; what is left there does no harm.
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+fn names(row: &Value, job: &str) -> bool {
+    row["task"]
+        .as_str()
+        .is_some_and(|task| task.starts_with(job))
+}
+
+fn base64(bytes: &[u8]) -> String {
+    use base64::Engine;
+    base64::engine::general_purpose::STANDARD.encode(bytes)
+}
+
+/// A job of `steps` steps in a row, each of `count` tasks that work `ms` milliseconds.
+pub(crate) fn job(steps: u16, count: u32, ms: u64) -> Value {
+    let phases: Vec<Value> = (0..steps)
+        .map(|step| {
+            let after: Vec<u16> = if step == 0 {
+                Vec::new()
+            } else {
+                vec![step - 1]
+            };
+            json!({ "count": count, "cpu": 1000, "memMb": 100, "estimatedMs": ms, "after": after })
+        })
+        .collect();
+    let spec = json!({ "ms": ms, "cpu": 1000, "mem": 100 }).to_string();
+    json!({ "spec": spec, "phases": phases })
+}
+
+/// The name of the `n`-th job of a test.
+pub(crate) fn name(n: u64) -> String {
+    format!("{n:016x}")
+}
+
+/// A history with an end of everything that ran when the worker was killed.
+fn with_deaths(history: &Value) -> Value {
+    let mut rows = history.as_array().cloned().unwrap_or_default();
+    let mut running: BTreeMap<String, Value> = BTreeMap::new();
+    for row in &rows {
+        let task = row["task"].as_str().unwrap_or_default().to_owned();
+        match row["what"].as_str().unwrap_or_default() {
+            "start" => running.insert(task, row.clone()),
+            "ack" | "over" => None,
+            _ => running.remove(&task),
+        };
+    }
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let now = now.map_or(0, |span| span.as_micros() as u64);
+    for (task, row) in running {
+        rows.push(json!({ "what": "killed", "task": task, "run": row["run"], "at": now }));
+    }
+    Value::Array(rows)
+}
--- /dev/null
+++ b/tests/pool/troubles.rs
@@ -0,0 +1,320 @@
+//! Jobs under kills, freezes, outages and lost answers.
+
+use crate::site::{Site, job, name, run, wait_for};
+use http::Method;
+use serde_json::json;
+
+#[test]
+fn jobs_survive_the_death_of_their_owner() {
+    run(async {
+        let mut site = Site::start("owner", 2, 2).await;
+        for n in 1..=4 {
+            site.submit(&name(n), &job(2, 4, 300)).await;
+        }
+        site.wait_running(&name(1)).await;
+        site.kill_front(0);
+        site.submit(&name(5), &job(1, 2, 50)).await;
+        for n in 1..=5 {
+            site.wait_state(&name(n), "completed").await;
+        }
+        site.audit().await;
+    });
+}
+
+#[test]
+fn jobs_survive_the_death_of_all_fronts_and_agents() {
+    run(async {
+        let mut site = Site::start("all", 2, 2).await;
+        for n in 1..=3 {
+            site.submit(&name(n), &job(2, 4, 200)).await;
+        }
+        site.wait_running(&name(1)).await;
+        for number in 0..2 {
+            site.kill_front(number);
+            site.kill_agent(number);
+        }
+        for number in 0..2 {
+            site.start_front(number);
+            site.start_agent(number);
+        }
+        for n in 1..=3 {
+            site.wait_state(&name(n), "completed").await;
+        }
+        site.audit().await;
+    });
+}
+
+#[test]
+fn an_agent_that_is_killed_adopts_what_runs() {
+    run(async {
+        let mut site = Site::start("agent", 1, 1).await;
+        site.submit(&name(1), &job(1, 3, 2_500)).await;
+        site.wait_running(&name(1)).await;
+        site.kill_agent(0);
+        site.start_agent(0);
+        site.wait_state(&name(1), "completed").await;
+        assert_eq!(site.starts(&name(1)).await, 3, "nothing was started again");
+        site.audit().await;
+    });
+}
+
+#[test]
+fn tasks_of_a_worker_that_dies_run_elsewhere() {
+    run(async {
+        let mut site = Site::start("worker", 1, 2).await;
+        site.submit(&name(1), &job(1, 6, 400)).await;
+        let number = site.wait_running(&name(1)).await;
+        site.kill_worker(number).await;
+        site.start_worker(number);
+        site.wait_state(&name(1), "completed").await;
+        site.audit().await;
+    });
+}
+
+#[test]
+fn an_agent_that_is_frozen_beyond_its_leases_starts_nothing_twice() {
+    run(async {
+        let mut site = Site::start("frozen", 1, 2).await;
+        site.submit(&name(1), &job(1, 8, 30_000)).await;
+        let number = site.wait_running(&name(1)).await;
+        let agent = site.machines[number].agent.as_ref().expect("it runs");
+        agent.signal(libc::SIGSTOP);
+        // Its worker's leases lapse, and the tasks that were there start again on the other.
+        let other = 1 - number;
+        let url = format!("http://{}/history", site.machines[number].app);
+        wait_for("the leases to lapse", || async {
+            let history = crate::calls::get_json(&url).await?;
+            let lapsed = history
+                .as_array()?
+                .iter()
+                .filter(|row| row["what"] == "lapsed")
+                .count();
+            (lapsed > 0).then_some(())
+        })
+        .await;
+        agent.signal(libc::SIGCONT);
+        let cancelled = site
+            .ask(0, Method::DELETE, &name(1), Vec::new())
+            .await
+            .expect("the front answers");
+        assert_eq!(cancelled.status, 200);
+        site.submit(&name(2), &job(1, 8, 20)).await;
+        site.wait_state(&name(2), "completed").await;
+        let _ = other;
+        site.audit().await;
+        assert!(
+            site.machines[number]
+                .agent
+                .as_mut()
+                .expect("it runs")
+                .is_running()
+        );
+    });
+}
+
+#[test]
+fn an_owner_that_was_frozen_past_its_term_gives_way() {
+    run(async {
+        let site = Site::start("thaw", 2, 2).await;
+        site.submit(&name(1), &job(3, 4, 400)).await;
+        site.wait_running(&name(1)).await;
+        // Either front may own the shard: each is frozen once.
+        for number in 0..2 {
+            let front = site.fronts[number].process.as_ref().expect("it runs");
+            front.signal(libc::SIGSTOP);
+            let other = 1 - number;
+            wait_for("the other front to take a job", || async {
+                let job_name = name(100 + number as u64);
+                let body = job(1, 1, 20).to_string().into_bytes();
+                let answer = site.ask(other, Method::POST, &job_name, body).await.ok()?;
+                let told = site
+                    .ask(other, Method::GET, &job_name, Vec::new())
+                    .await
+                    .ok()?;
+                (answer.status == 200 && told.json()["state"] == "completed").then_some(())
+            })
+            .await;
+            front.signal(libc::SIGCONT);
+        }
+        site.wait_state(&name(1), "completed").await;
+        site.audit().await;
+    });
+}
+
+#[test]
+fn lost_answers_of_the_store_lose_and_double_nothing() {
+    run(async {
+        let site = Site::start("lost", 2, 2).await;
+        site.store_faults(json!({ "lose_percent": 30 })).await;
+        for n in 1..=3 {
+            site.submit(&name(n), &job(1, 3, 30)).await;
+        }
+        site.store_faults(json!({})).await;
+        for n in 1..=3 {
+            site.wait_state(&name(n), "completed").await;
+            assert_eq!(site.starts(&name(n)).await, 3);
+        }
+        site.audit().await;
+    });
+}
+
+#[test]
+fn a_store_that_is_down_refuses_jobs_at_once_and_loses_none() {
+    run(async {
+        let site = Site::start("down", 1, 1).await;
+        site.submit(&name(1), &job(2, 2, 300)).await;
+        site.wait_running(&name(1)).await;
+        site.store_faults(json!({ "down": true })).await;
+        let body = job(1, 1, 10).to_string().into_bytes();
+        let answer = site
+            .ask(0, Method::POST, &name(2), body)
+            .await
+            .expect("the front answers");
+        assert_eq!(answer.status, 503);
+        assert!(answer.retry_after.is_some(), "it is told when to come back");
+        site.store_faults(json!({})).await;
+        site.wait_state(&name(1), "completed").await;
+        let gone = site
+            .ask(0, Method::GET, &name(2), Vec::new())
+            .await
+            .expect("the front answers");
+        assert_eq!(gone.status, 410, "what was refused is not there");
+        site.audit().await;
+    });
+}
+
+#[test]
+fn a_store_that_forgets_its_history_is_read_anew() {
+    run(async {
+        let site = Site::start("forgets", 1, 1).await;
+        for n in 1..=3 {
+            site.store_faults(json!({ "forget": true })).await;
+            site.submit(&name(n), &job(1, 1, 20)).await;
+            site.wait_state(&name(n), "completed").await;
+        }
+        site.audit().await;
+    });
+}
+
+#[test]
+fn orders_that_are_carried_out_late_run_nothing_twice() {
+    run(async {
+        let site = Site::start("late", 1, 2).await;
+        site.worker_faults(0, json!({ "late_percent": 60, "late_ms": 1500 }))
+            .await;
+        for n in 1..=4 {
+            site.submit(&name(n), &job(1, 3, 60)).await;
+        }
+        for n in 1..=4 {
+            site.wait_state(&name(n), "completed").await;
+        }
+        site.audit().await;
+    });
+}
+
+#[test]
+fn a_worker_that_fails_everything_does_not_fail_the_jobs() {
+    run(async {
+        let site = Site::start("grey", 1, 3).await;
+        site.worker_faults(0, json!({ "fail": true })).await;
+        for n in 1..=6 {
+            site.submit(&name(n), &job(1, 1, 60)).await;
+            site.wait_state(&name(n), "completed").await;
+        }
+        site.audit().await;
+    });
+}
+
+#[test]
+fn a_worker_that_leaves_gets_no_new_work() {
+    run(async {
+        let site = Site::start("leaves", 1, 2).await;
+        site.submit(&name(1), &job(1, 8, 20)).await;
+        site.wait_state(&name(1), "completed").await;
+        site.worker_faults(0, json!({ "draining": true })).await;
+        // The second report of a leaving worker comes after the first was taken.
+        let url = format!("http://{}/history", site.machines[0].app);
+        let starts = || async {
+            let history = crate::calls::get_json(&url).await.unwrap_or_default();
+            history.as_array().map_or(0, |rows| {
+                rows.iter().filter(|row| row["what"] == "start").count()
+            })
+        };
+        let mut quiet = 0;
+        let mut n = 10;
+        while quiet < 3 {
+            let before = starts().await;
+            site.submit(&name(n), &job(1, 4, 20)).await;
+            site.wait_state(&name(n), "completed").await;
+            quiet = if starts().await == before {
+                quiet + 1
+            } else {
+                0
+            };
+            n += 1;
+            assert!(n < 200, "it still gets work");
+        }
+        site.audit().await;
+    });
+}
+
+#[test]
+fn a_planned_stop_hands_the_shard_over_and_cuts_nothing() {
+    run(async {
+        let mut site = Site::start("planned", 2, 2).await;
+        site.submit(&name(1), &job(3, 4, 200)).await;
+        site.wait_running(&name(1)).await;
+        site.fronts[0]
+            .process
+            .as_ref()
+            .expect("it runs")
+            .signal(libc::SIGTERM);
+        for n in 2..=4 {
+            site.submit(&name(n), &job(1, 2, 50)).await;
+        }
+        for n in 1..=4 {
+            site.wait_state(&name(n), "completed").await;
+        }
+        let front = site.fronts[0].process.as_mut().expect("it was started");
+        wait_for("the front to end", || {
+            let ended = !front.is_running();
+            async move { ended.then_some(()) }
+        })
+        .await;
+        site.audit().await;
+    });
+}
+
+#[test]
+fn a_hangup_ends_no_process() {
+    run(async {
+        let mut site = Site::start("hangup", 1, 1).await;
+        site.submit(&name(1), &job(1, 1, 20)).await;
+        site.fronts[0]
+            .process
+            .as_ref()
+            .expect("it runs")
+            .signal(libc::SIGHUP);
+        site.machines[0]
+            .agent
+            .as_ref()
+            .expect("it runs")
+            .signal(libc::SIGHUP);
+        site.submit(&name(2), &job(1, 1, 20)).await;
+        site.wait_state(&name(2), "completed").await;
+        assert!(
+            site.fronts[0]
+                .process
+                .as_mut()
+                .expect("it runs")
+                .is_running()
+        );
+        assert!(
+            site.machines[0]
+                .agent
+                .as_mut()
+                .expect("it runs")
+                .is_running()
+        );
+    });
+}
