What counts less leaves room to what comes next

Cause: under overload tasks of jobs that count no more took whatever room there was, and the next job found none for seconds. Fills of late jobs may ask for 0.85 of a worker's spare processors, of jobs that count no more for half.

--- a/crates/wax-batch/src/moves.rs
+++ b/crates/wax-batch/src/moves.rs
@@ -59,7 +59,7 @@
             other.has_room(
                 &job.queue.service,
                 step,
-                (self.rules.fill_limit, &self.rules),
+                (self.rules.fill_limit(0), &self.rules),
                 now,
             ) && other.bears(step, &self.pairs, &self.rules)
         })
--- a/crates/wax-batch/src/place.rs
+++ b/crates/wax-batch/src/place.rs
@@ -15,8 +15,10 @@
 pub struct PlaceRules {
     /// The share of its processors that a lasting task uses on average.
     pub lasting_use: f64,
-    /// Tasks that fill may ask for this many times the processors that are left to them.
-    pub fill_limit: f64,
+    /// Tasks that fill may ask for this many times the processors that are left to them: those
+    /// of jobs that can make their objective, that are late but count, that count no more. What
+    /// counts less leaves room to what comes next.
+    pub fill_limits: [f64; 3],
     /// Cost of a worker on another rack than the data, in shares of a worker's processors.
     pub far_cost: f64,
     /// Cost of the worker on which the task failed last.
@@ -57,7 +59,7 @@
     fn default() -> Self {
         Self {
             lasting_use: 0.6,
-            fill_limit: 1.0,
+            fill_limits: [1.0, 0.85, 0.5],
             far_cost: 0.5,
             shun_cost: 2.0,
             cold_cost: 0.3,
@@ -91,6 +93,11 @@
 }
 
 impl PlaceRules {
+    /// How much of a worker's spare processors may be asked for by jobs of this hope.
+    pub(crate) fn fill_limit(&self, hope: u8) -> f64 {
+        self.fill_limits[usize::from(hope).min(self.fill_limits.len() - 1)]
+    }
+
     fn patience(&self, job: &JobLife, step: &StepLife, now: TimePoint) -> FillPatience {
         let waited = now.since(step.since);
         let old = now.since(job.accepted) >= self.old_age && waited >= self.starvation;
@@ -219,13 +226,13 @@
         }
         ranked.sort_unstable();
         let mut orders = Vec::new();
-        for (_, at) in ranked {
-            self.place_step(at, now, &mut orders);
+        for (rank, at) in ranked {
+            self.place_step(at, rank.hope, now, &mut orders);
         }
         orders
     }
 
-    fn place_step(&mut self, at: StepAt, now: TimePoint, orders: &mut Vec<StartOrder>) {
+    fn place_step(&mut self, at: StepAt, hope: u8, now: TimePoint, orders: &mut Vec<StartOrder>) {
         let job = &self.jobs[at.job];
         let spec = job.spec.clone();
         let service = job.queue.service.clone();
@@ -247,7 +254,7 @@
         }
         for index in waiting {
             let task = TaskAt { step: at, index };
-            match self.choose(task, &service, step, now) {
+            match self.choose(task, hope, &service, step, now) {
                 PlaceChoice::Worker(worker) => orders.push(self.order(task, worker, None, now)),
                 PlaceChoice::NoRoom => return,
             }
@@ -268,7 +275,7 @@
         let mut members = Vec::with_capacity(step.count as usize);
         for index in 0..step.count {
             let task = TaskAt { step: at, index };
-            match self.choose(task, service, step, now) {
+            match self.choose(task, 0, service, step, now) {
                 PlaceChoice::Worker(worker) => {
                     members.push(self.order(task, worker, Some(run), now))
                 }
@@ -309,6 +316,7 @@
     fn choose(
         &mut self,
         at: TaskAt,
+        hope: u8,
         service: &str,
         step: &StepSpec,
         now: TimePoint,
@@ -321,7 +329,7 @@
         let shuns = life.tasks[at.index as usize].shuns;
         let patience = self.rules.patience(job, life, now);
         let fill_limit = match patience {
-            FillPatience::Careful | FillPatience::Late => self.rules.fill_limit,
+            FillPatience::Careful | FillPatience::Late => self.rules.fill_limit(hope),
             FillPatience::Starved => f64::INFINITY,
         };
         let most = if step.most_per_worker == 0 {
