Workers that leave are emptied of what would be lost

Cause: tasks on a leaving worker ended with it: lasting ones after its end, fills without the work since their last checkpoint. Ruled out: moving what cannot resume.

--- a/crates/wax-agent/src/pace.rs
+++ b/crates/wax-agent/src/pace.rs
@@ -56,13 +56,13 @@
     fn default() -> Self {
         Self {
             period: Duration::from_millis(450),
-            aim: 0.78,
+            aim: 0.82,
             alarm: 1.0,
             near: 0.95,
             bear: Duration::from_millis(1_400),
             relief: Duration::from_millis(2_800),
             cleared: Duration::from_millis(1_500),
-            settle: Duration::from_millis(1_400),
+            settle: Duration::from_millis(900),
             least: 5,
             press_rate: 0.3,
             alarm_press: 0.4,
--- a/crates/wax-batch/src/moves.rs
+++ b/crates/wax-batch/src/moves.rs
@@ -2,7 +2,7 @@
 
 use crate::book::{JobBook, StopOrder, TaskAt};
 use crate::names::RunMark;
-use crate::worker::WorkerKey;
+use crate::worker::{WorkerKey, WorkerState};
 use std::time::Duration;
 use wax_types::TimePoint;
 
@@ -32,6 +32,65 @@
         }
     }
 
+    /// Orders the stop of runs on workers that leave, where another worker has room: lasting ones
+    /// at once, and those that can resume and would not be done before the worker may go.
+    pub fn evacuate(&mut self, now: TimePoint) {
+        let mut leaving: Vec<(WorkerKey, RunMark, TaskAt)> = Vec::new();
+        for (key, worker) in self.workers.iter().filter(|(_, worker)| worker.reachable) {
+            if worker.view.state != WorkerState::Draining {
+                continue;
+            }
+            let remaining = Duration::from_millis(worker.view.remaining_ms.into());
+            let runs = worker
+                .runs
+                .iter()
+                .filter_map(|(mark, run)| Some((*mark, run.task?)));
+            for (mark, at) in runs {
+                if self.would_be_lost(at, remaining) && self.fits_elsewhere(at, key, now) {
+                    leaving.push((key, mark, at));
+                }
+            }
+        }
+        for (worker, mark, at) in leaving {
+            if let Some(seat) = self.task_mut(at).and_then(|task| task.seat_mut()) {
+                seat.stopping = true;
+                let why = "its worker leaves";
+                self.stops.push(StopOrder { worker, mark, why });
+            }
+        }
+    }
+
+    /// Whether a run loses work, or its users, when its worker goes.
+    fn would_be_lost(&self, at: TaskAt, remaining: Duration) -> bool {
+        let Some(job) = self.jobs.get(at.step.job).filter(|job| !job.is_over()) else {
+            return false;
+        };
+        let spec = &job.spec.steps[usize::from(at.step.step)];
+        let seat = job
+            .occurrences
+            .get(&at.step.occurrence)
+            .and_then(|occurrence| {
+                let step = &occurrence.steps[usize::from(at.step.step)];
+                step.tasks.get(at.index as usize)?.seat()
+            });
+        let Some(seat) = seat.filter(|seat| seat.running && !seat.stopping) else {
+            return false;
+        };
+        let left = f64::from(100 - seat.percent.min(100)) / 100.0;
+        let left = Duration::from_millis(spec.estimate_ms.into()).mul_f64(left);
+        spec.lasts || (spec.checkpoints && !spec.gang && left > remaining)
+    }
+
+    fn fits_elsewhere(&self, at: TaskAt, worker: WorkerKey, now: TimePoint) -> bool {
+        let Some(job) = self.jobs.get(at.step.job) else {
+            return false;
+        };
+        let step = &job.spec.steps[usize::from(at.step.step)];
+        let rules = (self.rules.fill_limit(0), &self.rules);
+        let mut others = self.workers.iter().filter(|(key, _)| *key != worker);
+        others.any(|(_, other)| other.has_room(&job.queue.service, step, rules, now))
+    }
+
     /// For how long a run has stood still, if that is long enough to move it.
     fn stands_still(&self, at: TaskAt, now: TimePoint) -> Option<Duration> {
         let job = self.jobs.get(at.step.job).filter(|job| !job.is_over())?;
--- a/crates/wax-batch/tests/places.rs
+++ b/crates/wax-batch/tests/places.rs
@@ -229,3 +229,36 @@
         "then one is tried again"
     );
 }
+
+#[test]
+fn a_worker_that_leaves_is_emptied_of_what_would_be_lost() {
+    let mut book = book(1);
+    let leaving = worker(&mut book, "leaving", 8_000);
+    add(&mut book, 7, 1, &spec(vec![lasting(1, 1_000, "red")]), None);
+    add(&mut book, 8, 1, &spec(vec![filling(1, 1_000, "a")]), None);
+    add(&mut book, 9, 1, &spec(vec![step(1, 1_000)]), None);
+    let orders = book.place(at(0));
+    assert_eq!(orders.len(), 3);
+    start_all(&mut book, &orders, at(0));
+    let view = wax_batch::WorkerView {
+        id: "leaving".into(),
+        service: "svc".into(),
+        state: wax_batch::WorkerState::Draining,
+        remaining_ms: 300,
+        ..Default::default()
+    };
+    book.worker_changed(leaving, view);
+    book.evacuate(at(100));
+    assert!(book.take_stops().is_empty(), "there is nowhere to go");
+    worker(&mut book, "other", 8_000);
+    book.evacuate(at(200));
+    let mut jobs: Vec<u64> = book
+        .take_stops()
+        .iter()
+        .map(|stop| stop.mark.task.job.0)
+        .collect();
+    jobs.sort_unstable();
+    assert_eq!(jobs, [7, 8], "what cannot resume is left to end by itself");
+    book.evacuate(at(300));
+    assert!(book.take_stops().is_empty(), "once");
+}
--- a/crates/wax-owner/src/dispatch.rs
+++ b/crates/wax-owner/src/dispatch.rs
@@ -53,6 +53,7 @@
         if now >= tenure.blind_until.get() {
             tenure.book.borrow_mut().move_stalled(now);
         }
+        tenure.book.borrow_mut().evacuate(now);
         let orders = tenure.book.borrow_mut().place(now);
         for order in orders {
             send_start(tenure, &order);
