Advice: steps of advised queues start only where their ticket is valid

Cause: a queue with an advisor was read and its starts carried no ticket: its workers would have refused every one. The owner asks one question at a time, for the most urgent step that no approved worker can take, about twice as many workers as tasks wait; what may not run the step is remembered, what may is asked again when its ticket ends. Ruled out: asking about all workers (each costs time).

--- a/crates/wax-batch/src/book.rs
+++ b/crates/wax-batch/src/book.rs
@@ -1,5 +1,6 @@
 //! All open jobs of a shard and the workers that run them, in their owner's memory.
 
+use crate::approvals::StepApproval;
 use crate::life::{JobLife, OccurrenceLife, TaskLife, TaskSeat, TaskStand};
 use crate::names::{JobName, RunMark, TaskName};
 use crate::pairs::{PairPress, PairTable};
@@ -50,6 +51,8 @@
     pub spec: Rc<JobSpec>,
     /// The checkpoint to resume from; empty for none.
     pub checkpoint: Box<str>,
+    /// The advisor's ticket; empty where none is needed.
+    pub ticket: Box<str>,
 }
 
 /// A run to stop.
@@ -152,6 +155,8 @@
     pub(crate) stops: Vec<StopOrder>,
     pub(crate) config: Rc<QueueConfig>,
     pub(crate) rules: PlaceRules,
+    /// What the advisor has said of steps.
+    pub(crate) approvals: HashMap<StepAt, StepApproval>,
     /// What filling images press on serving ones.
     pub(crate) pairs: PairTable,
     /// The owner's term.
@@ -172,6 +177,7 @@
             stops: Vec::new(),
             config: Rc::default(),
             rules,
+            approvals: HashMap::new(),
             pairs: PairTable::default(),
             epoch,
             settled: false,
--- a/crates/wax-batch/src/lib.rs
+++ b/crates/wax-batch/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here does I/O; the present time is an argument of everything that decides.
 
+mod approvals;
 mod book;
 mod ends;
 mod life;
@@ -15,6 +16,7 @@
 mod spec;
 mod worker;
 
+pub use approvals::AdviceAsk;
 pub use book::{
     BookNote, JobBook, JobInfo, JobKey, RunSeat, StartOrder, StepAt, StopOrder, TaskAt, WorkerLife,
 };
--- a/crates/wax-batch/src/place.rs
+++ b/crates/wax-batch/src/place.rs
@@ -337,6 +337,7 @@
         } else {
             step.most_per_worker
         };
+        let advised = job.queue.advice.is_some();
         let mut best: Option<(f64, WorkerKey)> = None;
         for (key, worker) in &self.workers {
             let here = life.spread.get(&key).copied().unwrap_or(0);
@@ -346,6 +347,9 @@
             if patience == FillPatience::Careful && !worker.bears(step, &self.pairs, &self.rules) {
                 continue;
             }
+            if advised && self.ticket(at.step, key, now).is_none() {
+                continue;
+            }
             let mut cost = worker.cost(step, &self.pairs, &self.rules);
             if shuns == Some(key) {
                 cost += self.rules.shun_cost;
@@ -369,6 +373,7 @@
         let occurrence = &job.occurrences[&at.step.occurrence];
         let task = &occurrence.steps[usize::from(at.step.step)].tasks[at.index as usize];
         let checkpoint = task.checkpoint.clone();
+        let ticket = self.ticket(at.step, worker, now).unwrap_or_default();
         let run = run.unwrap_or_else(|| self.next_run(job, task.last_run));
         self.seat(at, worker, run, false, now);
         let step = &spec.steps[usize::from(at.step.step)];
@@ -385,6 +390,7 @@
             },
             spec,
             checkpoint,
+            ticket,
         }
     }
 }
--- a/crates/wax-batch/tests/places.rs
+++ b/crates/wax-batch/tests/places.rs
@@ -262,3 +262,42 @@
     book.evacuate(at(300));
     assert!(book.take_stops().is_empty(), "once");
 }
+
+#[test]
+fn an_advised_step_starts_only_where_its_ticket_is_valid() {
+    let mut book = book(1);
+    let mut advised = config(2);
+    let mut queue = (*advised.queues[0]).clone();
+    queue.advice = Some(wax_batch::AdviceRules {
+        decision_ms: 20.0,
+        per_worker_ms: 1.0,
+        validity_ms: 2_000,
+    });
+    advised.queues = vec![queue.into()];
+    book.set_config(advised.into());
+    let allowed = worker(&mut book, "allowed", 1_000);
+    worker(&mut book, "other", 4_000);
+    add(&mut book, 7, 1, &spec(vec![step(2, 1_000)]), None);
+    assert!(book.place(at(0)).is_empty(), "nobody has approved it");
+    let ask = book.advice_wanted(at(0)).expect("the advisor is asked");
+    assert_eq!(&*ask.name, "0000000000000007.0.0");
+    assert_eq!(ask.workers.len(), 2);
+    assert_eq!(book.advice_wanted(at(10)), None, "one question at a time");
+    book.advice_given(&ask, &[("allowed".into(), "t-1".into())], at(2_000));
+    let orders = book.place(at(100));
+    assert_eq!(orders.len(), 1);
+    assert_eq!((orders[0].worker, &*orders[0].ticket), (allowed, "t-1"));
+    book.run_ended(
+        allowed,
+        &end(1, orders[0].mark, wax_batch::RunEndKind::Done),
+        at(1_900),
+        wall(1_900),
+    );
+    assert!(book.place(at(1_900)).is_empty(), "the ticket ends too soon");
+    let again = book.advice_wanted(at(1_900)).expect("it is asked again");
+    assert_eq!(
+        again.workers.len(),
+        1,
+        "a worker that may not run the step never may"
+    );
+}
--- a/crates/wax-front/src/process.rs
+++ b/crates/wax-front/src/process.rs
@@ -46,6 +46,7 @@
         &settings.name,
         pool.peers,
         store,
+        pool.advisor,
         keep_ended,
     ));
     let state = Rc::new(FrontState::new(shared.clone()));
--- a/crates/wax-owner/src/dispatch.rs
+++ b/crates/wax-owner/src/dispatch.rs
@@ -101,7 +101,7 @@
         seat: seat_frame(order.mark, step),
         text: order.spec.text.to_string(),
         checkpoint: order.checkpoint.to_string(),
-        ticket: String::new(),
+        ticket: order.ticket.to_string(),
         worker: worker_id(tenure, order.worker).into(),
     };
     tenure.tell_worker(order.worker, PoolBody::Start(start));
--- a/crates/wax-owner/src/lib.rs
+++ b/crates/wax-owner/src/lib.rs
@@ -4,6 +4,7 @@
 //! alone; an owner of the past is fenced there by the versions of two rows, and at each agent by
 //! its fencing token.
 
+mod advice;
 mod agents;
 mod config_feed;
 mod dispatch;
--- a/crates/wax-owner/src/shared.rs
+++ b/crates/wax-owner/src/shared.rs
@@ -39,6 +39,8 @@
     pub spans: OwnerSpans,
     /// How long ended jobs are kept.
     pub keep_ended: Duration,
+    /// The placement advisor, if the platform has one.
+    pub advisor: Option<SocketAddr>,
     /// The config in force.
     pub config: RefCell<QueueTable>,
     /// The operator's text of the config in force.
@@ -59,7 +61,13 @@
 
 impl PoolShared {
     /// Prepares the state of a front.
-    pub fn new(node: &str, address: SocketAddr, store: StoreClient, keep_ended: Duration) -> Self {
+    pub fn new(
+        node: &str,
+        address: SocketAddr,
+        store: StoreClient,
+        advisor: Option<SocketAddr>,
+        keep_ended: Duration,
+    ) -> Self {
         Self {
             node: node.into(),
             address,
@@ -67,6 +75,7 @@
             store,
             spans: OwnerSpans::default(),
             keep_ended,
+            advisor,
             config: RefCell::default(),
             config_text: RefCell::default(),
             config_changed: Event::new(),
--- a/crates/wax-owner/src/watch.rs
+++ b/crates/wax-owner/src/watch.rs
@@ -1,5 +1,6 @@
 //! Watches who owns the shard, and takes over when nobody does.
 
+use crate::advice::ask_advisor;
 use crate::dispatch::dispatch_orders;
 use crate::fate::{TxFate, transact};
 use crate::job_feed::follow_jobs;
@@ -9,7 +10,7 @@
 use crate::writer::write_chain;
 use compio::runtime::spawn;
 use compio::time::{sleep, timeout};
-use platform::{FeedReply, RowChange, RowWrite, StoredRow, TxRequest};
+use platform::{AdviceClient, FeedReply, RowChange, RowWrite, StoredRow, TxRequest};
 use prost::Message;
 use std::rc::Rc;
 use std::time::Duration;
@@ -247,5 +248,13 @@
     *shared.tenure.borrow_mut() = Some(tenure.clone());
     spawn(write_chain(shared.clone(), tenure.clone(), version)).detach();
     spawn(follow_jobs(shared.clone(), tenure.clone())).detach();
-    spawn(dispatch_orders(shared.clone(), tenure)).detach();
+    spawn(dispatch_orders(shared.clone(), tenure.clone())).detach();
+    if let Some(advisor) = shared.advisor {
+        spawn(ask_advisor(
+            shared.clone(),
+            tenure,
+            AdviceClient::new(advisor),
+        ))
+        .detach();
+    }
 }
--- a/crates/wax-settings/tests/pages.rs
+++ b/crates/wax-settings/tests/pages.rs
@@ -41,6 +41,9 @@
     "| `coordinator.lease_ms` | 10000 | 100 to 600000 |",
     "| `coordinator.renew_ms` | 2000 | 20 to 300000 |",
     "| `coordinator.grace_ms` | 600000 | 0 to 86400000 |",
+    "| `pool.most_lease_ms` | 10000 | 1000 to 600000 |",
+    "| `pool.keep_ended_s` | 120 | 1 to 86400 |",
+    "| `pool.stop_grace_s` | 6 | 1 to 3600 |",
 ];
 
 const BASE: &str = "name: a\nregion: b\nfailure_domain: c\n";
