Waves are answered for truthfully: running, for upkeep is not given

Cause: a wave that the operator asks for had no status at all. A wave is written as running once and never as completed. A test of leases looped for ever when its guard was taken out; it now fails.

--- a/crates/wax-agent/tests/guards.rs
+++ b/crates/wax-agent/tests/guards.rs
@@ -172,6 +172,7 @@
     let authority = at(0);
     let mut now = at(0);
     let last = loop {
+        assert!(now < at(60_000), "leases are extended without an owner");
         lease.note(now, 5_000 + now.since(at(0)).as_millis() as u64);
         match lease.extend(now, authority, &rules) {
             Some(until) => now = now + Duration::from_millis((until - 5_000) % 7 + 100),
--- a/crates/wax-owner/src/config_feed.rs
+++ b/crates/wax-owner/src/config_feed.rs
@@ -2,7 +2,9 @@
 
 use crate::shared::PoolShared;
 use compio::time::sleep;
-use platform::{CONFIG_KEY, FeedReply, OPERATOR_TABLE, RowChange, RowKey, StoredRow};
+use platform::{
+    CONFIG_KEY, FeedReply, OPERATOR_TABLE, RowChange, RowKey, StoredRow, WAVE_PREFIX, decode_wave,
+};
 use std::rc::Rc;
 use std::time::Duration;
 use wax_trace::FailureStreak;
@@ -58,9 +60,14 @@
 }
 
 fn take(shared: &PoolShared, key: &RowKey, row: StoredRow) {
-    if row.key == *key
-        && let Err(error) = shared.offer_config(&row.value, "the store")
-    {
-        tracing::error!(%error, "config refused");
+    if row.key == *key {
+        if let Err(error) = shared.offer_config(&row.value, "the store") {
+            tracing::error!(%error, "config refused");
+        }
+    } else if row.key.key.starts_with(WAVE_PREFIX) {
+        match decode_wave(&row.value) {
+            Ok(wave) => shared.offer_wave(wave),
+            Err(error) => tracing::error!(%error, key = %row.key.key, "a wave does not decode"),
+        }
     }
 }
--- a/crates/wax-owner/src/lib.rs
+++ b/crates/wax-owner/src/lib.rs
@@ -18,6 +18,7 @@
 mod spans;
 mod tenure;
 mod watch;
+mod waves;
 mod writer;
 
 pub use config_feed::keep_config;
--- a/crates/wax-owner/src/shared.rs
+++ b/crates/wax-owner/src/shared.rs
@@ -3,7 +3,7 @@
 use crate::spans::OwnerSpans;
 use crate::tenure::Tenure;
 use event_listener::Event;
-use platform::{StoreClient, decode_config};
+use platform::{StoreClient, UpkeepWave, decode_config};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -47,6 +47,10 @@
     pub config_text: RefCell<Vec<u8>>,
     /// Notified when a greater version of the config is in force.
     pub config_changed: Event,
+    /// Waves of upkeep that the operator has asked for.
+    pub waves: RefCell<Vec<UpkeepWave>>,
+    /// Notified when there is another wave.
+    pub waves_changed: Event,
     /// The owner as last heard of.
     pub owner: RefCell<Option<KnownOwner>>,
     /// Notified when another owner is heard of.
@@ -79,6 +83,8 @@
             config: RefCell::default(),
             config_text: RefCell::default(),
             config_changed: Event::new(),
+            waves: RefCell::default(),
+            waves_changed: Event::new(),
             owner: RefCell::default(),
             owner_changed: Event::new(),
             tenure: RefCell::default(),
@@ -119,6 +125,19 @@
         Ok(())
     }
 
+    /// Notes a wave that the operator has asked for.
+    pub(crate) fn offer_wave(&self, wave: UpkeepWave) {
+        let known = self
+            .waves
+            .borrow()
+            .iter()
+            .any(|known| known.wave == wave.wave);
+        if !known {
+            self.waves.borrow_mut().push(wave);
+            self.waves_changed.notify(usize::MAX);
+        }
+    }
+
     /// Notes an owner if its row is newer than what is known.
     pub fn offer_owner(&self, owner: KnownOwner) {
         let newer = {
--- a/crates/wax-owner/src/watch.rs
+++ b/crates/wax-owner/src/watch.rs
@@ -7,6 +7,7 @@
 use crate::rows::{BEAT_TABLE, BeatRow, OWNER_TABLE, OwnerRow, PART, beat_key, owner_key};
 use crate::shared::{KnownOwner, PoolShared};
 use crate::tenure::Tenure;
+use crate::waves::report_waves;
 use crate::writer::write_chain;
 use compio::runtime::spawn;
 use compio::time::{sleep, timeout};
@@ -249,6 +250,7 @@
     spawn(write_chain(shared.clone(), tenure.clone(), version)).detach();
     spawn(follow_jobs(shared.clone(), tenure.clone())).detach();
     spawn(dispatch_orders(shared.clone(), tenure.clone())).detach();
+    spawn(report_waves(shared.clone(), tenure.clone())).detach();
     if let Some(advisor) = shared.advisor {
         spawn(ask_advisor(
             shared.clone(),
