--- a/crates/wax-batch/src/book.rs
+++ b/crates/wax-batch/src/book.rs
@@ -1,7 +1,7 @@
 //! All open jobs of a shard and the workers that run them, in their owner's memory.
 
 use crate::approvals::StepApproval;
-use crate::life::{JobLife, OccurrenceLife, TaskLife, TaskSeat, TaskStand};
+use crate::life::{JobLife, OccurrenceLife};
 use crate::names::{JobName, RunMark, TaskName};
 use crate::pairs::{PairPress, PairTable};
 use crate::place::PlaceRules;
@@ -142,7 +142,7 @@
 }
 
 /// Runs started in a later term of ownership are numbered from a multiple of this.
-const RUNS_PER_TERM: u64 = 1 << 16;
+pub(crate) const RUNS_PER_TERM: u64 = 1 << 16;
 
 /// The owner's memory of a shard.
 #[derive(Debug)]
@@ -449,50 +449,6 @@
         self.jobs.values().filter(waits).count() as u64
     }
 
-    /// Changes for the store, `most` jobs at a time.
-    pub fn take_notes(&mut self, most: usize) -> Vec<BookNote> {
-        let keys: Vec<JobKey> = self.dirty.iter().take(most).copied().collect();
-        let mut notes = Vec::with_capacity(keys.len());
-        for key in keys {
-            self.dirty.remove(&key);
-            if let Some(job) = self.jobs.get(key) {
-                notes.push(BookNote {
-                    job: key,
-                    name: job.name,
-                    changes: job.changes,
-                    progress: job.progress(),
-                });
-            }
-        }
-        notes
-    }
-
-    /// Whether the store must learn anything.
-    pub fn has_notes(&self) -> bool {
-        !self.dirty.is_empty()
-    }
-
-    /// Whether a job waits to be shown as ended.
-    pub fn has_urgent_notes(&self) -> bool {
-        let over = |key: &JobKey| self.jobs.get(*key).is_some_and(JobLife::is_over);
-        self.dirty.iter().any(over)
-    }
-
-    /// The store has these notes.
-    pub fn notes_stored(&mut self, notes: &[BookNote]) {
-        for note in notes {
-            if let Some(job) = self.jobs.get_mut(note.job) {
-                job.stored_changes = job.stored_changes.max(note.changes);
-                job.stored_outcome = note.progress.outcome();
-            }
-        }
-    }
-
-    /// These notes did not reach the store; they are due again.
-    pub fn notes_failed(&mut self, notes: &[BookNote]) {
-        self.dirty.extend(notes.iter().map(|note| note.job));
-    }
-
     /// Orders to stop runs since the last call.
     pub fn take_stops(&mut self) -> Vec<StopOrder> {
         std::mem::take(&mut self.stops)
@@ -536,165 +492,4 @@
     pub fn workers(&self) -> impl Iterator<Item = (WorkerKey, &WorkerLife)> {
         self.workers.iter()
     }
-
-    pub(crate) fn task_name(&self, at: TaskAt) -> TaskName {
-        TaskName {
-            job: self.jobs[at.step.job].name,
-            occurrence: at.step.occurrence,
-            step: at.step.step,
-            index: at.index,
-        }
-    }
-
-    /// The task of a name, if its job is known and open; makes room for its state.
-    pub(crate) fn task_at(&mut self, name: TaskName, now: TimePoint) -> Option<TaskAt> {
-        let key = *self.names.get(&name.job)?;
-        let job = &mut self.jobs[key];
-        if job.is_over() {
-            return None;
-        }
-        let spec = job.spec.clone();
-        let step_spec = spec.steps.get(usize::from(name.step))?;
-        let known = job
-            .occurrences
-            .keys()
-            .next()
-            .copied()
-            .unwrap_or(job.next_occurrence);
-        if name.index >= step_spec.count
-            || name.occurrence >= spec.occurrences()
-            || name.occurrence < known
-        {
-            return None;
-        }
-        while job.next_occurrence <= name.occurrence {
-            let occurrence = OccurrenceLife::new(&spec, now);
-            job.occurrences.insert(job.next_occurrence, occurrence);
-            job.next_occurrence += 1;
-        }
-        let occurrence = job.occurrences.get_mut(&name.occurrence)?;
-        let step = &mut occurrence.steps[usize::from(name.step)];
-        if step.is_done(step_spec) {
-            return None;
-        }
-        if step.tasks.is_empty() {
-            step.tasks = vec![TaskLife::default(); step_spec.count as usize];
-            step.waiting = step_spec.count;
-        }
-        Some(TaskAt {
-            step: StepAt {
-                job: key,
-                occurrence: name.occurrence,
-                step: name.step,
-            },
-            index: name.index,
-        })
-    }
-
-    pub(crate) fn task_mut(&mut self, at: TaskAt) -> Option<&mut TaskLife> {
-        let job = self.jobs.get_mut(at.step.job)?;
-        let occurrence = job.occurrences.get_mut(&at.step.occurrence)?;
-        let step = occurrence.steps.get_mut(usize::from(at.step.step))?;
-        step.tasks.get_mut(at.index as usize)
-    }
-
-    /// The number of a task's next start.
-    pub(crate) fn next_run(&self, job: &JobLife, last_run: u64) -> u64 {
-        let floor = self.epoch.saturating_sub(job.epoch) * RUNS_PER_TERM;
-        last_run.max(floor) + 1
-    }
-
-    /// Seats a task on a worker: books its size and notes where it is.
-    pub(crate) fn seat(
-        &mut self,
-        at: TaskAt,
-        worker: WorkerKey,
-        run: u64,
-        running: bool,
-        now: TimePoint,
-    ) {
-        let job = &mut self.jobs[at.step.job];
-        let spec = job.spec.clone();
-        let step_spec = &spec.steps[usize::from(at.step.step)];
-        let Some(occurrence) = job.occurrences.get_mut(&at.step.occurrence) else {
-            return;
-        };
-        let step = &mut occurrence.steps[usize::from(at.step.step)];
-        let task = &mut step.tasks[at.index as usize];
-        if matches!(task.stand, TaskStand::Waiting) {
-            step.waiting -= 1;
-        }
-        task.last_run = task.last_run.max(run);
-        task.stand = TaskStand::Placed(TaskSeat {
-            worker,
-            run,
-            since: now,
-            running,
-            stopping: false,
-            percent: 0,
-            moved: now,
-        });
-        *step.spread.entry(worker).or_default() += 1;
-        if running {
-            job.begun = true;
-        }
-        if step.waiting == 0 {
-            self.ready.remove(&at.step);
-        }
-        let mark = RunMark {
-            task: self.task_name(at),
-            run,
-        };
-        let seat = RunSeat {
-            task: Some(at),
-            booked: step_spec.booked(),
-            filling_milli: if step_spec.fills {
-                step_spec.size.cpu_milli
-            } else {
-                0
-            },
-            lasting_milli: if step_spec.lasts {
-                step_spec.size.cpu_milli
-            } else {
-                0
-            },
-            lasts: step_spec.lasts,
-        };
-        if step_spec.lasts
-            && let Some(life) = self.workers.get_mut(worker)
-        {
-            *life
-                .lasting_images
-                .entry(step_spec.image.clone())
-                .or_default() += 1;
-        }
-        self.book_run(worker, mark, seat);
-    }
-
-    pub(crate) fn book_run(&mut self, worker: WorkerKey, mark: RunMark, seat: RunSeat) {
-        if let Some(life) = self.workers.get_mut(worker) {
-            life.booked = life.booked.plus(seat.booked);
-            life.filling_milli += seat.filling_milli;
-            life.lasting_milli += seat.lasting_milli;
-            life.runs.insert(mark, seat);
-        }
-    }
-
-    /// Frees what a run booked; says which task it was of.
-    pub(crate) fn free_run(&mut self, worker: WorkerKey, mark: RunMark) -> Option<RunSeat> {
-        let life = self.workers.get_mut(worker)?;
-        let seat = life.runs.remove(&mark)?;
-        life.booked = life.booked.minus(seat.booked);
-        life.filling_milli = life.filling_milli.saturating_sub(seat.filling_milli);
-        life.lasting_milli = life.lasting_milli.saturating_sub(seat.lasting_milli);
-        if let Some(at) = seat.task.filter(|_| seat.lasts)
-            && let Some(job) = self.jobs.get(at.step.job)
-        {
-            let image = &job.spec.steps[usize::from(at.step.step)].image;
-            if let Some(runs) = life.lasting_images.get_mut(image) {
-                *runs = runs.saturating_sub(1);
-            }
-        }
-        Some(seat)
-    }
 }
--- a/crates/wax-batch/src/lib.rs
+++ b/crates/wax-batch/src/lib.rs
@@ -8,11 +8,13 @@
 mod life;
 mod moves;
 mod names;
+mod notes;
 mod pairs;
 mod place;
 mod progress;
 mod queue;
 mod rank;
+mod seats;
 mod spec;
 mod worker;
 
--- a/crates/wax-wire/src/lib.rs
+++ b/crates/wax-wire/src/lib.rs
@@ -5,6 +5,7 @@
 mod link;
 mod pool;
 mod pool_link;
+mod pool_parts;
 
 pub use codec::{MAX_FRAME_BYTES, PeerCodec};
 pub use frame::{
@@ -14,9 +15,9 @@
 };
 pub use link::{FrameReader, FrameWriter, WINDOW_BYTES, split_stream};
 pub use pool::{
-    AckEnds, AgentHello, ConfigPush, EndFrame, EntryHello, JobAsk, JobCancelled, JobTold,
-    LeaseGrant, LinkPing, MarkFrame, NotOwner, OwnerWelcome, PoolBody, PoolFrame, PressFrame,
-    PressNews, RefusalFrame, ReportFrame, RunNews, SeatFrame, StartRun, StopRun, WorkerFrame,
-    WorkerGone, WorkerKept, WorkerUp,
+    AckEnds, AgentHello, ConfigPush, EntryHello, JobAsk, JobCancelled, JobTold, LeaseGrant,
+    LinkPing, NotOwner, OwnerWelcome, PoolBody, PoolFrame, PressFrame, PressNews, RunNews,
+    SeatFrame, StartRun, StopRun, WorkerGone, WorkerKept, WorkerUp,
 };
 pub use pool_link::{PoolReader, PoolWriter, split_pool_stream};
+pub use pool_parts::{EndFrame, MarkFrame, RefusalFrame, ReportFrame, WorkerFrame};
--- /dev/null
+++ b/crates/wax-wire/src/pool_parts.rs
@@ -0,0 +1,236 @@
+//! Runs, workers and ends as they stand in messages of the pool.
+
+use prost::Message;
+use wax_batch::{
+    JobName, RunEnd, RunEndKind, RunMark, RunReport, StartRefusal, TaskName, TaskSize, WorkerState,
+    WorkerView,
+};
+
+/// A run of a task.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct MarkFrame {
+    #[prost(fixed64, tag = "1")]
+    job: u64,
+    #[prost(uint32, tag = "2")]
+    occurrence: u32,
+    #[prost(uint32, tag = "3")]
+    step: u32,
+    #[prost(uint32, tag = "4")]
+    index: u32,
+    #[prost(uint64, tag = "5")]
+    run: u64,
+}
+
+impl From<RunMark> for MarkFrame {
+    fn from(mark: RunMark) -> Self {
+        Self {
+            job: mark.task.job.0,
+            occurrence: mark.task.occurrence,
+            step: mark.task.step.into(),
+            index: mark.task.index,
+            run: mark.run,
+        }
+    }
+}
+
+impl From<&MarkFrame> for RunMark {
+    fn from(frame: &MarkFrame) -> Self {
+        Self {
+            task: TaskName {
+                job: JobName(frame.job),
+                occurrence: frame.occurrence,
+                step: frame.step as u16,
+                index: frame.index,
+            },
+            run: frame.run,
+        }
+    }
+}
+
+/// A worker's own words.
+#[derive(Clone, PartialEq, Message)]
+pub struct WorkerFrame {
+    #[prost(string, tag = "1")]
+    id: String,
+    #[prost(string, tag = "2")]
+    service: String,
+    #[prost(string, tag = "3")]
+    failure_domain: String,
+    #[prost(string, optional, tag = "4")]
+    rack: Option<String>,
+    #[prost(string, repeated, tag = "5")]
+    labels: Vec<String>,
+    #[prost(uint32, tag = "6")]
+    cpu_milli: u32,
+    #[prost(uint32, tag = "7")]
+    memory_mb: u32,
+    #[prost(uint32, tag = "8")]
+    accelerators: u32,
+    #[prost(bool, tag = "9")]
+    draining: bool,
+    #[prost(uint32, tag = "10")]
+    cold_ms: u32,
+    #[prost(uint32, tag = "11")]
+    remaining_ms: u32,
+    #[prost(bool, tag = "12")]
+    silent: bool,
+}
+
+impl From<&WorkerView> for WorkerFrame {
+    fn from(view: &WorkerView) -> Self {
+        Self {
+            id: view.id.to_string(),
+            service: view.service.to_string(),
+            failure_domain: view.failure_domain.to_string(),
+            rack: view.rack.as_deref().map(Into::into),
+            labels: view.labels.iter().map(ToString::to_string).collect(),
+            cpu_milli: view.capacity.cpu_milli,
+            memory_mb: view.capacity.memory_mb,
+            accelerators: view.capacity.accelerators,
+            draining: view.state == WorkerState::Draining,
+            cold_ms: view.cold_ms,
+            remaining_ms: view.remaining_ms,
+            silent: view.state == WorkerState::Silent,
+        }
+    }
+}
+
+impl From<WorkerFrame> for WorkerView {
+    fn from(frame: WorkerFrame) -> Self {
+        Self {
+            id: frame.id.into(),
+            service: frame.service.into(),
+            failure_domain: frame.failure_domain.into(),
+            rack: frame.rack.map(Into::into),
+            labels: frame.labels.into_iter().map(Into::into).collect(),
+            capacity: TaskSize {
+                cpu_milli: frame.cpu_milli,
+                memory_mb: frame.memory_mb,
+                accelerators: frame.accelerators,
+            },
+            state: match (frame.draining, frame.silent) {
+                (true, _) => WorkerState::Draining,
+                (false, true) => WorkerState::Silent,
+                (false, false) => WorkerState::Ready,
+            },
+            cold_ms: frame.cold_ms,
+            remaining_ms: frame.remaining_ms,
+        }
+    }
+}
+
+/// A run that goes on.
+#[derive(Clone, PartialEq, Message)]
+pub struct ReportFrame {
+    #[prost(message, required, tag = "1")]
+    mark: MarkFrame,
+    #[prost(string, tag = "2")]
+    checkpoint: String,
+    #[prost(uint32, tag = "3")]
+    percent: u32,
+    #[prost(uint32, tag = "4")]
+    figure: u32,
+}
+
+impl From<&RunReport> for ReportFrame {
+    fn from(report: &RunReport) -> Self {
+        Self {
+            mark: report.mark.into(),
+            checkpoint: report.checkpoint.to_string(),
+            percent: report.percent,
+            figure: report.figure,
+        }
+    }
+}
+
+impl From<&ReportFrame> for RunReport {
+    fn from(frame: &ReportFrame) -> Self {
+        Self {
+            mark: (&frame.mark).into(),
+            checkpoint: frame.checkpoint.as_str().into(),
+            percent: frame.percent,
+            figure: frame.figure,
+        }
+    }
+}
+
+/// A run that has ended.
+#[derive(Clone, PartialEq, Message)]
+pub struct EndFrame {
+    #[prost(uint64, tag = "1")]
+    number: u64,
+    #[prost(message, required, tag = "2")]
+    mark: MarkFrame,
+    #[prost(uint32, tag = "3")]
+    kind: u32,
+    #[prost(string, tag = "4")]
+    checkpoint: String,
+}
+
+/// Kinds of end in the order of their numbers on the wire.
+const END_KINDS: [RunEndKind; 6] = [
+    RunEndKind::Stopped,
+    RunEndKind::Done,
+    RunEndKind::Failed,
+    RunEndKind::Lapsed,
+    RunEndKind::Broken,
+    RunEndKind::Alone,
+];
+
+impl From<&RunEnd> for EndFrame {
+    fn from(end: &RunEnd) -> Self {
+        let kind = END_KINDS.iter().position(|kind| *kind == end.kind);
+        Self {
+            number: end.number,
+            mark: end.mark.into(),
+            kind: kind.unwrap_or_default() as u32,
+            checkpoint: end.checkpoint.to_string(),
+        }
+    }
+}
+
+impl From<&EndFrame> for RunEnd {
+    fn from(frame: &EndFrame) -> Self {
+        let kind = END_KINDS.get(frame.kind as usize).copied();
+        Self {
+            number: frame.number,
+            mark: (&frame.mark).into(),
+            kind: kind.unwrap_or(RunEndKind::Stopped),
+            checkpoint: frame.checkpoint.as_str().into(),
+        }
+    }
+}
+
+/// A run that did not begin and never will.
+#[derive(Clone, PartialEq, Message)]
+pub struct RefusalFrame {
+    #[prost(message, required, tag = "1")]
+    mark: MarkFrame,
+    #[prost(uint32, tag = "2")]
+    why: u32,
+}
+
+impl RefusalFrame {
+    /// Encodes a refusal.
+    pub fn new(mark: RunMark, refusal: StartRefusal) -> Self {
+        let why = match refusal {
+            StartRefusal::Stale => 0,
+            StartRefusal::Room => 1,
+            StartRefusal::Unwell => 2,
+        };
+        Self {
+            mark: mark.into(),
+            why,
+        }
+    }
+
+    /// Decodes it.
+    pub fn decode(&self) -> (RunMark, StartRefusal) {
+        let refusal = match self.why {
+            1 => StartRefusal::Room,
+            2 => StartRefusal::Unwell,
+            _ => StartRefusal::Stale,
+        };
+        ((&self.mark).into(), refusal)
+    }
+}
