--- a/crates/wax-batch/src/ends.rs
+++ b/crates/wax-batch/src/ends.rs
@@ -15,6 +15,9 @@
 /// How long a worker that fails what it starts gets no work.
 const SHUN_FOR: Duration = Duration::from_secs(3);
 
+/// A task does not go back to the worker on which it failed for this long: its few attempts
+/// would be spent where everything fails.
+const FAILED_PAUSE: Duration = Duration::from_millis(1_000);
 /// How long a worker gets no work whose agent has refused an order by a newer view than ours.
 const SHUN_BRIEFLY: Duration = Duration::from_millis(100);
 
@@ -418,7 +421,7 @@
             }
         }
         if let Some(task) = self.task_mut(at) {
-            task.shuns = Some(worker);
+            task.shuns = Some((worker, now + FAILED_PAUSE));
         }
         self.count_failure(at, run, now_ms)
     }
--- a/crates/wax-batch/src/life.rs
+++ b/crates/wax-batch/src/life.rs
@@ -51,8 +51,8 @@
     pub last_run: u64,
     /// The checkpoint to resume from; empty for none.
     pub checkpoint: Box<str>,
-    /// The worker of its last failed run.
-    pub shuns: Option<WorkerKey>,
+    /// The worker of its last failed run, and until when it does not go back there.
+    pub shuns: Option<(WorkerKey, TimePoint)>,
 }
 
 impl TaskLife {
--- a/crates/wax-batch/src/place.rs
+++ b/crates/wax-batch/src/place.rs
@@ -351,8 +351,10 @@
                 continue;
             }
             let mut cost = worker.cost(step, &self.pairs, &self.rules);
-            if shuns == Some(key) {
-                cost += self.rules.shun_cost;
+            match shuns {
+                Some((shunned, until)) if shunned == key && now < until => continue,
+                Some((shunned, _)) if shunned == key => cost += self.rules.shun_cost,
+                _ => {}
             }
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, key));
--- a/crates/wax-batch/tests/places.rs
+++ b/crates/wax-batch/tests/places.rs
@@ -301,3 +301,20 @@
         "a worker that may not run the step never may"
     );
 }
+
+#[test]
+fn a_task_does_not_go_back_at_once_to_the_worker_on_which_it_failed() {
+    let mut book = book(1);
+    let only = worker(&mut book, "only", 4_000);
+    add(&mut book, 7, 1, &spec(vec![step(1, 1_000)]), None);
+    let orders = book.place(at(0));
+    book.run_ended(
+        only,
+        &end(1, orders[0].mark, wax_batch::RunEndKind::Failed),
+        at(10),
+        wall(10),
+    );
+    assert!(book.place(at(20)).is_empty(), "others may yet register");
+    let other = worker(&mut book, "other", 4_000);
+    assert_eq!(book.place(at(30))[0].worker, other);
+}
