--- a/crates/wax-agent/src/owner_link.rs
+++ b/crates/wax-agent/src/owner_link.rs
@@ -12,9 +12,7 @@
 use std::time::Duration;
 use wax_batch::RunMark;
 use wax_types::TimePoint;
-use wax_wire::{
-    AgentHello, LinkPing, PoolBody, PoolReader, PoolWriter, WorkerKept, split_pool_stream,
-};
+use wax_wire::{AgentHello, LinkPing, PoolBody, PoolReader, PoolWriter, WorkerKept, split_stream};
 
 /// Longest time for a connection and its first answer.
 const CONNECT_LIMIT: Duration = Duration::from_millis(600);
@@ -97,7 +95,7 @@
 async fn greet(state: &AgentState, address: SocketAddr) -> io::Result<Opened> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
-    let (mut reader, mut writer) = split_pool_stream(stream);
+    let (mut reader, mut writer) = split_stream(stream);
     let hello = AgentHello {
         node: state.node.to_string(),
     };
--- a/crates/wax-front/src/owner_link.rs
+++ b/crates/wax-front/src/owner_link.rs
@@ -10,9 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_types::TimePoint;
-use wax_wire::{
-    ConfigPush, EntryHello, LinkPing, PoolBody, PoolReader, PoolWriter, split_pool_stream,
-};
+use wax_wire::{ConfigPush, EntryHello, LinkPing, PoolBody, PoolReader, PoolWriter, split_stream};
 
 /// Longest time for a connection and its first answer.
 const CONNECT_LIMIT: Duration = Duration::from_millis(600);
@@ -69,7 +67,7 @@
 async fn greet(state: &FrontState, address: SocketAddr) -> io::Result<Greeting> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
-    let (mut reader, mut writer) = split_pool_stream(stream);
+    let (mut reader, mut writer) = split_stream(stream);
     let hello = EntryHello {
         node: state.shared.node.to_string(),
     };
--- a/crates/wax-owner/src/listener.rs
+++ b/crates/wax-owner/src/listener.rs
@@ -8,7 +8,7 @@
 use compio::time::{sleep, timeout};
 use std::rc::Rc;
 use std::time::Duration;
-use wax_wire::{NotOwner, PoolBody, PoolWriter, split_pool_stream};
+use wax_wire::{NotOwner, PoolBody, PoolWriter, split_stream};
 
 /// A peer must say who it is within this time.
 const HELLO_LIMIT: Duration = Duration::from_millis(1_000);
@@ -34,7 +34,7 @@
 async fn serve_stream(shared: &PoolShared, stream: TcpStream) {
     // Without it, small messages may wait for the peer's delayed acknowledgement.
     let _ = stream.set_nodelay(true);
-    let (mut reader, writer) = split_pool_stream(stream);
+    let (mut reader, writer) = split_stream(stream);
     let Ok(Ok(Some(hello))) = timeout(HELLO_LIMIT, reader.read()).await else {
         return;
     };
--- a/crates/wax-standin/src/peers.rs
+++ b/crates/wax-standin/src/peers.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use wax_types::{ErrorKind, Step, WaxError};
-use wax_wire::{LoadReport, PeerBody, PeerHello, SettingsAck, split_stream};
+use wax_wire::{LoadReport, PeerBody, PeerFrame, PeerHello, SettingsAck, split_stream};
 
 const HEARTBEAT: Duration = Duration::from_secs(1);
 
@@ -36,7 +36,7 @@
 
 async fn connect(entry: SocketAddr, hello: PeerHello) -> io::Result<()> {
     let stream = TcpStream::connect(entry).await?;
-    let (mut reader, mut writer) = split_stream(stream);
+    let (mut reader, mut writer) = split_stream::<PeerFrame>(stream);
     writer.write(PeerBody::Hello(hello)).await?;
     let (outbox, mut frames) = unbounded();
     spawn(async move { writer.drain(&mut frames).await }).detach();
--- a/crates/wax-wire/src/lib.rs
+++ b/crates/wax-wire/src/lib.rs
@@ -4,7 +4,6 @@
 mod frame;
 mod link;
 mod pool;
-mod pool_link;
 mod pool_parts;
 
 pub use codec::{MAX_FRAME_BYTES, PeerCodec};
@@ -13,11 +12,13 @@
     NotRunReason, PeerBody, PeerFrame, PeerHello, PeerList, RequestHead, RequestLost, ResponseHead,
     SettingsAck, SettingsPush,
 };
-pub use link::{FrameReader, FrameWriter, WINDOW_BYTES, split_stream};
+pub use link::{
+    FrameReader, FrameWriter, LinkFrame, LinkReader, LinkWriter, PoolReader, PoolWriter,
+    WINDOW_BYTES, split_stream,
+};
 pub use pool::{
     AckEnds, AgentHello, ConfigPush, EntryHello, JobAsk, JobCancelled, JobTold, LeaseGrant,
     LinkPing, NotOwner, OwnerWelcome, PoolBody, PoolFrame, PressFrame, PressNews, RunNews,
     SeatFrame, StartRun, StopRun, WorkerGone, WorkerKept, WorkerUp,
 };
-pub use pool_link::{PoolReader, PoolWriter, split_pool_stream};
 pub use pool_parts::{EndFrame, MarkFrame, RefusalFrame, ReportFrame, WorkerFrame};
--- a/crates/wax-wire/src/link.rs
+++ b/crates/wax-wire/src/link.rs
@@ -1,7 +1,8 @@
-//! Splits a TCP stream into a frame reader and a frame writer.
+//! Splits a TCP stream into a reader and a writer of one family of messages.
 
 use crate::codec::PeerCodec;
 use crate::frame::{PeerBody, PeerFrame};
+use crate::pool::{PoolBody, PoolFrame};
 use compio::io::compat::AsyncStream;
 use compio::net::TcpStream;
 use futures_channel::mpsc::UnboundedReceiver;
@@ -20,62 +21,101 @@
 /// The length in front of each frame.
 const LENGTH_BYTES: usize = 4;
 
-type FramedStream = Framed<Compat<Pin<Box<AsyncStream<TcpStream>>>>, PeerCodec>;
+/// A frame that carries one of several bodies.
+pub trait LinkFrame: Message + Default + From<Self::Body> {
+    /// What it carries.
+    type Body;
+
+    /// The body; `None` for a kind that is not known.
+    fn into_body(self) -> Option<Self::Body>;
+
+    /// Notes that it is about to be sent.
+    fn note_sent(&self) {}
+}
+
+impl LinkFrame for PeerFrame {
+    type Body = PeerBody;
+
+    fn into_body(self) -> Option<PeerBody> {
+        self.body
+    }
+
+    fn note_sent(&self) {
+        if self.body.as_ref().is_some_and(PeerBody::is_control) {
+            let bytes = self.encoded_len() + LENGTH_BYTES;
+            count_many(Counter::LinksControlBytes, bytes as u64);
+        }
+    }
+}
+
+impl LinkFrame for PoolFrame {
+    type Body = PoolBody;
+
+    fn into_body(self) -> Option<PoolBody> {
+        self.body
+    }
+}
+
+type FramedStream<M> = Framed<Compat<Pin<Box<AsyncStream<TcpStream>>>>, PeerCodec<M>>;
 
 /// The reading half of a connection.
 #[derive(Debug)]
-pub struct FrameReader {
-    stream: SplitStream<FramedStream>,
+pub struct LinkReader<M> {
+    stream: SplitStream<FramedStream<M>>,
 }
 
 /// The writing half of a connection.
 #[derive(Debug)]
-pub struct FrameWriter {
-    sink: SplitSink<FramedStream, PeerFrame>,
+pub struct LinkWriter<M> {
+    sink: SplitSink<FramedStream<M>, M>,
 }
 
-/// Wraps a connected stream in the frame codec and splits it.
-pub fn split_stream(stream: TcpStream) -> (FrameReader, FrameWriter) {
+/// Reads frames between an entry and a sidecar.
+pub type FrameReader = LinkReader<PeerFrame>;
+/// Writes frames between an entry and a sidecar.
+pub type FrameWriter = LinkWriter<PeerFrame>;
+/// Reads messages of the pool.
+pub type PoolReader = LinkReader<PoolFrame>;
+/// Writes messages of the pool.
+pub type PoolWriter = LinkWriter<PoolFrame>;
+
+/// Wraps a connected stream in the codec and splits it.
+pub fn split_stream<M: LinkFrame>(stream: TcpStream) -> (LinkReader<M>, LinkWriter<M>) {
     let stream = Box::pin(AsyncStream::new(stream)).compat();
     let (sink, stream) = Framed::new(stream, PeerCodec::new()).split();
-    (FrameReader { stream }, FrameWriter { sink })
+    (LinkReader { stream }, LinkWriter { sink })
 }
 
-impl FrameReader {
+impl<M: LinkFrame> LinkReader<M> {
     /// The next frame's body; `None` once the peer has closed the connection.
     ///
     /// # Errors
     ///
     /// I/O errors, frames over the bound, and frames that do not decode.
-    pub async fn read(&mut self) -> io::Result<Option<PeerBody>> {
-        match self.stream.next().await {
-            None => Ok(None),
-            Some(Err(error)) => Err(error),
-            Some(Ok(PeerFrame { body: Some(body) })) => Ok(Some(body)),
-            Some(Ok(PeerFrame { body: None })) => Err(io::Error::new(
-                io::ErrorKind::InvalidData,
-                "frame of an unknown kind",
-            )),
-        }
+    pub async fn read(&mut self) -> io::Result<Option<M::Body>> {
+        let Some(frame) = self.stream.next().await else {
+            return Ok(None);
+        };
+        frame?.into_body().map(Some).ok_or_else(|| {
+            let text = "frame of an unknown kind";
+            io::Error::new(io::ErrorKind::InvalidData, text)
+        })
     }
 }
 
-impl FrameWriter {
+impl<M: LinkFrame> LinkWriter<M> {
     /// Sends one frame and flushes.
     ///
     /// # Errors
     ///
     /// I/O errors, and a frame over the bound.
-    pub async fn write(&mut self, body: PeerBody) -> io::Result<()> {
+    pub async fn write(&mut self, body: M::Body) -> io::Result<()> {
         self.sink.send(body.into()).await
     }
 
-    async fn feed(&mut self, body: PeerBody) -> io::Result<()> {
-        let frame = PeerFrame::from(body);
-        if frame.body.as_ref().is_some_and(PeerBody::is_control) {
-            let bytes = frame.encoded_len() + LENGTH_BYTES;
-            count_many(Counter::LinksControlBytes, bytes as u64);
-        }
+    async fn feed(&mut self, body: M::Body) -> io::Result<()> {
+        let frame = M::from(body);
+        frame.note_sent();
         self.sink.feed(frame).await
     }
 
@@ -84,7 +124,7 @@
     /// # Errors
     ///
     /// The first I/O error.
-    pub async fn drain(&mut self, outbox: &mut UnboundedReceiver<PeerBody>) -> io::Result<()> {
+    pub async fn drain(&mut self, outbox: &mut UnboundedReceiver<M::Body>) -> io::Result<()> {
         while let Some(body) = outbox.next().await {
             self.feed(body).await?;
             while let Ok(body) = outbox.try_recv() {
--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -5,6 +5,8 @@
 #[path = "../proofs/support/calls.rs"]
 #[allow(dead_code, reason = "shared with the proofs, which use all of it")]
 mod calls;
+#[path = "../common/mod.rs"]
+mod common;
 mod jobs;
 mod site;
 mod troubles;
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -1,6 +1,7 @@
 //! A small installation: a store, fronts, agents and their workers.
 
 use crate::calls::{Answer, call, get_json, post_json};
+pub(crate) use crate::common::{run, wait_for};
 use http::Method;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -8,32 +9,6 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::time::{Duration, Instant};
-
-/// A state that has not come after this time will not come: the test fails.
-const PATIENCE: Duration = Duration::from_secs(60);
-
-/// Runs a test on a runtime of its own.
-pub(crate) fn run<T>(test: impl Future<Output = T>) -> T {
-    compio::runtime::Runtime::new()
-        .expect("the runtime starts")
-        .block_on(test)
-}
-
-/// Waits until `look` gives a value.
-pub(crate) async fn wait_for<T, F>(what: &str, mut look: impl FnMut() -> F) -> T
-where
-    F: Future<Output = Option<T>>,
-{
-    let start = Instant::now();
-    loop {
-        if let Some(value) = look().await {
-            return value;
-        }
-        assert!(start.elapsed() < PATIENCE, "waited in vain for: {what}");
-        compio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
 
 /// A process that a test started; it ends with the test.
 pub(crate) struct SiteProcess {
--- a/tests/proofs/main.rs
+++ b/tests/proofs/main.rs
@@ -7,6 +7,8 @@
 mod answers;
 mod bad_input;
 mod billing;
+#[path = "../common/mod.rs"]
+mod common;
 mod history_checks;
 mod outage;
 mod placement;
--- a/tests/proofs/support/mod.rs
+++ b/tests/proofs/support/mod.rs
@@ -6,32 +6,7 @@
 pub(crate) mod history;
 pub(crate) mod process;
 
-use std::time::{Duration, Instant};
-
-/// A state that has not come after this time will not come: the test fails.
-const PATIENCE: Duration = Duration::from_secs(90);
-
-/// Runs a test on a runtime of its own.
-pub(crate) fn run<T>(test: impl Future<Output = T>) -> T {
-    compio::runtime::Runtime::new()
-        .expect("the runtime starts")
-        .block_on(test)
-}
-
-/// Waits until `look` gives a value.
-pub(crate) async fn wait_for<T, F>(what: &str, mut look: impl FnMut() -> F) -> T
-where
-    F: Future<Output = Option<T>>,
-{
-    let start = Instant::now();
-    loop {
-        if let Some(value) = look().await {
-            return value;
-        }
-        assert!(start.elapsed() < PATIENCE, "waited in vain for: {what}");
-        compio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
+pub(crate) use crate::common::{run, wait_for};
 
 /// The seed of a test's random choices, printed so that a failure can be repeated.
 pub(crate) fn seed(test: &str) -> u64 {
