--- a/crates/wax-batch/src/ends.rs
+++ b/crates/wax-batch/src/ends.rs
@@ -352,9 +352,13 @@
         let Some(task) = step.tasks.get_mut(at.index as usize) else {
             return;
         };
+        let has_run = task.seat().is_some_and(|seat| seat.running);
         task.stand = TaskStand::Waiting;
         step.waiting += 1;
-        step.since = now;
+        if has_run {
+            // A start that was refused does not begin the wait anew.
+            step.since = now;
+        }
         if let Some(tasks) = step.spread.get_mut(&worker) {
             *tasks = tasks.saturating_sub(1);
         }
--- a/crates/wax-batch/tests/places.rs
+++ b/crates/wax-batch/tests/places.rs
@@ -318,3 +318,27 @@
     let other = worker(&mut book, "other", 4_000);
     assert_eq!(book.place(at(30))[0].worker, other);
 }
+
+#[test]
+fn a_refused_start_does_not_begin_the_wait_anew() {
+    let mut book = book(1);
+    let only = worker(&mut book, "w", 4_000);
+    add(&mut book, 7, 1, &spec(vec![filling(4, 1_000, "a")]), None);
+    let orders = book.place(at(0));
+    start_all(&mut book, &orders, at(0));
+    add(&mut book, 8, 1, &spec(vec![filling(1, 1_000, "a")]), None);
+    let starved = book.place(at(10_500));
+    assert_eq!(starved.len(), 1);
+    book.run_refused(
+        only,
+        starved[0].mark,
+        wax_batch::StartRefusal::Room,
+        at(10_510),
+        wall(10_510),
+    );
+    assert_eq!(
+        book.place(at(10_700)).len(),
+        1,
+        "it has waited long enough already"
+    );
+}
--- a/crates/wax-standin/src/args.rs
+++ b/crates/wax-standin/src/args.rs
@@ -21,6 +21,8 @@
   site-worker --listen ADDR --agent ADDR --service SERVICE --id ID
               [--cpu-milli N] [--memory-mb N]  (a worker that obeys its agent)
 
+  ports       N  (prints N ports that are free now, one a line)
+
   fetch    METHOD URL [--header NAME:VALUE]... [--body TEXT]
 
 fetch prints the status, the outcome field and the body.
@@ -39,6 +41,7 @@
     Peers(PeersOptions),
     Site(SiteOptions),
     SiteWorker(SiteWorkerOptions),
+    Ports(u16),
 }
 
 #[derive(Debug)]
@@ -141,6 +144,7 @@
             cpu_milli: args.opt_value_from_str("--cpu-milli")?.unwrap_or(4_000),
             memory_mb: args.opt_value_from_str("--memory-mb")?.unwrap_or(8_000),
         }),
+        Some("ports") => Command::Ports(args.free_from_str()?),
         Some("load") => Command::Load(parse_load(&mut args)?),
         _ => Command::Help,
     };
--- a/crates/wax-standin/src/main.rs
+++ b/crates/wax-standin/src/main.rs
@@ -39,6 +39,7 @@
         Command::Peers(options) => peers::run(options).await,
         Command::Site(options) => site::run(options).await,
         Command::SiteWorker(options) => site_worker::run(options).await,
+        Command::Ports(count) => print_ports(count),
         Command::Fetch(options) => fetch::run(options).await,
     };
     if let Err(error) = result {
@@ -46,3 +47,19 @@
         std::process::exit(1);
     }
 }
+
+/// Prints ports that are free now: all are held until the last is found, so that they differ.
+fn print_ports(count: u16) -> Result<(), wax_types::WaxError> {
+    let mut held = Vec::new();
+    for _ in 0..count {
+        let any = std::net::SocketAddr::from(([127, 0, 0, 1], 0));
+        let listener = wax_http::bind_listener(any)?;
+        let address = listener.local_addr().map_err(|error| {
+            let kind = wax_types::ErrorKind::Invalid;
+            wax_types::WaxError::new(kind, wax_types::Step::Listen, "ports", error)
+        })?;
+        println!("{}", address.port());
+        held.push(listener);
+    }
+    Ok(())
+}
--- a/examples/tour.sh
+++ b/examples/tour.sh
@@ -198,5 +198,48 @@
 wait "$pid_entry_2" || fail "the entry exited $?"
 record "entry-2 drained" "exit 0"
 
+step="the pool on the users' platform: a store, a front, an agent and its worker"
+mapfile -t port < <("$bin/waxwing-standin" ports 6)
+run site "$bin/waxwing-standin" site --listen 127.0.0.1:0
+site=$(address site site)
+config='{"version":3,"routes":[{"name":"q","host":"h.example","pathPrefix":"/g/","service":"svc","maxAttempts":2,"stretch":2.0,"targetLatencyMs":500}],"services":[{"name":"svc"}],"limits":{}}'
+fetch POST "http://$site/v1/rows-tx" --header content-type:application/json --header x-operator:tour \
+  --body "{\"expect\":[],\"writes\":[{\"table\":\"op\",\"part\":\"\",\"key\":\"config\",\"value\":\"$(printf '%s' "$config" | base64 -w 0)\"}]}" >/dev/null
+cat >"$work/front.yaml" <<YAML
+role: front
+name: front-1
+region: tour
+failure_domain: domain-1
+platform: {address: $site}
+pool: {peers: "127.0.0.1:${port[0]}", callers: "127.0.0.1:${port[1]}", readiness: "127.0.0.1:${port[2]}", metrics: "127.0.0.1:${port[3]}"}
+logs: {json: true, stdout: true}
+YAML
+cat >"$work/agent.yaml" <<YAML
+role: agent
+name: side-1
+region: tour
+failure_domain: domain-1
+platform: {address: $site}
+pool: {peers: "127.0.0.2:${port[0]}", seeds: ["127.0.0.1:${port[1]}"], check_ins: "127.0.0.1:${port[4]}", worker: "127.0.0.1:${port[5]}"}
+logs: {json: true, stdout: true}
+YAML
+for role in front agent; do
+  "$bin/waxwing" check "$work/$role.yaml" >/dev/null
+  run "$role" "$bin/waxwingd" --settings "$work/$role.yaml"
+done
+run site-worker "$bin/waxwing-standin" site-worker --listen "127.0.0.1:${port[5]}" \
+  --agent "127.0.0.1:${port[4]}" --service svc --id worker-1
+wait_for 200 fetch GET "http://127.0.0.1:${port[2]}/v1/ready"
+job="http://127.0.0.1:${port[1]}/g/5c0e7a21d94b36f8"
+submitted=$(fetch POST "$job" --header host:h.example --header content-type:application/json \
+  --body '{"spec":"{\"ms\":60}","phases":[{"count":3,"cpu":1000,"memMb":100,"estimatedMs":60},{"count":1,"cpu":1000,"memMb":100,"estimatedMs":60,"after":[0]}]}')
+case $submitted in "200 "*) ;; *) fail "submitted: $submitted" ;; esac
+wait_for completed fetch GET "$job" --header host:h.example
+record "a job of two steps at a front" "completed"
+# shellcheck disable=SC2154
+kill -TERM "$pid_front"
+wait "$pid_front" || fail "the front exited $?"
+record "the front stopped as planned" "exit 0; its shard was let go"
+
 echo
 cat "$table"
