--- a/crates/wax-owner/src/agents.rs
+++ b/crates/wax-owner/src/agents.rs
@@ -290,12 +290,19 @@
                 let gone = agent.worker.take_if(|(_, known)| **known == *id);
                 if gone.is_some() {
                     agent.lapse_at = None;
+                    // Nothing runs there: the next owner need not wait for this agent.
+                    agent.row = RowStand::Absent;
+                    self.tenure
+                        .agent_rows
+                        .borrow_mut()
+                        .insert(self.node.into(), false);
                 }
                 gone
             })
         };
         if let Some((key, _)) = gone {
             tracing::warn!(agent = self.node, worker = id, "worker is gone");
+            self.tenure.write.notify(usize::MAX);
             self.tenure.lose_worker(key, now);
         }
     }
--- a/crates/wax-owner/src/load.rs
+++ b/crates/wax-owner/src/load.rs
@@ -23,7 +23,12 @@
         .await?;
     let (jobs, version) = shared.store.read_all(JOB_TABLE, PART, PAGE_LIMIT).await?;
     shared.store_heard.set(shared.now());
-    let lapse_at = tenure.began + shared.spans.lapse_after_takeover();
+    let span = if tenure.after_release {
+        shared.spans.lapse_after_release()
+    } else {
+        shared.spans.lapse_after_takeover()
+    };
+    let lapse_at = tenure.began + span;
     for row in &agents {
         add_agent(tenure, row, lapse_at);
     }
--- a/crates/wax-owner/src/spans.rs
+++ b/crates/wax-owner/src/spans.rs
@@ -47,6 +47,12 @@
         self.lease_grace + self.slack
     }
 
+    /// After a takeover from an owner that surely acts no more, as it let go or its process is
+    /// dead, everything on a worker that the new owner has not heard of has lapsed.
+    pub fn lapse_after_release(&self) -> Duration {
+        self.grant + self.lapse_after_grant()
+    }
+
     /// After a takeover, everything on a worker that the new owner has not heard of has lapsed.
     pub fn lapse_after_takeover(&self) -> Duration {
         self.acting + self.grant + self.lapse_after_grant()
--- a/crates/wax-owner/src/tenure.rs
+++ b/crates/wax-owner/src/tenure.rs
@@ -61,6 +61,8 @@
     pub(crate) owner_version: Cell<u64>,
     pub(crate) owner_row: OwnerRow,
     pub(crate) began: TimePoint,
+    /// Whether the owner before surely acted no more when this term began.
+    pub(crate) after_release: bool,
     pub(crate) book: RefCell<JobBook>,
     pub(crate) agents: RefCell<HashMap<Box<str>, AgentLife>>,
     /// Whether the book holds all that the store held at the takeover.
@@ -102,6 +104,7 @@
         row: OwnerRow,
         version: u64,
         confirmed: TimePoint,
+        after_release: bool,
     ) -> Self {
         let mut book = JobBook::new(row.epoch, PlaceRules::default());
         if let Some(config) = shared.config.borrow().config() {
@@ -113,6 +116,7 @@
             owner_version: Cell::new(version),
             owner_row: row,
             began: shared.now(),
+            after_release,
             book: RefCell::new(book),
             agents: RefCell::default(),
             loaded: ShutdownSignal::default(),
--- a/crates/wax-owner/src/watch.rs
+++ b/crates/wax-owner/src/watch.rs
@@ -162,7 +162,7 @@
     // An earlier process at this address is surely dead, and a released term has no owner.
     let free = known
         .as_ref()
-        .is_some_and(|owner| owner.released || owner.address == Some(shared.address));
+        .is_some_and(|owner| acts_no_more(shared, owner));
     if known.is_some() && !free && now.since(shared.owner_heard.get()) < HEARD_LATELY {
         watch.seen = None;
         return Ok(Look::Wait);
@@ -185,6 +185,11 @@
     Ok(Look::Wait)
 }
 
+/// Whether an owner has let go, or was an earlier process at this address, which is surely dead.
+fn acts_no_more(shared: &PoolShared, owner: &KnownOwner) -> bool {
+    owner.released || owner.address == Some(shared.address)
+}
+
 async fn take_over(shared: &Rc<PoolShared>, beat_version: u64) {
     let known = shared.owner.borrow().clone();
     let row = OwnerRow {
@@ -227,7 +232,10 @@
     };
     count(Counter::TermsBegun);
     tracing::info!(epoch = row.epoch, "took over the shard");
-    begin_tenure(shared, row, version, sent);
+    let after_release = known
+        .as_ref()
+        .is_none_or(|owner| acts_no_more(shared, owner));
+    begin_tenure(shared, row, version, sent, after_release);
 }
 
 /// After a lost answer the conflict may be with our own write.
@@ -238,14 +246,20 @@
     (owner.nonce == nonce).then_some(row.version)
 }
 
-fn begin_tenure(shared: &Rc<PoolShared>, row: OwnerRow, version: u64, sent: TimePoint) {
+fn begin_tenure(
+    shared: &Rc<PoolShared>,
+    row: OwnerRow,
+    version: u64,
+    sent: TimePoint,
+    after_release: bool,
+) {
     shared.offer_owner(KnownOwner {
         epoch: row.epoch,
         address: Some(shared.address),
         row_version: version,
         released: false,
     });
-    let tenure = Rc::new(Tenure::new(shared, row, version, sent));
+    let tenure = Rc::new(Tenure::new(shared, row, version, sent, after_release));
     *shared.tenure.borrow_mut() = Some(tenure.clone());
     spawn(write_chain(shared.clone(), tenure.clone(), version)).detach();
     spawn(follow_jobs(shared.clone(), tenure.clone())).detach();
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -293,6 +293,12 @@
         assert_eq!(answer.expect("the store answers").status, 200);
     }
 
+    /// How many agents the store says may have been given orders.
+    pub(crate) async fn agent_rows(&self) -> Option<usize> {
+        let url = format!("http://{}/v1/rows-get?table=agent&part=s0", self.store);
+        Some(get_json(&url).await?["rows"].as_array()?.len())
+    }
+
     pub(crate) async fn worker_faults(&self, number: usize, faults: Value) {
         let url = format!("http://{}/faults", self.machines[number].app);
         let answer = wait_for("a worker", || async { post_json(&url, &faults).await.ok() }).await;
--- a/tests/pool/troubles.rs
+++ b/tests/pool/troubles.rs
@@ -346,3 +346,29 @@
         site.audit().await;
     });
 }
+
+#[test]
+fn a_machine_whose_worker_is_gone_holds_up_no_takeover() {
+    run(async {
+        let mut site = Site::start("gone", 2, 2).await;
+        site.submit(&name(1), &job(1, 8, 50)).await;
+        site.wait_state(&name(1), "completed").await;
+        wait_for("both agents to be known", || async {
+            site.agent_rows().await.filter(|rows| *rows == 2)
+        })
+        .await;
+        site.kill_worker(0).await;
+        wait_for("the agent without a worker to be forgotten", || async {
+            site.agent_rows().await.filter(|rows| *rows == 1)
+        })
+        .await;
+        site.start_worker(0);
+        wait_for("the agent to be known again", || async {
+            site.agent_rows().await.filter(|rows| *rows == 2)
+        })
+        .await;
+        site.submit(&name(2), &job(1, 8, 50)).await;
+        site.wait_state(&name(2), "completed").await;
+        site.audit().await;
+    });
+}
