Acknowledgements are told again on each link; slow looks every 100 ms

Cause, found by reading: a cursor moves once, and its message is lost with a link that has just closed; the ends then stay listed until another end moves the cursor. A test of the book shows that no cursor moves again (it names the accessor that the mend adds). The owner went through all runs on every change, up to 500 times a second: due occurrences, runs to move and workers that leave are now looked at each 100 ms.

--- a/crates/wax-batch/src/ends.rs
+++ b/crates/wax-batch/src/ends.rs
@@ -500,6 +500,11 @@
         self.workers.get(worker)?.runs.get(&mark)?.task
     }
 
+    /// Up to which end a worker may forget.
+    pub fn acknowledged(&self, worker: WorkerKey) -> u64 {
+        self.workers.get(worker).map_or(0, |life| life.cursor)
+    }
+
     /// Moves the cursors of workers past ends that the store knows; returns those that moved.
     pub fn take_cursors(&mut self) -> Vec<(WorkerKey, u64)> {
         let mut moved = Vec::new();
--- a/crates/wax-batch/tests/life.rs
+++ b/crates/wax-batch/tests/life.rs
@@ -395,3 +395,19 @@
     assert_eq!(stops.len(), 1);
     assert_eq!(stops[0].mark, members[1].mark);
 }
+
+#[test]
+fn what_a_worker_may_forget_can_be_told_again_after_a_lost_link() {
+    let mut book = book(1);
+    let worker = worker(&mut book, "w", 4_000);
+    add(&mut book, 7, 1, &spec(vec![step(1, 1_000)]), None);
+    let orders = book.place(at(0));
+    let done = end(1, orders[0].mark, RunEndKind::Done);
+    book.run_ended(worker, &done, at(10), wall(10));
+    store_all(&mut book);
+    assert_eq!(book.take_cursors(), vec![(worker, 1)]);
+    // The worker still lists the end on its next link, and no cursor moves any more.
+    book.sync_worker(worker, &[], &[done], at(20), wall(20));
+    assert_eq!(book.take_cursors(), vec![]);
+    assert_eq!(book.acknowledged(worker), 1);
+}
--- a/crates/wax-owner/src/agents.rs
+++ b/crates/wax-owner/src/agents.rs
@@ -14,8 +14,8 @@
 use wax_batch::{RunEnd, RunMark, RunReport, WorkerKey, WorkerView};
 use wax_types::{TimePoint, wall_clock_ms};
 use wax_wire::{
-    LeaseGrant, LinkPing, OwnerWelcome, PoolBody, PoolReader, PoolWriter, PressFrame, PressNews,
-    RunNews, WorkerKept, WorkerUp,
+    AckEnds, LeaseGrant, LinkPing, OwnerWelcome, PoolBody, PoolReader, PoolWriter, PressFrame,
+    PressNews, RunNews, WorkerKept, WorkerUp,
 };
 
 /// Serves one link until it breaks, falls silent, or the term ends.
@@ -197,13 +197,19 @@
                 .and_then(|job| job.spec.steps.get(usize::from(task.step)));
             seats.extend(step.map(|step| seat_frame(run.mark, step)));
         }
+        let cursor = book.acknowledged(worker);
         drop(book);
         tracing::info!(agent = self.node, worker = %id, runs = runs.len(), ends = ends.len(), "worker taken over");
         let kept = WorkerKept {
-            worker: id.into(),
+            worker: id.to_string(),
             seats,
         };
         self.send(PoolBody::WorkerKept(kept));
+        // An acknowledgement may have been lost with the link before.
+        self.send(PoolBody::Ack(AckEnds {
+            worker: id.into(),
+            cursor,
+        }));
         self.tenure.dispatch.notify(usize::MAX);
     }
 
--- a/crates/wax-owner/src/dispatch.rs
+++ b/crates/wax-owner/src/dispatch.rs
@@ -49,11 +49,10 @@
     drop_lapsed(tenure, now);
     settle(tenure, now);
     if tenure.may_act(now, shared.spans.acting) {
-        tenure.book.borrow_mut().open_due(now, wall_clock_ms());
-        if now >= tenure.blind_until.get() {
-            tenure.book.borrow_mut().move_stalled(now);
+        if now.since(tenure.looked_through.get()) >= IDLE_PERIOD {
+            tenure.looked_through.set(now);
+            look_through(tenure, now);
         }
-        tenure.book.borrow_mut().evacuate(now);
         let orders = tenure.book.borrow_mut().place(now);
         for order in orders {
             send_start(tenure, &order);
@@ -80,6 +79,16 @@
     }
 }
 
+/// What depends on time more than on any one change: due occurrences, runs to move.
+fn look_through(tenure: &Tenure, now: TimePoint) {
+    let mut book = tenure.book.borrow_mut();
+    book.open_due(now, wall_clock_ms());
+    if now >= tenure.blind_until.get() {
+        book.move_stalled(now);
+    }
+    book.evacuate(now);
+}
+
 fn worker_id(tenure: &Tenure, worker: WorkerKey) -> Box<str> {
     let agents = tenure.agents.borrow();
     let mut workers = agents.values().filter_map(|agent| agent.worker.as_ref());
--- a/crates/wax-owner/src/tenure.rs
+++ b/crates/wax-owner/src/tenure.rs
@@ -71,6 +71,8 @@
     pub(crate) confirmed: Cell<TimePoint>,
     /// When orders were last gone through; a long gap means that this process stood still.
     pub(crate) dispatched: Cell<TimePoint>,
+    /// When all runs were last looked through.
+    pub(crate) looked_through: Cell<TimePoint>,
     /// Until when progress that was not heard says nothing of the workers.
     pub(crate) blind_until: Cell<TimePoint>,
     /// When the feed of jobs was last heard.
@@ -122,6 +124,7 @@
             loaded: ShutdownSignal::default(),
             confirmed: Cell::new(confirmed),
             dispatched: Cell::new(shared.now()),
+            looked_through: Cell::new(TimePoint::default()),
             blind_until: Cell::new(TimePoint::default()),
             jobs_heard: Cell::new(TimePoint::default()),
             links: Cell::new(0),
