What is known of pairs of images outlives owners and agents

The owner now writes them to one row, with what is written anyway, and tells a new agent all of them.

--- a/crates/wax-batch/src/book.rs
+++ b/crates/wax-batch/src/book.rs
@@ -213,6 +213,16 @@
         }
     }
 
+    /// What is known of all pairs of images.
+    pub fn presses(&self) -> &PairTable {
+        &self.pairs
+    }
+
+    /// Takes what an earlier owner knew of a pair.
+    pub fn restore_press(&mut self, serving: &str, filling: &str, press: PairPress) {
+        self.pairs.set(serving, filling, press);
+    }
+
     /// Merges what an agent has learned of a pair of images; says what is known now.
     pub fn merge_press(&mut self, serving: &str, filling: &str, press: PairPress) -> PairPress {
         self.pairs.merge(serving, filling, press)
--- a/crates/wax-owner/src/agents.rs
+++ b/crates/wax-owner/src/agents.rs
@@ -205,6 +205,8 @@
             seats,
         };
         self.send(PoolBody::WorkerKept(kept));
+        // A new agent has learned nothing yet.
+        self.send(PoolBody::Presses(self.tenure.all_presses()));
         // An acknowledgement may have been lost with the link before.
         self.send(PoolBody::Ack(AckEnds {
             worker: id.into(),
@@ -326,6 +328,9 @@
             told.push(PressFrame::new(&pair.serving, &pair.filling, known));
         }
         drop(book);
+        self.tenure
+            .press_unstored
+            .set(!told.is_empty() || self.tenure.press_unstored.get());
         self.tenure.press_news.borrow_mut().extend(
             told.into_iter()
                 .map(|pair| ((pair.serving.clone(), pair.filling.clone()), pair)),
--- a/crates/wax-owner/src/load.rs
+++ b/crates/wax-owner/src/load.rs
@@ -1,6 +1,6 @@
 //! Fills the book from the store at a takeover, and follows jobs from there on.
 
-use crate::rows::{AGENT_TABLE, CANCEL_SUFFIX, JOB_TABLE, PART, PROGRESS_TABLE};
+use crate::rows::{AGENT_TABLE, CANCEL_SUFFIX, JOB_TABLE, PART, PROGRESS_TABLE, press_key};
 use crate::shared::PoolShared;
 use crate::tenure::{AgentLife, RowStand, Tenure};
 use platform::StoredRow;
@@ -10,6 +10,7 @@
 use wax_batch::{JobName, JobProgress, JobRow};
 use wax_trace::{Latency, note_latency};
 use wax_types::{TimePoint, WaxError, wall_clock_ms};
+use wax_wire::PressNews;
 
 /// Longest time for one page.
 const PAGE_LIMIT: Duration = Duration::from_millis(1_500);
@@ -23,6 +24,7 @@
         .await?;
     let (jobs, version) = shared.store.read_all(JOB_TABLE, PART, PAGE_LIMIT).await?;
     shared.store_heard.set(shared.now());
+    load_presses(shared, tenure).await;
     let span = if tenure.after_release {
         shared.spans.lapse_after_release()
     } else {
@@ -44,6 +46,27 @@
     Ok(version)
 }
 
+/// Takes what the owner before knew of pairs of images; without it all is learned anew.
+async fn load_presses(shared: &PoolShared, tenure: &Tenure) {
+    let row = match shared.store.read_row(&press_key(), PAGE_LIMIT).await {
+        Ok(Some(row)) => row,
+        Ok(None) => return,
+        Err(error) => {
+            tracing::warn!(%error, "presses were not read");
+            return;
+        }
+    };
+    match PressNews::decode(&*row.value) {
+        Ok(news) => {
+            let mut book = tenure.book.borrow_mut();
+            for pair in &news.pairs {
+                book.restore_press(&pair.serving, &pair.filling, pair.press());
+            }
+        }
+        Err(error) => tracing::error!(%error, "the row of presses does not decode"),
+    }
+}
+
 fn add_agent(tenure: &Tenure, row: &StoredRow, lapse_at: TimePoint) {
     let mut agents = tenure.agents.borrow_mut();
     let agent = agents
--- a/crates/wax-owner/src/rows.rs
+++ b/crates/wax-owner/src/rows.rs
@@ -14,6 +14,8 @@
 pub const PROGRESS_TABLE: &str = "progress";
 /// Agents that may have been given orders.
 pub(crate) const AGENT_TABLE: &str = "agent";
+/// What is known of pairs of images; only ever a help, so that its loss is none.
+pub(crate) const PRESS_TABLE: &str = "press";
 /// The shard's part. A pool up to the size that one owner carries has one shard.
 pub(crate) const PART: &str = "s0";
 /// The key of the cancel of a job is the job's with this behind it.
@@ -82,6 +84,10 @@
     RowKey::new(PROGRESS_TABLE, PART, job.to_string())
 }
 
+pub(crate) fn press_key() -> RowKey {
+    RowKey::new(PRESS_TABLE, PART, "pairs")
+}
+
 pub(crate) fn agent_key(node: &str) -> RowKey {
     RowKey::new(AGENT_TABLE, PART, node)
 }
--- a/crates/wax-owner/src/tenure.rs
+++ b/crates/wax-owner/src/tenure.rs
@@ -83,6 +83,9 @@
     pub(crate) agent_rows: RefCell<HashMap<Box<str>, bool>>,
     /// Presses that have changed since the agents were told.
     pub(crate) press_news: RefCell<HashMap<(String, String), PressFrame>>,
+    /// Whether presses have changed since the store was told, and when it was.
+    pub(crate) press_unstored: Cell<bool>,
+    pub(crate) press_stored: Cell<TimePoint>,
     /// Notified when agents' rows were stored.
     pub(crate) rows_stored: Event,
     /// There may be something to place, stop or acknowledge.
@@ -95,6 +98,8 @@
     pub(crate) over: ShutdownSignal,
 }
 
+/// Pairs in one message or row; the platform's rows hold 64 KiB.
+const MOST_PAIRS: usize = 800;
 /// A book without word of the feed for longer may lack jobs; the feed waits shorter than that.
 const JOBS_FRESH: Duration = Duration::from_millis(2_500);
 /// Bits of a fencing token that count the links of one term.
@@ -130,6 +135,8 @@
             links: Cell::new(0),
             agent_rows: RefCell::default(),
             press_news: RefCell::default(),
+            press_unstored: Cell::new(false),
+            press_stored: Cell::new(shared.now()),
             rows_stored: Event::new(),
             dispatch: Event::new(),
             write: Event::new(),
@@ -229,6 +236,18 @@
         }
     }
 
+    /// All presses, as the store and a new agent are told.
+    pub(crate) fn all_presses(&self) -> PressNews {
+        let book = self.book.borrow();
+        let pairs = book.presses().iter().take(MOST_PAIRS);
+        PressNews {
+            pairs: pairs
+                .map(|(serving, filling, press)| PressFrame::new(serving, filling, press))
+                .collect(),
+            room: 0.0,
+        }
+    }
+
     /// Tells all agents of presses that have changed.
     pub(crate) fn tell_presses(&self) {
         let changed = std::mem::take(&mut *self.press_news.borrow_mut());
--- a/crates/wax-owner/src/writer.rs
+++ b/crates/wax-owner/src/writer.rs
@@ -3,7 +3,8 @@
 
 use crate::fate::{TxFate, transact};
 use crate::rows::{
-    AgentRow, BeatRow, OwnerRow, agent_key, beat_key, cancel_key, job_key, owner_key, progress_key,
+    AgentRow, BeatRow, OwnerRow, agent_key, beat_key, cancel_key, job_key, owner_key, press_key,
+    progress_key,
 };
 use crate::shared::PoolShared;
 use crate::tenure::{RowStand, Tenure};
@@ -22,6 +23,8 @@
 const FORGET_PER_TX: usize = 8;
 /// A transaction is tried for this long before the store is looked at anew.
 const TX_PATIENCE: Duration = Duration::from_secs(3_600);
+/// What is known of pairs of images is written this often, with what is written anyway.
+const PRESS_PERIOD: Duration = Duration::from_secs(3);
 /// Urgent notes wait this long for company.
 const URGENT_PAUSE: Duration = Duration::from_millis(8);
 
@@ -124,6 +127,12 @@
             tx.remove.push(agent_key(node));
         }
     }
+    if tenure.press_unstored.get() && shared.now().since(tenure.press_stored.get()) >= PRESS_PERIOD
+    {
+        tenure.press_unstored.set(false);
+        tenure.press_stored.set(shared.now());
+        put(&mut tx, press_key(), &tenure.all_presses());
+    }
     let before_ms = wall_clock_ms().saturating_sub(shared.keep_ended.as_millis() as u64);
     let forgotten = tenure.book.borrow().forgettable(before_ms, FORGET_PER_TX);
     for job in &forgotten {
