Tests of the pool never give one port to two listeners

Ports were looked for one by one and let go before their process bound them, so that one could be given twice, and two installations could draw the same addresses. Ruled out: the load, and the store's forgetting, which the test had not come to. Ports given out are remembered, addresses are counted.

--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -4,11 +4,13 @@
 pub(crate) use crate::common::{run, wait_for};
 use http::Method;
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::fs::File;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU8, Ordering};
 
 /// A process that a test started; it ends with the test.
 pub(crate) struct SiteProcess {
@@ -75,10 +77,24 @@
     }
 }
 
-/// Ports are free when they are taken; each installation has an address of its own.
+/// Each installation of the process has addresses of its own.
+static NEXT_SITE: AtomicU8 = AtomicU8::new(2);
+/// Ports that were given out: a port that is free again until its process binds it is not given twice.
+static GIVEN_PORTS: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+
+/// A port that is free on an address and was not given out before.
 fn free_port(ip: &str) -> SocketAddr {
-    let listener = TcpListener::bind((ip, 0)).expect("a port is free");
-    listener.local_addr().expect("it has an address")
+    loop {
+        let listener = TcpListener::bind((ip, 0)).expect("a port is free");
+        let address = listener.local_addr().expect("it has an address");
+        if GIVEN_PORTS
+            .lock()
+            .expect("no test panics here")
+            .insert(address.port())
+        {
+            return address;
+        }
+    }
 }
 
 /// One front.
@@ -137,7 +153,7 @@
         site.put_config(&["/g/"]).await;
         // All peers share a port, as on the platform's machines: each has an address of its own.
         let port = free_port("127.0.0.1").port();
-        let base = fastrand::u8(2..250);
+        let base = NEXT_SITE.fetch_add(1, Ordering::Relaxed);
         for number in 0..fronts {
             site.add_front(&format!("127.{base}.1.{}", number + 1), port);
         }
