Presses are learned from changes of load, by a Kalman filter

Images that press on nothing (8d13e9) were held for heavy ones (0.91 a core). The filter compared levels, so that the swing of the own load (20 s, by half) and runs that are slow by themselves were blamed on whatever worked then.

Ruled out: lack of processors (118 of 200 cores were free of serving tasks' use); the order of waiting (jobs of light images waited too).

Change: the own load drifts, starts and paces jump. So the ratio of two loads half a second apart is one observation; a filter with a mean and a variance a pair takes it (`wax_policy::press`). The middle of an image's runs speaks for all. The owner adds up observations by their certainty instead of averaging estimates.

--- a/crates/wax-agent/src/pace.rs
+++ b/crates/wax-agent/src/pace.rs
@@ -2,13 +2,14 @@
 //!
 //! A serving task is taken as a queue: with the load `u` its tail is its tail without load divided
 //! by `1 - u`. Tasks that fill slow its work, so that `u` is its own load times one plus the
-//! press: for each filling image the cores in use, times what a core of that image presses. The own
-//! load moves slowly, a press belongs to a pair of images; both are learned from the worker's
-//! figures. The pace of an image is what keeps every predicted load below the aim.
+//! press: for each filling image the cores in use, times what a core of that image presses
+//! (`wax_policy::PressTable`). The own load is what the last looks leave after the press. The pace
+//! of an image is what keeps every predicted load below the aim.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
-use wax_batch::{PairPress, PairTable, RunMark};
+use wax_batch::RunMark;
+use wax_policy::{CoreUse, LoadChange, LoadLook, PairPress, PressTable};
 use wax_types::TimePoint;
 
 /// When to slow down, and how fast to learn.
@@ -32,24 +33,12 @@
     pub settle: Duration,
     /// The least pace, percent: what stands still teaches nothing.
     pub least: u32,
-    /// How much of an error goes to the presses.
-    pub press_rate: f64,
-    /// An alarm adds at least this much press to what was at work.
-    pub alarm_press: f64,
-    /// How much of an error goes to the own load.
+    /// How much of the difference to what a look shows goes to the own load.
     pub own_rate: f64,
-    /// The same while next to nothing that fills is at work.
-    pub alone_rate: f64,
-    /// Cores of fills up to which a serving task counts as alone.
-    pub alone_cores: f64,
-    /// What a core of an image presses before anything is known.
-    pub first_press: f64,
     /// The share of its target that a tail without load takes, before anything is known.
     pub first_idle: f64,
-    /// A press below this, borne out well, is none.
-    pub benign_press: f64,
-    /// Observations that bear out well.
-    pub benign_weight: f64,
+    /// A press of a core that is surely below this is none.
+    pub no_press: f64,
 }
 
 impl Default for PaceRules {
@@ -64,26 +53,13 @@
             cleared: Duration::from_millis(1_500),
             settle: Duration::from_millis(900),
             least: 5,
-            press_rate: 0.3,
-            alarm_press: 0.4,
-            own_rate: 0.3,
-            alone_rate: 0.6,
-            alone_cores: 0.6,
-            first_press: 0.06,
+            own_rate: 0.6,
             first_idle: 0.17,
-            benign_press: 0.09,
-            benign_weight: 12.0,
+            no_press: 0.05,
         }
     }
 }
 
-impl PaceRules {
-    /// Whether a pair is known well enough to press on nothing.
-    fn is_benign(&self, pair: PairPress) -> bool {
-        pair.per_core < self.benign_press && pair.weight >= self.benign_weight
-    }
-}
-
 /// One serving run as the worker shows it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServingSample {
@@ -113,15 +89,30 @@
     pub filling: BTreeMap<Box<str>, FillingSample>,
 }
 
+impl PaceSample {
+    fn cores_used(&self) -> CoreUse {
+        let fills = self.filling.iter();
+        fills
+            .map(|(image, fill)| (image.clone(), fill.used))
+            .collect()
+    }
+}
+
+/// The load of one serving run, by one look.
+struct RunLook<'a> {
+    run: &'a ServingSample,
+    load: f64,
+}
+
 /// What is known of one serving run.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct ServingLoad {
     /// Its load without what fills beside it.
     own: f64,
+    /// Its load with it, by the last look.
+    seen: f64,
     /// When its tail was last over the alarm.
     alarmed: TimePoint,
-    /// When what was at work was last blamed for that.
-    blamed: TimePoint,
     /// Since when its tail has been near its target or over it.
     over_since: Option<TimePoint>,
     /// Since when all that fills stands still for it.
@@ -134,8 +125,8 @@
     fn new(own: f64) -> Self {
         Self {
             own,
+            seen: own,
             alarmed: TimePoint::default(),
-            blamed: TimePoint::default(),
             over_since: None,
             relief_since: None,
             cleared_until: TimePoint::default(),
@@ -168,45 +159,46 @@
 /// The paces of all images that fill on one worker.
 #[derive(Debug, Clone, Default)]
 pub struct PaceControl {
-    pairs: PairTable,
+    pairs: PressTable,
     loads: HashMap<RunMark, ServingLoad>,
     /// The least tail of each serving image, as a share of its target.
     idle: HashMap<Box<str>, f64>,
     paces: BTreeMap<Box<str>, u32>,
     looked: TimePoint,
-    /// Pairs learned since they were last told, with the observations that are new.
-    fresh: HashMap<(Box<str>, Box<str>), f64>,
+    /// Cores in use by what fills, by the last look.
+    cores: CoreUse,
+    /// What was observed of pairs since they were last told.
+    fresh: PressTable,
     room: f64,
     room_told: f64,
 }
 
 /// A change of the room by less is not worth telling.
 const ROOM_STEP: f64 = 0.05;
-/// The greatest press of a core that is believed.
-const MOST_PRESS: f64 = 2.0;
-/// Suspicion of an image that is known to press on nothing, as if it did by this much.
-const SUSPICION: f64 = 0.04;
-/// A press that may be noise fades by this much with each observation.
-const FADE: f64 = 0.002;
-/// Presses up to this may be noise.
-const NOISE: f64 = 0.11;
 /// Loads beyond this cannot be told apart by their tails.
 const MOST_LOAD: f64 = 0.95;
+/// From here on a load is only known to be at least that.
+const FULL_LOAD: f64 = 0.9;
 /// Own loads below this are taken as this: what presses on them cannot be seen.
 const LEAST_LOAD: f64 = 0.05;
-/// Less than this many cores in use teaches nothing of a press.
-const LEAST_USED: f64 = 0.15;
+/// Looks further apart than this say nothing of what changed between them.
+const MOST_SPAN: Duration = Duration::from_millis(1_200);
+/// Observations of a pair that come to this much certainty are worth telling.
+const NEWS_WEIGHT: f64 = 12.0;
 /// A worker without serving tasks has this much room for presses.
 const MOST_ROOM: f64 = 10.0;
 
-type FillingMap = BTreeMap<Box<str>, FillingSample>;
-
 impl PaceControl {
     /// The pace of an image, percent.
     pub fn pace(&self, image: &str) -> u32 {
         self.paces.get(image).copied().unwrap_or(100)
     }
 
+    /// What a core of a filling image is expected to press on a serving one.
+    pub fn press(&self, serving: &str, filling: &str) -> f64 {
+        self.pairs.get(serving, filling).expected()
+    }
+
     /// How much press the worker bears beyond what it has, by the last look.
     pub fn room(&self) -> f64 {
         self.room
@@ -219,17 +211,20 @@
 
     /// Whether the owner would place otherwise by what was learned since it was last told.
     pub fn has_news(&self) -> bool {
-        !self.fresh.is_empty() || (self.room - self.room_told).abs() > ROOM_STEP
+        let has_pairs = self
+            .fresh
+            .iter()
+            .any(|(.., press)| press.weight >= NEWS_WEIGHT);
+        has_pairs || (self.room - self.room_told).abs() > ROOM_STEP
     }
 
-    /// Pairs learned since the last call, with the observations that are new.
+    /// What was observed of pairs since the last call.
     pub fn take_fresh(&mut self) -> Vec<(Box<str>, Box<str>, PairPress)> {
-        let fresh = std::mem::take(&mut self.fresh);
         self.room_told = self.room;
-        let pairs = fresh.into_iter().map(|((serving, filling), weight)| {
-            let per_core = self.pairs.get(&serving, &filling).per_core;
-            (serving, filling, PairPress { per_core, weight })
-        });
+        let fresh = std::mem::take(&mut self.fresh);
+        let pairs = fresh
+            .iter()
+            .map(|(serving, filling, press)| (serving.into(), filling.into(), press));
         pairs.collect()
     }
 
@@ -238,117 +233,88 @@
         if now.since(self.looked) < rules.period {
             return false;
         }
+        let span = now.since(self.looked);
         self.looked = now;
         self.loads
             .retain(|mark, _| sample.serving.iter().any(|run| run.mark == *mark));
-        for run in sample.serving.iter().filter(|run| run.tail > 0.0) {
-            self.learn(run, &sample.filling, now, rules);
+        let looks = self.load_looks(sample, rules);
+        let cores = sample.cores_used();
+        if span <= MOST_SPAN {
+            self.learn(&looks, &cores, span);
+        }
+        for look in &looks {
+            self.follow(look, &cores, now, rules);
         }
+        self.cores = cores;
         self.plan(sample, now, rules);
         true
     }
 
-    fn press_of(&self, serving: &str, filling: &str, rules: &PaceRules) -> PairPress {
-        let known = self.pairs.get(serving, filling);
-        if known.weight > 0.0 {
-            return known;
-        }
-        PairPress {
-            per_core: rules.first_press,
-            weight: 0.0,
+    /// The loads that the tails of a sample show.
+    fn load_looks<'a>(&mut self, sample: &'a PaceSample, rules: &PaceRules) -> Vec<RunLook<'a>> {
+        let mut looks = Vec::with_capacity(sample.serving.len());
+        for run in sample.serving.iter().filter(|run| run.tail > 0.0) {
+            let first = rules.first_idle;
+            let idle = self.idle.entry(run.image.clone()).or_insert(first);
+            *idle = idle.min(run.tail);
+            let load = (1.0 - *idle / run.tail).clamp(LEAST_LOAD, MOST_LOAD);
+            looks.push(RunLook { run, load });
         }
+        looks
     }
 
-    fn press(&self, image: &str, filling: &FillingMap, rules: &PaceRules) -> f64 {
-        let presses = filling
-            .iter()
-            .map(|(filling, fill)| self.press_of(image, filling, rules).per_core * fill.used);
-        presses.sum()
-    }
-
-    fn load_of(&mut self, run: &ServingSample, rules: &PaceRules) -> f64 {
-        let idle = self
-            .idle
-            .entry(run.image.clone())
-            .or_insert(rules.first_idle);
-        *idle = idle.min(run.tail);
-        (1.0 - *idle / run.tail).clamp(LEAST_LOAD, MOST_LOAD)
-    }
-
-    fn learn(
-        &mut self,
-        run: &ServingSample,
-        filling: &FillingMap,
-        now: TimePoint,
-        rules: &PaceRules,
-    ) {
-        let load = self.load_of(run, rules);
-        let press = self.press(&run.image, filling, rules);
-        let known = self
-            .loads
-            .get(&run.mark)
-            .copied()
-            .unwrap_or_else(|| ServingLoad::new(load / (1.0 + press)));
-        let mut next = known;
-        next.follow(run.tail, now, rules);
-        if run.tail > rules.alarm {
-            // The tail only bounds the load from below. What is at work at the first look of an
-            // alarm is the cause, and again whenever the alarm goes on.
-            if now.since(known.blamed) > rules.settle {
-                next.blamed = now;
-                self.blame(
-                    run,
-                    filling,
-                    rules
-                        .alarm_press
-                        .max(2.0 * (load - known.own * (1.0 + press)) / known.own),
-                    rules,
-                );
+    /// Learns what presses on each image from the change since the last look. Runs of one image
+    /// bear the same press, so that the middle one speaks for all: one that is slow by itself
+    /// blames nobody.
+    fn learn(&mut self, looks: &[RunLook<'_>], cores: &CoreUse, span: Duration) {
+        let mut changes: BTreeMap<&str, Vec<(f64, f64, f64)>> = BTreeMap::new();
+        for look in looks {
+            if let Some(known) = self.loads.get(&look.run.mark) {
+                let growth = (look.load / known.seen).ln();
+                let change = (growth, known.seen, look.load);
+                changes.entry(&look.run.image).or_default().push(change);
             }
-            next.alarmed = now;
-        } else if now.since(known.alarmed) > rules.settle {
-            let error = load - known.own * (1.0 + press);
-            let used: f64 = filling.values().map(|fill| fill.used).sum();
-            let rate = if used < rules.alone_cores {
-                rules.alone_rate
-            } else {
-                rules.own_rate
+        }
+        for (serving, mut runs) in changes {
+            runs.sort_by(|one, other| one.0.total_cmp(&other.0));
+            let (growth, before, after) = runs[runs.len() / 2];
+            let change = LoadChange {
+                serving,
+                before: LoadLook {
+                    cores: &self.cores,
+                    full: before >= FULL_LOAD,
+                },
+                after: LoadLook {
+                    cores,
+                    full: after >= FULL_LOAD,
+                },
+                growth,
+                load: after,
+                span,
             };
-            next.own = (known.own + rate * error / (1.0 + press)).clamp(LEAST_LOAD, MOST_LOAD);
-            self.blame(run, filling, rules.press_rate * error / known.own, rules);
+            for (filling, seen) in self.pairs.learn(&change) {
+                self.fresh.merge(serving, &filling, seen);
+            }
         }
-        self.loads.insert(run.mark, next);
     }
 
-    /// Spreads a press that was not predicted over the images that were at work.
-    fn blame(&mut self, run: &ServingSample, filling: &FillingMap, missed: f64, rules: &PaceRules) {
-        // What is known to press takes most of the blame: few images do.
-        let suspicion = |known: PairPress| known.per_core + SUSPICION;
-        let sum: f64 = filling
-            .iter()
-            .map(|(image, fill)| {
-                suspicion(self.press_of(&run.image, image, rules)) * fill.used * fill.used
-            })
-            .sum();
-        for (image, fill) in filling.iter().filter(|(_, fill)| fill.used > LEAST_USED) {
-            let known = self.press_of(&run.image, image, rules);
-            let step = missed * suspicion(known) * fill.used / (sum + SUSPICION);
-            let weight = fill.used.min(1.0);
-            let fade = if known.per_core < NOISE {
-                FADE * weight
-            } else {
-                0.0
-            };
-            let learned = PairPress {
-                // Noise only ever adds up above zero; what is not seen again fades.
-                per_core: (known.per_core + step - fade).clamp(0.0, MOST_PRESS),
-                weight: known.weight + weight,
-            };
-            self.pairs.set(&run.image, image, learned);
-            *self
-                .fresh
-                .entry((run.image.clone(), image.clone()))
-                .or_default() += weight;
+    /// Takes the load of one run.
+    fn follow(&mut self, look: &RunLook<'_>, cores: &CoreUse, now: TimePoint, rules: &PaceRules) {
+        let own = look.load / (1.0 + self.pairs.press_on(&look.run.image, cores));
+        let known = self
+            .loads
+            .entry(look.run.mark)
+            .or_insert_with(|| ServingLoad::new(own));
+        known.follow(look.run.tail, now, rules);
+        known.seen = look.load;
+        if look.run.tail > rules.alarm {
+            known.alarmed = now;
+        }
+        if look.load >= FULL_LOAD {
+            // Such a tail bounds the load only from below.
+            known.own = known.own.max(own).min(MOST_LOAD);
+        } else {
+            known.own = (known.own + rules.own_rate * (own - known.own)).max(LEAST_LOAD);
         }
     }
 
@@ -379,9 +345,10 @@
             let mut presses: Vec<(&Box<str>, f64, f64)> = sample
                 .filling
                 .iter()
-                .map(|(image, fill)| (image, self.press_of(&run.image, image, rules), fill))
-                .filter(|(_, pair, _)| !rules.is_benign(*pair))
-                .map(|(image, pair, fill)| (image, pair.per_core, pair.per_core * fill.wanted))
+                .map(|(image, fill)| (image, self.pairs.get(&run.image, image), fill))
+                .filter(|(_, pair, _)| !pair.is_none(rules.no_press))
+                .map(|(image, pair, fill)| (image, pair.expected(), fill.wanted))
+                .map(|(image, press, wanted)| (image, press, press * wanted))
                 .collect();
             let whole: f64 = presses.iter().map(|(.., press)| press).sum();
             self.room = self.room.min(room - whole);
--- a/crates/wax-agent/tests/pacing.rs
+++ b/crates/wax-agent/tests/pacing.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 use wax_agent::{FillingSample, PaceControl, PaceRules, PaceSample, ServingSample};
-use wax_batch::{JobName, PairPress, RunMark, TaskName};
+use wax_batch::{JobName, RunMark, TaskName};
+use wax_policy::PairPress;
 use wax_types::TimePoint;
 
 fn mark() -> RunMark {
--- a/crates/wax-batch/src/book.rs
+++ b/crates/wax-batch/src/book.rs
@@ -3,7 +3,6 @@
 use crate::approvals::StepApproval;
 use crate::life::{JobLife, OccurrenceLife};
 use crate::names::{JobName, RunMark, TaskName};
-use crate::pairs::{PairPress, PairTable};
 use crate::place::PlaceRules;
 use crate::progress::{JobOutcome, JobProgress, JobRow};
 use crate::queue::{QueueConfig, QueueRules};
@@ -13,6 +12,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
+use wax_policy::{PairPress, PressTable};
 use wax_types::TimePoint;
 
 slotmap::new_key_type! {
@@ -158,7 +158,7 @@
     /// What the advisor has said of steps.
     pub(crate) approvals: HashMap<StepAt, StepApproval>,
     /// What filling images press on serving ones.
-    pub(crate) pairs: PairTable,
+    pub(crate) pairs: PressTable,
     /// The owner's term.
     pub(crate) epoch: u64,
     /// Whether tasks of jobs of earlier terms may be started: all who may run them were heard.
@@ -178,7 +178,7 @@
             config: Rc::default(),
             rules,
             approvals: HashMap::new(),
-            pairs: PairTable::default(),
+            pairs: PressTable::default(),
             epoch,
             settled: false,
         }
@@ -214,7 +214,7 @@
     }
 
     /// What is known of all pairs of images.
-    pub fn presses(&self) -> &PairTable {
+    pub fn presses(&self) -> &PressTable {
         &self.pairs
     }
 
--- a/crates/wax-batch/src/lib.rs
+++ b/crates/wax-batch/src/lib.rs
@@ -9,7 +9,6 @@
 mod moves;
 mod names;
 mod notes;
-mod pairs;
 mod place;
 mod progress;
 mod queue;
@@ -25,7 +24,6 @@
 pub use ends::StartRefusal;
 pub use life::{JobLife, OccurrenceLife, StepLife, TaskLife, TaskStand};
 pub use names::{JobName, RunMark, TaskName};
-pub use pairs::{PairPress, PairTable};
 pub use place::{PlaceChoice, PlaceRules};
 pub use progress::{
     JobOutcome, JobProgress, JobRow, OccurrenceProgress, StepProgress, TaskFailures,
--- a/crates/wax-batch/src/place.rs
+++ b/crates/wax-batch/src/place.rs
@@ -3,11 +3,11 @@
 use crate::book::{JobBook, StartOrder, StepAt, TaskAt, WorkerLife};
 use crate::life::{JobLife, StepLife, TaskStand};
 use crate::names::RunMark;
-use crate::pairs::PairTable;
 use crate::rank::JobRank;
 use crate::spec::{StepSpec, TaskSize};
 use crate::worker::{WorkerKey, WorkerState};
 use std::time::Duration;
+use wax_policy::PressTable;
 use wax_types::TimePoint;
 
 /// What placement assumes of workers.
@@ -41,14 +41,8 @@
     pub stall_share: f64,
     /// At most this many runs are moved at once.
     pub most_moves: usize,
-    /// A press of a core below this, borne out well, is none.
-    pub benign_press: f64,
-    /// Observations that bear out well.
-    pub benign_weight: f64,
-    /// What a core presses before anything is known.
-    pub first_press: f64,
-    /// How many observations that assumption is worth.
-    pub first_weight: f64,
+    /// A press of a core that is surely below this is none.
+    pub no_press: f64,
     /// Cost of lasting tasks of other images on the worker.
     pub stranger_cost: f64,
     /// Cost of a worker without lasting tasks, for one that lasts.
@@ -71,10 +65,7 @@
             stall: Duration::from_millis(1_000),
             stall_share: 0.25,
             most_moves: 6,
-            benign_press: 0.09,
-            benign_weight: 12.0,
-            first_press: 0.06,
-            first_weight: 5.0,
+            no_press: 0.05,
             stranger_cost: 2.0,
             open_cost: 1.0,
         }
@@ -158,22 +149,22 @@
     }
 
     /// How much one more task of a step that fills would press on the worst of what serves here.
-    pub(crate) fn press_of(&self, step: &StepSpec, pairs: &PairTable, rules: &PlaceRules) -> f64 {
+    pub(crate) fn press_of(&self, step: &StepSpec, pairs: &PressTable, rules: &PlaceRules) -> f64 {
         let cores = f64::from(step.size.cpu_milli) / 1_000.0;
         let serving = self.lasting_images.iter().filter(|(_, runs)| **runs > 0);
         let presses = serving.map(|(image, _)| {
             let known = pairs.get(image, &step.image);
-            if known.per_core < rules.benign_press && known.weight >= rules.benign_weight {
-                return 0.0;
+            if known.is_none(rules.no_press) {
+                0.0
+            } else {
+                known.expected()
             }
-            let sure = known.weight / (known.weight + rules.first_weight);
-            known.per_core * sure + rules.first_press * (1.0 - sure)
         });
         presses.fold(0.0, f64::max) * cores
     }
 
     /// Whether one more task of the step would work here at its full pace.
-    pub(crate) fn bears(&self, step: &StepSpec, pairs: &PairTable, rules: &PlaceRules) -> bool {
+    pub(crate) fn bears(&self, step: &StepSpec, pairs: &PressTable, rules: &PlaceRules) -> bool {
         !step.fills || self.press_of(step, pairs, rules) <= self.press_room.max(rules.least_room)
     }
 
@@ -185,7 +176,7 @@
     }
 
     /// The cost of one more task of the step, in shares of the worker's processors.
-    fn cost(&self, step: &StepSpec, pairs: &PairTable, rules: &PlaceRules) -> f64 {
+    fn cost(&self, step: &StepSpec, pairs: &PressTable, rules: &PlaceRules) -> f64 {
         let capacity = f64::from(self.view.capacity.cpu_milli.max(1));
         let used = f64::from(self.booked.cpu_milli)
             - f64::from(self.lasting_milli) * (1.0 - rules.lasting_use)
--- a/crates/wax-batch/tests/places.rs
+++ b/crates/wax-batch/tests/places.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use support::*;
-use wax_batch::{JobBook, PairPress, StepSpec, TaskSize, WorkerKey};
+use wax_batch::{JobBook, StepSpec, TaskSize, WorkerKey};
+use wax_policy::PairPress;
 
 fn filling(count: u32, cpu_milli: u32, image: &str) -> StepSpec {
     StepSpec {
--- a/crates/wax-policy/src/lib.rs
+++ b/crates/wax-policy/src/lib.rs
@@ -9,6 +9,7 @@
 mod interference;
 mod kinds;
 mod placement;
+mod press;
 mod relief;
 mod rendezvous;
 mod retry;
@@ -28,6 +29,7 @@
     FirmWeights, PlaceChoice, PlaceContext, PlacePolicy, RunningTask, TaskDemand, WorkerKey,
     WorkerSlot, WorkerTable,
 };
+pub use press::{CoreUse, LoadChange, LoadLook, PairPress, PressTable};
 pub use relief::{ReliefChoice, ReliefState, ReliefView, THROTTLED_PERCENT};
 pub use rendezvous::{rank_score, top_member};
 pub use retry::RetryBudget;
--- /dev/null
+++ b/crates/wax-policy/src/press.rs
@@ -0,0 +1,233 @@
+//! How much tasks of one image press on tasks of another, learned from changes of their load.
+//!
+//! A serving task's load is its own load times one plus the press: for each filling image the cores
+//! in use, times what a core of that image presses. The own load drifts slowly, while starts, ends
+//! and changes of pace change the cores at once. So the ratio of two loads half a second apart tells
+//! of the press alone, but for the drift, which is known in size. Each ratio is one step of a Kalman
+//! filter that keeps a mean and a variance for each pair of images.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+/// What a core presses before anything is known: by the users' trace some four of nine images
+/// press on none, the others by 0.05 to 0.2.
+const PRIOR_PRESS: f64 = 0.08;
+/// Certainty of that, as one over its variance: a spread of 0.12.
+const PRIOR_WEIGHT: f64 = 70.0;
+/// Observations beyond this certainty (a spread of 0.02) count no more, so that what changes is
+/// followed.
+const MOST_WEIGHT: f64 = 2_500.0;
+/// The greatest press of a core that is believed.
+const MOST_PRESS: f64 = 2.0;
+/// By how much the logarithm of an own load drifts in half a second.
+const DRIFT: f64 = 0.10;
+/// Spread of the logarithm of a load that is measured at [`MEASURED_LOAD`]; lower loads show worse.
+const MEASURE: f64 = 0.08;
+/// See [`MEASURE`].
+const MEASURED_LOAD: f64 = 0.3;
+/// The period of the drift, seconds.
+const DRIFT_PERIOD: f64 = 0.5;
+/// An observation that misses by more than this many spreads counts as missing by this many.
+const MOST_SPREADS: f64 = 2.5;
+/// Less certainty than this is not worth noting.
+const LEAST_WEIGHT: f64 = 1e-6;
+
+/// What is known of a pair of images by observation.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct PairPress {
+    /// By what share the load of the serving image grows for each core that the filling one uses.
+    pub per_core: f64,
+    /// How certain that is: one over its variance; 0 without an observation.
+    pub weight: f64,
+}
+
+impl PairPress {
+    /// The press of a core as far as it is known; never below 0.
+    pub fn expected(self) -> f64 {
+        let sum = PRIOR_PRESS * PRIOR_WEIGHT + self.per_core * self.weight;
+        (sum / (PRIOR_WEIGHT + self.weight)).clamp(0.0, MOST_PRESS)
+    }
+
+    /// The spread of what is expected.
+    pub fn spread(self) -> f64 {
+        self.variance().sqrt()
+    }
+
+    /// Whether it is surely below `bound`.
+    pub fn is_none(self, bound: f64) -> bool {
+        self.expected() + self.spread() < bound
+    }
+
+    fn variance(self) -> f64 {
+        1.0 / (PRIOR_WEIGHT + self.weight)
+    }
+
+    /// Both pieces of knowledge together.
+    fn plus(self, other: Self) -> Self {
+        let weight = self.weight + other.weight;
+        if weight <= 0.0 {
+            return self;
+        }
+        let sum = self.per_core * self.weight + other.per_core * other.weight;
+        Self {
+            per_core: sum / weight,
+            weight,
+        }
+    }
+
+    fn capped(self) -> Self {
+        Self {
+            weight: self.weight.min(MOST_WEIGHT),
+            ..self
+        }
+    }
+}
+
+/// Cores in use by each filling image.
+pub type CoreUse = BTreeMap<Box<str>, f64>;
+
+/// What one look shows of an image that serves on a worker.
+#[derive(Debug, Clone, Copy)]
+pub struct LoadLook<'a> {
+    /// Cores in use beside it.
+    pub cores: &'a CoreUse,
+    /// Whether the load is too high to be told: it is only known to be at least that.
+    pub full: bool,
+}
+
+/// The change of a serving image's load between two looks at one worker.
+#[derive(Debug, Clone, Copy)]
+pub struct LoadChange<'a> {
+    /// The image that serves.
+    pub serving: &'a str,
+    /// The look before.
+    pub before: LoadLook<'a>,
+    /// The look now.
+    pub after: LoadLook<'a>,
+    /// The logarithm of the load now over the load before.
+    pub growth: f64,
+    /// The load now, 0 to 1.
+    pub load: f64,
+    /// The time between the two looks.
+    pub span: Duration,
+}
+
+/// What is known of all pairs: the image that serves, then the one that fills.
+#[derive(Debug, Clone, Default)]
+pub struct PressTable {
+    pairs: HashMap<(Box<str>, Box<str>), PairPress>,
+}
+
+impl PressTable {
+    /// What is known of a pair.
+    pub fn get(&self, serving: &str, filling: &str) -> PairPress {
+        let key = (Box::from(serving), Box::from(filling));
+        self.pairs.get(&key).copied().unwrap_or_default()
+    }
+
+    /// Adds observations of a pair; says what is known now.
+    pub fn merge(&mut self, serving: &str, filling: &str, other: PairPress) -> PairPress {
+        let key = (Box::from(serving), Box::from(filling));
+        let known = self.pairs.entry(key).or_default();
+        *known = known.plus(other).capped();
+        *known
+    }
+
+    /// Sets what is known of a pair.
+    pub fn set(&mut self, serving: &str, filling: &str, press: PairPress) {
+        self.pairs.insert((serving.into(), filling.into()), press);
+    }
+
+    /// All pairs.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &str, PairPress)> {
+        let pairs = self.pairs.iter();
+        pairs.map(|((serving, filling), press)| (&**serving, &**filling, *press))
+    }
+
+    /// By what share all that fills beside an image raises its load.
+    pub fn press_on(&self, serving: &str, cores: &CoreUse) -> f64 {
+        let presses = cores
+            .iter()
+            .map(|(filling, used)| self.get(serving, filling).expected() * used);
+        presses.sum()
+    }
+
+    /// Learns from a change of load; returns what was observed of each pair.
+    pub fn learn(&mut self, change: &LoadChange<'_>) -> Vec<(Box<str>, PairPress)> {
+        let before = 1.0 + self.press_on(change.serving, change.before.cores);
+        let after = 1.0 + self.press_on(change.serving, change.after.cores);
+        let missed = change.growth - (after / before).ln();
+        if change.says_nothing(missed) {
+            return Vec::new();
+        }
+        let slopes = change.slopes(before, after);
+        let spread: f64 = slopes
+            .iter()
+            .map(|(filling, slope)| slope * slope * self.get(change.serving, filling).variance())
+            .sum();
+        let variance = spread + change.noise();
+        let most = MOST_SPREADS * variance.sqrt();
+        let missed = missed.clamp(-most, most);
+        let mut observed = Vec::new();
+        for (filling, slope) in slopes {
+            let known = self.get(change.serving, &filling);
+            let seen = known.observe(slope, missed, variance);
+            if seen.weight > LEAST_WEIGHT {
+                self.merge(change.serving, &filling, seen);
+                observed.push((filling, seen));
+            }
+        }
+        observed
+    }
+}
+
+impl PairPress {
+    /// What an observation that missed by `missed` adds to what is known, if it answers with
+    /// `slope` to the press of this pair.
+    fn observe(self, slope: f64, missed: f64, variance: f64) -> Self {
+        let gain = self.variance() * slope / variance;
+        let kept = 1.0 - gain * slope;
+        let weight = (PRIOR_WEIGHT + self.weight) * (1.0 / kept - 1.0);
+        if weight <= LEAST_WEIGHT {
+            return Self::default();
+        }
+        let mean = self.expected();
+        let moved = mean + gain * missed;
+        let whole = PRIOR_WEIGHT + self.weight;
+        Self {
+            per_core: (moved * (whole + weight) - mean * whole) / weight,
+            weight,
+        }
+    }
+}
+
+impl LoadChange<'_> {
+    /// Whether the miss is one that a load too high to be told explains.
+    fn says_nothing(&self, missed: f64) -> bool {
+        match (self.before.full, self.after.full) {
+            (true, true) => true,
+            (false, true) => missed < 0.0,
+            (true, false) => missed > 0.0,
+            (false, false) => false,
+        }
+    }
+
+    /// How the logarithm of the ratio answers to the press of each image.
+    fn slopes(&self, before: f64, after: f64) -> BTreeMap<Box<str>, f64> {
+        let mut slopes = BTreeMap::new();
+        for (filling, used) in self.after.cores {
+            *slopes.entry(filling.clone()).or_insert(0.0) += used / after;
+        }
+        for (filling, used) in self.before.cores {
+            *slopes.entry(filling.clone()).or_insert(0.0) -= used / before;
+        }
+        slopes
+    }
+
+    /// The variance of what is not told by the presses: drift and the measure itself.
+    fn noise(&self) -> f64 {
+        let drift = DRIFT * self.span.as_secs_f64() / DRIFT_PERIOD;
+        let measure = MEASURE * MEASURED_LOAD / self.load;
+        drift * drift + measure * measure
+    }
+}
--- a/crates/wax-wire/src/pool.rs
+++ b/crates/wax-wire/src/pool.rs
@@ -2,7 +2,8 @@
 
 use crate::pool_parts::{EndFrame, MarkFrame, RefusalFrame, ReportFrame, WorkerFrame};
 use prost::{Message, Oneof};
-use wax_batch::{PairPress, TaskSize};
+use wax_batch::TaskSize;
+use wax_policy::PairPress;
 
 /// One message.
 #[derive(Clone, PartialEq, Message)]
--- a/crates/wax-wire/tests/pool.rs
+++ b/crates/wax-wire/tests/pool.rs
@@ -3,9 +3,10 @@
 use bytes::BytesMut;
 use tokio_util::codec::{Decoder, Encoder};
 use wax_batch::{
-    JobName, PairPress, RunEnd, RunEndKind, RunMark, RunReport, StartRefusal, TaskName, TaskSize,
-    WorkerState, WorkerView,
+    JobName, RunEnd, RunEndKind, RunMark, RunReport, StartRefusal, TaskName, TaskSize, WorkerState,
+    WorkerView,
 };
+use wax_policy::PairPress;
 use wax_wire::*;
 
 fn mark() -> RunMark {
