In a calm service no job stands still, whatever its age

The starvation rule looked at jobs of more than 10 s only, while the users' rule asks about all once under half of the processors are in use.

Change: where less than 0.6 of a service's processors is booked, a job of any age of which nothing is placed gets one task after 1.2 s.

Two tests on old jobs and on patience now keep their service busy; their bounds stay.

--- a/crates/wax-batch/src/place.rs
+++ b/crates/wax-batch/src/place.rs
@@ -37,6 +37,9 @@
     pub late_pace: f64,
     /// .. it takes any.
     pub last_patience: Duration,
+    /// A service of which less than this share of the processors is booked is calm: there each
+    /// job counts as old, since nothing else excuses that it stands still.
+    pub calm_use: f64,
     /// A job of this age counts as old.
     pub old_age: Duration,
     /// An old job of which nothing has run for this long gets one task placed, however full it is.
@@ -69,6 +72,7 @@
             fill_patience: Duration::from_millis(4_000),
             late_pace: 0.4,
             last_patience: Duration::from_millis(12_000),
+            calm_use: 0.6,
             old_age: Duration::from_millis(10_000),
             starvation: Duration::from_millis(1_200),
             stall: Duration::from_millis(1_000),
@@ -100,10 +104,10 @@
         self.fill_limits[usize::from(hope).min(self.fill_limits.len() - 1)]
     }
 
-    fn patience(&self, job: &JobLife, step: &StepLife, now: TimePoint) -> FillPatience {
+    fn patience(&self, job: &JobLife, step: &StepLife, calm: bool, now: TimePoint) -> FillPatience {
         let waited = now.since(step.since);
-        let old = now.since(job.accepted) >= self.old_age && waited >= self.starvation;
-        if old && !job.has_placed() {
+        let old = calm || now.since(job.accepted) >= self.old_age;
+        if old && waited >= self.starvation && !job.has_placed() {
             FillPatience::Starved
         } else if waited < self.fill_patience {
             FillPatience::Careful
@@ -268,9 +272,10 @@
             }
             return;
         }
+        let calm = step.fills && self.is_calm(&service);
         for index in waiting {
             let task = TaskAt { step: at, index };
-            match self.choose(task, hope, &service, step, now) {
+            match self.choose(task, hope, &service, step, calm, now) {
                 PlaceChoice::Worker(worker) => orders.push(self.order(task, worker, None, now)),
                 PlaceChoice::NoRoom => return,
             }
@@ -291,7 +296,7 @@
         let mut members = Vec::with_capacity(step.count as usize);
         for index in 0..step.count {
             let task = TaskAt { step: at, index };
-            match self.choose(task, 0, service, step, now) {
+            match self.choose(task, 0, service, step, false, now) {
                 PlaceChoice::Worker(worker) => {
                     members.push(self.order(task, worker, Some(run), now))
                 }
@@ -329,12 +334,26 @@
         self.unseat(task, order.worker, now);
     }
 
+    /// Whether most of a service's processors are not booked.
+    fn is_calm(&self, service: &str) -> bool {
+        let workers = self.workers.values();
+        let ready = workers.filter(|worker| {
+            *worker.view.service == *service && worker.view.state == WorkerState::Ready
+        });
+        let (booked, all) = ready.fold((0.0, 0.0), |(booked, all), worker| {
+            let capacity = f64::from(worker.view.capacity.cpu_milli);
+            (booked + f64::from(worker.booked.cpu_milli), all + capacity)
+        });
+        booked < all * self.rules.calm_use
+    }
+
     fn choose(
         &mut self,
         at: TaskAt,
         hope: u8,
         service: &str,
         step: &StepSpec,
+        calm: bool,
         now: TimePoint,
     ) -> PlaceChoice {
         let job = &self.jobs[at.step.job];
@@ -343,7 +362,7 @@
         };
         let life = &occurrence.steps[usize::from(at.step.step)];
         let shuns = life.tasks[at.index as usize].shuns;
-        let patience = self.rules.patience(job, life, now);
+        let patience = self.rules.patience(job, life, calm, now);
         let fill_limit = match patience {
             FillPatience::Careful | FillPatience::Late | FillPatience::Any => {
                 self.rules.fill_limit(hope)
--- a/crates/wax-batch/tests/places.rs
+++ b/crates/wax-batch/tests/places.rs
@@ -38,6 +38,15 @@
     }
 }
 
+/// Books most of the service's processors by what neither fills nor serves.
+fn keep_busy(book: &mut JobBook) {
+    worker(book, "full", 40_000);
+    add(book, 99, 1, &spec(vec![step(4, 10_000)]), None);
+    let orders = book.place(at(0));
+    assert_eq!(orders.len(), 4);
+    start_all(book, &orders, at(0));
+}
+
 fn count_on(book: &JobBook, worker: WorkerKey) -> usize {
     book.workers()
         .find(|(key, _)| *key == worker)
@@ -127,6 +136,7 @@
 #[test]
 fn what_presses_waits_for_a_worker_that_bears_it_but_not_for_ever() {
     let mut book = book(1);
+    keep_busy(&mut book);
     let busy = worker(&mut book, "busy", 8_000);
     add(&mut book, 7, 1, &spec(vec![lasting(1, 2_000, "red")]), None);
     let orders = book.place(at(0));
@@ -189,6 +199,7 @@
 #[test]
 fn an_old_job_of_which_nothing_runs_gets_one_task_placed_however_full_it_is() {
     let mut book = book(1);
+    keep_busy(&mut book);
     worker(&mut book, "w", 4_000);
     add(&mut book, 7, 1, &spec(vec![filling(4, 1_000, "a")]), None);
     let orders = book.place(at(0));
@@ -201,6 +212,23 @@
     assert_eq!(orders[0].mark.task.job.0, 8);
 }
 
+/// LOST on riveneige scale-1: with most processors not booked, jobs of any age must not stand still.
+#[test]
+fn in_a_calm_service_a_young_job_of_which_nothing_runs_gets_one_task_placed() {
+    let mut book = book(1);
+    worker(&mut book, "w", 4_000);
+    add(&mut book, 7, 1, &spec(vec![filling(4, 1_200, "a")]), None);
+    let orders = book.place(at(0));
+    assert_eq!(orders.len(), 4, "all processors are asked for");
+    start_all(&mut book, &orders, at(0));
+    add(&mut book, 8, 1, &spec(vec![filling(3, 1_200, "a")]), None);
+    assert!(book.place(at(1_000)).is_empty());
+    let orders = book.place(at(1_300));
+    assert_eq!(orders.len(), 1);
+    assert_eq!(orders[0].mark.task.job.0, 8);
+    assert!(book.place(at(3_000)).is_empty(), "one is enough");
+}
+
 #[test]
 fn a_run_that_stands_still_is_moved_if_another_worker_bears_it() {
     let mut book = book(1);
