No end is acknowledged before the store has all that is known of its job

The first member's end stands for all; only that end waited for the store. The others' were acknowledged at once, since their step was done already. At 34.34 s all lost power, the first member's worker with them, and the write had not happened. The next owner found nothing done and started the gang anew. The same holds for two runs of one task of which one was given up.

Change: an end is acknowledged once the store has every change of its job up to then. What `end_run`, `late_end`, `task_done` and the like returned for it is needless and gone.

Tests, failing first: `no_end_of_a_gang_is_acknowledged_..` and `a_second_end_of_a_done_task_waits_..` (each acknowledged too early).

A lasting task no longer prefers racks far from its data. `place.rs` is split into rules, fit and placing.

--- a/crates/wax-batch/src/book.rs
+++ b/crates/wax-batch/src/book.rs
@@ -3,7 +3,7 @@
 use crate::approvals::StepApproval;
 use crate::life::{JobLife, OccurrenceLife};
 use crate::names::{JobName, RunMark, TaskName};
-use crate::place::PlaceRules;
+use crate::place_rules::PlaceRules;
 use crate::progress::{JobOutcome, JobProgress, JobRow};
 use crate::queue::{QueueConfig, QueueRules};
 use crate::spec::{JobSpec, TaskSize};
--- a/crates/wax-batch/src/ends.rs
+++ b/crates/wax-batch/src/ends.rs
@@ -1,6 +1,6 @@
 //! What workers report, and what follows from it.
 
-use crate::book::{JobBook, JobKey, PendingEnd, RunSeat, StopOrder, TaskAt, WorkerLife};
+use crate::book::{JobBook, PendingEnd, RunSeat, StopOrder, TaskAt, WorkerLife};
 use crate::life::TaskStand;
 use crate::names::RunMark;
 use crate::progress::JobOutcome;
@@ -242,11 +242,14 @@
             self.adopt_end(worker, end, now);
         }
         let known = self.knows_run(worker, end.mark);
-        let covered = if known {
-            self.end_run(worker, end.mark, end.kind, &end.checkpoint, now, now_ms)
+        if known {
+            self.end_run(worker, end.mark, end.kind, &end.checkpoint, now, now_ms);
         } else {
-            self.late_end(end, now, now_ms)
-        };
+            self.late_end(end, now, now_ms);
+        }
+        // Whatever this end changed, or repeats: the store has all that is known of the job first.
+        let job = self.names.get(&end.mark.task.job);
+        let covered = job.map(|key| (*key, self.jobs[*key].changes));
         if let Some(life) = self.workers.get_mut(worker) {
             let number = end.number;
             life.pending.push_back(PendingEnd { number, covered });
@@ -266,7 +269,7 @@
         }
     }
 
-    /// Ends a run in the book; returns what the store must have before the end is forgotten.
+    /// Ends a run in the book.
     pub(crate) fn end_run(
         &mut self,
         worker: WorkerKey,
@@ -275,19 +278,18 @@
         checkpoint: &str,
         now: TimePoint,
         now_ms: u64,
-    ) -> Option<(JobKey, u64)> {
-        let at = self.free_run(worker, mark)?.task?;
-        let stands = self
-            .task_mut(at)?
-            .seat()
-            .is_some_and(|seat| seat.run == mark.run && seat.worker == worker);
-        if !stands {
-            return None;
+    ) {
+        let Some(at) = self.free_run(worker, mark).and_then(|seat| seat.task) else {
+            return;
+        };
+        let seat = self.task_mut(at).and_then(|task| task.seat().copied());
+        if !seat.is_some_and(|seat| seat.run == mark.run && seat.worker == worker) {
+            return;
         }
         let key = at.step.job;
         if self.jobs[key].is_over() {
             self.unseat(at, worker, now);
-            return Some((key, self.jobs[key].changes));
+            return;
         }
         if !checkpoint.is_empty()
             && let Some(task) = self.task_mut(at)
@@ -295,17 +297,14 @@
             task.checkpoint = checkpoint.into();
         }
         self.unseat(at, worker, now);
-        let stored = match kind {
+        match kind {
             RunEndKind::Done => self.task_done(at, worker, now, now_ms),
             RunEndKind::Failed => self.task_failed(at, mark.run, worker, now, now_ms),
-            RunEndKind::Stopped | RunEndKind::Lapsed | RunEndKind::Broken | RunEndKind::Alone => {
-                false
-            }
-        };
+            RunEndKind::Stopped | RunEndKind::Lapsed | RunEndKind::Broken | RunEndKind::Alone => {}
+        }
         if kind != RunEndKind::Done {
             self.stop_gang(at);
         }
-        stored.then(|| (key, self.jobs[key].changes))
     }
 
     /// Stops the other members of a gang of which one has ended: they would wait in vain.
@@ -367,7 +366,7 @@
         }
     }
 
-    fn task_done(&mut self, at: TaskAt, worker: WorkerKey, now: TimePoint, now_ms: u64) -> bool {
+    fn task_done(&mut self, at: TaskAt, worker: WorkerKey, now: TimePoint, now_ms: u64) {
         if let Some(life) = self.workers.get_mut(worker) {
             life.failed_in_row = 0;
             life.shunned_until = TimePoint::default();
@@ -377,10 +376,10 @@
         let step_spec = &spec.steps[usize::from(at.step.step)];
         if step_spec.lasts {
             // A lasting task runs until the job is cancelled, however it ends.
-            return false;
+            return;
         }
         let Some(occurrence) = job.occurrences.get_mut(&at.step.occurrence) else {
-            return false;
+            return;
         };
         let step = &mut occurrence.steps[usize::from(at.step.step)];
         if step_spec.gang {
@@ -407,7 +406,6 @@
         }
         self.touch(at.step.job);
         self.settle_job(at.step.job, now_ms);
-        true
     }
 
     fn task_failed(
@@ -417,7 +415,7 @@
         worker: WorkerKey,
         now: TimePoint,
         now_ms: u64,
-    ) -> bool {
+    ) {
         if let Some(life) = self.workers.get_mut(worker) {
             life.failed_in_row += 1;
             if life.failed_in_row >= SHUN_AFTER {
@@ -427,16 +425,16 @@
         if let Some(task) = self.task_mut(at) {
             task.shuns = Some((worker, now + FAILED_PAUSE));
         }
-        self.count_failure(at, run, now_ms)
+        self.count_failure(at, run, now_ms);
     }
 
-    /// Counts a failed run once, however often its end is heard; says whether it counts.
-    fn count_failure(&mut self, at: TaskAt, run: u64, now_ms: u64) -> bool {
+    /// Counts a failed run once, however often its end is heard.
+    fn count_failure(&mut self, at: TaskAt, run: u64, now_ms: u64) {
         let key = at.step.job;
         let spec = self.jobs[key].spec.clone();
         let step_spec = &spec.steps[usize::from(at.step.step)];
         if step_spec.lasts {
-            return false;
+            return;
         }
         // A gang fails as one: its first member keeps the count.
         let counted = TaskAt {
@@ -444,7 +442,7 @@
             ..at
         };
         let Some(task) = self.task_mut(counted) else {
-            return false;
+            return;
         };
         if !task.failed_runs.contains(&run) {
             task.failed_runs.push(run);
@@ -456,26 +454,26 @@
             let reason = format!("task {name} failed {failures} times");
             self.end_job(key, JobOutcome::Failed, Some(reason.into()), now_ms);
         }
-        true
     }
 
     /// Takes an end of a run that the book has given up, as its worker had been taken as lost.
-    fn late_end(&mut self, end: &RunEnd, now: TimePoint, now_ms: u64) -> Option<(JobKey, u64)> {
-        let at = self.task_at(end.mark.task, now)?;
-        let counts = match end.kind {
+    fn late_end(&mut self, end: &RunEnd, now: TimePoint, now_ms: u64) {
+        let Some(at) = self.task_at(end.mark.task, now) else {
+            return;
+        };
+        match end.kind {
             RunEndKind::Failed => self.count_failure(at, end.mark.run, now_ms),
             RunEndKind::Done => self.late_done(at, now, now_ms),
-            _ => false,
-        };
-        counts.then(|| (at.step.job, self.jobs[at.step.job].changes))
+            _ => {}
+        }
     }
 
     /// The task has been done by a run that was given up: another run of it is needless.
-    fn late_done(&mut self, at: TaskAt, now: TimePoint, now_ms: u64) -> bool {
+    fn late_done(&mut self, at: TaskAt, now: TimePoint, now_ms: u64) {
         let name = self.task_name(at);
         let seat = self.task_mut(at).and_then(|task| task.seat().copied());
         let Some(seat) = seat else {
-            return false;
+            return;
         };
         let mark = RunMark {
             task: name,
@@ -488,7 +486,7 @@
             why,
         });
         self.unseat(at, seat.worker, now);
-        self.task_done(at, seat.worker, now, now_ms)
+        self.task_done(at, seat.worker, now, now_ms);
     }
 
     fn knows_run(&self, worker: WorkerKey, mark: RunMark) -> bool {
--- /dev/null
+++ b/crates/wax-batch/src/fit.rs
@@ -0,0 +1,115 @@
+//! Whether a task fits a worker, and at what cost.
+
+use crate::book::WorkerLife;
+use crate::place_rules::PlaceRules;
+use crate::spec::{StepSpec, TaskSize};
+use crate::worker::WorkerState;
+use wax_policy::{PressChoice, PressTable};
+use wax_types::TimePoint;
+
+impl WorkerLife {
+    /// What is not booked.
+    pub fn room(&self) -> TaskSize {
+        self.view.capacity.minus(self.booked)
+    }
+
+    /// Whether it takes tasks of the step at all now.
+    pub(crate) fn takes(&self, service: &str, step: &StepSpec, now: TimePoint) -> bool {
+        let label = step.label.as_ref();
+        *self.view.service == *service
+            && self.view.state == WorkerState::Ready
+            && self.reachable
+            && now >= self.shunned_until
+            && label.is_none_or(|label| self.view.labels.contains(label))
+    }
+
+    /// Whether one more task of the step fits here now; `fill_limit` bounds what fills ask for.
+    pub(crate) fn has_room(
+        &self,
+        service: &str,
+        step: &StepSpec,
+        (fill_limit, rules): (f64, &PlaceRules),
+        now: TimePoint,
+    ) -> bool {
+        let left = self.fill_room_milli(fill_limit, rules);
+        self.takes(service, step, now)
+            && step.booked().fits(self.room())
+            && (!step.fills || left >= f64::from(step.size.cpu_milli))
+    }
+
+    /// Thousandths of a core that are left to tasks that fill.
+    fn fill_room_milli(&self, fill_limit: f64, rules: &PlaceRules) -> f64 {
+        let lasting = f64::from(self.lasting_milli);
+        let batch = f64::from(self.booked.cpu_milli) - lasting;
+        let left = f64::from(self.view.capacity.cpu_milli) - batch - lasting * rules.lasting_use;
+        left * fill_limit - f64::from(self.filling_milli)
+    }
+
+    /// How one more task of the step would fare beside what serves here.
+    pub(crate) fn press_choice(
+        &self,
+        step: &StepSpec,
+        pairs: &PressTable,
+        rules: &PlaceRules,
+    ) -> PressChoice {
+        let cpu_milli = step.size.cpu_milli;
+        self.press
+            .choice(pairs, &step.image, cpu_milli, rules.no_press)
+    }
+
+    /// Whether one more task of the step would work here at this pace at least.
+    pub(crate) fn bears(
+        &self,
+        step: &StepSpec,
+        least_pace: f64,
+        pairs: &PressTable,
+        rules: &PlaceRules,
+    ) -> bool {
+        !step.fills || self.press_choice(step, pairs, rules).pace >= least_pace
+    }
+
+    /// The share of lasting runs here that are of another image.
+    fn strangers(&self, image: &str) -> f64 {
+        let serving = self.press.serving();
+        let all: u32 = serving.values().sum();
+        let own = serving.get(image).copied().unwrap_or(0);
+        f64::from(all - own) / f64::from(all.max(1))
+    }
+
+    /// The cost of one more task of the step, in shares of the worker's processors.
+    pub(crate) fn cost(
+        &self,
+        step: &StepSpec,
+        rack: Option<&str>,
+        pairs: &PressTable,
+        rules: &PlaceRules,
+    ) -> f64 {
+        let capacity = f64::from(self.view.capacity.cpu_milli.max(1));
+        let used = f64::from(self.booked.cpu_milli)
+            - f64::from(self.lasting_milli) * (1.0 - rules.lasting_use)
+            + f64::from(self.filling_milli);
+        let mut cost = (used + f64::from(step.size.cpu_milli)) / capacity;
+        if step.fills {
+            let choice = self.press_choice(step, pairs, rules);
+            cost += rules.pace_cost * (1.0 - choice.pace) + rules.press_cost * choice.taken;
+        }
+        if step.lasts {
+            // Lasting tasks of one image keep together, and fill a worker before they open another:
+            // so other workers are left to what presses on the image.
+            cost = 1.0 - cost + rules.stranger_cost * self.strangers(&step.image);
+            if self.press.serving().is_empty() {
+                cost += rules.open_cost;
+            }
+        }
+        if rack.is_some() && rack != self.view.rack.as_deref() {
+            cost += match step.one_rack {
+                true => rules.split_cost,
+                false => rules.far_cost,
+            };
+        }
+        if self.view.cold_ms > 0 {
+            cost += rules.cold_cost;
+        }
+        cost
+    }
+}
--- a/crates/wax-batch/src/lib.rs
+++ b/crates/wax-batch/src/lib.rs
@@ -5,11 +5,13 @@
 mod approvals;
 mod book;
 mod ends;
+mod fit;
 mod life;
 mod moves;
 mod names;
 mod notes;
 mod place;
+mod place_rules;
 mod progress;
 mod queue;
 mod rank;
@@ -24,7 +26,8 @@
 pub use ends::StartRefusal;
 pub use life::{JobLife, OccurrenceLife, StepLife, TaskLife, TaskStand};
 pub use names::{JobName, RunMark, TaskName};
-pub use place::{PlaceChoice, PlaceRules};
+pub use place::PlaceChoice;
+pub use place_rules::PlaceRules;
 pub use progress::{
     JobOutcome, JobProgress, JobRow, OccurrenceProgress, StepProgress, TaskFailures,
 };
--- a/crates/wax-batch/src/place.rs
+++ b/crates/wax-batch/src/place.rs
@@ -1,132 +1,15 @@
 //! Which task starts where.
 
-use crate::book::{JobBook, StartOrder, StepAt, TaskAt, WorkerLife};
-use crate::life::{JobLife, StepLife, TaskStand};
+use crate::book::{JobBook, StartOrder, StepAt, TaskAt};
+use crate::life::TaskStand;
 use crate::names::RunMark;
+use crate::place_rules::FillPatience;
 use crate::rank::JobRank;
-use crate::spec::{StepSpec, TaskSize};
+use crate::spec::StepSpec;
 use crate::worker::{WorkerKey, WorkerState};
-use std::time::Duration;
-use wax_policy::{PressChoice, PressTable};
+use std::collections::BTreeMap;
 use wax_types::TimePoint;
 
-/// What placement assumes of workers.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct PlaceRules {
-    /// The share of its processors that a lasting task uses on average.
-    pub lasting_use: f64,
-    /// Tasks that fill may ask for this many times the processors that are left to them: those
-    /// of jobs that can make their objective, that are late but count, that count no more. What
-    /// counts less leaves room to what comes next.
-    pub fill_limits: [f64; 3],
-    /// Cost of a worker on another rack than the data, in shares of a worker's processors.
-    pub far_cost: f64,
-    /// Cost of the worker on which the task failed last.
-    pub shun_cost: f64,
-    /// Cost of a worker that has just started.
-    pub cold_cost: f64,
-    /// Cost of a worker on which the task would stand still; less for each share of its pace.
-    pub pace_cost: f64,
-    /// Cost of a worker whose serving tasks would bear nothing more.
-    pub press_cost: f64,
-    /// A task that fills waits for a worker that leaves it this pace ..
-    pub careful_pace: f64,
-    /// .. for this long; then for one that leaves it ..
-    pub fill_patience: Duration,
-    /// .. this pace, until ..
-    pub late_pace: f64,
-    /// .. it takes any.
-    pub last_patience: Duration,
-    /// A service of which less than this share of the processors is booked is calm: there each
-    /// job counts as old, since nothing else excuses that it stands still.
-    pub calm_use: f64,
-    /// A job of this age counts as old.
-    pub old_age: Duration,
-    /// An old job of which nothing has run for this long gets one task placed, however full it is.
-    pub starvation: Duration,
-    /// A run without progress for this long is moved, if another worker bears it.
-    pub stall: Duration,
-    /// The same as a share of its estimated time.
-    pub stall_share: f64,
-    /// At most this many runs are moved at once.
-    pub most_moves: usize,
-    /// A press of a core that is surely below this is none.
-    pub no_press: f64,
-    /// Cost of lasting tasks of other images on the worker.
-    pub stranger_cost: f64,
-    /// Cost of a worker without lasting tasks, for one that lasts.
-    pub open_cost: f64,
-}
-
-impl Default for PlaceRules {
-    fn default() -> Self {
-        Self {
-            lasting_use: 0.5,
-            fill_limits: [1.2, 1.0, 0.6],
-            far_cost: 0.5,
-            shun_cost: 2.0,
-            cold_cost: 0.3,
-            pace_cost: 4.0,
-            press_cost: 1.0,
-            careful_pace: 0.8,
-            fill_patience: Duration::from_millis(4_000),
-            late_pace: 0.4,
-            last_patience: Duration::from_millis(12_000),
-            calm_use: 0.6,
-            old_age: Duration::from_millis(10_000),
-            starvation: Duration::from_millis(1_200),
-            stall: Duration::from_millis(1_000),
-            stall_share: 0.25,
-            most_moves: 6,
-            no_press: 0.05,
-            stranger_cost: 1.0,
-            open_cost: 3.0,
-        }
-    }
-}
-
-/// What a task that fills puts up with by now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum FillPatience {
-    /// It waits for a worker with processors to spare that bears it.
-    Careful,
-    /// It waits for one that lets it work at all.
-    Late,
-    /// It takes any worker with processors to spare.
-    Any,
-    /// Its job must go on somewhere.
-    Starved,
-}
-
-impl PlaceRules {
-    /// How much of a worker's spare processors may be asked for by jobs of this hope.
-    pub(crate) fn fill_limit(&self, hope: u8) -> f64 {
-        self.fill_limits[usize::from(hope).min(self.fill_limits.len() - 1)]
-    }
-
-    fn patience(&self, job: &JobLife, step: &StepLife, calm: bool, now: TimePoint) -> FillPatience {
-        let waited = now.since(step.since);
-        let old = calm || now.since(job.accepted) >= self.old_age;
-        if old && waited >= self.starvation && !job.has_placed() {
-            FillPatience::Starved
-        } else if waited < self.fill_patience {
-            FillPatience::Careful
-        } else if waited < self.last_patience {
-            FillPatience::Late
-        } else {
-            FillPatience::Any
-        }
-    }
-
-    fn least_pace(&self, patience: FillPatience) -> f64 {
-        match patience {
-            FillPatience::Careful => self.careful_pace,
-            FillPatience::Late => self.late_pace,
-            FillPatience::Any | FillPatience::Starved => 0.0,
-        }
-    }
-}
-
 /// Why a step's task could, or could not, be placed now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PlaceChoice {
@@ -136,101 +19,16 @@
     NoRoom,
 }
 
-impl WorkerLife {
-    /// What is not booked.
-    pub fn room(&self) -> TaskSize {
-        self.view.capacity.minus(self.booked)
-    }
-
-    fn takes(&self, service: &str, step: &StepSpec, now: TimePoint) -> bool {
-        let label = step.label.as_ref();
-        *self.view.service == *service
-            && self.view.state == WorkerState::Ready
-            && self.reachable
-            && now >= self.shunned_until
-            && label.is_none_or(|label| self.view.labels.contains(label))
-    }
-
-    /// Whether one more task of the step fits here now; `fill_limit` bounds what fills ask for.
-    pub(crate) fn has_room(
-        &self,
-        service: &str,
-        step: &StepSpec,
-        (fill_limit, rules): (f64, &PlaceRules),
-        now: TimePoint,
-    ) -> bool {
-        let left = self.fill_room_milli(fill_limit, rules);
-        self.takes(service, step, now)
-            && step.booked().fits(self.room())
-            && (!step.fills || left >= f64::from(step.size.cpu_milli))
-    }
-
-    /// Thousandths of a core that are left to tasks that fill.
-    fn fill_room_milli(&self, fill_limit: f64, rules: &PlaceRules) -> f64 {
-        let lasting = f64::from(self.lasting_milli);
-        let batch = f64::from(self.booked.cpu_milli) - lasting;
-        let left = f64::from(self.view.capacity.cpu_milli) - batch - lasting * rules.lasting_use;
-        left * fill_limit - f64::from(self.filling_milli)
-    }
-
-    /// How one more task of the step would fare beside what serves here.
-    pub(crate) fn press_choice(
-        &self,
-        step: &StepSpec,
-        pairs: &PressTable,
-        rules: &PlaceRules,
-    ) -> PressChoice {
-        let cpu_milli = step.size.cpu_milli;
-        self.press
-            .choice(pairs, &step.image, cpu_milli, rules.no_press)
-    }
-
-    /// Whether one more task of the step would work here at this pace at least.
-    pub(crate) fn bears(
-        &self,
-        step: &StepSpec,
-        least_pace: f64,
-        pairs: &PressTable,
-        rules: &PlaceRules,
-    ) -> bool {
-        !step.fills || self.press_choice(step, pairs, rules).pace >= least_pace
-    }
-
-    /// The share of lasting runs here that are of another image.
-    fn strangers(&self, image: &str) -> f64 {
-        let serving = self.press.serving();
-        let all: u32 = serving.values().sum();
-        let own = serving.get(image).copied().unwrap_or(0);
-        f64::from(all - own) / f64::from(all.max(1))
-    }
-
-    /// The cost of one more task of the step, in shares of the worker's processors.
-    fn cost(&self, step: &StepSpec, pairs: &PressTable, rules: &PlaceRules) -> f64 {
-        let capacity = f64::from(self.view.capacity.cpu_milli.max(1));
-        let used = f64::from(self.booked.cpu_milli)
-            - f64::from(self.lasting_milli) * (1.0 - rules.lasting_use)
-            + f64::from(self.filling_milli);
-        let mut cost = (used + f64::from(step.size.cpu_milli)) / capacity;
-        if step.data_rack.is_some() && step.data_rack != self.view.rack {
-            cost += rules.far_cost;
-        }
-        if step.fills {
-            let choice = self.press_choice(step, pairs, rules);
-            cost += rules.pace_cost * (1.0 - choice.pace) + rules.press_cost * choice.taken;
-        }
-        if step.lasts {
-            // Lasting tasks of one image keep together, and fill a worker before they open another:
-            // so other workers are left to what presses on the image.
-            cost = 1.0 - cost + rules.stranger_cost * self.strangers(&step.image);
-            if self.press.serving().is_empty() {
-                cost += rules.open_cost;
-            }
-        }
-        if self.view.cold_ms > 0 {
-            cost += rules.cold_cost;
-        }
-        cost
-    }
+/// What the tasks of one step ask of a worker.
+struct StepAsk<'a> {
+    step: &'a StepSpec,
+    service: &'a str,
+    /// The step's rank among what waits; see [`JobRank`].
+    hope: u8,
+    /// Whether most of the service's processors are not booked.
+    calm: bool,
+    /// The rack to be preferred: that of the data, or of the step's other tasks.
+    rack: Option<Box<str>>,
 }
 
 impl JobBook {
@@ -266,16 +64,24 @@
             .filter(|(_, task)| matches!(task.stand, TaskStand::Waiting))
             .map(|(index, _)| index)
             .collect();
+        let gang_waits = step.gang && waiting.len() < step.count as usize;
+        if waiting.is_empty() || gang_waits {
+            return;
+        }
+        let ask = StepAsk {
+            step,
+            service: &service,
+            hope: if step.gang { 0 } else { hope },
+            calm: step.fills && !step.gang && self.is_calm(&service),
+            rack: self.wanted_rack(at, step, &service, now),
+        };
         if step.gang {
-            if waiting.len() == step.count as usize {
-                self.place_gang(at, &service, step, now, orders);
-            }
+            self.place_gang(at, &ask, now, orders);
             return;
         }
-        let calm = step.fills && self.is_calm(&service);
         for index in waiting {
             let task = TaskAt { step: at, index };
-            match self.choose(task, hope, &service, step, calm, now) {
+            match self.choose(task, &ask, now) {
                 PlaceChoice::Worker(worker) => orders.push(self.order(task, worker, None, now)),
                 PlaceChoice::NoRoom => return,
             }
@@ -286,17 +92,17 @@
     fn place_gang(
         &mut self,
         at: StepAt,
-        service: &str,
-        step: &StepSpec,
+        ask: &StepAsk<'_>,
         now: TimePoint,
         orders: &mut Vec<StartOrder>,
     ) {
+        let count = ask.step.count;
         let last_run = self.last_run(at);
         let run = self.next_run(&self.jobs[at.job], last_run);
-        let mut members = Vec::with_capacity(step.count as usize);
-        for index in 0..step.count {
+        let mut members = Vec::with_capacity(count as usize);
+        for index in 0..count {
             let task = TaskAt { step: at, index };
-            match self.choose(task, 0, service, step, false, now) {
+            match self.choose(task, ask, now) {
                 PlaceChoice::Worker(worker) => {
                     members.push(self.order(task, worker, Some(run), now))
                 }
@@ -347,25 +153,68 @@
         booked < all * self.rules.calm_use
     }
 
-    fn choose(
-        &mut self,
-        at: TaskAt,
-        hope: u8,
-        service: &str,
+    /// The rack that a step's tasks would rather be on.
+    fn wanted_rack(
+        &self,
+        at: StepAt,
         step: &StepSpec,
-        calm: bool,
+        service: &str,
         now: TimePoint,
-    ) -> PlaceChoice {
+    ) -> Option<Box<str>> {
+        if step.data_rack.is_some() || !step.one_rack {
+            return step.data_rack.clone();
+        }
+        let placed = self.rack_of_placed(at);
+        placed.or_else(|| self.rack_with_room(step, service, now))
+    }
+
+    /// The rack on which most tasks of a step are.
+    fn rack_of_placed(&self, at: StepAt) -> Option<Box<str>> {
+        let occurrence = self.jobs.get(at.job)?.occurrences.get(&at.occurrence)?;
+        let mut racks: BTreeMap<&str, u32> = BTreeMap::new();
+        for (worker, tasks) in &occurrence.steps[usize::from(at.step)].spread {
+            let worker = self.workers.get(*worker).filter(|_| *tasks > 0);
+            if let Some(rack) = worker.and_then(|worker| worker.view.rack.as_deref()) {
+                *racks.entry(rack).or_default() += tasks;
+            }
+        }
+        let most = racks.into_iter().max_by_key(|(_, tasks)| *tasks);
+        most.map(|(rack, _)| rack.into())
+    }
+
+    /// The rack that holds most tasks of a step.
+    fn rack_with_room(&self, step: &StepSpec, service: &str, now: TimePoint) -> Option<Box<str>> {
+        let most_here = match step.most_per_worker {
+            0 => u32::MAX,
+            most => most,
+        };
+        let mut racks: BTreeMap<&str, u32> = BTreeMap::new();
+        for worker in self.workers.values() {
+            let Some(rack) = worker.view.rack.as_deref() else {
+                continue;
+            };
+            if worker.takes(service, step, now) {
+                let fits = step.booked().times_in(worker.room()).min(most_here);
+                let held = racks.entry(rack).or_default();
+                *held = held.saturating_add(fits);
+            }
+        }
+        let most = racks.into_iter().max_by_key(|(_, held)| *held);
+        most.map(|(rack, _)| rack.into())
+    }
+
+    fn choose(&mut self, at: TaskAt, ask: &StepAsk<'_>, now: TimePoint) -> PlaceChoice {
+        let step = ask.step;
         let job = &self.jobs[at.step.job];
         let Some(occurrence) = job.occurrences.get(&at.step.occurrence) else {
             return PlaceChoice::NoRoom;
         };
         let life = &occurrence.steps[usize::from(at.step.step)];
         let shuns = life.tasks[at.index as usize].shuns;
-        let patience = self.rules.patience(job, life, calm, now);
+        let patience = self.rules.patience(job, life, ask.calm, now);
         let fill_limit = match patience {
             FillPatience::Careful | FillPatience::Late | FillPatience::Any => {
-                self.rules.fill_limit(hope)
+                self.rules.fill_limit(ask.hope)
             }
             FillPatience::Starved => f64::INFINITY,
         };
@@ -378,7 +227,7 @@
         let mut best: Option<(f64, WorkerKey)> = None;
         for (key, worker) in &self.workers {
             let here = life.spread.get(&key).copied().unwrap_or(0);
-            if here >= most || !worker.has_room(service, step, (fill_limit, &self.rules), now) {
+            if here >= most || !worker.has_room(ask.service, step, (fill_limit, &self.rules), now) {
                 continue;
             }
             let least_pace = self.rules.least_pace(patience);
@@ -388,7 +237,7 @@
             if advised && self.ticket(at.step, key, now).is_none() {
                 continue;
             }
-            let mut cost = worker.cost(step, &self.pairs, &self.rules);
+            let mut cost = worker.cost(step, ask.rack.as_deref(), &self.pairs, &self.rules);
             match shuns {
                 Some((shunned, until)) if shunned == key && now < until => continue,
                 Some((shunned, _)) if shunned == key => cost += self.rules.shun_cost,
--- a/crates/wax-batch/tests/life.rs
+++ b/crates/wax-batch/tests/life.rs
@@ -328,6 +328,61 @@
     assert_eq!(book.take_cursors(), vec![(worker, 3)]);
 }
 
+/// TWICE on a site of our own: all lost power before the store had the first member's end, and the
+/// other ends had been acknowledged already.
+#[test]
+fn no_end_of_a_gang_is_acknowledged_before_the_store_has_the_first() {
+    let mut book = book(1);
+    let one = worker(&mut book, "one", 1_000);
+    let other = worker(&mut book, "other", 1_000);
+    let mut gang = step(2, 1_000);
+    gang.gang = true;
+    add(&mut book, 7, 1, &spec(vec![gang, step(1, 1_000)]), None);
+    for order in book.place(at(0)) {
+        let done = end(1, order.mark, RunEndKind::Done);
+        book.run_ended(order.worker, &done, at(10), wall(10));
+    }
+    assert_eq!(book.take_cursors(), vec![]);
+    store_all(&mut book);
+    let mut cursors = book.take_cursors();
+    cursors.sort_unstable();
+    assert_eq!(cursors, vec![(one, 1), (other, 1)]);
+}
+
+/// The same for two runs of one task, of which the first had been given up.
+#[test]
+fn a_second_end_of_a_done_task_waits_for_the_store_like_the_first() {
+    let mut book = book(1);
+    let lost = worker(&mut book, "lost", 1_000);
+    add(&mut book, 7, 1, &spec(vec![step(1, 1_000)]), None);
+    let first = book.place(at(0));
+    start_all(&mut book, &first, at(0));
+    book.worker_lost(lost, at(10), wall(10));
+    let one = worker(&mut book, "one", 1_000);
+    let other = worker(&mut book, "other", 1_000);
+    let again = book.place(at(20));
+    assert_eq!(again.len(), 1);
+    let (runs, idle) = match again[0].worker == one {
+        true => (one, other),
+        false => (other, one),
+    };
+    book.run_ended(
+        runs,
+        &end(1, again[0].mark, RunEndKind::Done),
+        at(30),
+        wall(30),
+    );
+    book.run_ended(
+        idle,
+        &end(1, first[0].mark, RunEndKind::Done),
+        at(40),
+        wall(40),
+    );
+    assert_eq!(book.take_cursors(), vec![]);
+    store_all(&mut book);
+    assert_eq!(book.take_cursors().len(), 2);
+}
+
 #[test]
 fn a_timed_job_runs_each_occurrence_when_it_is_due() {
     let mut book = book(1);
--- a/crates/wax-batch/tests/places.rs
+++ b/crates/wax-batch/tests/places.rs
@@ -399,3 +399,55 @@
         "it has waited long enough already"
     );
 }
+
+fn rack_of(book: &JobBook, key: WorkerKey) -> Box<str> {
+    let found = book.workers().find(|(worker, _)| *worker == key);
+    found
+        .and_then(|(_, life)| life.view.rack.clone())
+        .expect("a worker on a rack")
+}
+
+fn racked(book: &mut JobBook, id: &str, rack: &str, cpu_milli: u32) {
+    book.worker_joined(wax_batch::WorkerView {
+        id: id.into(),
+        service: "svc".into(),
+        labels: vec![rack.into()],
+        rack: Some(rack.into()),
+        capacity: TaskSize {
+            memory_mb: 60_000,
+            ..size(cpu_milli)
+        },
+        ..Default::default()
+    });
+}
+
+/// Two small workers on one rack, a larger one alone on another.
+macro_rules! one_rack {
+    ($($name:ident: $gang:literal, $apart:literal => $rack:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut book = book(1);
+            racked(&mut book, "a", "r1", 2_000);
+            racked(&mut book, "b", "r2", 3_000);
+            racked(&mut book, "c", "r1", 2_000);
+            let together = StepSpec {
+                one_rack: true,
+                gang: $gang,
+                most_per_worker: $apart,
+                ..step(3, 1_000)
+            };
+            add(&mut book, 7, 1, &spec(vec![together]), None);
+            let orders = book.place(at(0));
+            assert_eq!(orders.len(), 3);
+            let mut racks: Vec<_> = orders.iter().map(|order| rack_of(&book, order.worker)).collect();
+            racks.dedup();
+            assert_eq!(racks, [$rack.into()]);
+        }
+    )*};
+}
+
+one_rack! {
+    a_step_of_one_rack_goes_where_most_of_it_fits: false, 0 => "r1";
+    a_gang_of_one_rack_goes_where_most_of_it_fits: true, 0 => "r1";
+    tasks_kept_apart_still_keep_to_one_rack: false, 2 => "r1";
+}
