Agents and fronts leave an owner that lost the store for a newer one

Another front took over at 6.8 s, but all agents and the third front stayed linked to the old owner, whose heartbeats went on with grants of no time, until the store told it at 11.6 s that it was replaced. For 4.8 s the new owner had no worker; at 20.9 s the same again for 2.7 s. Cut off for longer, the service stood still for as long: in the new test jobs waited in vain for more than 60 s.

Ruled out: the time of the takeover itself (the beat's silence and the look at it are as `OwnerSpans` says); settling (0.05 s after the links).

Change: while the owner says that it has lost the store, an agent looks for a greater token at its seeds, by hints, and in one round of four in the store, beside the link; it moves once it finds one. A front ends its link when it knows of another owner. Who acts is decided as before: by the rows of the store and the tokens at the agents.

--- a/crates/wax-agent/src/owner_link.rs
+++ b/crates/wax-agent/src/owner_link.rs
@@ -5,9 +5,11 @@
 use compio::runtime::spawn;
 use compio::time::{sleep, timeout};
 use futures_channel::mpsc::{UnboundedReceiver, unbounded};
+use futures_util::future::{Either, select};
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use wax_batch::RunMark;
@@ -22,6 +24,8 @@
 const LINK_LIMIT: Duration = Duration::from_millis(1_800);
 /// The same while the owner still loads its shard and has not taken over the worker's runs.
 const TAKEOVER_LIMIT: Duration = Duration::from_millis(5_000);
+/// Beside an owner that has lost the store, another is looked for this often.
+const SEEK_PERIOD: Duration = Duration::from_millis(400);
 /// Between two rounds of the search, with as much again at random.
 const SEARCH_PAUSE: Duration = Duration::from_millis(120);
 
@@ -37,34 +41,98 @@
     seeds: Vec<SocketAddr>,
     directory: impl OwnerDirectory,
 ) {
-    let mut hint = None;
+    let mut search = OwnerSearch {
+        seeds,
+        directory,
+        hint: None,
+        round: 0,
+    };
     let mut generation = 0;
-    let mut round = 0_usize;
+    let mut found: Option<(Box<OpenLink>, SocketAddr)> = None;
     loop {
-        // The store is asked in one round of four: the other rounds cost the platform nothing.
-        let address = match hint.take() {
-            Some(address) => Some(address),
-            None if round % 4 == 3 => directory.read().await,
-            None if seeds.is_empty() => directory.read().await,
-            None => seeds.get(round % seeds.len()).copied(),
-        };
-        round += 1;
-        let Some(address) = address else {
-            pause().await;
+        let Some((link, address)) = found.take() else {
+            found = search.look(&state, None).await;
+            if found.is_none() && search.hint.is_none() {
+                pause().await;
+            }
             continue;
         };
-        match open(&state, address).await {
-            Ok(Opened::Owner(link)) => {
-                generation += 1;
-                let link = *link;
-                tracing::info!(owner = %address, epoch = link.epoch, "linked to the owner");
-                let why = run_link(&state, link, generation).await;
-                tracing::warn!(owner = %address, why, "link to the owner lost");
-                *state.link.borrow_mut() = None;
-                hint = Some(address);
+        generation += 1;
+        tracing::info!(owner = %address, epoch = link.epoch, "linked to the owner");
+        let why = {
+            let run = pin!(run_link(&state, *link, generation));
+            let seek = pin!(seek_successor(&state, &mut search, address));
+            match select(run, seek).await {
+                Either::Left((why, _)) => why,
+                Either::Right((successor, _)) => {
+                    found = Some(successor);
+                    "another owner was found"
+                }
+            }
+        };
+        search.hint = found.is_none().then_some(address);
+        tracing::warn!(owner = %address, why, "link to the owner lost");
+        *state.link.borrow_mut() = None;
+    }
+}
+
+/// Where an owner is looked for next.
+struct OwnerSearch<D> {
+    seeds: Vec<SocketAddr>,
+    directory: D,
+    hint: Option<SocketAddr>,
+    round: usize,
+}
+
+impl<D: OwnerDirectory> OwnerSearch<D> {
+    /// Tries one address, other than `current`; keeps the hint that it may give.
+    async fn look(
+        &mut self,
+        state: &AgentState,
+        current: Option<SocketAddr>,
+    ) -> Option<(Box<OpenLink>, SocketAddr)> {
+        let address = self.next_address().await;
+        let address = address.filter(|address| Some(*address) != current)?;
+        match open(state, address).await {
+            Ok(Opened::Owner(link)) => return Some((link, address)),
+            Ok(Opened::Elsewhere(Some(other))) if other != address && Some(other) != current => {
+                self.hint = Some(other);
             }
-            Ok(Opened::Elsewhere(Some(other))) if other != address => hint = Some(other),
-            Ok(Opened::Elsewhere(_)) | Err(_) => pause().await,
+            Ok(Opened::Elsewhere(_)) | Err(_) => {}
+        }
+        None
+    }
+
+    /// The store is asked in one round of four: the other rounds cost the platform nothing.
+    async fn next_address(&mut self) -> Option<SocketAddr> {
+        if let Some(hint) = self.hint.take() {
+            return Some(hint);
+        }
+        let round = self.round;
+        self.round += 1;
+        if round % 4 == 3 || self.seeds.is_empty() {
+            return self.directory.read().await;
+        }
+        self.seeds.get(round % self.seeds.len()).copied()
+    }
+}
+
+/// Looks for a newer owner as long as the present one has lost the store.
+///
+/// An owner that is cut off cannot know that it was replaced: its agents would stay with it.
+async fn seek_successor<D: OwnerDirectory>(
+    state: &AgentState,
+    search: &mut OwnerSearch<D>,
+    current: SocketAddr,
+) -> (Box<OpenLink>, SocketAddr) {
+    loop {
+        sleep(SEEK_PERIOD).await;
+        if !state.owner_cut_off.get() {
+            continue;
+        }
+        let found = search.look(state, Some(current)).await;
+        if let Some((link, address)) = found.filter(|(link, _)| link.token > state.token.get()) {
+            return (link, address);
         }
     }
 }
@@ -119,6 +187,7 @@
     let (outbox, inbox) = unbounded();
     state.token.set(link.token);
     state.granted.set(TimePoint::default());
+    state.owner_cut_off.set(false);
     *state.link.borrow_mut() = Some(OwnerLink {
         generation,
         outbox: outbox.clone(),
@@ -189,6 +258,7 @@
 fn take_message(state: &Rc<AgentState>, body: PoolBody) {
     match body {
         PoolBody::Grant(grant) => {
+            state.owner_cut_off.set(grant.store_lost);
             let until = TimePoint(grant.sent_us) + Duration::from_millis(grant.valid_ms);
             state.take_grant(until);
         }
--- a/crates/wax-agent/src/process.rs
+++ b/crates/wax-agent/src/process.rs
@@ -61,6 +61,7 @@
         dead: RefCell::default(),
         granted: Cell::new(TimePoint::default()),
         authority: Cell::new(TimePoint::default()),
+        owner_cut_off: Cell::new(false),
         token: Cell::new(0),
         changed: Event::new(),
     }
--- a/crates/wax-agent/src/state.rs
+++ b/crates/wax-agent/src/state.rs
@@ -87,6 +87,8 @@
     pub(crate) granted: Cell<TimePoint>,
     /// Until when the owner's authority reaches.
     pub(crate) authority: Cell<TimePoint>,
+    /// Whether the owner has lost the store, by its last grant: another may have taken over.
+    pub(crate) owner_cut_off: Cell<bool>,
     /// The highest token that was ever used.
     pub(crate) token: Cell<u64>,
     /// Something has changed that the driver waits for.
--- a/crates/wax-front/src/owner_link.rs
+++ b/crates/wax-front/src/owner_link.rs
@@ -5,8 +5,10 @@
 use compio::runtime::spawn;
 use compio::time::{sleep, timeout};
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+use futures_util::future::select;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use wax_types::TimePoint;
@@ -50,7 +52,7 @@
     match timeout(CONNECT_LIMIT, greet(state, address)).await {
         Ok(Ok(Greeting::Owner(reader, writer))) => {
             tracing::info!(owner = %address, "linked to the owner");
-            run_link(state, reader, writer).await;
+            run_link(state, address, reader, writer).await;
             tracing::info!(owner = %address, "link to the owner ended");
             None
         }
@@ -79,14 +81,21 @@
     }
 }
 
-async fn run_link(state: &Rc<FrontState>, mut reader: PoolReader, writer: PoolWriter) {
+async fn run_link(
+    state: &Rc<FrontState>,
+    address: SocketAddr,
+    reader: PoolReader,
+    writer: PoolWriter,
+) {
     let (outbox, inbox) = unbounded();
     *state.outbox.borrow_mut() = Some(outbox.clone());
     state.shared.owner_heard.set(state.shared.now());
     let writing = spawn(write_link(writer, inbox));
     let pinging = spawn(ping(state.clone(), outbox));
-    while let Ok(Ok(Some(body))) = timeout(LINK_LIMIT, reader.read()).await {
-        take_message(state, body);
+    {
+        let read = pin!(read_link(state, reader));
+        let replaced = pin!(wait_replaced(state, address));
+        select(read, replaced).await;
     }
     *state.outbox.borrow_mut() = None;
     state.asks.borrow_mut().clear();
@@ -95,6 +104,23 @@
     drop(writing);
 }
 
+async fn read_link(state: &FrontState, mut reader: PoolReader) {
+    while let Ok(Ok(Some(body))) = timeout(LINK_LIMIT, reader.read()).await {
+        take_message(state, body);
+    }
+}
+
+/// Waits until another owner than the one at `address` is known: what this one says is of the past.
+async fn wait_replaced(state: &FrontState, address: SocketAddr) {
+    loop {
+        let listener = state.shared.owner_changed.listen();
+        if known_owner(state).is_some_and(|known| known != address) {
+            return;
+        }
+        listener.await;
+    }
+}
+
 async fn write_link(mut writer: PoolWriter, mut inbox: UnboundedReceiver<PoolBody>) {
     if let Err(error) = writer.drain(&mut inbox).await {
         tracing::info!(%error, "writing to the owner failed");
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -6,11 +6,11 @@
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Mutex;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+use std::sync::{Arc, Mutex};
 
 /// A process that a test started; it ends with the test.
 pub(crate) struct SiteProcess {
@@ -97,6 +97,60 @@
     }
 }
 
+/// A way to the store that can be cut: a front behind it is refused while others are served.
+pub(crate) struct Relay {
+    pub(crate) address: SocketAddr,
+    is_cut: Arc<AtomicBool>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Relay {
+    fn start(store: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let relay = Self {
+            address: listener.local_addr().expect("it has an address"),
+            is_cut: Arc::default(),
+            open: Arc::default(),
+        };
+        let (is_cut, open) = (relay.is_cut.clone(), relay.open.clone());
+        std::thread::spawn(move || {
+            for caller in listener.incoming().flatten() {
+                if is_cut.load(Ordering::SeqCst) {
+                    continue;
+                }
+                let Ok(target) = TcpStream::connect(store) else {
+                    continue;
+                };
+                join_streams(&caller, &target);
+                open.lock().expect("unpoisoned").extend([caller, target]);
+            }
+        });
+        relay
+    }
+
+    /// Closes all connections, and each new one at once.
+    pub(crate) fn cut(&self) {
+        self.is_cut.store(true, Ordering::SeqCst);
+        for stream in self.open.lock().expect("unpoisoned").drain(..) {
+            // A stream that is closed already needs nothing.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+/// Copies both ways until one end closes.
+fn join_streams(one: &TcpStream, other: &TcpStream) {
+    for (from, to) in [(one, other), (other, one)] {
+        let mut from = from.try_clone().expect("a stream has copies");
+        let mut to = to.try_clone().expect("a stream has copies");
+        std::thread::spawn(move || {
+            // Either end may close at any time; then both do.
+            let _ = std::io::copy(&mut from, &mut to);
+            let _ = to.shutdown(Shutdown::Both);
+        });
+    }
+}
+
 /// One front.
 pub(crate) struct Front {
     pub(crate) process: Option<SiteProcess>,
@@ -121,6 +175,8 @@
 pub(crate) struct Site {
     _store: SiteProcess,
     store: SocketAddr,
+    /// The way to the store of each front, where it can be cut.
+    pub(crate) relays: Vec<Relay>,
     pub(crate) fronts: Vec<Front>,
     pub(crate) machines: Vec<Machine>,
     folder: PathBuf,
@@ -134,6 +190,15 @@
 impl Site {
     /// Starts an installation and waits until its first front is ready.
     pub(crate) async fn start(test: &str, fronts: usize, machines: usize) -> Self {
+        Self::start_with(test, fronts, machines, false).await
+    }
+
+    /// The same, with a relay between each front and the store.
+    pub(crate) async fn start_relayed(test: &str, fronts: usize, machines: usize) -> Self {
+        Self::start_with(test, fronts, machines, true).await
+    }
+
+    async fn start_with(test: &str, fronts: usize, machines: usize, relayed: bool) -> Self {
         let folder =
             std::env::temp_dir().join(format!("waxwing-pool-{}-{test}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("the folder is made");
@@ -142,6 +207,7 @@
         let mut site = Self {
             _store: SiteProcess::start("waxwing-standin", &args, folder.join("store.log")),
             store,
+            relays: Vec::new(),
             fronts: Vec::new(),
             machines: Vec::new(),
             folder,
@@ -155,6 +221,9 @@
         let port = free_port("127.0.0.1").port();
         let base = NEXT_SITE.fetch_add(1, Ordering::Relaxed);
         for number in 0..fronts {
+            if relayed {
+                site.relays.push(Relay::start(store));
+            }
             site.add_front(&format!("127.{base}.1.{}", number + 1), port);
         }
         let seeds: Vec<String> = site
@@ -175,11 +244,13 @@
         let number = self.fronts.len();
         let (callers, readiness, metrics) = (free_port(ip), free_port(ip), free_port(ip));
         let settings = self.folder.join(format!("front-{number}.yaml"));
+        let relay = self.relays.get(number);
+        let store = relay.map_or(self.store, |relay| relay.address);
         let text = format!(
             "role: front\nname: front-{number}\nregion: r\nfailure_domain: a\nplatform:\n  address: {}\n\
              pool:\n  peers: {ip}:{port}\n  callers: {callers}\n  readiness: {readiness}\n  metrics: {metrics}\n\
              logs:\n  stdout: true\n",
-            self.store
+            store
         );
         std::fs::write(&settings, text).expect("the settings are written");
         self.fronts.push(Front {
@@ -202,6 +273,11 @@
         front.process = Some(SiteProcess::start("waxwingd", &args, log));
     }
 
+    pub(crate) fn front_runs(&mut self, number: usize) -> bool {
+        let process = self.fronts[number].process.as_mut();
+        process.is_some_and(SiteProcess::is_running)
+    }
+
     pub(crate) fn kill_front(&mut self, number: usize) {
         self.fronts[number].process = None;
     }
--- a/tests/pool/troubles.rs
+++ b/tests/pool/troubles.rs
@@ -372,3 +372,27 @@
         site.audit().await;
     });
 }
+
+/// An owner that only the store has left cannot know that it was replaced: its agents and the other
+/// front must leave it by themselves.
+#[test]
+fn work_goes_on_while_the_old_owner_lives_cut_off_from_the_store() {
+    run(async {
+        let mut site = Site::start_relayed("cut-off", 2, 2).await;
+        // Whoever owned before: now it is the first front.
+        site.kill_front(1);
+        site.submit(&name(1), &job(1, 1, 50)).await;
+        site.wait_state(&name(1), "completed").await;
+        site.start_front(1);
+        site.wait_ready(1).await;
+        site.relays[0].cut();
+        for n in 2..=4 {
+            site.submit(&name(n), &job(1, 3, 50)).await;
+        }
+        for n in 2..=4 {
+            site.wait_state(&name(n), "completed").await;
+        }
+        assert!(site.front_runs(0), "the old owner still lives");
+        site.audit().await;
+    });
+}
