Each cluster of the process tests listens on an address of its own

Its port had come from the range that the system also uses for outgoing connections from 127.0.0.1, and others took it meanwhile.

Test, failing first on the old harness with the same words: `a_killed_process_starts_again_though_its_port_was_used_elsewhere`. No check is changed.

--- a/tests/proofs/stops.rs
+++ b/tests/proofs/stops.rs
@@ -188,3 +188,19 @@
         assert_eq!(before, after, "a leaving upstream got new work");
     });
 }
+
+/// CI failed once as the port of a killed entry was somebody else's when it was started again.
+#[test]
+fn a_killed_process_starts_again_though_its_port_was_used_elsewhere() {
+    run(async {
+        let mut cluster = Cluster::start(ClusterPlan::default()).await;
+        let callers = cluster.callers(1);
+        let port = callers.rsplit(':').next().expect("it has a port");
+        let port: u16 = port.parse().expect("a port is a number");
+        cluster.kill("entry-1");
+        // As an outgoing connection or another test would take it.
+        let _other = std::net::TcpListener::bind(("127.0.0.1", port)).expect("it is free here");
+        cluster.restart("entry-1");
+        cluster.wait_routed(1).await;
+    });
+}
--- a/tests/proofs/support/cluster.rs
+++ b/tests/proofs/support/cluster.rs
@@ -17,6 +17,15 @@
 const JOB_LOOKS: u32 = 900;
 const JOB_PAUSE: Duration = Duration::from_millis(100);
 
+/// A loopback address that no other cluster of this test run, nor most likely of another run, has.
+fn own_ip(cluster: u32) -> String {
+    format!(
+        "127.{}.{}.1",
+        100 + std::process::id() % 100,
+        1 + cluster % 250
+    )
+}
+
 static CLUSTERS: AtomicU32 = AtomicU32::new(0);
 
 /// What a cluster consists of.
@@ -50,6 +59,9 @@
 pub(crate) struct Cluster {
     plan: ClusterPlan,
     folder: PathBuf,
+    /// All processes listen on it. No other cluster does, and nothing outgoing has it as its source,
+    /// so that a port is still free when a killed process is started again.
+    ip: String,
     platform: String,
     processes: BTreeMap<String, TestProcess>,
     /// Settings files and, after the first start, fixed addresses.
@@ -66,6 +78,7 @@
         let mut cluster = Self {
             plan,
             folder,
+            ip: own_ip(number),
             platform: String::new(),
             processes: BTreeMap::new(),
             addresses: BTreeMap::new(),
@@ -102,7 +115,7 @@
             .get(name)
             .and_then(|known| known.get(key))
             .cloned()
-            .unwrap_or_else(|| "127.0.0.1:0".to_owned())
+            .unwrap_or_else(|| format!("{}:0", self.ip))
     }
 
     fn spawn(&mut self, name: &str, binary: &str, args: &[String]) {
