--- a/crates/wax-batch/src/moves.rs
+++ b/crates/wax-batch/src/moves.rs
@@ -1,6 +1,7 @@
 //! Moves runs that fill and that their worker lets stand still.
 
 use crate::book::{JobBook, StopOrder, TaskAt};
+use crate::life::TaskSeat;
 use crate::names::RunMark;
 use crate::worker::{WorkerKey, WorkerState};
 use std::time::Duration;
@@ -28,7 +29,7 @@
         stalled.truncate(self.rules.most_moves.saturating_sub(self.moves_under_way()));
         for (_, worker, mark, at) in stalled {
             if self.borne_elsewhere(at, worker, now) {
-                self.stop_seat(at, worker, mark);
+                self.stop_seat(at, worker, mark, "it stands still here");
             }
         }
     }
@@ -41,15 +42,18 @@
     }
 
     fn is_stopping(&self, at: Option<TaskAt>) -> bool {
-        let seat = at.and_then(|at| {
-            let job = self.jobs.get(at.step.job)?;
-            let occurrence = job.occurrences.get(&at.step.occurrence)?;
-            let step = &occurrence.steps[usize::from(at.step.step)];
-            step.tasks.get(at.index as usize)?.seat()
-        });
+        let seat = at.and_then(|at| self.seat_of(at));
         seat.is_some_and(|seat| seat.stopping)
     }
 
+    /// Where a task is, if it is placed.
+    fn seat_of(&self, at: TaskAt) -> Option<&TaskSeat> {
+        let job = self.jobs.get(at.step.job)?;
+        let occurrence = job.occurrences.get(&at.step.occurrence)?;
+        let step = &occurrence.steps[usize::from(at.step.step)];
+        step.tasks.get(at.index as usize)?.seat()
+    }
+
     /// Orders the stop of runs on workers that leave, where another worker has room: lasting ones
     /// at once, and those that can resume and would not be done before the worker may go.
     pub fn evacuate(&mut self, now: TimePoint) {
@@ -70,11 +74,7 @@
             }
         }
         for (worker, mark, at) in leaving {
-            if let Some(seat) = self.task_mut(at).and_then(|task| task.seat_mut()) {
-                seat.stopping = true;
-                let why = "its worker leaves";
-                self.stops.push(StopOrder { worker, mark, why });
-            }
+            self.stop_seat(at, worker, mark, "its worker leaves");
         }
     }
 
@@ -84,13 +84,7 @@
             return false;
         };
         let spec = &job.spec.steps[usize::from(at.step.step)];
-        let seat = job
-            .occurrences
-            .get(&at.step.occurrence)
-            .and_then(|occurrence| {
-                let step = &occurrence.steps[usize::from(at.step.step)];
-                step.tasks.get(at.index as usize)?.seat()
-            });
+        let seat = self.seat_of(at);
         let Some(seat) = seat.filter(|seat| seat.running && !seat.stopping) else {
             return false;
         };
@@ -113,11 +107,9 @@
     fn stands_still(&self, at: TaskAt, now: TimePoint) -> Option<Duration> {
         let job = self.jobs.get(at.step.job).filter(|job| !job.is_over())?;
         let spec = &job.spec.steps[usize::from(at.step.step)];
-        let occurrence = job.occurrences.get(&at.step.occurrence)?;
-        let task = occurrence.steps[usize::from(at.step.step)]
-            .tasks
-            .get(at.index as usize)?;
-        let seat = task.seat().filter(|seat| seat.running && !seat.stopping)?;
+        let seat = self
+            .seat_of(at)
+            .filter(|seat| seat.running && !seat.stopping)?;
         if !spec.checkpoints || seat.percent >= NEARLY_DONE {
             return None;
         }
@@ -142,10 +134,9 @@
         })
     }
 
-    fn stop_seat(&mut self, at: TaskAt, worker: WorkerKey, mark: RunMark) {
+    fn stop_seat(&mut self, at: TaskAt, worker: WorkerKey, mark: RunMark, why: &'static str) {
         if let Some(seat) = self.task_mut(at).and_then(|task| task.seat_mut()) {
             seat.stopping = true;
-            let why = "it stands still here";
             self.stops.push(StopOrder { worker, mark, why });
         }
     }
