--- /dev/null
+++ b/crates/wax-agent/src/boots.rs
@@ -0,0 +1,86 @@
+//! Boots of the worker on this machine: which has checked in, which is dead, which is driven.
+//!
+//! A boot that is driven is never registered a second time: all that runs on it would count as lost,
+//! and would be started elsewhere while it runs.
+
+use std::collections::HashSet;
+use wax_batch::WorkerView;
+
+/// What a worker says of itself in one check-in.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BootReport {
+    /// The boot, with its state.
+    pub view: WorkerView,
+    /// Rises with each check-in of a boot.
+    pub sequence: u64,
+}
+
+/// What a check-in leads to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CheckInStep {
+    /// Its boot is dead: it counts for nothing.
+    Dead,
+    /// Its boot is driven: this is news of it.
+    Update(BootReport),
+    /// Its boot has to answer before it is driven.
+    Verify,
+}
+
+/// What to do with a boot that has checked in and was not driven then.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CandidateStep {
+    /// There is none.
+    None,
+    /// Ask it, and register it if it answers.
+    Verify(BootReport),
+    /// It is driven by now: this is news of it.
+    Update(BootReport),
+}
+
+/// The boots that are known beside the one that is driven.
+#[derive(Debug, Default)]
+pub struct BootWatch {
+    candidate: Option<BootReport>,
+    dead: HashSet<Box<str>>,
+}
+
+impl BootWatch {
+    /// Takes a check-in while the boot `driven` is driven.
+    pub fn check_in(&mut self, report: BootReport, driven: Option<&str>) -> CheckInStep {
+        if self.dead.contains(&report.view.id) {
+            return CheckInStep::Dead;
+        }
+        if driven == Some(&*report.view.id) {
+            return CheckInStep::Update(report);
+        }
+        self.candidate = Some(report);
+        CheckInStep::Verify
+    }
+
+    /// Offers a boot again that was driven and must be verified anew.
+    pub fn offer(&mut self, report: BootReport) {
+        self.candidate = Some(report);
+    }
+
+    /// Takes the candidate while the boot `driven` is driven.
+    ///
+    /// A boot checks in again while its first answer is awaited, and is driven once that has come.
+    pub fn take_candidate(&mut self, driven: Option<&str>) -> CandidateStep {
+        match self.candidate.take() {
+            Some(report) if self.dead.contains(&report.view.id) => CandidateStep::None,
+            Some(report) if driven == Some(&*report.view.id) => CandidateStep::Update(report),
+            Some(report) => CandidateStep::Verify(report),
+            None => CandidateStep::None,
+        }
+    }
+
+    /// The boot has ended: its late check-ins count for nothing.
+    pub fn bury(&mut self, id: &str) {
+        self.dead.insert(id.into());
+    }
+
+    /// Whether the boot has ended.
+    pub fn is_dead(&self, id: &str) -> bool {
+        self.dead.contains(id)
+    }
+}
--- a/crates/wax-agent/src/check_ins.rs
+++ b/crates/wax-agent/src/check_ins.rs
@@ -1,10 +1,10 @@
 //! Check-ins of the worker on this machine.
 
+use crate::boots::{BootReport, CheckInStep};
 use crate::state::{AgentState, WorkerBoot};
 use http::StatusCode;
 use platform::{CheckInReply, CheckInRoute, decode_check_in, match_check_in};
 use std::rc::Rc;
-use wax_batch::WorkerState;
 use wax_http::{
     HttpHandler, HttpReply, HttpRequest, collect_body, empty_reply, error_reply, json_reply,
 };
@@ -43,33 +43,20 @@
             WaxError::new(ErrorKind::Invalid, Step::ParseRequest, id, error)
                 .with_help("send a worker's report as the platform's pages describe it")
         })?;
-        if self.state.dead.borrow().contains(id) {
-            tracing::info!(worker = id, "late check-in of a dead boot");
-            return Ok(());
-        }
-        let mut boot = self.state.boot.borrow_mut();
-        match boot.as_mut().filter(|boot| *boot.view.id == *id) {
-            Some(boot) if report.sequence < boot.sequence => {}
-            Some(boot) => {
-                boot.sequence = report.sequence;
-                let told = boot.view.clone();
-                // A worker that has said that it leaves does not come back in this boot.
-                let drains = boot.view.state == WorkerState::Draining;
-                boot.view = report.view;
-                if drains {
-                    boot.view.state = WorkerState::Draining;
-                }
-                if told.state != boot.view.state {
-                    tracing::info!(worker = id, state = ?boot.view.state, "worker state");
-                }
-                if told.state != boot.view.state || told.cold_ms != boot.view.cold_ms {
-                    self.state
-                        .tell(PoolBody::WorkerChanged((&boot.shown_view()).into()));
-                }
-            }
-            None => {
-                drop(boot);
-                *self.state.candidate.borrow_mut() = Some((report.view, report.sequence));
+        let report = BootReport {
+            view: report.view,
+            sequence: report.sequence,
+        };
+        let driven = self.state.driven();
+        let step = self
+            .state
+            .boots
+            .borrow_mut()
+            .check_in(report, driven.as_deref());
+        match step {
+            CheckInStep::Dead => tracing::info!(worker = id, "late check-in of a dead boot"),
+            CheckInStep::Update(report) => self.state.update_boot(report),
+            CheckInStep::Verify => {
                 self.state.changed.notify(usize::MAX);
             }
         }
@@ -77,7 +64,7 @@
     }
 
     fn leave(&self, id: &str) {
-        self.state.dead.borrow_mut().insert(id.into());
+        self.state.boots.borrow_mut().bury(id);
         let mut boot = self.state.boot.borrow_mut();
         if boot
             .as_ref()
--- a/crates/wax-agent/src/driver.rs
+++ b/crates/wax-agent/src/driver.rs
@@ -1,5 +1,6 @@
 //! Drives the worker: one hold after another, which extends leases and brings ends at once.
 
+use crate::boots::{BootReport, CandidateStep};
 use crate::state::{AgentState, WorkerBoot};
 use compio::time::{sleep, timeout};
 use platform::{HoldReply, HoldRequest, WorkerRefusal};
@@ -37,12 +38,7 @@
 pub(crate) async fn drive_worker(state: Rc<AgentState>) {
     loop {
         take_candidate(&state).await;
-        let boot = state
-            .boot
-            .borrow()
-            .as_ref()
-            .map(|boot| boot.view.id.clone());
-        let Some(boot) = boot.filter(|_| state.token.get() > 0) else {
+        let Some(boot) = state.driven().filter(|_| state.token.get() > 0) else {
             wait_change(&state).await;
             continue;
         };
@@ -66,8 +62,15 @@
     if state.token.get() == 0 {
         return;
     }
-    let Some((view, sequence)) = state.candidate.borrow_mut().take() else {
-        return;
+    let driven = state.driven();
+    let step = state.boots.borrow_mut().take_candidate(driven.as_deref());
+    let BootReport { view, sequence } = match step {
+        CandidateStep::Verify(report) => report,
+        CandidateStep::Update(report) => {
+            state.update_boot(report);
+            return;
+        }
+        CandidateStep::None => return,
     };
     let request = HoldRequest {
         lease_until_ms: None,
@@ -76,10 +79,13 @@
         wait_ms: 0,
     };
     match state.worker.hold(&view.id, &request, HOLD_LIMIT).await {
+        Ok(Ok(_)) if state.boots.borrow().is_dead(&view.id) => {
+            tracing::info!(worker = %view.id, "boot has left before it was registered");
+        }
         Ok(Ok(_)) => replace_boot(state, view, sequence),
         Ok(Err(WorkerRefusal::OtherBoot)) => {
             tracing::info!(worker = %view.id, "check-in of a boot that does not answer");
-            state.dead.borrow_mut().insert(view.id);
+            state.boots.borrow_mut().bury(&view.id);
         }
         Ok(Err(refusal)) => tracing::warn!(worker = %view.id, ?refusal, "first hold refused"),
         Err(error) => tracing::warn!(worker = %view.id, %error, "first hold failed"),
@@ -87,12 +93,7 @@
 }
 
 fn replace_boot(state: &Rc<AgentState>, view: WorkerView, sequence: u64) {
-    let before = state
-        .boot
-        .borrow()
-        .as_ref()
-        .map(|boot| boot.view.id.clone());
-    if let Some(before) = before {
+    if let Some(before) = state.driven() {
         drop_boot(state, &before, "a new boot has checked in");
     }
     tracing::info!(worker = %view.id, service = %view.service, state = ?view.state, "worker registered");
@@ -107,7 +108,7 @@
     let mut boot = state.boot.borrow_mut();
     if boot.as_ref().is_some_and(|boot| *boot.view.id == *id) {
         *boot = None;
-        state.dead.borrow_mut().insert(id.into());
+        state.boots.borrow_mut().bury(id);
         count(Counter::WorkersGone);
         tracing::warn!(worker = id, why, "worker is gone");
         state.tell(PoolBody::WorkerGone(WorkerGone { worker: id.into() }));
@@ -130,7 +131,8 @@
     count(Counter::WorkersGone);
     tracing::warn!(worker = id, "leases have lapsed");
     state.tell(PoolBody::WorkerGone(WorkerGone { worker: id.into() }));
-    *state.candidate.borrow_mut() = Some((view, sequence));
+    let report = BootReport { view, sequence };
+    state.boots.borrow_mut().offer(report);
 }
 
 async fn hold_once(state: &Rc<AgentState>, id: &str) -> HoldStep {
--- a/crates/wax-agent/src/lib.rs
+++ b/crates/wax-agent/src/lib.rs
@@ -3,6 +3,7 @@
 //! It starts only what fits beside everything that runs, is being stopped, or may begin yet, and
 //! extends the worker's leases only while an owner has confirmed its authority lately.
 
+mod boots;
 mod check_ins;
 mod driver;
 mod lease;
@@ -13,6 +14,7 @@
 mod state;
 mod table;
 
+pub use boots::{BootReport, BootWatch, CandidateStep, CheckInStep};
 pub use lease::{LeaseClock, LeaseRules};
 pub use owner_link::OwnerDirectory;
 pub use pace::{FillingSample, PaceControl, PaceRules, PaceSample, ServingSample};
--- a/crates/wax-agent/src/state.rs
+++ b/crates/wax-agent/src/state.rs
@@ -1,5 +1,6 @@
 //! What the tasks of one agent share.
 
+use crate::boots::{BootReport, BootWatch};
 use crate::lease::{LeaseClock, LeaseRules};
 use crate::pace::{PaceControl, PaceRules};
 use crate::table::RunTable;
@@ -7,7 +8,6 @@
 use futures_channel::mpsc::UnboundedSender;
 use platform::WorkerClient;
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
 use wax_batch::{WorkerState, WorkerView};
 use wax_types::{ProcessClock, TimePoint};
 use wax_wire::PoolBody;
@@ -79,10 +79,8 @@
     pub(crate) link: RefCell<Option<OwnerLink>>,
     /// The boot that is driven.
     pub(crate) boot: RefCell<Option<WorkerBoot>>,
-    /// A boot that has checked in and is not verified yet.
-    pub(crate) candidate: RefCell<Option<(WorkerView, u64)>>,
-    /// Boots that are known to be dead: their late check-ins count for nothing.
-    pub(crate) dead: RefCell<HashSet<Box<str>>>,
+    /// Boots that have checked in and are not verified yet, and those that are dead.
+    pub(crate) boots: RefCell<BootWatch>,
     /// The last grant of this link; it counts once the owner has taken over the worker's runs.
     pub(crate) granted: Cell<TimePoint>,
     /// Until when the owner's authority reaches.
@@ -131,6 +129,36 @@
         }
     }
 
+    /// The id of the boot that is driven.
+    pub(crate) fn driven(&self) -> Option<Box<str>> {
+        let boot = self.boot.borrow();
+        boot.as_ref().map(|boot| boot.view.id.clone())
+    }
+
+    /// Takes a later check-in of the boot that is driven; the owner hears of what it places by.
+    pub(crate) fn update_boot(&self, report: BootReport) {
+        let mut boot = self.boot.borrow_mut();
+        let Some(boot) = boot.as_mut().filter(|boot| boot.view.id == report.view.id) else {
+            return;
+        };
+        if report.sequence < boot.sequence {
+            return;
+        }
+        boot.sequence = report.sequence;
+        let told = boot.view.clone();
+        boot.view = report.view;
+        if told.state == WorkerState::Draining {
+            // A worker that has said that it leaves does not come back in this boot.
+            boot.view.state = WorkerState::Draining;
+        }
+        if told.state != boot.view.state {
+            tracing::info!(worker = %boot.view.id, state = ?boot.view.state, "worker state");
+        }
+        if told.state != boot.view.state || told.cold_ms != boot.view.cold_ms {
+            self.tell(PoolBody::WorkerChanged((&boot.shown_view()).into()));
+        }
+    }
+
     /// Whether the link has taken over the worker's runs, so that orders and news count.
     pub(crate) fn is_kept(&self) -> bool {
         self.link.borrow().as_ref().is_some_and(|link| link.kept)
