--- a/crates/wax-agent/src/driver.rs
+++ b/crates/wax-agent/src/driver.rs
@@ -244,7 +244,7 @@
             return;
         };
         let sample = boot.table.pace_sample();
-        if !boot.pace.look(&sample, now, &state.pace_rules) {
+        if !boot.pace.look(&sample, now, &state.pace_rules.get()) {
             return;
         }
         if boot.pace.has_news() {
--- a/crates/wax-agent/src/lib.rs
+++ b/crates/wax-agent/src/lib.rs
@@ -17,6 +17,6 @@
 pub use boots::{BootReport, BootWatch, CandidateStep, CheckInStep};
 pub use lease::{LeaseClock, LeaseRules};
 pub use owner_link::OwnerDirectory;
-pub use pace::{FillingSample, PaceControl, PaceRules, PaceSample, ServingSample};
+pub use pace::{FillingSample, PaceCause, PaceChange, PaceControl, PaceSample, ServingSample};
 pub use process::run_agent;
 pub use table::{HoldNews, RunStand, RunTable, SeatInfo};
--- a/crates/wax-agent/src/orders.rs
+++ b/crates/wax-agent/src/orders.rs
@@ -1,5 +1,6 @@
 //! Carries out the owner's orders, one task each, until their fate is known.
 
+use crate::pace::PaceChange;
 use crate::state::AgentState;
 use crate::table::{RunStand, SeatInfo};
 use compio::runtime::spawn;
@@ -183,7 +184,8 @@
                 return;
             };
             let sample = boot.table.pace_sample();
-            boot.pace.plan(&sample, self.now(), &self.pace_rules);
+            boot.pace.plan(&sample, self.now(), &self.pace_rules.get());
+            log_changes(&boot.view.id, &boot.pace.take_changes());
             (boot.view.id.clone(), boot.table.repace(&boot.pace))
         };
         count_many(Counter::PaceOrders, marks.len() as u64);
@@ -214,3 +216,22 @@
         Some(act(&mut state.table))
     }
 }
+
+/// One line for each pace that has changed by much, with the run that it protects.
+fn log_changes(worker: &str, changes: &[PaceChange]) {
+    let rounded = |value: f64| (value * 1_000.0).round() / 1_000.0;
+    for change in changes {
+        let cause = change.cause.as_ref();
+        tracing::info!(
+            worker,
+            image = %change.filling,
+            percent = change.percent,
+            protects = cause.map(|cause| tracing::field::display(cause.run.task)),
+            tail = cause.map(|cause| rounded(cause.tail)),
+            own = cause.map(|cause| rounded(cause.own)),
+            room = cause.map(|cause| rounded(cause.room)),
+            press = cause.map(|cause| rounded(cause.press)),
+            "pace changed"
+        );
+    }
+}
--- a/crates/wax-agent/src/pace.rs
+++ b/crates/wax-agent/src/pace.rs
@@ -9,61 +9,9 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 use wax_batch::RunMark;
-use wax_policy::{CoreUse, LoadChange, LoadLook, PairPress, PressTable};
+use wax_policy::{CoreUse, LoadChange, LoadLook, PaceRules, PairPress, PressTable};
 use wax_types::TimePoint;
 
-/// When to slow down, and how fast to learn.
-#[derive(Debug, Clone, Copy)]
-pub struct PaceRules {
-    /// Between two observations: the worker's figures cover half a second.
-    pub period: Duration,
-    /// Predicted tails are kept below this share of their target.
-    pub aim: f64,
-    /// A tail over this share of its target slows what may be the cause at once.
-    pub alarm: f64,
-    /// Tails over this share of their target count as too long in a row.
-    pub near: f64,
-    /// Tails that are too long for this long stop all that fills.
-    pub bear: Duration,
-    /// A stop that has not helped after this long shows another cause.
-    pub relief: Duration,
-    /// What fills then goes on for this long, whatever the tail.
-    pub cleared: Duration,
-    /// After an alarm, figures show for this long what is over already.
-    pub settle: Duration,
-    /// The least pace, percent: what stands still teaches nothing.
-    pub least: u32,
-    /// How much of the difference to what a look shows goes to an own load that falls; one that
-    /// rises is followed at once.
-    pub own_rate: f64,
-    /// The figure of a tail keeps this share of the one half a second before.
-    pub tail_kept: f64,
-    /// The share of its target that a tail without load takes, before anything is known.
-    pub first_idle: f64,
-    /// A press of a core that is surely below this is none.
-    pub no_press: f64,
-}
-
-impl Default for PaceRules {
-    fn default() -> Self {
-        Self {
-            period: Duration::from_millis(450),
-            aim: 0.74,
-            alarm: 1.0,
-            near: 0.95,
-            bear: Duration::from_millis(1_400),
-            relief: Duration::from_millis(2_800),
-            cleared: Duration::from_millis(1_500),
-            settle: Duration::from_millis(900),
-            least: 5,
-            own_rate: 0.6,
-            tail_kept: 0.27,
-            first_idle: 0.17,
-            no_press: 0.05,
-        }
-    }
-}
-
 /// One serving run as the worker shows it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServingSample {
@@ -163,6 +111,32 @@
     }
 }
 
+/// A pace that has changed by much, and the serving run that decided it; for the log.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PaceChange {
+    /// The image that fills.
+    pub filling: Box<str>,
+    /// Its pace from now on, percent.
+    pub percent: u32,
+    /// The run that bears least of it; `None` if nothing bounds it.
+    pub cause: Option<PaceCause>,
+}
+
+/// The serving run that bounds a pace, and by which figures.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PaceCause {
+    /// The run.
+    pub run: RunMark,
+    /// Its tail as a share of its target, by the last look.
+    pub tail: f64,
+    /// Its load without what fills.
+    pub own: f64,
+    /// How much press it bears in all.
+    pub room: f64,
+    /// What the image would press at full pace.
+    pub press: f64,
+}
+
 /// The paces of all images that fill on one worker.
 #[derive(Debug, Clone, Default)]
 pub struct PaceControl {
@@ -171,6 +145,9 @@
     /// The least tail of each serving image, as a share of its target.
     idle: HashMap<Box<str>, f64>,
     paces: BTreeMap<Box<str>, u32>,
+    /// Paces as last told to the log, and what is to be told.
+    logged: BTreeMap<Box<str>, u32>,
+    changes: Vec<PaceChange>,
     looked: TimePoint,
     /// Cores in use by what fills, by the last look.
     cores: CoreUse,
@@ -181,6 +158,8 @@
     rooms_told: BTreeMap<Box<str>, f64>,
 }
 
+/// Smaller changes of a pace are not worth a line of the log, percent.
+const LOG_STEP: u32 = 20;
 /// A change of the room by less is not worth telling.
 const ROOM_STEP: f64 = 0.05;
 /// The same as a share of the room.
@@ -240,6 +219,11 @@
         })
     }
 
+    /// Paces that have changed by much since the last call.
+    pub fn take_changes(&mut self) -> Vec<PaceChange> {
+        std::mem::take(&mut self.changes)
+    }
+
     /// What was observed of pairs since the last call.
     pub fn take_fresh(&mut self) -> Vec<(Box<str>, Box<str>, PairPress)> {
         self.rooms_told.clone_from(&self.rooms);
@@ -353,10 +337,10 @@
 
     /// Plans the paces by what is known: also before new runs show in the worker's figures.
     pub fn plan(&mut self, sample: &PaceSample, now: TimePoint, rules: &PaceRules) {
-        let mut shares: BTreeMap<Box<str>, f64> = sample
+        let mut shares: BTreeMap<Box<str>, (f64, Option<PaceCause>)> = sample
             .filling
             .keys()
-            .map(|image| (image.clone(), 1.0))
+            .map(|image| (image.clone(), (1.0, None)))
             .collect();
         self.rooms.clear();
         for run in &sample.serving {
@@ -391,8 +375,15 @@
             for (image, _, press) in presses {
                 let share = if press > left { left / press } else { 1.0 };
                 left = (left - press).max(0.0);
-                if let Some(least) = shares.get_mut(image) {
-                    *least = least.min(share);
+                if let Some(least) = shares.get_mut(image).filter(|(least, _)| share < *least) {
+                    let cause = PaceCause {
+                        run: run.mark,
+                        tail: load.tail,
+                        own: load.own,
+                        room,
+                        press,
+                    };
+                    *least = (share, Some(cause));
                 }
             }
         }
@@ -403,8 +394,25 @@
             false => ((share * 100.0) as u32).clamp(rules.least, 100),
         };
         self.paces = shares
-            .into_iter()
-            .map(|(image, share)| (image, percent(share)))
+            .iter()
+            .map(|(image, (share, _))| (image.clone(), percent(*share)))
             .collect();
+        self.note_changes(&shares);
+    }
+
+    fn note_changes(&mut self, shares: &BTreeMap<Box<str>, (f64, Option<PaceCause>)>) {
+        self.logged.retain(|image, _| shares.contains_key(image));
+        for (image, (_, cause)) in shares {
+            let percent = self.pace(image);
+            let logged = self.logged.entry(image.clone()).or_insert(100);
+            if logged.abs_diff(percent) >= LOG_STEP {
+                *logged = percent;
+                self.changes.push(PaceChange {
+                    filling: image.clone(),
+                    percent,
+                    cause: *cause,
+                });
+            }
+        }
     }
 }
--- a/crates/wax-agent/src/process.rs
+++ b/crates/wax-agent/src/process.rs
@@ -4,7 +4,6 @@
 use crate::driver::drive_worker;
 use crate::lease::LeaseRules;
 use crate::owner_link::{OwnerDirectory, keep_owner_link};
-use crate::pace::PaceRules;
 use crate::state::AgentState;
 use compio::runtime::spawn;
 use event_listener::Event;
@@ -13,16 +12,19 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use wax_http::{HttpServer, ShutdownSignal, bind_listener};
+use wax_policy::PaceRules;
 use wax_settings::DaemonSettings;
 use wax_types::{ErrorKind, ProcessClock, Step, TimePoint, WaxError};
 
-/// Runs an agent until `shutdown`; its worker's tasks go on under their leases.
+/// Runs an agent until `shutdown`; its worker's tasks go on under their leases. The rules of pacing
+/// may be changed while it runs.
 ///
 /// # Errors
 ///
 /// A section of the settings is missing, or an address is taken.
 pub async fn run_agent(
     settings: &DaemonSettings,
+    pace_rules: Rc<Cell<PaceRules>>,
     directory: impl OwnerDirectory + 'static,
     shutdown: ShutdownSignal,
 ) -> Result<(), WaxError> {
@@ -34,7 +36,7 @@
     let pool = settings.pool.as_ref().ok_or_else(|| missing("peers"))?;
     let check_ins = pool.check_ins.ok_or_else(|| missing("check_ins"))?;
     let worker = pool.worker.ok_or_else(|| missing("worker"))?;
-    let state = Rc::new(new_state(&settings.name, worker));
+    let state = Rc::new(new_state(&settings.name, worker, pace_rules));
     let listener = bind_listener(check_ins)?;
     let handler = Rc::new(CheckInHandler {
         state: state.clone(),
@@ -48,13 +50,13 @@
     Ok(())
 }
 
-fn new_state(node: &str, worker: SocketAddr) -> AgentState {
+fn new_state(node: &str, worker: SocketAddr, pace_rules: Rc<Cell<PaceRules>>) -> AgentState {
     AgentState {
         node: node.into(),
         clock: ProcessClock::start(),
         worker: WorkerClient::new(worker),
         lease_rules: LeaseRules::default(),
-        pace_rules: PaceRules::default(),
+        pace_rules,
         link: RefCell::default(),
         boot: RefCell::default(),
         boots: RefCell::default(),
--- a/crates/wax-agent/src/state.rs
+++ b/crates/wax-agent/src/state.rs
@@ -2,13 +2,15 @@
 
 use crate::boots::{BootReport, BootWatch};
 use crate::lease::{LeaseClock, LeaseRules};
-use crate::pace::{PaceControl, PaceRules};
+use crate::pace::PaceControl;
 use crate::table::RunTable;
 use event_listener::Event;
 use futures_channel::mpsc::UnboundedSender;
 use platform::WorkerClient;
 use std::cell::{Cell, RefCell};
+use std::rc::Rc;
 use wax_batch::{WorkerState, WorkerView};
+use wax_policy::PaceRules;
 use wax_types::{ProcessClock, TimePoint};
 use wax_wire::PoolBody;
 
@@ -75,7 +77,8 @@
     pub(crate) clock: ProcessClock,
     pub(crate) worker: WorkerClient,
     pub(crate) lease_rules: LeaseRules,
-    pub(crate) pace_rules: PaceRules,
+    /// May change with the settings.
+    pub(crate) pace_rules: Rc<Cell<PaceRules>>,
     pub(crate) link: RefCell<Option<OwnerLink>>,
     /// The boot that is driven.
     pub(crate) boot: RefCell<Option<WorkerBoot>>,
--- a/crates/wax-agent/tests/pacing.rs
+++ b/crates/wax-agent/tests/pacing.rs
@@ -1,9 +1,9 @@
 //! Tasks that fill give way to tasks that serve, and only where they press.
 
 use std::time::Duration;
-use wax_agent::{FillingSample, PaceControl, PaceRules, PaceSample, ServingSample};
+use wax_agent::{FillingSample, PaceControl, PaceSample, ServingSample};
 use wax_batch::{JobName, RunMark, TaskName};
-use wax_policy::PairPress;
+use wax_policy::{PaceRules, PairPress};
 use wax_types::TimePoint;
 
 fn mark() -> RunMark {
--- a/crates/wax-agent/tests/presses.rs
+++ b/crates/wax-agent/tests/presses.rs
@@ -3,8 +3,9 @@
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::time::Duration;
-use wax_agent::{FillingSample, PaceControl, PaceRules, PaceSample, ServingSample};
+use wax_agent::{FillingSample, PaceControl, PaceSample, ServingSample};
 use wax_batch::{JobName, RunMark, TaskName};
+use wax_policy::PaceRules;
 use wax_types::TimePoint;
 
 /// One look at a worker, as the users' bench showed it: see `docs/REPLAY.md`.
--- a/crates/wax-batch/src/book.rs
+++ b/crates/wax-batch/src/book.rs
@@ -3,16 +3,16 @@
 use crate::approvals::StepApproval;
 use crate::life::{JobLife, OccurrenceLife};
 use crate::names::{JobName, RunMark, TaskName};
-use crate::place_rules::PlaceRules;
 use crate::progress::{JobOutcome, JobProgress, JobRow};
 use crate::queue::{QueueConfig, QueueRules};
 use crate::spec::{JobSpec, TaskSize};
+use crate::why::{PlaceReason, StepWait, StopReason};
 use crate::worker::{WorkerKey, WorkerView};
 use slotmap::SlotMap;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
-use wax_policy::{PairPress, PressTable, WorkerPress};
+use wax_policy::{PairPress, PlaceRules, PressTable, WorkerPress};
 use wax_types::TimePoint;
 
 slotmap::new_key_type! {
@@ -53,6 +53,8 @@
     pub checkpoint: Box<str>,
     /// The advisor's ticket; empty where none is needed.
     pub ticket: Box<str>,
+    /// What decided it; for the log.
+    pub reason: PlaceReason,
 }
 
 /// A run to stop.
@@ -63,7 +65,7 @@
     /// Which run.
     pub mark: RunMark,
     /// Why; for the log.
-    pub why: &'static str,
+    pub why: StopReason,
 }
 
 /// What a caller is told of a job.
@@ -120,6 +122,8 @@
     pub shunned_until: TimePoint,
     /// Whether its agent can be reached now.
     pub reachable: bool,
+    /// When its agent was last heard.
+    pub heard_at: TimePoint,
     /// What serves and what fills here, by image.
     pub press: WorkerPress,
 }
@@ -151,6 +155,8 @@
     pub(crate) ready: BTreeSet<StepAt>,
     pub(crate) dirty: BTreeSet<JobKey>,
     pub(crate) stops: Vec<StopOrder>,
+    /// Waits that are to be told; see [`JobBook::take_waits`].
+    pub(crate) waits: Vec<StepWait>,
     pub(crate) config: Rc<QueueConfig>,
     pub(crate) rules: PlaceRules,
     /// What the advisor has said of steps.
@@ -173,6 +179,7 @@
             ready: BTreeSet::new(),
             dirty: BTreeSet::new(),
             stops: Vec::new(),
+            waits: Vec::new(),
             config: Rc::default(),
             rules,
             approvals: HashMap::new(),
@@ -194,6 +201,11 @@
         self.config = config;
     }
 
+    /// Takes other limits and weights of placement.
+    pub fn set_rules(&mut self, rules: PlaceRules) {
+        self.rules = rules;
+    }
+
     /// All who may run tasks of earlier terms were heard or have lapsed.
     pub fn settle(&mut self) {
         self.settled = true;
@@ -384,7 +396,7 @@
         job.reason = reason;
         job.ended_ms = now_ms;
         self.touch(key);
-        self.stop_all(key, "the job has ended");
+        self.stop_all(key, StopReason::JobEnded);
         let from = StepAt {
             job: key,
             occurrence: 0,
@@ -401,7 +413,7 @@
         }
     }
 
-    fn stop_all(&mut self, key: JobKey, why: &'static str) {
+    fn stop_all(&mut self, key: JobKey, why: StopReason) {
         let job = &mut self.jobs[key];
         for (number, occurrence) in &mut job.occurrences {
             for (step, life) in occurrence.steps.iter_mut().enumerate() {
@@ -462,6 +474,18 @@
         std::mem::take(&mut self.stops)
     }
 
+    /// Steps whose tasks wait for a new reason, since the last call.
+    pub fn take_waits(&mut self) -> Vec<StepWait> {
+        std::mem::take(&mut self.waits)
+    }
+
+    /// Something was heard of a worker.
+    pub fn worker_heard(&mut self, worker: WorkerKey, now: TimePoint) {
+        if let Some(life) = self.workers.get_mut(worker) {
+            life.heard_at = now;
+        }
+    }
+
     /// Jobs that ended before `before_ms` and can be forgotten.
     pub fn forgettable(&self, before_ms: u64, most: usize) -> Vec<JobName> {
         let old = |job: &&JobLife| {
--- a/crates/wax-batch/src/ends.rs
+++ b/crates/wax-batch/src/ends.rs
@@ -5,6 +5,7 @@
 use crate::names::RunMark;
 use crate::progress::JobOutcome;
 use crate::spec::TaskSize;
+use crate::why::StopReason;
 use crate::worker::{RunEnd, RunEndKind, RunReport, WorkerKey, WorkerView};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
@@ -48,6 +49,7 @@
             failed_in_row: 0,
             shunned_until: TimePoint::default(),
             reachable: true,
+            heard_at: TimePoint::default(),
             press: WorkerPress::default(),
         })
     }
@@ -140,7 +142,7 @@
             .run_task(worker, mark)
             .and_then(|at| self.task_mut(at)?.seat().copied());
         if seat.is_some_and(|seat| seat.stopping && seat.run == mark.run) {
-            let why = "the stop is repeated on a new link";
+            let why = StopReason::Repeated;
             self.stops.push(StopOrder { worker, mark, why });
         }
     }
@@ -161,7 +163,7 @@
             lasts: false,
         };
         self.book_run(worker, mark, seat);
-        let why = "no job asks for it";
+        let why = StopReason::Orphan;
         self.stops.push(StopOrder { worker, mark, why });
     }
 
@@ -333,7 +335,7 @@
                 let order = StopOrder {
                     worker: seat.worker,
                     mark,
-                    why: "a member of its gang ended",
+                    why: StopReason::GangEnded,
                 };
                 self.stops.push(order);
             }
@@ -479,7 +481,7 @@
             task: name,
             run: seat.run,
         };
-        let why = "another run has done the task";
+        let why = StopReason::DoneElsewhere;
         self.stops.push(StopOrder {
             worker: seat.worker,
             mark,
--- a/crates/wax-batch/src/fit.rs
+++ b/crates/wax-batch/src/fit.rs
@@ -1,10 +1,10 @@
 //! Whether a task fits a worker, and at what cost.
 
 use crate::book::WorkerLife;
-use crate::place_rules::PlaceRules;
 use crate::spec::{StepSpec, TaskSize};
+use crate::why::WaitReason;
 use crate::worker::WorkerState;
-use wax_policy::{PressChoice, PressTable};
+use wax_policy::{PlaceRules, PressChoice, PressTable};
 use wax_types::TimePoint;
 
 impl WorkerLife {
@@ -13,14 +13,26 @@
         self.view.capacity.minus(self.booked)
     }
 
+    /// Why it takes no tasks of the step at all now; `None` if it does.
+    fn refusal(&self, service: &str, step: &StepSpec, now: TimePoint) -> Option<WaitReason> {
+        let label = step.label.as_ref();
+        if *self.view.service != *service {
+            Some(WaitReason::NoWorker)
+        } else if label.is_some_and(|label| !self.view.labels.contains(label)) {
+            Some(WaitReason::Label)
+        } else if self.view.state != WorkerState::Ready
+            || !self.reachable
+            || now < self.shunned_until
+        {
+            Some(WaitReason::NotReady)
+        } else {
+            None
+        }
+    }
+
     /// Whether it takes tasks of the step at all now.
     pub(crate) fn takes(&self, service: &str, step: &StepSpec, now: TimePoint) -> bool {
-        let label = step.label.as_ref();
-        *self.view.service == *service
-            && self.view.state == WorkerState::Ready
-            && self.reachable
-            && now >= self.shunned_until
-            && label.is_none_or(|label| self.view.labels.contains(label))
+        self.refusal(service, step, now).is_none()
     }
 
     /// Whether one more task of the step fits here now; `fill_limit` bounds what fills ask for.
@@ -31,10 +43,26 @@
         (fill_limit, rules): (f64, &PlaceRules),
         now: TimePoint,
     ) -> bool {
+        self.obstacle(service, step, (fill_limit, rules), now)
+            .is_none()
+    }
+
+    /// Why one more task of the step does not fit here now; see [`WorkerLife::has_room`].
+    pub(crate) fn obstacle(
+        &self,
+        service: &str,
+        step: &StepSpec,
+        (fill_limit, rules): (f64, &PlaceRules),
+        now: TimePoint,
+    ) -> Option<WaitReason> {
+        if let Some(refusal) = self.refusal(service, step, now) {
+            return Some(refusal);
+        }
+        if !step.booked().fits(self.room()) {
+            return Some(WaitReason::Capacity);
+        }
         let left = self.fill_room_milli(fill_limit, rules);
-        self.takes(service, step, now)
-            && step.booked().fits(self.room())
-            && (!step.fills || left >= f64::from(step.size.cpu_milli))
+        (step.fills && left < f64::from(step.size.cpu_milli)).then_some(WaitReason::Spare)
     }
 
     /// Thousandths of a core that are left to tasks that fill.
@@ -68,6 +96,14 @@
         !step.fills || self.press_choice(step, pairs, rules).pace >= least_pace
     }
 
+    /// The pace that one more task of the step would be left here, 0 to 1.
+    pub(crate) fn pace_for(&self, step: &StepSpec, pairs: &PressTable, rules: &PlaceRules) -> f64 {
+        match step.fills {
+            true => self.press_choice(step, pairs, rules).pace,
+            false => 1.0,
+        }
+    }
+
     /// The share of lasting runs here that are of another image.
     fn strangers(&self, image: &str) -> f64 {
         let serving = self.press.serving();
--- a/crates/wax-batch/src/lib.rs
+++ b/crates/wax-batch/src/lib.rs
@@ -10,13 +10,14 @@
 mod moves;
 mod names;
 mod notes;
+mod patience;
 mod place;
-mod place_rules;
 mod progress;
 mod queue;
 mod rank;
 mod seats;
 mod spec;
+mod why;
 mod worker;
 
 pub use approvals::AdviceAsk;
@@ -27,11 +28,11 @@
 pub use life::{JobLife, OccurrenceLife, StepLife, TaskLife, TaskStand};
 pub use names::{JobName, RunMark, TaskName};
 pub use place::PlaceChoice;
-pub use place_rules::PlaceRules;
 pub use progress::{
     JobOutcome, JobProgress, JobRow, OccurrenceProgress, StepProgress, TaskFailures,
 };
 pub use queue::{AdviceRules, QueueConfig, QueueRules, QueueTable, ServiceRules};
 pub use rank::{JobRank, latest_start_ms, longest_chain_ms};
 pub use spec::{JobSpec, RepeatPlan, SpecError, StepSpec, TaskSize};
+pub use why::{PlaceReason, StepWait, StopReason, WaitReason};
 pub use worker::{RunEnd, RunEndKind, RunReport, WorkerKey, WorkerState, WorkerView};
--- a/crates/wax-batch/src/life.rs
+++ b/crates/wax-batch/src/life.rs
@@ -4,6 +4,7 @@
 use crate::progress::{JobOutcome, JobProgress, OccurrenceProgress, StepProgress, TaskFailures};
 use crate::queue::QueueRules;
 use crate::spec::{JobSpec, StepSpec};
+use crate::why::WaitReason;
 use crate::worker::WorkerKey;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -86,6 +87,8 @@
     pub waiting: u32,
     /// How many tasks are done.
     pub done: u32,
+    /// Why its tasks wait, as last told, and when that was.
+    pub told_wait: Option<(WaitReason, TimePoint)>,
     /// Tasks on each worker, for steps that are kept apart.
     pub spread: BTreeMap<WorkerKey, u32>,
 }
--- a/crates/wax-batch/src/moves.rs
+++ b/crates/wax-batch/src/moves.rs
@@ -3,6 +3,7 @@
 use crate::book::{JobBook, StopOrder, TaskAt};
 use crate::life::TaskSeat;
 use crate::names::RunMark;
+use crate::why::StopReason;
 use crate::worker::{WorkerKey, WorkerState};
 use std::time::Duration;
 use wax_types::TimePoint;
@@ -26,10 +27,10 @@
         }
         stalled.sort_unstable_by_key(|(still, ..)| std::cmp::Reverse(*still));
         // A move takes its stop and its start; what is under way takes room that shows later.
-        stalled.truncate(self.rules.most_moves.saturating_sub(self.moves_under_way()));
+        stalled.truncate((self.rules.most_moves as usize).saturating_sub(self.moves_under_way()));
         for (_, worker, mark, at) in stalled {
             if self.borne_elsewhere(at, worker, now) {
-                self.stop_seat(at, worker, mark, "it stands still here");
+                self.stop_seat(at, worker, mark, StopReason::Stalled);
             }
         }
     }
@@ -74,7 +75,7 @@
             }
         }
         for (worker, mark, at) in leaving {
-            self.stop_seat(at, worker, mark, "its worker leaves");
+            self.stop_seat(at, worker, mark, StopReason::Evacuated);
         }
     }
 
@@ -134,7 +135,7 @@
         })
     }
 
-    fn stop_seat(&mut self, at: TaskAt, worker: WorkerKey, mark: RunMark, why: &'static str) {
+    fn stop_seat(&mut self, at: TaskAt, worker: WorkerKey, mark: RunMark, why: StopReason) {
         if let Some(seat) = self.task_mut(at).and_then(|task| task.seat_mut()) {
             seat.stopping = true;
             self.stops.push(StopOrder { worker, mark, why });
--- a/crates/wax-batch/src/place.rs
+++ b/crates/wax-batch/src/place.rs
@@ -3,28 +3,50 @@
 use crate::book::{JobBook, StartOrder, StepAt, TaskAt};
 use crate::life::TaskStand;
 use crate::names::RunMark;
-use crate::place_rules::FillPatience;
+use crate::patience::FillPatience;
 use crate::rank::JobRank;
 use crate::spec::StepSpec;
+use crate::why::{PlaceReason, StepWait, WaitReason};
 use crate::worker::{WorkerKey, WorkerState};
 use std::collections::BTreeMap;
+use std::time::Duration;
 use wax_types::TimePoint;
 
-/// Why a step's task could, or could not, be placed now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// The same step is not told more often to wait, whatever the reason.
+const TELL_PAUSE: Duration = Duration::from_secs(1);
+
+/// Where a step's task can be placed now, or why nowhere.
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub enum PlaceChoice {
     /// Here.
-    Worker(WorkerKey),
-    /// No worker has room now.
-    NoRoom,
+    Worker(ChosenWorker),
+    /// Nowhere.
+    Wait(WaitReason),
+}
+
+/// The best worker for a task, and what made it so.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ChosenWorker {
+    /// The worker.
+    pub key: WorkerKey,
+    /// See [`PlaceReason`].
+    pub cost: f64,
+    /// See [`PlaceReason`].
+    pub next_cost: Option<f64>,
+    /// See [`PlaceReason`].
+    pub pace: f64,
 }
 
 /// What the tasks of one step ask of a worker.
 struct StepAsk<'a> {
     step: &'a StepSpec,
     service: &'a str,
-    /// The step's rank among what waits; see [`JobRank`].
-    hope: u8,
+    /// The step's rank among what waits.
+    rank: JobRank,
+    /// How much of what is left to tasks that fill it may ask for.
+    fill_limit: f64,
+    /// How long its tasks have waited.
+    waited: Duration,
     /// Whether most of the service's processors are not booked.
     calm: bool,
     /// The rack to be preferred: that of the data, or of the step's other tasks.
@@ -45,12 +67,18 @@
         ranked.sort_unstable();
         let mut orders = Vec::new();
         for (rank, at) in ranked {
-            self.place_step(at, rank.hope, now, &mut orders);
+            self.place_step(at, rank, now, &mut orders);
         }
         orders
     }
 
-    fn place_step(&mut self, at: StepAt, hope: u8, now: TimePoint, orders: &mut Vec<StartOrder>) {
+    fn place_step(
+        &mut self,
+        at: StepAt,
+        rank: JobRank,
+        now: TimePoint,
+        orders: &mut Vec<StartOrder>,
+    ) {
         let job = &self.jobs[at.job];
         let spec = job.spec.clone();
         let service = job.queue.service.clone();
@@ -71,7 +99,9 @@
         let ask = StepAsk {
             step,
             service: &service,
-            hope: if step.gang { 0 } else { hope },
+            rank,
+            fill_limit: self.rules.fill_limit(if step.gang { 0 } else { rank.hope }),
+            waited: now.since(life.since),
             calm: step.fills && !step.gang && self.is_calm(&service),
             rack: self.wanted_rack(at, step, &service, now),
         };
@@ -82,8 +112,13 @@
         for index in waiting {
             let task = TaskAt { step: at, index };
             match self.choose(task, &ask, now) {
-                PlaceChoice::Worker(worker) => orders.push(self.order(task, worker, None, now)),
-                PlaceChoice::NoRoom => return,
+                PlaceChoice::Worker(chosen) => {
+                    orders.push(self.order(task, chosen, &ask, None, now));
+                }
+                PlaceChoice::Wait(reason) => {
+                    self.note_wait(task, &ask, reason, now);
+                    return;
+                }
             }
         }
     }
@@ -103,13 +138,18 @@
         for index in 0..count {
             let task = TaskAt { step: at, index };
             match self.choose(task, ask, now) {
-                PlaceChoice::Worker(worker) => {
-                    members.push(self.order(task, worker, Some(run), now))
+                PlaceChoice::Worker(chosen) => {
+                    members.push(self.order(task, chosen, ask, Some(run), now))
                 }
-                PlaceChoice::NoRoom => {
+                PlaceChoice::Wait(reason) => {
+                    let reason = match members.is_empty() {
+                        true => reason,
+                        false => WaitReason::Gang,
+                    };
                     for member in members {
                         self.take_back(at, &member, now);
                     }
+                    self.note_wait(task, ask, reason, now);
                     return;
                 }
             }
@@ -117,6 +157,29 @@
         orders.extend(members);
     }
 
+    /// Notes why a step's tasks wait, if that is news.
+    fn note_wait(&mut self, at: TaskAt, ask: &StepAsk<'_>, reason: WaitReason, now: TimePoint) {
+        let task = self.task_name(at);
+        let Some(occurrence) = self.jobs[at.step.job]
+            .occurrences
+            .get_mut(&at.step.occurrence)
+        else {
+            return;
+        };
+        let life = &mut occurrence.steps[usize::from(at.step.step)];
+        let told = life.told_wait;
+        if told.is_some_and(|(last, when)| last == reason || now.since(when) < TELL_PAUSE) {
+            return;
+        }
+        life.told_wait = Some((reason, now));
+        self.waits.push(StepWait {
+            task,
+            waiting: life.waiting,
+            waited: ask.waited,
+            reason,
+        });
+    }
+
     fn last_run(&self, at: StepAt) -> u64 {
         let tasks = self.jobs[at.job]
             .occurrences
@@ -207,15 +270,13 @@
         let step = ask.step;
         let job = &self.jobs[at.step.job];
         let Some(occurrence) = job.occurrences.get(&at.step.occurrence) else {
-            return PlaceChoice::NoRoom;
+            return PlaceChoice::Wait(WaitReason::NoWorker);
         };
         let life = &occurrence.steps[usize::from(at.step.step)];
         let shuns = life.tasks[at.index as usize].shuns;
-        let patience = self.rules.patience(job, life, ask.calm, now);
+        let patience = FillPatience::of(&self.rules, job, life, ask.calm, now);
         let fill_limit = match patience {
-            FillPatience::Careful | FillPatience::Late | FillPatience::Any => {
-                self.rules.fill_limit(ask.hope)
-            }
+            FillPatience::Careful | FillPatience::Late | FillPatience::Any => ask.fill_limit,
             FillPatience::Starved => f64::INFINITY,
         };
         let most = if step.most_per_worker == 0 {
@@ -224,39 +285,67 @@
             step.most_per_worker
         };
         let advised = job.queue.advice.is_some();
-        let mut best: Option<(f64, WorkerKey)> = None;
+        let least_pace = patience.least_pace(&self.rules);
+        let mut best: Option<ChosenWorker> = None;
+        let mut nearest = WaitReason::NoWorker;
         for (key, worker) in &self.workers {
             let here = life.spread.get(&key).copied().unwrap_or(0);
-            if here >= most || !worker.has_room(ask.service, step, (fill_limit, &self.rules), now) {
-                continue;
-            }
-            let least_pace = self.rules.least_pace(patience);
-            if !worker.bears(step, least_pace, &self.pairs, &self.rules) {
-                continue;
-            }
-            if advised && self.ticket(at.step, key, now).is_none() {
+            let obstacle = worker.obstacle(ask.service, step, (fill_limit, &self.rules), now);
+            let obstacle = match obstacle {
+                None if here >= most => Some(WaitReason::Spread),
+                None if !worker.bears(step, least_pace, &self.pairs, &self.rules) => {
+                    Some(WaitReason::Interference)
+                }
+                None if advised && self.ticket(at.step, key, now).is_none() => {
+                    Some(WaitReason::Advice)
+                }
+                None => shuns
+                    .filter(|(shunned, until)| *shunned == key && now < *until)
+                    .map(|_| WaitReason::FailedThere),
+                found => found,
+            };
+            if let Some(reason) = obstacle {
+                nearest = nearest.max(reason);
                 continue;
             }
             let mut cost = worker.cost(step, ask.rack.as_deref(), &self.pairs, &self.rules);
-            match shuns {
-                Some((shunned, until)) if shunned == key && now < until => continue,
-                Some((shunned, _)) if shunned == key => cost += self.rules.shun_cost,
-                _ => {}
-            }
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, key));
+            if shuns.is_some_and(|(shunned, _)| shunned == key) {
+                cost += self.rules.shun_cost;
             }
+            best = Some(match best {
+                Some(known) if known.cost <= cost => ChosenWorker {
+                    next_cost: Some(known.next_cost.map_or(cost, |next| next.min(cost))),
+                    ..known
+                },
+                known => ChosenWorker {
+                    key,
+                    cost,
+                    next_cost: known.map(|known| known.cost),
+                    pace: worker.pace_for(step, &self.pairs, &self.rules),
+                },
+            });
         }
-        best.map_or(PlaceChoice::NoRoom, |(_, key)| PlaceChoice::Worker(key))
+        best.map_or(PlaceChoice::Wait(nearest), PlaceChoice::Worker)
     }
 
     fn order(
         &mut self,
         at: TaskAt,
-        worker: WorkerKey,
+        chosen: ChosenWorker,
+        ask: &StepAsk<'_>,
         run: Option<u64>,
         now: TimePoint,
     ) -> StartOrder {
+        let worker = chosen.key;
+        let heard_at = self.workers.get(worker).map(|worker| worker.heard_at);
+        let reason = PlaceReason {
+            waited: ask.waited,
+            rank: ask.rank,
+            cost: chosen.cost,
+            next_cost: chosen.next_cost,
+            pace: chosen.pace,
+            view_age: now.since(heard_at.unwrap_or_default()),
+        };
         let job = &self.jobs[at.step.job];
         let spec = job.spec.clone();
         let occurrence = &job.occurrences[&at.step.occurrence];
@@ -274,6 +363,7 @@
             spec,
             checkpoint,
             ticket,
+            reason,
         }
     }
 }
--- a/crates/wax-batch/src/rank.rs
+++ b/crates/wax-batch/src/rank.rs
@@ -44,8 +44,7 @@
     let steps = job.spec.steps.iter().enumerate();
     let work = steps.map(|(number, step)| {
         let done = occurrence.map_or(0, |life| life.steps[number].done);
-        let tasks = u64::from(step.count.saturating_sub(done));
-        tasks * u64::from(step.estimate_ms) * u64::from(step.size.cpu_milli) / 1_000
+        u64::from(step.count.saturating_sub(done)) * step.task_work_ms()
     });
     work.sum()
 }
--- a/crates/wax-batch/src/seats.rs
+++ b/crates/wax-batch/src/seats.rs
@@ -109,6 +109,7 @@
             job.begun = true;
         }
         if step.waiting == 0 {
+            step.told_wait = None;
             self.ready.remove(&at.step);
         }
         let mark = RunMark {
--- a/crates/wax-batch/src/spec.rs
+++ b/crates/wax-batch/src/spec.rs
@@ -86,6 +86,16 @@
 }
 
 impl StepSpec {
+    /// Its work by the caller's guess, core milliseconds.
+    pub fn work_ms(&self) -> u64 {
+        u64::from(self.count) * self.task_work_ms()
+    }
+
+    /// The work of one of its tasks by the caller's guess, core milliseconds.
+    pub fn task_work_ms(&self) -> u64 {
+        u64::from(self.estimate_ms) * u64::from(self.size.cpu_milli) / 1_000
+    }
+
     /// What counts against a worker's capacity: without the processors if the step fills.
     pub fn booked(&self) -> TaskSize {
         let mut size = self.size;
@@ -159,6 +169,17 @@
 impl std::error::Error for SpecError {}
 
 impl JobSpec {
+    /// All tasks of one occurrence.
+    pub fn tasks(&self) -> u32 {
+        self.steps.iter().map(|step| step.count).sum()
+    }
+
+    /// The work of one occurrence by its caller's guess, core milliseconds.
+    pub fn work_ms(&self) -> u64 {
+        let work = self.steps.iter().map(StepSpec::work_ms);
+        work.sum()
+    }
+
     /// Checks the bounds that every accepted job keeps.
     ///
     /// # Errors
--- a/crates/wax-batch/tests/support/mod.rs
+++ b/crates/wax-batch/tests/support/mod.rs
@@ -3,10 +3,10 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 use wax_batch::{
-    JobBook, JobName, JobProgress, JobRow, JobSpec, PlaceRules, QueueConfig, QueueRules, RunEnd,
-    RunEndKind, RunMark, RunReport, StartOrder, StepSpec, TaskName, TaskSize, WorkerKey,
-    WorkerView,
+    JobBook, JobName, JobProgress, JobRow, JobSpec, QueueConfig, QueueRules, RunEnd, RunEndKind,
+    RunMark, RunReport, StartOrder, StepSpec, TaskName, TaskSize, WorkerKey, WorkerView,
 };
+use wax_policy::PlaceRules;
 use wax_types::TimePoint;
 
 /// Unix milliseconds at [`at`] zero.
--- a/crates/wax-cli/src/commands/check.rs
+++ b/crates/wax-cli/src/commands/check.rs
@@ -1,16 +1,45 @@
-//! `waxwing check FILE`: checks a daemon's settings file and starts nothing.
+//! `waxwing check [--policy] FILE`: checks a daemon's settings file and starts nothing.
 
 use crate::context::CommandContext;
 use crate::failure::CommandFailure;
+use crate::output::table_text;
 use std::path::Path;
+use wax_policy::RuleInfo;
 use wax_settings::DaemonSettings;
 
 pub(crate) fn run(context: &mut CommandContext) -> Result<String, CommandFailure> {
+    let all = context.args.contains("--policy");
     let file = context.word("FILE")?;
     context.finish()?;
     let settings = DaemonSettings::read(Path::new(&file))?;
-    Ok(format!(
+    let head = format!(
         "{file}: correct, {:?} {} in {}\n",
         settings.role, settings.name, settings.failure_domain
-    ))
+    );
+    Ok(match all {
+        true => head + &policy_text(&settings),
+        false => head,
+    })
+}
+
+/// Every limit and weight in force, with what it may be.
+fn policy_text(settings: &DaemonSettings) -> String {
+    let rows: Vec<Vec<String>> = settings
+        .policy
+        .infos()
+        .into_iter()
+        .map(|(section, info)| policy_row(section, info))
+        .collect();
+    table_text(&["RULE", "VALUE", "UNIT", "BOUNDS", "OFF"], &rows)
+}
+
+fn policy_row(section: &str, info: RuleInfo) -> Vec<String> {
+    vec![
+        format!("policy.{section}.{}", info.key),
+        info.value.to_string(),
+        info.unit.to_owned(),
+        format!("{} to {}", info.least, info.most),
+        info.off
+            .map_or_else(|| "-".to_owned(), |off| off.to_string()),
+    ]
 }
--- a/crates/wax-cli/src/commands/mod.rs
+++ b/crates/wax-cli/src/commands/mod.rs
@@ -17,7 +17,7 @@
 const HELP: &str = "\
 Usage: waxwing [--entry ADDR] [--json] COMMAND [ARGUMENTS]
 
-  check FILE                 checks a daemon's settings file
+  check [--policy] FILE      checks a daemon's settings file; shows the limits and weights in force
   status                     members, shards, settings in force, the store's health
   submit TEAM SERVICE KIND   submits a job and prints its id
          [--tasks N] [--input JSON] [--key KEY]
--- a/crates/wax-front/src/handler.rs
+++ b/crates/wax-front/src/handler.rs
@@ -131,7 +131,17 @@
         });
         match &outcome {
             Ok(AcceptOutcome::Stored) => {
-                tracing::info!(%job, queue = %queue.name, took_ms, "job accepted")
+                tracing::info!(
+                    %job,
+                    queue = %queue.name,
+                    took_ms,
+                    steps = spec.steps.len(),
+                    tasks = spec.tasks(),
+                    work_ms = spec.work_ms(),
+                    lasts = spec.steps.iter().any(|step| step.lasts),
+                    fills = spec.steps.iter().any(|step| step.fills),
+                    "job accepted"
+                )
             }
             Ok(AcceptOutcome::Known) => {
                 tracing::info!(%job, queue = %queue.name, took_ms, "job known")
--- a/crates/wax-front/src/process.rs
+++ b/crates/wax-front/src/process.rs
@@ -49,6 +49,7 @@
         pool.advisor,
         keep_ended,
     ));
+    shared.set_place_rules(settings.policy.place);
     let state = Rc::new(FrontState::new(shared.clone()));
     let closed = ShutdownSignal::default();
     let callers_server = HttpServer::new(
@@ -84,10 +85,11 @@
     Ok(())
 }
 
-/// Applies what may change while the process runs: where the store is.
+/// Applies what may change while the process runs: where the store is, limits and weights.
 async fn apply_changes(shared: Rc<PoolShared>, mut changes: UnboundedReceiver<DaemonSettings>) {
     while let Some(settings) = changes.next().await {
         shared.store.set_address(settings.platform.address);
+        shared.set_place_rules(settings.policy.place);
         tracing::info!(store = %settings.platform.address, "settings reloaded");
     }
 }
--- a/crates/wax-owner/src/agents.rs
+++ b/crates/wax-owner/src/agents.rs
@@ -125,6 +125,7 @@
             if !self.is_current() {
                 return "the agent has a newer link";
             }
+            self.note_heard();
             self.take(body).await;
         }
     }
@@ -136,6 +137,13 @@
             .is_some_and(|agent| agent.link == self.link)
     }
 
+    fn note_heard(&self) {
+        if let Some(worker) = self.worker() {
+            let now = self.shared.now();
+            self.tenure.book.borrow_mut().worker_heard(worker, now);
+        }
+    }
+
     fn send(&self, body: PoolBody) {
         // A writer that has failed ends the link at its next read.
         let _ = self.outbox.unbounded_send(body);
--- a/crates/wax-owner/src/dispatch.rs
+++ b/crates/wax-owner/src/dispatch.rs
@@ -57,10 +57,11 @@
         for order in orders {
             send_start(tenure, &order);
         }
+        log_waits(tenure);
     }
     let stops = tenure.book.borrow_mut().take_stops();
     for stop in stops {
-        tracing::info!(task = %stop.mark.task, run = stop.mark.run, why = stop.why, "stop ordered");
+        tracing::info!(task = %stop.mark.task, run = stop.mark.run, why = %stop.why, "stop ordered");
         count(Counter::StopsOrdered);
         let mark = stop.mark.into();
         tenure.tell_worker(stop.worker, PoolBody::Stop(StopRun { mark }));
@@ -96,6 +97,28 @@
     found.map_or_else(|| "".into(), |(_, id)| id.clone())
 }
 
+/// Each step that waits for a new reason, at most once a second a step.
+fn log_waits(tenure: &Tenure) {
+    for wait in tenure.book.borrow_mut().take_waits() {
+        tracing::info!(
+            task = %wait.task,
+            waiting = wait.waiting,
+            waited_ms = millis(wait.waited),
+            reason = %wait.reason,
+            "step waits"
+        );
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    span.as_millis() as u64
+}
+
+/// To three digits after the point, for logs.
+fn rounded(value: f64) -> f64 {
+    (value * 1_000.0).round() / 1_000.0
+}
+
 fn send_start(tenure: &Tenure, order: &StartOrder) {
     count(Counter::StartsOrdered);
     let step = &order.spec.steps[usize::from(order.mark.task.step)];
@@ -104,6 +127,13 @@
         run = order.mark.run,
         worker = %worker_id(tenure, order.worker),
         resumes = !order.checkpoint.is_empty(),
+        waited_ms = millis(order.reason.waited),
+        hope = order.reason.rank.hope,
+        left_ms = order.reason.rank.left,
+        cost = rounded(order.reason.cost),
+        next_cost = order.reason.next_cost.map(rounded),
+        pace = rounded(order.reason.pace),
+        view_ms = millis(order.reason.view_age),
         "start ordered"
     );
     let start = StartRun {
--- a/crates/wax-owner/src/shared.rs
+++ b/crates/wax-owner/src/shared.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_batch::QueueTable;
+use wax_policy::PlaceRules;
 use wax_types::{ErrorKind, ProcessClock, Step, TimePoint, WaxError};
 
 /// The owner as this process knows it.
@@ -41,6 +42,8 @@
     pub keep_ended: Duration,
     /// The placement advisor, if the platform has one.
     pub advisor: Option<SocketAddr>,
+    /// Limits and weights of placement; they may change with the settings.
+    place_rules: Cell<PlaceRules>,
     /// The config in force.
     pub config: RefCell<QueueTable>,
     /// The operator's text of the config in force.
@@ -80,6 +83,7 @@
             spans: OwnerSpans::default(),
             keep_ended,
             advisor,
+            place_rules: Cell::default(),
             config: RefCell::default(),
             config_text: RefCell::default(),
             config_changed: Event::new(),
@@ -93,6 +97,19 @@
         }
     }
 
+    /// Limits and weights of placement in force.
+    pub fn place_rules(&self) -> PlaceRules {
+        self.place_rules.get()
+    }
+
+    /// Takes other limits and weights of placement; an owner places by them from now on.
+    pub fn set_place_rules(&self, rules: PlaceRules) {
+        self.place_rules.set(rules);
+        if let Some(tenure) = self.current_tenure() {
+            tenure.book.borrow_mut().set_rules(rules);
+        }
+    }
+
     /// The present time.
     pub fn now(&self) -> TimePoint {
         self.clock.now()
--- a/crates/wax-owner/src/tenure.rs
+++ b/crates/wax-owner/src/tenure.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
-use wax_batch::{JobBook, JobName, JobOutcome, PlaceRules, WorkerKey};
+use wax_batch::{JobBook, JobName, JobOutcome, WorkerKey};
 use wax_http::ShutdownSignal;
 use wax_trace::{Counter, count};
 use wax_types::{TimePoint, wall_clock_ms};
@@ -113,7 +113,7 @@
         confirmed: TimePoint,
         after_release: bool,
     ) -> Self {
-        let mut book = JobBook::new(row.epoch, PlaceRules::default());
+        let mut book = JobBook::new(row.epoch, shared.place_rules());
         if let Some(config) = shared.config.borrow().config() {
             book.set_config(config.clone());
         }
--- a/crates/wax-owner/src/writer.rs
+++ b/crates/wax-owner/src/writer.rs
@@ -63,6 +63,7 @@
                 count_item(&item, shared.now().since(sent));
                 tenure.confirmed.set(sent);
                 shared.store_heard.set(shared.now());
+                log_ended(&shared, &tenure, &item);
                 note_stored(&tenure, &item);
                 if item.releases {
                     tenure.end("let go");
@@ -203,6 +204,25 @@
     count_many(Counter::JobsEnded, ended.count() as u64);
 }
 
+/// One line for each job that is shown as ended from now on.
+fn log_ended(shared: &PoolShared, tenure: &Tenure, item: &ChainItem) {
+    let book = tenure.book.borrow();
+    for note in &item.notes {
+        let outcome = note.progress.outcome();
+        let Some(job) = book.job(note.name).filter(|_| outcome != JobOutcome::Open) else {
+            continue;
+        };
+        tracing::info!(
+            job = %note.name,
+            queue = %job.queue.name,
+            ?outcome,
+            age_ms = shared.now().since(job.accepted).as_millis() as u64,
+            reason = job.reason.as_deref(),
+            "job ended"
+        );
+    }
+}
+
 fn note_stored(tenure: &Tenure, item: &ChainItem) {
     let mut book = tenure.book.borrow_mut();
     book.notes_stored(&item.notes);
--- a/crates/wax-policy/src/lib.rs
+++ b/crates/wax-policy/src/lib.rs
@@ -8,12 +8,15 @@
 mod gate;
 mod interference;
 mod kinds;
+mod pace_rules;
+mod place_rules;
 mod placement;
 mod press;
 mod relief;
 mod rendezvous;
 mod retry;
 mod routing;
+mod rules;
 mod sizing;
 mod workday;
 
@@ -25,6 +28,8 @@
 pub use gate::{GateChoice, ReleaseChoice, SlotGate};
 pub use interference::{LoadBand, PairEstimate, PairTable};
 pub use kinds::{KindKey, KindTable};
+pub use pace_rules::PaceRules;
+pub use place_rules::PlaceRules;
 pub use placement::{
     FirmWeights, PlaceChoice, PlaceContext, PlacePolicy, RunningTask, TaskDemand, WorkerKey,
     WorkerSlot, WorkerTable,
@@ -36,5 +41,6 @@
 pub use routing::{
     AttemptEnd, RouteChoice, RoutePolicy, RouteTable, UpstreamKey, UpstreamLoad, UpstreamView,
 };
+pub use rules::{RuleError, RuleInfo, RuleSwitch, RuleValue, RuleWord};
 pub use sizing::SizeTable;
 pub use workday::WorkDay;
--- /dev/null
+++ b/crates/wax-policy/src/pace_rules.rs
@@ -0,0 +1,37 @@
+//! When the tasks that fill are slowed down for those that serve.
+
+use crate::rules::rule_set;
+use std::time::Duration;
+
+rule_set! {
+    /// When to slow down, and how fast to learn.
+    PaceRules {
+        /// Between two observations: the worker's figures cover half a second.
+        period: Duration = ("period_ms", "ms", 450, 50 to 5000),
+        /// Predicted tails are kept below this share of their target.
+        aim: f64 = ("aim", "share", 0.74, 0.1 to 2),
+        /// A tail over this share of its target slows what may be the cause at once.
+        alarm: f64 = ("alarm", "share", 1.0, 0.1 to 1000, off 1000),
+        /// Tails over this share of their target count as too long in a row.
+        near: f64 = ("near", "share", 0.95, 0.1 to 10),
+        /// Tails that are too long for this long stop all that fills.
+        bear: Duration = ("bear_ms", "ms", 1400, 100 to 600000, off 600000),
+        /// A stop that has not helped after this long shows another cause.
+        relief: Duration = ("relief_ms", "ms", 2800, 100 to 600000),
+        /// What fills then goes on for this long, whatever the tail.
+        cleared: Duration = ("cleared_ms", "ms", 1500, 0 to 600000, off 0),
+        /// After an alarm, figures show for this long what is over already.
+        settle: Duration = ("settle_ms", "ms", 900, 0 to 10000, off 0),
+        /// The least pace, percent: what stands still teaches nothing.
+        least: u32 = ("least_percent", "percent", 5, 0 to 100, off 100),
+        /// How much of the difference to what a look shows goes to an own load that falls; one that
+        /// rises is followed at once.
+        own_rate: f64 = ("own_rate", "share", 0.6, 0.01 to 1, off 1),
+        /// The figure of a tail keeps this share of the one half a second before.
+        tail_kept: f64 = ("tail_kept", "share", 0.27, 0 to 0.95, off 0),
+        /// The share of its target that a tail without load takes, before anything is known.
+        first_idle: f64 = ("first_idle", "share", 0.17, 0.01 to 0.9),
+        /// A press of a core that is surely below this is none.
+        no_press: f64 = ("no_press", "share", 0.05, 0 to 1, off 0),
+    }
+}
--- a/crates/wax-settings/src/daemon.rs
+++ b/crates/wax-settings/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The settings file of one daemon: who it is and where its peers are.
 
 use crate::files::{SettingsFile, parse_yaml};
+use crate::policy::PolicySettings;
 use crate::pool::PoolSettings;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -43,6 +44,9 @@
     pub coordinator: Option<CoordinatorSettings>,
     /// Needed for the roles `front` and `agent`.
     pub pool: Option<PoolSettings>,
+    /// Limits and weights of the pool's decisions.
+    #[serde(default)]
+    pub policy: PolicySettings,
     /// Log lines, metrics and traces.
     #[serde(default)]
     pub logs: LogSettings,
--- a/crates/wax-settings/src/lib.rs
+++ b/crates/wax-settings/src/lib.rs
@@ -4,6 +4,7 @@
 mod files;
 mod holder;
 mod node;
+mod policy;
 mod pool;
 mod tree;
 
@@ -14,6 +15,7 @@
 pub use files::{SettingsFile, parse_yaml};
 pub use holder::{ApplyChoice, SettingsHolder};
 pub use node::{KeyInfo, NodeSettings, TaskClass, key_table};
+pub use policy::PolicySettings;
 pub use pool::PoolSettings;
 pub use tree::{
     EffectiveSettings, NodeLevel, NodePath, SettingsTree, TreeChange, TreeDelta, ValueOrigin,
--- a/crates/wax-settings/tests/pages.rs
+++ b/crates/wax-settings/tests/pages.rs
@@ -1,6 +1,6 @@
 //! `docs/SETTINGS.md` has every key with its default and bounds, and the examples are correct.
 
-use wax_settings::{DaemonSettings, SettingsFile, key_table};
+use wax_settings::{DaemonSettings, PolicySettings, SettingsFile, key_table};
 
 fn read(path: &str) -> String {
     let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
@@ -134,3 +134,68 @@
     an_agent_without_check_ins: "agent", ", worker: '127.0.0.1:2'" => "pool.check_ins",
     an_agent_without_a_worker: "agent", ", check_ins: '127.0.0.1:2'" => "pool.worker",
 }
+
+/// A front's file with one line under `policy`.
+fn with_policy(section: &str, line: &str) -> SettingsFile {
+    let text = format!(
+        "role: front\n{BASE}{PLATFORM}pool: {{peers: '127.0.0.1:1', callers: '127.0.0.1:2', readiness: '127.0.0.1:3'}}\n\
+         policy: {{{section}: {{{line}}}}}\n"
+    );
+    SettingsFile {
+        name: "test.yaml".into(),
+        text: text.into(),
+    }
+}
+
+#[test]
+fn the_page_has_every_rule_of_the_policy_and_its_bounds_hold() {
+    let page = read("docs/SETTINGS.md");
+    for (section, info) in PolicySettings::default().infos() {
+        let key = info.key;
+        let off = info
+            .off
+            .map_or_else(|| "-".to_owned(), |off| off.to_string());
+        let row = format!(
+            "| `policy.{section}.{key}` | {} | {} to {} | {off} | {} |",
+            info.value, info.least, info.most, info.unit
+        );
+        assert!(page.contains(&row), "docs/SETTINGS.md lacks: {row}");
+        assert!((info.least..=info.most).contains(&info.value), "{key}");
+        let over = with_policy(section, &format!("{key}: {}", info.most + 1.0));
+        let error = DaemonSettings::parse(&over).expect_err(key);
+        assert!(error.label.contains(key), "{error}");
+        assert!(error.label.contains("out of range"), "{error}");
+        let off_line = with_policy(section, &format!("{key}: off"));
+        match (info.off, DaemonSettings::parse(&off_line)) {
+            (Some(off), Ok(settings)) => {
+                let infos = settings.policy.infos();
+                let found = infos.iter().find(|(_, found)| found.key == key);
+                assert!(
+                    found.is_some_and(|(place, found)| *place != section || found.value == off)
+                );
+                assert!((info.least..=info.most).contains(&off), "{key}");
+            }
+            (None, Err(error)) => assert!(error.label.contains("cannot be off"), "{error}"),
+            (off, parsed) => panic!("{key}: {off:?}, {parsed:?}"),
+        }
+    }
+}
+
+#[test]
+fn a_rule_that_is_not_known_is_refused_by_name() {
+    let error = DaemonSettings::parse(&with_policy("place", "careful_pce: 1")).expect_err("a typo");
+    assert!(error.label.contains("careful_pce: no such rule"), "{error}");
+    let error = DaemonSettings::parse(&with_policy("places", "x: 1")).expect_err("a section");
+    assert!(error.label.contains("places"), "{error}");
+}
+
+#[test]
+fn rules_are_read_in_their_units() {
+    let file = with_policy("pace", "aim: 0.5, period_ms: 300, least_percent: 7");
+    let pace = DaemonSettings::parse(&file)
+        .expect("it is correct")
+        .policy
+        .pace;
+    assert_eq!(pace.period, std::time::Duration::from_millis(300));
+    assert_eq!((pace.aim, pace.least), (0.5, 7));
+}
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -8,12 +8,14 @@
 use futures_util::StreamExt;
 use platform::StoreClient;
 use prost::Message;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 use wax_agent::OwnerDirectory;
 use wax_owner::{OwnerRow, owner_key};
+use wax_policy::PaceRules;
 use wax_settings::{DaemonSettings, SettingsFile};
 use wax_types::WaxError;
 
@@ -30,13 +32,21 @@
 pub(crate) async fn run_agent(settings: DaemonSettings, file: &Path) -> Result<(), WaxError> {
     serve_metrics(settings.pool.as_ref().and_then(|pool| pool.metrics))?;
     let store = Rc::new(StoreClient::new(settings.platform.address));
-    spawn(apply_changes(store.clone(), watch_settings(file))).detach();
-    wax_agent::run_agent(&settings, StoreDirectory(store), shutdown_signal()).await
+    let pace_rules = Rc::new(Cell::new(settings.policy.pace));
+    let changes = watch_settings(file);
+    spawn(apply_changes(store.clone(), pace_rules.clone(), changes)).detach();
+    let directory = StoreDirectory(store);
+    wax_agent::run_agent(&settings, pace_rules, directory, shutdown_signal()).await
 }
 
-async fn apply_changes(store: Rc<StoreClient>, mut changes: UnboundedReceiver<DaemonSettings>) {
+async fn apply_changes(
+    store: Rc<StoreClient>,
+    pace_rules: Rc<Cell<PaceRules>>,
+    mut changes: UnboundedReceiver<DaemonSettings>,
+) {
     while let Some(settings) = changes.next().await {
         store.set_address(settings.platform.address);
+        pace_rules.set(settings.policy.pace);
         tracing::info!(store = %settings.platform.address, "settings reloaded");
     }
 }
