--- a/crates/wax-agent/src/owner_link.rs
+++ b/crates/wax-agent/src/owner_link.rs
@@ -19,9 +19,9 @@
 /// Longest time for a connection and its first answer.
 const CONNECT_LIMIT: Duration = Duration::from_millis(600);
 /// Between two heartbeats.
-const PING_PERIOD: Duration = Duration::from_millis(500);
+const PING_PERIOD: Duration = Duration::from_millis(400);
 /// A link without an answer to its heartbeats for this long is given up.
-const LINK_LIMIT: Duration = Duration::from_millis(1_800);
+const LINK_LIMIT: Duration = Duration::from_millis(1_000);
 /// The same while the owner still loads its shard and has not taken over the worker's runs.
 const TAKEOVER_LIMIT: Duration = Duration::from_millis(5_000);
 /// Beside an owner that has lost the store, another is looked for this often.
--- a/crates/wax-batch/src/lib.rs
+++ b/crates/wax-batch/src/lib.rs
@@ -32,7 +32,7 @@
     JobOutcome, JobProgress, JobRow, OccurrenceProgress, StepProgress, TaskFailures,
 };
 pub use queue::{AdviceRules, QueueConfig, QueueRules, QueueTable, ServiceRules};
-pub use rank::{JobRank, latest_start_ms, longest_chain_ms};
+pub use rank::{JobRank, latest_start_ms, longest_chain_ms, objective_ms};
 pub use spec::{JobSpec, RepeatPlan, SpecError, StepSpec, TaskSize};
 pub use why::{PlaceReason, StepWait, StopReason, WaitReason};
 pub use worker::{RunEnd, RunEndKind, RunReport, WorkerKey, WorkerState, WorkerView};
--- a/crates/wax-batch/src/rank.rs
+++ b/crates/wax-batch/src/rank.rs
@@ -1,6 +1,7 @@
 //! In which order waiting steps are served.
 
 use crate::life::{JobLife, OccurrenceLife};
+use crate::queue::QueueRules;
 use crate::spec::JobSpec;
 use std::time::Duration;
 use wax_types::TimePoint;
@@ -54,12 +55,22 @@
 /// Milliseconds after the job's (or occurrence's) beginning; negative values become 0.
 pub fn latest_start_ms(job: &JobLife, step: u16, factor: f64) -> u64 {
     let chain = longest_chain_ms(&job.spec);
-    let whole = chain.iter().copied().max().unwrap_or(0) as f64;
-    let objective = job.queue.stretch * whole + f64::from(job.queue.target_latency_ms);
+    let objective = objective_of(&chain, &job.queue);
     let left = chain.get(usize::from(step)).copied().unwrap_or(0) as f64;
     (objective * factor - left).max(0.0) as u64
 }
 
+/// The time within which a job should end, milliseconds: `stretch` times its longest chain of
+/// estimated work, and the queue's target latency.
+pub fn objective_ms(spec: &JobSpec, queue: &QueueRules) -> u64 {
+    objective_of(&longest_chain_ms(spec), queue) as u64
+}
+
+fn objective_of(chain: &[u64], queue: &QueueRules) -> f64 {
+    let whole = chain.iter().copied().max().unwrap_or(0) as f64;
+    queue.stretch * whole + f64::from(queue.target_latency_ms)
+}
+
 impl JobRank {
     /// Ranks a step of an occurrence.
     pub fn new(job: &JobLife, number: u32, step: u16, now: TimePoint) -> Self {
--- a/crates/wax-front/src/handler.rs
+++ b/crates/wax-front/src/handler.rs
@@ -8,7 +8,7 @@
 use platform::{WAIT_HEADER, decode_job, pending_body, state_body};
 use std::rc::Rc;
 use std::time::Duration;
-use wax_batch::{JobName, QueueRules};
+use wax_batch::{JobName, QueueRules, objective_ms};
 use wax_http::{
     HttpHandler, HttpReply, HttpRequest, collect_body, empty_reply, error_reply, json_reply,
 };
@@ -138,6 +138,8 @@
                     steps = spec.steps.len(),
                     tasks = spec.tasks(),
                     work_ms = spec.work_ms(),
+                    objective_ms = objective_ms(&spec, queue),
+                    priority = queue.priority,
                     lasts = spec.steps.iter().any(|step| step.lasts),
                     fills = spec.steps.iter().any(|step| step.fills),
                     "job accepted"
--- a/crates/wax-front/src/owner_link.rs
+++ b/crates/wax-front/src/owner_link.rs
@@ -17,9 +17,9 @@
 /// Longest time for a connection and its first answer.
 const CONNECT_LIMIT: Duration = Duration::from_millis(600);
 /// Between two heartbeats.
-const PING_PERIOD: Duration = Duration::from_millis(500);
+const PING_PERIOD: Duration = Duration::from_millis(200);
 /// A link without an answer for this long is given up.
-const LINK_LIMIT: Duration = Duration::from_millis(1_500);
+const LINK_LIMIT: Duration = Duration::from_millis(800);
 /// Between two tries, with as much again at random.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
--- a/crates/wax-owner/src/spans.rs
+++ b/crates/wax-owner/src/spans.rs
@@ -28,15 +28,15 @@
 impl Default for OwnerSpans {
     fn default() -> Self {
         Self {
-            silence: Duration::from_millis(2_200),
-            doubt: Duration::from_millis(1_400),
+            silence: Duration::from_millis(900),
+            doubt: Duration::from_millis(900),
             acting: Duration::from_millis(6_000),
             grant: Duration::from_millis(2_500),
             lease_grace: Duration::from_millis(6_000),
             slack: Duration::from_millis(500),
-            beat: Duration::from_millis(1_000),
+            beat: Duration::from_millis(400),
             flush: Duration::from_millis(250),
-            link: Duration::from_millis(2_500),
+            link: Duration::from_millis(1_300),
         }
     }
 }
--- a/crates/wax-owner/src/watch.rs
+++ b/crates/wax-owner/src/watch.rs
@@ -26,9 +26,9 @@
 /// After a failure, with as much again at random.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Between two looks at a beat that may have stopped.
-const LOOK_PERIOD: Duration = Duration::from_millis(500);
+const LOOK_PERIOD: Duration = Duration::from_millis(150);
 /// An owner heard this lately needs no look at its beat.
-const HEARD_LATELY: Duration = Duration::from_millis(1_200);
+const HEARD_LATELY: Duration = Duration::from_millis(650);
 /// A takeover is tried for this long.
 const TAKEOVER_LIMIT: Duration = Duration::from_secs(3);
 
