--- a/crates/wax-front/src/accept.rs
+++ b/crates/wax-front/src/accept.rs
@@ -1,10 +1,11 @@
 //! Accepts a job: stored once, then acknowledged.
 
 use crate::state::{FrontState, STORE_RETRY};
+use crate::store_way::transact_any_way;
 use platform::{RowWrite, TxRequest};
 use prost::Message;
 use wax_batch::{JobName, JobRow, JobSpec, QueueRules};
-use wax_owner::{TxFate, job_key, note_owner_row, owner_key, transact};
+use wax_owner::{TxFate, job_key, note_owner_row, owner_key};
 use wax_types::{ErrorKind, Step, TimePoint, WaxError, wall_clock_ms};
 
 /// How a job came to be stored.
@@ -49,13 +50,9 @@
             }],
             remove: Vec::new(),
         };
-        match transact(&shared.store, shared.clock, &tx, deadline).await {
-            TxFate::Committed(_) => {
-                state.note_store(true);
-                return Ok(AcceptOutcome::Stored);
-            }
+        match transact_any_way(state, &tx, deadline).await {
+            TxFate::Committed(_) => return Ok(AcceptOutcome::Stored),
             TxFate::Conflict(rows) => {
-                state.note_store(true);
                 if let Some(stored) = rows.iter().find(|row| row.key == job_key(job)) {
                     let ours = JobRow::decode(&*stored.value)
                         .is_ok_and(|stored| stored.nonce == row.nonce);
@@ -73,12 +70,8 @@
                     return Err(not_stored("the owner changes again and again"));
                 }
             }
-            TxFate::NotSent(error) => {
-                state.note_store(false);
-                return Err(not_stored(&error.label));
-            }
+            TxFate::NotSent(error) => return Err(not_stored(&error.label)),
             TxFate::Unknown(error) => {
-                state.note_store(false);
                 let text = format!("it is not known whether the job is stored: {}", error.label);
                 return Err(
                     WaxError::new(ErrorKind::Timeout, Step::SubmitJob, "store", text)
--- a/crates/wax-front/src/lib.rs
+++ b/crates/wax-front/src/lib.rs
@@ -8,5 +8,6 @@
 mod readiness;
 mod show;
 mod state;
+mod store_way;
 
 pub use process::run_front;
--- a/crates/wax-front/src/owner_link.rs
+++ b/crates/wax-front/src/owner_link.rs
@@ -29,11 +29,11 @@
     let mut round = 0_usize;
     loop {
         let known = known_owner(&state);
-        let seed = seeds.get(round % seeds.len().max(1)).copied();
+        let seed = nth_seed(&state, &seeds, round);
         round += 1;
         let address = hint.take().or(known).or(seed);
         match address.filter(|address| *address != state.shared.address) {
-            Some(address) if state.shared.current_tenure().is_none() => {
+            Some(address) if looks_for_owner(&state) => {
                 hint = try_owner(&state, address).await;
             }
             _ => {}
@@ -42,17 +42,32 @@
     }
 }
 
+/// The seeds by turns, and the fronts that were ever linked to this process.
+fn nth_seed(state: &FrontState, seeds: &[SocketAddr], round: usize) -> Option<SocketAddr> {
+    let fronts = state.shared.fronts.borrow();
+    let all: Vec<SocketAddr> = seeds.iter().chain(fronts.iter()).copied().collect();
+    all.get(round % all.len().max(1)).copied()
+}
+
+/// An owner looks for another only once its store is silent: it cannot know that it was replaced.
+fn looks_for_owner(state: &FrontState) -> bool {
+    let tenure = state.shared.current_tenure();
+    tenure.is_none_or(|tenure| tenure.is_in_doubt(state.shared.now()))
+}
+
+/// The owner as the store had it last, if it is another process than this one.
 fn known_owner(state: &FrontState) -> Option<SocketAddr> {
     let owner = state.shared.owner.borrow();
-    owner.as_ref().filter(|owner| !owner.released)?.address
+    let address = owner.as_ref().filter(|owner| !owner.released)?.address;
+    address.filter(|address| *address != state.shared.address)
 }
 
 /// Links to the owner at `address`; returns where else it may be.
 async fn try_owner(state: &Rc<FrontState>, address: SocketAddr) -> Option<SocketAddr> {
     match timeout(CONNECT_LIMIT, greet(state, address)).await {
-        Ok(Ok(Greeting::Owner(reader, writer))) => {
+        Ok(Ok(Greeting::Owner(reader, writer, epoch))) => {
             tracing::info!(owner = %address, "linked to the owner");
-            run_link(state, address, reader, writer).await;
+            run_link(state, epoch, reader, writer).await;
             tracing::info!(owner = %address, "link to the owner ended");
             None
         }
@@ -62,7 +77,8 @@
 }
 
 enum Greeting {
-    Owner(PoolReader, PoolWriter),
+    /// With the owner's term.
+    Owner(PoolReader, PoolWriter, u64),
     Elsewhere(Option<SocketAddr>),
 }
 
@@ -72,21 +88,24 @@
     let (mut reader, mut writer) = split_stream(stream);
     let hello = EntryHello {
         node: state.shared.node.to_string(),
+        address: state.shared.address.to_string(),
     };
     writer.write(PoolBody::EntryHello(hello)).await?;
     match reader.read().await? {
-        Some(PoolBody::Welcome(_)) => Ok(Greeting::Owner(reader, writer)),
+        Some(PoolBody::Welcome(welcome)) => {
+            let tenure = state.shared.current_tenure();
+            if tenure.is_some_and(|tenure| !tenure.give_way(welcome.epoch)) {
+                let error = "it is of an earlier term than this process";
+                return Err(io::Error::new(io::ErrorKind::InvalidData, error));
+            }
+            Ok(Greeting::Owner(reader, writer, welcome.epoch))
+        }
         Some(PoolBody::NotOwner(other)) => Ok(Greeting::Elsewhere(other.address.parse().ok())),
         _ => Err(io::Error::new(io::ErrorKind::InvalidData, "no welcome")),
     }
 }
 
-async fn run_link(
-    state: &Rc<FrontState>,
-    address: SocketAddr,
-    reader: PoolReader,
-    writer: PoolWriter,
-) {
+async fn run_link(state: &Rc<FrontState>, epoch: u64, reader: PoolReader, writer: PoolWriter) {
     let (outbox, inbox) = unbounded();
     *state.outbox.borrow_mut() = Some(outbox.clone());
     state.shared.owner_heard.set(state.shared.now());
@@ -94,11 +113,12 @@
     let pinging = spawn(ping(state.clone(), outbox));
     {
         let read = pin!(read_link(state, reader));
-        let replaced = pin!(wait_replaced(state, address));
+        let replaced = pin!(wait_replaced(state, epoch));
         select(read, replaced).await;
     }
     *state.outbox.borrow_mut() = None;
     state.asks.borrow_mut().clear();
+    state.relays.borrow_mut().clear();
     // Dropped tasks are cancelled; the connection closes with them.
     drop(pinging);
     drop(writing);
@@ -110,11 +130,17 @@
     }
 }
 
-/// Waits until another owner than the one at `address` is known: what this one says is of the past.
-async fn wait_replaced(state: &FrontState, address: SocketAddr) {
+/// Waits until a later term than the link's is known: what its owner says is of the past.
+async fn wait_replaced(state: &FrontState, epoch: u64) {
     loop {
         let listener = state.shared.owner_changed.listen();
-        if known_owner(state).is_some_and(|known| known != address) {
+        let known = state
+            .shared
+            .owner
+            .borrow()
+            .as_ref()
+            .map(|owner| owner.epoch);
+        if known.is_some_and(|known| known > epoch) {
             return;
         }
         listener.await;
@@ -164,6 +190,12 @@
                 let _ = asker.send(told);
             }
         }
+        PoolBody::Relayed(told) => {
+            if let Some(asker) = state.relays.borrow_mut().remove(&told.ask) {
+                // As above.
+                let _ = asker.send(told);
+            }
+        }
         PoolBody::Config(push) => {
             if let Err(error) = state.shared.offer_config(&push.text, "the owner") {
                 tracing::error!(%error, "config of the owner refused");
--- a/crates/wax-front/src/readiness.rs
+++ b/crates/wax-front/src/readiness.rs
@@ -25,7 +25,7 @@
             return empty_reply(StatusCode::NOT_FOUND);
         }
         let configured = self.state.shared.config.borrow().config().is_some();
-        let stored = self.state.store_lost.get().is_none();
+        let stored = self.state.store_lost.get().is_none() || self.state.hears_owner();
         if configured && stored && !self.shutdown.is_raised() {
             empty_reply(StatusCode::OK)
         } else {
--- a/crates/wax-front/src/state.rs
+++ b/crates/wax-front/src/state.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use wax_owner::PoolShared;
 use wax_types::TimePoint;
-use wax_wire::{JobTold, PoolBody};
+use wax_wire::{JobTold, PoolBody, RelayTold};
 
 /// A front's own state.
 #[derive(Debug)]
@@ -18,6 +18,8 @@
     pub(crate) outbox: RefCell<Option<UnboundedSender<PoolBody>>>,
     /// Questions to the owner that are not answered yet.
     pub(crate) asks: RefCell<HashMap<u64, oneshot::Sender<JobTold>>>,
+    /// Transactions that the owner was asked to send.
+    pub(crate) relays: RefCell<HashMap<u64, oneshot::Sender<RelayTold>>>,
     pub(crate) next_ask: Cell<u64>,
     /// Since when the store has not answered this process; `None` while it does.
     pub(crate) store_lost: Cell<Option<TimePoint>>,
@@ -26,17 +28,26 @@
 /// While the store does not answer, callers are told to come back after this.
 pub(crate) const STORE_RETRY: Duration = Duration::from_millis(700);
 
+/// An owner that was heard this lately is taken to be there.
+const HEARD_LATELY: Duration = Duration::from_millis(800);
+
 impl FrontState {
     pub(crate) fn new(shared: Rc<PoolShared>) -> Self {
         Self {
             shared,
             outbox: RefCell::default(),
             asks: RefCell::default(),
+            relays: RefCell::default(),
             next_ask: Cell::new(1),
             store_lost: Cell::new(None),
         }
     }
 
+    /// Whether an owner whose store answers was heard lately: it sends what this front cannot.
+    pub(crate) fn hears_owner(&self) -> bool {
+        self.shared.now().since(self.shared.owner_heard.get()) < HEARD_LATELY
+    }
+
     /// Notes whether the store has answered.
     pub(crate) fn note_store(&self, answered: bool) {
         let now = self.shared.now();
--- /dev/null
+++ b/crates/wax-front/src/store_way.rs
@@ -0,0 +1,130 @@
+//! The ways of a front to the store: its own, and through the owner.
+//!
+//! The platform may turn this machine away while it serves the owner's. A transaction that goes both
+//! ways takes effect once at most: its conditions name the versions of all that it writes.
+
+use crate::state::FrontState;
+use compio::time::{sleep, timeout};
+use futures_channel::oneshot;
+use futures_util::future::{Either, select};
+use platform::TxRequest;
+use std::pin::pin;
+use std::time::Duration;
+use wax_owner::{TxFate, encode_ask, relayed_rows, transact};
+use wax_types::{ErrorKind, Step, TimePoint, WaxError};
+use wax_wire::{PoolBody, RelayFate, RelayTold};
+
+/// The owner is asked once the store has not answered for this long. A store that is well takes
+/// 10 ms; while it turned this machine away, jobs were given up after 2.7 s that the owner stored.
+const RELAY_AFTER: Duration = Duration::from_millis(250);
+/// Without a link to the owner, or an answer from it, the next try is after this.
+const RELAY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Sends a transaction, unchanged, until its fate is known by either way or `deadline` has passed.
+pub(crate) async fn transact_any_way(
+    state: &FrontState,
+    tx: &TxRequest,
+    deadline: TimePoint,
+) -> TxFate {
+    let shared = &state.shared;
+    let direct = pin!(transact(&shared.store, shared.clock, tx, deadline));
+    let relayed = pin!(relay(state, tx, deadline));
+    match select(direct, relayed).await {
+        Either::Left((fate, relayed)) => {
+            note_direct(state, &fate);
+            settle(fate, relayed).await
+        }
+        Either::Right((fate, direct)) => {
+            if !is_known(&fate) {
+                let own = direct.await;
+                note_direct(state, &own);
+                return either(fate, own);
+            }
+            state.note_store(false);
+            tracing::info!("the owner has sent a transaction for us");
+            fate
+        }
+    }
+}
+
+/// What the own way says counts if it is certain; else the other way is waited for.
+async fn settle(own: TxFate, relayed: impl Future<Output = TxFate>) -> TxFate {
+    match is_known(&own) {
+        true => own,
+        false => either(own, relayed.await),
+    }
+}
+
+/// Whether a transaction has, or surely has not, taken effect by its conditions.
+fn is_known(fate: &TxFate) -> bool {
+    matches!(fate, TxFate::Committed(_) | TxFate::Conflict(_))
+}
+
+/// Two ways of one transaction: what is known goes first, and doubt before "not sent".
+fn either(one: TxFate, other: TxFate) -> TxFate {
+    match (one, other) {
+        (known, _) if is_known(&known) => known,
+        (_, known) if is_known(&known) => known,
+        (doubt @ TxFate::Unknown(_), _) | (_, doubt @ TxFate::Unknown(_)) => doubt,
+        (none, _) => none,
+    }
+}
+
+fn note_direct(state: &FrontState, fate: &TxFate) {
+    state.note_store(is_known(fate));
+}
+
+/// Has the owner send the transaction, from [`RELAY_AFTER`] on; at once while the store is lost.
+async fn relay(state: &FrontState, tx: &TxRequest, deadline: TimePoint) -> TxFate {
+    if state.store_lost.get().is_none() {
+        sleep(RELAY_AFTER).await;
+    }
+    let mut asked = false;
+    loop {
+        let left = deadline.since(state.shared.now());
+        if left.is_zero() {
+            return missing(asked);
+        }
+        if !state.hears_owner() {
+            // The owner has lost the store as well, or there is none.
+            sleep(RELAY_PAUSE.min(left)).await;
+            continue;
+        }
+        match ask_owner(state, tx, left).await {
+            Some(told) => match told.fate() {
+                RelayFate::Committed => return TxFate::Committed(told.version),
+                RelayFate::Conflict => return TxFate::Conflict(relayed_rows(told)),
+                RelayFate::Unknown => asked = true,
+                RelayFate::NotSent => {}
+            },
+            // The link may have broken after the question was read.
+            None => asked |= state.outbox.borrow().is_some(),
+        }
+        sleep(RELAY_PAUSE.min(left)).await;
+    }
+}
+
+fn missing(asked: bool) -> TxFate {
+    let error = WaxError::new(
+        ErrorKind::Timeout,
+        Step::SubmitJob,
+        "owner",
+        "neither the store nor the owner answers",
+    );
+    match asked {
+        true => TxFate::Unknown(error),
+        false => TxFate::NotSent(error),
+    }
+}
+
+async fn ask_owner(state: &FrontState, tx: &TxRequest, wait: Duration) -> Option<RelayTold> {
+    let number = state.next_ask.get();
+    state.next_ask.set(number + 1);
+    let (sender, answer) = oneshot::channel();
+    let ask = PoolBody::Relay(encode_ask(number, tx, wait));
+    state.outbox.borrow().as_ref()?.unbounded_send(ask).ok()?;
+    state.relays.borrow_mut().insert(number, sender);
+    let told = timeout(wait, answer).await;
+    state.relays.borrow_mut().remove(&number);
+    told.ok()?.ok()
+}
--- a/crates/wax-owner/src/entries.rs
+++ b/crates/wax-owner/src/entries.rs
@@ -1,12 +1,13 @@
 //! The owner's side of a link with another front.
 
 use crate::agents::write_link;
+use crate::relay::relay_transaction;
 use crate::shared::PoolShared;
 use crate::tenure::{JobWord, Tenure};
 use crate::writer::silent_for;
 use compio::runtime::spawn;
 use compio::time::timeout;
-use futures_channel::mpsc::unbounded;
+use futures_channel::mpsc::{UnboundedSender, unbounded};
 use futures_util::future::{Either, select};
 use std::pin::pin;
 use std::rc::Rc;
@@ -14,12 +15,12 @@
 use wax_types::TimePoint;
 use wax_wire::{
     ConfigPush, JobAsk, JobTold, LeaseGrant, LinkPing, OwnerWelcome, PoolBody, PoolReader,
-    PoolWriter,
+    PoolWriter, RelayAsk,
 };
 
 /// Serves one link until it breaks, falls silent, or the term ends.
 pub(crate) async fn serve_entry(
-    shared: &PoolShared,
+    shared: &Rc<PoolShared>,
     tenure: &Rc<Tenure>,
     node: &str,
     mut reader: PoolReader,
@@ -35,6 +36,13 @@
     let writing = spawn(write_link(writer, inbox));
     let serve = async {
         while let Ok(Ok(Some(body))) = timeout(shared.spans.link, reader.read()).await {
+            let body = match body {
+                PoolBody::Relay(ask) => {
+                    relay(shared.clone(), outbox.clone(), ask);
+                    continue;
+                }
+                body => body,
+            };
             for answer in answers(shared, tenure, node, body) {
                 if outbox.unbounded_send(answer).is_err() {
                     return;
@@ -51,6 +59,16 @@
     drop(writing);
 }
 
+/// The answer waits for the store; other messages do not wait for it.
+fn relay(shared: Rc<PoolShared>, outbox: UnboundedSender<PoolBody>, ask: RelayAsk) {
+    spawn(async move {
+        let told = relay_transaction(&shared, ask).await;
+        // A link that has closed leaves the front in doubt, which it settles by asking again.
+        let _ = outbox.unbounded_send(PoolBody::Relayed(told));
+    })
+    .detach();
+}
+
 fn answers(shared: &PoolShared, tenure: &Tenure, node: &str, body: PoolBody) -> Vec<PoolBody> {
     match body {
         PoolBody::Ping(ping) => heartbeat(shared, tenure, &ping),
--- a/crates/wax-owner/src/lib.rs
+++ b/crates/wax-owner/src/lib.rs
@@ -13,6 +13,7 @@
 mod job_feed;
 mod listener;
 mod load;
+mod relay;
 mod rows;
 mod shared;
 mod spans;
@@ -24,6 +25,7 @@
 pub use config_feed::keep_config;
 pub use fate::{TxFate, transact};
 pub use listener::serve_peers;
+pub use relay::{encode_ask, relayed_rows};
 pub use rows::{
     CANCEL_SUFFIX, JOB_TABLE, OWNER_TABLE, OwnerRow, PROGRESS_TABLE, cancel_key, job_key,
     owner_key, progress_key,
--- a/crates/wax-owner/src/listener.rs
+++ b/crates/wax-owner/src/listener.rs
@@ -31,7 +31,7 @@
     }
 }
 
-async fn serve_stream(shared: &PoolShared, stream: TcpStream) {
+async fn serve_stream(shared: &Rc<PoolShared>, stream: TcpStream) {
     // Without it, small messages may wait for the peer's delayed acknowledgement.
     let _ = stream.set_nodelay(true);
     let (mut reader, writer) = split_stream(stream);
@@ -47,6 +47,7 @@
             serve_agent(shared, &tenure, hello.node.into(), reader, writer).await;
         }
         PoolBody::EntryHello(hello) => {
+            shared.note_front(&hello.address);
             serve_entry(shared, &tenure, &hello.node, reader, writer).await
         }
         other => tracing::warn!(?other, "a peer that does not say who it is"),
--- a/crates/wax-owner/src/shared.rs
+++ b/crates/wax-owner/src/shared.rs
@@ -5,6 +5,7 @@
 use event_listener::Event;
 use platform::{StoreClient, UpkeepWave, decode_config};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -54,6 +55,8 @@
     pub waves: RefCell<Vec<UpkeepWave>>,
     /// Notified when there is another wave.
     pub waves_changed: Event,
+    /// Where fronts are reached that were ever linked to this process.
+    pub fronts: RefCell<BTreeSet<SocketAddr>>,
     /// The owner as last heard of.
     pub owner: RefCell<Option<KnownOwner>>,
     /// Notified when another owner is heard of.
@@ -89,6 +92,7 @@
             config_changed: Event::new(),
             waves: RefCell::default(),
             waves_changed: Event::new(),
+            fronts: RefCell::default(),
             owner: RefCell::default(),
             owner_changed: Event::new(),
             tenure: RefCell::default(),
@@ -97,6 +101,13 @@
         }
     }
 
+    /// Notes a front, so that it is found should it own the shard once.
+    pub(crate) fn note_front(&self, address: &str) {
+        if let Ok(address) = address.parse() {
+            self.fronts.borrow_mut().insert(address);
+        }
+    }
+
     /// Limits and weights of placement in force.
     pub fn place_rules(&self) -> PlaceRules {
         self.place_rules.get()
--- a/crates/wax-owner/src/tenure.rs
+++ b/crates/wax-owner/src/tenure.rs
@@ -199,6 +199,21 @@
         self.write.notify(usize::MAX);
     }
 
+    /// Whether the store has been silent for so long that another may have taken over.
+    pub fn is_in_doubt(&self, now: TimePoint) -> bool {
+        let silence = self.shared.upgrade().map(|shared| shared.spans.silence);
+        silence.is_some_and(|silence| now.since(self.confirmed.get()) > silence)
+    }
+
+    /// An owner of this term was met; says whether it has replaced this one.
+    pub fn give_way(&self, epoch: u64) -> bool {
+        let is_newer = epoch > self.epoch;
+        if is_newer {
+            self.end("a newer owner was met");
+        }
+        is_newer
+    }
+
     /// Asks the term to be let go; it ends once the store has all that was taken note of.
     pub fn let_go(&self) {
         self.letting_go.raise();
--- a/crates/wax-trace/src/counter.rs
+++ b/crates/wax-trace/src/counter.rs
@@ -57,6 +57,8 @@
     StoreRowsWritten = "store.rows_written",
     /// Commits that failed their conditions.
     StoreConflicts = "store.conflicts",
+    /// Transactions that an owner sent for a front that could not.
+    TransactionsRelayed = "store.transactions_relayed",
     /// Calls to the store that failed or timed out.
     StoreFailures = "store.failures",
     /// Commits whose lost reply was settled by sending them again.
--- a/crates/wax-wire/src/lib.rs
+++ b/crates/wax-wire/src/lib.rs
@@ -5,6 +5,7 @@
 mod link;
 mod pool;
 mod pool_parts;
+mod relay;
 
 pub use codec::{MAX_FRAME_BYTES, PeerCodec};
 pub use frame::{
@@ -22,3 +23,4 @@
     RunNews, SeatFrame, StartRun, StopRun, WorkerGone, WorkerKept, WorkerUp,
 };
 pub use pool_parts::{EndFrame, MarkFrame, RefusalFrame, ReportFrame, WorkerFrame};
+pub use relay::{ExpectFrame, RelayAsk, RelayFate, RelayTold, RowFrame};
--- a/crates/wax-wire/src/pool.rs
+++ b/crates/wax-wire/src/pool.rs
@@ -1,6 +1,7 @@
 //! Messages between the owner of a shard, the agents beside workers, and entries.
 
 use crate::pool_parts::{EndFrame, MarkFrame, RefusalFrame, ReportFrame, WorkerFrame};
+use crate::relay::{RelayAsk, RelayTold};
 use prost::{Message, Oneof};
 use wax_batch::TaskSize;
 use wax_policy::PairPress;
@@ -11,7 +12,7 @@
     /// What it says; a message without a known body is a protocol error.
     #[prost(
         oneof = "PoolBody",
-        tags = "1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19"
+        tags = "1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21"
     )]
     pub body: Option<PoolBody>,
 }
@@ -76,6 +77,12 @@
     /// Entry to owner: the store has a cancel; the owner's feed may be cut off.
     #[prost(message, tag = "19")]
     Cancelled(JobCancelled),
+    /// Entry to owner: a transaction that the entry cannot send itself.
+    #[prost(message, tag = "20")]
+    Relay(RelayAsk),
+    /// Owner to entry.
+    #[prost(message, tag = "21")]
+    Relayed(RelayTold),
 }
 
 impl From<PoolBody> for PoolFrame {
@@ -98,6 +105,9 @@
     /// The machine's name.
     #[prost(string, tag = "1")]
     pub node: String,
+    /// Where other processes reach it: one of them may own the shard later.
+    #[prost(string, tag = "2")]
+    pub address: String,
 }
 
 /// The owner takes the link.
--- a/crates/wax-wire/tests/pool.rs
+++ b/crates/wax-wire/tests/pool.rs
@@ -69,6 +69,16 @@
     }
 }
 
+fn row() -> RowFrame {
+    RowFrame {
+        table: "jobs".into(),
+        part: "p".into(),
+        key: "k".into(),
+        value: b"value".to_vec(),
+        version: 5,
+    }
+}
+
 macro_rules! survives {
     ($($name:ident: $body:expr,)*) => {
         $(
@@ -86,7 +96,27 @@
 
 survives! {
     agent_hello: PoolBody::AgentHello(AgentHello { node: "side-1".into() }),
-    entry_hello: PoolBody::EntryHello(EntryHello { node: "edge-1".into() }),
+    entry_hello: PoolBody::EntryHello(EntryHello {
+        node: "edge-1".into(),
+        address: "10.0.0.1:7700".into(),
+    }),
+    relay: PoolBody::Relay(RelayAsk {
+        ask: 7,
+        expect: vec![ExpectFrame {
+            table: "jobs".into(),
+            part: "p".into(),
+            key: "k".into(),
+            version: 3,
+        }],
+        writes: vec![row()],
+        wait_ms: 900,
+    }),
+    relayed: PoolBody::Relayed(RelayTold {
+        ask: 7,
+        fate: RelayFate::Conflict.into(),
+        version: 0,
+        rows: vec![row()],
+    }),
     welcome: PoolBody::Welcome(OwnerWelcome { epoch: 3, token: 9 }),
     not_owner: PoolBody::NotOwner(NotOwner { address: "10.0.0.1:7".into(), epoch: 3 }),
     ping: PoolBody::Ping(LinkPing { sent_us: 5, config: 7 }),
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -136,6 +136,11 @@
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
+
+    /// New connections pass again.
+    pub(crate) fn heal(&self) {
+        self.is_cut.store(false, Ordering::SeqCst);
+    }
 }
 
 /// Copies both ways until one end closes.
--- a/tests/pool/troubles.rs
+++ b/tests/pool/troubles.rs
@@ -112,6 +112,35 @@
     });
 }
 
+/// A front that the store turns away takes jobs through the owner, and says that it takes them.
+#[test]
+fn a_front_that_is_cut_off_from_the_store_takes_jobs_through_the_owner() {
+    run(async {
+        let site = Site::start_relayed("relay", 2, 1).await;
+        site.submit(&name(1), &job(1, 2, 20)).await;
+        site.wait_state(&name(1), "completed").await;
+        // Either front may own the shard: each is cut off once.
+        for number in 0..2 {
+            site.relays[number].cut();
+            for n in 0..3 {
+                let job_name = name(10 + 10 * number as u64 + n);
+                let body = job(1, 1, 20).to_string().into_bytes();
+                wait_for("the front to take a job", || async {
+                    let answer = site
+                        .ask(number, Method::POST, &job_name, body.clone())
+                        .await
+                        .ok()?;
+                    (answer.status == 200).then_some(())
+                })
+                .await;
+                site.wait_state(&job_name, "completed").await;
+            }
+            site.relays[number].heal();
+        }
+        site.audit().await;
+    });
+}
+
 #[test]
 fn an_owner_that_was_frozen_past_its_term_gives_way() {
     run(async {
