--- a/crates/wax-cli/src/commands/mod.rs
+++ b/crates/wax-cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod explain;
 mod job;
+mod logs;
 mod peers;
 mod replay;
 mod settings;
@@ -32,6 +33,8 @@
   settings export DIR        writes the tree in force as files for `apply`
   settings log               the newest changes
   usage [--team TEAM] [--from DAY] [--to DAY] [--csv]
+  logs report FILE...        jobs, waits and causes of lateness by the pool's log lines
+         [--window SECONDS] [--job ID] [--csv] [--plot FILE.svg]
   replay TRACE [--policy NAME] [--seed N]
                              a recorded trace through the decisions of the daemons
   replay TRACE --compare N   ours against every baseline, over N seeds
@@ -64,6 +67,7 @@
         "settings" => settings::run(&mut context).await,
         "explain" => explain::run(&mut context).await,
         "replay" => replay::run(&mut context).await,
+        "logs" => logs::run(&mut context),
         "usage" => usage::run(&mut context).await,
         other => Err(CommandFailure::Usage(format!("no command {other}"))),
     }
--- /dev/null
+++ b/crates/wax-logs/src/report.rs
@@ -0,0 +1,264 @@
+//! Figures of a day by queue and by window of time, and the story of one job.
+
+use crate::cause::late_shares;
+use crate::history::{DayHistory, JobHistory, RunHistory};
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write;
+
+/// Jobs of one queue.
+#[derive(Debug, Clone, PartialEq, Default, Serialize)]
+pub struct QueueRow {
+    /// The queue.
+    pub queue: Box<str>,
+    /// Jobs that were accepted.
+    pub accepted: u32,
+    /// Requests that were not accepted.
+    pub not_accepted: u32,
+    /// Completed within the objective.
+    pub in_time: u32,
+    /// Completed later.
+    pub late: u32,
+    /// Failed, or cancelled by their callers.
+    pub gone: u32,
+    /// Not ended; jobs that last are meant not to.
+    pub open: u32,
+    /// From the request to the first start, seconds: half of the jobs, 95 of 100.
+    pub first_start: [f64; 2],
+    /// Between the first and the last first start in a step, seconds: half of the steps, 90 of 100.
+    pub spread: [f64; 2],
+    /// The slowest run of a step over its median run: 90 of 100 steps.
+    pub slowest: f64,
+    /// Runs that were stopped as they made no progress.
+    pub stalled: u32,
+    /// Work of late jobs by the greatest cause along their critical path, core seconds.
+    pub causes: BTreeMap<String, f64>,
+}
+
+/// What happened in one window of time.
+#[derive(Debug, Clone, PartialEq, Default, Serialize)]
+pub struct WindowRow {
+    /// Its beginning, seconds from the first line.
+    pub from: f64,
+    /// Jobs that were accepted in it.
+    pub accepted: u32,
+    /// Requests that were not accepted.
+    pub not_accepted: u32,
+    /// Of the jobs accepted in it: completed within the objective.
+    pub in_time: u32,
+    /// Starts.
+    pub starts: u32,
+    /// Runs under way at its end.
+    pub running: u32,
+    /// Runs stopped as they made no progress.
+    pub stalled: u32,
+    /// Steps that began to wait, by reason.
+    pub waits: BTreeMap<String, u32>,
+    /// Images that were slowed below a third on a worker.
+    pub slowed: u32,
+    /// Terms of owners that began.
+    pub takeovers: u32,
+}
+
+/// The figures of a day.
+#[derive(Debug, Clone, PartialEq, Default, Serialize)]
+pub struct DayReport {
+    /// By queue.
+    pub queues: Vec<QueueRow>,
+    /// By window.
+    pub windows: Vec<WindowRow>,
+}
+
+/// An image that is slowed below this counts as slowed, percent.
+const SLOW_PERCENT: u32 = 33;
+
+/// Sums a day up, in windows of `window` seconds.
+pub fn report_day(day: &DayHistory, window: f64) -> DayReport {
+    let queues: BTreeSet<&str> = day.jobs.values().map(|job| &*job.queue).collect();
+    DayReport {
+        queues: queues
+            .into_iter()
+            .map(|queue| queue_row(day, queue))
+            .collect(),
+        windows: window_rows(day, window),
+    }
+}
+
+fn queue_row(day: &DayHistory, queue: &str) -> QueueRow {
+    let mut row = QueueRow {
+        queue: queue.into(),
+        not_accepted: count(day.refused.iter().filter(|(_, of)| **of == *queue)),
+        ..Default::default()
+    };
+    let (mut starts, mut spreads, mut slowest) = (Vec::new(), Vec::new(), Vec::new());
+    for job in day.jobs.values().filter(|job| *job.queue == *queue) {
+        count_job(&mut row, job);
+        let first = job.runs.iter().map(|run| run.ordered).reduce(f64::min);
+        starts.extend(first.map(|first| first - job.asked));
+        row.stalled += count(job.runs.iter().filter(|run| is_stalled(run)));
+        for runs in steps(job).values() {
+            spreads.push(start_spread(runs));
+            slowest.extend(slowest_share(runs));
+        }
+    }
+    row.first_start = [quantile(&mut starts, 0.5), quantile(&mut starts, 0.95)];
+    row.spread = [quantile(&mut spreads, 0.5), quantile(&mut spreads, 0.9)];
+    row.slowest = quantile(&mut slowest, 0.9);
+    row
+}
+
+fn count_job(row: &mut QueueRow, job: &JobHistory) {
+    row.accepted += 1;
+    match (&job.end, job.age()) {
+        (_, Some(age)) if age <= job.objective => row.in_time += 1,
+        (_, Some(_)) => row.late += 1,
+        (Some(_), None) => row.gone += 1,
+        (None, None) => row.open += 1,
+    }
+    if job.lasts || job.is_in_time() || job.is_cancelled() {
+        return;
+    }
+    if let Some(share) = late_shares(job).first() {
+        *row.causes.entry(share.cause.to_string()).or_insert(0.0) += job.work;
+    }
+}
+
+fn window_rows(day: &DayHistory, window: f64) -> Vec<WindowRow> {
+    let mut rows: BTreeMap<u64, WindowRow> = BTreeMap::new();
+    let number = |at: f64| ((at - day.began).max(0.0) / window) as u64;
+    let mut row = |at: f64, change: &mut dyn FnMut(&mut WindowRow)| {
+        let number = number(at);
+        let row = rows.entry(number).or_default();
+        row.from = number as f64 * window;
+        change(row);
+    };
+    for job in day.jobs.values() {
+        row(job.accepted, &mut |row| {
+            row.accepted += 1;
+            row.in_time += u32::from(job.is_in_time());
+        });
+        for run in &job.runs {
+            row(run.ordered, &mut |row| row.starts += 1);
+            if let (Some((at, _)), true) = (&run.end, is_stalled(run)) {
+                row(*at, &mut |row| row.stalled += 1);
+            }
+        }
+        for pause in &job.pauses {
+            row(pause.at, &mut |row| {
+                *row.waits.entry(pause.reason.to_string()).or_insert(0) += 1;
+            });
+        }
+    }
+    for (at, _) in &day.refused {
+        row(*at, &mut |row| row.not_accepted += 1);
+    }
+    for (at, .., percent) in &day.paces {
+        row(*at, &mut |row| {
+            row.slowed += u32::from(*percent < SLOW_PERCENT)
+        });
+    }
+    for at in &day.takeovers {
+        row(*at, &mut |row| row.takeovers += 1);
+    }
+    let runs: Vec<&RunHistory> = day.jobs.values().flat_map(|job| &job.runs).collect();
+    for row in rows.values_mut() {
+        let end = day.began + row.from + window;
+        row.running = count(runs.iter().filter(|run| is_under_way(run, end)));
+    }
+    rows.into_values().collect()
+}
+
+/// Whether a run is under way at a time, as far as its end was heard.
+pub(crate) fn is_under_way(run: &RunHistory, at: f64) -> bool {
+    run.ordered <= at && run.end.as_ref().is_none_or(|(end, _)| *end > at)
+}
+
+fn is_stalled(run: &RunHistory) -> bool {
+    run.stop.as_ref().is_some_and(|why| **why == *"stalled")
+}
+
+fn steps(job: &JobHistory) -> BTreeMap<&str, Vec<&RunHistory>> {
+    let mut steps: BTreeMap<&str, Vec<&RunHistory>> = BTreeMap::new();
+    for run in &job.runs {
+        let step = crate::event::step_of(&run.task);
+        steps.entry(step).or_default().push(run);
+    }
+    steps
+}
+
+/// Between the first starts of a step's first and last task, seconds.
+fn start_spread(runs: &[&RunHistory]) -> f64 {
+    let mut firsts: BTreeMap<&str, f64> = BTreeMap::new();
+    for run in runs {
+        let first = firsts.entry(&run.task).or_insert(run.ordered);
+        *first = first.min(run.ordered);
+    }
+    let least = firsts.values().copied().fold(f64::INFINITY, f64::min);
+    let most = firsts.values().copied().fold(f64::NEG_INFINITY, f64::max);
+    most - least
+}
+
+fn slowest_share(runs: &[&RunHistory]) -> Option<f64> {
+    let mut spans: Vec<f64> = runs
+        .iter()
+        .filter_map(|run| Some(run.done()? - run.ordered))
+        .collect();
+    let most = spans.iter().copied().reduce(f64::max)?;
+    let median = quantile(&mut spans, 0.5);
+    (median > 0.0).then(|| most / median)
+}
+
+fn count<T>(items: impl Iterator<Item = T>) -> u32 {
+    items.count() as u32
+}
+
+/// The value below which a share of the values lies; 0 without a value.
+fn quantile(values: &mut [f64], share: f64) -> f64 {
+    values.sort_by(f64::total_cmp);
+    let last = values.len().saturating_sub(1);
+    let index = (last as f64 * share).round() as usize;
+    values.get(index).copied().unwrap_or(0.0)
+}
+
+/// The life of one job in order, over all processes; times are seconds from its request.
+pub fn job_story(job: &JobHistory) -> String {
+    let mut events: Vec<(f64, String)> = vec![(
+        job.accepted,
+        format!(
+            "accepted into {}: {} tasks, {:.1} core s, to end within {:.1} s",
+            job.queue, job.tasks, job.work, job.objective
+        ),
+    )];
+    for run in &job.runs {
+        let resumes = if run.resumes { ", resumes" } else { "" };
+        events.push((
+            run.ordered,
+            format!(
+                "{} run {} starts on {} after {:.2} s, pace {:.2} expected{resumes}",
+                run.task, run.run, run.worker, run.waited, run.pace
+            ),
+        ));
+        if let Some((at, how)) = &run.end {
+            let why = run.stop.as_ref().map(|why| format!(" ({why})"));
+            let why = why.unwrap_or_default();
+            events.push((*at, format!("{} run {} ends {how}{why}", run.task, run.run)));
+        }
+    }
+    for pause in &job.pauses {
+        events.push((pause.at, format!("{} waits: {}", pause.step, pause.reason)));
+    }
+    if let Some((at, outcome)) = &job.end {
+        events.push((*at, format!("shown as {outcome}")));
+    }
+    events.sort_by(|one, other| one.0.total_cmp(&other.0));
+    let mut text = format!("job {}\n", job.job);
+    for (at, what) in events {
+        // Writing to a string cannot fail.
+        let _ = writeln!(text, "{:>9.3}  {what}", at - job.asked);
+    }
+    let late = !job.lasts && !job.is_in_time() && !job.is_cancelled();
+    for share in late_shares(job).iter().filter(|_| late) {
+        let _ = writeln!(text, "{:>7.2} s  {}", share.seconds, share.cause);
+    }
+    text
+}
--- /dev/null
+++ b/crates/wax-logs/tests/reports.rs
@@ -0,0 +1,167 @@
+//! What a report says of lines, in whatever order and files they come.
+
+use std::fmt::Write;
+use wax_logs::{DayHistory, LateCause, job_story, late_shares, parse_lines, plot_day, report_day};
+
+/// A line as a process writes it, `at` milliseconds after noon.
+fn line(at: u32, fields: &str) -> String {
+    let (seconds, millis) = (at / 1_000, at % 1_000);
+    format!(
+        "  0.1 edge-1 {{\"timestamp\":\"2026-05-13T12:00:{seconds:02}.{millis:03}000Z\",\"level\":\"INFO\",{fields},\"target\":\"t\"}}\n"
+    )
+}
+
+fn accepted(at: u32, job: &str, objective_ms: u32) -> String {
+    line(
+        at,
+        &format!(
+            "\"message\":\"job accepted\",\"job\":\"{job}\",\"queue\":\"q\",\"took_ms\":10,\"steps\":2,\"tasks\":2,\
+             \"work_ms\":5000,\"objective_ms\":{objective_ms},\"priority\":2,\"lasts\":false,\"fills\":true"
+        ),
+    )
+}
+
+fn start(at: u32, task: &str, run: u32, waited_ms: u32) -> String {
+    line(
+        at,
+        &format!(
+            "\"message\":\"start ordered\",\"task\":\"{task}\",\"run\":{run},\"worker\":\"w\",\"resumes\":false,\
+             \"waited_ms\":{waited_ms},\"pace\":1.0"
+        ),
+    )
+}
+
+fn end(at: u32, task: &str, run: u32, how: &str) -> String {
+    line(
+        at,
+        &format!("\"message\":\"run ended\",\"task\":\"{task}\",\"run\":{run},\"how\":\"{how}\""),
+    )
+}
+
+fn stop(at: u32, task: &str, run: u32) -> String {
+    line(
+        at,
+        &format!(
+            "\"message\":\"stop ordered\",\"task\":\"{task}\",\"run\":{run},\"why\":\"stalled\""
+        ),
+    )
+}
+
+fn waits(at: u32, task: &str, reason: &str) -> String {
+    line(
+        at,
+        &format!(
+            "\"message\":\"step waits\",\"task\":\"{task}\",\"waiting\":1,\"waited_ms\":2,\"reason\":\"{reason}\""
+        ),
+    )
+}
+
+fn job_end(at: u32, job: &str) -> String {
+    line(
+        at,
+        &format!(
+            "\"message\":\"job ended\",\"job\":\"{job}\",\"outcome\":\"Completed\",\"age_ms\":1"
+        ),
+    )
+}
+
+/// A job of two steps: the first is moved once, the second waits for three seconds.
+fn late_job() -> Vec<String> {
+    vec![
+        accepted(1_010, "a", 4_000),
+        start(1_100, "a.0.0.0", 1, 2),
+        stop(2_500, "a.0.0.0", 1),
+        end(2_900, "a.0.0.0", 1, "Stopped"),
+        start(3_000, "a.0.0.0", 2, 2),
+        end(4_000, "a.0.0.0", 2, "Done"),
+        waits(4_010, "a.0.1.0", "interference"),
+        start(7_000, "a.0.1.0", 1, 2_990),
+        end(8_000, "a.0.1.0", 1, "Done"),
+        job_end(8_010, "a"),
+    ]
+}
+
+fn day(lines: &[String]) -> DayHistory {
+    DayHistory::new(parse_lines(&lines.concat()).expect("the lines are whole"))
+}
+
+#[test]
+fn a_late_job_is_put_down_to_what_took_most_of_its_path() {
+    let day = day(&late_job());
+    let shares = late_shares(&day.jobs["a"]);
+    assert_eq!(shares[0].cause, LateCause::Wait("interference".into()));
+    assert!((shares[0].seconds - 2.99).abs() < 0.01, "{shares:?}");
+    assert_eq!(shares[1].cause, LateCause::Stalled);
+    assert!((shares[1].seconds - 1.9).abs() < 0.01, "{shares:?}");
+}
+
+#[test]
+fn the_order_of_lines_and_files_does_not_matter() {
+    let lines = late_job();
+    let backwards: Vec<String> = lines.iter().rev().cloned().collect();
+    assert_eq!(day(&lines), day(&backwards));
+}
+
+#[test]
+fn a_day_is_summed_up_by_queue_and_window() {
+    let mut lines = late_job();
+    lines.push(accepted(1_510, "b", 4_000));
+    lines.push(start(1_600, "b.0.0.0", 1, 2));
+    lines.push(end(2_600, "b.0.0.0", 1, "Done"));
+    lines.push(job_end(2_610, "b"));
+    lines.push(line(
+        3_000,
+        "\"message\":\"job not accepted\",\"job\":\"c\",\"queue\":\"q\",\"took_ms\":9",
+    ));
+    let report = report_day(&day(&lines), 2.0);
+    let queue = &report.queues[0];
+    assert_eq!((queue.accepted, queue.not_accepted), (2, 1));
+    assert_eq!((queue.in_time, queue.late, queue.stalled), (1, 1, 1));
+    assert_eq!(queue.causes["wait: interference"], 5.0);
+    assert_eq!(report.windows.iter().map(|row| row.starts).sum::<u32>(), 4);
+    assert_eq!(
+        report.windows[0].running, 1,
+        "the second run of the moved task"
+    );
+}
+
+#[test]
+fn the_story_of_a_job_has_its_moments_in_order() {
+    let story = job_story(&day(&late_job()).jobs["a"]);
+    let moments = [
+        "accepted",
+        "ends Stopped (stalled)",
+        "run 2 starts",
+        "waits: interference",
+        "shown as Completed",
+    ];
+    let places: Vec<usize> = moments
+        .iter()
+        .map(|moment| {
+            story
+                .find(moment)
+                .unwrap_or_else(|| panic!("{moment}: {story}"))
+        })
+        .collect();
+    assert!(places.is_sorted(), "{story}");
+}
+
+#[test]
+fn a_picture_names_its_lines() {
+    let text = plot_day(&day(&late_job())).expect("there is a job");
+    assert!(text.starts_with("<svg") && text.contains("runs under way"));
+    assert!(plot_day(&DayHistory::default()).is_err(), "nothing to draw");
+}
+
+#[test]
+fn a_broken_line_is_named_by_its_number() {
+    let mut text = String::new();
+    let _ = writeln!(text, "text of another program");
+    let _ = writeln!(
+        text,
+        "{{\"timestamp\":\"2026-05-13T12:00:00Z\",\"message\":\"run ended\",\"task\":\"a\"}}"
+    );
+    let error = parse_lines(&text).expect_err("a field is missing");
+    assert_eq!(error.number, 2);
+    assert!(error.label.contains("run"), "{error}");
+}
--- a/tests/pool/jobs.rs
+++ b/tests/pool/jobs.rs
@@ -150,3 +150,34 @@
         assert!(text.contains("waxwing_accept_job_ms_count 1"), "{text}");
     });
 }
+
+/// The report of a run's own lines: what operators follow a late job by.
+#[test]
+fn the_logs_of_a_run_tell_the_life_of_each_job() {
+    run(async {
+        let site = Site::start("logs", 2, 2).await;
+        site.submit(&name(1), &job(2, 3, 40)).await;
+        site.wait_state(&name(1), "completed").await;
+        let mut body = job(1, 1, 20);
+        body["spec"] = json!(json!({ "ms": 20, "fail": true }).to_string());
+        site.submit(&name(2), &body).await;
+        site.wait_state(&name(2), "failed").await;
+        let report: serde_json::Value =
+            serde_json::from_str(&site.report(&["--json"])).expect("it is JSON");
+        let queue = &report["queues"][0];
+        assert_eq!(queue["accepted"], 2);
+        assert_eq!(queue["gone"], 1);
+        let starts: u64 = report["windows"]
+            .as_array()
+            .into_iter()
+            .flatten()
+            .filter_map(|row| row["starts"].as_u64())
+            .sum();
+        assert_eq!(starts, 8, "six and two that failed");
+        let job_name = name(1);
+        let story = site.report(&["--job", &job_name]);
+        assert!(story.contains("shown as Completed"), "{story}");
+        assert_eq!(story.matches(" starts on ").count(), 6, "{story}");
+        assert!(site.report(&["--csv"]).starts_with("from_s,"));
+    });
+}
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -254,7 +254,7 @@
         let text = format!(
             "role: front\nname: front-{number}\nregion: r\nfailure_domain: a\nplatform:\n  address: {}\n\
              pool:\n  peers: {ip}:{port}\n  callers: {callers}\n  readiness: {readiness}\n  metrics: {metrics}\n\
-             logs:\n  stdout: true\n",
+             logs:\n  stdout: true\n  json: true\n",
             store
         );
         std::fs::write(&settings, text).expect("the settings are written");
@@ -278,6 +278,26 @@
         front.process = Some(SiteProcess::start("waxwingd", &args, log));
     }
 
+    /// What the operators' tool reports of the logs of all fronts and agents.
+    pub(crate) fn report(&self, options: &[&str]) -> String {
+        let tool = Path::new(env!("CARGO_BIN_EXE_waxwingd")).with_file_name("waxwing");
+        let fronts = (0..self.fronts.len()).map(|number| format!("front-{number}.log"));
+        let agents = self
+            .machines
+            .iter()
+            .map(|machine| format!("{}.log", machine.name));
+        let files = fronts.chain(agents).map(|file| self.folder.join(file));
+        let output = Command::new(tool)
+            .args(["logs", "report"])
+            .args(options)
+            .args(files)
+            .output()
+            .expect("the tool runs");
+        let errors = String::from_utf8_lossy(&output.stderr);
+        assert!(output.status.success(), "{errors}");
+        String::from_utf8_lossy(&output.stdout).into_owned()
+    }
+
     pub(crate) fn front_runs(&mut self, number: usize) -> bool {
         let process = self.fronts[number].process.as_mut();
         process.is_some_and(SiteProcess::is_running)
@@ -294,7 +314,7 @@
         let text = format!(
             "role: agent\nname: {name}\nregion: r\nfailure_domain: a\nplatform:\n  address: {}\n\
              pool:\n  peers: {ip}:{port}\n  seeds: [{}]\n  check_ins: {check_ins}\n  worker: {app}\n\
-             logs:\n  stdout: true\n",
+             logs:\n  stdout: true\n  json: true\n",
             self.store,
             seeds.join(", ")
         );
