--- a/crates/wax-agent/src/pace.rs
+++ b/crates/wax-agent/src/pace.rs
@@ -65,7 +65,7 @@
     seen: f64,
     /// The figure of the last look.
     tail: f64,
-    /// When its tail was last over the alarm.
+    /// When its load was last too high to be told.
     alarmed: TimePoint,
     /// Since when its tail has been near its target or over it.
     over_since: Option<TimePoint>,
@@ -323,10 +323,8 @@
         known.follow(look.run.tail, now, rules);
         known.seen = look.load;
         known.tail = look.run.tail;
-        if look.run.tail > rules.alarm {
-            known.alarmed = now;
-        }
         if look.load >= FULL_LOAD {
+            known.alarmed = now;
             // Such a tail only bounds the load from below.
             known.own = known.own.max(own).min(MOST_LOAD);
         } else {
--- a/crates/wax-policy/src/pace_rules.rs
+++ b/crates/wax-policy/src/pace_rules.rs
@@ -11,8 +11,6 @@
         period: Duration = ("period_ms", "ms", 240, 50 to 5000),
         /// Predicted tails are kept below this share of their target.
         aim: f64 = ("aim", "share", 0.74, 0.1 to 2),
-        /// A tail over this share of its target slows what may be the cause at once.
-        alarm: f64 = ("alarm", "share", 1.0, 0.1 to 1000, off 1000),
         /// Tails over this share of their target count as too long in a row.
         near: f64 = ("near", "share", 0.95, 0.1 to 10),
         /// Tails that are too long for this long stop all that fills.
@@ -21,7 +19,8 @@
         relief: Duration = ("relief_ms", "ms", 2800, 100 to 600000),
         /// What fills then goes on for this long, whatever the tail.
         cleared: Duration = ("cleared_ms", "ms", 1500, 0 to 600000, off 0),
-        /// After an alarm, figures show for this long what is over already.
+        /// A load too high to be told by its tail stops what may be the cause; its figures show for this
+        /// long what is over already.
         settle: Duration = ("settle_ms", "ms", 900, 0 to 10000, off 0),
         /// The least pace, percent: what stands still teaches nothing.
         least: u32 = ("least_percent", "percent", 5, 0 to 100, off 100),
