--- a/crates/wax-logs/src/cause.rs
+++ b/crates/wax-logs/src/cause.rs
@@ -4,7 +4,7 @@
 //! to nothing, its wait, then the task whose end let its step begin.
 
 use crate::event::step_of;
-use crate::history::{JobHistory, RunHistory};
+use crate::history::{JobHistory, RunHistory, StepPause};
 use std::collections::BTreeMap;
 use std::fmt;
 
@@ -79,7 +79,6 @@
         let Some((first, last)) = runs.first().zip(runs.last()) else {
             break;
         };
-        let opened = first.ordered - first.waited;
         match last.done() {
             Some(end) => runs_time += end - last.ordered,
             None => add(LateCause::Unfinished, UNFINISHED_SPAN),
@@ -87,9 +86,14 @@
         for pair in runs.windows(2) {
             add(lost_cause(pair[0]), pair[1].ordered - pair[0].ordered);
         }
-        add(wait_cause(job, first), first.waited);
-        let before = predecessor(&tasks, opened, &first.task);
+        let since = first.ordered - first.waited;
+        let before = predecessor(&tasks, since, &first.task);
         let earlier = before.map_or(job.accepted, |(_, end)| end);
+        // The wait of a step is counted anew once a sibling has come back: what was told before
+        // that shows that the step waited already.
+        let told = first_told(job, first, earlier);
+        let opened = told.map_or(since, |told| told.min(since));
+        add(wait_cause(job, first, earlier), first.ordered - opened);
         add(LateCause::NoOwner, opened - earlier);
         next = before.map(|(task, _)| task);
     }
@@ -147,13 +151,25 @@
     }
 }
 
-/// The reason that was told last while a task waited for its first start.
-fn wait_cause(job: &JobHistory, first: &RunHistory) -> LateCause {
-    let span = first.ordered - first.waited - SAME_MOMENT..=first.ordered;
+/// What was told of a task's step from `earlier` to the task's first start, in order.
+fn told<'a>(
+    job: &'a JobHistory,
+    first: &'a RunHistory,
+    earlier: f64,
+) -> impl DoubleEndedIterator<Item = &'a StepPause> {
+    let span = earlier - SAME_MOMENT..=first.ordered;
     let step = step_of(&first.task);
-    let told = job
-        .pauses
-        .iter()
-        .rfind(|pause| *pause.step == *step && span.contains(&pause.at));
-    LateCause::Wait(told.map_or_else(|| "unknown".into(), |pause| pause.reason.clone()))
+    let pauses = job.pauses.iter();
+    pauses.filter(move |pause| *pause.step == *step && span.contains(&pause.at))
+}
+
+/// Since when a task's step is known to have waited.
+fn first_told(job: &JobHistory, first: &RunHistory, earlier: f64) -> Option<f64> {
+    told(job, first, earlier).next().map(|pause| pause.at)
+}
+
+/// The reason that was told last while a task waited for its first start.
+fn wait_cause(job: &JobHistory, first: &RunHistory, earlier: f64) -> LateCause {
+    let last = told(job, first, earlier).next_back();
+    LateCause::Wait(last.map_or_else(|| "unknown".into(), |pause| pause.reason.clone()))
 }
--- a/crates/wax-logs/tests/reports.rs
+++ b/crates/wax-logs/tests/reports.rs
@@ -95,6 +95,26 @@
     assert!((shares[1].seconds - 1.9).abs() < 0.01, "{shares:?}");
 }
 
+/// A sibling that comes back begins the step's wait anew; the task has waited all the same.
+#[test]
+fn a_wait_that_is_counted_anew_is_not_taken_for_a_missing_owner() {
+    let lines = [
+        accepted(1_010, "a", 4_000),
+        waits(1_020, "a.0.0.1", "spare"),
+        start(1_020, "a.0.0.0", 1, 2),
+        stop(5_000, "a.0.0.0", 1),
+        end(5_100, "a.0.0.0", 1, "Stopped"),
+        start(6_000, "a.0.0.0", 2, 900),
+        end(6_900, "a.0.0.0", 2, "Done"),
+        start(6_500, "a.0.0.1", 1, 1_400),
+        end(9_000, "a.0.0.1", 1, "Done"),
+        job_end(9_010, "a"),
+    ];
+    let shares = late_shares(&day(&lines).jobs["a"]);
+    assert_eq!(shares[0].cause, LateCause::Wait("spare".into()));
+    assert!((shares[0].seconds - 5.48).abs() < 0.01, "{shares:?}");
+}
+
 #[test]
 fn the_order_of_lines_and_files_does_not_matter() {
     let lines = late_job();
