--- a/crates/wax-agent/tests/boots.rs
+++ b/crates/wax-agent/tests/boots.rs
@@ -13,7 +13,7 @@
     }
 }
 
-/// Further trouble-2 at seed 14 without processor time: a second registration let a task run twice.
+/// A second registration counts all that runs there as lost: a task then ran twice.
 #[test]
 fn a_boot_that_checks_in_while_it_is_verified_is_registered_once() {
     let mut watch = BootWatch::default();
