--- a/crates/wax-agent/src/owner_link.rs
+++ b/crates/wax-agent/src/owner_link.rs
@@ -21,7 +21,7 @@
 /// Between two heartbeats.
 const PING_PERIOD: Duration = Duration::from_millis(400);
 /// A link without an answer to its heartbeats for this long is given up.
-const LINK_LIMIT: Duration = Duration::from_millis(1_000);
+const LINK_LIMIT: Duration = Duration::from_millis(1_800);
 /// The same while the owner still loads its shard and has not taken over the worker's runs.
 const TAKEOVER_LIMIT: Duration = Duration::from_millis(5_000);
 /// Beside an owner that has lost the store, another is looked for this often.
--- a/crates/wax-batch/src/ends.rs
+++ b/crates/wax-batch/src/ends.rs
@@ -94,8 +94,12 @@
         }
         let listed: HashSet<RunMark> = runs.iter().map(|run| run.mark).collect();
         for run in runs {
+            let is_orphan = self.is_orphan(worker, run.mark);
             self.adopt(worker, run, now);
-            self.stop_again(worker, run.mark);
+            if is_orphan || self.is_being_stopped(worker, run.mark) {
+                let (mark, why) = (run.mark, StopReason::Repeated);
+                self.stops.push(StopOrder { worker, mark, why });
+            }
         }
         let Some(life) = self.workers.get(worker) else {
             return;
@@ -136,15 +140,19 @@
         }
     }
 
-    /// Repeats a stop whose order may have been lost with a link.
-    fn stop_again(&mut self, worker: WorkerKey, mark: RunMark) {
+    /// Whether a run's stop was ordered: the order may have been lost with a link.
+    fn is_being_stopped(&mut self, worker: WorkerKey, mark: RunMark) -> bool {
         let seat = self
             .run_task(worker, mark)
             .and_then(|at| self.task_mut(at)?.seat().copied());
-        if seat.is_some_and(|seat| seat.stopping && seat.run == mark.run) {
-            let why = StopReason::Repeated;
-            self.stops.push(StopOrder { worker, mark, why });
-        }
+        seat.is_some_and(|seat| seat.stopping && seat.run == mark.run)
+    }
+
+    /// Whether a run of no known job is booked, which is always being stopped.
+    fn is_orphan(&self, worker: WorkerKey, mark: RunMark) -> bool {
+        let life = self.workers.get(worker);
+        let seat = life.and_then(|life| life.runs.get(&mark));
+        seat.is_some_and(|seat| seat.task.is_none())
     }
 
     fn stop_orphan(&mut self, worker: WorkerKey, mark: RunMark) {
--- a/crates/wax-batch/tests/life.rs
+++ b/crates/wax-batch/tests/life.rs
@@ -451,6 +451,20 @@
     assert_eq!(stops[0].mark, members[1].mark);
 }
 
+/// The order may have been lost with its link: the run would go on for ever.
+#[test]
+fn the_stop_of_what_no_job_asks_for_is_repeated_on_the_next_link() {
+    let mut book = book(1);
+    let worker = worker(&mut book, "w", 2_000);
+    let runs = [running(mark(9, 0, 0, 1))];
+    book.sync_worker(worker, &runs, &[], at(0), wall(0));
+    assert_eq!(book.take_stops().len(), 1);
+    book.sync_worker(worker, &runs, &[], at(1_000), wall(1_000));
+    let stops = book.take_stops();
+    assert_eq!(stops.len(), 1);
+    assert_eq!(stops[0].mark, mark(9, 0, 0, 1));
+}
+
 #[test]
 fn what_a_worker_may_forget_can_be_told_again_after_a_lost_link() {
     let mut book = book(1);
--- a/crates/wax-owner/src/spans.rs
+++ b/crates/wax-owner/src/spans.rs
@@ -41,7 +41,7 @@
             slack: Duration::from_millis(500),
             beat: Duration::from_millis(600),
             flush: Duration::from_millis(250),
-            link: Duration::from_millis(1_300),
+            link: Duration::from_millis(2_500),
         }
     }
 }
