--- a/crates/wax-agent/src/boots.rs
+++ b/crates/wax-agent/src/boots.rs
@@ -3,9 +3,12 @@
 //! A boot that is driven is never registered a second time: all that runs on it would count as lost,
 //! and would be started elsewhere while it runs.
 
-use std::collections::HashSet;
+use std::collections::{HashSet, VecDeque};
 use wax_batch::WorkerView;
 
+/// Dead boots that an owner is told: more than one machine has within a term.
+const MOST_TOLD: usize = 8;
+
 /// What a worker says of itself in one check-in.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BootReport {
@@ -42,6 +45,7 @@
 pub struct BootWatch {
     candidate: Option<BootReport>,
     dead: HashSet<Box<str>>,
+    newest_dead: VecDeque<Box<str>>,
 }
 
 impl BootWatch {
@@ -76,7 +80,18 @@
 
     /// The boot has ended: its late check-ins count for nothing.
     pub fn bury(&mut self, id: &str) {
-        self.dead.insert(id.into());
+        if !self.dead.insert(id.into()) {
+            return;
+        }
+        self.newest_dead.push_back(id.into());
+        if self.newest_dead.len() > MOST_TOLD {
+            self.newest_dead.pop_front();
+        }
+    }
+
+    /// The boots that ended last, for an owner that may wait for one of them.
+    pub fn newest_dead(&self) -> Vec<String> {
+        self.newest_dead.iter().map(|id| id.to_string()).collect()
     }
 
     /// Whether the boot has ended.
--- a/crates/wax-agent/src/check_ins.rs
+++ b/crates/wax-agent/src/check_ins.rs
@@ -63,18 +63,19 @@
         Ok(())
     }
 
+    /// The worker's word that it ends; the owner may wait for a boot that this process never drove.
     fn leave(&self, id: &str) {
         self.state.boots.borrow_mut().bury(id);
-        let mut boot = self.state.boot.borrow_mut();
-        if boot
-            .as_ref()
-            .is_some_and(|boot: &WorkerBoot| *boot.view.id == *id)
-        {
-            *boot = None;
-            tracing::info!(worker = id, "worker has left");
-            self.state
-                .tell(PoolBody::WorkerGone(WorkerGone { worker: id.into() }));
-            self.state.changed.notify(usize::MAX);
-        }
+        let left = self
+            .state
+            .boot
+            .borrow_mut()
+            .take_if(|boot: &mut WorkerBoot| *boot.view.id == *id);
+        tracing::info!(worker = id, driven = left.is_some(), "worker has left");
+        self.state.tell(PoolBody::WorkerGone(WorkerGone {
+            worker: id.into(),
+            dead: true,
+        }));
+        self.state.changed.notify(usize::MAX);
     }
 }
--- a/crates/wax-agent/src/driver.rs
+++ b/crates/wax-agent/src/driver.rs
@@ -112,7 +112,10 @@
         state.boots.borrow_mut().bury(id);
         count(Counter::WorkersGone);
         tracing::warn!(worker = id, why, "worker is gone");
-        state.tell(PoolBody::WorkerGone(WorkerGone { worker: id.into() }));
+        state.tell(PoolBody::WorkerGone(WorkerGone {
+            worker: id.into(),
+            dead: true,
+        }));
     }
 }
 
@@ -131,7 +134,10 @@
     *boot = None;
     count(Counter::WorkersGone);
     tracing::warn!(worker = id, "leases have lapsed");
-    state.tell(PoolBody::WorkerGone(WorkerGone { worker: id.into() }));
+    state.tell(PoolBody::WorkerGone(WorkerGone {
+        worker: id.into(),
+        dead: false,
+    }));
     let report = BootReport { view, sequence };
     state.boots.borrow_mut().offer(report);
 }
--- a/crates/wax-agent/src/owner_link.rs
+++ b/crates/wax-agent/src/owner_link.rs
@@ -166,6 +166,7 @@
     let (mut reader, mut writer) = split_stream(stream);
     let hello = AgentHello {
         node: state.node.to_string(),
+        dead: state.boots.borrow().newest_dead(),
     };
     writer.write(PoolBody::AgentHello(hello)).await?;
     match reader.read().await? {
--- a/crates/wax-agent/src/table.rs
+++ b/crates/wax-agent/src/table.rs
@@ -145,6 +145,9 @@
     /// Compares a worker's lists, of hold number `hold`, with the table.
     pub fn observe(&mut self, running: &[RunReport], ended: &[RunEnd], hold: u64) -> HoldNews {
         let mut news = HoldNews::default();
+        for row in self.rows.values_mut() {
+            row.report.listed = false;
+        }
         for report in running {
             let row = self
                 .rows
@@ -265,6 +268,7 @@
                 checkpoint: "".into(),
                 percent: 0,
                 figure: 0,
+                listed: false,
             },
             percent_sent: 0,
             checkpoint_sent: "".into(),
--- a/crates/wax-agent/tests/guards.rs
+++ b/crates/wax-agent/tests/guards.rs
@@ -55,6 +55,7 @@
         checkpoint: "".into(),
         percent: 10,
         figure: 0,
+        listed: true,
     }
 }
 
--- a/crates/wax-batch/src/book.rs
+++ b/crates/wax-batch/src/book.rs
@@ -6,6 +6,7 @@
 use crate::progress::{JobOutcome, JobProgress, JobRow};
 use crate::queue::{QueueConfig, QueueRules};
 use crate::spec::{JobSpec, TaskSize};
+use crate::unheard::UnheardRuns;
 use crate::why::{PlaceReason, StepWait, StopReason};
 use crate::worker::{WorkerKey, WorkerView};
 use slotmap::SlotMap;
@@ -165,8 +166,8 @@
     pub(crate) pairs: PressTable,
     /// The owner's term.
     pub(crate) epoch: u64,
-    /// Whether tasks of jobs of earlier terms may be started: all who may run them were heard.
-    pub(crate) settled: bool,
+    /// What workers that were not heard may still run of earlier terms.
+    pub(crate) unheard: UnheardRuns,
 }
 
 impl JobBook {
@@ -185,7 +186,7 @@
             approvals: HashMap::new(),
             pairs: PressTable::default(),
             epoch,
-            settled: false,
+            unheard: UnheardRuns::Any,
         }
     }
 
@@ -206,16 +207,6 @@
         self.rules = rules;
     }
 
-    /// All who may run tasks of earlier terms were heard or have lapsed.
-    pub fn settle(&mut self) {
-        self.settled = true;
-    }
-
-    /// Whether tasks of earlier terms may be started.
-    pub fn is_settled(&self) -> bool {
-        self.settled
-    }
-
     /// Notes how much press an image that serves bears on a worker in all.
     pub fn set_press_room(&mut self, worker: WorkerKey, serving: &str, room: f64) {
         if let Some(life) = self.workers.get_mut(worker) {
--- a/crates/wax-batch/src/ends.rs
+++ b/crates/wax-batch/src/ends.rs
@@ -237,6 +237,9 @@
             }
         }
         self.jobs[at.step.job].begun = true;
+        if report.listed {
+            self.note_located(at);
+        }
     }
 
     /// A worker lists an end.
--- a/crates/wax-batch/src/lib.rs
+++ b/crates/wax-batch/src/lib.rs
@@ -17,6 +17,7 @@
 mod rank;
 mod seats;
 mod spec;
+mod unheard;
 mod why;
 mod worker;
 
@@ -34,5 +35,6 @@
 pub use queue::{AdviceRules, QueueConfig, QueueRules, QueueTable, ServiceRules};
 pub use rank::{JobRank, latest_start_ms, longest_chain_ms, objective_ms};
 pub use spec::{JobSpec, RepeatPlan, SpecError, StepSpec, TaskSize};
+pub use unheard::UnheardRuns;
 pub use why::{PlaceReason, StepWait, StopReason, WaitReason};
 pub use worker::{RunEnd, RunEndKind, RunReport, WorkerKey, WorkerState, WorkerView};
--- a/crates/wax-batch/src/life.rs
+++ b/crates/wax-batch/src/life.rs
@@ -54,9 +54,16 @@
     pub checkpoint: Box<str>,
     /// The worker of its last failed run, and until when it does not go back there.
     pub shuns: Option<(WorkerKey, TimePoint)>,
+    /// Whether a worker listed a run of it as running in this term: no other worker has one.
+    pub located: bool,
 }
 
 impl TaskLife {
+    /// Whether it waits for a worker.
+    pub fn is_waiting(&self) -> bool {
+        matches!(self.stand, TaskStand::Waiting)
+    }
+
     /// Its seat, if it is placed.
     pub fn seat(&self) -> Option<&TaskSeat> {
         match &self.stand {
@@ -91,6 +98,10 @@
     pub told_wait: Option<(WaitReason, TimePoint)>,
     /// Tasks on each worker, for steps that are kept apart.
     pub spread: BTreeMap<WorkerKey, u32>,
+    /// Whether a run of it was listed as running in this term, or it was opened after such a step.
+    pub outlived_takeover: bool,
+    /// Whether no owner of an earlier term can have started its tasks.
+    pub is_new_in_term: bool,
 }
 
 impl StepLife {
@@ -184,6 +195,12 @@
                 self.steps[earlier].is_done(&spec.steps[earlier])
             });
             if free {
+                // An earlier owner cannot have opened it: a task before it still ran in this term.
+                let mut earlier = step_spec.after.iter().map(|step| usize::from(*step));
+                let is_new = self.steps[number].tasks.is_empty()
+                    && earlier.any(|step| self.steps[step].outlived_takeover);
+                self.steps[number].is_new_in_term = is_new;
+                self.steps[number].outlived_takeover |= is_new;
                 self.steps[number].open(step_spec, now);
                 opened.push(number as u16);
             }
--- a/crates/wax-batch/src/place.rs
+++ b/crates/wax-batch/src/place.rs
@@ -1,11 +1,11 @@
 //! Which task starts where.
 
 use crate::book::{JobBook, StartOrder, StepAt, TaskAt};
-use crate::life::TaskStand;
 use crate::names::RunMark;
 use crate::patience::FillPatience;
 use crate::rank::JobRank;
 use crate::spec::StepSpec;
+use crate::unheard::StepClearance;
 use crate::why::{PlaceReason, StepWait, WaitReason};
 use crate::worker::{WorkerKey, WorkerState};
 use std::collections::BTreeMap;
@@ -58,10 +58,10 @@
     pub fn place(&mut self, now: TimePoint) -> Vec<StartOrder> {
         let mut ranked: Vec<(JobRank, StepAt)> = Vec::with_capacity(self.ready.len());
         for at in &self.ready {
-            let job = &self.jobs[at.job];
-            if !self.settled && job.epoch < self.epoch {
+            if !self.has_cleared(*at) {
                 continue;
             }
+            let job = &self.jobs[at.job];
             ranked.push((JobRank::new(job, at.occurrence, at.step, now), *at));
         }
         ranked.sort_unstable();
@@ -72,6 +72,20 @@
         orders
     }
 
+    /// Whether any waiting task of a step may be started.
+    fn has_cleared(&self, at: StepAt) -> bool {
+        let Some(step) = self.step_life(at) else {
+            return false;
+        };
+        match self.clearance(at, step) {
+            StepClearance::All => true,
+            some => step
+                .tasks
+                .iter()
+                .any(|task| task.is_waiting() && some.covers(task)),
+        }
+    }
+
     fn place_step(
         &mut self,
         at: StepAt,
@@ -87,9 +101,10 @@
             return;
         };
         let life = &occurrence.steps[usize::from(at.step)];
+        let clearance = self.clearance(at, life);
         let waiting: Vec<u32> = (0..)
             .zip(&life.tasks)
-            .filter(|(_, task)| matches!(task.stand, TaskStand::Waiting))
+            .filter(|(_, task)| task.is_waiting() && clearance.covers(task))
             .map(|(index, _)| index)
             .collect();
         let gang_waits = step.gang && waiting.len() < step.count as usize;
--- a/crates/wax-batch/src/worker.rs
+++ b/crates/wax-batch/src/worker.rs
@@ -84,4 +84,6 @@
     pub percent: u32,
     /// For a serving task its tail latency in milliseconds, else the thousandths of a core in use.
     pub figure: u32,
+    /// Whether the worker itself lists it as running; else it may only begin yet.
+    pub listed: bool,
 }
--- a/crates/wax-batch/tests/support/mod.rs
+++ b/crates/wax-batch/tests/support/mod.rs
@@ -129,6 +129,7 @@
         checkpoint: "".into(),
         percent: 10,
         figure: 0,
+        listed: true,
     }
 }
 
--- a/crates/wax-front/src/accept.rs
+++ b/crates/wax-front/src/accept.rs
@@ -71,6 +71,13 @@
                 }
             }
             TxFate::NotSent(error) => return Err(not_stored(&error.label)),
+            TxFate::Refused(error) => {
+                let text = format!("the store takes no such job: {}", error.label);
+                return Err(
+                    WaxError::new(ErrorKind::Invalid, Step::SubmitJob, "store", text)
+                        .with_help("submit a smaller job"),
+                );
+            }
             TxFate::Unknown(error) => {
                 let text = format!("it is not known whether the job is stored: {}", error.label);
                 return Err(
--- a/crates/wax-front/src/cancel.rs
+++ b/crates/wax-front/src/cancel.rs
@@ -69,7 +69,7 @@
             }
             // Another cancel was first, or the job was forgotten: the rows tell.
             TxFate::Conflict(_) => {}
-            TxFate::NotSent(error) | TxFate::Unknown(error) => {
+            TxFate::NotSent(error) | TxFate::Unknown(error) | TxFate::Refused(error) => {
                 state.note_store(false);
                 let kind = ErrorKind::Timeout;
                 return Err(WaxError::new(kind, Step::SubmitJob, "store", error.label)
--- a/crates/wax-front/src/owner_link.rs
+++ b/crates/wax-front/src/owner_link.rs
@@ -12,7 +12,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_types::TimePoint;
-use wax_wire::{ConfigPush, EntryHello, LinkPing, PoolBody, PoolReader, PoolWriter, split_stream};
+use wax_wire::{
+    BootsDead, ConfigPush, EntryHello, LinkPing, PoolBody, PoolReader, PoolWriter, split_stream,
+};
 
 /// Longest time for a connection and its first answer.
 const CONNECT_LIMIT: Duration = Duration::from_millis(600);
@@ -109,6 +111,7 @@
     let (outbox, inbox) = unbounded();
     *state.outbox.borrow_mut() = Some(outbox.clone());
     state.shared.owner_heard.set(state.shared.now());
+    tell_dead(state, &outbox);
     let writing = spawn(write_link(writer, inbox));
     let pinging = spawn(ping(state.clone(), outbox));
     {
@@ -124,6 +127,16 @@
     drop(writing);
 }
 
+/// A new owner may wait for workers that this front knows to be gone.
+fn tell_dead(state: &FrontState, outbox: &UnboundedSender<PoolBody>) {
+    let newest = state.shared.gone.borrow().newest();
+    if !newest.is_empty() {
+        let boots = newest.into_iter().map(String::from).collect();
+        // The queue is new: it takes the first message.
+        let _ = outbox.unbounded_send(PoolBody::BootsDead(BootsDead { boots }));
+    }
+}
+
 async fn read_link(state: &FrontState, mut reader: PoolReader) {
     while let Ok(Ok(Some(body))) = timeout(LINK_LIMIT, reader.read()).await {
         take_message(state, body);
@@ -197,6 +210,12 @@
                 let _ = asker.send(told);
             }
         }
+        PoolBody::BootsDead(dead) => {
+            let mut gone = state.shared.gone.borrow_mut();
+            for boot in &dead.boots {
+                gone.note(boot);
+            }
+        }
         PoolBody::Config(push) => {
             if let Err(error) = state.shared.offer_config(&push.text, "the owner") {
                 tracing::error!(%error, "config of the owner refused");
--- a/crates/wax-front/src/store_way.rs
+++ b/crates/wax-front/src/store_way.rs
@@ -10,9 +10,9 @@
 use platform::TxRequest;
 use std::pin::pin;
 use std::time::Duration;
-use wax_owner::{TxFate, encode_ask, relayed_rows, transact};
-use wax_types::{ErrorKind, Step, TimePoint, WaxError};
-use wax_wire::{PoolBody, RelayFate, RelayTold};
+use wax_owner::{AskOutcome, RelayDoubt, TxFate, encode_ask, transact};
+use wax_types::TimePoint;
+use wax_wire::PoolBody;
 
 /// The other way is taken, too, once the first has not led to an answer for this long. A store that
 /// is well takes 10 ms; one that is slow takes a second, and suffers from every transaction that
@@ -49,10 +49,10 @@
             settle(fate, relayed).await
         }
         Either::Right((fate, direct)) => {
-            if !is_known(&fate) {
+            if !fate.is_known() {
                 let own = direct.await;
                 note_direct(state, &own);
-                return either(fate, own);
+                return fate.join(own);
             }
             state.note_store(false);
             tracing::info!("the owner has sent a transaction for us");
@@ -63,79 +63,54 @@
 
 /// What the own way says counts if it is certain; else the other way is waited for.
 async fn settle(own: TxFate, relayed: impl Future<Output = TxFate>) -> TxFate {
-    match is_known(&own) {
+    match own.is_known() {
         true => own,
-        false => either(own, relayed.await),
-    }
-}
-
-/// Whether a transaction has, or surely has not, taken effect by its conditions.
-fn is_known(fate: &TxFate) -> bool {
-    matches!(fate, TxFate::Committed(_) | TxFate::Conflict(_))
-}
-
-/// Two ways of one transaction: what is known goes first, and doubt before "not sent".
-fn either(one: TxFate, other: TxFate) -> TxFate {
-    match (one, other) {
-        (known, _) if is_known(&known) => known,
-        (_, known) if is_known(&known) => known,
-        (doubt @ TxFate::Unknown(_), _) | (_, doubt @ TxFate::Unknown(_)) => doubt,
-        (none, _) => none,
+        false => own.join(relayed.await),
     }
 }
 
 fn note_direct(state: &FrontState, fate: &TxFate) {
-    state.note_store(is_known(fate));
+    state.note_store(fate.is_known());
 }
 
 /// Has the owner send the transaction.
 async fn relay(state: &FrontState, tx: &TxRequest, deadline: TimePoint) -> TxFate {
-    let mut asked = false;
+    let mut doubt = RelayDoubt::default();
     loop {
         let left = deadline.since(state.shared.now());
         if left.is_zero() {
-            return missing(asked);
+            return doubt.end();
         }
         if !state.hears_owner() {
             // The owner has lost the store as well, or there is none.
             sleep(RELAY_PAUSE.min(left)).await;
             continue;
         }
-        match ask_owner(state, tx, left).await {
-            Some(told) => match told.fate() {
-                RelayFate::Committed => return TxFate::Committed(told.version),
-                RelayFate::Conflict => return TxFate::Conflict(relayed_rows(told)),
-                RelayFate::Unknown => asked = true,
-                RelayFate::NotSent => {}
-            },
-            // The link may have broken after the question was read.
-            None => asked |= state.outbox.borrow().is_some(),
+        let outcome = ask_owner(state, tx, left).await;
+        if let Some(fate) = doubt.take(outcome) {
+            return fate;
         }
         sleep(RELAY_PAUSE.min(left)).await;
     }
 }
 
-fn missing(asked: bool) -> TxFate {
-    let error = WaxError::new(
-        ErrorKind::Timeout,
-        Step::SubmitJob,
-        "owner",
-        "neither the store nor the owner answers",
-    );
-    match asked {
-        true => TxFate::Unknown(error),
-        false => TxFate::NotSent(error),
-    }
-}
-
-async fn ask_owner(state: &FrontState, tx: &TxRequest, wait: Duration) -> Option<RelayTold> {
+async fn ask_owner(state: &FrontState, tx: &TxRequest, wait: Duration) -> AskOutcome {
     let number = state.next_ask.get();
     state.next_ask.set(number + 1);
     let (sender, answer) = oneshot::channel();
-    let ask = PoolBody::Relay(encode_ask(number, tx, wait));
-    state.outbox.borrow().as_ref()?.unbounded_send(ask).ok()?;
+    let ask = PoolBody::Relay(encode_ask(number, tx, wait, state.shared.now()));
+    let handed = match &*state.outbox.borrow() {
+        Some(outbox) => outbox.unbounded_send(ask).is_ok(),
+        None => false,
+    };
+    if !handed {
+        return AskOutcome::NotAsked;
+    }
     state.relays.borrow_mut().insert(number, sender);
     let told = timeout(wait, answer).await;
     state.relays.borrow_mut().remove(&number);
-    told.ok()?.ok()
+    match told {
+        Ok(Ok(told)) => AskOutcome::Told(told),
+        _ => AskOutcome::NoAnswer,
+    }
 }
--- a/crates/wax-owner/src/agents.rs
+++ b/crates/wax-owner/src/agents.rs
@@ -2,7 +2,7 @@
 
 use crate::dispatch::seat_frame;
 use crate::shared::PoolShared;
-use crate::tenure::{AgentLife, RowStand, Tenure};
+use crate::tenure::Tenure;
 use crate::writer::silent_for;
 use compio::runtime::spawn;
 use compio::time::timeout;
@@ -14,18 +14,19 @@
 use wax_batch::{RunEnd, RunMark, RunReport, WorkerKey, WorkerView};
 use wax_types::{TimePoint, wall_clock_ms};
 use wax_wire::{
-    AckEnds, LeaseGrant, LinkPing, OwnerWelcome, PoolBody, PoolReader, PoolWriter, PressFrame,
-    PressNews, RunNews, WorkerKept, WorkerUp,
+    AckEnds, AgentHello, LeaseGrant, LinkPing, OwnerWelcome, PoolBody, PoolReader, PoolWriter,
+    PressFrame, PressNews, RunNews, WorkerGone, WorkerKept, WorkerUp,
 };
 
 /// Serves one link until it breaks, falls silent, or the term ends.
 pub(crate) async fn serve_agent(
     shared: &PoolShared,
     tenure: &Rc<Tenure>,
-    node: Box<str>,
+    hello: AgentHello,
     reader: PoolReader,
     writer: PoolWriter,
 ) {
+    let node: Box<str> = hello.node.into();
     let (link, token) = tenure.next_token();
     let (outbox, inbox) = unbounded();
     let welcome = OwnerWelcome {
@@ -35,6 +36,7 @@
     // The queue is new: it takes the first message.
     let _ = outbox.unbounded_send(PoolBody::Welcome(welcome));
     open_link(shared, tenure, &node, link, &outbox);
+    tenure.note_dead(shared, &hello.dead);
     let writing = spawn(write_link(writer, inbox));
     let link_life = AgentLink {
         shared,
@@ -69,38 +71,27 @@
     outbox: &UnboundedSender<PoolBody>,
 ) {
     let now = shared.now();
-    let mut agents = tenure.agents.borrow_mut();
-    let agent = agents.entry(node.into()).or_insert_with(|| AgentLife {
-        link,
-        outbox: None,
-        worker: None,
-        grant_end: now,
-        lapse_at: None,
-        row: RowStand::Absent,
-    });
-    // Until its worker's runs are told on this link, those of the link before count.
-    if agent.lapse_at.is_none() && agent.worker.is_some() {
-        agent.lapse_at = Some(agent.grant_end + shared.spans.lapse_after_grant());
-    }
-    if let Some((worker, _)) = &agent.worker {
-        tenure.book.borrow_mut().worker_reachable(*worker, false);
+    let known = tenure
+        .agents
+        .borrow_mut()
+        .open(node, link, outbox, now, &shared.spans);
+    if let Some(worker) = known {
+        tenure.book.borrow_mut().worker_reachable(worker, false);
     }
-    agent.link = link;
-    agent.outbox = Some(outbox.clone());
     tracing::info!(agent = node, link, epoch = tenure.epoch, "agent linked");
 }
 
 fn close_link(shared: &PoolShared, tenure: &Tenure, node: &str, link: u64, why: &str) {
-    let mut agents = tenure.agents.borrow_mut();
-    let Some(agent) = agents.get_mut(node).filter(|agent| agent.link == link) else {
+    let now = shared.now();
+    let closed = tenure
+        .agents
+        .borrow_mut()
+        .close(node, link, now, &shared.spans);
+    let Some(known) = closed else {
         return;
     };
-    agent.outbox = None;
-    agent.link = 0;
-    let lapse_at = agent.grant_end + shared.spans.lapse_after_grant();
-    agent.lapse_at.get_or_insert(lapse_at);
-    if let Some((worker, _)) = &agent.worker {
-        tenure.book.borrow_mut().worker_reachable(*worker, false);
+    if let Some(worker) = known {
+        tenure.book.borrow_mut().worker_reachable(worker, false);
     }
     tracing::warn!(agent = node, link, why, "agent unlinked");
 }
@@ -131,10 +122,7 @@
     }
 
     fn is_current(&self) -> bool {
-        let agents = self.tenure.agents.borrow();
-        agents
-            .get(self.node)
-            .is_some_and(|agent| agent.link == self.link)
+        self.tenure.agents.borrow().is_current(self.node, self.link)
     }
 
     fn note_heard(&self) {
@@ -154,7 +142,7 @@
             PoolBody::Ping(ping) => self.grant(&ping),
             PoolBody::WorkerUp(up) => self.worker_up(up).await,
             PoolBody::WorkerChanged(frame) => self.worker_changed(frame.into()),
-            PoolBody::WorkerGone(gone) => self.worker_gone(&gone.worker),
+            PoolBody::WorkerGone(gone) => self.worker_gone(&gone),
             PoolBody::News(news) => self.news(&news),
             PoolBody::Presses(news) => self.presses(&news),
             other => tracing::warn!(?other, agent = self.node, "unexpected message of an agent"),
@@ -170,10 +158,11 @@
         } else {
             acting_left.min(spans.grant)
         };
-        if let Some(agent) = self.tenure.agents.borrow_mut().get_mut(self.node) {
-            // The heartbeat was sent before now, so that the grant ends before this.
-            agent.grant_end = agent.grant_end.max(now + valid);
-        }
+        // The heartbeat was sent before now, so that the grant ends before this.
+        self.tenure
+            .agents
+            .borrow_mut()
+            .granted(self.node, now + valid);
         self.send(PoolBody::Grant(LeaseGrant {
             sent_us: ping.sent_us,
             valid_ms: valid.as_millis() as u64,
@@ -186,7 +175,7 @@
     /// Takes over a worker's runs, once the store knows that this agent may be given orders.
     async fn worker_up(&self, up: WorkerUp) {
         self.tenure.loaded.wait().await;
-        self.store_row().await;
+        self.store_row(up.worker.id()).await;
         if self.tenure.over.is_raised() || !self.is_current() {
             return;
         }
@@ -225,12 +214,7 @@
     }
 
     fn join(&self, view: WorkerView, now: TimePoint) -> WorkerKey {
-        let mut agents = self.tenure.agents.borrow_mut();
-        let before = agents.get_mut(self.node).and_then(|agent| {
-            agent.lapse_at = None;
-            agent.worker.take()
-        });
-        drop(agents);
+        let before = self.tenure.agents.borrow().worker(self.node);
         let id = view.id.clone();
         let key = match before {
             Some((key, known)) if known == id => {
@@ -245,82 +229,54 @@
             }
             None => self.tenure.book.borrow_mut().worker_joined(view),
         };
-        if let Some(agent) = self.tenure.agents.borrow_mut().get_mut(self.node) {
-            agent.worker = Some((key, id));
-        }
+        self.tenure
+            .agents
+            .borrow_mut()
+            .compared(self.node, key, &id);
         key
     }
 
-    async fn store_row(&self) {
+    /// Waits until the store says that the worker may be given orders.
+    async fn store_row(&self, worker: &str) {
         loop {
             let listener = self.tenure.rows_stored.listen();
-            let stand = self
-                .tenure
-                .agents
-                .borrow()
-                .get(self.node)
-                .map(|agent| agent.row);
-            match stand {
-                Some(RowStand::Stored) | None => return,
-                Some(RowStand::Absent) => {
-                    if let Some(agent) = self.tenure.agents.borrow_mut().get_mut(self.node) {
-                        agent.row = RowStand::Queued;
-                    }
-                    self.tenure
-                        .agent_rows
-                        .borrow_mut()
-                        .insert(self.node.into(), true);
-                    self.tenure.write.notify(usize::MAX);
-                }
-                Some(RowStand::Queued) => {}
-            }
-            if self.tenure.over.is_raised() {
+            let is_stored = self.tenure.agents.borrow_mut().ask_row(self.node, worker);
+            if is_stored || self.tenure.over.is_raised() || !self.is_current() {
                 return;
             }
+            self.tenure.write.notify(usize::MAX);
             listener.await;
         }
     }
 
     fn worker(&self) -> Option<WorkerKey> {
-        let agents = self.tenure.agents.borrow();
-        agents.get(self.node)?.worker.as_ref().map(|(key, _)| *key)
+        let known = self.tenure.agents.borrow().worker(self.node);
+        known.map(|(key, _)| key)
     }
 
     fn worker_changed(&self, view: WorkerView) {
-        let known = self
-            .tenure
-            .agents
-            .borrow()
-            .get(self.node)
-            .and_then(|agent| agent.worker.clone());
+        let known = self.tenure.agents.borrow().worker(self.node);
         if let Some((key, _)) = known.filter(|(_, id)| *id == view.id) {
             self.tenure.book.borrow_mut().worker_changed(key, view);
             self.tenure.dispatch.notify(usize::MAX);
         }
     }
 
-    fn worker_gone(&self, id: &str) {
-        let now = self.shared.now();
-        let gone = {
-            let mut agents = self.tenure.agents.borrow_mut();
-            agents.get_mut(self.node).and_then(|agent| {
-                let gone = agent.worker.take_if(|(_, known)| **known == *id);
-                if gone.is_some() {
-                    agent.lapse_at = None;
-                    // Nothing runs there: the next owner need not wait for this agent.
-                    agent.row = RowStand::Absent;
-                    self.tenure
-                        .agent_rows
-                        .borrow_mut()
-                        .insert(self.node.into(), false);
-                }
-                gone
-            })
-        };
-        if let Some((key, _)) = gone {
-            tracing::warn!(agent = self.node, worker = id, "worker is gone");
-            self.tenure.write.notify(usize::MAX);
-            self.tenure.lose_worker(key, now);
+    fn worker_gone(&self, gone: &WorkerGone) {
+        let key = self
+            .tenure
+            .agents
+            .borrow_mut()
+            .worker_gone(self.node, &gone.worker);
+        tracing::warn!(agent = self.node, worker = %gone.worker, dead = gone.dead, "worker is gone");
+        self.tenure.write.notify(usize::MAX);
+        self.tenure.dispatch.notify(usize::MAX);
+        if gone.dead {
+            self.tenure
+                .note_dead(self.shared, std::slice::from_ref(&gone.worker));
+        }
+        if let Some(key) = key {
+            self.tenure.lose_worker(key, self.shared.now());
         }
     }
 
--- a/crates/wax-owner/src/dispatch.rs
+++ b/crates/wax-owner/src/dispatch.rs
@@ -5,7 +5,7 @@
 use compio::time::timeout;
 use std::rc::Rc;
 use std::time::Duration;
-use wax_batch::{StartOrder, WorkerKey};
+use wax_batch::{StartOrder, UnheardRuns, WorkerKey};
 use wax_trace::{Counter, Latency, count, note_latency};
 use wax_types::{TimePoint, wall_clock_ms};
 use wax_wire::{AckEnds, PoolBody, SeatFrame, StartRun, StopRun};
@@ -47,6 +47,7 @@
         tenure.blind_until.set(now + BLIND_AFTER);
     }
     drop_lapsed(tenure, now);
+    note_unlinked(tenure, now);
     settle(tenure, now);
     if tenure.may_act(now, shared.spans.acting) {
         if now.since(tenure.looked_through.get()) >= IDLE_PERIOD {
@@ -93,9 +94,7 @@
 
 fn worker_id(tenure: &Tenure, worker: WorkerKey) -> Box<str> {
     let agents = tenure.agents.borrow();
-    let mut workers = agents.values().filter_map(|agent| agent.worker.as_ref());
-    let found = workers.find(|(key, _)| *key == worker);
-    found.map_or_else(|| "".into(), |(_, id)| id.clone())
+    agents.worker_id(worker).unwrap_or_default().into()
 }
 
 /// Each step that waits for a new reason, at most once a second a step.
@@ -162,43 +161,55 @@
 
 /// Takes out workers of which nothing was heard until all their leases had lapsed.
 fn drop_lapsed(tenure: &Tenure, now: TimePoint) {
-    let mut lost = Vec::new();
-    {
-        let mut agents = tenure.agents.borrow_mut();
-        agents.retain(|node, agent| {
-            if agent.lapse_at.is_none_or(|at| now < at) {
-                return true;
-            }
-            tracing::warn!(agent = %node, "leases have lapsed unheard");
-            agent.lapse_at = None;
-            lost.extend(agent.worker.take().map(|(key, _)| key));
-            if agent.outbox.is_some() {
-                return true;
-            }
-            tenure.agent_rows.borrow_mut().insert(node.clone(), false);
-            false
-        });
-    }
-    if !lost.is_empty() {
+    let lapsed = tenure
+        .agents
+        .borrow_mut()
+        .drop_lapsed(now, tenure.confirmed.get());
+    for node in &lapsed.nodes {
+        tracing::warn!(agent = %node, "leases have lapsed unheard");
+    }
+    if !lapsed.nodes.is_empty() {
         tenure.write.notify(usize::MAX);
     }
-    for worker in lost {
+    for worker in lapsed.workers {
         tenure.lose_worker(worker, now);
     }
 }
 
-/// Once everyone who may run tasks of earlier terms was heard, or has lapsed, all may start.
+/// Writes down which agents cannot be reached, and what may run there.
+fn note_unlinked(tenure: &Tenure, now: TimePoint) {
+    let book = tenure.book.borrow();
+    let mut agents = tenure.agents.borrow_mut();
+    agents.note_unlinked(now, |worker| book.jobs_on(worker));
+    if agents.has_notes() {
+        tenure.write.notify(usize::MAX);
+    }
+}
+
+/// Tasks of earlier terms may start as far as no agent that was not heard may run them.
 fn settle(tenure: &Tenure, now: TimePoint) {
     if tenure.book.borrow().is_settled() {
         return;
     }
-    if tenure
-        .agents
-        .borrow()
-        .values()
-        .all(|agent| agent.lapse_at.is_none())
-    {
-        tenure.book.borrow_mut().settle();
+    let agents = tenure.agents.borrow();
+    let unheard = agents.unheard();
+    let mut book = tenure.book.borrow_mut();
+    if *book.unheard() == unheard {
+        return;
+    }
+    let bound = match &unheard {
+        UnheardRuns::Any => None,
+        UnheardRuns::Only(jobs) => Some(jobs.len()),
+    };
+    book.set_unheard(unheard);
+    tracing::info!(
+        epoch = tenure.epoch,
+        agents = agents.unheard_agents(),
+        jobs = bound,
+        held_back = book.held_back(),
+        "runs of earlier terms that were not heard"
+    );
+    if book.is_settled() {
         note_latency(Latency::Settle, now.since(tenure.began));
         tracing::info!(epoch = tenure.epoch, "all workers heard or lapsed");
     }
--- a/crates/wax-owner/src/entries.rs
+++ b/crates/wax-owner/src/entries.rs
@@ -1,9 +1,9 @@
 //! The owner's side of a link with another front.
 
 use crate::agents::write_link;
-use crate::relay::relay_transaction;
+use crate::relay::{PeerAge, relay_transaction};
 use crate::shared::PoolShared;
-use crate::tenure::{JobWord, Tenure};
+use crate::tenure::{FrontLife, JobWord, Tenure};
 use crate::writer::silent_for;
 use compio::runtime::spawn;
 use compio::time::timeout;
@@ -11,6 +11,7 @@
 use futures_util::future::{Either, select};
 use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 use wax_batch::JobName;
 use wax_types::TimePoint;
 use wax_wire::{
@@ -33,14 +34,26 @@
     };
     // The queue is new: it takes the first message.
     let _ = outbox.unbounded_send(PoolBody::Welcome(welcome));
+    let link = tenure.next_front_link();
+    let life = FrontLife {
+        link,
+        outbox: outbox.clone(),
+    };
+    tenure.fronts.borrow_mut().insert(node.into(), life);
     let writing = spawn(write_link(writer, inbox));
+    let mut age = PeerAge::default();
     let serve = async {
         while let Ok(Ok(Some(body))) = timeout(shared.spans.link, reader.read()).await {
             let body = match body {
                 PoolBody::Relay(ask) => {
-                    relay(shared.clone(), outbox.clone(), ask);
+                    let on_its_way = age.of(ask.sent_us, shared.now());
+                    relay(shared.clone(), outbox.clone(), ask, on_its_way);
                     continue;
                 }
+                PoolBody::Ping(ping) => {
+                    age.heartbeat(ping.sent_us, shared.now());
+                    PoolBody::Ping(ping)
+                }
                 body => body,
             };
             for answer in answers(shared, tenure, node, body) {
@@ -57,12 +70,16 @@
         Either::Right(_) => tracing::info!(front = node, "front unlinked with the term"),
     }
     drop(writing);
+    let mut fronts = tenure.fronts.borrow_mut();
+    if fronts.get(node).is_some_and(|front| front.link == link) {
+        fronts.remove(node);
+    }
 }
 
 /// The answer waits for the store; other messages do not wait for it.
-fn relay(shared: Rc<PoolShared>, outbox: UnboundedSender<PoolBody>, ask: RelayAsk) {
+fn relay(shared: Rc<PoolShared>, outbox: UnboundedSender<PoolBody>, ask: RelayAsk, age: Duration) {
     spawn(async move {
-        let told = relay_transaction(&shared, ask).await;
+        let told = relay_transaction(&shared, ask, age).await;
         // A link that has closed leaves the front in doubt, which it settles by asking again.
         let _ = outbox.unbounded_send(PoolBody::Relayed(told));
     })
@@ -77,6 +94,10 @@
             tenure.cancel(JobName(cancel.job));
             Vec::new()
         }
+        PoolBody::BootsDead(dead) => {
+            tenure.note_dead(shared, &dead.boots);
+            Vec::new()
+        }
         PoolBody::Config(push) => {
             if let Err(error) = shared.offer_config(&push.text, node) {
                 tracing::error!(%error, "config of a peer refused");
--- a/crates/wax-owner/src/fate.rs
+++ b/crates/wax-owner/src/fate.rs
@@ -23,6 +23,26 @@
     NotSent(WaxError),
     /// It may have taken effect, or may yet.
     Unknown(WaxError),
+    /// It has had no effect, and no store takes it as it is.
+    Refused(WaxError),
+}
+
+impl TxFate {
+    /// Whether the transaction has, or surely has not, taken effect by its conditions.
+    pub fn is_known(&self) -> bool {
+        matches!(self, Self::Committed(_) | Self::Conflict(_))
+    }
+
+    /// The fate of a transaction that went two ways: what is known goes first, then doubt.
+    pub fn join(self, other: Self) -> Self {
+        match (self, other) {
+            (known, _) if known.is_known() => known,
+            (_, known) if known.is_known() => known,
+            (doubt @ Self::Unknown(_), _) | (_, doubt @ Self::Unknown(_)) => doubt,
+            (refused @ Self::Refused(_), _) | (_, refused @ Self::Refused(_)) => refused,
+            (none, _) => none,
+        }
+    }
 }
 
 /// Sends a transaction, unchanged, until it is answered or `deadline` has passed.
@@ -41,6 +61,8 @@
         let error = match store.transact(tx, left).await {
             Ok(TxOutcome::Committed(version)) => return TxFate::Committed(version),
             Ok(TxOutcome::Conflict(rows)) => return TxFate::Conflict(rows),
+            Ok(TxOutcome::Refused(error)) if doubt => return TxFate::Unknown(error),
+            Ok(TxOutcome::Refused(error)) => return TxFate::Refused(error),
             Err(CallError::NotSent(error)) => error,
             Err(CallError::Unknown(error)) => {
                 doubt = true;
--- a/crates/wax-owner/src/lib.rs
+++ b/crates/wax-owner/src/lib.rs
@@ -6,14 +6,17 @@
 
 mod advice;
 mod agents;
+mod chain;
 mod config_feed;
 mod dispatch;
 mod entries;
 mod fate;
+mod gone;
 mod job_feed;
 mod listener;
 mod load;
 mod relay;
+mod roster;
 mod rows;
 mod shared;
 mod spans;
@@ -24,10 +27,12 @@
 
 pub use config_feed::keep_config;
 pub use fate::{TxFate, transact};
+pub use gone::GoneBoots;
 pub use listener::serve_peers;
-pub use relay::{encode_ask, relayed_rows};
+pub use relay::{AskOutcome, PeerAge, RelayDoubt, encode_ask, relay_transaction};
+pub use roster::{AgentNote, AgentRoster, LapsedAgents};
 pub use rows::{
-    CANCEL_SUFFIX, JOB_TABLE, OWNER_TABLE, OwnerRow, PROGRESS_TABLE, cancel_key, job_key,
+    AgentRow, CANCEL_SUFFIX, JOB_TABLE, OWNER_TABLE, OwnerRow, PROGRESS_TABLE, cancel_key, job_key,
     owner_key, progress_key,
 };
 pub use shared::{KnownOwner, PoolShared};
--- a/crates/wax-owner/src/listener.rs
+++ b/crates/wax-owner/src/listener.rs
@@ -44,7 +44,7 @@
     };
     match hello {
         PoolBody::AgentHello(hello) => {
-            serve_agent(shared, &tenure, hello.node.into(), reader, writer).await;
+            serve_agent(shared, &tenure, hello, reader, writer).await;
         }
         PoolBody::EntryHello(hello) => {
             shared.note_front(&hello.address);
--- a/crates/wax-owner/src/load.rs
+++ b/crates/wax-owner/src/load.rs
@@ -1,8 +1,10 @@
 //! Fills the book from the store at a takeover, and follows jobs from there on.
 
-use crate::rows::{AGENT_TABLE, CANCEL_SUFFIX, JOB_TABLE, PART, PROGRESS_TABLE, press_key};
+use crate::rows::{
+    AGENT_TABLE, AgentRow, CANCEL_SUFFIX, JOB_TABLE, PART, PROGRESS_TABLE, press_key,
+};
 use crate::shared::PoolShared;
-use crate::tenure::{AgentLife, RowStand, Tenure};
+use crate::tenure::Tenure;
 use platform::StoredRow;
 use prost::Message;
 use std::collections::HashMap;
@@ -32,7 +34,7 @@
     };
     let lapse_at = tenure.began + span;
     for row in &agents {
-        add_agent(tenure, row, lapse_at);
+        add_agent(shared, tenure, row, lapse_at);
     }
     let progress = decode_progress(&progress);
     add_jobs(shared, tenure, &jobs, &progress);
@@ -67,20 +69,17 @@
     }
 }
 
-fn add_agent(tenure: &Tenure, row: &StoredRow, lapse_at: TimePoint) {
-    let mut agents = tenure.agents.borrow_mut();
-    let agent = agents
-        .entry(row.key.key.clone())
-        .or_insert_with(|| AgentLife {
-            link: 0,
-            outbox: None,
-            worker: None,
-            grant_end: TimePoint::default(),
-            lapse_at: None,
-            row: RowStand::Absent,
-        });
-    agent.row = RowStand::Stored;
-    agent.lapse_at = Some(lapse_at);
+/// A row that cannot be read may stand for any run.
+fn add_agent(shared: &PoolShared, tenure: &Tenure, row: &StoredRow, lapse_at: TimePoint) {
+    let agent = AgentRow::decode(&*row.value).unwrap_or_else(|error| {
+        tracing::error!(%error, key = %row.key.key, "the row of an agent does not decode");
+        AgentRow::default()
+    });
+    let gone = shared.gone.borrow();
+    tenure
+        .agents
+        .borrow_mut()
+        .load(&row.key.key, &agent, lapse_at, &gone);
 }
 
 fn decode_progress(rows: &[StoredRow]) -> HashMap<JobName, JobProgress> {
--- a/crates/wax-owner/src/relay.rs
+++ b/crates/wax-owner/src/relay.rs
@@ -5,23 +5,115 @@
 use platform::{RowKey, RowWrite, StoredRow, TxRequest};
 use std::time::Duration;
 use wax_trace::{Counter, count};
+use wax_types::{ErrorKind, Step, TimePoint, WaxError};
 use wax_wire::{ExpectFrame, RelayAsk, RelayFate, RelayTold, RowFrame};
 
 /// No asker waits longer.
 const MOST_WAIT_MS: u32 = 10_000;
 
-/// Sends what a front asks for, unchanged, until its fate is known or the front waits no more.
-pub(crate) async fn relay_transaction(shared: &PoolShared, ask: RelayAsk) -> RelayTold {
-    count(Counter::TransactionsRelayed);
+/// What has become of asking another process to send a transaction.
+#[derive(Debug, Clone, PartialEq)]
+pub enum AskOutcome {
+    /// It was handed to no link.
+    NotAsked,
+    /// It was handed to a link, and no answer came.
+    NoAnswer,
+    /// The other process has answered.
+    Told(RelayTold),
+}
+
+/// Whether a transaction that others were asked to send may take effect yet.
+///
+/// A question that was handed to a link may be read and carried out at any later time, whether or not
+/// the link stands: 19 jobs on one day were refused on such grounds and ran a second later.
+#[derive(Debug, Default)]
+pub struct RelayDoubt {
+    may_be_sent: bool,
+}
+
+impl RelayDoubt {
+    /// Takes what has become of a question; `Some` ends the asking.
+    pub fn take(&mut self, outcome: AskOutcome) -> Option<TxFate> {
+        let told = match outcome {
+            AskOutcome::NotAsked => return None,
+            AskOutcome::NoAnswer => {
+                self.may_be_sent = true;
+                return None;
+            }
+            AskOutcome::Told(told) => told,
+        };
+        match told.fate() {
+            RelayFate::Committed => Some(TxFate::Committed(told.version)),
+            RelayFate::Conflict => Some(TxFate::Conflict(relayed_rows(told))),
+            RelayFate::Unknown => {
+                self.may_be_sent = true;
+                None
+            }
+            RelayFate::NotSent => None,
+            RelayFate::Refused if self.may_be_sent => None,
+            RelayFate::Refused => Some(TxFate::Refused(relay_error("the store refuses it"))),
+        }
+    }
+
+    /// The fate when nobody is asked any more.
+    pub fn end(&self) -> TxFate {
+        let error = relay_error("neither the store nor the owner answers");
+        match self.may_be_sent {
+            true => TxFate::Unknown(error),
+            false => TxFate::NotSent(error),
+        }
+    }
+}
+
+fn relay_error(text: &str) -> WaxError {
+    WaxError::new(ErrorKind::Timeout, Step::SubmitJob, "owner", text)
+}
+
+/// Tells how old what a peer sends is, on a link whose heartbeats carry the peer's clock.
+#[derive(Debug, Default)]
+pub struct PeerAge {
+    /// The least of our clock less the peer's at the arrival of a heartbeat, microseconds.
+    least_offset: Option<i128>,
+}
+
+impl PeerAge {
+    /// Takes a heartbeat that was sent at `sent_us` of the peer's clock.
+    pub fn heartbeat(&mut self, sent_us: u64, now: TimePoint) {
+        let offset = i128::from(now.0) - i128::from(sent_us);
+        self.least_offset = Some(self.least_offset.map_or(offset, |least| least.min(offset)));
+    }
+
+    /// For how long something has been on its way beyond what the fastest heartbeat took.
+    pub fn of(&self, sent_us: u64, now: TimePoint) -> Duration {
+        let offset = i128::from(now.0) - i128::from(sent_us);
+        let age = self.least_offset.map_or(0, |least| offset - least);
+        Duration::from_micros(u64::try_from(age).unwrap_or(0))
+    }
+}
+
+/// Sends what a peer asks for, unchanged, until its fate is known or the peer waits no more.
+///
+/// `age` is how long the question was on its way: one that came too late is not sent at all.
+pub async fn relay_transaction(shared: &PoolShared, ask: RelayAsk, age: Duration) -> RelayTold {
     let wait = Duration::from_millis(ask.wait_ms.min(MOST_WAIT_MS).into());
     let number = ask.ask;
+    let left = wait.saturating_sub(age);
+    if left.is_zero() {
+        tracing::info!(
+            ask = number,
+            age_ms = age.as_millis() as u64,
+            "transaction of a peer came too late"
+        );
+        return encode_fate(number, TxFate::NotSent(relay_error("it came too late")));
+    }
+    count(Counter::TransactionsRelayed);
     let tx = decode_ask(ask);
-    let fate = transact(&shared.store, shared.clock, &tx, shared.now() + wait).await;
+    let fate = transact(&shared.store, shared.clock, &tx, shared.now() + left).await;
     encode_fate(number, fate)
 }
 
-/// The question for a transaction.
-pub fn encode_ask(ask: u64, tx: &TxRequest, wait: Duration) -> RelayAsk {
+/// The question for a transaction, sent at `now`.
+pub fn encode_ask(ask: u64, tx: &TxRequest, wait: Duration, now: TimePoint) -> RelayAsk {
     let expect = tx.expect.iter().map(|(key, version)| ExpectFrame {
         table: key.table.to_string(),
         part: key.part.to_string(),
@@ -37,9 +129,15 @@
         expect: expect.collect(),
         writes: writes.collect(),
         wait_ms: wait.as_millis() as u32,
+        sent_us: now.0,
+        remove: tx.remove.iter().map(key_frame).collect(),
     }
 }
 
+fn key_frame(key: &RowKey) -> RowFrame {
+    row_frame(key, &[], 0)
+}
+
 fn decode_ask(ask: RelayAsk) -> TxRequest {
     let expect = ask
         .expect
@@ -52,7 +150,11 @@
     TxRequest {
         expect: expect.collect(),
         writes: writes.collect(),
-        remove: Vec::new(),
+        remove: ask
+            .remove
+            .into_iter()
+            .map(|row| RowKey::new(&row.table, &row.part, row.key))
+            .collect(),
     }
 }
 
@@ -75,6 +177,7 @@
         }
         TxFate::NotSent(_) => told.set_fate(RelayFate::NotSent),
         TxFate::Unknown(_) => told.set_fate(RelayFate::Unknown),
+        TxFate::Refused(_) => told.set_fate(RelayFate::Refused),
     }
     told
 }
@@ -90,7 +193,7 @@
 }
 
 /// The rows of an answer.
-pub fn relayed_rows(told: RelayTold) -> Vec<StoredRow> {
+fn relayed_rows(told: RelayTold) -> Vec<StoredRow> {
     let rows = told.rows.into_iter().map(|row| StoredRow {
         key: RowKey::new(&row.table, &row.part, row.key),
         value: row.value,
--- a/crates/wax-owner/src/rows.rs
+++ b/crates/wax-owner/src/rows.rs
@@ -52,12 +52,21 @@
     pub(crate) count: u64,
 }
 
-/// An agent's row.
+/// An agent's row: what of earlier terms may run beside it.
 #[derive(Clone, PartialEq, Message)]
-pub(crate) struct AgentRow {
+pub struct AgentRow {
     /// The machine's name.
     #[prost(string, tag = "1")]
-    pub(crate) node: String,
+    pub node: String,
+    /// The worker's id; empty in rows of older versions.
+    #[prost(string, tag = "2")]
+    pub worker: String,
+    /// Whether the worker gets no orders until this row says otherwise.
+    #[prost(bool, tag = "3")]
+    pub unlinked: bool,
+    /// If so: the jobs of which a run may be there.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub jobs: Vec<u64>,
 }
 
 /// The key of the owner's row.
--- a/crates/wax-owner/src/shared.rs
+++ b/crates/wax-owner/src/shared.rs
@@ -1,5 +1,6 @@
 //! What all tasks of a front share.
 
+use crate::gone::GoneBoots;
 use crate::spans::OwnerSpans;
 use crate::tenure::Tenure;
 use event_listener::Event;
@@ -57,6 +58,8 @@
     pub waves_changed: Event,
     /// Where fronts are reached that were ever linked to this process.
     pub fronts: RefCell<BTreeSet<SocketAddr>>,
+    /// Boots of workers that are dead for good.
+    pub gone: RefCell<GoneBoots>,
     /// The owner as last heard of.
     pub owner: RefCell<Option<KnownOwner>>,
     /// Notified when another owner is heard of.
@@ -95,6 +98,7 @@
             waves: RefCell::default(),
             waves_changed: Event::new(),
             fronts: RefCell::default(),
+            gone: RefCell::default(),
             owner: RefCell::default(),
             owner_changed: Event::new(),
             tenure: RefCell::default(),
--- a/crates/wax-owner/src/tenure.rs
+++ b/crates/wax-owner/src/tenure.rs
@@ -1,5 +1,6 @@
 //! One term of ownership: the book, the agents, and whether it still holds.
 
+use crate::roster::AgentRoster;
 use crate::rows::OwnerRow;
 use crate::shared::PoolShared;
 use event_listener::Event;
@@ -12,29 +13,14 @@
 use wax_http::ShutdownSignal;
 use wax_trace::{Counter, count};
 use wax_types::{TimePoint, wall_clock_ms};
-use wax_wire::{PoolBody, PressFrame, PressNews};
+use wax_wire::{BootsDead, PoolBody, PressFrame, PressNews};
 
-/// How far an agent's row is in the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum RowStand {
-    Absent,
-    Queued,
-    Stored,
-}
-
-/// An agent as the owner knows it.
+/// A front that is linked to the owner.
 #[derive(Debug)]
-pub(crate) struct AgentLife {
-    /// The number of its link; 0 without one.
+pub(crate) struct FrontLife {
+    /// The number of its link.
     pub(crate) link: u64,
-    pub(crate) outbox: Option<UnboundedSender<PoolBody>>,
-    /// Its worker, once its runs were taken over.
-    pub(crate) worker: Option<(WorkerKey, Box<str>)>,
-    /// Until when the last grant reaches.
-    pub(crate) grant_end: TimePoint,
-    /// Set while nothing certain is known of its worker: by then everything there has lapsed.
-    pub(crate) lapse_at: Option<TimePoint>,
-    pub(crate) row: RowStand,
+    pub(crate) outbox: UnboundedSender<PoolBody>,
 }
 
 /// What a caller may be told of a job.
@@ -64,7 +50,9 @@
     /// Whether the owner before surely acted no more when this term began.
     pub(crate) after_release: bool,
     pub(crate) book: RefCell<JobBook>,
-    pub(crate) agents: RefCell<HashMap<Box<str>, AgentLife>>,
+    pub(crate) agents: RefCell<AgentRoster>,
+    /// Queues towards the fronts that are linked, by their names.
+    pub(crate) fronts: RefCell<HashMap<Box<str>, FrontLife>>,
     /// Whether the book holds all that the store held at the takeover.
     pub(crate) loaded: ShutdownSignal,
     /// When the transaction was sent that last confirmed the term.
@@ -79,10 +67,10 @@
     pub(crate) strain: Cell<f64>,
     /// When the feed of jobs was last heard.
     pub(crate) jobs_heard: Cell<TimePoint>,
-    /// Links opened in this term.
+    /// Links with agents opened in this term.
     pub(crate) links: Cell<u64>,
-    /// Rows of agents to write or remove.
-    pub(crate) agent_rows: RefCell<HashMap<Box<str>, bool>>,
+    /// Links with fronts opened in this term.
+    pub(crate) front_links: Cell<u64>,
     /// Presses that have changed since the agents were told.
     pub(crate) press_news: RefCell<HashMap<(String, String), PressFrame>>,
     /// Whether presses have changed since the store was told, and when it was.
@@ -128,6 +116,7 @@
             after_release,
             book: RefCell::new(book),
             agents: RefCell::default(),
+            fronts: RefCell::default(),
             loaded: ShutdownSignal::default(),
             confirmed: Cell::new(confirmed),
             dispatched: Cell::new(shared.now()),
@@ -136,7 +125,7 @@
             strain: Cell::new(0.0),
             jobs_heard: Cell::new(TimePoint::default()),
             links: Cell::new(0),
-            agent_rows: RefCell::default(),
+            front_links: Cell::new(0),
             press_news: RefCell::default(),
             press_unstored: Cell::new(false),
             press_stored: Cell::new(shared.now()),
@@ -155,6 +144,13 @@
             && now < self.confirmed.get() + acting
     }
 
+    /// The number of a new link with a front.
+    pub(crate) fn next_front_link(&self) -> u64 {
+        let link = self.front_links.get() + 1;
+        self.front_links.set(link);
+        link
+    }
+
     /// A fencing token that is higher than any of this term or an earlier one.
     pub(crate) fn next_token(&self) -> (u64, u64) {
         let link = self.links.get() + 1;
@@ -240,15 +236,9 @@
         self.rows_stored.notify(usize::MAX);
     }
 
-    /// Sends a message to the agent of a worker, if it is linked and its runs were compared on
-    /// this link: an order by an older view could undo what the agent has yet to tell.
+    /// Sends a message to the agent of a worker, if it may be given orders.
     pub(crate) fn tell_worker(&self, worker: WorkerKey, body: PoolBody) {
-        let agents = self.agents.borrow();
-        let agent = agents.values().find(|agent| {
-            let known = agent.worker.as_ref().is_some_and(|(key, _)| *key == worker);
-            known && agent.lapse_at.is_none()
-        });
-        if let Some(outbox) = agent.and_then(|agent| agent.outbox.as_ref()) {
+        if let Some(outbox) = self.agents.borrow().outbox(worker) {
             // A link that has just closed leads to a new one, on which all is compared.
             let _ = outbox.unbounded_send(body);
         }
@@ -276,12 +266,36 @@
             pairs: changed.into_values().collect(),
             rooms: Vec::new(),
         };
-        for agent in self.agents.borrow().values() {
-            if let Some(outbox) = &agent.outbox {
-                // A link that has just closed is replaced; presses are learned again.
-                let _ = outbox.unbounded_send(PoolBody::Presses(news.clone()));
+        for outbox in self.agents.borrow().outboxes() {
+            // A link that has just closed is replaced; presses are learned again.
+            let _ = outbox.unbounded_send(PoolBody::Presses(news.clone()));
+        }
+    }
+
+    /// Boots of workers are dead for good: nobody waits for them, here or at the next takeover.
+    pub(crate) fn note_dead(&self, shared: &PoolShared, boots: &[String]) {
+        let mut news = Vec::new();
+        for boot in boots {
+            if shared.gone.borrow_mut().note(boot) {
+                news.push(boot.clone());
+            }
+            let waited_for = self.agents.borrow_mut().boot_dead(boot);
+            if let Some(node) = waited_for {
+                tracing::info!(agent = %node, worker = %boot, "no longer waited for: its worker is gone");
+                self.write.notify(usize::MAX);
+                self.dispatch.notify(usize::MAX);
             }
         }
+        if news.is_empty() {
+            return;
+        }
+        let word = BootsDead { boots: news };
+        for front in self.fronts.borrow().values() {
+            // A link that has just closed is replaced; the next owner then waits for leases instead.
+            let _ = front
+                .outbox
+                .unbounded_send(PoolBody::BootsDead(word.clone()));
+        }
     }
 
     /// Takes a worker whose runs have surely ended out of the book.
--- a/crates/wax-owner/src/watch.rs
+++ b/crates/wax-owner/src/watch.rs
@@ -230,7 +230,7 @@
             Some(version) => version,
             None => return,
         },
-        TxFate::NotSent(error) | TxFate::Unknown(error) => {
+        TxFate::NotSent(error) | TxFate::Unknown(error) | TxFate::Refused(error) => {
             tracing::warn!(%error, epoch = row.epoch, "takeover without an answer");
             return;
         }
--- a/crates/wax-owner/src/waves.rs
+++ b/crates/wax-owner/src/waves.rs
@@ -65,7 +65,7 @@
             true
         }
         TxFate::Conflict(_) => true,
-        TxFate::NotSent(error) | TxFate::Unknown(error) => {
+        TxFate::NotSent(error) | TxFate::Unknown(error) | TxFate::Refused(error) => {
             tracing::warn!(%error, wave = wave.wave, "the status of a wave is not written");
             false
         }
--- a/crates/wax-owner/src/writer.rs
+++ b/crates/wax-owner/src/writer.rs
@@ -1,64 +1,57 @@
 //! Writes what the owner has taken note of: one chain of transactions, each of which also renews
 //! the term.
 
+use crate::chain::{ChainItem, ItemLimits};
 use crate::fate::{TxFate, transact};
-use crate::rows::{
-    AgentRow, BeatRow, OwnerRow, agent_key, beat_key, cancel_key, job_key, owner_key, press_key,
-    progress_key,
-};
+use crate::rows::{BeatRow, beat_key};
 use crate::shared::PoolShared;
-use crate::tenure::{RowStand, Tenure};
-use compio::time::timeout;
-use platform::{RowWrite, StoredRow, TxRequest};
+use crate::tenure::Tenure;
+use compio::time::{sleep, timeout};
+use platform::StoredRow;
 use prost::Message;
 use std::rc::Rc;
 use std::time::Duration;
-use wax_batch::{BookNote, JobName, JobOutcome};
+use wax_batch::JobOutcome;
 use wax_trace::{Counter, Latency, count, count_many, note_latency};
-use wax_types::{TimePoint, wall_clock_ms};
+use wax_types::TimePoint;
 
-/// Jobs whose progress goes into one transaction.
-const NOTES_PER_TX: usize = 40;
-/// Jobs whose rows are removed in one transaction, three rows each.
-const FORGET_PER_TX: usize = 8;
 /// A transaction is tried for this long before the store is looked at anew.
 const TX_PATIENCE: Duration = Duration::from_secs(3_600);
-/// What is known of pairs of images is written this often, with what is written anyway.
-const PRESS_PERIOD: Duration = Duration::from_secs(3);
+/// After a transaction that the store does not take, before a smaller one.
+const REFUSED_PAUSE: Duration = Duration::from_millis(20);
 /// Urgent notes wait this long for company.
 const URGENT_PAUSE: Duration = Duration::from_millis(8);
 
-/// One transaction of the chain and what it carries.
-struct ChainItem {
-    tx: TxRequest,
-    notes: Vec<BookNote>,
-    agents: Vec<(Box<str>, bool)>,
-    forgotten: Vec<JobName>,
-    releases: bool,
-}
-
 enum ChainStep {
     Stored(u64),
     Lost,
+    /// The store takes no such transaction.
+    Refused,
 }
 
 /// Writes until the term ends.
 pub(crate) async fn write_chain(shared: Rc<PoolShared>, tenure: Rc<Tenure>, mut beat_version: u64) {
     let mut number = 0_u64;
+    let mut limits = ItemLimits::default();
     loop {
         wait_work(&shared, &tenure).await;
         if tenure.over.is_raised() {
             return;
         }
         number += 1;
-        let item = next_item(&shared, &tenure, beat_version, number);
+        let item = ChainItem::next(&shared, &tenure, beat_version, number, limits);
         let sent = shared.now();
         match send_item(&shared, &tenure, &item, number).await {
             ChainStep::Lost => {
                 tenure.end("another owner has written");
                 return;
             }
+            ChainStep::Refused => {
+                limits = item.put_back(&tenure, limits);
+                sleep(REFUSED_PAUSE).await;
+            }
             ChainStep::Stored(version) => {
+                limits = limits.grow();
                 beat_version = version;
                 count_item(&item, shared.now().since(sent));
                 tenure.confirmed.set(sent);
@@ -94,7 +87,7 @@
 
 fn due_in(shared: &PoolShared, tenure: &Tenure) -> Duration {
     let book = tenure.book.borrow();
-    if book.has_urgent_notes() || !tenure.agent_rows.borrow().is_empty() {
+    if book.has_urgent_notes() || tenure.agents.borrow().has_notes() {
         URGENT_PAUSE
     } else if book.has_notes() {
         shared.spans.flush
@@ -103,65 +96,6 @@
     }
 }
 
-fn next_item(shared: &PoolShared, tenure: &Tenure, beat_version: u64, count: u64) -> ChainItem {
-    let epoch = tenure.epoch;
-    let mut tx = TxRequest {
-        expect: vec![
-            (owner_key(), tenure.owner_version.get()),
-            (beat_key(), beat_version),
-        ],
-        ..Default::default()
-    };
-    put(&mut tx, beat_key(), &BeatRow { epoch, count });
-    let notes = tenure.book.borrow_mut().take_notes(NOTES_PER_TX);
-    for note in &notes {
-        put(&mut tx, progress_key(note.name), &note.progress);
-    }
-    let agents: Vec<(Box<str>, bool)> = tenure.agent_rows.borrow_mut().drain().collect();
-    for (node, keep) in &agents {
-        let row = AgentRow {
-            node: node.to_string(),
-        };
-        if *keep {
-            put(&mut tx, agent_key(node), &row);
-        } else {
-            tx.remove.push(agent_key(node));
-        }
-    }
-    if tenure.press_unstored.get() && shared.now().since(tenure.press_stored.get()) >= PRESS_PERIOD
-    {
-        tenure.press_unstored.set(false);
-        tenure.press_stored.set(shared.now());
-        put(&mut tx, press_key(), &tenure.all_presses());
-    }
-    let before_ms = wall_clock_ms().saturating_sub(shared.keep_ended.as_millis() as u64);
-    let forgotten = tenure.book.borrow().forgettable(before_ms, FORGET_PER_TX);
-    for job in &forgotten {
-        tx.remove
-            .extend([job_key(*job), cancel_key(*job), progress_key(*job)]);
-    }
-    let releases = tenure.letting_go.is_raised() && !tenure.book.borrow().has_notes();
-    if releases {
-        let row = OwnerRow {
-            released: true,
-            ..tenure.owner_row.clone()
-        };
-        put(&mut tx, owner_key(), &row);
-    }
-    ChainItem {
-        tx,
-        notes,
-        agents,
-        forgotten,
-        releases,
-    }
-}
-
-fn put(tx: &mut TxRequest, key: platform::RowKey, row: &impl Message) {
-    let value = row.encode_to_vec();
-    tx.writes.push(RowWrite { key, value });
-}
-
 /// Sends one transaction until it is in the store or the term is lost.
 async fn send_item(
     shared: &PoolShared,
@@ -174,6 +108,11 @@
         match transact(&shared.store, shared.clock, &item.tx, deadline).await {
             TxFate::Committed(version) => return ChainStep::Stored(version),
             TxFate::Conflict(rows) => return settle(tenure, &rows, count),
+            TxFate::Refused(error) => {
+                wax_trace::count(Counter::ChainRefused);
+                tracing::error!(%error, entries = item.tx.entries(), bytes = item.tx.bytes(), "the store takes no such transaction");
+                return ChainStep::Refused;
+            }
             TxFate::NotSent(error) | TxFate::Unknown(error) => {
                 tracing::error!(%error, "the store has not answered for very long");
             }
@@ -230,13 +169,7 @@
         book.forget(*job);
     }
     drop(book);
-    let mut agents = tenure.agents.borrow_mut();
-    for (node, keep) in &item.agents {
-        if let Some(agent) = agents.get_mut(node).filter(|_| *keep) {
-            agent.row = RowStand::Stored;
-        }
-    }
-    drop(agents);
+    tenure.agents.borrow_mut().notes_stored(&item.agents);
     tenure.rows_stored.notify(usize::MAX);
     tenure.dispatch.notify(usize::MAX);
 }
--- /dev/null
+++ b/crates/wax-owner/tests/roster.rs
@@ -0,0 +1,246 @@
+//! The agents of a term: who is waited for at a takeover, and what the store is told of them.
+
+use futures_channel::mpsc::{UnboundedSender, unbounded};
+use slotmap::SlotMap;
+use std::collections::BTreeSet;
+use wax_batch::{JobName, UnheardRuns, WorkerKey};
+use wax_owner::{AgentNote, AgentRoster, AgentRow, GoneBoots, OwnerSpans};
+use wax_types::TimePoint;
+use wax_wire::PoolBody;
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint::from_millis(100_000 + millis)
+}
+
+fn outbox() -> UnboundedSender<PoolBody> {
+    unbounded().0
+}
+
+fn worker_key() -> WorkerKey {
+    SlotMap::<WorkerKey, ()>::with_key().insert(())
+}
+
+fn row(worker: &str) -> AgentRow {
+    AgentRow {
+        node: "side".into(),
+        worker: worker.into(),
+        ..Default::default()
+    }
+}
+
+fn unlinked(worker: &str, jobs: &[u64]) -> AgentRow {
+    AgentRow {
+        unlinked: true,
+        jobs: jobs.to_vec(),
+        ..row(worker)
+    }
+}
+
+fn only(jobs: &[u64]) -> UnheardRuns {
+    UnheardRuns::Only(jobs.iter().map(|job| JobName(*job)).collect())
+}
+
+fn gone(node: &str) -> Vec<(Box<str>, AgentNote)> {
+    vec![(node.into(), AgentNote::Gone)]
+}
+
+struct Case {
+    roster: AgentRoster,
+    spans: OwnerSpans,
+}
+
+impl Case {
+    fn new() -> Self {
+        Self {
+            roster: AgentRoster::default(),
+            spans: OwnerSpans::default(),
+        }
+    }
+
+    fn load(&mut self, node: &str, row: &AgentRow) {
+        self.roster
+            .load(node, row, at(15_000), &GoneBoots::default());
+    }
+
+    fn open(&mut self, node: &str, link: u64, millis: u64) {
+        self.roster
+            .open(node, link, &outbox(), at(millis), &self.spans);
+    }
+
+    fn close(&mut self, node: &str, link: u64, millis: u64) {
+        self.roster.close(node, link, at(millis), &self.spans);
+    }
+
+    /// Links an agent, has its worker's row stored and its runs compared.
+    fn join(&mut self, node: &str, link: u64, worker: (WorkerKey, &str), millis: u64) {
+        self.open(node, link, millis);
+        self.roster.ask_row(node, worker.1);
+        let notes = self.roster.take_notes(100);
+        self.roster.notes_stored(&notes);
+        assert!(self.roster.ask_row(node, worker.1), "the store knows it");
+        self.roster.compared(node, worker.0, worker.1);
+    }
+}
+
+#[test]
+fn an_agent_without_a_worker_that_goes_is_waited_for_by_nobody() {
+    let mut case = Case::new();
+    case.open("side-1", 1, 0);
+    case.close("side-1", 1, 1_000);
+    assert!(case.roster.unheard().is_none());
+    let lapsed = case.roster.drop_lapsed(at(60_000), at(60_000));
+    assert!(lapsed.nodes.is_empty(), "nothing was waited for");
+}
+
+#[test]
+fn an_agent_that_goes_before_its_first_order_leaves_no_row() {
+    let mut case = Case::new();
+    case.open("side-1", 1, 0);
+    assert!(!case.roster.ask_row("side-1", "w1"));
+    let asked = case.roster.take_notes(100);
+    assert_eq!(asked.len(), 1);
+    case.close("side-1", 1, 50);
+    case.roster.notes_stored(&asked);
+    assert_eq!(case.roster.take_notes(100), gone("side-1"));
+}
+
+#[test]
+fn an_agent_that_knows_nothing_of_the_worker_before_holds_its_tasks_back() {
+    let mut case = Case::new();
+    case.load("side-1", &row("w1"));
+    case.open("side-1", 1, 0);
+    assert_eq!(case.roster.unheard(), UnheardRuns::Any);
+    case.close("side-1", 1, 1_000);
+    let unheard = case.roster.unheard();
+    assert_eq!(unheard, UnheardRuns::Any, "the worker may run on alone");
+    let early = case.roster.drop_lapsed(at(14_999), at(14_999));
+    assert!(early.nodes.is_empty());
+    case.roster.drop_lapsed(at(15_000), at(15_000));
+    assert!(case.roster.unheard().is_none());
+}
+
+#[test]
+fn a_worker_that_left_is_waited_for_by_nobody_whoever_says_so() {
+    for by_agent in [true, false] {
+        let mut case = Case::new();
+        case.load("side-1", &row("w1"));
+        case.load("side-2", &row("w2"));
+        if by_agent {
+            case.open("side-1", 1, 0);
+            case.roster.worker_gone("side-1", "w1");
+        } else {
+            let waited_for = case.roster.boot_dead("w1");
+            assert_eq!(waited_for.as_deref(), Some("side-1"));
+        }
+        assert_eq!(case.roster.unheard_agents(), 1, "but for the other one");
+        assert_eq!(case.roster.take_notes(100), gone("side-1"));
+    }
+}
+
+#[test]
+fn a_worker_that_left_before_the_takeover_is_not_waited_for() {
+    let mut dead = GoneBoots::default();
+    dead.note("w1");
+    let mut case = Case::new();
+    case.roster.load("side-1", &row("w1"), at(15_000), &dead);
+    assert!(case.roster.unheard().is_none());
+    assert_eq!(case.roster.take_notes(100), gone("side-1"));
+}
+
+#[test]
+fn word_of_an_earlier_boot_says_nothing_of_the_present_one() {
+    let key = worker_key();
+    let mut case = Case::new();
+    case.load("side-1", &row("w1"));
+    case.join("side-1", 1, (key, "w2"), 0);
+    assert_eq!(case.roster.boot_dead("w1"), None);
+    assert!(case.roster.worker_gone("side-1", "w1").is_none());
+    assert!(case.roster.outbox(key).is_some(), "it gets orders");
+}
+
+#[test]
+fn an_agent_that_is_away_is_written_down_with_what_may_run_there() {
+    let key = worker_key();
+    let mut case = Case::new();
+    case.join("side-1", 1, (key, "w1"), 0);
+    case.close("side-1", 1, 1_000);
+    let jobs = |_| BTreeSet::from([JobName(7)]);
+    case.roster.note_unlinked(at(1_500), jobs);
+    assert!(!case.roster.has_notes(), "links break and are back");
+    case.roster.note_unlinked(at(2_100), jobs);
+    let worker: Box<str> = "w1".into();
+    let jobs = BTreeSet::from([JobName(7)]);
+    let note = AgentNote::Unlinked { worker, jobs };
+    assert_eq!(case.roster.take_notes(100), vec![("side-1".into(), note)]);
+}
+
+/// An order to a worker that gets none by the store is one that no later owner reckons with.
+#[test]
+fn an_agent_that_was_written_down_gets_no_order_until_the_store_says_otherwise() {
+    let key = worker_key();
+    let mut case = Case::new();
+    case.join("side-1", 1, (key, "w1"), 0);
+    case.close("side-1", 1, 1_000);
+    case.roster.note_unlinked(at(2_100), |_| BTreeSet::new());
+    let away = case.roster.take_notes(100);
+    // The link is back while that is written.
+    case.open("side-1", 2, 2_150);
+    assert!(!case.roster.ask_row("side-1", "w1"));
+    case.roster.notes_stored(&away);
+    assert!(!case.roster.ask_row("side-1", "w1"), "not stored yet");
+    assert!(case.roster.outbox(key).is_none());
+    let back = case.roster.take_notes(100);
+    case.roster.notes_stored(&back);
+    assert!(case.roster.ask_row("side-1", "w1"));
+    case.roster.compared("side-1", key, "w1");
+    assert!(case.roster.outbox(key).is_some());
+}
+
+#[test]
+fn agents_that_were_written_down_hold_back_only_their_jobs() {
+    let mut case = Case::new();
+    case.load("side-1", &unlinked("w1", &[7]));
+    case.load("side-2", &unlinked("w2", &[7, 8]));
+    assert_eq!(case.roster.unheard(), only(&[7, 8]));
+    case.load("side-3", &row("w3"));
+    assert_eq!(case.roster.unheard(), UnheardRuns::Any);
+}
+
+#[test]
+fn a_row_of_an_older_version_may_stand_for_any_run() {
+    let mut case = Case::new();
+    case.load("side-1", &AgentRow::default());
+    assert_eq!(case.roster.unheard(), UnheardRuns::Any);
+    assert_eq!(case.roster.boot_dead(""), None, "no boot is named so");
+}
+
+/// Another owner may have heard the agent and extended its leases while this one could not know it.
+#[test]
+fn leases_count_as_lapsed_only_once_the_store_has_confirmed_the_term_since() {
+    let key = worker_key();
+    let mut case = Case::new();
+    case.join("side-1", 1, (key, "w1"), 0);
+    case.close("side-1", 1, 100);
+    let unconfirmed = case.roster.drop_lapsed(at(60_000), at(2_000));
+    assert!(unconfirmed.workers.is_empty(), "the term may be over");
+    let confirmed = case.roster.drop_lapsed(at(60_000), at(59_900));
+    assert_eq!(confirmed.workers, vec![key]);
+}
+
+#[test]
+fn a_takeover_with_many_agents_writes_in_bounded_parts() {
+    let mut case = Case::new();
+    for number in 0..250 {
+        let node = format!("side-{number}");
+        case.open(&node, number, 0);
+        case.roster.ask_row(&node, &format!("w{number}"));
+    }
+    let mut taken = 0;
+    while case.roster.has_notes() {
+        let notes = case.roster.take_notes(32);
+        assert!(notes.len() <= 32);
+        taken += notes.len();
+        case.roster.notes_stored(&notes);
+    }
+    assert_eq!(taken, 250);
+}
--- a/crates/wax-standin/src/site.rs
+++ b/crates/wax-standin/src/site.rs
@@ -16,7 +16,9 @@
 };
 use wax_types::{ErrorKind, Step, WaxError};
 
-const BODY_LIMIT: usize = 2 << 20;
+const BODY_LIMIT: usize = 1_000_000;
+/// Entries of one transaction.
+const MOST_ENTRIES: usize = 100;
 /// How long a call hangs whose answer is lost.
 const LOST_REPLY: Duration = Duration::from_secs(30);
 
@@ -106,6 +108,9 @@
             Ok(body) => body,
             Err(error) => return error_reply(&error),
         };
+        if body.entries() > MOST_ENTRIES {
+            return empty_reply(StatusCode::BAD_REQUEST);
+        }
         if !operator && body.touches_operator() {
             return empty_reply(StatusCode::FORBIDDEN);
         }
--- a/crates/wax-standin/src/site_rows.rs
+++ b/crates/wax-standin/src/site_rows.rs
@@ -53,6 +53,11 @@
 }
 
 impl TxBody {
+    /// How many entries it has.
+    pub(crate) fn entries(&self) -> usize {
+        self.expect.len() + self.writes.len() + self.remove.len()
+    }
+
     /// Whether it writes a table that is the operator's alone.
     pub(crate) fn touches_operator(&self) -> bool {
         self.writes.iter().any(|write| write.table == "op")
--- a/crates/wax-wire/src/pool.rs
+++ b/crates/wax-wire/src/pool.rs
@@ -12,7 +12,7 @@
     /// What it says; a message without a known body is a protocol error.
     #[prost(
         oneof = "PoolBody",
-        tags = "1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21"
+        tags = "1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22"
     )]
     pub body: Option<PoolBody>,
 }
@@ -83,6 +83,9 @@
     /// Owner to entry.
     #[prost(message, tag = "21")]
     Relayed(RelayTold),
+    /// Either direction between owner and entry: boots of workers that are dead for good.
+    #[prost(message, tag = "22")]
+    BootsDead(BootsDead),
 }
 
 impl From<PoolBody> for PoolFrame {
@@ -97,6 +100,9 @@
     /// The machine's name.
     #[prost(string, tag = "1")]
     pub node: String,
+    /// Boots of its worker that it knows to be dead for good.
+    #[prost(string, repeated, tag = "2")]
+    pub dead: Vec<String>,
 }
 
 /// First message of an entry.
@@ -231,6 +237,17 @@
     /// The worker's id.
     #[prost(string, tag = "1")]
     pub worker: String,
+    /// Whether this boot is dead for good; else only its leases have lapsed.
+    #[prost(bool, tag = "2")]
+    pub dead: bool,
+}
+
+/// Boots of workers that are dead for good: nothing runs there, now or later.
+#[derive(Clone, PartialEq, Message)]
+pub struct BootsDead {
+    /// Their ids.
+    #[prost(string, repeated, tag = "1")]
+    pub boots: Vec<String>,
 }
 
 /// What became of runs since the last news.
--- a/crates/wax-wire/src/pool_parts.rs
+++ b/crates/wax-wire/src/pool_parts.rs
@@ -76,6 +76,13 @@
     silent: bool,
 }
 
+impl WorkerFrame {
+    /// The worker's id.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+}
+
 impl From<&WorkerView> for WorkerFrame {
     fn from(view: &WorkerView) -> Self {
         Self {
@@ -130,6 +137,8 @@
     percent: u32,
     #[prost(uint32, tag = "4")]
     figure: u32,
+    #[prost(bool, tag = "5")]
+    listed: bool,
 }
 
 impl From<&RunReport> for ReportFrame {
@@ -139,6 +148,7 @@
             checkpoint: report.checkpoint.to_string(),
             percent: report.percent,
             figure: report.figure,
+            listed: report.listed,
         }
     }
 }
@@ -150,6 +160,7 @@
             checkpoint: frame.checkpoint.as_str().into(),
             percent: frame.percent,
             figure: frame.figure,
+            listed: frame.listed,
         }
     }
 }
--- a/crates/wax-wire/src/relay.rs
+++ b/crates/wax-wire/src/relay.rs
@@ -54,6 +54,12 @@
     /// How long the asker waits, milliseconds.
     #[prost(uint32, tag = "4")]
     pub wait_ms: u32,
+    /// The asker's clock when it asked, microseconds.
+    #[prost(uint64, tag = "5")]
+    pub sent_us: u64,
+    /// Rows that are to go.
+    #[prost(message, repeated, tag = "6")]
+    pub remove: Vec<RowFrame>,
 }
 
 /// What became of a [`RelayAsk`].
@@ -68,6 +74,8 @@
     Conflict = 2,
     /// It has had no effect and will have none.
     NotSent = 3,
+    /// It has had no effect, and the store takes no such transaction.
+    Refused = 4,
 }
 
 /// Answer to [`RelayAsk`].
--- a/crates/wax-wire/tests/pool.rs
+++ b/crates/wax-wire/tests/pool.rs
@@ -45,6 +45,7 @@
         checkpoint: "00bb".into(),
         percent: 41,
         figure: 12,
+        listed: true,
     }
 }
 
@@ -95,7 +96,7 @@
 }
 
 survives! {
-    agent_hello: PoolBody::AgentHello(AgentHello { node: "side-1".into() }),
+    agent_hello: PoolBody::AgentHello(AgentHello { node: "side-1".into(), dead: vec!["i-0".into()] }),
     entry_hello: PoolBody::EntryHello(EntryHello {
         node: "edge-1".into(),
         address: "10.0.0.1:7700".into(),
@@ -110,6 +111,8 @@
         }],
         writes: vec![row()],
         wait_ms: 900,
+        sent_us: 12,
+        remove: vec![row()],
     }),
     relayed: PoolBody::Relayed(RelayTold {
         ask: 7,
@@ -128,7 +131,7 @@
     }),
     worker_kept: PoolBody::WorkerKept(WorkerKept { worker: "i-1".into(), seats: vec![seat()] }),
     worker_changed: PoolBody::WorkerChanged((&view()).into()),
-    worker_gone: PoolBody::WorkerGone(WorkerGone { worker: "i-1".into() }),
+    worker_gone: PoolBody::WorkerGone(WorkerGone { worker: "i-1".into(), dead: true }),
     news: PoolBody::News(RunNews {
         started: vec![mark().into()],
         refused: vec![RefusalFrame::new(mark(), StartRefusal::Unwell)],
--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -8,5 +8,6 @@
 #[path = "../common/mod.rs"]
 mod common;
 mod jobs;
+mod many_agents;
 mod site;
 mod troubles;
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -163,6 +163,8 @@
     pub(crate) callers: SocketAddr,
     pub(crate) readiness: SocketAddr,
     pub(crate) metrics: SocketAddr,
+    /// Where agents and other fronts link to it.
+    pub(crate) peers: SocketAddr,
 }
 
 /// One machine with a worker and its agent.
@@ -264,6 +266,7 @@
             callers,
             readiness,
             metrics,
+            peers: SocketAddr::new(ip.parse().expect("an address"), port),
         });
         self.start_front(number);
     }
@@ -298,6 +301,26 @@
         String::from_utf8_lossy(&output.stdout).into_owned()
     }
 
+    /// All that a process has logged.
+    pub(crate) fn log(&self, process: &str) -> String {
+        std::fs::read_to_string(self.folder.join(format!("{process}.log"))).unwrap_or_default()
+    }
+
+    /// Waits until a process has logged a text.
+    pub(crate) async fn wait_log(&self, process: &str, text: &str) {
+        self.wait_logs(process, text, 1).await;
+    }
+
+    /// Waits until a process has logged a text in so many lines.
+    pub(crate) async fn wait_logs(&self, process: &str, text: &str, lines: usize) {
+        wait_for(&format!("{process} to log: {text}"), || async {
+            let log = self.log(process);
+            let found = log.lines().filter(|line| line.contains(text)).count();
+            (found >= lines).then_some(())
+        })
+        .await;
+    }
+
     pub(crate) fn front_runs(&mut self, number: usize) -> bool {
         let process = self.fronts[number].process.as_mut();
         process.is_some_and(SiteProcess::is_running)
