--- a/crates/wax-agent/src/driver.rs
+++ b/crates/wax-agent/src/driver.rs
@@ -224,6 +224,7 @@
             worker: (&boot.shown_view()).into(),
             runs: boot.table.reports().iter().map(Into::into).collect(),
             ends: reply.ended.iter().map(Into::into).collect(),
+            known_pairs: boot.pace.known_pairs() as u32,
         };
         state.tell(PoolBody::WorkerUp(up));
         return true;
--- a/crates/wax-agent/src/pace.rs
+++ b/crates/wax-agent/src/pace.rs
@@ -198,6 +198,11 @@
         &self.rooms
     }
 
+    /// How many pairs are known.
+    pub fn known_pairs(&self) -> usize {
+        self.pairs.len()
+    }
+
     /// Takes what the owner has gathered of a pair.
     pub fn set_pair(&mut self, serving: &str, filling: &str, press: PairPress) {
         self.pairs.set(serving, filling, press);
--- a/crates/wax-policy/src/press.rs
+++ b/crates/wax-policy/src/press.rs
@@ -115,33 +115,52 @@
 /// What is known of all pairs: the image that serves, then the one that fills.
 #[derive(Debug, Clone, Default)]
 pub struct PressTable {
-    pairs: HashMap<(Box<str>, Box<str>), PairPress>,
+    /// A look-up, of which each placement makes some hundreds, copies no name.
+    pairs: HashMap<Box<str>, HashMap<Box<str>, PairPress>>,
 }
 
 impl PressTable {
     /// What is known of a pair.
     pub fn get(&self, serving: &str, filling: &str) -> PairPress {
-        let key = (Box::from(serving), Box::from(filling));
-        self.pairs.get(&key).copied().unwrap_or_default()
+        let on_serving = self.pairs.get(serving);
+        let known = on_serving.and_then(|pairs| pairs.get(filling));
+        known.copied().unwrap_or_default()
     }
 
     /// Adds observations of a pair; says what is known now.
     pub fn merge(&mut self, serving: &str, filling: &str, other: PairPress) -> PairPress {
-        let key = (Box::from(serving), Box::from(filling));
-        let known = self.pairs.entry(key).or_default();
+        let known = self.entry(serving, filling);
         *known = known.plus(other).capped();
         *known
     }
 
     /// Sets what is known of a pair.
     pub fn set(&mut self, serving: &str, filling: &str, press: PairPress) {
-        self.pairs.insert((serving.into(), filling.into()), press);
+        *self.entry(serving, filling) = press;
+    }
+
+    fn entry(&mut self, serving: &str, filling: &str) -> &mut PairPress {
+        let on_serving = self.pairs.entry(serving.into()).or_default();
+        on_serving.entry(filling.into()).or_default()
+    }
+
+    /// How many pairs are known.
+    pub fn len(&self) -> usize {
+        self.pairs.values().map(HashMap::len).sum()
+    }
+
+    /// Whether no pair is known.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
     }
 
     /// All pairs.
     pub fn iter(&self) -> impl Iterator<Item = (&str, &str, PairPress)> {
-        let pairs = self.pairs.iter();
-        pairs.map(|((serving, filling), press)| (&**serving, &**filling, *press))
+        let images = self.pairs.iter();
+        images.flat_map(|(serving, pairs)| {
+            let pairs = pairs.iter();
+            pairs.map(|(filling, press)| (&**serving, &**filling, *press))
+        })
     }
 
     /// By what share all that fills beside an image raises its load.
--- a/crates/wax-wire/src/pool.rs
+++ b/crates/wax-wire/src/pool.rs
@@ -193,6 +193,9 @@
     /// Ends that the worker still lists.
     #[prost(message, repeated, tag = "3")]
     pub ends: Vec<EndFrame>,
+    /// Of how many pairs of images the agent knows the press.
+    #[prost(uint32, tag = "4")]
+    pub known_pairs: u32,
 }
 
 /// What a run books and how it behaves.
--- a/crates/wax-wire/tests/pool.rs
+++ b/crates/wax-wire/tests/pool.rs
@@ -128,6 +128,7 @@
         worker: (&view()).into(),
         runs: vec![(&report()).into()],
         ends: vec![(&end()).into()],
+        known_pairs: 480,
     }),
     worker_kept: PoolBody::WorkerKept(WorkerKept { worker: "i-1".into(), seats: vec![seat()] }),
     worker_changed: PoolBody::WorkerChanged((&view()).into()),
--- a/tests/pool/many_agents.rs
+++ b/tests/pool/many_agents.rs
@@ -56,6 +56,7 @@
             worker: (&view).into(),
             runs: Vec::new(),
             ends: Vec::new(),
+            known_pairs: 0,
         };
         self.writer.write(PoolBody::WorkerUp(up)).await.ok()?;
         loop {
