A front that lets go goes last; peers are told of the next owner at once

Agents that dial while nobody owns were sent on and searched on for 0.1 to 0.4 s.

A front that has let go takes the last turn. A process without an owner to name waits up to 0.3 s for word of one before it answers a hello, and serves the link if it became the owner itself.

Test: candidates a_front_that_has_let_go_tries_after_the_others.

--- a/crates/wax-owner/src/candidates.rs
+++ b/crates/wax-owner/src/candidates.rs
@@ -109,6 +109,14 @@
     pub best: OwnerFitness,
 }
 
+impl CandidateRank {
+    /// The turn of a front that has let go.
+    pub fn last(best: OwnerFitness) -> Self {
+        let rank = MOST_RANK;
+        Self { rank, best }
+    }
+}
+
 /// What a front knows when nobody owns the shard.
 #[derive(Debug, Clone, Copy)]
 pub struct TakeoverChance {
--- a/crates/wax-owner/src/listener.rs
+++ b/crates/wax-owner/src/listener.rs
@@ -3,6 +3,7 @@
 use crate::agents::serve_agent;
 use crate::entries::serve_entry;
 use crate::shared::PoolShared;
+use crate::tenure::Tenure;
 use compio::net::{TcpListener, TcpStream};
 use compio::runtime::spawn;
 use compio::time::{sleep, timeout};
@@ -12,6 +13,8 @@
 
 /// A peer must say who it is within this time.
 const HELLO_LIMIT: Duration = Duration::from_millis(1_000);
+/// A peer waits this long for word of the next owner, less than it waits for an answer.
+const OWNER_WAIT: Duration = Duration::from_millis(300);
 /// After a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -38,7 +41,7 @@
     let Ok(Ok(Some(hello))) = timeout(HELLO_LIMIT, reader.read()).await else {
         return;
     };
-    let Some(tenure) = shared.current_tenure() else {
+    let Some(tenure) = wait_owner(shared).await else {
         refuse(shared, writer).await;
         return;
     };
@@ -54,6 +57,19 @@
     }
 }
 
+/// The term of this process, if it owns the shard. While nobody does, word of the next owner is waited
+/// for: it comes within some tens of milliseconds, and 160 agents need not search for it.
+async fn wait_owner(shared: &PoolShared) -> Option<Rc<Tenure>> {
+    let listener = shared.owner_changed.listen();
+    let tenure = shared.current_tenure();
+    if tenure.is_some() || shared.has_owner() {
+        return tenure;
+    }
+    // Either the word or the limit; both lead to another look.
+    let _ = timeout(OWNER_WAIT, listener).await;
+    shared.current_tenure()
+}
+
 async fn refuse(shared: &PoolShared, mut writer: PoolWriter) {
     let answer = {
         let owner = shared.owner.borrow();
--- a/crates/wax-owner/src/shared.rs
+++ b/crates/wax-owner/src/shared.rs
@@ -239,6 +239,12 @@
         self.owner.borrow().as_ref().map_or(0, |owner| owner.epoch)
     }
 
+    /// Whether an owner is known that has not let go.
+    pub(crate) fn has_owner(&self) -> bool {
+        let owner = self.owner.borrow();
+        owner.as_ref().is_some_and(|owner| !owner.released)
+    }
+
     /// The tenure of this process, if it owns the shard.
     pub fn current_tenure(&self) -> Option<Rc<Tenure>> {
         self.tenure.borrow().clone()
--- a/crates/wax-owner/src/watch.rs
+++ b/crates/wax-owner/src/watch.rs
@@ -1,7 +1,7 @@
 //! Watches who owns the shard, and takes over when nobody does.
 
 use crate::advice::ask_advisor;
-use crate::candidates::{OwnerFitness, TakeoverChance};
+use crate::candidates::{CandidateRank, OwnerFitness, TakeoverChance};
 use crate::dispatch::dispatch_orders;
 use crate::fate::{TxFate, transact};
 use crate::job_feed::follow_jobs;
@@ -119,6 +119,11 @@
         tenure.let_go();
         tenure.over.wait().await;
     }
+    if tenure.letting_go.is_raised() {
+        // It has let go for another to own: all others go first.
+        let best = best_known(shared);
+        shared.rank.set(Some(CandidateRank::last(best)));
+    }
     shared.tenure.borrow_mut().take();
 }
 
--- a/crates/wax-owner/tests/candidates.rs
+++ b/crates/wax-owner/tests/candidates.rs
@@ -58,6 +58,14 @@
     );
 }
 
+/// A front that hands over is free to take over at once, as it knows of the release first.
+#[test]
+fn a_front_that_has_let_go_tries_after_the_others() {
+    let last = chance(STRONG, Some(CandidateRank::last(STRONG))).wait();
+    assert!(last >= Duration::from_millis(600));
+    assert!(chance(STRONG, None).wait() < last);
+}
+
 #[test]
 fn a_weak_front_tries_after_all_strong_ones_told_or_not() {
     let strong = (0..40).map(|rank| chance(STRONG, told(rank, STRONG)).wait());
