--- a/crates/wax-logs/src/event.rs
+++ b/crates/wax-logs/src/event.rs
@@ -108,6 +108,9 @@
         /// The term.
         epoch: u64,
     },
+    /// A front does not reach the store.
+    #[serde(rename = "the store does not answer")]
+    StoreLost,
     /// Anything else.
     #[serde(other)]
     Other,
--- a/crates/wax-logs/src/history.rs
+++ b/crates/wax-logs/src/history.rs
@@ -104,6 +104,8 @@
     pub paces: Vec<(f64, Box<str>, Box<str>, u32)>,
     /// When terms of owners began.
     pub takeovers: Vec<f64>,
+    /// When fronts found that the store did not answer.
+    pub store_lost: Vec<f64>,
     /// When the first line was written; 0 without a line.
     pub began: f64,
 }
@@ -182,6 +184,7 @@
                 }
             }
             LogEvent::Takeover { .. } => self.takeovers.push(at),
+            LogEvent::StoreLost => self.store_lost.push(at),
             LogEvent::Other => {}
         }
     }
--- a/crates/wax-logs/src/plot.rs
+++ b/crates/wax-logs/src/plot.rs
@@ -1,4 +1,7 @@
 //! A day as a picture: open jobs, runs under way, what waits and what is slowed, over time.
+//!
+//! A panel for each scale: on one axis thousands of runs would flatten all else. Vertical lines mark takeovers
+//! and the moments at which a front lost the store.
 
 use crate::history::DayHistory;
 use crate::report::{WindowRow, is_under_way, report_day};
@@ -6,17 +9,39 @@
 use std::error::Error;
 
 /// The picture's size, pixels.
-const SIZE: (u32, u32) = (1_000, 520);
+const SIZE: (u32, u32) = (1_000, 760);
 /// Points of a line.
 const WINDOWS: f64 = 200.0;
+/// A takeover.
+const TAKEOVER: RGBColor = RED;
+/// A front that lost the store.
+const STORE_LOST: RGBColor = RGBColor(170, 170, 170);
 
-/// One line of the picture.
+/// One line of a panel.
 struct PlotLine {
     name: &'static str,
     color: RGBColor,
     points: Vec<(f64, f64)>,
 }
 
+/// Lines of one scale.
+struct PlotPanel {
+    lines: Vec<PlotLine>,
+}
+
+impl PlotPanel {
+    fn most(&self) -> f64 {
+        let points = self.lines.iter().flat_map(|line| &line.points);
+        points.map(|(_, value)| *value).fold(1.0, f64::max)
+    }
+}
+
+/// Moments that are marked in every panel.
+struct PlotMarks {
+    takeovers: Vec<f64>,
+    store_lost: Vec<f64>,
+}
+
 /// Draws a day as SVG.
 ///
 /// # Errors
@@ -31,18 +56,40 @@
         .ok_or("the lines tell of no job")?;
     let span = (last - day.began).max(1.0);
     let rows = report_day(day, span / WINDOWS).windows;
-    let lines = plot_lines(day, &rows, span);
-    let most = lines
-        .iter()
-        .flat_map(|line| &line.points)
-        .map(|(_, value)| *value)
-        .fold(1.0, f64::max);
+    let marks = plot_marks(day, span);
     let mut text = String::new();
-    draw(&mut text, &lines, span, most)?;
+    draw(
+        &mut text,
+        &plot_title(day),
+        &plot_panels(day, &rows, span),
+        &marks,
+        span,
+    )?;
     Ok(text)
 }
 
-fn plot_lines(day: &DayHistory, rows: &[WindowRow], span: f64) -> Vec<PlotLine> {
+fn plot_title(day: &DayHistory) -> String {
+    let in_time = day.jobs.values().filter(|job| job.is_in_time()).count();
+    format!(
+        "{} jobs accepted, {in_time} in time, {} requests not accepted, {} takeovers",
+        day.jobs.len(),
+        day.refused.len(),
+        day.takeovers.len()
+    )
+}
+
+fn plot_marks(day: &DayHistory, span: f64) -> PlotMarks {
+    let within = |moments: &[f64]| {
+        let times = moments.iter().map(|at| at - day.began);
+        times.filter(|at| (0.0..=span).contains(at)).collect()
+    };
+    PlotMarks {
+        takeovers: within(&day.takeovers),
+        store_lost: within(&day.store_lost),
+    }
+}
+
+fn plot_panels(day: &DayHistory, rows: &[WindowRow], span: f64) -> [PlotPanel; 3] {
     let line = |name, color, value: &dyn Fn(&WindowRow) -> f64| PlotLine {
         name,
         color,
@@ -50,17 +97,21 @@
     };
     let times = (0..=WINDOWS as u32).map(|step| f64::from(step) / WINDOWS * span);
     let open = times.map(|from| (from, open_jobs(day, day.began + from)));
-    vec![
-        PlotLine {
-            name: "jobs open",
-            color: BLACK,
-            points: open.collect(),
-        },
-        line("runs under way", BLUE, &|row| f64::from(row.running)),
-        line("steps that begin to wait", RED, &|row| {
-            f64::from(row.waits.values().sum::<u32>())
-        }),
-        line("images slowed", MAGENTA, &|row| f64::from(row.slowed)),
+    let open = PlotLine {
+        name: "jobs open",
+        color: BLACK,
+        points: open.collect(),
+    };
+    let running = line("runs under way", BLUE, &|row| f64::from(row.running));
+    let waits = line("steps that begin to wait", RED, &|row| {
+        f64::from(row.waits.values().sum::<u32>())
+    });
+    let slowed = line("images slowed", MAGENTA, &|row| f64::from(row.slowed));
+    let panel = |lines| PlotPanel { lines };
+    [
+        panel(vec![open]),
+        panel(vec![running]),
+        panel(vec![waits, slowed]),
     ]
 }
 
@@ -74,22 +125,59 @@
     day.jobs.values().filter(is_open).count() as f64
 }
 
-fn draw(text: &mut String, lines: &[PlotLine], span: f64, most: f64) -> Result<(), Box<dyn Error>> {
+fn draw(
+    text: &mut String,
+    title: &str,
+    panels: &[PlotPanel],
+    marks: &PlotMarks,
+    span: f64,
+) -> Result<(), Box<dyn Error>> {
     let root = SVGBackend::with_string(text, SIZE).into_drawing_area();
     root.fill(&WHITE)?;
-    let mut chart = ChartBuilder::on(&root)
-        .margin(10)
-        .x_label_area_size(35)
-        .y_label_area_size(45)
+    let body = root.titled(title, ("sans-serif", 18))?;
+    for (area, panel) in body.split_evenly((panels.len(), 1)).iter().zip(panels) {
+        draw_panel(area, panel, marks, span)?;
+    }
+    root.present()?;
+    Ok(())
+}
+
+type PlotArea<'a> = DrawingArea<SVGBackend<'a>, plotters::coord::Shift>;
+
+fn draw_panel(
+    area: &PlotArea<'_>,
+    panel: &PlotPanel,
+    marks: &PlotMarks,
+    span: f64,
+) -> Result<(), Box<dyn Error>> {
+    let most = panel.most();
+    let mut chart = ChartBuilder::on(area)
+        .margin(6)
+        .x_label_area_size(32)
+        .y_label_area_size(50)
         .build_cartesian_2d(0.0..span, 0.0..most)?;
     chart
         .configure_mesh()
         .x_desc("seconds from the first line")
         .draw()?;
-    for line in lines {
+    let kinds = [
+        ("a front lost the store", STORE_LOST, &marks.store_lost),
+        ("takeover", TAKEOVER, &marks.takeovers),
+    ];
+    for (name, color, moments) in kinds {
+        let lines = moments
+            .iter()
+            .map(|at| PathElement::new(vec![(*at, 0.0), (*at, most)], color));
+        chart
+            .draw_series(lines)?
+            .label(name)
+            .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], color));
+    }
+    for line in &panel.lines {
         let color = line.color;
+        let points = line.points.iter().copied();
         chart
-            .draw_series(LineSeries::new(line.points.iter().copied(), &color))?
+            .draw_series(LineSeries::new(points, color.stroke_width(2)))?
             .label(line.name)
             .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], color));
     }
@@ -98,6 +186,5 @@
         .background_style(WHITE)
         .border_style(BLACK)
         .draw()?;
-    root.present()?;
     Ok(())
 }
--- a/crates/wax-logs/tests/reports.rs
+++ b/crates/wax-logs/tests/reports.rs
@@ -168,8 +168,20 @@
 
 #[test]
 fn a_picture_names_its_lines() {
-    let text = plot_day(&day(&late_job())).expect("there is a job");
+    let mut lines = late_job();
+    lines.push(line(
+        2_000,
+        "\"message\":\"took over the shard\",\"epoch\":2",
+    ));
+    lines.push(line(2_100, "\"message\":\"the store does not answer\""));
+    let text = plot_day(&day(&lines)).expect("there is a job");
     assert!(text.starts_with("<svg") && text.contains("runs under way"));
+    assert!(text.contains("1 jobs accepted") && text.contains("1 takeovers"));
+    // One mark in each of the three panels, beside the legend's.
+    let marks = |color: &str| text.matches(color).count();
+    assert_eq!(marks("#AAAAAA"), 6, "moments at which the store was lost");
+    let panels = text.matches("seconds from the first line").count();
+    assert_eq!(panels, 3, "a panel for each scale");
     assert!(plot_day(&DayHistory::default()).is_err(), "nothing to draw");
 }
 
