A front without any way to the store refuses at once

A store that has not answered for 1.2 s while transactions wait is looked at, each 0.25 s; found lost for 0.3 s, and no owner heard that has it, new jobs are refused at once with Retry-After. Nothing is sent, so that 'not run' is true.

Test: pool a_front_that_is_cut_off_refuses_at_once.

--- a/crates/wax-front/src/accept.rs
+++ b/crates/wax-front/src/accept.rs
@@ -30,6 +30,9 @@
     deadline: TimePoint,
 ) -> Result<AcceptOutcome, WaxError> {
     let shared = &state.shared;
+    if state.is_cut_off() {
+        return Err(not_stored("neither the store nor the owner can be reached"));
+    }
     let mut row = JobRow::new(
         spec,
         &queue.name,
--- a/crates/wax-front/src/readiness.rs
+++ b/crates/wax-front/src/readiness.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 use wax_http::{HttpHandler, HttpReply, HttpRequest, ShutdownSignal, empty_reply};
 
-/// Between two looks at a store that does not answer.
-const LOOK_PERIOD: Duration = Duration::from_millis(500);
+/// Between two looks at a store that does not answer: callers are refused until it is seen to answer.
+const LOOK_PERIOD: Duration = Duration::from_millis(250);
 /// Longest time for a look.
 const LOOK_LIMIT: Duration = Duration::from_millis(800);
 
@@ -38,7 +38,7 @@
 pub(crate) async fn look_after_store(state: Rc<FrontState>) {
     loop {
         sleep(LOOK_PERIOD + LOOK_PERIOD.mul_f64(fastrand::f64() / 2.0)).await;
-        if state.store_lost.get().is_none() {
+        if state.store_lost.get().is_none() && !state.is_store_overdue() {
             continue;
         }
         let look = state
@@ -46,8 +46,6 @@
             .store
             .read(OPERATOR_TABLE, "", "", "", LOOK_LIMIT)
             .await;
-        if look.is_ok() {
-            state.note_store(true);
-        }
+        state.note_store(look.is_ok());
     }
 }
--- a/crates/wax-front/src/state.rs
+++ b/crates/wax-front/src/state.rs
@@ -23,11 +23,17 @@
     pub(crate) next_ask: Cell<u64>,
     /// Since when the store has not answered this process; `None` while it does.
     pub(crate) store_lost: Cell<Option<TimePoint>>,
+    /// Transactions of this front that are under way.
+    pub(crate) unanswered: Cell<u32>,
 }
 
 /// While the store does not answer, callers are told to come back after this.
 pub(crate) const STORE_RETRY: Duration = Duration::from_millis(700);
 
+/// A store that is found lost is believed to be so after this, should another call be answered.
+const CUT_OFF_AFTER: Duration = Duration::from_millis(300);
+/// A store that is slow answers within this; one that has not is looked at.
+const OVERDUE_AFTER: Duration = Duration::from_millis(1_200);
 /// An owner that was heard this lately is taken to be there.
 const HEARD_LATELY: Duration = Duration::from_millis(800);
 
@@ -40,6 +46,7 @@
             relays: RefCell::default(),
             next_ask: Cell::new(1),
             store_lost: Cell::new(None),
+            unanswered: Cell::new(0),
         }
     }
 
@@ -48,6 +55,20 @@
         self.shared.now().since(self.shared.owner_heard.get()) < HEARD_LATELY
     }
 
+    /// Whether neither the store nor an owner that has it was heard for a while: what is asked for now
+    /// would be held until its caller gives up, where another front may serve it.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        let now = self.shared.now();
+        let lost = self.store_lost.get();
+        lost.is_some_and(|since| now.since(since) >= CUT_OFF_AFTER) && !self.hears_owner()
+    }
+
+    /// Whether the store should have answered by now.
+    pub(crate) fn is_store_overdue(&self) -> bool {
+        let silent = self.shared.now().since(self.shared.store_heard.get());
+        self.unanswered.get() > 0 && silent >= OVERDUE_AFTER
+    }
+
     /// Notes whether the store has answered.
     pub(crate) fn note_store(&self, answered: bool) {
         let now = self.shared.now();
--- a/crates/wax-front/src/store_way.rs
+++ b/crates/wax-front/src/store_way.rs
@@ -28,6 +28,7 @@
     tx: &TxRequest,
     deadline: TimePoint,
 ) -> TxFate {
+    let _under_way = UnderWay::new(state);
     let shared = &state.shared;
     // While the store is lost to this front, the owner's way goes first.
     let lost = state.store_lost.get().is_some() && state.hears_owner();
@@ -61,6 +62,22 @@
     }
 }
 
+/// Counts a transaction for as long as it is under way.
+struct UnderWay<'a>(&'a FrontState);
+
+impl<'a> UnderWay<'a> {
+    fn new(state: &'a FrontState) -> Self {
+        state.unanswered.set(state.unanswered.get() + 1);
+        Self(state)
+    }
+}
+
+impl Drop for UnderWay<'_> {
+    fn drop(&mut self) {
+        self.0.unanswered.set(self.0.unanswered.get() - 1);
+    }
+}
+
 /// What the own way says counts if it is certain; else the other way is waited for.
 async fn settle(own: TxFate, relayed: impl Future<Output = TxFate>) -> TxFate {
     match own.is_known() {
--- a/tests/pool/troubles.rs
+++ b/tests/pool/troubles.rs
@@ -212,6 +212,28 @@
     });
 }
 
+/// Held until its caller gives up, a request can't be served by a front that is not cut off.
+#[test]
+fn a_front_that_is_cut_off_refuses_at_once() {
+    run(async {
+        let site = Site::start("refuses", 1, 1).await;
+        site.store_faults(json!({ "down": true })).await;
+        let body = job(1, 1, 10).to_string().into_bytes();
+        wait_for("a refusal for want of any way to the store", || async {
+            let answer = site.ask(0, Method::POST, &name(1), body.clone()).await;
+            assert_eq!(answer.expect("the front answers").status, 503);
+            let reason = "neither the store nor the owner can be reached";
+            site.log("front-0").contains(reason).then_some(())
+        })
+        .await;
+        site.store_faults(json!({})).await;
+        site.submit(&name(1), &job(1, 1, 10)).await;
+        site.wait_state(&name(1), "completed").await;
+        assert_eq!(site.starts(&name(1)).await, 1);
+        site.audit().await;
+    });
+}
+
 #[test]
 fn a_store_that_forgets_its_history_is_read_anew() {
     run(async {
