--- a/crates/wax-batch/src/lib.rs
+++ b/crates/wax-batch/src/lib.rs
@@ -15,6 +15,7 @@
 mod progress;
 mod queue;
 mod rank;
+mod reports;
 mod seats;
 mod spec;
 mod unheard;
--- a/crates/wax-owner/src/entries.rs
+++ b/crates/wax-owner/src/entries.rs
@@ -2,9 +2,10 @@
 
 use crate::agents::write_link;
 use crate::candidates::{OwnerFitness, rank_among};
+use crate::fronts::FrontLife;
 use crate::relay::{PeerAge, relay_transaction};
 use crate::shared::PoolShared;
-use crate::tenure::{FrontLife, JobWord, Tenure};
+use crate::tenure::{JobWord, Tenure};
 use crate::writer::silent_for;
 use compio::runtime::spawn;
 use compio::time::timeout;
--- a/crates/wax-owner/src/watch.rs
+++ b/crates/wax-owner/src/watch.rs
@@ -1,13 +1,14 @@
 //! Watches who owns the shard, and takes over when nobody does.
 
 use crate::advice::ask_advisor;
-use crate::candidates::{CandidateRank, OwnerFitness, TakeoverChance};
+use crate::candidates::{CandidateRank, OwnerFitness};
 use crate::dispatch::dispatch_orders;
 use crate::fate::{TxFate, transact};
 use crate::job_feed::follow_jobs;
 use crate::rows::{BEAT_TABLE, BeatRow, OWNER_TABLE, OwnerRow, PART, beat_key, owner_key};
 use crate::shared::{KnownOwner, PoolShared};
 use crate::tenure::Tenure;
+use crate::turn::{best_known, wait_turn};
 use crate::waves::report_waves;
 use crate::writer::write_chain;
 use compio::runtime::spawn;
@@ -62,47 +63,6 @@
     }
 }
 
-/// Lets those go first that have an earlier turn; says whether nobody has taken over meanwhile.
-async fn wait_turn(shared: &PoolShared) -> bool {
-    let row_best = shared.owner.borrow().as_ref().map(|owner| owner.best);
-    let chance = TakeoverChance {
-        own: shared.fitness(),
-        told: shared.rank.get(),
-        row_best,
-        draw: fastrand::f64(),
-    };
-    let wait = chance.wait();
-    tracing::info!(
-        own = chance.own.0,
-        rank = chance.told.map(|told| told.rank),
-        wait_ms = wait.as_millis() as u64,
-        "nobody owns the shard"
-    );
-    let began = shared.now();
-    let known = shared.owner_epoch();
-    loop {
-        let listener = shared.owner_changed.listen();
-        if shared.owner_epoch() > known {
-            return false;
-        }
-        let waited = shared.now().since(began);
-        if waited >= wait {
-            return true;
-        }
-        // Either another owner is heard of or the turn has come; both lead to another look.
-        let _ = timeout(wait - waited, listener).await;
-    }
-}
-
-/// The strongest front that this one or the last owner knew of.
-fn best_known(shared: &PoolShared) -> OwnerFitness {
-    let row = shared.owner.borrow().as_ref().map(|owner| owner.best);
-    let told = shared.rank.get().map(|told| told.best);
-    let own = shared.strength.fitness(Duration::ZERO);
-    // What the last owner has told is newer than its row.
-    own.max(told.or(row).unwrap_or_default())
-}
-
 async fn wait_look(shared: &PoolShared) {
     let listener = shared.owner_changed.listen();
     // Either the owner's row has changed or the period is over; both lead to another look.
