--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -237,7 +237,8 @@
             if relayed {
                 site.relays.push(Relay::start(store));
             }
-            site.add_front(&format!("127.{base}.1.{}", number + 1), port);
+            site.add_front(&format!("127.{base}.1.{}", number + 1), port, 1.0);
+            site.start_front(number);
         }
         let seeds: Vec<String> = site
             .fronts
@@ -253,7 +254,19 @@
         site
     }
 
-    fn add_front(&mut self, ip: &str, port: u16) {
+    /// Adds a front on a machine of so many cores, beside the others; it is not started.
+    pub(crate) fn add_front_of(&mut self, cores: f64) -> usize {
+        let number = self.fronts.len();
+        let SocketAddr::V4(first) = self.fronts[0].peers else {
+            unreachable!("sites have IPv4 addresses");
+        };
+        let [a, b, c, _] = first.ip().octets();
+        let ip = format!("{a}.{b}.{c}.{}", number + 1);
+        self.add_front(&ip, first.port(), cores);
+        number
+    }
+
+    fn add_front(&mut self, ip: &str, port: u16, cores: f64) {
         let number = self.fronts.len();
         let (callers, readiness, metrics) = (free_port(ip), free_port(ip), free_port(ip));
         let settings = self.folder.join(format!("front-{number}.yaml"));
@@ -261,7 +274,8 @@
         let store = relay.map_or(self.store, |relay| relay.address);
         let text = format!(
             "role: front\nname: front-{number}\nregion: r\nfailure_domain: a\nplatform:\n  address: {}\n\
-             pool:\n  peers: {ip}:{port}\n  callers: {callers}\n  readiness: {readiness}\n  metrics: {metrics}\n\
+             pool:\n  peers: {ip}:{port}\n  callers: {callers}\n  readiness: {readiness}\n  metrics: {metrics}\n  \
+             machine: {{cpu_share: {cores}}}\n\
              logs:\n  stdout: true\n  json: true\n",
             store
         );
@@ -274,7 +288,6 @@
             metrics,
             peers: SocketAddr::new(ip.parse().expect("an address"), port),
         });
-        self.start_front(number);
     }
 
     pub(crate) fn start_front(&mut self, number: usize) {
--- a/tests/pool/troubles.rs
+++ b/tests/pool/troubles.rs
@@ -448,6 +448,29 @@
     });
 }
 
+/// A front that few requests keep busy may own alone, and gives way to one that carries the load.
+#[test]
+fn a_weak_owner_hands_over_to_a_strong_front_and_takes_over_again_when_that_is_gone() {
+    run(async {
+        let mut site = Site::start("unequal", 1, 1).await;
+        let weak = site.add_front_of(0.05);
+        site.start_front(weak);
+        site.wait_ready(weak).await;
+        site.wait_log("front-1", "linked to the owner").await;
+        // Nobody else is left: the weak one owns.
+        site.kill_front(0);
+        site.wait_log("front-1", "took over the shard").await;
+        site.submit(&name(1), &job(2, 3, 400)).await;
+        site.start_front(0);
+        site.wait_log("front-1", "a front is far stronger").await;
+        site.wait_logs("front-0", "took over the shard", 2).await;
+        site.wait_state(&name(1), "completed").await;
+        site.submit(&name(2), &job(1, 2, 50)).await;
+        site.wait_state(&name(2), "completed").await;
+        site.audit().await;
+    });
+}
+
 /// Else nobody would take over before the owner's row had stood still, and tasks of workers that were
 /// not heard would wait as long as that owner may have acted on.
 #[test]
