--- a/crates/wax-logs/src/plot.rs
+++ b/crates/wax-logs/src/plot.rs
@@ -13,7 +13,7 @@
 /// Points of a line.
 const WINDOWS: f64 = 200.0;
 /// A takeover.
-const TAKEOVER: RGBColor = RED;
+const TAKEOVER: RGBColor = RGBColor(0, 140, 0);
 /// A front that lost the store.
 const STORE_LOST: RGBColor = RGBColor(170, 170, 170);
 
@@ -183,6 +183,7 @@
     }
     chart
         .configure_series_labels()
+        .position(SeriesLabelPosition::UpperLeft)
         .background_style(WHITE)
         .border_style(BLACK)
         .draw()?;
