--- a/tests/pool/many_agents.rs
+++ b/tests/pool/many_agents.rs
@@ -142,13 +142,7 @@
 fn workers_that_left_while_the_store_was_down_hold_up_no_takeover() {
     run(async {
         let mut site = Site::start("left", 2, 1).await;
-        // The first front owns the shard, the second one hears what it hears.
-        site.kill_front(1);
-        site.submit(&name(1), &job(1, 1, 20)).await;
-        site.wait_state(&name(1), "completed").await;
-        site.start_front(1);
-        site.wait_ready(1).await;
-        site.wait_log("front-1", "linked to the owner").await;
+        site.own_by_first(&name(1)).await;
         let mut agents = link_all(site.fronts[0].peers, 0..AGENTS).await;
         wait_for("all agents to be known", || async {
             site.agent_rows().await.filter(|rows| *rows == AGENTS + 1)
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -300,6 +300,19 @@
         front.process = Some(SiteProcess::start("waxwingd", &args, log));
     }
 
+    /// Has the first of two fronts own the shard, whoever owned it before, and the second one linked to
+    /// it; runs a job of this name.
+    pub(crate) async fn own_by_first(&mut self, job_name: &str) {
+        self.kill_front(1);
+        self.submit(job_name, &job(1, 1, 50)).await;
+        self.wait_state(job_name, "completed").await;
+        let linked = "linked to the owner";
+        let before = self.log("front-1").matches(linked).count();
+        self.start_front(1);
+        self.wait_ready(1).await;
+        self.wait_logs("front-1", linked, before + 1).await;
+    }
+
     /// What the operators' tool reports of the logs of all fronts and agents.
     pub(crate) fn report(&self, options: &[&str]) -> String {
         let tool = Path::new(env!("CARGO_BIN_EXE_waxwingd")).with_file_name("waxwing");
--- a/tests/pool/troubles.rs
+++ b/tests/pool/troubles.rs
@@ -430,12 +430,7 @@
 fn work_goes_on_while_the_old_owner_lives_cut_off_from_the_store() {
     run(async {
         let mut site = Site::start_relayed("cut-off", 2, 2).await;
-        // Whoever owned before: now it is the first front.
-        site.kill_front(1);
-        site.submit(&name(1), &job(1, 1, 50)).await;
-        site.wait_state(&name(1), "completed").await;
-        site.start_front(1);
-        site.wait_ready(1).await;
+        site.own_by_first(&name(1)).await;
         site.relays[0].cut();
         for n in 2..=4 {
             site.submit(&name(n), &job(1, 3, 50)).await;
@@ -477,13 +472,7 @@
 fn an_owner_that_the_store_turns_away_hands_over_through_a_front() {
     run(async {
         let mut site = Site::start_relayed("handed", 2, 2).await;
-        // Whoever owned before: now it is the first front.
-        site.kill_front(1);
-        site.submit(&name(1), &job(1, 1, 50)).await;
-        site.wait_state(&name(1), "completed").await;
-        site.start_front(1);
-        site.wait_ready(1).await;
-        site.wait_log("front-1", "linked to the owner").await;
+        site.own_by_first(&name(1)).await;
         site.submit(&name(2), &job(2, 3, 400)).await;
         site.wait_running(&name(2)).await;
         site.relays[0].cut();
