Sight: what ran on a worker that ended, and for how long, in its agent's lines

Cause: a worker's end was told in one line without what ran there. Owners end such runs without a line, so that nobody could tell a task that takes its workers with it from one that was beside it, or a worker that crashed after a start from one that ran on for seconds. Change: the agent keeps when it sent each start and when the worker last answered, and writes "run lost with its worker" (worker, task, run, ran_ms, silent_ms) for each; counter runs_lost. No decision reads either. Test: a_run_surely_ran_from_its_start_to_the_last_answer_of_its_worker; tests of the crate pass.

--- a/crates/wax-agent/src/check_ins.rs
+++ b/crates/wax-agent/src/check_ins.rs
@@ -72,6 +72,9 @@
             .borrow_mut()
             .take_if(|boot: &mut WorkerBoot| *boot.view.id == *id);
         tracing::info!(worker = id, driven = left.is_some(), "worker has left");
+        if let Some(left) = left {
+            left.log_lost(self.state.now());
+        }
         self.state.tell(PoolBody::WorkerGone(WorkerGone {
             worker: id.into(),
             dead: true,
--- a/crates/wax-agent/src/driver.rs
+++ b/crates/wax-agent/src/driver.rs
@@ -98,7 +98,7 @@
         drop_boot(state, &before, "a new boot has checked in");
     }
     tracing::info!(worker = %view.id, service = %view.service, state = ?view.state, "worker registered");
-    let mut boot = WorkerBoot::new(view, sequence);
+    let mut boot = WorkerBoot::new(view, sequence, state.now());
     // An earlier process on this machine may have extended leases this far.
     let longest = state.lease_rules.ahead + state.lease_rules.grace;
     boot.lease.assume(state.now(), longest);
@@ -106,12 +106,12 @@
 }
 
 fn drop_boot(state: &Rc<AgentState>, id: &str, why: &str) {
-    let mut boot = state.boot.borrow_mut();
-    if boot.as_ref().is_some_and(|boot| *boot.view.id == *id) {
-        *boot = None;
+    let ended = state.boot.borrow_mut().take_if(|boot| *boot.view.id == *id);
+    if let Some(ended) = ended {
         state.boots.borrow_mut().bury(id);
         count(Counter::WorkersGone);
         tracing::warn!(worker = id, why, "worker is gone");
+        ended.log_lost(state.now());
         state.tell(PoolBody::WorkerGone(WorkerGone {
             worker: id.into(),
             dead: true,
@@ -129,11 +129,12 @@
     else {
         return;
     };
+    count(Counter::WorkersGone);
+    tracing::warn!(worker = id, "leases have lapsed");
+    lapsed.log_lost(now);
     let view = lapsed.view.clone();
     let sequence = lapsed.sequence;
     *boot = None;
-    count(Counter::WorkersGone);
-    tracing::warn!(worker = id, "leases have lapsed");
     state.tell(PoolBody::WorkerGone(WorkerGone {
         worker: id.into(),
         dead: false,
--- a/crates/wax-agent/src/lib.rs
+++ b/crates/wax-agent/src/lib.rs
@@ -19,4 +19,4 @@
 pub use owner_link::OwnerDirectory;
 pub use pace::{FillingSample, PaceCause, PaceChange, PaceControl, PaceSample, ServingSample};
 pub use process::run_agent;
-pub use table::{HoldNews, RunStand, RunTable, SeatInfo};
+pub use table::{HoldNews, LostRun, RunStand, RunTable, SeatInfo};
--- a/crates/wax-agent/src/orders.rs
+++ b/crates/wax-agent/src/orders.rs
@@ -58,7 +58,8 @@
         let Some(lease_until_ms) = boot.lease.extend(now, authority, &self.lease_rules) else {
             return Err(StartRefusal::Stale);
         };
-        boot.table.begin(mark, (&order.seat).into(), &boot.view)?;
+        boot.table
+            .begin(mark, (&order.seat).into(), &boot.view, now)?;
         Ok(StartRequest {
             mark,
             text: order.text.as_str().into(),
@@ -74,6 +75,9 @@
         let sent = self.now();
         let answer = self.worker.start(&boot, &request, START_LIMIT).await;
         note_latency(Latency::StartRun, self.now().since(sent));
+        if answer.is_ok() {
+            self.note_heard(&boot);
+        }
         match answer {
             Ok(OrderOutcome::Done) => self.note_started(&boot, mark),
             Ok(OrderOutcome::Refused(refusal)) => self.note_refused(&boot, mark, refusal),
--- a/crates/wax-agent/src/state.rs
+++ b/crates/wax-agent/src/state.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use wax_batch::{WorkerState, WorkerView};
 use wax_policy::PaceRules;
+use wax_trace::{Counter, count};
 use wax_types::{ProcessClock, TimePoint};
 use wax_wire::PoolBody;
 
@@ -31,6 +32,8 @@
     pub(crate) sequence: u64,
     /// Holds without an answer since the last one with it.
     pub(crate) unanswered: u32,
+    /// When it last answered.
+    pub(crate) answered: TimePoint,
     /// The link on which its runs were told last.
     pub(crate) told: u64,
     pub(crate) table: RunTable,
@@ -46,6 +49,22 @@
 const SILENT_AFTER: u32 = 2;
 
 impl WorkerBoot {
+    /// One line for each run that was on it when it ended.
+    pub(crate) fn log_lost(&self, now: TimePoint) {
+        let silent_ms = now.since(self.answered).as_millis() as u64;
+        for lost in self.table.lost_runs(self.answered) {
+            count(Counter::RunsLost);
+            tracing::info!(
+                worker = %self.view.id,
+                task = %lost.mark.task,
+                run = lost.mark.run,
+                ran_ms = lost.ran.map(|ran| ran.as_millis() as u64),
+                silent_ms,
+                "run lost with its worker"
+            );
+        }
+    }
+
     /// What the owner is shown of the worker.
     pub(crate) fn shown_view(&self) -> WorkerView {
         let mut view = self.view.clone();
@@ -55,11 +74,13 @@
         view
     }
 
-    pub(crate) fn new(view: WorkerView, sequence: u64) -> Self {
+    /// A boot that has answered now.
+    pub(crate) fn new(view: WorkerView, sequence: u64, now: TimePoint) -> Self {
         Self {
             view,
             sequence,
             unanswered: 0,
+            answered: now,
             told: 0,
             table: RunTable::default(),
             lease: LeaseClock::default(),
@@ -130,6 +151,9 @@
         let Some(boot) = boot.as_mut().filter(|boot| *boot.view.id == *id) else {
             return;
         };
+        if answered {
+            boot.answered = self.now();
+        }
         let was_silent = boot.unanswered >= SILENT_AFTER;
         boot.unanswered = if answered { 0 } else { boot.unanswered + 1 };
         let is_silent = boot.unanswered >= SILENT_AFTER;
@@ -139,6 +163,14 @@
         }
     }
 
+    /// The boot has answered an order.
+    pub(crate) fn note_heard(&self, id: &str) {
+        let mut boot = self.boot.borrow_mut();
+        if let Some(boot) = boot.as_mut().filter(|boot| *boot.view.id == *id) {
+            boot.answered = self.now();
+        }
+    }
+
     /// The id of the boot that is driven.
     pub(crate) fn driven(&self) -> Option<Box<str>> {
         let boot = self.boot.borrow();
--- a/crates/wax-agent/src/table.rs
+++ b/crates/wax-agent/src/table.rs
@@ -2,7 +2,9 @@
 
 use crate::pace::{PaceControl, PaceSample, ServingSample};
 use std::collections::HashMap;
+use std::time::Duration;
 use wax_batch::{RunEnd, RunMark, RunReport, StartRefusal, TaskSize, WorkerState, WorkerView};
+use wax_types::TimePoint;
 
 /// Where a run stands by what this process knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,6 +45,18 @@
     percent_sent: u32,
     checkpoint_sent: Box<str>,
     pace: u32,
+    /// When its start was sent; `None` if this process did not send it.
+    sent: Option<TimePoint>,
+}
+
+/// A run that was on a worker when that ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LostRun {
+    /// The run.
+    pub mark: RunMark,
+    /// For how long it surely ran: from its start to the worker's last answer. `None` if an earlier
+    /// process of this machine started it.
+    pub ran: Option<Duration>,
 }
 
 /// What a hold has brought that the owner does not know yet.
@@ -74,6 +88,7 @@
         mark: RunMark,
         seat: SeatInfo,
         view: &WorkerView,
+        now: TimePoint,
     ) -> Result<(), StartRefusal> {
         if view.state == WorkerState::Draining || self.rows.contains_key(&mark) {
             return Err(StartRefusal::Stale);
@@ -84,7 +99,8 @@
         if !seat.booked.plus(booked).fits(view.capacity) {
             return Err(StartRefusal::Room);
         }
-        let row = RunRow::new(mark, Some(seat), RunStand::Starting);
+        let mut row = RunRow::new(mark, Some(seat), RunStand::Starting);
+        row.sent = Some(now);
         self.rows.insert(mark, row);
         Ok(())
     }
@@ -190,6 +206,16 @@
         self.rows.values().map(|row| row.report.clone()).collect()
     }
 
+    /// All rows as they stood when the worker answered last, at `answered`.
+    pub fn lost_runs(&self, answered: TimePoint) -> Vec<LostRun> {
+        let rows = self.rows.iter();
+        let lost = rows.map(|(mark, row)| LostRun {
+            mark: *mark,
+            ran: row.sent.map(|sent| answered.since(sent)),
+        });
+        lost.collect()
+    }
+
     /// Whether a run's size is missing.
     pub fn is_sized(&self) -> bool {
         self.rows.values().all(|row| row.seat.is_some())
@@ -273,6 +299,7 @@
             percent_sent: 0,
             checkpoint_sent: "".into(),
             pace: 100,
+            sent: None,
         }
     }
 
--- a/crates/wax-agent/tests/guards.rs
+++ b/crates/wax-agent/tests/guards.rs
@@ -71,21 +71,27 @@
 #[test]
 fn what_is_being_stopped_keeps_its_room_until_its_end_is_listed() {
     let mut table = RunTable::default();
-    assert_eq!(table.begin(mark(0, 1), seat(1_000), &view(1_000)), Ok(()));
+    assert_eq!(
+        table.begin(mark(0, 1), seat(1_000), &view(1_000), at(0)),
+        Ok(())
+    );
     table.started(mark(0, 1));
     table.stopping(mark(0, 1));
     table.stopped(mark(0, 1), 5);
     assert_eq!(
-        table.begin(mark(1, 1), seat(1), &view(1_000)),
+        table.begin(mark(1, 1), seat(1), &view(1_000), at(0)),
         Err(StartRefusal::Room)
     );
     table.observe(&[report(mark(0, 1))], &[], 6);
     assert_eq!(
-        table.begin(mark(1, 1), seat(1), &view(1_000)),
+        table.begin(mark(1, 1), seat(1), &view(1_000), at(0)),
         Err(StartRefusal::Room)
     );
     table.observe(&[], &[end(1, mark(0, 1))], 7);
-    assert_eq!(table.begin(mark(1, 1), seat(1), &view(1_000)), Ok(()));
+    assert_eq!(
+        table.begin(mark(1, 1), seat(1), &view(1_000), at(0)),
+        Ok(())
+    );
 }
 
 #[test]
@@ -93,17 +99,23 @@
     let mut table = RunTable::default();
     table.observe(&[report(mark(0, 1))], &[], 1);
     assert_eq!(
-        table.begin(mark(1, 1), seat(1), &view(1_000)),
+        table.begin(mark(1, 1), seat(1), &view(1_000), at(0)),
         Err(StartRefusal::Room)
     );
     table.learn(mark(0, 1), seat(500));
-    assert_eq!(table.begin(mark(1, 1), seat(500), &view(1_000)), Ok(()));
+    assert_eq!(
+        table.begin(mark(1, 1), seat(500), &view(1_000), at(0)),
+        Ok(())
+    );
 }
 
 #[test]
 fn a_start_without_an_answer_keeps_its_room_until_a_later_hold_omits_it() {
     let mut table = RunTable::default();
-    assert_eq!(table.begin(mark(0, 1), seat(1_000), &view(1_000)), Ok(()));
+    assert_eq!(
+        table.begin(mark(0, 1), seat(1_000), &view(1_000), at(0)),
+        Ok(())
+    );
     table.stopping(mark(0, 1));
     // The hold under way may have been answered before the stop.
     table.stopped(mark(0, 1), 3);
@@ -117,7 +129,10 @@
 #[test]
 fn a_lost_answer_to_a_start_is_settled_by_the_list() {
     let mut table = RunTable::default();
-    assert_eq!(table.begin(mark(0, 1), seat(1_000), &view(1_000)), Ok(()));
+    assert_eq!(
+        table.begin(mark(0, 1), seat(1_000), &view(1_000), at(0)),
+        Ok(())
+    );
     table.observe(&[report(mark(0, 1))], &[], 1);
     assert_eq!(table.stand(mark(0, 1)), Some(RunStand::Running));
 }
@@ -125,7 +140,10 @@
 #[test]
 fn an_end_is_told_once_and_may_overtake_the_list() {
     let mut table = RunTable::default();
-    assert_eq!(table.begin(mark(0, 1), seat(1_000), &view(1_000)), Ok(()));
+    assert_eq!(
+        table.begin(mark(0, 1), seat(1_000), &view(1_000), at(0)),
+        Ok(())
+    );
     let ended = [end(1, mark(0, 1))];
     assert_eq!(table.observe(&[], &ended, 1).ends.len(), 1);
     assert_eq!(
@@ -135,6 +153,22 @@
     );
 }
 
+#[test]
+fn a_run_surely_ran_from_its_start_to_the_last_answer_of_its_worker() {
+    let mut table = RunTable::default();
+    let begun = table.begin(mark(0, 1), seat(1), &view(1_000), at(0));
+    assert_eq!(begun, Ok(()));
+    let begun = table.begin(mark(1, 1), seat(1), &view(1_000), at(500));
+    assert_eq!(begun, Ok(()));
+    // A process before this one started it.
+    table.observe(&[report(mark(2, 1))], &[], 1);
+    let mut lost = table.lost_runs(at(300));
+    lost.sort_by_key(|lost| lost.mark.task.index);
+    let ran: Vec<Option<Duration>> = lost.iter().map(|lost| lost.ran).collect();
+    let known = Duration::from_millis(300);
+    assert_eq!(ran, [Some(known), Some(Duration::ZERO), None]);
+}
+
 #[test]
 fn a_draining_worker_starts_nothing() {
     let mut table = RunTable::default();
@@ -143,7 +177,7 @@
         ..view(1_000)
     };
     assert_eq!(
-        table.begin(mark(0, 1), seat(1), &draining),
+        table.begin(mark(0, 1), seat(1), &draining, at(0)),
         Err(StartRefusal::Stale)
     );
 }
@@ -228,7 +262,7 @@
         for step in steps {
             match step {
                 TableStep::Begin(index, cpu) => {
-                    if table.begin(mark(index, 1), seat(cpu), &view(1_000)).is_ok() {
+                    if table.begin(mark(index, 1), seat(cpu), &view(1_000), at(0)).is_ok() {
                         truth.insert(index, cpu);
                     }
                 }
--- a/crates/wax-trace/src/counter.rs
+++ b/crates/wax-trace/src/counter.rs
@@ -129,6 +129,8 @@
     PaceOrders = "pace.orders",
     /// Boots of workers that are gone, or whose leases have lapsed.
     WorkersGone = "workers.gone",
+    /// Runs that were on a worker when it ended or its leases lapsed.
+    RunsLost = "runs.lost",
     /// Workers quarantined because they fail every task.
     WorkersQuarantined = "workers.quarantined",
 }
