Tests that fail: a task that ends its workers is started for ever

Cause: the owner ends a run whose worker is gone as lapsed, which counts for nothing (JobBook::end_run), and WorkerGone names neither the runs nor that the boot crashed. What was ruled out: that a count is lost with the owner (there is none). Change: stand-in workers can be ended by one task of a job, so long after its start, and tell what they saw; three tests on real processes: the fault, the fault 0.9 s after the start, a takeover between crashes.

--- a/crates/wax-standin/src/site_runs.rs
+++ b/crates/wax-standin/src/site_runs.rs
@@ -28,6 +28,17 @@
     mem: u32,
     /// Whether it fails at its end.
     fail: bool,
+    /// The task of this index takes its worker with it, so long after its start.
+    crash: Option<u32>,
+    crash_ms: u64,
+}
+
+impl TaskWork {
+    /// When the worker ends by this task, counted from its start, milliseconds.
+    fn crashes_after_ms(&self, task: &str) -> Option<u64> {
+        let index = task.rsplit('.').next()?.parse().ok()?;
+        (self.crash == Some(index)).then_some(self.crash_ms)
+    }
 }
 
 impl Default for TaskWork {
@@ -37,6 +48,8 @@
             cpu: 1_000,
             mem: 100,
             fail: false,
+            crash: None,
+            crash_ms: 10,
         }
     }
 }
@@ -217,6 +230,22 @@
         }
     }
 
+    /// Whether a task that runs takes the worker with it now; all that runs is then noted as killed.
+    pub(crate) fn crash(&mut self) -> bool {
+        let now = self.clock_ms();
+        let crashes = |(task, life): (&String, &RunLife)| {
+            let after = life.work.crashes_after_ms(task);
+            after.is_some_and(|after| now >= life.began_ms + after)
+        };
+        if !self.running.iter().any(crashes) {
+            return false;
+        }
+        for (task, life) in std::mem::take(&mut self.running) {
+            self.note("killed", &task, life.run);
+        }
+        true
+    }
+
     fn end(&mut self, task: &str, how: &'static str) {
         let Some(life) = self.running.remove(task) else {
             return;
--- a/crates/wax-standin/src/site_worker.rs
+++ b/crates/wax-standin/src/site_worker.rs
@@ -24,6 +24,9 @@
 /// How long an order hangs whose answer is lost.
 const LOST_REPLY: Duration = Duration::from_secs(30);
 
+/// Exit code of a worker that one of its tasks has ended.
+const CRASHED: i32 = 101;
+
 /// What is wrong with the worker now.
 #[derive(Debug, Clone, Default, Deserialize)]
 #[serde(default)]
@@ -77,6 +80,11 @@
 async fn tick(state: Rc<WorkerState>) {
     loop {
         sleep(TICK).await;
+        if state.runs.borrow_mut().crash() {
+            // What it has seen is lost with it but for this line.
+            println!("{}", json!({ "history": state.runs.borrow().history() }));
+            std::process::exit(CRASHED);
+        }
         let fail = state.faults.borrow().fail;
         state.runs.borrow_mut().tick(fail);
     }
--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -7,6 +7,7 @@
 mod calls;
 #[path = "../common/mod.rs"]
 mod common;
+mod crashes;
 mod jobs;
 mod many_agents;
 mod site;
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -430,6 +430,36 @@
         self.past.push(with_deaths(&history));
     }
 
+    /// Starts workers again that have ended by themselves, as the platform does.
+    pub(crate) fn revive_workers(&mut self) {
+        for number in 0..self.machines.len() {
+            let worker = self.machines[number].worker.as_mut();
+            if !worker.is_some_and(SiteProcess::is_running) {
+                self.start_worker(number);
+            }
+        }
+    }
+
+    /// How many starts of a task were ordered, by the lines of all fronts.
+    pub(crate) fn starts_ordered(&self, task: &str) -> usize {
+        let task = format!("\"task\":\"{task}\"");
+        let logs = (0..self.fronts.len()).map(|number| self.log(&format!("front-{number}")));
+        let ordered = |line: &&str| line.contains("start ordered") && line.contains(&task);
+        logs.map(|log| log.lines().filter(ordered).count()).sum()
+    }
+
+    /// What workers have seen that a task has ended.
+    fn histories_of_crashed(&self) -> Vec<Value> {
+        let logs = self.machines.iter();
+        let logs: Vec<String> = logs
+            .map(|machine| self.log(&format!("{}-worker", machine.name)))
+            .collect();
+        let lines = logs.iter().flat_map(|log| log.lines());
+        let words = lines.filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        let histories = words.filter_map(|word| word.get("history").cloned());
+        histories.collect()
+    }
+
     pub(crate) async fn wait_ready(&self, front: usize) {
         let url = format!("http://{}/v1/ready", self.fronts[front].readiness);
         wait_for("a front to be ready", || async {
@@ -573,7 +603,7 @@
     /// Checks the promises against what the workers themselves have seen.
     pub(crate) async fn audit(&self) {
         let mut rows = Vec::new();
-        for history in &self.past {
+        for history in self.past.iter().chain(&self.histories_of_crashed()) {
             rows.extend(history.as_array().cloned().unwrap_or_default());
         }
         for number in 0..self.machines.len() {
