A task that ends its workers is found and given up

Cause: JobBook::end_run counts done and failed ends only. A run that ends with its worker is listed by nobody and came in as lapsed, so that its task waited again at once, without a bound. The agent did not say that the boot crashed, nor what ran there. The class: what nobody reports is not counted. Ruled out: a count that is lost with the owner (there was none); a worker that goes down by itself (runs ended 10 ms after their starts, on machine after machine). Change: the agent tells which runs a boot crashed under and for how long each surely ran, again on new links for 10 s, also where the leases had lapsed before the next boot came. The book counts such runs per task, with their machines, and the store keeps them (TaskCrash). A task whose start two machines did not outlive by 0.25 s, the second one as the only start near, fails its job; four machines where the ends came later; four such early ends whatever was beside. Until then it starts alone: its worker is kept for 0.5 s, one worker in three at most, and it avoids machines that ended under it. A start that its worker outlived clears early ends, 10 s clear all. Members of a gang wait for no trial. Left: a task that ends its workers late in a busy pool is counted only in crashes that no single start explains, so that it may take more than five starts.

--- a/crates/wax-agent/src/check_ins.rs
+++ b/crates/wax-agent/src/check_ins.rs
@@ -72,8 +72,9 @@
             .borrow_mut()
             .take_if(|boot: &mut WorkerBoot| *boot.view.id == *id);
         tracing::info!(worker = id, driven = left.is_some(), "worker has left");
+        self.state.crashes.borrow_mut().note_left(id);
         if let Some(left) = left {
-            left.log_lost(self.state.now());
+            left.lose_runs(self.state.now());
         }
         self.state.tell(PoolBody::WorkerGone(WorkerGone {
             worker: id.into(),
--- /dev/null
+++ b/crates/wax-agent/src/crash_log.rs
@@ -0,0 +1,68 @@
+//! Crashes of the worker that owners may not have heard of.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use wax_batch::{LostRun, WorkerState, WorkerView};
+use wax_types::TimePoint;
+use wax_wire::BootCrashed;
+
+/// A crash is told on new links for so long: an owner that ends while it is told is replaced sooner.
+const TELL_FOR: Duration = Duration::from_secs(10);
+/// Crashes that are kept: a worker that is back at once crashes not more often within that time.
+const MOST_KEPT: usize = 8;
+
+/// What ran on boots that crashed lately, and on one whose leases have lapsed: that may have crashed.
+#[derive(Debug, Default)]
+pub struct CrashLog {
+    lapsed: Option<(Box<str>, Vec<LostRun>)>,
+    crashes: VecDeque<(TimePoint, BootCrashed)>,
+}
+
+impl CrashLog {
+    /// The leases of a boot have lapsed; whether it crashed shows once another one checks in.
+    pub fn note_lapsed(&mut self, view: &WorkerView, runs: Vec<LostRun>) {
+        if view.state != WorkerState::Draining {
+            self.lapsed = Some((view.id.clone(), runs));
+        }
+    }
+
+    /// A boot is driven from now on; returns the crash of the one that lapsed before, if that was another.
+    pub fn note_driven(&mut self, id: &str, now: TimePoint) -> Option<BootCrashed> {
+        let (lapsed, runs) = self.lapsed.take()?;
+        (*lapsed != *id).then(|| self.keep(&lapsed, &runs, now))
+    }
+
+    /// A boot has said that it ends.
+    pub fn note_left(&mut self, id: &str) {
+        self.lapsed.take_if(|(lapsed, _)| **lapsed == *id);
+    }
+
+    /// A boot has ended while it was driven; returns its crash, if it did not say that it would end.
+    pub fn note_ended(
+        &mut self,
+        view: &WorkerView,
+        runs: &[LostRun],
+        now: TimePoint,
+    ) -> Option<BootCrashed> {
+        (view.state != WorkerState::Draining).then(|| self.keep(&view.id, runs, now))
+    }
+
+    fn keep(&mut self, id: &str, runs: &[LostRun], now: TimePoint) -> BootCrashed {
+        let crash = BootCrashed {
+            worker: id.into(),
+            runs: runs.iter().map(Into::into).collect(),
+        };
+        self.crashes.push_back((now, crash.clone()));
+        if self.crashes.len() > MOST_KEPT {
+            self.crashes.pop_front();
+        }
+        crash
+    }
+
+    /// What a new owner is told: crashes that the one before may not have written down.
+    pub fn lately(&self, now: TimePoint) -> impl Iterator<Item = &BootCrashed> {
+        let crashes = self.crashes.iter();
+        let fresh = crashes.filter(move |(at, _)| now.since(*at) < TELL_FOR);
+        fresh.map(|(_, crash)| crash)
+    }
+}
--- a/crates/wax-agent/src/driver.rs
+++ b/crates/wax-agent/src/driver.rs
@@ -10,7 +10,8 @@
 use wax_trace::{Counter, count};
 use wax_types::TimePoint;
 use wax_wire::{
-    PoolBody, PressFrame, PressNews, RefusalFrame, RoomFrame, RunNews, WorkerGone, WorkerUp,
+    BootCrashed, PoolBody, PressFrame, PressNews, RefusalFrame, RoomFrame, RunNews, WorkerGone,
+    WorkerUp,
 };
 
 /// How long the worker may wait for an end before it answers a hold: no longer than paces may wait
@@ -98,6 +99,11 @@
         drop_boot(state, &before, "a new boot has checked in");
     }
     tracing::info!(worker = %view.id, service = %view.service, state = ?view.state, "worker registered");
+    let crash = state
+        .crashes
+        .borrow_mut()
+        .note_driven(&view.id, state.now());
+    tell_crash(state, crash);
     let mut boot = WorkerBoot::new(view, sequence, state.now());
     // An earlier process on this machine may have extended leases this far.
     let longest = state.lease_rules.ahead + state.lease_rules.grace;
@@ -105,13 +111,26 @@
     *state.boot.borrow_mut() = Some(boot);
 }
 
+fn tell_crash(state: &AgentState, crash: Option<BootCrashed>) {
+    if let Some(crash) = crash {
+        state.tell(PoolBody::BootCrashed(crash));
+    }
+}
+
 fn drop_boot(state: &Rc<AgentState>, id: &str, why: &str) {
     let ended = state.boot.borrow_mut().take_if(|boot| *boot.view.id == *id);
     if let Some(ended) = ended {
         state.boots.borrow_mut().bury(id);
         count(Counter::WorkersGone);
         tracing::warn!(worker = id, why, "worker is gone");
-        ended.log_lost(state.now());
+        let now = state.now();
+        let runs = ended.lose_runs(now);
+        let crash = state
+            .crashes
+            .borrow_mut()
+            .note_ended(&ended.view, &runs, now);
+        // Before the end itself: by that its tasks wait again.
+        tell_crash(state, crash);
         state.tell(PoolBody::WorkerGone(WorkerGone {
             worker: id.into(),
             dead: true,
@@ -131,8 +150,9 @@
     };
     count(Counter::WorkersGone);
     tracing::warn!(worker = id, "leases have lapsed");
-    lapsed.log_lost(now);
+    let runs = lapsed.lose_runs(now);
     let view = lapsed.view.clone();
+    state.crashes.borrow_mut().note_lapsed(&view, runs);
     let sequence = lapsed.sequence;
     *boot = None;
     state.tell(PoolBody::WorkerGone(WorkerGone {
--- a/crates/wax-agent/src/lib.rs
+++ b/crates/wax-agent/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod boots;
 mod check_ins;
+mod crash_log;
 mod driver;
 mod lease;
 mod orders;
@@ -15,8 +16,9 @@
 mod table;
 
 pub use boots::{BootReport, BootWatch, CandidateStep, CheckInStep};
+pub use crash_log::CrashLog;
 pub use lease::{LeaseClock, LeaseRules};
 pub use owner_link::OwnerDirectory;
 pub use pace::{FillingSample, PaceCause, PaceChange, PaceControl, PaceSample, ServingSample};
 pub use process::run_agent;
-pub use table::{HoldNews, LostRun, RunStand, RunTable, SeatInfo};
+pub use table::{HoldNews, RunStand, RunTable, SeatInfo};
--- a/crates/wax-agent/src/process.rs
+++ b/crates/wax-agent/src/process.rs
@@ -60,6 +60,7 @@
         link: RefCell::default(),
         boot: RefCell::default(),
         boots: RefCell::default(),
+        crashes: RefCell::default(),
         granted: Cell::new(TimePoint::default()),
         authority: Cell::new(TimePoint::default()),
         owner_cut_off: Cell::new(false),
--- a/crates/wax-agent/src/state.rs
+++ b/crates/wax-agent/src/state.rs
@@ -1,6 +1,7 @@
 //! What the tasks of one agent share.
 
 use crate::boots::{BootReport, BootWatch};
+use crate::crash_log::CrashLog;
 use crate::lease::{LeaseClock, LeaseRules};
 use crate::pace::PaceControl;
 use crate::table::RunTable;
@@ -9,7 +10,7 @@
 use platform::WorkerClient;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use wax_batch::{WorkerState, WorkerView};
+use wax_batch::{LostRun, WorkerState, WorkerView};
 use wax_policy::PaceRules;
 use wax_trace::{Counter, count};
 use wax_types::{ProcessClock, TimePoint};
@@ -49,10 +50,11 @@
 const SILENT_AFTER: u32 = 2;
 
 impl WorkerBoot {
-    /// One line for each run that was on it when it ended.
-    pub(crate) fn log_lost(&self, now: TimePoint) {
+    /// What was on it when it ended, a line for each run.
+    pub(crate) fn lose_runs(&self, now: TimePoint) -> Vec<LostRun> {
         let silent_ms = now.since(self.answered).as_millis() as u64;
-        for lost in self.table.lost_runs(self.answered) {
+        let runs = self.table.lost_runs(self.answered);
+        for lost in &runs {
             count(Counter::RunsLost);
             tracing::info!(
                 worker = %self.view.id,
@@ -63,6 +65,7 @@
                 "run lost with its worker"
             );
         }
+        runs
     }
 
     /// What the owner is shown of the worker.
@@ -105,6 +108,8 @@
     pub(crate) boot: RefCell<Option<WorkerBoot>>,
     /// Boots that have checked in and are not verified yet, and those that are dead.
     pub(crate) boots: RefCell<BootWatch>,
+    /// Crashes that owners may not have heard of.
+    pub(crate) crashes: RefCell<CrashLog>,
     /// The last grant of this link; it counts once the owner has taken over the worker's runs.
     pub(crate) granted: Cell<TimePoint>,
     /// Until when the owner's authority reaches.
--- a/crates/wax-agent/src/table.rs
+++ b/crates/wax-agent/src/table.rs
@@ -2,8 +2,9 @@
 
 use crate::pace::{PaceControl, PaceSample, ServingSample};
 use std::collections::HashMap;
-use std::time::Duration;
-use wax_batch::{RunEnd, RunMark, RunReport, StartRefusal, TaskSize, WorkerState, WorkerView};
+use wax_batch::{
+    LostRun, RunEnd, RunMark, RunReport, StartRefusal, TaskSize, WorkerState, WorkerView,
+};
 use wax_types::TimePoint;
 
 /// Where a run stands by what this process knows.
@@ -49,16 +50,6 @@
     sent: Option<TimePoint>,
 }
 
-/// A run that was on a worker when that ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LostRun {
-    /// The run.
-    pub mark: RunMark,
-    /// For how long it surely ran: from its start to the worker's last answer. `None` if an earlier
-    /// process of this machine started it.
-    pub ran: Option<Duration>,
-}
-
 /// What a hold has brought that the owner does not know yet.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct HoldNews {
--- a/crates/wax-batch/src/book.rs
+++ b/crates/wax-batch/src/book.rs
@@ -1,6 +1,7 @@
 //! All open jobs of a shard and the workers that run them, in their owner's memory.
 
 use crate::approvals::StepApproval;
+use crate::crashes::WorkerTrial;
 use crate::life::{JobLife, OccurrenceLife};
 use crate::names::{JobName, RunMark, TaskName};
 use crate::progress::{JobOutcome, JobProgress, JobRow};
@@ -127,6 +128,12 @@
     pub heard_at: TimePoint,
     /// What serves and what fills here, by image.
     pub press: WorkerPress,
+    /// Its machine: another boot of the worker is on the same one.
+    pub(crate) machine: Box<str>,
+    /// When a start was last ordered here.
+    pub(crate) last_start: TimePoint,
+    /// Set while it is kept for a task that may end its worker.
+    pub(crate) trial: Option<WorkerTrial>,
 }
 
 /// One run on a worker.
@@ -166,6 +173,8 @@
     pub(crate) pairs: PressTable,
     /// The owner's term.
     pub(crate) epoch: u64,
+    /// When a worker of a machine last crashed, for a while.
+    pub(crate) crashed: HashMap<Box<str>, TimePoint>,
     /// What workers that were not heard may still run of earlier terms.
     pub(crate) unheard: UnheardRuns,
 }
@@ -186,6 +195,7 @@
             approvals: HashMap::new(),
             pairs: PressTable::default(),
             epoch,
+            crashed: HashMap::new(),
             unheard: UnheardRuns::Any,
         }
     }
--- a/crates/wax-batch/src/ends.rs
+++ b/crates/wax-batch/src/ends.rs
@@ -126,6 +126,7 @@
         match kind {
             RunEndKind::Done => self.task_done(at, worker, now, now_ms),
             RunEndKind::Failed => self.task_failed(at, mark.run, worker, now, now_ms),
+            // An end with the worker counts by the crash, not by the lapse: [`JobBook::worker_crashed`].
             RunEndKind::Stopped | RunEndKind::Lapsed | RunEndKind::Broken | RunEndKind::Alone => {}
         }
         if kind != RunEndKind::Done {
--- a/crates/wax-batch/src/fit.rs
+++ b/crates/wax-batch/src/fit.rs
@@ -13,6 +13,11 @@
         self.view.capacity.minus(self.booked)
     }
 
+    /// The share of its processors that is booked.
+    pub(crate) fn booked_share(&self) -> f64 {
+        f64::from(self.booked.cpu_milli) / f64::from(self.view.capacity.cpu_milli.max(1))
+    }
+
     /// Why it takes no tasks of the step at all now; `None` if it does.
     fn refusal(&self, service: &str, step: &StepSpec, now: TimePoint) -> Option<WaitReason> {
         let label = step.label.as_ref();
--- a/crates/wax-batch/src/lib.rs
+++ b/crates/wax-batch/src/lib.rs
@@ -3,7 +3,9 @@
 //! Nothing here does I/O; the present time is an argument of everything that decides.
 
 mod approvals;
+mod blame;
 mod book;
+mod crashes;
 mod ends;
 mod fit;
 mod life;
@@ -23,9 +25,11 @@
 mod worker;
 
 pub use approvals::AdviceAsk;
+pub use blame::{CrashBlame, CrashVerdict, CrashedRun};
 pub use book::{
     BookNote, JobBook, JobInfo, JobKey, RunSeat, StartOrder, StepAt, StopOrder, TaskAt, WorkerLife,
 };
+pub use crashes::CrashNote;
 pub use ends::StartRefusal;
 pub use life::{JobLife, OccurrenceLife, StepLife, TaskLife, TaskStand};
 pub use names::{JobName, RunMark, TaskName};
@@ -38,4 +42,4 @@
 pub use spec::{JobSpec, RepeatPlan, SpecError, StepSpec, TaskSize};
 pub use unheard::UnheardRuns;
 pub use why::{PlaceReason, StepWait, StopReason, WaitReason};
-pub use worker::{RunEnd, RunEndKind, RunReport, WorkerKey, WorkerState, WorkerView};
+pub use worker::{LostRun, RunEnd, RunEndKind, RunReport, WorkerKey, WorkerState, WorkerView};
--- a/crates/wax-batch/src/life.rs
+++ b/crates/wax-batch/src/life.rs
@@ -1,5 +1,6 @@
 //! The life of a job in its owner's memory: occurrences, steps, tasks.
 
+use crate::blame::{CrashBlame, CrashedRun};
 use crate::names::JobName;
 use crate::progress::{JobOutcome, JobProgress, OccurrenceProgress, StepProgress, TaskFailures};
 use crate::queue::QueueRules;
@@ -48,6 +49,8 @@
     pub stand: TaskStand,
     /// The numbers of runs that ended by a fault; kept for tasks that do not last.
     pub failed_runs: Vec<u64>,
+    /// Its runs that ended with their workers.
+    pub blame: CrashBlame,
     /// The number of its last start.
     pub last_run: u64,
     /// The checkpoint to resume from; empty for none.
@@ -130,10 +133,12 @@
             if matches!(task.stand, TaskStand::Done) {
                 progress.mark_done(index as u32);
             }
-            if !task.failed_runs.is_empty() && !spec.lasts {
+            let counts_failures = !task.failed_runs.is_empty() && !spec.lasts;
+            if counts_failures || !task.blame.is_empty() {
                 progress.failures.push(TaskFailures {
                     index: index as u32,
                     runs: task.failed_runs.clone(),
+                    crashes: task.blame.runs.iter().map(Into::into).collect(),
                 });
             }
         }
@@ -159,8 +164,10 @@
         }
         for failure in &progress.failures {
             if let Some(task) = self.tasks.get_mut(failure.index as usize) {
-                task.last_run = failure.runs.iter().copied().max().unwrap_or(0);
+                let failed = failure.runs.iter().copied().max().unwrap_or(0);
                 task.failed_runs.clone_from(&failure.runs);
+                task.blame.runs = failure.crashes.iter().map(CrashedRun::from).collect();
+                task.last_run = failed.max(task.blame.last_run());
             }
         }
     }
--- a/crates/wax-batch/src/place.rs
+++ b/crates/wax-batch/src/place.rs
@@ -102,9 +102,15 @@
         };
         let life = &occurrence.steps[usize::from(at.step)];
         let clearance = self.clearance(at, life);
-        let waiting: Vec<u32> = (0..)
-            .zip(&life.tasks)
-            .filter(|(_, task)| task.is_waiting() && clearance.covers(task))
+        let tasks = (0..).zip(&life.tasks);
+        let waiting = tasks.filter(|(_, task)| task.is_waiting() && clearance.covers(task));
+        // Those under which workers have ended come last: they may have to wait where others need not.
+        let (others, blamed): (Vec<_>, Vec<_>) =
+            waiting.partition(|(_, task)| task.blame.is_empty());
+        let free = others.len();
+        let waiting: Vec<u32> = others
+            .into_iter()
+            .chain(blamed)
             .map(|(index, _)| index)
             .collect();
         let gang_waits = step.gang && waiting.len() < step.count as usize;
@@ -124,7 +130,7 @@
             self.place_gang(at, &ask, now, orders);
             return;
         }
-        for index in waiting {
+        for (nth, index) in waiting.into_iter().enumerate() {
             let task = TaskAt { step: at, index };
             match self.choose(task, &ask, now) {
                 PlaceChoice::Worker(chosen) => {
@@ -132,7 +138,9 @@
                 }
                 PlaceChoice::Wait(reason) => {
                     self.note_wait(task, &ask, reason, now);
-                    return;
+                    if nth < free {
+                        return;
+                    }
                 }
             }
         }
@@ -294,6 +302,12 @@
             FillPatience::Careful | FillPatience::Late | FillPatience::Any => ask.fill_limit,
             FillPatience::Starved => f64::INFINITY,
         };
+        let blame = &life.tasks[at.index as usize].blame;
+        let is_suspected = self.trial_of(at).is_some();
+        let avoids = self.avoids_machines(blame, ask.service, now);
+        if is_suspected && self.trials_are_full(at, ask.service, now) {
+            return PlaceChoice::Wait(WaitReason::Trial);
+        }
         let most = if step.most_per_worker == 0 {
             u32::MAX
         } else {
@@ -308,6 +322,8 @@
             let obstacle = worker.obstacle(ask.service, step, (fill_limit, &self.rules), now);
             let obstacle = match obstacle {
                 None if here >= most => Some(WaitReason::Spread),
+                None if avoids && blame.names(&worker.machine) => Some(WaitReason::FailedThere),
+                None if worker.is_kept_from(at, now) => Some(WaitReason::Trial),
                 None if !worker.bears(step, least_pace, &self.pairs, &self.rules) => {
                     Some(WaitReason::Interference)
                 }
@@ -327,6 +343,10 @@
             if shuns.is_some_and(|(shunned, _)| shunned == key) {
                 cost += self.rules.shun_cost;
             }
+            if !blame.is_empty() {
+                let crashed = self.crashed.get(&worker.machine).copied();
+                cost += worker.blame_cost(at, blame, is_suspected, crashed, now);
+            }
             best = Some(match best {
                 Some(known) if known.cost <= cost => ChosenWorker {
                     next_cost: Some(known.next_cost.map_or(cost, |next| next.min(cost))),
@@ -340,7 +360,13 @@
                 },
             });
         }
-        best.map_or(PlaceChoice::Wait(nearest), PlaceChoice::Worker)
+        match best {
+            Some(chosen) if is_suspected && !self.reserve_trial(at, chosen.key, now) => {
+                PlaceChoice::Wait(WaitReason::Trial)
+            }
+            Some(chosen) => PlaceChoice::Worker(chosen),
+            None => PlaceChoice::Wait(nearest),
+        }
     }
 
     fn order(
--- a/crates/wax-batch/src/progress.rs
+++ b/crates/wax-batch/src/progress.rs
@@ -1,5 +1,6 @@
 //! What the store keeps of a job, as protobuf.
 
+use crate::blame::CrashedRun;
 use crate::spec::{JobSpec, RepeatPlan, StepSpec, TaskSize};
 use prost::Message;
 
@@ -214,12 +215,12 @@
     /// A bit for each task that is done, lowest first.
     #[prost(bytes = "vec", tag = "2")]
     pub done: Vec<u8>,
-    /// Tasks with failed runs.
+    /// Tasks with runs that failed or that ended with their workers.
     #[prost(message, repeated, tag = "3")]
     pub failures: Vec<TaskFailures>,
 }
 
-/// Failed runs of a task.
+/// Runs of a task that failed or that ended with their workers.
 #[derive(Clone, PartialEq, Message)]
 pub struct TaskFailures {
     /// The task's index.
@@ -228,6 +229,40 @@
     /// The numbers of its runs that have failed; a list, so that an end heard twice counts once.
     #[prost(uint64, repeated, tag = "2")]
     pub runs: Vec<u64>,
+    /// Its runs that ended with their workers.
+    #[prost(message, repeated, tag = "3")]
+    pub crashes: Vec<TaskCrash>,
+}
+
+/// A run that ended with its worker.
+#[derive(Clone, PartialEq, Message)]
+pub struct TaskCrash {
+    #[prost(uint64, tag = "1")]
+    run: u64,
+    #[prost(string, tag = "2")]
+    machine: String,
+    #[prost(bool, tag = "3")]
+    early: bool,
+}
+
+impl From<&CrashedRun> for TaskCrash {
+    fn from(crashed: &CrashedRun) -> Self {
+        Self {
+            run: crashed.run,
+            machine: crashed.machine.to_string(),
+            early: crashed.early,
+        }
+    }
+}
+
+impl From<&TaskCrash> for CrashedRun {
+    fn from(row: &TaskCrash) -> Self {
+        Self {
+            run: row.run,
+            machine: row.machine.as_str().into(),
+            early: row.early,
+        }
+    }
 }
 
 impl StepProgress {
--- a/crates/wax-batch/src/reports.rs
+++ b/crates/wax-batch/src/reports.rs
@@ -12,7 +12,7 @@
 
 impl JobBook {
     /// A worker has registered at an agent that can be reached.
-    pub fn worker_joined(&mut self, view: WorkerView) -> WorkerKey {
+    pub fn worker_joined(&mut self, view: WorkerView, machine: &str) -> WorkerKey {
         self.workers.insert(WorkerLife {
             view,
             runs: HashMap::new(),
@@ -27,6 +27,9 @@
             reachable: true,
             heard_at: TimePoint::default(),
             press: WorkerPress::default(),
+            machine: machine.into(),
+            last_start: TimePoint::default(),
+            trial: None,
         })
     }
 
--- a/crates/wax-batch/src/seats.rs
+++ b/crates/wax-batch/src/seats.rs
@@ -141,6 +141,9 @@
             }
         }
         self.book_run(worker, mark, seat);
+        if !running {
+            self.note_start(worker, mark, self.trial_of(at), now);
+        }
     }
 
     pub(crate) fn book_run(&mut self, worker: WorkerKey, mark: RunMark, seat: RunSeat) {
--- a/crates/wax-batch/src/why.rs
+++ b/crates/wax-batch/src/why.rs
@@ -43,6 +43,8 @@
     Advice,
     /// Only the worker is left on which it has just failed.
     FailedThere,
+    /// It may end its worker, and workers are kept for others that may, or not yet for it.
+    Trial,
     /// A gang's members do not fit all at once.
     Gang,
 }
@@ -59,6 +61,7 @@
             Self::Interference => "interference",
             Self::Advice => "advice",
             Self::FailedThere => "failed_there",
+            Self::Trial => "trial",
             Self::Gang => "gang",
         })
     }
--- a/crates/wax-batch/src/worker.rs
+++ b/crates/wax-batch/src/worker.rs
@@ -2,6 +2,7 @@
 
 use crate::names::RunMark;
 use crate::spec::TaskSize;
+use std::time::Duration;
 
 slotmap::new_key_type! {
     /// A worker that an owner knows.
@@ -73,6 +74,16 @@
     pub checkpoint: Box<str>,
 }
 
+/// A run that was on a worker when that ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LostRun {
+    /// The run.
+    pub mark: RunMark,
+    /// For how long it surely ran: from its start to the worker's last answer. `None` if that is not
+    /// known: another process of the worker's machine has sent its start.
+    pub ran: Option<Duration>,
+}
+
 /// A run that goes on, as the worker lists it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunReport {
--- a/crates/wax-batch/tests/places.rs
+++ b/crates/wax-batch/tests/places.rs
@@ -92,7 +92,7 @@
         },
         ..Default::default()
     };
-    let special = book.worker_joined(view);
+    let special = book.worker_joined(view, "special");
     let labelled = StepSpec {
         label: Some("gpu".into()),
         ..step(1, 1_000)
@@ -408,17 +408,20 @@
 }
 
 fn racked(book: &mut JobBook, id: &str, rack: &str, cpu_milli: u32) {
-    book.worker_joined(wax_batch::WorkerView {
-        id: id.into(),
-        service: "svc".into(),
-        labels: vec![rack.into()],
-        rack: Some(rack.into()),
-        capacity: TaskSize {
-            memory_mb: 60_000,
-            ..size(cpu_milli)
+    book.worker_joined(
+        wax_batch::WorkerView {
+            id: id.into(),
+            service: "svc".into(),
+            labels: vec![rack.into()],
+            rack: Some(rack.into()),
+            capacity: TaskSize {
+                memory_mb: 60_000,
+                ..size(cpu_milli)
+            },
+            ..Default::default()
         },
-        ..Default::default()
-    });
+        id,
+    );
 }
 
 /// Two small workers on one rack, a larger one alone on another.
--- a/crates/wax-batch/tests/support/mod.rs
+++ b/crates/wax-batch/tests/support/mod.rs
@@ -90,16 +90,19 @@
 }
 
 pub(crate) fn worker(book: &mut JobBook, id: &str, cpu_milli: u32) -> WorkerKey {
-    book.worker_joined(WorkerView {
-        id: id.into(),
-        service: "svc".into(),
-        capacity: TaskSize {
-            cpu_milli,
-            memory_mb: 60_000,
-            accelerators: 0,
+    book.worker_joined(
+        WorkerView {
+            id: id.into(),
+            service: "svc".into(),
+            capacity: TaskSize {
+                cpu_milli,
+                memory_mb: 60_000,
+                accelerators: 0,
+            },
+            ..Default::default()
         },
-        ..Default::default()
-    })
+        id,
+    )
 }
 
 pub(crate) fn mark(job: u64, step: u16, index: u32, run: u64) -> RunMark {
--- a/crates/wax-owner/src/agents.rs
+++ b/crates/wax-owner/src/agents.rs
@@ -11,11 +11,12 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use wax_batch::{RunEnd, RunMark, RunReport, WorkerKey, WorkerView};
+use wax_batch::{CrashVerdict, LostRun, RunEnd, RunMark, RunReport, WorkerKey, WorkerView};
+use wax_trace::{Counter, count_many};
 use wax_types::{TimePoint, wall_clock_ms};
 use wax_wire::{
-    AckEnds, AgentHello, LeaseGrant, LinkPing, OwnerWelcome, PoolBody, PoolReader, PoolWriter,
-    PressFrame, PressNews, RunNews, WorkerGone, WorkerKept, WorkerUp,
+    AckEnds, AgentHello, BootCrashed, LeaseGrant, LinkPing, OwnerWelcome, PoolBody, PoolReader,
+    PoolWriter, PressFrame, PressNews, RunNews, WorkerGone, WorkerKept, WorkerUp,
 };
 
 /// Serves one link until it breaks, falls silent, or the term ends.
@@ -142,6 +143,7 @@
             PoolBody::Ping(ping) => self.grant(&ping),
             PoolBody::WorkerUp(up) => self.worker_up(up).await,
             PoolBody::WorkerChanged(frame) => self.worker_changed(frame.into()),
+            PoolBody::BootCrashed(crash) => self.boot_crashed(&crash).await,
             PoolBody::WorkerGone(gone) => self.worker_gone(&gone),
             PoolBody::News(news) => self.news(&news),
             PoolBody::Presses(news) => self.presses(&news),
@@ -226,9 +228,9 @@
             }
             Some((key, _)) => {
                 self.tenure.lose_worker(key, now);
-                self.tenure.book.borrow_mut().worker_joined(view)
+                self.tenure.book.borrow_mut().worker_joined(view, self.node)
             }
-            None => self.tenure.book.borrow_mut().worker_joined(view),
+            None => self.tenure.book.borrow_mut().worker_joined(view, self.node),
         };
         self.tenure
             .agents
@@ -263,6 +265,35 @@
         }
     }
 
+    /// A worker crashed: the tasks that ran there may have ended it.
+    async fn boot_crashed(&self, crash: &BootCrashed) {
+        self.tenure.loaded.wait().await;
+        if self.tenure.over.is_raised() {
+            return;
+        }
+        let runs: Vec<LostRun> = crash.runs.iter().map(Into::into).collect();
+        let (now, now_ms) = (self.shared.now(), wall_clock_ms());
+        let notes = self
+            .tenure
+            .book
+            .borrow_mut()
+            .worker_crashed(self.node, &runs, now, now_ms);
+        for note in notes {
+            let given_up = note.verdict == CrashVerdict::GivenUp;
+            count_many(Counter::TasksGivenUp, given_up.into());
+            tracing::info!(
+                task = %note.mark.task,
+                run = note.mark.run,
+                worker = %crash.worker,
+                ran_ms = note.ran.as_millis() as u64,
+                crashes = note.crashes,
+                verdict = ?note.verdict,
+                "run ended with its worker"
+            );
+        }
+        self.tenure.write.notify(usize::MAX);
+    }
+
     fn worker_gone(&self, gone: &WorkerGone) {
         let key = self
             .tenure
--- a/crates/wax-trace/src/counter.rs
+++ b/crates/wax-trace/src/counter.rs
@@ -131,6 +131,8 @@
     WorkersGone = "workers.gone",
     /// Runs that were on a worker when it ended or its leases lapsed.
     RunsLost = "runs.lost",
+    /// Tasks that ended their workers and are not started again.
+    TasksGivenUp = "tasks.given_up",
     /// Workers quarantined because they fail every task.
     WorkersQuarantined = "workers.quarantined",
 }
--- a/crates/wax-wire/src/pool.rs
+++ b/crates/wax-wire/src/pool.rs
@@ -1,6 +1,6 @@
 //! Messages between the owner of a shard, the agents beside workers, and entries.
 
-use crate::pool_parts::{EndFrame, MarkFrame, RefusalFrame, ReportFrame, WorkerFrame};
+use crate::pool_parts::{EndFrame, LostFrame, MarkFrame, RefusalFrame, ReportFrame, WorkerFrame};
 use crate::relay::{RelayAsk, RelayTold};
 use prost::{Message, Oneof};
 use wax_batch::TaskSize;
@@ -12,7 +12,7 @@
     /// What it says; a message without a known body is a protocol error.
     #[prost(
         oneof = "PoolBody",
-        tags = "1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22"
+        tags = "1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23"
     )]
     pub body: Option<PoolBody>,
 }
@@ -86,6 +86,9 @@
     /// Either direction between owner and entry: boots of workers that are dead for good.
     #[prost(message, tag = "22")]
     BootsDead(BootsDead),
+    /// Agent to owner: a boot of its worker crashed under these runs. Told again on a new link.
+    #[prost(message, tag = "23")]
+    BootCrashed(BootCrashed),
 }
 
 impl From<PoolBody> for PoolFrame {
@@ -257,6 +260,17 @@
     pub dead: bool,
 }
 
+/// A boot of a worker ended without a word that it would.
+#[derive(Clone, PartialEq, Message)]
+pub struct BootCrashed {
+    /// The worker's id.
+    #[prost(string, tag = "1")]
+    pub worker: String,
+    /// The runs that were there.
+    #[prost(message, repeated, tag = "2")]
+    pub runs: Vec<LostFrame>,
+}
+
 /// Boots of workers that are dead for good: nothing runs there, now or later.
 #[derive(Clone, PartialEq, Message)]
 pub struct BootsDead {
--- a/crates/wax-wire/src/pool_parts.rs
+++ b/crates/wax-wire/src/pool_parts.rs
@@ -1,9 +1,10 @@
 //! Runs, workers and ends as they stand in messages of the pool.
 
 use prost::Message;
+use std::time::Duration;
 use wax_batch::{
-    JobName, RunEnd, RunEndKind, RunMark, RunReport, StartRefusal, TaskName, TaskSize, WorkerState,
-    WorkerView,
+    JobName, LostRun, RunEnd, RunEndKind, RunMark, RunReport, StartRefusal, TaskName, TaskSize,
+    WorkerState, WorkerView,
 };
 
 /// A run of a task.
@@ -165,6 +166,34 @@
     }
 }
 
+/// A run that was on a worker when that ended.
+#[derive(Clone, PartialEq, Message)]
+pub struct LostFrame {
+    #[prost(message, required, tag = "1")]
+    mark: MarkFrame,
+    /// Milliseconds.
+    #[prost(uint64, optional, tag = "2")]
+    ran_ms: Option<u64>,
+}
+
+impl From<&LostRun> for LostFrame {
+    fn from(lost: &LostRun) -> Self {
+        Self {
+            mark: lost.mark.into(),
+            ran_ms: lost.ran.map(|ran| ran.as_millis() as u64),
+        }
+    }
+}
+
+impl From<&LostFrame> for LostRun {
+    fn from(frame: &LostFrame) -> Self {
+        Self {
+            mark: (&frame.mark).into(),
+            ran: frame.ran_ms.map(Duration::from_millis),
+        }
+    }
+}
+
 /// A run that has ended.
 #[derive(Clone, PartialEq, Message)]
 pub struct EndFrame {
--- a/crates/wax-wire/tests/pool.rs
+++ b/crates/wax-wire/tests/pool.rs
@@ -1,10 +1,11 @@
 //! Every kind of message of the pool survives the wire.
 
 use bytes::BytesMut;
+use std::time::Duration;
 use tokio_util::codec::{Decoder, Encoder};
 use wax_batch::{
-    JobName, RunEnd, RunEndKind, RunMark, RunReport, StartRefusal, TaskName, TaskSize, WorkerState,
-    WorkerView,
+    JobName, LostRun, RunEnd, RunEndKind, RunMark, RunReport, StartRefusal, TaskName, TaskSize,
+    WorkerState, WorkerView,
 };
 use wax_policy::PairPress;
 use wax_wire::*;
@@ -49,6 +50,13 @@
     }
 }
 
+fn lost() -> LostRun {
+    LostRun {
+        mark: mark(),
+        ran: Some(Duration::from_millis(12)),
+    }
+}
+
 fn end() -> RunEnd {
     RunEnd {
         number: 58,
@@ -156,6 +164,10 @@
         rooms: vec![RoomFrame { serving: "red".into(), room: 0.5 }],
     }),
     cancelled: PoolBody::Cancelled(JobCancelled { job: 7 }),
+    boot_crashed: PoolBody::BootCrashed(BootCrashed {
+        worker: "i-1".into(),
+        runs: vec![(&lost()).into(), (&LostRun { ran: None, ..lost() }).into()],
+    }),
 }
 
 #[test]
@@ -164,6 +176,7 @@
     assert_eq!(WorkerView::from(WorkerFrame::from(&view())), view());
     assert_eq!(RunReport::from(&ReportFrame::from(&report())), report());
     assert_eq!(RunEnd::from(&EndFrame::from(&end())), end());
+    assert_eq!(LostRun::from(&LostFrame::from(&lost())), lost());
     let refusal = RefusalFrame::new(mark(), StartRefusal::Room);
     assert_eq!(refusal.decode(), (mark(), StartRefusal::Room));
 }
