The owner hears of a worker whose capacity changes

Cause: an agent passed on changes of a worker's state and cold time, not of its capacity (update_boot). The agent's own guard went by the newest one, so that no start brought a worker over it; the owner went by the first: it ordered what was refused for want of room, ten times a second, and never used what was gained. Change: a change of capacity is told, with a line.

--- a/crates/wax-agent/src/state.rs
+++ b/crates/wax-agent/src/state.rs
@@ -201,7 +201,17 @@
         if told.state != boot.view.state {
             tracing::info!(worker = %boot.view.id, state = ?boot.view.state, "worker state");
         }
-        if told.state != boot.view.state || told.cold_ms != boot.view.cold_ms {
+        let (had, has) = (told.capacity, boot.view.capacity);
+        if had != has {
+            tracing::info!(
+                worker = %boot.view.id,
+                cpu_milli = has.cpu_milli,
+                memory_mb = has.memory_mb,
+                accelerators = has.accelerators,
+                "worker capacity"
+            );
+        }
+        if told.state != boot.view.state || told.cold_ms != boot.view.cold_ms || had != has {
             self.tell(PoolBody::WorkerChanged((&boot.shown_view()).into()));
         }
     }
--- a/crates/wax-standin/src/site_worker.rs
+++ b/crates/wax-standin/src/site_worker.rs
@@ -38,6 +38,8 @@
     late_ms: u64,
     /// It says that it leaves.
     draining: bool,
+    /// It has so much now, thousandths of a core.
+    cpu_milli: Option<u32>,
 }
 
 struct WorkerState {
@@ -105,10 +107,12 @@
         } else {
             "ready"
         };
+        let cpu_milli = state.faults.borrow().cpu_milli;
+        let cpu_milli = cpu_milli.unwrap_or(options.cpu_milli);
         let body = json!({
             "service": options.service, "address": address.to_string(), "zone": "a", "version": "v1",
             "slots": 8, "state": word, "coldRemainingMs": 0,
-            "capacity": { "cpu": options.cpu_milli, "memMb": options.memory_mb, "gpu": 0 },
+            "capacity": { "cpu": cpu_milli, "memMb": options.memory_mb, "gpu": 0 },
             "labels": ["a", "r1"], "clockMs": state.runs.borrow().clock_ms(), "sequence": state.sequence.get(),
         });
         if let Ok(request) = client.post(&url)
--- a/tests/pool/troubles.rs
+++ b/tests/pool/troubles.rs
@@ -112,6 +112,28 @@
     });
 }
 
+/// A worker has less for a while. The owner went by what it had said first: it ordered what its agent
+/// refused for want of room, ten times a second, and would never have used what it gained.
+#[test]
+fn a_worker_that_shrinks_and_grows_is_given_what_it_has_room_for() {
+    run(async {
+        let site = Site::start("shrinks", 1, 1).await;
+        site.wait_log("side-0", "worker registered").await;
+        site.worker_faults(0, json!({ "cpu_milli": 2000 })).await;
+        site.wait_log("side-0", "\"cpu_milli\":2000").await;
+        let mut large = job(1, 1, 20);
+        large["phases"][0]["cpu"] = json!(3000);
+        site.submit(&name(1), &large).await;
+        site.wait_log("front-0", "\"reason\":\"capacity\"").await;
+        assert_eq!(site.log("front-0").matches("start refused").count(), 0);
+        site.submit(&name(2), &job(1, 2, 20)).await;
+        site.wait_state(&name(2), "completed").await;
+        site.worker_faults(0, json!({})).await;
+        site.wait_state(&name(1), "completed").await;
+        site.audit().await;
+    });
+}
+
 /// A front that the store turns away takes jobs through the owner, and says that it takes them.
 #[test]
 fn a_front_that_is_cut_off_from_the_store_takes_jobs_through_the_owner() {
