A test that fails: leases of an owner before are forgotten with the agent's link

An agent that was loaded from its row, was compared and lost its link before this owner granted anything is taken as lapsed at once, though the owner before may have granted until the bound of the takeover. Fails at 14.9 s of 15.

--- a/crates/wax-owner/tests/roster.rs
+++ b/crates/wax-owner/tests/roster.rs
@@ -244,3 +244,16 @@
     }
     assert_eq!(taken, 250);
 }
+
+#[test]
+fn what_an_owner_before_granted_holds_although_this_one_has_granted_nothing() {
+    let mut case = Case::new();
+    let worker = worker_key();
+    case.load("side-1", &row("w1"));
+    case.join("side-1", 1, (worker, "w1"), 1_000);
+    case.close("side-1", 1, 2_000);
+    let early = case.roster.drop_lapsed(at(14_900), at(14_900));
+    assert!(early.workers.is_empty(), "its leases may hold until 15 s");
+    let lapsed = case.roster.drop_lapsed(at(15_100), at(15_100));
+    assert_eq!(lapsed.workers, [worker]);
+}
