An agent whose link breaks before its first grant is waited for

Cause: the bound on its leases was reckoned from the last grant of this owner; one loaded from its row had none, so that its worker counted as lapsed as soon as its link closed. Change: whoever granted before did so until the link was opened at the latest (the agent's old link is gone by then): the bound begins there. Test: what_an_owner_before_granted_holds_.. fails on the code before.

--- a/crates/wax-owner/src/roster.rs
+++ b/crates/wax-owner/src/roster.rs
@@ -164,6 +164,9 @@
             .agents
             .entry(node.into())
             .or_insert_with(|| AgentLife::new(now));
+        // An owner before, or an earlier link, may have granted until now. Without this bound what ran on
+        // the worker counted as lapsed at once if the link broke before the first grant on it.
+        agent.grant_end = agent.grant_end.max(now + spans.grant);
         // Until its worker's runs are told on this link, those of the link before count.
         if agent.lapse_at.is_none() && agent.worker.is_some() {
             agent.lapse_at = Some(agent.grant_end + spans.lapse_after_grant());
--- a/crates/wax-owner/tests/roster.rs
+++ b/crates/wax-owner/tests/roster.rs
@@ -12,6 +12,10 @@
     TimePoint::from_millis(100_000 + millis)
 }
 
+fn before(time: TimePoint) -> TimePoint {
+    TimePoint(time.0 - 1)
+}
+
 fn outbox() -> UnboundedSender<PoolBody> {
     unbounded().0
 }
@@ -252,8 +256,10 @@
     case.load("side-1", &row("w1"));
     case.join("side-1", 1, (worker, "w1"), 1_000);
     case.close("side-1", 1, 2_000);
-    let early = case.roster.drop_lapsed(at(14_900), at(14_900));
-    assert!(early.workers.is_empty(), "its leases may hold until 15 s");
-    let lapsed = case.roster.drop_lapsed(at(15_100), at(15_100));
+    // The owner before may have granted until the link was opened, not later.
+    let bound = at(1_000) + case.spans.lapse_after_release();
+    let early = case.roster.drop_lapsed(before(bound), before(bound));
+    assert!(early.workers.is_empty(), "its leases may hold until then");
+    let lapsed = case.roster.drop_lapsed(bound, bound);
     assert_eq!(lapsed.workers, [worker]);
 }
