--- a/crates/wax-agent/src/crash_log.rs
+++ b/crates/wax-agent/src/crash_log.rs
@@ -8,7 +8,7 @@
 
 /// A crash is told on new links for so long: an owner that ends while it is told is replaced sooner.
 const TELL_FOR: Duration = Duration::from_secs(10);
-/// Crashes that are kept: a worker that is back at once crashes not more often within that time.
+/// Crashes that are kept: more do not happen within that time, even if a worker is back at once.
 const MOST_KEPT: usize = 8;
 
 /// What ran on boots that crashed lately, and on one whose leases have lapsed: that may have crashed.
--- a/crates/wax-batch/src/blame.rs
+++ b/crates/wax-batch/src/blame.rs
@@ -43,21 +43,26 @@
     GivenUp,
 }
 
+/// One crash, for all runs in it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct CrashScene<'a> {
+    /// The worker's machine.
+    pub(crate) machine: &'a str,
+    /// Whether exactly one run began so late that its worker ended at once: then it was that one.
+    pub(crate) explained: bool,
+    /// Whether a worker of the same machine had crashed a moment before.
+    pub(crate) again: bool,
+}
+
 /// One run in a crash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct CrashPart<'a> {
+pub(crate) struct CrashPart {
     /// The number of the run.
     pub(crate) run: u64,
-    /// The worker's machine.
-    pub(crate) machine: &'a str,
     /// For how long it surely ran.
     pub(crate) ran: Duration,
     /// Whether no other run began about as late or later.
     pub(crate) alone: bool,
-    /// Whether exactly one run began so late that its worker ended at once: then it was that one.
-    pub(crate) explained: bool,
-    /// Whether a worker of the same machine had crashed a moment before.
-    pub(crate) again: bool,
     /// How many machines have workers for the task.
     pub(crate) machines: usize,
 }
@@ -114,7 +119,12 @@
     }
 
     /// Counts a run that ended with its worker, once, however often it is told.
-    pub(crate) fn note(&mut self, part: CrashPart<'_>, now: TimePoint) -> CrashVerdict {
+    pub(crate) fn note(
+        &mut self,
+        part: CrashPart,
+        scene: CrashScene<'_>,
+        now: TimePoint,
+    ) -> CrashVerdict {
         let early = part.ran < EARLY;
         if part.ran >= HELD_OUT {
             self.runs.clear();
@@ -123,26 +133,28 @@
             // A start that its worker outlived: it was not the start that ended those before.
             self.runs.iter_mut().for_each(|known| known.early = false);
         }
-        if part.ran >= HELD_OUT || part.explained && !early {
+        if part.ran >= HELD_OUT || scene.explained && !early {
             return CrashVerdict::Beside;
         }
-        if !self.runs.iter().any(|known| known.run == part.run) {
-            self.runs.push(CrashedRun {
-                run: part.run,
-                machine: part.machine.into(),
-                early,
-            });
-            self.told = now;
+        if self.runs.iter().any(|known| known.run == part.run) {
+            // Told again: what followed from it is done.
+            return CrashVerdict::Suspected;
         }
-        self.verdict(part, early)
+        self.runs.push(CrashedRun {
+            run: part.run,
+            machine: scene.machine.into(),
+            early,
+        });
+        self.told = now;
+        self.verdict(part, scene.again, early)
     }
 
-    fn verdict(&self, part: CrashPart<'_>, early: bool) -> CrashVerdict {
+    fn verdict(&self, part: CrashPart, again: bool, early: bool) -> CrashVerdict {
         // A service with fewer machines than that cannot show more.
         let enough = |machines: usize, most: usize| machines >= most.min(part.machines);
         let machines = count_machines(self.runs.iter());
         // A machine that crashed a moment before, too, says less.
-        let needed = PROVEN_EARLY + usize::from(part.again);
+        let needed = PROVEN_EARLY + usize::from(again);
         let proven_early = early
             && self.early().count() >= needed
             && enough(count_machines(self.early()), PROVEN_EARLY);
--- a/crates/wax-batch/src/crashes.rs
+++ b/crates/wax-batch/src/crashes.rs
@@ -1,6 +1,6 @@
 //! Workers that crashed: which task was it, and where may a suspected one start.
 
-use crate::blame::{CrashBlame, CrashPart, CrashVerdict, EARLY};
+use crate::blame::{CrashBlame, CrashPart, CrashScene, CrashVerdict, EARLY};
 use crate::book::{JobBook, TaskAt, WorkerLife};
 use crate::names::RunMark;
 use crate::progress::JobOutcome;
@@ -106,36 +106,38 @@
         let known = runs.iter().filter_map(|lost| Some((lost.mark, lost.ran?)));
         let known: Vec<(RunMark, Duration)> = known.collect();
         let early = known.iter().filter(|(_, ran)| *ran < EARLY);
-        let explained = early.count() == 1;
+        let scene = CrashScene {
+            machine,
+            explained: early.count() == 1,
+            again,
+        };
         let mut notes = Vec::with_capacity(known.len());
         for (mark, ran) in &known {
             let near = known.iter().filter(|(_, other)| *other < *ran + EARLY);
-            let part = CrashPart {
-                run: mark.run,
-                machine,
-                ran: *ran,
-                alone: near.count() == 1,
-                explained,
-                again,
-                machines: 0,
-            };
-            notes.extend(self.note_crash(*mark, part, now, now_ms));
+            let alone = near.count() == 1;
+            let note = self.note_crash((*mark, *ran), alone, scene, (now, now_ms));
+            notes.extend(note);
         }
         notes
     }
 
     fn note_crash(
         &mut self,
-        mark: RunMark,
-        part: CrashPart<'_>,
-        now: TimePoint,
-        now_ms: u64,
+        (mark, ran): (RunMark, Duration),
+        alone: bool,
+        scene: CrashScene<'_>,
+        (now, now_ms): (TimePoint, u64),
     ) -> Option<CrashNote> {
         let at = self.task_at(mark.task, now)?;
-        let machines = self.workers_of(&self.jobs[at.step.job].queue.service);
+        let part = CrashPart {
+            run: mark.run,
+            ran,
+            alone,
+            machines: self.workers_of(&self.jobs[at.step.job].queue.service),
+        };
         let task = self.task_mut(at)?;
         let before = task.blame.clone();
-        let verdict = task.blame.note(CrashPart { machines, ..part }, now);
+        let verdict = task.blame.note(part, scene, now);
         task.last_run = task.last_run.max(mark.run);
         let crashes = task.blame.crashes();
         if task.blame != before {
@@ -147,7 +149,7 @@
         }
         Some(CrashNote {
             mark,
-            ran: part.ran,
+            ran,
             crashes,
             verdict,
         })
