Tests: guards of the blame for a crash whose removal had failed nothing

Distinct machines, a run that held out, the place that is kept for a suspected task, machines that are avoided or that crashed lately: each was taken out in a scratch copy and no test had failed.

--- a/crates/wax-batch/tests/crashes.rs
+++ b/crates/wax-batch/tests/crashes.rs
@@ -273,6 +273,87 @@
     );
 }
 
+#[test]
+fn ends_after_a_while_on_the_same_few_machines_prove_nothing() {
+    let mut book = book(1);
+    add(&mut book, 7, 1, &spec(vec![step(1, 1_000)]), None);
+    let _others: Vec<WorkerKey> = (0..3)
+        .map(|nth| worker(&mut book, &format!("o{nth}"), 10))
+        .collect();
+    for nth in 0..6 {
+        let machine = ["x", "y"][nth as usize % 2];
+        let verdict = crash_on(&mut book, machine, 900, nth * 5_000);
+        assert_eq!(verdict, CrashVerdict::Suspected, "the {nth}th");
+    }
+}
+
+#[test]
+fn ends_before_a_run_that_held_out_do_not_count() {
+    let mut book = book(1);
+    add(&mut book, 7, 1, &spec(vec![step(1, 1_000)]), None);
+    let _others: Vec<WorkerKey> = (0..3)
+        .map(|nth| worker(&mut book, &format!("o{nth}"), 10))
+        .collect();
+    let ran = [
+        ("u", 900),
+        ("v", 900),
+        ("x", 900),
+        ("y", 12_000),
+        ("z", 900),
+    ];
+    for (nth, (machine, ran_ms)) in (0..).zip(ran) {
+        let verdict = crash_on(&mut book, machine, ran_ms, nth * 20_000);
+        assert_ne!(verdict, CrashVerdict::GivenUp, "{machine}");
+    }
+}
+
+#[test]
+fn a_suspected_task_waits_until_no_other_start_is_near_and_keeps_its_place() {
+    let mut book = book(1);
+    add(&mut book, 7, 1, &spec(vec![step(1, 1_000)]), None);
+    crash_on(&mut book, "x", 3, 0);
+    worker(&mut book, "y", 4_000);
+    // Something else starts first; the suspected task is told to wait for it.
+    let mut urgent = step(1, 1_000);
+    urgent.estimate_ms = 1;
+    add(&mut book, 8, 1, &spec(vec![urgent.clone()]), None);
+    let first = book.place(at(1_000));
+    assert_eq!(order_of(&first, 8).mark.run, 1);
+    assert_eq!(first.len(), 1, "it is not started beside that");
+    add(&mut book, 9, 1, &spec(vec![urgent]), None);
+    assert!(book.place(at(1_100)).is_empty(), "the place is kept");
+    assert_eq!(order_of(&book.place(at(1_260)), 7).mark.run, 2);
+}
+
+#[test]
+fn a_task_waits_rather_than_go_back_at_once_where_it_may_have_ended_a_worker() {
+    let mut book = book(1);
+    add(&mut book, 7, 1, &spec(vec![step(1, 1_000)]), None);
+    crash_on(&mut book, "x", 900, 0);
+    worker(&mut book, "x", 4_000);
+    worker(&mut book, "full", 10);
+    assert!(book.place(at(1_000)).is_empty());
+    assert_eq!(book.place(at(3_100)).len(), 1, "there is no other room");
+}
+
+#[test]
+fn a_task_is_later_placed_where_no_worker_has_ended_under_it_or_lately() {
+    let mut book = book(1);
+    add(&mut book, 7, 1, &spec(vec![step(1, 1_000)]), None);
+    crash_on(&mut book, "x", 900, 0);
+    // Another machine has crashed since, under something else.
+    let other = worker(&mut book, "y", 4_000);
+    book.worker_crashed("y", &[], at(3_000), wall(3_000));
+    book.worker_lost(other, at(3_000), wall(3_000));
+    worker(&mut book, "x", 4_000);
+    let lately = worker(&mut book, "y", 4_000);
+    let steady = worker(&mut book, "z", 1_200);
+    let order = book.place(at(4_000));
+    assert_eq!(order[0].worker, steady, "though it is fuller");
+    crash(&mut book, (steady, "z"), &[lost(order[0].mark, 900)], 5_000);
+    assert_eq!(book.place(at(9_000))[0].worker, lately);
+}
+
 #[test]
 fn a_lasting_task_that_ends_its_workers_is_given_up_too() {
     let mut book = book(1);
