A test that fails: a crash told again undoes what a newer one showed

Found on reading the change once more. CrashBlame::note forgets early ends when a run is told that its worker outlived, also when that run is an older one told again on a new link. A task with both kinds may then be started once more after a takeover.

--- a/crates/wax-batch/tests/crashes.rs
+++ b/crates/wax-batch/tests/crashes.rs
@@ -406,3 +406,16 @@
     worker(&mut book, "x", 8_000);
     assert_eq!(book.place(at(1_000)).len(), 6, "they start together");
 }
+
+/// A crash is told again on a new link, after a newer one: what the newer one showed stands.
+#[test]
+fn an_older_crash_that_is_told_again_undoes_nothing_of_a_newer_one() {
+    let mut book = book(1);
+    add(&mut book, 7, 1, &spec(vec![step(1, 1_000)]), None);
+    let older = worker(&mut book, "x", 4_000);
+    let late = lost(order_of(&book.place(at(0)), 7).mark, 900);
+    crash(&mut book, (older, "x"), &[late], 1_000);
+    assert_eq!(crash_on(&mut book, "y", 3, 2_000), CrashVerdict::Suspected);
+    book.worker_crashed("x", &[late], at(3_000), wall(3_000));
+    assert_eq!(crash_on(&mut book, "z", 3, 4_000), CrashVerdict::GivenUp);
+}
