A crash told again or late undoes nothing of a newer one; it is told with the worker's runs

Cause: CrashBlame::note took what a run shows before it looked whether the run was known, and cleared newer ones with it. Crashes were told first on a new link, where the owner waits for its load before it answers a heartbeat: an agent without a worker gives such a link up after 1.8 s. Change: a known run changes nothing; what a run shows clears only runs before it; crashes are told just before the worker's runs, for which the owner waits anyway. The wait on the link was read, not seen.

--- a/crates/wax-agent/src/driver.rs
+++ b/crates/wax-agent/src/driver.rs
@@ -241,6 +241,11 @@
     let news = boot.table.observe(&reply.running, &reply.ended, hold);
     if tells {
         boot.told = generation;
+        // Not sooner on the link: the owner takes them once it has loaded its shard, and answers no
+        // heartbeat until then.
+        for crash in state.crashes.borrow().lately(now) {
+            state.tell(PoolBody::BootCrashed(crash.clone()));
+        }
         let up = WorkerUp {
             worker: (&boot.shown_view()).into(),
             runs: boot.table.reports().iter().map(Into::into).collect(),
--- a/crates/wax-agent/src/owner_link.rs
+++ b/crates/wax-agent/src/owner_link.rs
@@ -194,9 +194,6 @@
         outbox: outbox.clone(),
         kept: false,
     });
-    for crash in state.crashes.borrow().lately(state.now()) {
-        state.tell(PoolBody::BootCrashed(crash.clone()));
-    }
     state.changed.notify(usize::MAX);
     let heard = Rc::new(Cell::new(state.now()));
     let writing = spawn(write_link(link.writer, inbox));
--- a/crates/wax-batch/src/blame.rs
+++ b/crates/wax-batch/src/blame.rs
@@ -129,18 +129,20 @@
         scene: CrashScene<'_>,
         now: TimePoint,
     ) -> CrashVerdict {
+        if self.runs.iter().any(|known| known.run == part.run) {
+            // Told again: what followed from it is done.
+            return CrashVerdict::Suspected;
+        }
         let early = part.ran < EARLY;
+        // What a run shows clears those before it only: it may be told late, or again.
         if part.ran >= HELD_OUT {
-            self.runs.clear();
+            self.runs.retain(|known| known.run > part.run);
             return CrashVerdict::Beside;
         }
         if !early {
             // A start that its worker outlived: it was not the start that ended those before.
-            self.runs.iter_mut().for_each(|known| known.early = false);
-        }
-        if self.runs.iter().any(|known| known.run == part.run) {
-            // Told again: what followed from it is done.
-            return CrashVerdict::Suspected;
+            let before = self.runs.iter_mut().filter(|known| known.run < part.run);
+            before.for_each(|known| known.early = false);
         }
         self.runs.push(CrashedRun {
             run: part.run,
