A drained failure domain gets nothing new; the guard is where the start is sent

Change: `platform` reads the row (its key names the domain, whatever stands in it; it ends with its row, also by a reading after a dropped history). `DrainView` (pure) holds the domains with the store's version, which never goes back, and the moment since which a drain may have gone unseen. An owner hears by the feed and reads the rows once a second; each grant tells its agents the view with its age. The agent refuses a start in a drained domain, and any start by a view older than the bound less the time that a start may take (`pool.drain_bound_ms`, the sheet's evacuateMs; without it only what is known holds). The owner places nothing there (wait reason `drained`) and orders nothing by a view that its agents would refuse. What runs there goes on. Ruled out: a feed of its own for each agent (68 long calls and the whole config at each change); the owner's view alone as the guard (an owner that is cut off acts for 6 s, the bound is 5 s). Property test over late and reordered readings, two owners, heartbeats, orders in flight: green; with the start's margin taken out, and with versions that may go back, it and its companions fail.

--- a/crates/wax-agent/src/orders.rs
+++ b/crates/wax-agent/src/orders.rs
@@ -44,7 +44,8 @@
         }
     }
 
-    /// The guard: what starts must fit, and the owner's authority must reach to now.
+    /// The guard: what starts must fit, the owner's authority must reach to now, and the worker's failure
+    /// domain must not be drained.
     fn admit(&self, order: &StartRun, mark: RunMark) -> Result<StartRequest, StartRefusal> {
         let now = self.now();
         let mut boot = self.boot.borrow_mut();
@@ -54,6 +55,7 @@
         if now >= self.authority.get() || !self.is_kept() {
             return Err(StartRefusal::Stale);
         }
+        self.may_start_in(&boot.view.failure_domain, now)?;
         let authority = self.authority.get();
         let Some(lease_until_ms) = boot.lease.extend(now, authority, &self.lease_rules) else {
             return Err(StartRefusal::Stale);
--- a/crates/wax-agent/src/owner_link.rs
+++ b/crates/wax-agent/src/owner_link.rs
@@ -261,6 +261,9 @@
         PoolBody::Grant(grant) => {
             state.owner_cut_off.set(grant.store_lost);
             state.strain.set(f64::from(grant.strain));
+            if let Some(frame) = grant.drains {
+                state.take_drains(frame, TimePoint(grant.sent_us));
+            }
             let until = TimePoint(grant.sent_us) + Duration::from_millis(grant.valid_ms);
             state.take_grant(until);
         }
--- a/crates/wax-agent/src/process.rs
+++ b/crates/wax-agent/src/process.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use wax_http::{HttpServer, ShutdownSignal, bind_listener};
-use wax_policy::PaceRules;
+use wax_policy::{DrainRules, PaceRules};
 use wax_settings::DaemonSettings;
 use wax_types::{ErrorKind, ProcessClock, Step, TimePoint, WaxError};
 
@@ -36,7 +36,10 @@
     let pool = settings.pool.as_ref().ok_or_else(|| missing("peers"))?;
     let check_ins = pool.check_ins.ok_or_else(|| missing("check_ins"))?;
     let worker = pool.worker.ok_or_else(|| missing("worker"))?;
-    let state = Rc::new(new_state(&settings.name, worker, pace_rules));
+    let drain_rules = DrainRules {
+        bound: pool.drain_bound(),
+    };
+    let state = Rc::new(new_state(&settings.name, worker, pace_rules, drain_rules));
     let listener = bind_listener(check_ins)?;
     let handler = Rc::new(CheckInHandler {
         state: state.clone(),
@@ -50,7 +53,12 @@
     Ok(())
 }
 
-fn new_state(node: &str, worker: SocketAddr, pace_rules: Rc<Cell<PaceRules>>) -> AgentState {
+fn new_state(
+    node: &str,
+    worker: SocketAddr,
+    pace_rules: Rc<Cell<PaceRules>>,
+    drain_rules: DrainRules,
+) -> AgentState {
     AgentState {
         node: node.into(),
         clock: ProcessClock::start(),
@@ -64,6 +72,8 @@
         granted: Cell::new(TimePoint::default()),
         authority: Cell::new(TimePoint::default()),
         owner_cut_off: Cell::new(false),
+        drains: RefCell::default(),
+        drain_rules,
         strain: Cell::new(0.0),
         token: Cell::new(0),
         changed: Event::new(),
--- a/crates/wax-agent/src/state.rs
+++ b/crates/wax-agent/src/state.rs
@@ -10,11 +10,11 @@
 use platform::WorkerClient;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use wax_batch::{LostRun, WorkerState, WorkerView};
-use wax_policy::PaceRules;
+use wax_batch::{LostRun, StartRefusal, WorkerState, WorkerView};
+use wax_policy::{DrainRules, DrainVerdict, DrainView, PaceRules};
 use wax_trace::{Counter, count};
 use wax_types::{ProcessClock, TimePoint};
-use wax_wire::PoolBody;
+use wax_wire::{DrainFrame, PoolBody};
 
 /// The link to the owner.
 #[derive(Debug)]
@@ -116,6 +116,9 @@
     pub(crate) authority: Cell<TimePoint>,
     /// Whether the owner has lost the store, by its last grant: another may have taken over.
     pub(crate) owner_cut_off: Cell<bool>,
+    /// Failure domains that get nothing new, by the owners' words.
+    pub(crate) drains: RefCell<DrainView>,
+    pub(crate) drain_rules: DrainRules,
     /// The share of the jobs that fill which are late, by the owner's last word.
     pub(crate) strain: Cell<f64>,
     /// The highest token that was ever used.
@@ -150,6 +153,25 @@
         }
     }
 
+    /// Takes an owner's word of the drains, its answer to a heartbeat sent at `asked`.
+    pub(crate) fn take_drains(&self, frame: DrainFrame, asked: TimePoint) {
+        let mut view = self.drains.borrow_mut();
+        let age_ms = frame.age_ms;
+        if frame.take_into(&mut view, asked) {
+            tracing::info!(version = view.version(), domains = ?view.domains(), age_ms, "drained failure domains");
+        }
+    }
+
+    /// The guard of drains: whether a start may be sent to this failure domain now.
+    pub(crate) fn may_start_in(&self, domain: &str, now: TimePoint) -> Result<(), StartRefusal> {
+        let view = self.drains.borrow();
+        let most = self.drain_rules.start_age();
+        match view.verdict(domain, now, most) {
+            DrainVerdict::Open => Ok(()),
+            DrainVerdict::Drained | DrainVerdict::Unsure => Err(StartRefusal::Drained),
+        }
+    }
+
     /// Notes whether a hold was answered; the owner hears of a worker that falls silent or is back.
     pub(crate) fn note_answer(&self, id: &str, answered: bool) {
         let mut boot = self.boot.borrow_mut();
--- a/crates/wax-batch/src/book.rs
+++ b/crates/wax-batch/src/book.rs
@@ -124,6 +124,8 @@
     pub shunned_until: TimePoint,
     /// Whether its agent can be reached now.
     pub reachable: bool,
+    /// Whether its failure domain is drained: what runs there goes on, nothing new comes.
+    pub(crate) drained: bool,
     /// When its agent was last heard.
     pub heard_at: TimePoint,
     /// What serves and what fills here, by image.
@@ -177,6 +179,8 @@
     pub(crate) crashed: HashMap<Box<str>, TimePoint>,
     /// What workers that were not heard may still run of earlier terms.
     pub(crate) unheard: UnheardRuns,
+    /// Failure domains that get nothing new.
+    pub(crate) drained: BTreeSet<Box<str>>,
 }
 
 impl JobBook {
@@ -197,6 +201,7 @@
             epoch,
             crashed: HashMap::new(),
             unheard: UnheardRuns::Any,
+            drained: BTreeSet::new(),
         }
     }
 
@@ -212,6 +217,14 @@
         self.config = config;
     }
 
+    /// Takes the failure domains that get nothing new from now on.
+    pub fn set_drained(&mut self, domains: &BTreeSet<Box<str>>) {
+        self.drained = domains.clone();
+        for worker in self.workers.values_mut() {
+            worker.drained = domains.contains(&worker.view.failure_domain);
+        }
+    }
+
     /// Takes other limits and weights of placement.
     pub fn set_rules(&mut self, rules: PlaceRules) {
         self.rules = rules;
--- a/crates/wax-batch/src/ends.rs
+++ b/crates/wax-batch/src/ends.rs
@@ -29,6 +29,8 @@
     Unwell,
     /// The order came too late, or from an owner of the past.
     Stale,
+    /// Its failure domain is drained, or may be by now.
+    Drained,
 }
 
 impl JobBook {
@@ -48,7 +50,7 @@
         let shun = match refusal {
             StartRefusal::Unwell => SHUN_FOR,
             // The views differ for a moment; without a pause the same order would go out at once.
-            StartRefusal::Room | StartRefusal::Stale => SHUN_BRIEFLY,
+            StartRefusal::Room | StartRefusal::Stale | StartRefusal::Drained => SHUN_BRIEFLY,
         };
         if let Some(life) = self.workers.get_mut(worker) {
             life.shunned_until = life.shunned_until.max(now + shun);
--- a/crates/wax-batch/src/fit.rs
+++ b/crates/wax-batch/src/fit.rs
@@ -30,6 +30,8 @@
             || now < self.shunned_until
         {
             Some(WaitReason::NotReady)
+        } else if self.drained {
+            Some(WaitReason::Drained)
         } else {
             None
         }
--- a/crates/wax-batch/src/place.rs
+++ b/crates/wax-batch/src/place.rs
@@ -230,7 +230,9 @@
     fn is_calm(&self, service: &str) -> bool {
         let workers = self.workers.values();
         let ready = workers.filter(|worker| {
-            *worker.view.service == *service && worker.view.state == WorkerState::Ready
+            *worker.view.service == *service
+                && worker.view.state == WorkerState::Ready
+                && !worker.drained
         });
         let (booked, all) = ready.fold((0.0, 0.0), |(booked, all), worker| {
             let capacity = f64::from(worker.view.capacity.cpu_milli);
--- a/crates/wax-batch/src/reports.rs
+++ b/crates/wax-batch/src/reports.rs
@@ -13,8 +13,10 @@
 impl JobBook {
     /// A worker has registered at an agent that can be reached.
     pub fn worker_joined(&mut self, view: WorkerView, machine: &str) -> WorkerKey {
+        let drained = self.drained.contains(&view.failure_domain);
         self.workers.insert(WorkerLife {
             view,
+            drained,
             runs: HashMap::new(),
             booked: TaskSize::default(),
             filling_milli: 0,
@@ -36,6 +38,7 @@
     /// A worker says something new of itself.
     pub fn worker_changed(&mut self, worker: WorkerKey, view: WorkerView) {
         if let Some(life) = self.workers.get_mut(worker) {
+            life.drained = self.drained.contains(&view.failure_domain);
             life.view = view;
         }
     }
--- a/crates/wax-batch/src/why.rs
+++ b/crates/wax-batch/src/why.rs
@@ -31,6 +31,8 @@
     Label,
     /// No worker can be reached, is healthy and stays.
     NotReady,
+    /// No worker is left but in failure domains that are drained.
+    Drained,
     /// No worker has capacity left.
     Capacity,
     /// Too little is left to tasks that fill.
@@ -54,6 +56,7 @@
         formatter.write_str(match self {
             Self::NoWorker => "no_worker",
             Self::NotReady => "not_ready",
+            Self::Drained => "drained",
             Self::Label => "label",
             Self::Spread => "spread",
             Self::Capacity => "capacity",
--- a/crates/wax-front/src/process.rs
+++ b/crates/wax-front/src/process.rs
@@ -42,14 +42,16 @@
     let readiness: SocketAddr = pool.readiness.ok_or_else(|| missing("readiness"))?;
     let store = StoreClient::new(settings.platform.address);
     let keep_ended = Duration::from_secs(pool.keep_ended_s.into());
-    let shared = Rc::new(PoolShared::on_machine(
+    let mut shared = PoolShared::on_machine(
         &settings.name,
         pool.peers,
         store,
         pool.advisor,
         keep_ended,
         strength(&pool.machine),
-    ));
+    );
+    shared.drain_rules.bound = pool.drain_bound();
+    let shared = Rc::new(shared);
     shared.set_place_rules(settings.policy.place);
     let state = Rc::new(FrontState::new(shared.clone()));
     let closed = ShutdownSignal::default();
--- a/crates/wax-owner/src/agents.rs
+++ b/crates/wax-owner/src/agents.rs
@@ -15,8 +15,8 @@
 use wax_trace::{Counter, count_many};
 use wax_types::{TimePoint, wall_clock_ms};
 use wax_wire::{
-    AckEnds, AgentHello, BootCrashed, LeaseGrant, LinkPing, OwnerWelcome, PoolBody, PoolReader,
-    PoolWriter, PressFrame, PressNews, RunNews, WorkerGone, WorkerKept, WorkerUp,
+    AckEnds, AgentHello, BootCrashed, DrainFrame, LeaseGrant, LinkPing, OwnerWelcome, PoolBody,
+    PoolReader, PoolWriter, PressFrame, PressNews, RunNews, WorkerGone, WorkerKept, WorkerUp,
 };
 
 /// Serves one link until it breaks, falls silent, or the term ends.
@@ -170,6 +170,7 @@
             valid_ms: valid.as_millis() as u64,
             store_lost: silent_for(self.tenure, now) > spans.patience,
             strain: self.tenure.strain.get() as f32,
+            drains: DrainFrame::new(&self.shared.drains.borrow(), now),
             ..Default::default()
         }));
     }
--- a/crates/wax-owner/src/config_feed.rs
+++ b/crates/wax-owner/src/config_feed.rs
@@ -1,14 +1,15 @@
-//! Follows the operator's config in the store.
+//! Follows what the operator writes in the store: the config, waves of upkeep, drains.
 
 use crate::shared::PoolShared;
 use compio::time::sleep;
 use platform::{
     CONFIG_KEY, FeedReply, OPERATOR_TABLE, RowChange, RowKey, StoredRow, WAVE_PREFIX, decode_wave,
+    drained_domain,
 };
 use std::rc::Rc;
 use std::time::Duration;
 use wax_trace::FailureStreak;
-use wax_types::WaxError;
+use wax_types::{TimePoint, WaxError};
 
 /// How long the store may wait for a change before it answers.
 const FEED_WAIT: Duration = Duration::from_secs(8);
@@ -17,7 +18,7 @@
 /// After a failure, with as much again at random.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
-/// Follows the config for the life of the process.
+/// Follows the operator's rows for the life of the process.
 pub async fn keep_config(shared: Rc<PoolShared>) {
     let streak = FailureStreak::new("feed of the config");
     loop {
@@ -30,16 +31,24 @@
 
 async fn follow(shared: &PoolShared, streak: &FailureStreak) -> Result<(), WaxError> {
     let key = RowKey::new(OPERATOR_TABLE, "", CONFIG_KEY);
+    let asked = shared.now();
     let (rows, mut after) = shared
         .store
         .read_all(OPERATOR_TABLE, "", READ_LIMIT)
         .await?;
     streak.succeed();
     shared.store_heard.set(shared.now());
+    // After a history that was dropped, a drain without a row has been taken back unseen.
+    let drained = rows.iter().filter_map(|row| drained_domain(&row.key));
+    let drained = drained.map(Into::into).collect();
+    shared.note_drains("a reading of all", |view| {
+        view.replace(after, drained, asked)
+    });
     for row in rows {
         take(shared, &key, row);
     }
     loop {
+        let asked = shared.now();
         match shared
             .store
             .follow(OPERATOR_TABLE, after, FEED_WAIT)
@@ -49,6 +58,7 @@
             FeedReply::Changes(changes, version) => {
                 shared.store_heard.set(shared.now());
                 after = version;
+                take_drains(shared, &changes, version, asked);
                 for change in changes {
                     if let RowChange::Written(row) = change {
                         take(shared, &key, row);
@@ -59,6 +69,18 @@
     }
 }
 
+/// A drain lasts as long as its row.
+fn take_drains(shared: &PoolShared, changes: &[RowChange], version: u64, asked: TimePoint) {
+    let drains = changes.iter().filter_map(|change| {
+        let (key, drained) = match change {
+            RowChange::Written(row) => (&row.key, true),
+            RowChange::Removed(key) => (key, false),
+        };
+        Some((drained_domain(key)?.into(), drained))
+    });
+    shared.note_drains("the feed", |view| view.change(version, drains, asked));
+}
+
 fn take(shared: &PoolShared, key: &RowKey, row: StoredRow) {
     if row.key == *key {
         if let Err(error) = shared.offer_config(&row.value, "the store") {
--- a/crates/wax-owner/src/dispatch.rs
+++ b/crates/wax-owner/src/dispatch.rs
@@ -55,11 +55,13 @@
             look_through(tenure, now);
             tenure.look_for_stronger(shared, now);
         }
-        let orders = tenure.book.borrow_mut().place(now);
-        for order in orders {
-            send_start(tenure, &order);
+        if knows_drains(shared, tenure, now) {
+            let orders = tenure.book.borrow_mut().place(now);
+            for order in orders {
+                send_start(tenure, &order);
+            }
+            log_waits(tenure);
         }
-        log_waits(tenure);
     }
     let stops = tenure.book.borrow_mut().take_stops();
     for stop in stops {
@@ -82,6 +84,22 @@
     }
 }
 
+/// Whether what is known of drains is fresh enough to order starts by it: the agents would refuse them.
+fn knows_drains(shared: &PoolShared, tenure: &Tenure, now: TimePoint) -> bool {
+    let view = shared.drains.borrow();
+    let is_unsure = !view.is_fresh(now, shared.drain_rules.order_age());
+    if tenure.drains_unsure.replace(is_unsure) != is_unsure {
+        tracing::info!(
+            epoch = tenure.epoch,
+            waits = is_unsure,
+            age_ms = view.age(now).map(millis),
+            version = view.version(),
+            "starts wait for a reading of the drains"
+        );
+    }
+    !is_unsure
+}
+
 /// What depends on time more than on any one change: due occurrences, runs to move.
 fn look_through(tenure: &Tenure, now: TimePoint) {
     let mut book = tenure.book.borrow_mut();
--- a/crates/wax-owner/src/entries.rs
+++ b/crates/wax-owner/src/entries.rs
@@ -149,6 +149,7 @@
         strain: 0.0,
         rank: rank.map_or(0, |rank| rank.rank),
         best: rank.map_or(0, |rank| rank.best.0),
+        drains: None,
     })];
     if pushes {
         let text = shared.config_text.borrow().clone();
--- a/crates/wax-owner/src/lib.rs
+++ b/crates/wax-owner/src/lib.rs
@@ -10,6 +10,7 @@
 mod chain;
 mod config_feed;
 mod dispatch;
+mod drains;
 mod entries;
 mod fate;
 mod front_way;
--- a/crates/wax-owner/src/shared.rs
+++ b/crates/wax-owner/src/shared.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_batch::QueueTable;
-use wax_policy::PlaceRules;
+use wax_policy::{DrainRules, DrainView, PlaceRules};
 use wax_types::{ErrorKind, ProcessClock, Step, TimePoint, WaxError};
 
 /// The owner as this process knows it.
@@ -67,6 +67,10 @@
     pub waves: RefCell<Vec<UpkeepWave>>,
     /// Notified when there is another wave.
     pub waves_changed: Event,
+    /// Failure domains that get nothing new.
+    pub drains: RefCell<DrainView>,
+    /// How old that view may be for starts to be ordered.
+    pub drain_rules: DrainRules,
     /// Where fronts are reached that were ever linked to this process.
     pub fronts: RefCell<BTreeSet<SocketAddr>>,
     /// Boots of workers that are dead for good.
@@ -131,6 +135,8 @@
             config_changed: Event::new(),
             waves: RefCell::default(),
             waves_changed: Event::new(),
+            drains: RefCell::default(),
+            drain_rules: DrainRules::default(),
             fronts: RefCell::default(),
             gone: RefCell::default(),
             owner: RefCell::default(),
@@ -219,6 +225,19 @@
         }
     }
 
+    /// Notes what is drained, by a change of the view; an owner places by it from now on.
+    pub(crate) fn note_drains(&self, from: &str, change: impl FnOnce(&mut DrainView) -> bool) {
+        let mut view = self.drains.borrow_mut();
+        if !change(&mut view) {
+            return;
+        }
+        let age_ms = view.age(self.now()).map(|age| age.as_millis() as u64);
+        tracing::info!(from, version = view.version(), domains = ?view.domains(), age_ms, "drained failure domains");
+        if let Some(tenure) = &*self.tenure.borrow() {
+            tenure.apply_drains(&view);
+        }
+    }
+
     /// Notes an owner if its row is newer than what is known.
     pub fn offer_owner(&self, owner: KnownOwner) {
         let newer = {
--- a/crates/wax-owner/src/tenure.rs
+++ b/crates/wax-owner/src/tenure.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 use wax_batch::{JobBook, JobName, JobOutcome, WorkerKey};
 use wax_http::ShutdownSignal;
+use wax_policy::DrainView;
 use wax_trace::{Counter, count};
 use wax_types::{TimePoint, wall_clock_ms};
 use wax_wire::{BootsDead, PoolBody, PressFrame, PressNews, RelayTold};
@@ -76,6 +77,8 @@
     pub(crate) press_stored: Cell<TimePoint>,
     /// Notified when agents' rows were stored.
     pub(crate) rows_stored: Event,
+    /// Whether starts wait, as a drain may have gone unseen for too long.
+    pub(crate) drains_unsure: Cell<bool>,
     /// There may be something to place, stop or acknowledge.
     pub(crate) dispatch: Event,
     /// There may be something to write.
@@ -105,6 +108,7 @@
         if let Some(config) = shared.config.borrow().config() {
             book.set_config(config.clone());
         }
+        book.set_drained(shared.drains.borrow().domains());
         Self {
             shared: Rc::downgrade(shared),
             epoch: row.epoch,
@@ -130,6 +134,7 @@
             press_unstored: Cell::new(false),
             press_stored: Cell::new(shared.now()),
             rows_stored: Event::new(),
+            drains_unsure: Cell::new(false),
             dispatch: Event::new(),
             write: Event::new(),
             letting_go: ShutdownSignal::default(),
@@ -158,6 +163,12 @@
         (link, self.epoch << LINK_BITS | link)
     }
 
+    /// Other failure domains are drained.
+    pub(crate) fn apply_drains(&self, view: &DrainView) {
+        self.book.borrow_mut().set_drained(view.domains());
+        self.dispatch.notify(usize::MAX);
+    }
+
     /// The config in force has changed.
     pub(crate) fn apply_config(&self) {
         let Some(shared) = self.shared.upgrade() else {
--- a/crates/wax-settings/src/pool.rs
+++ b/crates/wax-settings/src/pool.rs
@@ -3,6 +3,7 @@
 use crate::daemon::{BoundCheck, ProcessRole, bound};
 use serde::Deserialize;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Where a process of the pool listens, whom it calls, and the spans it keeps.
 #[derive(Debug, Clone, Deserialize)]
@@ -39,6 +40,9 @@
     /// After SIGTERM the process is killed after this, seconds.
     #[serde(default = "defaults::stop_grace_s")]
     pub stop_grace_s: u32,
+    /// Nothing starts in a drained failure domain so long after the drain, milliseconds; without it a
+    /// drain holds from when it is heard of.
+    pub drain_bound_ms: Option<u32>,
 }
 
 /// What a machine has: strong ones own the shard first.
@@ -74,6 +78,12 @@
         self.seeds.iter().map(peer).collect()
     }
 
+    /// By when nothing starts in a drained failure domain any more, from the drain's acknowledgement.
+    pub fn drain_bound(&self) -> Option<Duration> {
+        self.drain_bound_ms
+            .map(|bound| Duration::from_millis(bound.into()))
+    }
+
     /// A key that the role needs and that is not there.
     pub(crate) fn missing_key(&self, role: ProcessRole) -> Option<&'static str> {
         match role {
@@ -85,8 +95,12 @@
         }
     }
 
-    pub(crate) fn bounds(&self) -> [BoundCheck; 3] {
-        [
+    pub(crate) fn bounds(&self) -> Vec<BoundCheck> {
+        let drain = self.drain_bound_ms;
+        // Below this not even a view that was read just now would do.
+        let drain =
+            drain.map(|bound_ms| bound("pool.drain_bound_ms", bound_ms.into(), 3_000, 600_000));
+        let all = [
             bound(
                 "pool.most_lease_ms",
                 self.most_lease_ms.into(),
@@ -95,6 +109,7 @@
             ),
             bound("pool.keep_ended_s", self.keep_ended_s.into(), 1, 86_400),
             bound("pool.stop_grace_s", self.stop_grace_s.into(), 1, 3_600),
-        ]
+        ];
+        all.into_iter().chain(drain).collect()
     }
 }
--- a/crates/wax-settings/tests/pages.rs
+++ b/crates/wax-settings/tests/pages.rs
@@ -44,6 +44,7 @@
     "| `pool.most_lease_ms` | 10000 | 1000 to 600000 |",
     "| `pool.keep_ended_s` | 120 | 1 to 86400 |",
     "| `pool.stop_grace_s` | 6 | 1 to 3600 |",
+    "| `pool.drain_bound_ms` | none | 3000 to 600000 |",
 ];
 
 const BASE: &str = "name: a\nregion: b\nfailure_domain: c\n";
--- a/crates/wax-standin/src/args.rs
+++ b/crates/wax-standin/src/args.rs
@@ -19,7 +19,7 @@
 
   site        --listen ADDR  (the users' platform: its store)
   site-worker --listen ADDR --agent ADDR --service SERVICE --id ID
-              [--cpu-milli N] [--memory-mb N]  (a worker that obeys its agent)
+              [--cpu-milli N] [--memory-mb N] [--domain NAME]  (a worker that obeys its agent)
 
   ports       N  (prints N ports that are free now, one a line)
 
@@ -57,6 +57,7 @@
     pub(crate) id: String,
     pub(crate) cpu_milli: u32,
     pub(crate) memory_mb: u32,
+    pub(crate) domain: String,
 }
 
 #[derive(Debug)]
@@ -143,6 +144,9 @@
             id: args.value_from_str("--id")?,
             cpu_milli: args.opt_value_from_str("--cpu-milli")?.unwrap_or(4_000),
             memory_mb: args.opt_value_from_str("--memory-mb")?.unwrap_or(8_000),
+            domain: args
+                .opt_value_from_str("--domain")?
+                .unwrap_or_else(|| "a".into()),
         }),
         Some("ports") => Command::Ports(args.free_from_str()?),
         Some("load") => Command::Load(parse_load(&mut args)?),
--- a/crates/wax-standin/src/site_rows.rs
+++ b/crates/wax-standin/src/site_rows.rs
@@ -60,7 +60,9 @@
 
     /// Whether it writes a table that is the operator's alone.
     pub(crate) fn touches_operator(&self) -> bool {
-        self.writes.iter().any(|write| write.table == "op")
+        let written = self.writes.iter().map(|write| &write.table);
+        let removed = self.remove.iter().map(|row| &row.table);
+        written.chain(removed).any(|table| table == "op")
     }
 }
 
--- a/crates/wax-standin/src/site_worker.rs
+++ b/crates/wax-standin/src/site_worker.rs
@@ -110,7 +110,7 @@
         let cpu_milli = state.faults.borrow().cpu_milli;
         let cpu_milli = cpu_milli.unwrap_or(options.cpu_milli);
         let body = json!({
-            "service": options.service, "address": address.to_string(), "zone": "a", "version": "v1",
+            "service": options.service, "address": address.to_string(), "zone": options.domain, "version": "v1",
             "slots": 8, "state": word, "coldRemainingMs": 0,
             "capacity": { "cpu": cpu_milli, "memMb": options.memory_mb, "gpu": 0 },
             "labels": ["a", "r1"], "clockMs": state.runs.borrow().clock_ms(), "sequence": state.sequence.get(),
--- a/crates/wax-wire/src/lib.rs
+++ b/crates/wax-wire/src/lib.rs
@@ -18,9 +18,10 @@
     WINDOW_BYTES, split_stream,
 };
 pub use pool::{
-    AckEnds, AgentHello, BootCrashed, BootsDead, ConfigPush, EntryHello, JobAsk, JobCancelled,
-    JobTold, LeaseGrant, LinkPing, NotOwner, OwnerWelcome, PoolBody, PoolFrame, PressFrame,
-    PressNews, RoomFrame, RunNews, SeatFrame, StartRun, StopRun, WorkerGone, WorkerKept, WorkerUp,
+    AckEnds, AgentHello, BootCrashed, BootsDead, ConfigPush, DrainFrame, EntryHello, JobAsk,
+    JobCancelled, JobTold, LeaseGrant, LinkPing, NotOwner, OwnerWelcome, PoolBody, PoolFrame,
+    PressFrame, PressNews, RoomFrame, RunNews, SeatFrame, StartRun, StopRun, WorkerGone,
+    WorkerKept, WorkerUp,
 };
 pub use pool_parts::{EndFrame, LostFrame, MarkFrame, RefusalFrame, ReportFrame, WorkerFrame};
 pub use relay::{ExpectFrame, RelayAsk, RelayFate, RelayTold, RowFrame};
--- a/crates/wax-wire/src/pool.rs
+++ b/crates/wax-wire/src/pool.rs
@@ -3,8 +3,10 @@
 use crate::pool_parts::{EndFrame, LostFrame, MarkFrame, RefusalFrame, ReportFrame, WorkerFrame};
 use crate::relay::{RelayAsk, RelayTold};
 use prost::{Message, Oneof};
+use std::time::Duration;
 use wax_batch::TaskSize;
-use wax_policy::PairPress;
+use wax_policy::{DrainView, PairPress};
+use wax_types::TimePoint;
 
 /// One message.
 #[derive(Clone, PartialEq, Message)]
@@ -182,6 +184,45 @@
     /// To an entry: how well the strongest machine would carry an owner, thousandths of a core.
     #[prost(uint32, tag = "7")]
     pub best: u32,
+    /// To an agent: the drained failure domains; nothing before the owner's first reading.
+    #[prost(message, optional, tag = "8")]
+    pub drains: Option<DrainFrame>,
+}
+
+/// The failure domains to which nothing new is sent.
+#[derive(Clone, PartialEq, Message)]
+pub struct DrainFrame {
+    /// The store's version at which they were read.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Their names.
+    #[prost(string, repeated, tag = "2")]
+    pub domains: Vec<String>,
+    /// For how long a drain may have gone unseen when this was sent, milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+}
+
+impl DrainFrame {
+    /// What is told of a view now; nothing before its first reading.
+    pub fn new(view: &DrainView, now: TimePoint) -> Option<Self> {
+        let age = view.age(now)?;
+        Some(Self {
+            version: view.version(),
+            domains: view.domains().iter().map(ToString::to_string).collect(),
+            // Rounded up: a view is never told to be younger than it is.
+            age_ms: age.as_millis() as u64 + 1,
+        })
+    }
+
+    /// Takes it as the answer to a heartbeat that was sent at `asked` on the taker's clock; says whether
+    /// other domains are drained now.
+    pub fn take_into(self, view: &mut DrainView, asked: TimePoint) -> bool {
+        // The answer is later than the heartbeat, and the age is counted back from the answer.
+        let as_of = asked - Duration::from_millis(self.age_ms);
+        let domains = self.domains.into_iter().map(Into::into).collect();
+        view.replace(self.version, domains, as_of)
+    }
 }
 
 /// All that a worker runs and has ended, as of one moment.
--- a/crates/wax-wire/src/pool_parts.rs
+++ b/crates/wax-wire/src/pool_parts.rs
@@ -257,6 +257,7 @@
             StartRefusal::Stale => 0,
             StartRefusal::Room => 1,
             StartRefusal::Unwell => 2,
+            StartRefusal::Drained => 3,
         };
         Self {
             mark: mark.into(),
@@ -269,6 +270,7 @@
         let refusal = match self.why {
             1 => StartRefusal::Room,
             2 => StartRefusal::Unwell,
+            3 => StartRefusal::Drained,
             _ => StartRefusal::Stale,
         };
         ((&self.mark).into(), refusal)
--- a/crates/wax-wire/tests/pool.rs
+++ b/crates/wax-wire/tests/pool.rs
@@ -131,7 +131,8 @@
     welcome: PoolBody::Welcome(OwnerWelcome { epoch: 3, token: 9 }),
     not_owner: PoolBody::NotOwner(NotOwner { address: "10.0.0.1:7".into(), epoch: 3 }),
     ping: PoolBody::Ping(LinkPing { sent_us: 5, config: 7, fitness: 500, store_lost: true }),
-    grant: PoolBody::Grant(LeaseGrant { sent_us: 5, valid_ms: 2_500, store_lost: true, config: 7, strain: 0.5, rank: 3, best: 500 }),
+    grant: PoolBody::Grant(LeaseGrant { sent_us: 5, valid_ms: 2_500, store_lost: true, config: 7, strain: 0.5, rank: 3, best: 500,
+        drains: Some(DrainFrame { version: 9, domains: vec!["a".into(), "b".into()], age_ms: 40 }) }),
     worker_up: PoolBody::WorkerUp(WorkerUp {
         worker: (&view()).into(),
         runs: vec![(&report()).into()],
@@ -177,6 +178,12 @@
     assert_eq!(RunReport::from(&ReportFrame::from(&report())), report());
     assert_eq!(RunEnd::from(&EndFrame::from(&end())), end());
     assert_eq!(LostRun::from(&LostFrame::from(&lost())), lost());
-    let refusal = RefusalFrame::new(mark(), StartRefusal::Room);
-    assert_eq!(refusal.decode(), (mark(), StartRefusal::Room));
+    for why in [
+        StartRefusal::Room,
+        StartRefusal::Unwell,
+        StartRefusal::Stale,
+        StartRefusal::Drained,
+    ] {
+        assert_eq!(RefusalFrame::new(mark(), why).decode(), (mark(), why));
+    }
 }
--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -8,6 +8,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 mod crashes;
+mod drains;
 mod jobs;
 mod many_agents;
 mod site;
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -181,6 +181,7 @@
     pub(crate) app: SocketAddr,
     check_ins: SocketAddr,
     name: String,
+    domain: &'static str,
     boots: u32,
 }
 
@@ -196,6 +197,28 @@
     config: u64,
     /// Histories of workers that were killed.
     past: Vec<Value>,
+    drains: Vec<DomainDrain>,
+}
+
+/// A drain of a failure domain by the operator, Unix microseconds.
+#[derive(Debug)]
+struct DomainDrain {
+    domain: &'static str,
+    /// When the store had acknowledged it.
+    acknowledged: u64,
+    /// When it was about to be taken back.
+    taken_back: Option<u64>,
+}
+
+/// Nothing starts in a drained failure domain so long after the drain was acknowledged, or later. The
+/// users' `evacuateMs`.
+const DRAIN_BOUND_MS: u64 = 5_000;
+/// Failure domains of the machines, by turns.
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+
+fn unix_us() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or(0, |span| span.as_micros() as u64)
 }
 
 const PROCESSOR_MILLI: u32 = 4_000;
@@ -203,15 +226,30 @@
 impl Site {
     /// Starts an installation and waits until its first front is ready.
     pub(crate) async fn start(test: &str, fronts: usize, machines: usize) -> Self {
-        Self::start_with(test, fronts, machines, false).await
+        Self::start_with(test, fronts, machines, (false, 1)).await
+    }
+
+    /// The same; the machines are spread over so many failure domains.
+    pub(crate) async fn start_across(
+        test: &str,
+        fronts: usize,
+        machines: usize,
+        domains: usize,
+    ) -> Self {
+        Self::start_with(test, fronts, machines, (true, domains)).await
     }
 
     /// The same, with a relay between each front and the store.
     pub(crate) async fn start_relayed(test: &str, fronts: usize, machines: usize) -> Self {
-        Self::start_with(test, fronts, machines, true).await
+        Self::start_with(test, fronts, machines, (true, 1)).await
     }
 
-    async fn start_with(test: &str, fronts: usize, machines: usize, relayed: bool) -> Self {
+    async fn start_with(
+        test: &str,
+        fronts: usize,
+        machines: usize,
+        (relayed, domains): (bool, usize),
+    ) -> Self {
         let folder =
             std::env::temp_dir().join(format!("waxwing-pool-{}-{test}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("the folder is made");
@@ -226,6 +264,7 @@
             folder,
             config: 0,
             past: Vec::new(),
+            drains: Vec::new(),
         };
         let first_look = format!("http://{store}/v1/rows-get?table=op&part=");
         wait_for("the store", || get_json(&first_look)).await;
@@ -246,7 +285,13 @@
             .map(|front| front.callers.to_string())
             .collect();
         for number in 0..machines {
-            site.add_machine(&format!("127.{base}.2.{}", number + 1), port, &seeds);
+            let domain = DOMAINS[number % domains];
+            site.add_machine(
+                &format!("127.{base}.2.{}", number + 1),
+                port,
+                &seeds,
+                domain,
+            );
         }
         for number in 0..fronts {
             site.wait_ready(number).await;
@@ -275,7 +320,7 @@
         let text = format!(
             "role: front\nname: front-{number}\nregion: r\nfailure_domain: a\nplatform:\n  address: {}\n\
              pool:\n  peers: {ip}:{port}\n  callers: {callers}\n  readiness: {readiness}\n  metrics: {metrics}\n  \
-             machine: {{cpu_share: {cores}}}\n\
+             drain_bound_ms: {DRAIN_BOUND_MS}\n  machine: {{cpu_share: {cores}}}\n\
              logs:\n  stdout: true\n  json: true\n",
             store
         );
@@ -362,13 +407,14 @@
         self.fronts[number].process = None;
     }
 
-    fn add_machine(&mut self, ip: &str, port: u16, seeds: &[String]) {
+    fn add_machine(&mut self, ip: &str, port: u16, seeds: &[String], domain: &'static str) {
         let name = format!("side-{}", self.machines.len());
         let (app, check_ins) = (free_port(ip), free_port(ip));
         let settings = self.folder.join(format!("{name}.yaml"));
         let text = format!(
-            "role: agent\nname: {name}\nregion: r\nfailure_domain: a\nplatform:\n  address: {}\n\
-             pool:\n  peers: {ip}:{port}\n  seeds: [{}]\n  check_ins: {check_ins}\n  worker: {app}\n\
+            "role: agent\nname: {name}\nregion: r\nfailure_domain: {domain}\nplatform:\n  address: {}\n\
+             pool:\n  peers: {ip}:{port}\n  seeds: [{}]\n  check_ins: {check_ins}\n  worker: {app}\n  \
+             drain_bound_ms: {DRAIN_BOUND_MS}\n\
              logs:\n  stdout: true\n  json: true\n",
             self.store,
             seeds.join(", ")
@@ -381,6 +427,7 @@
             app,
             check_ins,
             name,
+            domain,
             boots: 0,
         });
         let number = self.machines.len() - 1;
@@ -418,6 +465,8 @@
             &id,
             "--cpu-milli",
             &PROCESSOR_MILLI.to_string(),
+            "--domain",
+            machine.domain,
         ]
         .map(String::from);
         let log = self.folder.join(format!("{}-worker.log", machine.name));
@@ -483,7 +532,41 @@
             .collect();
         let config = json!({ "version": self.config, "routes": routes, "services": [{ "name": "svc" }], "limits": {} });
         let value = base64(config.to_string().as_bytes());
-        let body = json!({ "expect": [], "writes": [{ "table": "op", "part": "", "key": "config", "value": value }] });
+        self.operate(
+            json!({ "writes": [{ "table": "op", "part": "", "key": "config", "value": value }] }),
+        )
+        .await;
+    }
+
+    /// The operator drains a failure domain; returns once the store has acknowledged it.
+    pub(crate) async fn drain(&mut self, domain: &'static str) {
+        let key = format!("evacuate/{domain}");
+        // What stands in the row says nothing: it may be anything.
+        let value = base64(b"?");
+        self.operate(
+            json!({ "writes": [{ "table": "op", "part": "", "key": key, "value": value }] }),
+        )
+        .await;
+        self.drains.push(DomainDrain {
+            domain,
+            acknowledged: unix_us(),
+            taken_back: None,
+        });
+    }
+
+    /// The operator takes the drain of a failure domain back.
+    pub(crate) async fn undrain(&mut self, domain: &str) {
+        let before = unix_us();
+        let open = self.drains.iter_mut().rev();
+        let mut open = open.filter(|drain| drain.domain == domain && drain.taken_back.is_none());
+        open.next().expect("it is drained").taken_back = Some(before);
+        let key = format!("evacuate/{domain}");
+        self.operate(json!({ "remove": [{ "table": "op", "part": "", "key": key }] }))
+            .await;
+    }
+
+    /// A transaction of the operator.
+    async fn operate(&self, body: Value) {
         let headers = [("content-type", "application/json"), ("x-operator", "1")];
         let url = format!("http://{}/v1/rows-tx", self.store);
         let answer = call(Method::POST, &url, &headers, body.to_string().into_bytes()).await;
@@ -600,8 +683,45 @@
         starts
     }
 
+    /// How many starts of a job's tasks there were in a failure domain.
+    pub(crate) async fn starts_in(&self, domain: &str, job: &str) -> usize {
+        let mut starts = 0;
+        for number in 0..self.machines.len() {
+            if self.machines[number].domain == domain {
+                let history = self.history(number).await;
+                let rows = history.as_array().cloned().unwrap_or_default();
+                let begun = rows.iter();
+                let begun = begun.filter(|row| row["what"] == "start" && names(row, job));
+                starts += begun.count();
+            }
+        }
+        starts
+    }
+
+    /// No start in a drained failure domain beyond the bound, by what its workers have seen.
+    async fn audit_drains(&self) {
+        for number in 0..self.machines.len() {
+            let history = self.history(number).await;
+            for row in history.as_array().into_iter().flatten() {
+                let at = row["at"].as_u64().unwrap_or_default();
+                let domain = self.machines[number].domain;
+                let late = self.drains.iter().find(|drain| {
+                    drain.domain == domain
+                        && at > drain.acknowledged + DRAIN_BOUND_MS * 1_000
+                        && drain.taken_back.is_none_or(|back| at < back)
+                });
+                let is_start = row["what"] == "start";
+                assert!(
+                    !is_start || late.is_none(),
+                    "a start in a drained domain: {row}, {late:?}"
+                );
+            }
+        }
+    }
+
     /// Checks the promises against what the workers themselves have seen.
     pub(crate) async fn audit(&self) {
+        self.audit_drains().await;
         let mut rows = Vec::new();
         for history in self.past.iter().chain(&self.histories_of_crashed()) {
             rows.extend(history.as_array().cloned().unwrap_or_default());
@@ -699,8 +819,7 @@
             _ => running.remove(&task),
         };
     }
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    let now = now.map_or(0, |span| span.as_micros() as u64);
+    let now = unix_us();
     for (task, row) in running {
         rows.push(json!({ "what": "killed", "task": task, "run": row["run"], "at": now }));
     }
