--- a/tests/pool/drains.rs
+++ b/tests/pool/drains.rs
@@ -1,6 +1,7 @@
 //! Failure domains that the operator drains: nothing starts there until they are taken back.
 
 use crate::site::{Site, job, name, run, wait_for};
+use serde_json::{Value, json};
 
 /// Jobs as wide as two workers: each takes all machines that there are.
 const WIDE: u32 = 8;
@@ -57,3 +58,118 @@
         site.audit().await;
     });
 }
+
+/// The owner dies right after the drain: the next one knows of it before its first start.
+#[test]
+fn a_new_owner_starts_nothing_in_a_drained_domain() {
+    run(async {
+        let mut site = Site::start_across("drain-owner", 2, 4, 2).await;
+        site.own_by_first(&name(1)).await;
+        // A chain of steps, so that there is something to start at every moment.
+        site.submit(&name(2), &job(12, WIDE, 100)).await;
+        site.wait_running(&name(2)).await;
+        site.drain("b").await;
+        site.kill_front(0);
+        site.wait_state(&name(2), "completed").await;
+        let next = run_until_drained(&site, "b", 3).await;
+        site.start_front(0);
+        run_outside(&site, "b", next).await;
+        site.audit().await;
+    });
+}
+
+/// The owner does not hear of the drain, as the store refuses it; a front that hears takes over.
+#[test]
+fn an_owner_that_cannot_hear_of_a_drain_orders_nothing_beyond_the_bound() {
+    run(async {
+        let mut site = Site::start_across("drain-cut", 2, 4, 2).await;
+        site.own_by_first(&name(1)).await;
+        site.submit(&name(2), &job(60, WIDE, 100)).await;
+        site.wait_running(&name(2)).await;
+        site.relays[0].cut();
+        site.drain("b").await;
+        site.wait_state(&name(2), "completed").await;
+        let next = run_until_drained(&site, "b", 3).await;
+        site.relays[0].heal();
+        run_outside(&site, "b", next).await;
+        site.audit().await;
+    });
+}
+
+/// Nobody hears of the drain: starts end before the bound, everywhere, and go on once it is known.
+#[test]
+fn without_a_reading_of_the_drains_nothing_starts() {
+    run(async {
+        let mut site = Site::start_across("drain-deaf", 1, 2, 2).await;
+        site.submit(&name(1), &job(90, WIDE, 100)).await;
+        site.wait_running(&name(1)).await;
+        site.relays[0].cut();
+        site.drain("b").await;
+        let waits = "\"waits\":true,";
+        site.wait_log("front-0", waits).await;
+        site.relays[0].heal();
+        site.wait_log("front-0", "\"waits\":false,").await;
+        site.wait_state(&name(1), "completed").await;
+        run_outside(&site, "b", 2).await;
+        site.audit().await;
+    });
+}
+
+/// The drain is taken back while nobody hears, and the store forgets the history that tells of it.
+#[test]
+fn a_drain_that_was_taken_back_unheard_is_over() {
+    run(async {
+        let mut site = Site::start_across("drain-forgotten", 1, 2, 2).await;
+        site.drain("b").await;
+        let next = run_until_drained(&site, "b", 1).await;
+        site.relays[0].cut();
+        site.undrain("b").await;
+        site.store_faults(json!({ "forget": true })).await;
+        site.relays[0].heal();
+        run_until_used(&site, "b", next).await;
+        site.audit().await;
+    });
+}
+
+/// Four lasting tasks, at most two on a worker where there are others.
+fn lasting_job() -> Value {
+    let spec = json!({ "ms": 600_000, "cpu": 500, "mem": 100 }).to_string();
+    let step =
+        json!({ "count": 4, "cpu": 500, "memMb": 100, "longRunning": true, "antiAffinity": 2 });
+    json!({ "spec": spec, "phases": [step] })
+}
+
+/// A lasting task that fails in a drained domain is back elsewhere; those that run there are left alone.
+#[test]
+fn lasting_tasks_stay_in_a_drained_domain_until_they_end() {
+    run(async {
+        let mut site = Site::start_across("drain-lasting", 1, 3, 3).await;
+        site.submit(&name(1), &lasting_job()).await;
+        let drained = wait_for("all four to run, two on a worker", || async {
+            let mut filled = Vec::new();
+            for (number, domain) in ["a", "b", "c"].into_iter().enumerate() {
+                let starts = site.starts_in(domain, &name(1)).await;
+                filled.extend((starts == 2).then_some((number, domain)));
+            }
+            (filled.len() == 2).then(|| filled[0])
+        })
+        .await;
+        let (machine, domain) = drained;
+        site.drain(domain).await;
+        let next = run_until_drained(&site, domain, 2).await;
+        run_outside(&site, domain, next).await;
+        assert_eq!(site.starts(&name(1)).await, 4, "none was started again");
+        site.kill_worker(machine).await;
+        site.start_worker(machine);
+        wait_for("the tasks of the lost worker to run elsewhere", || async {
+            (site.starts(&name(1)).await == 4).then_some(())
+        })
+        .await;
+        assert_eq!(
+            site.starts_in(domain, &name(1)).await,
+            0,
+            "its worker is new"
+        );
+        site.audit().await;
+    });
+}
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -474,6 +474,7 @@
     }
 
     pub(crate) async fn kill_worker(&mut self, number: usize) {
+        self.audit_drains().await;
         let history = self.history(number).await;
         self.machines[number].worker = None;
         self.past.push(with_deaths(&history));
