waxwing domain drain and undrain: the same promise on the project's own interface

Cause: a drain was a capability of the users' platform only; an operator of the project's own path could not keep work out of a failure domain. Change: a row a domain in the table; every entry reads the rows once a second and shows them in its status; shards place nothing in a drained domain, and a placement that was committed before the drain was heard of is stopped instead of started, which forbids the start for good. `explain` counts workers in drained domains. Names are checked. Ruled out: a key of the settings tree (its nodes are teams and services), and closing the worker in the shard's own table (each renewal opens it again). Here a drain holds from when it is heard of, at most about a second and a half after the store has it; an owner that is cut off from the store cannot place, as it cannot commit.

--- a/crates/wax-cli/src/commands/mod.rs
+++ b/crates/wax-cli/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! One file for each command, in a folder for each family.
 
 mod check;
+mod domain;
 mod explain;
 mod job;
 mod logs;
@@ -26,6 +27,8 @@
   job cancel ID              cancels a job
   job result ID [INDEX]      prints the result of a task
   explain job ID             why each task of a job waits, runs or was given up
+  domain drain NAME          nothing new is placed in a failure domain; what runs there goes on
+  domain undrain NAME        takes that back
   settings get               prints the tree in force
   settings explain PATH      prints each value in force and where it comes from
   settings set PATH KEY VALUE [--expected VERSION] [--wait SECONDS]
@@ -64,6 +67,7 @@
         "status" => status::run(&mut context).await,
         "submit" => submit::run(&mut context).await,
         "job" => job::run(&mut context).await,
+        "domain" => domain::run(&mut context).await,
         "settings" => settings::run(&mut context).await,
         "explain" => explain::run(&mut context).await,
         "replay" => replay::run(&mut context).await,
--- a/crates/wax-cli/src/commands/status.rs
+++ b/crates/wax-cli/src/commands/status.rs
@@ -55,6 +55,16 @@
             "  not confirmed: {name} at version {version}{since}\n"
         ));
     }
+    let drained: Vec<&str> = items(status, "drained")
+        .iter()
+        .filter_map(Value::as_str)
+        .collect();
+    if !drained.is_empty() {
+        text.push_str(&format!(
+            "  drained failure domains: {}\n",
+            drained.join(", ")
+        ));
+    }
     text.push('\n');
     text.push_str(&members_text(status));
     text.push('\n');
--- a/crates/wax-cli/tests/help.rs
+++ b/crates/wax-cli/tests/help.rs
@@ -32,6 +32,8 @@
     a_missing_command_is_named: [] => 2, "a command is missing";
     an_unknown_command_is_named: ["fly"] => 2, "no command fly";
     a_missing_argument_is_named: ["job", "show"] => 2, "ID is missing";
+    a_missing_domain_is_named: ["domain", "drain"] => 2, "NAME is missing";
+    an_unknown_domain_command_is_named: ["domain", "flood"] => 2, "no command domain flood";
     a_missing_file_is_named: ["check", "no/such.yaml"] => 2, "no/such.yaml";
     an_unreachable_entry_is_named: ["--entry", "127.0.0.1:1", "status"] => 4, "--entry";
     a_missing_folder_is_named: ["settings", "apply", "no/such"] => 2, "organisation.yaml";
--- a/crates/wax-route/src/operators.rs
+++ b/crates/wax-route/src/operators.rs
@@ -13,6 +13,9 @@
 /// Days of usage that may be asked for at once.
 const MOST_DAYS: u64 = 400;
 
+/// Calls about a failure domain begin with it.
+const DOMAINS_PATH: &str = "/v1/domains/";
+
 /// Answers operators.
 pub(crate) struct OperatorHandler {
     shared: Rc<EntryShared>,
@@ -27,6 +30,13 @@
     rows: Vec<UsageRow>,
 }
 
+/// Answer to a change of a failure domain.
+#[derive(Debug, Serialize, Deserialize)]
+struct DomainReply {
+    domain: Box<str>,
+    drained: bool,
+}
+
 impl OperatorHandler {
     pub(crate) fn new(shared: Rc<EntryShared>) -> Self {
         Self { shared }
@@ -75,6 +85,31 @@
         Ok(json_reply(StatusCode::OK, &reasons))
     }
 
+    /// `POST /v1/domains/NAME/drain` drains a failure domain, `DELETE` takes it back.
+    async fn change_domain(&self, method: &Method, path: &str) -> Result<HttpReply, WaxError> {
+        let name = path[DOMAINS_PATH.len()..].strip_suffix("/drain");
+        let drained = match *method {
+            Method::POST => Some(true),
+            Method::DELETE => Some(false),
+            _ => None,
+        };
+        let (Some(name), Some(drained)) = (name, drained) else {
+            let text = "expected POST or DELETE of /v1/domains/NAME/drain";
+            return Err(WaxError::new(
+                ErrorKind::NotFound,
+                Step::ParseRequest,
+                path,
+                text,
+            ));
+        };
+        self.shared.drains.change(name, drained).await?;
+        let reply = DomainReply {
+            domain: name.into(),
+            drained,
+        };
+        Ok(json_reply(StatusCode::OK, &reply))
+    }
+
     async fn answer(&self, request: HttpRequest) -> Result<HttpReply, WaxError> {
         let shared = &self.shared;
         let path = request.uri().path().to_owned();
@@ -93,6 +128,9 @@
                 Ok(empty_reply(StatusCode::SERVICE_UNAVAILABLE))
             }
             (&Method::GET, "/healthz" | "/readyz") => Ok(empty_reply(StatusCode::OK)),
+            (method, path) if path.starts_with(DOMAINS_PATH) => {
+                self.change_domain(method, path).await
+            }
             (_, path) if path.starts_with("/v1/jobs") => {
                 let rest: Vec<String> = path
                     .split('/')
--- a/crates/wax-route/src/process.rs
+++ b/crates/wax-route/src/process.rs
@@ -19,7 +19,7 @@
 use wax_platform::{GroupWriter, ObjectClient, TableClient};
 use wax_policy::{RoutePolicy, RouteTable, TeamTable};
 use wax_settings::{DaemonSettings, EntrySettings, SettingsHolder, TreeDelta};
-use wax_tasks::{CoordinatorHandle, JobDesk};
+use wax_tasks::{CoordinatorHandle, DomainDrains, JobDesk};
 use wax_types::{ProcessClock, SettingsVersion};
 use wax_wire::{PeerHello, SettingsPush};
 
@@ -51,6 +51,8 @@
     pub desk: JobDesk,
     /// Shards owned by this process.
     pub coordinator: CoordinatorHandle,
+    /// Failure domains that get nothing new.
+    pub drains: DomainDrains,
     /// How upstreams are chosen.
     pub policy: RoutePolicy,
 }
@@ -75,6 +77,7 @@
     pub(crate) members: MemberHandle,
     pub(crate) desk: JobDesk,
     pub(crate) coordinator: CoordinatorHandle,
+    pub(crate) drains: DomainDrains,
     pub(crate) policy: RoutePolicy,
     pub(crate) rng: RefCell<Rng>,
     pub(crate) leaving: Cell<bool>,
@@ -111,6 +114,7 @@
             members: services.members,
             desk: services.desk,
             coordinator: services.coordinator,
+            drains: services.drains,
             policy: services.policy,
             rng: RefCell::new(Rng::new()),
             leaving: Cell::new(false),
@@ -130,6 +134,7 @@
         let shared = self.shared;
         spawn(accept_peers(shared.clone(), self.peers)).detach();
         spawn(beat_peers(shared.clone())).detach();
+        spawn(shared.drains.clone().keep()).detach();
         load_settings(&shared).await;
         spawn(keep_settings(shared.clone(), self.poll)).detach();
         let stop_callers = ShutdownSignal::default();
--- a/crates/wax-route/src/status.rs
+++ b/crates/wax-route/src/status.rs
@@ -54,6 +54,8 @@
     settings: ForceStatus,
     /// Milliseconds since the store went down; `None` while it answers.
     store_down_ms: Option<u64>,
+    /// Failure domains that get nothing new.
+    drained: Vec<Box<str>>,
     members: Vec<MemberStatus>,
     shards: Vec<ShardStatus>,
     requests_in_flight: u32,
@@ -133,6 +135,7 @@
             .health()
             .down_since()
             .map(|since| now.since(since).as_millis() as u64),
+        drained: shared.drains.names(),
         members,
         shards: shared.coordinator.status(now),
         requests_in_flight: shared.teams.borrow().taken(),
--- a/crates/wax-tasks/src/coordinator.rs
+++ b/crates/wax-tasks/src/coordinator.rs
@@ -1,5 +1,6 @@
 //! Gains and loses shards: one row of the table for each, one live member that ranks highest.
 
+use crate::drains::DomainDrains;
 use crate::ownership::{OwnIdentity, ShardChoice, decide_shard};
 use crate::rows::{SHARD_PREFIX, ShardRow, shard_key};
 use crate::shard::{ShardClients, ShardOptions, ShardShared, run_shard};
@@ -114,12 +115,12 @@
     /// The HTTP client for workers cannot be built.
     pub fn new(
         settings: CoordinatorSettings,
-        table: TableClient,
-        objects: ObjectClient,
+        (table, objects): (TableClient, ObjectClient),
         directory: WorkerDirectory,
         members: MemberHandle,
         tree: SettingsHolder,
         policy: PlacePolicy,
+        drains: DomainDrains,
     ) -> Result<Self, WaxError> {
         let terms = LeaseTerms {
             lease: Duration::from_millis(settings.lease_ms.into()),
@@ -144,6 +145,7 @@
                 directory,
                 workers,
                 settings: tree,
+                drains,
             },
             members,
             clock,
--- a/crates/wax-tasks/src/explain.rs
+++ b/crates/wax-tasks/src/explain.rs
@@ -38,12 +38,12 @@
         .map(|task| TaskReason {
             index: task.index,
             shard: shared.term.shard(),
-            reason: reason_of(&state, now, *task).into(),
+            reason: reason_of(shared, &state, now, *task).into(),
         })
         .collect()
 }
 
-fn reason_of(state: &ShardState, now: TimePoint, task: TaskId) -> String {
+fn reason_of(shared: &ShardShared, state: &ShardState, now: TimePoint, task: TaskId) -> String {
     let Some(entry) = state.tasks.get(&task) else {
         return "not known here".to_owned();
     };
@@ -67,11 +67,16 @@
         Some(TaskState::Done(result)) => format!("done, its result is {result}"),
         Some(TaskState::Failed(reason)) => format!("given up: {reason}"),
         Some(TaskState::Cancelled) => "cancelled".to_owned(),
-        Some(TaskState::Waiting) | None => waiting_reason(state, now, task),
+        Some(TaskState::Waiting) | None => waiting_reason(shared, state, now, task),
     }
 }
 
-fn waiting_reason(state: &ShardState, now: TimePoint, task: TaskId) -> String {
+fn waiting_reason(
+    shared: &ShardShared,
+    state: &ShardState,
+    now: TimePoint,
+    task: TaskId,
+) -> String {
     let (Some(demand), Some(part)) = (state.demand(task), state.part_of(task)) else {
         return "waits".to_owned();
     };
@@ -89,9 +94,16 @@
         .values()
         .filter(|entry| !entry.contact.is_reachable())
         .count();
+    let is_drained = |domain: &str| shared.drains.is_drained(domain);
+    let drained = state
+        .workers
+        .values()
+        .filter(|entry| is_drained(&entry.info.failure_domain))
+        .count();
     let most = state
         .workers
         .values()
+        .filter(|entry| !is_drained(&entry.info.failure_domain))
         .filter_map(|entry| state.table.get(entry.key))
         .map(wax_policy::WorkerSlot::free)
         .max_by_key(|free| (free.accelerators, free.cpu_milli, free.memory_mib))
@@ -103,7 +115,7 @@
         .count();
     format!(
         "waits for room: needs {}; the most that one of {} workers has free is {most} \
-         ({silent} do not answer, {quarantined} in quarantine); {ahead} tasks are ahead",
+         ({silent} do not answer, {quarantined} in quarantine, {drained} in drained failure domains); {ahead} tasks are ahead",
         demand.size,
         state.workers.len(),
     )
--- a/crates/wax-tasks/src/lib.rs
+++ b/crates/wax-tasks/src/lib.rs
@@ -8,6 +8,7 @@
 mod commit_tests;
 mod coordinator;
 mod desk;
+mod drains;
 mod explain;
 mod ledger_feed;
 mod ownership;
@@ -29,6 +30,7 @@
 
 pub use coordinator::{CoordinatorHandle, CoordinatorProcess, ShardStatus};
 pub use desk::{JobDesk, JobView, SubmitRequest, TaskView};
+pub use drains::DomainDrains;
 pub use explain::TaskReason;
 pub use ownership::{OwnIdentity, ShardChoice, decide_shard};
 pub use quota::QuotaRow;
--- a/crates/wax-tasks/src/placing.rs
+++ b/crates/wax-tasks/src/placing.rs
@@ -57,6 +57,7 @@
             return Vec::new();
         }
         let mut scratch = self.shared.state.borrow().table_without_stopping();
+        self.close_drained(&mut scratch);
         for change in before {
             if let Some(worker) = &change.release
                 && let Some(entry) = self.shared.state.borrow().workers.get(worker)
@@ -87,6 +88,15 @@
         changes
     }
 
+    /// Nothing is placed in a drained failure domain.
+    fn close_drained(&self, scratch: &mut wax_policy::WorkerTable) {
+        for entry in self.shared.state.borrow().workers.values() {
+            if self.shared.drains.is_drained(&entry.info.failure_domain) {
+                scratch.set_open(entry.key, false);
+            }
+        }
+    }
+
     /// Takes room for a task from its team's quota.
     pub(crate) fn take_quota(&self, tree: &SettingsTree, task: TaskId) -> bool {
         let mut state = self.shared.state.borrow_mut();
--- a/crates/wax-tasks/src/shard.rs
+++ b/crates/wax-tasks/src/shard.rs
@@ -1,5 +1,6 @@
 //! What the tasks of one shard share for one term, and the term's rounds.
 
+use crate::drains::DomainDrains;
 use crate::ledger_feed::LedgerFeed;
 use crate::round::ShardRound;
 use crate::shard_load::load_shard;
@@ -39,6 +40,7 @@
     pub(crate) directory: WorkerDirectory,
     pub(crate) workers: WorkerClient,
     pub(crate) settings: SettingsHolder,
+    pub(crate) drains: DomainDrains,
     pub(crate) state: RefCell<ShardState>,
     pub(crate) ledger: RefCell<LedgerFeed>,
     events: UnboundedSender<WorkerEvent>,
@@ -52,6 +54,7 @@
     pub(crate) directory: WorkerDirectory,
     pub(crate) workers: WorkerClient,
     pub(crate) settings: SettingsHolder,
+    pub(crate) drains: DomainDrains,
 }
 
 /// Why a round of ownership ended.
@@ -84,6 +87,13 @@
         self.term.end();
     }
 
+    /// Whether a worker's failure domain is drained: it gets nothing new.
+    pub(crate) fn is_drained(&self, worker: &WorkerId) -> bool {
+        let state = self.state.borrow();
+        let entry = state.workers.get(worker);
+        entry.is_some_and(|entry| self.drains.is_drained(&entry.info.failure_domain))
+    }
+
     /// A worker's clock when it last answered, and our time then.
     pub(crate) fn clock_of(&self, worker: &WorkerId) -> Option<(u64, TimePoint)> {
         self.state.borrow().workers.get(worker)?.clock
@@ -138,6 +148,7 @@
             directory: clients.directory.clone(),
             workers: clients.workers.clone(),
             settings: clients.settings.clone(),
+            drains: clients.drains.clone(),
             state: RefCell::new(state),
             ledger: RefCell::default(),
             events,
--- a/crates/wax-tasks/src/worker_link.rs
+++ b/crates/wax-tasks/src/worker_link.rs
@@ -141,6 +141,15 @@
 
 /// Starts a run that was placed by a committed transaction; a repeated start changes nothing.
 pub(crate) async fn start_run(shared: Rc<ShardShared>, worker: WorkerId, mark: TaskMark) {
+    if shared.is_drained(&worker) {
+        // Placed before the drain was heard of, and not seen to run: a stop forbids the start for good,
+        // and the task waits again.
+        if let Some(task) = shared.state.borrow_mut().tasks.get_mut(&mark.task) {
+            task.stopping = true;
+        }
+        tracing::info!(%worker, task = %mark.task, epoch = %mark.epoch, "not started: its failure domain is drained");
+        return stop_run(shared, worker, mark).await;
+    }
     let Some((address, request)) = build_start(&shared, &worker, mark) else {
         return;
     };
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -12,7 +12,7 @@
 use wax_policy::{PlacePolicy, RoutePolicy};
 use wax_route::{EntryProcess, EntryServices};
 use wax_settings::{CoordinatorSettings, DaemonSettings, SettingsHolder};
-use wax_tasks::{CoordinatorHandle, CoordinatorProcess, JobDesk};
+use wax_tasks::{CoordinatorHandle, CoordinatorProcess, DomainDrains, JobDesk};
 use wax_trace::MetricsExporter;
 use wax_types::{ErrorKind, ProcessClock, ProcessIncarnation, SettingsVersion, Step, WaxError};
 
@@ -46,15 +46,16 @@
     let writer = GroupWriter::start(table.clone());
     let shutdown = shutdown_signal();
     let tree = SettingsHolder::default();
+    let drains = DomainDrains::new(table.clone());
     let coordinator = match &settings.coordinator {
         Some(options) => Some(CoordinatorProcess::new(
             options.clone(),
-            table.clone(),
-            objects.clone(),
+            (table.clone(), objects.clone()),
             directory.clone(),
             members.clone(),
             tree.clone(),
             PlacePolicy::default(),
+            drains.clone(),
         )?),
         None => None,
     };
@@ -76,6 +77,7 @@
         tree,
         desk,
         coordinator: handle,
+        drains,
         policy: RoutePolicy::default(),
     };
     let process = EntryProcess::new(&settings, &options, services, listeners);
--- a/tests/proofs/tool.rs
+++ b/tests/proofs/tool.rs
@@ -1,7 +1,10 @@
 //! The operators' tool against a running system.
 
+use crate::support::audit::{all_runs, check_one_place};
+use crate::support::calls::get_json;
 use crate::support::cluster::{Cluster, ClusterPlan};
-use crate::support::run;
+use crate::support::{run, wait_for};
+use serde_json::{Value, json};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
@@ -96,3 +99,86 @@
         assert!(text.contains("/barrages"), "{text}");
     });
 }
+
+/// How many runs a worker has recorded.
+async fn runs_on(cluster: &Cluster, worker: &str) -> usize {
+    let record = cluster.record(worker).await;
+    record["runs"].as_array().map_or(0, Vec::len)
+}
+
+/// A job that takes all three workers, if it may; its tasks have ended when this returns.
+async fn run_wide_job(cluster: &Cluster, key: &str) {
+    let input = json!({ "work_ms": 100 });
+    let job = cluster.submit_surely("sommaire", 12, input, key).await;
+    let view = cluster.wait_ended(&job).await;
+    for task in view["tasks"].as_array().into_iter().flatten() {
+        assert!(task["state"]["done"].is_string(), "{task}");
+    }
+}
+
+/// Waits until every entry shows these failure domains as drained.
+async fn wait_drained(cluster: &Cluster, expected: Value) {
+    wait_for("all entries to know the drains", || async {
+        for n in 1..=2 {
+            let status = get_json(&format!("{}/v1/status", cluster.operators(n))).await?;
+            if status["drained"] != expected {
+                return None;
+            }
+        }
+        Some(())
+    })
+    .await;
+}
+
+#[test]
+fn a_drained_domain_gets_nothing_until_it_is_taken_back() {
+    run(async {
+        let plan = ClusterPlan {
+            shards: 1,
+            ..ClusterPlan::default()
+        };
+        let cluster = Cluster::start(plan).await;
+        cluster.wait_owned().await;
+        // The first worker is in it.
+        for (command, said) in [("drain", "drained"), ("drain", "drained")] {
+            let (code, text) = waxwing(&cluster, &["domain", command, "domain-2"]);
+            assert_eq!(code, Some(0), "{text}");
+            assert!(text.contains(said), "{text}");
+        }
+        wait_drained(&cluster, json!(["domain-2"])).await;
+        let (_, text) = waxwing(&cluster, &["status"]);
+        assert!(text.contains("drained failure domains: domain-2"), "{text}");
+        run_wide_job(&cluster, "drained-1").await;
+        run_wide_job(&cluster, "drained-2").await;
+        assert_eq!(runs_on(&cluster, "worker-1").await, 0);
+        let (code, text) = waxwing(&cluster, &["domain", "undrain", "domain-2"]);
+        assert_eq!(code, Some(0), "{text}");
+        wait_drained(&cluster, json!([])).await;
+        let turn = std::cell::Cell::new(0);
+        wait_for("a job to use the domain again", || async {
+            turn.set(turn.get() + 1);
+            run_wide_job(&cluster, &format!("open-{}", turn.get())).await;
+            (runs_on(&cluster, "worker-1").await > 0).then_some(())
+        })
+        .await;
+        check_one_place(&all_runs(&cluster).await);
+    });
+}
+
+#[test]
+fn a_domain_without_a_proper_name_is_refused() {
+    run(async {
+        let cluster = Cluster::start(ClusterPlan::default()).await;
+        let long = "x".repeat(101);
+        for name in ["a*b", &long] {
+            let (code, text) = waxwing(&cluster, &["domain", "drain", name]);
+            assert_ne!(code, Some(0), "{text}");
+            assert!(
+                text.contains("expected the name of a failure domain"),
+                "{text}"
+            );
+        }
+        let status = get_json(&format!("{}/v1/status", cluster.operators(1))).await;
+        assert_eq!(status.expect("it answers")["drained"], json!([]));
+    });
+}
