The owner reads the drains by itself only where the platform asks for a bound

Cause: without a bound a drain holds from when it is heard of, and the feed tells that; the reading once a second is for its absence.

--- a/crates/wax-owner/src/watch.rs
+++ b/crates/wax-owner/src/watch.rs
@@ -284,7 +284,9 @@
     spawn(write_chain(shared.clone(), tenure.clone(), version)).detach();
     spawn(follow_jobs(shared.clone(), tenure.clone())).detach();
     spawn(dispatch_orders(shared.clone(), tenure.clone())).detach();
-    spawn(keep_drains(shared.clone(), tenure.clone())).detach();
+    if shared.drain_rules.bound.is_some() {
+        spawn(keep_drains(shared.clone(), tenure.clone())).detach();
+    }
     spawn(report_waves(shared.clone(), tenure.clone())).detach();
     if let Some(advisor) = shared.advisor {
         spawn(ask_advisor(
