--- /dev/null
+++ b/crates/wax-cli/src/commands/bound.rs
@@ -0,0 +1,147 @@
+//! `waxwing bound FILE...`: what no scheduler could exceed, for a trace or a day's log lines.
+
+use super::logs::read_day;
+use super::replay::bad_trace;
+use crate::context::CommandContext;
+use crate::failure::CommandFailure;
+use crate::output::{json_text, table_text};
+use std::collections::BTreeMap;
+use wax_logs::{DayHistory, JobHistory};
+use wax_replay::{BoundJob, BoundSlot, DayBound, bound_day, bound_trace, parse_trace};
+
+/// Length of a slot of a day's lines, seconds.
+const SLOT: f64 = 1.0;
+
+/// What a queue could have reached, and what it did.
+struct QueueBound {
+    bound: DayBound,
+    in_time: f64,
+}
+
+pub(crate) fn run(context: &mut CommandContext) -> Result<String, CommandFailure> {
+    let cores: Option<f64> = context.args.opt_value_from_str("--cores")?;
+    let seed: Option<u64> = context.args.opt_value_from_str("--seed")?;
+    let mut files = vec![context.word("FILE")?];
+    while let Some(file) = context.args.opt_free_from_str()? {
+        files.push(file);
+    }
+    context.finish()?;
+    match cores {
+        Some(cores) if cores.is_finite() && cores > 0.0 => of_lines(context, &files, cores),
+        Some(_) => Err(CommandFailure::Usage(
+            "--cores takes a number above 0".to_owned(),
+        )),
+        None if files.len() == 1 => of_trace(context, &files[0], seed.unwrap_or(1)),
+        None => Err(CommandFailure::Usage(
+            "one trace, or log files with --cores".to_owned(),
+        )),
+    }
+}
+
+fn of_trace(context: &CommandContext, file: &str, seed: u64) -> Result<String, CommandFailure> {
+    let text = std::fs::read_to_string(file).map_err(|error| bad_trace(file, error))?;
+    let lines = parse_trace(&text).map_err(|error| bad_trace(file, error))?;
+    let bound = bound_trace(&lines, seed).map_err(|error| bad_trace(file, error))?;
+    if context.json {
+        return Ok(json_text(&serde_json::to_value(bound).unwrap_or_default()));
+    }
+    Ok(format!(
+        "{} jobs; run time asked for {:.1} s, possible by the end {:.1} s ({:.1}%)\n",
+        bound.jobs,
+        bound.worth_asked,
+        bound.worth_possible,
+        100.0 * bound.share()
+    ))
+}
+
+/// Jobs that do not last; each by its declared work and objective, and worth its work.
+fn of_lines(
+    context: &CommandContext,
+    files: &[String],
+    cores: f64,
+) -> Result<String, CommandFailure> {
+    let day = read_day(files)?;
+    let finite: Vec<&JobHistory> = day
+        .jobs
+        .values()
+        .filter(|job| !job.lasts && !job.is_cancelled())
+        .collect();
+    let slots = slots(&day, &finite, cores);
+    let mut queues: BTreeMap<&str, Vec<&JobHistory>> = BTreeMap::new();
+    for job in &finite {
+        queues.entry(&job.queue).or_default().push(job);
+    }
+    let mut rows = vec![("all".to_owned(), queue_bound(&finite, &slots))];
+    rows.extend(
+        queues
+            .iter()
+            .map(|(queue, jobs)| ((*queue).to_owned(), queue_bound(jobs, &slots))),
+    );
+    if context.json {
+        let json: Vec<serde_json::Value> = rows
+            .iter()
+            .map(|(queue, row)| {
+                serde_json::json!({ "queue": queue, "bound": row.bound, "in_time": row.in_time })
+            })
+            .collect();
+        return Ok(json_text(&serde_json::Value::Array(json)));
+    }
+    let cells: Vec<Vec<String>> = rows.iter().map(|(queue, row)| cells(queue, row)).collect();
+    let heading = [
+        "QUEUE",
+        "JOBS",
+        "ASKED CORE S",
+        "POSSIBLE",
+        "IN TIME",
+        "SHARE POSSIBLE",
+        "SHARE REACHED",
+    ];
+    Ok(format!(
+        "declared work done within objectives, on {cores} cores; a queue's own row has all cores to itself\n{}",
+        table_text(&heading, &cells)
+    ))
+}
+
+fn queue_bound(jobs: &[&JobHistory], slots: &[BoundSlot]) -> QueueBound {
+    let bounded: Vec<BoundJob> = jobs
+        .iter()
+        .map(|job| BoundJob {
+            arrives: job.asked,
+            due: job.asked + job.objective,
+            work: job.work,
+            worth: job.work,
+        })
+        .collect();
+    let reached = jobs.iter().filter(|job| job.is_in_time());
+    QueueBound {
+        bound: bound_day(&bounded, slots),
+        in_time: reached.map(|job| job.work).sum(),
+    }
+}
+
+/// The same cores all day long, from the first request to the last due time.
+fn slots(day: &DayHistory, jobs: &[&JobHistory], cores: f64) -> Vec<BoundSlot> {
+    let due = jobs.iter().map(|job| job.asked + job.objective);
+    let end = due.fold(day.began, f64::max);
+    let count = ((end - day.began) / SLOT).ceil() as usize;
+    let slot = |number: usize| BoundSlot {
+        from: day.began + number as f64 * SLOT,
+        to: day.began + (number + 1) as f64 * SLOT,
+        cores,
+    };
+    (0..count).map(slot).collect()
+}
+
+fn cells(queue: &str, row: &QueueBound) -> Vec<String> {
+    let bound = &row.bound;
+    let share = |part: f64| format!("{:.2}", part / bound.asked.max(f64::EPSILON));
+    vec![
+        queue.to_owned(),
+        bound.jobs.to_string(),
+        format!("{:.0}", bound.asked),
+        format!("{:.0}", bound.possible),
+        format!("{:.0}", row.in_time),
+        share(bound.possible),
+        share(row.in_time),
+    ]
+}
--- a/crates/wax-cli/src/commands/logs.rs
+++ b/crates/wax-cli/src/commands/logs.rs
@@ -51,7 +51,7 @@
     })
 }
 
-fn read_day(files: &[String]) -> Result<DayHistory, CommandFailure> {
+pub(super) fn read_day(files: &[String]) -> Result<DayHistory, CommandFailure> {
     let mut lines = Vec::new();
     for file in files {
         let text = std::fs::read_to_string(file).map_err(|error| bad_file(file, error))?;
--- a/crates/wax-cli/src/commands/mod.rs
+++ b/crates/wax-cli/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! One file for each command, in a folder for each family.
 
+mod bound;
 mod check;
 mod domain;
 mod explain;
@@ -41,6 +42,8 @@
   replay TRACE [--policy NAME] [--seed N]
                              a recorded trace through the decisions of the daemons
   replay TRACE --compare N   ours against every baseline, over N seeds
+  bound TRACE [--seed N]     what no scheduler could exceed on a recorded trace
+  bound FILE... --cores N    the same for a day of the pool's log lines, where N cores are free of what serves
 
   --entry ADDR   operators' address of an entry (or WAXWING_ENTRY; default 127.0.0.1:7002)
   --json         prints the answer as JSON
@@ -63,6 +66,7 @@
     let mut context = CommandContext::new(args)?;
     let command = context.word("a command")?;
     match command.as_str() {
+        "bound" => bound::run(&mut context),
         "check" => check::run(&mut context),
         "status" => status::run(&mut context).await,
         "submit" => submit::run(&mut context).await,
--- a/crates/wax-cli/src/commands/replay.rs
+++ b/crates/wax-cli/src/commands/replay.rs
@@ -33,7 +33,7 @@
     Ok(report_text(&report))
 }
 
-fn bad_trace(file: &str, error: impl std::fmt::Display) -> CommandFailure {
+pub(super) fn bad_trace(file: &str, error: impl std::fmt::Display) -> CommandFailure {
     let error = WaxError::new(ErrorKind::Invalid, Step::ReadSettings, file, error)
         .with_help("docs/REPLAY.md describes the lines of a trace");
     CommandFailure::Failed(error)
--- a/crates/wax-cli/tests/help.rs
+++ b/crates/wax-cli/tests/help.rs
@@ -34,6 +34,8 @@
     a_missing_argument_is_named: ["job", "show"] => 2, "ID is missing";
     a_missing_domain_is_named: ["domain", "drain"] => 2, "NAME is missing";
     an_unknown_domain_command_is_named: ["domain", "flood"] => 2, "no command domain flood";
+    a_bound_needs_cores_for_lines: ["bound", "one", "two"] => 2, "log files with --cores";
+    a_bound_of_no_cores_is_refused: ["bound", "one", "--cores", "0"] => 2, "--cores takes a number above 0";
     a_missing_file_is_named: ["check", "no/such.yaml"] => 2, "no/such.yaml";
     an_unreachable_entry_is_named: ["--entry", "127.0.0.1:1", "status"] => 4, "--entry";
     a_missing_folder_is_named: ["settings", "apply", "no/such"] => 2, "organisation.yaml";
--- a/crates/wax-replay/src/lib.rs
+++ b/crates/wax-replay/src/lib.rs
@@ -4,15 +4,19 @@
 //! same trace gives the same verdict on a decision every time.
 
 mod batch;
+mod bound;
 mod compare;
 mod engine;
 mod events;
 mod quick;
 mod report;
 mod trace;
+mod trace_bound;
 mod world;
 
+pub use bound::{BoundJob, BoundSlot, DayBound, bound_day};
 pub use compare::{ComparisonReport, PolicyRatios, RatioSpread, compare_policies};
 pub use engine::replay;
 pub use report::{BatchReport, QuickReport, ReplayReport, UrgentReport};
 pub use trace::{ReplayPolicy, TraceError, TraceLine, parse_trace};
+pub use trace_bound::bound_trace;
--- a/crates/wax-replay/src/world.rs
+++ b/crates/wax-replay/src/world.rs
@@ -58,6 +58,7 @@
 /// A job.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct JobTruth {
+    pub(crate) arrives: TimePoint,
     pub(crate) kind: usize,
     pub(crate) tasks: u32,
     pub(crate) work: Duration,
@@ -381,7 +382,12 @@
     ) -> Result<(), String> {
         let kind = self.kind(kind)?;
         let event = ReplayEvent::JobArrives(self.jobs.len());
-        self.jobs.push(JobTruth { kind, tasks, work });
+        self.jobs.push(JobTruth {
+            arrives: at,
+            kind,
+            tasks,
+            work,
+        });
         self.queue.push(at, event);
         Ok(())
     }
