A worker is where its machine is: one that names no failure domain, or another, is drained with it

Cause: the guard of drains went by the domain in the worker's check-in; the field is another's word and may be missing. Such a worker got starts while its domain was drained. Change: the agent takes its own machine's failure domain from the settings, for its guard and in what it tells the owner; a check-in that differs is told once a boot. A start that the guard refuses has a line with domain, version and age of the view. Ruled out: refusing such check-ins (the worker would stand idle for a word that is not needed).

--- a/crates/wax-agent/src/check_ins.rs
+++ b/crates/wax-agent/src/check_ins.rs
@@ -44,7 +44,7 @@
                 .with_help("send a worker's report as the platform's pages describe it")
         })?;
         let report = BootReport {
-            view: report.view,
+            view: self.state.place_worker(report.view),
             sequence: report.sequence,
         };
         let driven = self.state.driven();
--- a/crates/wax-agent/src/orders.rs
+++ b/crates/wax-agent/src/orders.rs
@@ -55,7 +55,7 @@
         if now >= self.authority.get() || !self.is_kept() {
             return Err(StartRefusal::Stale);
         }
-        self.may_start_in(&boot.view.failure_domain, now)?;
+        self.may_start(now)?;
         let authority = self.authority.get();
         let Some(lease_until_ms) = boot.lease.extend(now, authority, &self.lease_rules) else {
             return Err(StartRefusal::Stale);
--- a/crates/wax-agent/src/process.rs
+++ b/crates/wax-agent/src/process.rs
@@ -39,7 +39,8 @@
     let drain_rules = DrainRules {
         bound: pool.drain_bound(),
     };
-    let state = Rc::new(new_state(&settings.name, worker, pace_rules, drain_rules));
+    let machine = (&*settings.name, &*settings.failure_domain);
+    let state = Rc::new(new_state(machine, worker, pace_rules, drain_rules));
     let listener = bind_listener(check_ins)?;
     let handler = Rc::new(CheckInHandler {
         state: state.clone(),
@@ -54,13 +55,15 @@
 }
 
 fn new_state(
-    node: &str,
+    (node, failure_domain): (&str, &str),
     worker: SocketAddr,
     pace_rules: Rc<Cell<PaceRules>>,
     drain_rules: DrainRules,
 ) -> AgentState {
     AgentState {
         node: node.into(),
+        failure_domain: failure_domain.into(),
+        named_elsewhere: RefCell::default(),
         clock: ProcessClock::start(),
         worker: WorkerClient::new(worker),
         lease_rules: LeaseRules::default(),
--- a/crates/wax-agent/src/state.rs
+++ b/crates/wax-agent/src/state.rs
@@ -98,6 +98,10 @@
 #[derive(Debug)]
 pub(crate) struct AgentState {
     pub(crate) node: Box<str>,
+    /// The machine's failure domain, which is its worker's too.
+    pub(crate) failure_domain: Box<str>,
+    /// The last boot that named another one: it is told once.
+    pub(crate) named_elsewhere: RefCell<Box<str>>,
     pub(crate) clock: ProcessClock,
     pub(crate) worker: WorkerClient,
     pub(crate) lease_rules: LeaseRules,
@@ -153,6 +157,25 @@
         }
     }
 
+    /// A worker is where its machine is, whatever it says: by another name, or none, it would be given
+    /// starts while its failure domain is drained.
+    pub(crate) fn place_worker(&self, said: WorkerView) -> WorkerView {
+        let is_elsewhere = said.failure_domain != self.failure_domain;
+        if is_elsewhere && *self.named_elsewhere.borrow() != said.id {
+            *self.named_elsewhere.borrow_mut() = said.id.clone();
+            tracing::warn!(
+                worker = %said.id,
+                said = %said.failure_domain,
+                machine = %self.failure_domain,
+                "worker names another failure domain"
+            );
+        }
+        WorkerView {
+            failure_domain: self.failure_domain.clone(),
+            ..said
+        }
+    }
+
     /// Takes an owner's word of the drains, its answer to a heartbeat sent at `asked`.
     pub(crate) fn take_drains(&self, frame: DrainFrame, asked: TimePoint) {
         let mut view = self.drains.borrow_mut();
@@ -162,14 +185,17 @@
         }
     }
 
-    /// The guard of drains: whether a start may be sent to this failure domain now.
-    pub(crate) fn may_start_in(&self, domain: &str, now: TimePoint) -> Result<(), StartRefusal> {
+    /// The guard of drains: whether a start may be sent to this machine's worker now.
+    pub(crate) fn may_start(&self, now: TimePoint) -> Result<(), StartRefusal> {
         let view = self.drains.borrow();
         let most = self.drain_rules.start_age();
-        match view.verdict(domain, now, most) {
-            DrainVerdict::Open => Ok(()),
-            DrainVerdict::Drained | DrainVerdict::Unsure => Err(StartRefusal::Drained),
+        let verdict = view.verdict(&self.failure_domain, now, most);
+        if verdict == DrainVerdict::Open {
+            return Ok(());
         }
+        let age_ms = view.age(now).map(|age| age.as_millis() as u64);
+        tracing::info!(domain = %self.failure_domain, version = view.version(), age_ms, ?verdict, "no start in this failure domain");
+        Err(StartRefusal::Drained)
     }
 
     /// Notes whether a hold was answered; the owner hears of a worker that falls silent or is back.
--- a/tests/pool/drains.rs
+++ b/tests/pool/drains.rs
@@ -173,3 +173,29 @@
         site.audit().await;
     });
 }
+
+/// What a worker says of its failure domain may be missing, or another's: its machine's counts as well.
+macro_rules! says_of_itself {
+    ($($name:ident: $test:literal, $said:literal,)*) => {
+        $(
+            #[test]
+            fn $name() {
+                run(async {
+                    let mut site = Site::start_across($test, 1, 2, 2).await;
+                    site.kill_worker(1).await;
+                    site.start_worker_in(1, $said);
+                    let next = run_until_used(&site, "b", 1).await;
+                    site.drain("b").await;
+                    let next = run_until_drained(&site, "b", next).await;
+                    run_outside(&site, "b", next).await;
+                    site.audit().await;
+                });
+            }
+        )*
+    };
+}
+
+says_of_itself! {
+    a_worker_that_names_no_domain_is_drained_with_its_machine: "drain-nameless", "",
+    a_worker_that_names_another_domain_is_drained_with_its_machine: "drain-stranger", "elsewhere",
+}
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -450,6 +450,11 @@
     }
 
     pub(crate) fn start_worker(&mut self, number: usize) {
+        self.start_worker_in(number, self.machines[number].domain);
+    }
+
+    /// A worker that says of itself to be in this failure domain, wherever its machine is.
+    pub(crate) fn start_worker_in(&mut self, number: usize, domain: &str) {
         let machine = &mut self.machines[number];
         machine.boots += 1;
         let id = format!("i-{}-{}", machine.name, machine.boots);
@@ -466,7 +471,7 @@
             "--cpu-milli",
             &PROCESSOR_MILLI.to_string(),
             "--domain",
-            machine.domain,
+            domain,
         ]
         .map(String::from);
         let log = self.folder.join(format!("{}-worker.log", machine.name));
