--- a/crates/wax-cli/src/commands/bound.rs
+++ b/crates/wax-cli/src/commands/bound.rs
@@ -6,7 +6,7 @@
 use crate::failure::CommandFailure;
 use crate::output::{json_text, table_text};
 use std::collections::BTreeMap;
-use wax_logs::{DayHistory, JobHistory};
+use wax_logs::JobHistory;
 use wax_replay::{BoundJob, BoundSlot, DayBound, bound_day, bound_trace, parse_trace};
 
 /// Length of a slot of a day's lines, seconds.
@@ -66,7 +66,8 @@
         .values()
         .filter(|job| !job.lasts && !job.is_cancelled())
         .collect();
-    let slots = slots(&day, &finite, cores);
+    let last = finite.iter().map(|job| last_sign(job));
+    let slots = slots(day.began, last.fold(day.began, f64::max), cores);
     let mut queues: BTreeMap<&str, Vec<&JobHistory>> = BTreeMap::new();
     for job in &finite {
         queues.entry(&job.queue).or_default().push(job);
@@ -119,14 +120,22 @@
     }
 }
 
-/// The same cores all day long, from the first request to the last due time.
-fn slots(day: &DayHistory, jobs: &[&JobHistory], cores: f64) -> Vec<BoundSlot> {
-    let due = jobs.iter().map(|job| job.asked + job.objective);
-    let end = due.fold(day.began, f64::max);
-    let count = ((end - day.began) / SLOT).ceil() as usize;
+/// When a job was last heard of: no line tells of work that was done after the last of all.
+fn last_sign(job: &JobHistory) -> f64 {
+    let runs = job.runs.iter().map(|run| {
+        let ended = run.end.as_ref().map(|(at, _)| *at);
+        ended.unwrap_or(run.ordered)
+    });
+    let ended = job.end.as_ref().map(|(at, _)| *at);
+    runs.chain(ended).fold(job.asked, f64::max)
+}
+
+/// The same cores all day long, from the first line to the last sign of a job.
+fn slots(began: f64, last: f64, cores: f64) -> Vec<BoundSlot> {
+    let count = ((last - began) / SLOT).ceil() as usize;
     let slot = |number: usize| BoundSlot {
-        from: day.began + number as f64 * SLOT,
-        to: day.began + (number + 1) as f64 * SLOT,
+        from: began + number as f64 * SLOT,
+        to: (began + (number + 1) as f64 * SLOT).min(last),
         cores,
     };
     (0..count).map(slot).collect()
