Sight: how long a config may have gone unseen, a 404 with what it was decided by, a dropped history

Cause: the lines could not tell a late config from a timely one, nor which version a 404 came from, and a feed that ended by a dropped history left none. Change: unheard_ms beside config in force; no such queue, with its version and age_ms; a line for the history. No decision changes.

--- a/crates/wax-front/src/handler.rs
+++ b/crates/wax-front/src/handler.rs
@@ -92,12 +92,26 @@
         let path = request.uri().path();
         match config.route(host.unwrap_or_default(), path) {
             Some(queue) => Ok((queue.clone(), version.body_bytes)),
-            None => Err(WaxError::new(
-                ErrorKind::NotFound,
-                Step::RouteRequest,
-                "config",
-                "no such queue",
-            )),
+            None => {
+                let age_ms = self
+                    .state
+                    .shared
+                    .config_age()
+                    .map(|age| age.as_millis() as u64);
+                tracing::info!(
+                    host,
+                    path,
+                    config = version.version,
+                    age_ms,
+                    "no such queue"
+                );
+                Err(WaxError::new(
+                    ErrorKind::NotFound,
+                    Step::RouteRequest,
+                    "config",
+                    "no such queue",
+                ))
+            }
         }
     }
 
--- a/crates/wax-owner/src/config_feed.rs
+++ b/crates/wax-owner/src/config_feed.rs
@@ -47,6 +47,7 @@
     for row in rows {
         take(shared, &key, row);
     }
+    shared.note_config_heard(asked);
     loop {
         let asked = shared.now();
         match shared
@@ -54,7 +55,10 @@
             .follow(OPERATOR_TABLE, after, FEED_WAIT)
             .await?
         {
-            FeedReply::Forgotten => return Ok(()),
+            FeedReply::Forgotten => {
+                tracing::info!(after, "the history of the operator's rows was dropped");
+                return Ok(());
+            }
             FeedReply::Changes(changes, version) => {
                 shared.store_heard.set(shared.now());
                 after = version;
@@ -64,6 +68,7 @@
                         take(shared, &key, row);
                     }
                 }
+                shared.note_config_heard(asked);
             }
         }
     }
--- a/crates/wax-owner/src/shared.rs
+++ b/crates/wax-owner/src/shared.rs
@@ -87,6 +87,8 @@
     pub link_heard: Cell<TimePoint>,
     /// When the store last answered this process.
     pub store_heard: Cell<TimePoint>,
+    /// Up to when the config in force is known to be the newest; nothing before the first reading.
+    pub config_heard: Cell<Option<TimePoint>>,
 }
 
 impl PoolShared {
@@ -145,6 +147,7 @@
             owner_heard: Cell::default(),
             link_heard: Cell::default(),
             store_heard: Cell::default(),
+            config_heard: Cell::default(),
         }
     }
 
@@ -190,6 +193,18 @@
         self.config.borrow().version().unwrap_or(0)
     }
 
+    /// For how long a newer config may have gone unseen; `None` before the first reading.
+    pub fn config_age(&self) -> Option<Duration> {
+        let heard = self.config_heard.get();
+        heard.map(|heard| self.now().since(heard))
+    }
+
+    /// No newer config than what was taken so far was in the store at `as_of`.
+    pub(crate) fn note_config_heard(&self, as_of: TimePoint) {
+        self.config_heard
+            .set(self.config_heard.get().max(Some(as_of)));
+    }
+
     /// Takes the operator's text of a config if its version is greater than the one in force.
     ///
     /// # Errors
@@ -204,7 +219,8 @@
             return Ok(());
         }
         *self.config_text.borrow_mut() = text.to_vec();
-        tracing::info!(version, from, "config in force");
+        let unheard_ms = self.config_age().map(|age| age.as_millis() as u64);
+        tracing::info!(version, from, unheard_ms, "config in force");
         if let Some(tenure) = &*self.tenure.borrow() {
             tenure.apply_config();
         }
