Tests that fail: a front goes by an old config while its connections are silent, and gives a 404 by it

What callers saw: 404 for seconds for a route that the store had acknowledged. In the test all connections from fronts to the store go silent without being closed, then a route is added: both fronts serve it only once their feed's call has been given up, after 9.5 s. The second: cut off from all that could tell of a newer config, a front still answers 404, for as long as the test waits (90 s).

--- /dev/null
+++ b/tests/pool/config.rs
@@ -0,0 +1,61 @@
+//! Changes of the config: in force in time, also when what tells of them has gone silent.
+
+use crate::site::{Site, name, run, wait_for};
+use http::Method;
+
+/// A front whose connections to the store go silent without being closed answers for the routes of
+/// before: callers get 404 for a route that the store has acknowledged.
+#[test]
+fn a_change_is_in_force_though_open_connections_have_gone_silent() {
+    run(async {
+        let mut site = Site::start_relayed("silent-config", 2, 1).await;
+        site.own_by_first(&name(1)).await;
+        let known = "\"config in force\",\"version\":3,";
+        for front in ["front-0", "front-1"] {
+            site.wait_log(front, known).await;
+        }
+        for relay in &site.relays {
+            relay.silence_open();
+        }
+        site.put_config(&["/g/", "/new/"]).await;
+        for front in 0..2 {
+            wait_for("the new route", || async {
+                let answer = site.ask_at(front, Method::GET, "/new/").await.ok()?;
+                (answer.status != 404).then_some(())
+            })
+            .await;
+            // The bound is a quarter of what a call of the feed may take: a front that learned of the
+            // change only when it gave that call up was late.
+            let log = site.log(&format!("front-{front}"));
+            let gave_up = log.contains("\"what\":\"feed of the config\",\"error\"");
+            assert!(
+                !gave_up,
+                "front {front} went by its old config until its feed had failed"
+            );
+        }
+        site.audit().await;
+    });
+}
+
+/// A front that hears neither of the store nor of an owner keeps its config. That a route is missing in
+/// it is no reason for a 404 then: a 404 is final for a caller, and the route may be there by now.
+#[test]
+fn a_front_whose_config_may_be_old_says_of_no_route_that_it_is_not_there() {
+    run(async {
+        let site = Site::start_relayed("old-config", 1, 1).await;
+        let answer = site.ask_at(0, Method::GET, "/unknown/").await;
+        assert_eq!(answer.expect("the front answers").status, 404);
+        site.relays[0].cut();
+        wait_for("the front to be unsure", || async {
+            let answer = site.ask_at(0, Method::GET, "/unknown/").await.ok()?;
+            (answer.status == 503 && answer.retry_after.is_some()).then_some(())
+        })
+        .await;
+        site.relays[0].heal();
+        wait_for("the front to be sure again", || async {
+            let answer = site.ask_at(0, Method::GET, "/unknown/").await.ok()?;
+            (answer.status == 404).then_some(())
+        })
+        .await;
+    });
+}
--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -7,6 +7,7 @@
 mod calls;
 #[path = "../common/mod.rs"]
 mod common;
+mod config;
 mod crashes;
 mod drains;
 mod jobs;
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -6,6 +6,7 @@
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::fs::File;
+use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -107,7 +108,15 @@
 pub(crate) struct Relay {
     pub(crate) address: SocketAddr,
     is_cut: Arc<AtomicBool>,
-    open: Arc<Mutex<Vec<TcpStream>>>,
+    open: Arc<Mutex<Vec<RelayedStream>>>,
+}
+
+/// One connection through a relay.
+struct RelayedStream {
+    caller: TcpStream,
+    target: TcpStream,
+    /// Set when nothing passes any more, though both ends stay open.
+    is_silent: Arc<AtomicBool>,
 }
 
 impl Relay {
@@ -127,8 +136,13 @@
                 let Ok(target) = TcpStream::connect(store) else {
                     continue;
                 };
-                join_streams(&caller, &target);
-                open.lock().expect("unpoisoned").extend([caller, target]);
+                let is_silent = Arc::default();
+                join_streams(&caller, &target, &is_silent);
+                open.lock().expect("unpoisoned").push(RelayedStream {
+                    caller,
+                    target,
+                    is_silent,
+                });
             }
         });
         relay
@@ -138,8 +152,16 @@
     pub(crate) fn cut(&self) {
         self.is_cut.store(true, Ordering::SeqCst);
         for stream in self.open.lock().expect("unpoisoned").drain(..) {
-            // A stream that is closed already needs nothing.
-            let _ = stream.shutdown(Shutdown::Both);
+            // Streams that are closed already need nothing.
+            let _ = stream.caller.shutdown(Shutdown::Both);
+            let _ = stream.target.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Nothing passes on the connections that are open now, and none of them is closed; new ones work.
+    pub(crate) fn silence_open(&self) {
+        for stream in &*self.open.lock().expect("unpoisoned") {
+            stream.is_silent.store(true, Ordering::SeqCst);
         }
     }
 
@@ -149,19 +171,39 @@
     }
 }
 
-/// Copies both ways until one end closes.
-fn join_streams(one: &TcpStream, other: &TcpStream) {
+/// Copies both ways until one end closes; what arrives after the silence began is lost.
+fn join_streams(one: &TcpStream, other: &TcpStream, is_silent: &Arc<AtomicBool>) {
     for (from, to) in [(one, other), (other, one)] {
         let mut from = from.try_clone().expect("a stream has copies");
         let mut to = to.try_clone().expect("a stream has copies");
+        let is_silent = is_silent.clone();
         std::thread::spawn(move || {
             // Either end may close at any time; then both do.
-            let _ = std::io::copy(&mut from, &mut to);
-            let _ = to.shutdown(Shutdown::Both);
+            let _ = copy_until_silent(&mut from, &mut to, &is_silent);
+            if !is_silent.load(Ordering::SeqCst) {
+                let _ = to.shutdown(Shutdown::Both);
+            }
         });
     }
 }
 
+fn copy_until_silent(
+    from: &mut TcpStream,
+    to: &mut TcpStream,
+    is_silent: &AtomicBool,
+) -> std::io::Result<()> {
+    let mut buffer = [0; 16 << 10];
+    loop {
+        let length = from.read(&mut buffer)?;
+        if length == 0 {
+            return Ok(());
+        }
+        if !is_silent.load(Ordering::SeqCst) {
+            to.write_all(&buffer[..length])?;
+        }
+    }
+}
+
 /// One front.
 pub(crate) struct Front {
     pub(crate) process: Option<SiteProcess>,
@@ -616,6 +658,17 @@
         .await
     }
 
+    /// Asks a front for a path of the callers' interface.
+    pub(crate) async fn ask_at(
+        &self,
+        front: usize,
+        method: Method,
+        path: &str,
+    ) -> Result<Answer, String> {
+        let url = format!("http://{}{path}", self.fronts[front].callers);
+        call(method, &url, &[("host", "h.example")], Vec::new()).await
+    }
+
     /// Submits a job until a front answers for good.
     pub(crate) async fn submit(&self, job: &str, body: &Value) {
         wait_for("a job to be accepted", || async {
