News of a link counts only once the worker's list was told on it

What callers saw: a task was started again after it had ended as done, and did its work twice. Cause: a hold that was under way when the link was replaced told its end on the new link, before the list of all ends. The book goes by the numbers of ends: it took the later one, and passed over the earlier ones in the list, which had been lost with the old link. Their runs were missing, so that their tasks waited again. Ruled out: the worker's acknowledgements (the list of 9.794 s had all five ends) and the readings of the config, which the fault doesn't touch: the same frames by hand start it on both codes. Change: the owner takes no started, refused, going on or ended run on a link before that list, which has them all. Why it holds: on one link ends come in their order, without gaps; the list begins it.

--- a/crates/wax-owner/src/agents.rs
+++ b/crates/wax-owner/src/agents.rs
@@ -8,6 +8,7 @@
 use compio::time::timeout;
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 use futures_util::future::{Either, select};
+use std::cell::Cell;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -45,6 +46,7 @@
         node: &node,
         link,
         outbox,
+        is_compared: Cell::new(false),
     };
     let why = {
         let read = pin!(link_life.read(reader));
@@ -103,6 +105,8 @@
     node: &'a str,
     link: u64,
     outbox: UnboundedSender<PoolBody>,
+    /// Whether all that is on the worker was told on this link.
+    is_compared: Cell<bool>,
 }
 
 impl AgentLink<'_> {
@@ -190,6 +194,7 @@
         let worker = self.join(view, now);
         let mut book = self.tenure.book.borrow_mut();
         book.sync_worker(worker, &runs, &ends, now, now_ms);
+        self.is_compared.set(true);
         let mut seats = Vec::with_capacity(runs.len());
         for run in &runs {
             let task = run.mark.task;
@@ -341,6 +346,16 @@
         let Some(worker) = self.worker() else {
             return;
         };
+        if !self.is_compared.get() {
+            // Ends that were lost with the link before have lower numbers: counted after a later one, they
+            // would be passed over, and their tasks started again. The worker's list has this one too.
+            tracing::info!(
+                agent = self.node,
+                ends = news.ends.len(),
+                "news before the worker's list"
+            );
+            return;
+        }
         let (now, now_ms) = (self.shared.now(), wall_clock_ms());
         let mut book = self.tenure.book.borrow_mut();
         for mark in &news.started {
