An owner hears of jobs and cancels sooner when its connections have gone silent

A job that was accepted, or cancelled, by a front without a link waited for the owner's feed, whose call lasts for 1.5 s and 1.5 s more on a silent connection: beyond the shortest bound of a cancel (3 s) with the call after it. Change: the call waits for 0.5 s; the sum is asserted when compiled, and did not compile with 1.5 s.

--- a/crates/wax-owner/src/job_feed.rs
+++ b/crates/wax-owner/src/job_feed.rs
@@ -6,7 +6,7 @@
 use crate::tenure::Tenure;
 use compio::time::sleep;
 use futures_util::future::{Either, select};
-use platform::{FeedReply, RowChange, StoredRow};
+use platform::{FEED_SLACK, FeedReply, RowChange, StoredRow};
 use std::collections::HashMap;
 use std::pin::pin;
 use std::rc::Rc;
@@ -16,12 +16,26 @@
 
 /// How long the store may wait for a change before it answers.
 ///
-/// An answer without changes is word, too: it shows that no job is missing.
-const FEED_WAIT: Duration = Duration::from_millis(1_500);
+/// An answer without changes is word, too: it shows that no job is missing. On a connection that has gone
+/// silent the call lasts for the store's slack longer, and jobs and cancels wait for it.
+const FEED_WAIT: Duration = Duration::from_millis(500);
 /// Longest time for one page of a read.
 const PAGE_LIMIT: Duration = Duration::from_millis(1_500);
 /// After a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Nothing of a cancelled job starts so long after the cancel was acknowledged: the users' shortest bound.
+const CANCEL_BOUND: Duration = Duration::from_millis(3_000);
+/// For the answer to the call after a silent one, of a store that is well.
+const ANSWER_ROOM: Duration = Duration::from_millis(350);
+
+// An owner that does not hear of a cancel in time would start what was cancelled.
+const _: () = assert!(
+    FEED_WAIT.as_millis()
+        + FEED_SLACK.as_millis()
+        + RETRY_PAUSE.as_millis()
+        + ANSWER_ROOM.as_millis()
+        <= CANCEL_BOUND.as_millis()
+);
 
 /// Loads the shard and follows its jobs until the term ends.
 pub(crate) async fn follow_jobs(shared: Rc<PoolShared>, tenure: Rc<Tenure>) {
