A front finds a new owner by its beat, also when its feed of owners has gone silent

A front that was stopped during a takeover, and whose connections had gone silent by then, looked for the old owner for up to 11.5 s: GETs of queues got 503 there, jobs' states came from the store. Change: the row of the beat names its term, and is read at each look: if the term is later than what is known, the owner's row is read. No call more in quiet times. A row that does not decode leaves the takeover as it was.

--- a/crates/wax-owner/src/watch.rs
+++ b/crates/wax-owner/src/watch.rs
@@ -98,12 +98,18 @@
     }
 }
 
-async fn follow_owner_once(shared: &PoolShared, streak: &FailureStreak) -> Result<(), WaxError> {
-    let (rows, mut after) = shared.store.read_all(OWNER_TABLE, PART, READ_LIMIT).await?;
-    streak.succeed();
+/// Reads the owner's row; returns the store's version at that moment.
+async fn read_owner(shared: &PoolShared) -> Result<u64, WaxError> {
+    let (rows, version) = shared.store.read_all(OWNER_TABLE, PART, READ_LIMIT).await?;
     for row in &rows {
         note_owner(shared, row);
     }
+    Ok(version)
+}
+
+async fn follow_owner_once(shared: &PoolShared, streak: &FailureStreak) -> Result<(), WaxError> {
+    let mut after = read_owner(shared).await?;
+    streak.succeed();
     loop {
         match shared.store.follow(OWNER_TABLE, after, FEED_WAIT).await? {
             FeedReply::Forgotten => return Ok(()),
@@ -184,11 +190,15 @@
         .read(BEAT_TABLE, PART, "", "", READ_LIMIT)
         .await?;
     shared.store_heard.set(shared.now());
-    let version = page
-        .rows
-        .iter()
-        .find(|row| row.key == beat_key())
-        .map_or(0, |row| row.version);
+    let row = page.rows.iter().find(|row| row.key == beat_key());
+    let version = row.map_or(0, |row| row.version);
+    if row.is_some_and(|row| is_of_later_term(shared, row)) {
+        // The feed would have told of its owner: on a silent connection it does so after 11.5 s.
+        read_owner(shared).await?;
+        if !row.is_some_and(|row| is_of_later_term(shared, row)) {
+            return Ok(Look::Wait);
+        }
+    }
     let since = watch.note(version, now);
     let lives = now.since(shared.link_heard.get()) < HEARD_LATELY;
     let span = match lives {
@@ -202,6 +212,17 @@
     Ok(Look::Wait)
 }
 
+/// Whether a beat is of a later term than that of the owner which this process knows.
+fn is_of_later_term(shared: &PoolShared, row: &StoredRow) -> bool {
+    match BeatRow::decode(&*row.value) {
+        Ok(beat) => beat.epoch > shared.owner_epoch(),
+        Err(error) => {
+            tracing::error!(%error, "the beat row does not decode");
+            false
+        }
+    }
+}
+
 /// Whether an owner has let go, or was an earlier process at this address, which is surely dead.
 fn acts_no_more(shared: &PoolShared, owner: &KnownOwner) -> bool {
     owner.released || owner.address == Some(shared.address)
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -447,6 +447,11 @@
         process.is_some_and(SiteProcess::is_running)
     }
 
+    pub(crate) fn signal_front(&self, number: usize, signal: i32) {
+        let process = self.fronts[number].process.as_ref();
+        process.expect("the front runs").signal(signal);
+    }
+
     pub(crate) fn kill_front(&mut self, number: usize) {
         self.fronts[number].process = None;
     }
--- a/tests/pool/troubles.rs
+++ b/tests/pool/troubles.rs
@@ -505,3 +505,43 @@
         site.audit().await;
     });
 }
+
+/// A front was stopped while another took over, and its connections to the store had gone silent by the time it
+/// went on. It knew the old owner only, and would have looked for it until the call of its feed was given
+/// up, 11.5 s after that had begun.
+#[test]
+fn a_front_finds_the_new_owner_though_its_feed_of_owners_is_silent() {
+    run(async {
+        let site = Site::start_relayed("silent-owner", 3, 1).await;
+        site.submit(&name(1), &job(1, 1, 20)).await;
+        site.wait_state(&name(1), "completed").await;
+        let owned = |site: &Site, front: usize| {
+            site.log(&format!("front-{front}"))
+                .contains("took over the shard")
+        };
+        let owner = (0..3).find(|front| owned(&site, *front)).expect("one owns");
+        let (next, late) = ((owner + 1) % 3, (owner + 2) % 3);
+        let late_name = format!("front-{late}");
+        for front in [next, late] {
+            site.wait_log(&format!("front-{front}"), "linked to the owner")
+                .await;
+        }
+        let linked = site.log(&late_name).matches("linked to the owner").count();
+        for front in [owner, late] {
+            site.signal_front(front, libc::SIGSTOP);
+        }
+        site.relays[late].silence_open();
+        site.wait_log(&format!("front-{next}"), "took over the shard")
+            .await;
+        site.signal_front(late, libc::SIGCONT);
+        site.wait_logs(&late_name, "\"linked to the owner\"", linked + 1)
+            .await;
+        let log = site.log(&late_name);
+        let gave_up = log.contains("\"what\":\"feed of owners\",\"error\"");
+        assert!(
+            !gave_up,
+            "it knew of the new owner only once its feed had failed"
+        );
+        site.audit().await;
+    });
+}
