A first soak: faults drawn from a seed, in series and overlapping, beside callers that come all the while

Kills, stops and freezes of fronts and agents, cut and silent ways to the store, workers that end, fail, shrink or start late, a store that is down, slow, forgets or loses answers, drains, new routes. Checked from what callers were told and workers saw: accepted jobs end, refused ones never ran, never twice, never over capacity, drains hold, configs never revert, a queue that always was is never denied. Found by its first run: the harness asked a worker for its history that it had killed; a worker that is down has none.

--- a/crates/wax-standin/src/site.rs
+++ b/crates/wax-standin/src/site.rs
@@ -26,7 +26,7 @@
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(default)]
 struct SiteFaults {
-    /// Every call is refused.
+    /// Every call but the operator's is refused.
     down: bool,
     /// Every call waits this long first.
     delay_ms: u64,
@@ -61,6 +61,10 @@
     Ok(())
 }
 
+fn is_operator(request: &HttpRequest) -> bool {
+    request.headers().contains_key("x-operator")
+}
+
 fn query(request: &HttpRequest, name: &str) -> String {
     let query = request.uri().query().unwrap_or_default();
     let value = query.split('&').find_map(|pair| {
@@ -84,7 +88,8 @@
         }
         let faults = self.faults.borrow().clone();
         sleep(Duration::from_millis(faults.delay_ms)).await;
-        if faults.down {
+        // The operator is served whatever the store does to others, as on the platform.
+        if faults.down && !is_operator(&request) {
             return empty_reply(StatusCode::SERVICE_UNAVAILABLE);
         }
         match (request.method(), path.as_str()) {
@@ -103,7 +108,7 @@
 
     async fn transact(&self, request: HttpRequest, lose_percent: u32) -> HttpReply {
         // Only the operator writes its tables.
-        let operator = request.headers().contains_key("x-operator");
+        let operator = is_operator(&request);
         let body: TxBody = match parse_json(request, BODY_LIMIT).await {
             Ok(body) => body,
             Err(error) => return error_reply(&error),
@@ -116,7 +121,7 @@
         }
         let outcome = self.rows.borrow_mut().apply(body);
         self.changed.notify(usize::MAX);
-        if fastrand::u32(0..100) < lose_percent {
+        if !operator && fastrand::u32(0..100) < lose_percent {
             sleep(LOST_REPLY).await;
             return empty_reply(StatusCode::GATEWAY_TIMEOUT);
         }
--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -14,4 +14,6 @@
 mod links;
 mod many_agents;
 mod site;
+mod soak;
+mod soak_plan;
 mod troubles;
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -258,7 +258,7 @@
 /// A change of the config is in force so long after its acknowledgement. The users' `configApplyMs`.
 const CONFIG_BOUND_MS: u64 = 2_000;
 /// Failure domains of the machines, by turns.
-const DOMAINS: [&str; 3] = ["a", "b", "c"];
+pub(crate) const DOMAINS: [&str; 3] = ["a", "b", "c"];
 
 fn unix_us() -> u64 {
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
@@ -494,6 +494,11 @@
         machine.agent = Some(SiteProcess::start("waxwingd", &args, log));
     }
 
+    pub(crate) fn signal_agent(&self, number: usize, signal: i32) {
+        let process = self.machines[number].agent.as_ref();
+        process.expect("the agent runs").signal(signal);
+    }
+
     pub(crate) fn kill_agent(&mut self, number: usize) {
         self.machines[number].agent = None;
     }
@@ -711,7 +716,20 @@
         .await;
     }
 
+    /// Waits until a job is in one of these states.
+    pub(crate) async fn wait_ended(&self, job: &str, states: &[&str]) {
+        wait_for(&format!("{job} to be one of {states:?}"), || async {
+            let state = self.state(job).await?;
+            states.contains(&state.as_str()).then_some(())
+        })
+        .await;
+    }
+
+    /// What a worker has seen in its present life; nothing while it is down.
     async fn history(&self, number: usize) -> Value {
+        if self.machines[number].worker.is_none() {
+            return Value::Null;
+        }
         let url = format!("http://{}/history", self.machines[number].app);
         wait_for("a history", || get_json(&url)).await
     }
@@ -785,22 +803,48 @@
         }
     }
 
-    /// Checks the promises against what the workers themselves have seen.
-    pub(crate) async fn audit(&self) {
-        self.audit_drains().await;
+    /// All that workers have seen, those included that have ended.
+    async fn all_rows(&self) -> Vec<Value> {
         let mut rows = Vec::new();
         for history in self.past.iter().chain(&self.histories_of_crashed()) {
             rows.extend(history.as_array().cloned().unwrap_or_default());
         }
         for number in 0..self.machines.len() {
-            rows.extend(
-                self.history(number)
-                    .await
-                    .as_array()
-                    .cloned()
-                    .unwrap_or_default(),
-            );
+            let history = self.history(number).await;
+            rows.extend(history.as_array().cloned().unwrap_or_default());
+        }
+        rows
+    }
+
+    /// The jobs of which any task was ever started.
+    pub(crate) async fn started_jobs(&self) -> HashSet<String> {
+        let rows = self.all_rows().await;
+        let starts = rows.iter().filter(|row| row["what"] == "start");
+        let tasks = starts.filter_map(|row| row["task"].as_str()?.split('.').next());
+        tasks.map(Into::into).collect()
+    }
+
+    /// The versions of the config that a front has put in force, a list for each of its boots.
+    pub(crate) fn config_versions(&self, front: usize) -> Vec<Vec<u64>> {
+        let mut boots = vec![Vec::new()];
+        for line in self.log(&format!("front-{front}")).lines() {
+            let line: Value = serde_json::from_str(line).unwrap_or_default();
+            match line["message"].as_str() {
+                Some("front started") => boots.push(Vec::new()),
+                Some("config in force") => {
+                    let boot = boots.last_mut().expect("there is one");
+                    boot.extend(line["version"].as_u64());
+                }
+                _ => {}
+            }
         }
+        boots
+    }
+
+    /// Checks the promises against what the workers themselves have seen.
+    pub(crate) async fn audit(&self) {
+        self.audit_drains().await;
+        let mut rows = self.all_rows().await;
         rows.sort_by_key(|row| row["at"].as_u64());
         let mut running: HashMap<String, u64> = HashMap::new();
         let mut done: BTreeMap<String, u64> = BTreeMap::new();
--- /dev/null
+++ b/tests/pool/soak.rs
@@ -0,0 +1,311 @@
+//! Faults in series and overlapping, drawn from a seed, beside callers that come all the while.
+//!
+//! After the faults are over, what callers were told and what workers have seen is compared: every accepted
+//! job ends, nothing that was refused has run, no task runs twice or over a worker's capacity, a drained failure
+//! domain gets nothing new, and no front has gone back to an older config.
+
+use crate::calls::call;
+use crate::site::{DOMAINS, Site, job, name, run, wait_for};
+use crate::soak_plan::{FaultTarget, PlannedFault, SoakFault, SoakSize, draw_plan};
+use compio::runtime::spawn;
+use compio::time::sleep;
+use fastrand::Rng;
+use http::Method;
+use serde_json::json;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Between two callers, at the most.
+const CALLER_GAP_MS: u64 = 250;
+/// A caller gives up after so many tries.
+const MOST_TRIES: u32 = 8;
+/// One job in so many is cancelled.
+const CANCEL_ONE_IN: u32 = 8;
+
+/// What a caller was told at last.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallerWord {
+    /// It is stored.
+    Accepted,
+    /// It is stored, and a cancel of it was acknowledged.
+    Cancelled,
+    /// Each try was refused: it never runs.
+    Refused,
+    /// A try had no answer that tells.
+    Unknown,
+}
+
+/// What all callers of a soak share.
+#[derive(Debug)]
+struct Callers {
+    fronts: Vec<SocketAddr>,
+    words: RefCell<HashMap<String, CallerWord>>,
+    open: Cell<u32>,
+    stop: Cell<bool>,
+}
+
+impl Callers {
+    async fn ask(&self, front: usize, method: Method, job: &str, body: &str) -> Option<u16> {
+        let url = format!("http://{}/g/{job}", self.fronts[front]);
+        let answer = call(method, &url, &[("host", "h.example")], body.into()).await;
+        Some(answer.ok()?.status)
+    }
+
+    /// Submits a job as callers do: again at another front until the answer is final.
+    async fn submit(&self, rng: &mut Rng, job: &str, body: &str) -> CallerWord {
+        let mut word = CallerWord::Refused;
+        for _ in 0..MOST_TRIES {
+            let front = rng.usize(0..self.fronts.len());
+            match self.ask(front, Method::POST, job, body).await {
+                Some(200) => return CallerWord::Accepted,
+                Some(429 | 503) => {}
+                Some(404) => panic!("front {front} says that a queue is not there that always was"),
+                _ => word = CallerWord::Unknown,
+            }
+            sleep(Duration::from_millis(rng.u64(100..900))).await;
+        }
+        word
+    }
+
+    async fn cancel(&self, rng: &mut Rng, job: &str) -> CallerWord {
+        sleep(Duration::from_millis(rng.u64(0..800))).await;
+        for _ in 0..MOST_TRIES {
+            let front = rng.usize(0..self.fronts.len());
+            if self.ask(front, Method::DELETE, job, "").await == Some(200) {
+                return CallerWord::Cancelled;
+            }
+            sleep(Duration::from_millis(rng.u64(100..900))).await;
+        }
+        // A try without an answer may have taken effect.
+        CallerWord::Unknown
+    }
+
+    async fn play(self: Rc<Self>, seed: u64, number: u64) {
+        let mut rng = Rng::with_seed(seed ^ (number << 20));
+        let name = name(number);
+        let body = job(rng.u16(1..4), rng.u32(1..7), rng.u64(30..400)).to_string();
+        let mut word = self.submit(&mut rng, &name, &body).await;
+        if word == CallerWord::Accepted && rng.u32(0..CANCEL_ONE_IN) == 0 {
+            word = self.cancel(&mut rng, &name).await;
+        }
+        self.words.borrow_mut().insert(name, word);
+        self.open.set(self.open.get() - 1);
+    }
+
+    /// Callers come until `stop` is set.
+    async fn come(self: Rc<Self>, seed: u64) {
+        let mut rng = Rng::with_seed(seed);
+        for number in 1.. {
+            if self.stop.get() {
+                return;
+            }
+            self.open.set(self.open.get() + 1);
+            spawn(self.clone().play(seed, number)).detach();
+            sleep(Duration::from_millis(rng.u64(0..CALLER_GAP_MS))).await;
+        }
+    }
+}
+
+/// Brings a fault about.
+async fn begin(site: &mut Site, planned: &PlannedFault, routes: &mut Vec<String>) {
+    match (planned.target, planned.fault) {
+        (FaultTarget::Front(front), SoakFault::Kill) => site.kill_front(front),
+        (FaultTarget::Front(front), SoakFault::Stop) => site.signal_front(front, libc::SIGTERM),
+        (FaultTarget::Front(front), _) => site.signal_front(front, libc::SIGSTOP),
+        (FaultTarget::Way(front), SoakFault::Cut) => site.relays[front].cut(),
+        (FaultTarget::Way(front), _) => site.relays[front].silence_open(),
+        (FaultTarget::Agent(number), SoakFault::Kill) => site.kill_agent(number),
+        (FaultTarget::Agent(number), _) => site.signal_agent(number, libc::SIGSTOP),
+        (FaultTarget::Worker(number), SoakFault::Kill) => site.kill_worker(number).await,
+        (FaultTarget::Worker(number), fault) => {
+            let faults = match fault {
+                SoakFault::FailAll => json!({ "fail": true }),
+                SoakFault::Shrink => json!({ "cpu_milli": 1_500 }),
+                _ => json!({ "late_percent": 30, "late_ms": 2_500 }),
+            };
+            site.worker_faults(number, faults).await;
+        }
+        (FaultTarget::Store, fault) => {
+            let faults = match fault {
+                SoakFault::Down => json!({ "down": true }),
+                SoakFault::Slow => json!({ "delay_ms": 250 }),
+                SoakFault::Forget => json!({ "forget": true }),
+                _ => json!({ "lose_percent": 30 }),
+            };
+            site.store_faults(faults).await;
+        }
+        (FaultTarget::Domain(domain), _) => site.drain(domain).await,
+        (FaultTarget::Config, _) => {
+            routes.push(format!("/r{}/", routes.len()));
+            put_routes(site, routes).await;
+        }
+    }
+}
+
+/// Ends a fault.
+async fn end(site: &mut Site, planned: &PlannedFault) {
+    match (planned.target, planned.fault) {
+        (FaultTarget::Front(front), SoakFault::Kill | SoakFault::Stop) => {
+            // A stop that takes longer than its grace ends like this on the platform, too.
+            site.kill_front(front);
+            site.start_front(front);
+        }
+        (FaultTarget::Front(front), _) => site.signal_front(front, libc::SIGCONT),
+        (FaultTarget::Way(front), _) => site.relays[front].heal(),
+        (FaultTarget::Agent(number), SoakFault::Kill) => site.start_agent(number),
+        (FaultTarget::Agent(number), _) => site.signal_agent(number, libc::SIGCONT),
+        (FaultTarget::Worker(number), SoakFault::Kill) => site.start_worker(number),
+        (FaultTarget::Worker(number), _) => site.worker_faults(number, json!({})).await,
+        (FaultTarget::Store, _) => site.store_faults(json!({})).await,
+        (FaultTarget::Domain(domain), _) => site.undrain(domain).await,
+        (FaultTarget::Config, _) => {}
+    }
+}
+
+async fn put_routes(site: &mut Site, routes: &[String]) {
+    let prefixes: Vec<&str> = routes.iter().map(String::as_str).collect();
+    site.put_config(&prefixes).await;
+}
+
+/// Goes through the plan: beginnings and ends in the order of their times.
+async fn play_faults(site: &mut Site, plan: &[PlannedFault], routes: &mut Vec<String>) {
+    let mut steps: Vec<(Duration, bool, &PlannedFault)> = Vec::new();
+    for planned in plan {
+        steps.push((planned.at, true, planned));
+        steps.push((planned.at + planned.lasts, false, planned));
+    }
+    steps.sort_by_key(|(at, begins, _)| (*at, !begins));
+    let began = Instant::now();
+    for (at, begins, planned) in steps {
+        sleep(at.saturating_sub(began.elapsed())).await;
+        let step = if begins { "begins" } else { "ends" };
+        println!(
+            "{:>6.2} s {step} {planned:?}",
+            began.elapsed().as_secs_f64()
+        );
+        match begins {
+            true => begin(site, planned, routes).await,
+            false => end(site, planned).await,
+        }
+    }
+}
+
+/// What holds once all faults are over.
+async fn check(site: &Site, callers: &Callers, routes: &[String]) {
+    for front in 0..callers.fronts.len() {
+        site.wait_ready(front).await;
+    }
+    let words = callers.words.borrow().clone();
+    let told = |word: CallerWord| {
+        let told = words.iter().filter(move |(_, known)| **known == word);
+        told.map(|(name, _)| name)
+    };
+    for name in told(CallerWord::Accepted) {
+        site.wait_ended(name, &["completed", "failed"]).await;
+    }
+    for name in told(CallerWord::Cancelled) {
+        site.wait_ended(name, &["cancelled", "completed", "failed"])
+            .await;
+    }
+    let started = site.started_jobs().await;
+    for name in told(CallerWord::Refused) {
+        assert!(
+            !started.contains(name),
+            "{name} was refused at each try and ran"
+        );
+    }
+    site.audit().await;
+    let newest = routes.last().expect("there is one");
+    for front in 0..callers.fronts.len() {
+        wait_for("the newest route", || async {
+            let answer = site.ask_at(front, Method::GET, newest).await.ok()?;
+            (answer.status != 404 && answer.status != 503).then_some(())
+        })
+        .await;
+        for boot in site.config_versions(front) {
+            assert!(
+                boot.is_sorted(),
+                "front {front} went back to an older config: {boot:?}"
+            );
+        }
+    }
+    let count = |word: CallerWord| told(word).count();
+    println!(
+        "accepted {}, cancelled {}, refused {}, unknown {}",
+        count(CallerWord::Accepted),
+        count(CallerWord::Cancelled),
+        count(CallerWord::Refused),
+        count(CallerWord::Unknown)
+    );
+}
+
+async fn soak(seed: u64, size: SoakSize) {
+    println!("seed {seed}, {size:?}");
+    let test = format!("soak-{seed}");
+    let mut site = Site::start_across(&test, size.fronts, size.machines, DOMAINS.len()).await;
+    let plan = draw_plan(seed, size, &DOMAINS);
+    let callers = Rc::new(Callers {
+        fronts: site.fronts.iter().map(|front| front.callers).collect(),
+        words: RefCell::default(),
+        open: Cell::new(0),
+        stop: Cell::new(false),
+    });
+    let coming = spawn(callers.clone().come(seed));
+    let mut routes = vec!["/g/".to_owned()];
+    play_faults(&mut site, &plan, &mut routes).await;
+    callers.stop.set(true);
+    coming.await.expect("callers come to the end");
+    wait_for("all callers to have their word", || async {
+        (callers.open.get() == 0).then_some(())
+    })
+    .await;
+    check(&site, &callers, &routes).await;
+}
+
+const SHORT: SoakSize = SoakSize {
+    fronts: 3,
+    machines: 3,
+    length: Duration::from_secs(10),
+};
+
+macro_rules! soak_seeds {
+    ($($name:ident: $seed:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                run(soak($seed, SHORT));
+            }
+        )*
+    };
+}
+
+soak_seeds! {
+    a_short_soak_of_seed_1: 1;
+    a_short_soak_of_seed_2: 2;
+}
+
+/// By hand: `WAXWING_SOAK=FIRST,LAST,FRONTS,MACHINES,SECONDS cargo test --test pool soaks_by_hand`.
+#[test]
+fn soaks_by_hand() {
+    let Ok(text) = std::env::var("WAXWING_SOAK") else {
+        return;
+    };
+    let numbers: Vec<u64> = text
+        .split(',')
+        .map(|number| number.parse().expect("WAXWING_SOAK has five numbers"))
+        .collect();
+    let [first, last, fronts, machines, seconds] = numbers[..] else {
+        panic!("WAXWING_SOAK has five numbers");
+    };
+    let size = SoakSize {
+        fronts: fronts as usize,
+        machines: machines as usize,
+        length: Duration::from_secs(seconds),
+    };
+    for seed in first..=last {
+        run(soak(seed, size));
+    }
+}
--- /dev/null
+++ b/tests/pool/soak_plan.rs
@@ -0,0 +1,122 @@
+//! Which faults a soak brings about, and when: drawn from a seed alone.
+
+use fastrand::Rng;
+use std::collections::HashSet;
+use std::time::Duration;
+
+/// How many processes a soak has.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SoakSize {
+    pub(crate) fronts: usize,
+    pub(crate) machines: usize,
+    /// How long faults go on.
+    pub(crate) length: Duration,
+}
+
+/// What a fault is brought about on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) enum FaultTarget {
+    Front(usize),
+    /// The way of a front to the store.
+    Way(usize),
+    Agent(usize),
+    Worker(usize),
+    Store,
+    Domain(&'static str),
+    Config,
+}
+
+/// A fault, or planned work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SoakFault {
+    /// SIGKILL, and a start at the end.
+    Kill,
+    /// SIGTERM, and a start at the end.
+    Stop,
+    /// SIGSTOP, and SIGCONT at the end.
+    Freeze,
+    /// Connections are refused.
+    Cut,
+    /// Open connections go silent without being closed.
+    Silence,
+    /// The worker fails all that it runs.
+    FailAll,
+    /// A part of its starts is carried out late and not answered.
+    LateStarts,
+    /// It has less than it said.
+    Shrink,
+    /// The store refuses all calls.
+    Down,
+    /// It answers late.
+    Slow,
+    /// A part of its answers to transactions is lost.
+    LoseAnswers,
+    /// It drops its history.
+    Forget,
+    /// The operator drains the failure domain.
+    Drain,
+    /// A route is added.
+    AddRoute,
+}
+
+/// A fault with its span.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PlannedFault {
+    pub(crate) at: Duration,
+    pub(crate) lasts: Duration,
+    pub(crate) target: FaultTarget,
+    pub(crate) fault: SoakFault,
+}
+
+/// Faults in the order of their beginnings.
+pub(crate) fn draw_plan(seed: u64, size: SoakSize, domains: &[&'static str]) -> Vec<PlannedFault> {
+    let mut rng = Rng::with_seed(seed);
+    let mut plan: Vec<PlannedFault> = Vec::new();
+    let mut at = Duration::from_millis(500);
+    while at < size.length {
+        let (target, fault) = draw_fault(&mut rng, size, domains);
+        let lasts = Duration::from_millis(rng.u64(300..3_500));
+        let busy: HashSet<FaultTarget> = plan
+            .iter()
+            .filter(|planned| planned.at + planned.lasts >= at)
+            .map(|planned| planned.target)
+            .collect();
+        if !busy.contains(&target) {
+            plan.push(PlannedFault {
+                at,
+                lasts,
+                target,
+                fault,
+            });
+        }
+        at += Duration::from_millis(rng.u64(50..900));
+    }
+    plan
+}
+
+fn draw_fault(rng: &mut Rng, size: SoakSize, domains: &[&'static str]) -> (FaultTarget, SoakFault) {
+    let front = rng.usize(0..size.fronts);
+    let machine = rng.usize(0..size.machines);
+    match rng.u32(0..20) {
+        0 => (FaultTarget::Front(front), SoakFault::Kill),
+        1 => (FaultTarget::Front(front), SoakFault::Stop),
+        2 | 3 => (FaultTarget::Front(front), SoakFault::Freeze),
+        4 | 5 => (FaultTarget::Way(front), SoakFault::Cut),
+        6 | 7 => (FaultTarget::Way(front), SoakFault::Silence),
+        8 => (FaultTarget::Agent(machine), SoakFault::Kill),
+        9 => (FaultTarget::Agent(machine), SoakFault::Freeze),
+        10 => (FaultTarget::Worker(machine), SoakFault::Kill),
+        11 => (FaultTarget::Worker(machine), SoakFault::FailAll),
+        12 => (FaultTarget::Worker(machine), SoakFault::LateStarts),
+        13 => (FaultTarget::Worker(machine), SoakFault::Shrink),
+        14 => (FaultTarget::Store, SoakFault::Down),
+        15 => (FaultTarget::Store, SoakFault::Slow),
+        16 => (FaultTarget::Store, SoakFault::LoseAnswers),
+        17 => (FaultTarget::Store, SoakFault::Forget),
+        18 => {
+            let domain = domains[rng.usize(0..domains.len())];
+            (FaultTarget::Domain(domain), SoakFault::Drain)
+        }
+        _ => (FaultTarget::Config, SoakFault::AddRoute),
+    }
+}
