The soak checks attempts, and some callers give up early, so that refusals are final

Cause: in the first twenty soaks no caller was refused for good, as each tried eight times; and nothing counted how often a task is started after failed runs that were taken note of.

--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -824,6 +824,29 @@
         tasks.map(Into::into).collect()
     }
 
+    /// No task is started once the store has taken note of so many failed runs of it.
+    pub(crate) async fn audit_attempts(&self, most: usize) {
+        let mut rows = self.all_rows().await;
+        rows.sort_by_key(|row| row["at"].as_u64());
+        let mut failed: HashSet<(String, u64)> = HashSet::new();
+        let mut noted: HashMap<String, usize> = HashMap::new();
+        for row in &rows {
+            let task = row["task"].as_str().unwrap_or_default().to_owned();
+            let run = row["run"].as_u64().unwrap_or_default();
+            match row["what"].as_str().unwrap_or_default() {
+                "failed" => drop(failed.insert((task, run))),
+                "ack" if failed.contains(&(task.clone(), run)) => {
+                    *noted.entry(task).or_default() += 1;
+                }
+                "start" => {
+                    let noted = noted.get(&task).copied().unwrap_or_default();
+                    assert!(noted < most, "{task} was started after {noted} failed runs");
+                }
+                _ => {}
+            }
+        }
+    }
+
     /// The versions of the config that a front has put in force, a list for each of its boots.
     pub(crate) fn config_versions(&self, front: usize) -> Vec<Vec<u64>> {
         let mut boots = vec![Vec::new()];
--- a/tests/pool/soak.rs
+++ b/tests/pool/soak.rs
@@ -20,8 +20,10 @@
 
 /// Between two callers, at the most.
 const CALLER_GAP_MS: u64 = 250;
-/// A caller gives up after so many tries.
+/// A caller gives up after so many tries, or fewer.
 const MOST_TRIES: u32 = 8;
+/// The `maxAttempts` of the site's queues.
+const MOST_ATTEMPTS: usize = 2;
 /// One job in so many is cancelled.
 const CANCEL_ONE_IN: u32 = 8;
 
@@ -57,7 +59,8 @@
     /// Submits a job as callers do: again at another front until the answer is final.
     async fn submit(&self, rng: &mut Rng, job: &str, body: &str) -> CallerWord {
         let mut word = CallerWord::Refused;
-        for _ in 0..MOST_TRIES {
+        let tries = rng.u32(1..=MOST_TRIES);
+        for _ in 0..tries {
             let front = rng.usize(0..self.fronts.len());
             match self.ask(front, Method::POST, job, body).await {
                 Some(200) => return CallerWord::Accepted,
@@ -218,6 +221,7 @@
         );
     }
     site.audit().await;
+    site.audit_attempts(MOST_ATTEMPTS).await;
     let newest = routes.last().expect("there is one");
     for front in 0..callers.fronts.len() {
         wait_for("the newest route", || async {
