The line of a config says which way it came; the test holds the reading and the next call of the feed apart

The test now asks that later changes are told by the feed again. Logs name the feed, a reading, a reading of all or a peer.

--- a/crates/wax-owner/src/operator_rows.rs
+++ b/crates/wax-owner/src/operator_rows.rs
@@ -136,7 +136,7 @@
         view.replace(version, drained, asked)
     });
     for row in rows {
-        take_row(shared, row);
+        take_row(shared, row, "a reading of all");
     }
     shared.rows_taken.set(Some(version));
     note_read(shared, asked);
@@ -173,7 +173,7 @@
     take_drains(shared, &changes, version, asked, from);
     for change in changes {
         if let RowChange::Written(row) = change {
-            take_row(shared, row);
+            take_row(shared, row, from);
         }
     }
     note_read(shared, asked);
@@ -206,12 +206,12 @@
     shared.note_drains(from, |view| view.change(version, drains, asked));
 }
 
-fn take_row(shared: &PoolShared, row: StoredRow) {
+fn take_row(shared: &PoolShared, row: StoredRow, from: &str) {
     if !row.key.part.is_empty() {
         return;
     }
     if *row.key.key == *CONFIG_KEY {
-        if let Err(error) = shared.offer_config(&row.value, "the store") {
+        if let Err(error) = shared.offer_config(&row.value, from) {
             tracing::error!(%error, "config refused");
         }
     } else if row.key.key.starts_with(WAVE_PREFIX) {
--- a/tests/pool/config.rs
+++ b/tests/pool/config.rs
@@ -40,6 +40,19 @@
                 "front {front} went by its old config until its feed had failed"
             );
         }
+        // The call that was silent was given up with that: changes are told at once again, but for one that a
+        // reading happens to meet first.
+        let mut told = false;
+        for version in [12, 15, 18] {
+            site.put_config(&["/g/"]).await;
+            let line = format!("\"version\":{version},\"from\":");
+            for front in ["front-0", "front-1"] {
+                site.wait_log(front, &line).await;
+            }
+            let by_feed = format!("{line}\"the feed\"");
+            told |= (0..2).all(|front| site.log(&format!("front-{front}")).contains(&by_feed));
+        }
+        assert!(told, "no change was told by the feed");
         site.audit().await;
     });
 }
