Only failures of different tasks bar a worker from work

What callers saw: a lasting task that fails as soon as it starts barred its worker from all work for 3 s after each third failure in a row. Cause: failures were counted by run, so that one task's looked like the worker's. Change: tasks are counted. Test red before (nothing placed after the third failure), green after.

--- a/crates/wax-batch/src/book.rs
+++ b/crates/wax-batch/src/book.rs
@@ -11,7 +11,7 @@
 use crate::why::{PlaceReason, StepWait, StopReason};
 use crate::worker::{WorkerKey, WorkerView};
 use slotmap::SlotMap;
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 use wax_policy::{PairPress, PlaceRules, PressTable, WorkerPress};
@@ -118,8 +118,8 @@
     /// Ends up to here may be forgotten by the worker.
     pub cursor: u64,
     pub(crate) pending: VecDeque<PendingEnd>,
-    /// Failed runs since the last run that was done here.
-    pub failed_in_row: u32,
+    /// Tasks of which a run has failed since the last run that was done here.
+    pub(crate) failed_tasks: HashSet<TaskName>,
     /// Until when it gets no work, after failures.
     pub shunned_until: TimePoint,
     /// Whether its agent can be reached now.
--- a/crates/wax-batch/src/ends.rs
+++ b/crates/wax-batch/src/ends.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 use wax_types::TimePoint;
 
-/// After this many failures in a row a worker gets no work for a while.
-const SHUN_AFTER: u32 = 3;
+/// After failures of this many tasks in a row a worker gets no work for a while.
+const SHUN_AFTER: usize = 3;
 /// How long a worker that fails what it starts gets no work.
 const SHUN_FOR: Duration = Duration::from_secs(3);
 
@@ -197,7 +197,7 @@
 
     fn task_done(&mut self, at: TaskAt, worker: WorkerKey, now: TimePoint, now_ms: u64) {
         if let Some(life) = self.workers.get_mut(worker) {
-            life.failed_in_row = 0;
+            life.failed_tasks.clear();
             life.shunned_until = TimePoint::default();
         }
         let job = &mut self.jobs[at.step.job];
@@ -245,9 +245,11 @@
         now: TimePoint,
         now_ms: u64,
     ) {
+        let task = self.task_name(at);
         if let Some(life) = self.workers.get_mut(worker) {
-            life.failed_in_row += 1;
-            if life.failed_in_row >= SHUN_AFTER {
+            // A task that always fails says nothing of its worker: a lasting one would bar it from all work.
+            life.failed_tasks.insert(task);
+            if life.failed_tasks.len() >= SHUN_AFTER {
                 life.shunned_until = now + SHUN_FOR;
             }
         }
--- a/crates/wax-batch/src/reports.rs
+++ b/crates/wax-batch/src/reports.rs
@@ -24,7 +24,7 @@
             heard: 0,
             cursor: 0,
             pending: VecDeque::new(),
-            failed_in_row: 0,
+            failed_tasks: HashSet::new(),
             shunned_until: TimePoint::default(),
             reachable: true,
             heard_at: TimePoint::default(),
--- a/crates/wax-batch/tests/life.rs
+++ b/crates/wax-batch/tests/life.rs
@@ -273,6 +273,30 @@
     assert_eq!(book.info(job).expect("known").outcome, JobOutcome::Open);
 }
 
+/// It is the task that fails, not its worker: other work was kept away for 3 s, again and again.
+#[test]
+fn a_lasting_task_that_always_fails_bars_its_worker_from_no_other_work() {
+    let mut book = book(1);
+    let worker = worker(&mut book, "w", 4_000);
+    let mut lasting = step(1, 1_000);
+    lasting.lasts = true;
+    add(&mut book, 7, 1, &spec(vec![lasting]), None);
+    for number in 1..=4 {
+        let now = number * 1_100;
+        let orders = book.place(at(now));
+        assert_eq!(orders.len(), 1, "before end {number}");
+        book.run_ended(
+            worker,
+            &end(number, orders[0].mark, RunEndKind::Failed),
+            at(now + 10),
+            wall(now + 10),
+        );
+    }
+    let job = add(&mut book, 8, 1, &spec(vec![step(1, 1_000)]), None);
+    let orders = book.place(at(4_420));
+    assert!(orders.iter().any(|order| order.mark.task.job == job));
+}
+
 #[test]
 fn a_gang_starts_whole_or_not_at_all_and_stops_whole() {
     let mut book = book(1);
