--- a/tests/pool/soak.rs
+++ b/tests/pool/soak.rs
@@ -22,6 +22,8 @@
 const CALLER_GAP_MS: u64 = 250;
 /// A caller gives up after so many tries, or fewer.
 const MOST_TRIES: u32 = 8;
+/// One job in so many has tasks that always fail.
+const FAILS_ONE_IN: u32 = 10;
 /// The `maxAttempts` of the site's queues.
 const MOST_ATTEMPTS: usize = 2;
 /// One job in so many is cancelled.
@@ -89,7 +91,13 @@
     async fn play(self: Rc<Self>, seed: u64, number: u64) {
         let mut rng = Rng::with_seed(seed ^ (number << 20));
         let name = name(number);
-        let body = job(rng.u16(1..4), rng.u32(1..7), rng.u64(30..400)).to_string();
+        let (steps, count, ms) = (rng.u16(1..4), rng.u32(1..7), rng.u64(30..400));
+        let mut body = job(steps, count, ms);
+        if rng.u32(0..FAILS_ONE_IN) == 0 {
+            let work = json!({ "ms": ms, "cpu": 1000, "mem": 100, "fail": true });
+            body["spec"] = json!(work.to_string());
+        }
+        let body = body.to_string();
         let mut word = self.submit(&mut rng, &name, &body).await;
         if word == CallerWord::Accepted && rng.u32(0..CANCEL_ONE_IN) == 0 {
             word = self.cancel(&mut rng, &name).await;
--- a/tests/pool/soak_plan.rs
+++ b/tests/pool/soak_plan.rs
@@ -75,7 +75,11 @@
     let mut at = Duration::from_millis(500);
     while at < size.length {
         let (target, fault) = draw_fault(&mut rng, size, domains);
-        let lasts = Duration::from_millis(rng.u64(300..3_500));
+        let lasts = Duration::from_millis(match fault {
+            // Beyond the bound by which a drain holds: until then starts are allowed.
+            SoakFault::Drain => rng.u64(6_000..9_000),
+            _ => rng.u64(300..3_500),
+        });
         let busy: HashSet<FaultTarget> = plan
             .iter()
             .filter(|planned| planned.at + planned.lasts >= at)
