--- a/tests/pool/soak.rs
+++ b/tests/pool/soak.rs
@@ -91,7 +91,7 @@
     async fn play(self: Rc<Self>, seed: u64, number: u64) {
         let mut rng = Rng::with_seed(seed ^ (number << 20));
         let name = name(number);
-        let (steps, count, ms) = (rng.u16(1..4), rng.u32(1..7), rng.u64(30..400));
+        let (steps, count, ms) = (rng.u16(1..4), rng.u32(1..7), rng.u64(30..1_500));
         let mut body = job(steps, count, ms);
         if rng.u32(0..FAILS_ONE_IN) == 0 {
             let work = json!({ "ms": ms, "cpu": 1000, "mem": 100, "fail": true });
@@ -135,7 +135,7 @@
             let faults = match fault {
                 SoakFault::FailAll => json!({ "fail": true }),
                 SoakFault::Shrink => json!({ "cpu_milli": 1_500 }),
-                _ => json!({ "late_percent": 30, "late_ms": 2_500 }),
+                _ => json!({ "late_percent": 60, "late_ms": 2_500 }),
             };
             site.worker_faults(number, faults).await;
         }
--- a/tests/pool/soak_plan.rs
+++ b/tests/pool/soak_plan.rs
@@ -78,6 +78,8 @@
         let lasts = Duration::from_millis(match fault {
             // Beyond the bound by which a drain holds: until then starts are allowed.
             SoakFault::Drain => rng.u64(6_000..9_000),
+            // Beyond what a link may be silent, and leases last.
+            SoakFault::Freeze => rng.u64(300..6_000),
             _ => rng.u64(300..3_500),
         });
         let busy: HashSet<FaultTarget> = plan
@@ -93,7 +95,7 @@
                 fault,
             });
         }
-        at += Duration::from_millis(rng.u64(50..900));
+        at += Duration::from_millis(rng.u64(50..600));
     }
     plan
 }
