--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -13,6 +13,7 @@
 mod jobs;
 mod links;
 mod many_agents;
+mod relay;
 mod site;
 mod soak;
 mod soak_plan;
