--- a/crates/wax-agent/src/check_ins.rs
+++ b/crates/wax-agent/src/check_ins.rs
@@ -43,6 +43,8 @@
             WaxError::new(ErrorKind::Invalid, Step::ParseRequest, id, error)
                 .with_help("send a worker's report as the platform's pages describe it")
         })?;
+        self.state
+            .note_start_time(id, report.started_ms, "check-in");
         let report = BootReport {
             view: self.state.place_worker(report.view),
             sequence: report.sequence,
--- a/crates/wax-agent/src/driver.rs
+++ b/crates/wax-agent/src/driver.rs
@@ -231,6 +231,7 @@
     generation: u64,
     tells: bool,
 ) -> bool {
+    state.note_start_time(id, reply.started_ms, "hold");
     let now = state.now();
     let mut boot = state.boot.borrow_mut();
     let Some(boot) = boot.as_mut().filter(|boot| *boot.view.id == *id) else {
@@ -239,6 +240,9 @@
     boot.lease.note(now, reply.clock_ms);
     let hold = boot.hold;
     let news = boot.table.observe(&reply.running, &reply.ended, hold);
+    for mark in &news.passed_over {
+        tracing::warn!(worker = id, task = %mark.task, run = mark.run, "end passed over");
+    }
     if tells {
         boot.told = generation;
         // Not sooner on the link: the owner takes them once it has loaded its shard, and answers no
--- a/crates/wax-agent/src/state.rs
+++ b/crates/wax-agent/src/state.rs
@@ -108,6 +108,8 @@
     /// May change with the settings.
     pub(crate) pace_rules: Rc<Cell<PaceRules>>,
     pub(crate) link: RefCell<Option<OwnerLink>>,
+    /// The start time that the worker told last.
+    pub(crate) started_ms: Cell<Option<u64>>,
     /// The boot that is driven.
     pub(crate) boot: RefCell<Option<WorkerBoot>>,
     /// Boots that have checked in and are not verified yet, and those that are dead.
@@ -216,6 +218,20 @@
         }
     }
 
+    /// Notes when the worker says that it started.
+    pub(crate) fn note_start_time(&self, id: &str, started_ms: Option<u64>, source: &'static str) {
+        let before_ms = self.started_ms.replace(started_ms);
+        if before_ms != started_ms {
+            tracing::info!(
+                worker = id,
+                started_ms,
+                before_ms,
+                source,
+                "worker start time"
+            );
+        }
+    }
+
     /// The boot has answered an order.
     pub(crate) fn note_heard(&self, id: &str) {
         let mut boot = self.boot.borrow_mut();
--- a/crates/wax-agent/src/table.rs
+++ b/crates/wax-agent/src/table.rs
@@ -59,6 +59,8 @@
     pub ends: Vec<RunEnd>,
     /// Runs that never began and never will.
     pub never: Vec<RunMark>,
+    /// Runs of the table whose ends have numbers that were heard before.
+    pub passed_over: Vec<RunMark>,
 }
 
 /// The guard of the worker's capacity.
@@ -170,6 +172,9 @@
                 news.going.push(report.clone());
             }
         }
+        let known = ended.iter().filter(|end| end.number <= self.heard);
+        let known = known.filter(|end| self.rows.contains_key(&end.mark));
+        news.passed_over = known.map(|end| end.mark).collect();
         for end in ended.iter().filter(|end| end.number > self.heard) {
             self.rows.remove(&end.mark);
             news.ends.push(end.clone());
