Tests that fail: workers that restart under their id

What callers saw: a task that had ended ran again (TWICE), a lasting task did not run (LOST). Both tests fail on the code as it is after 90 s: ends of the restarted worker are passed over (the agent logs so) and the job never completes; a lasting task never runs again.

--- a/crates/wax-standin/src/args.rs
+++ b/crates/wax-standin/src/args.rs
@@ -58,6 +58,10 @@
     pub(crate) cpu_milli: u32,
     pub(crate) memory_mb: u32,
     pub(crate) domain: String,
+    /// What its clock shows at its start, milliseconds.
+    pub(crate) clock_ms: u64,
+    /// When it says that it started, Unix milliseconds.
+    pub(crate) started_ms: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -147,6 +151,8 @@
             domain: args
                 .opt_value_from_str("--domain")?
                 .unwrap_or_else(|| "a".into()),
+            clock_ms: args.opt_value_from_str("--clock-ms")?.unwrap_or(0),
+            started_ms: args.opt_value_from_str("--started-ms")?,
         }),
         Some("ports") => Command::Ports(args.free_from_str()?),
         Some("load") => Command::Load(parse_load(&mut args)?),
--- a/crates/wax-standin/src/site_runs.rs
+++ b/crates/wax-standin/src/site_runs.rs
@@ -1,5 +1,6 @@
 //! The runs of a worker of the users' platform: leases, ends, and a history for audits.
 
+use crate::args::SiteWorkerOptions;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap};
@@ -76,6 +77,10 @@
 #[derive(Debug)]
 pub(crate) struct SiteRuns {
     began: Instant,
+    /// What the clock showed then, milliseconds.
+    clock_ms: u64,
+    /// When it says that it started, Unix milliseconds.
+    started_ms: u64,
     cpu_milli: u32,
     memory_mb: u32,
     running: BTreeMap<String, RunLife>,
@@ -89,11 +94,13 @@
 }
 
 impl SiteRuns {
-    pub(crate) fn new(cpu_milli: u32, memory_mb: u32) -> Self {
+    pub(crate) fn new(options: &SiteWorkerOptions) -> Self {
         Self {
             began: Instant::now(),
-            cpu_milli,
-            memory_mb,
+            clock_ms: options.clock_ms,
+            started_ms: options.started_ms.unwrap_or_else(|| unix_us() / 1_000),
+            cpu_milli: options.cpu_milli,
+            memory_mb: options.memory_mb,
             running: BTreeMap::new(),
             ends: Vec::new(),
             ended: 0,
@@ -105,7 +112,16 @@
     }
 
     pub(crate) fn clock_ms(&self) -> u64 {
-        self.began.elapsed().as_millis() as u64
+        self.clock_ms + self.began.elapsed().as_millis() as u64
+    }
+
+    pub(crate) fn started_ms(&self) -> u64 {
+        self.started_ms
+    }
+
+    /// The highest fencing token that it has seen.
+    pub(crate) fn token(&self) -> u64 {
+        self.token
     }
 
     /// How many ends there were.
@@ -131,11 +147,8 @@
     }
 
     fn note(&mut self, what: &str, task: &str, run: u64) {
-        let unix_ms = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .map_or(0, |span| span.as_micros() as u64);
         self.history
-            .push(json!({ "what": what, "task": task, "run": run, "at": unix_ms }));
+            .push(json!({ "what": what, "task": task, "run": run, "at": unix_us() }));
     }
 
     pub(crate) fn start(&mut self, order: RunOrder) -> OrderAnswer {
@@ -269,6 +282,12 @@
                 json!([task, life.run, "", percent, life.work.cpu])
             })
             .collect();
-        json!({ "clockMs": self.clock_ms(), "running": running, "finished": self.ends })
+        json!({ "clockMs": self.clock_ms(), "born": self.started_ms, "running": running, "finished": self.ends })
     }
 }
+
+fn unix_us() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |span| span.as_micros() as u64)
+}
--- a/crates/wax-standin/src/site_worker.rs
+++ b/crates/wax-standin/src/site_worker.rs
@@ -67,7 +67,7 @@
     println!("{}", json!({ "worker": address }));
     let state = Rc::new(WorkerState {
         id: options.id.clone(),
-        runs: RefCell::new(SiteRuns::new(options.cpu_milli, options.memory_mb)),
+        runs: RefCell::new(SiteRuns::new(&options)),
         faults: RefCell::default(),
         sequence: Cell::new(0),
     });
@@ -114,6 +114,7 @@
             "slots": 8, "state": word, "coldRemainingMs": 0,
             "capacity": { "cpu": cpu_milli, "memMb": options.memory_mb, "gpu": 0 },
             "labels": ["a", "r1"], "clockMs": state.runs.borrow().clock_ms(), "sequence": state.sequence.get(),
+            "born": state.runs.borrow().started_ms(),
         });
         if let Ok(request) = client.post(&url)
             && let Ok(request) = request.json(&body)
@@ -138,6 +139,7 @@
                     Err(error) => error_reply(&error),
                 };
             }
+            "/token" => return json_reply(StatusCode::OK, &self.runs.borrow().token()),
             "/history" => return json_reply(StatusCode::OK, self.runs.borrow().history()),
             _ => {}
         }
--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -14,6 +14,7 @@
 mod links;
 mod many_agents;
 mod relay;
+mod restarts;
 mod site;
 mod soak;
 mod soak_plan;
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -124,7 +124,10 @@
     check_ins: SocketAddr,
     name: String,
     domain: &'static str,
-    boots: u32,
+    /// Ids that its workers had.
+    ids: u32,
+    /// How often the worker of the last id has started again.
+    restarts: u32,
 }
 
 /// The installation.
@@ -165,7 +168,9 @@
     now.map_or(0, |span| span.as_micros() as u64)
 }
 
-const PROCESSOR_MILLI: u32 = 4_000;
+pub(crate) const PROCESSOR_MILLI: u32 = 4_000;
+/// How far the clock of a restarted worker is ahead, milliseconds: further than any lease reaches.
+const CLOCK_AHEAD_MS: u64 = 1_000_000;
 
 impl Site {
     /// Starts an installation and waits until its first front is ready.
@@ -377,7 +382,8 @@
             check_ins,
             name,
             domain,
-            boots: 0,
+            ids: 0,
+            restarts: 0,
         });
         let number = self.machines.len() - 1;
         self.start_agent(number);
@@ -410,8 +416,41 @@
     /// A worker that says of itself to be in this failure domain, wherever its machine is.
     pub(crate) fn start_worker_in(&mut self, number: usize, domain: &str) {
         let machine = &mut self.machines[number];
-        machine.boots += 1;
-        let id = format!("i-{}-{}", machine.name, machine.boots);
+        machine.ids += 1;
+        machine.restarts = 0;
+        self.spawn_worker(number, domain, PROCESSOR_MILLI, &[]);
+    }
+
+    /// Kills a worker and starts it under the same id. Its clock is ahead of the one before.
+    pub(crate) async fn restart_worker(&mut self, number: usize) {
+        self.kill_worker(number).await;
+        let restarts = self.machines[number].restarts + 1;
+        let clock_ms = (CLOCK_AHEAD_MS * u64::from(restarts)).to_string();
+        self.start_worker_again(number, PROCESSOR_MILLI, &["--clock-ms", &clock_ms]);
+    }
+
+    /// Starts the worker that was killed under the id that it had.
+    pub(crate) fn start_worker_again(&mut self, number: usize, cpu_milli: u32, options: &[&str]) {
+        let machine = &mut self.machines[number];
+        machine.restarts += 1;
+        let domain = machine.domain;
+        self.spawn_worker(number, domain, cpu_milli, options);
+    }
+
+    pub(crate) fn worker_id(&self, number: usize) -> String {
+        let machine = &self.machines[number];
+        format!("i-{}-{}", machine.name, machine.ids)
+    }
+
+    /// The highest fencing token that the worker has seen; nothing before its first order.
+    pub(crate) async fn worker_token(&self, number: usize) -> Option<u64> {
+        let url = format!("http://{}/token", self.machines[number].app);
+        get_json(&url).await?.as_u64().filter(|token| *token > 0)
+    }
+
+    fn spawn_worker(&mut self, number: usize, domain: &str, cpu_milli: u32, options: &[&str]) {
+        let id = self.worker_id(number);
+        let machine = &mut self.machines[number];
         let args = [
             "site-worker",
             "--listen",
@@ -423,11 +462,15 @@
             "--id",
             &id,
             "--cpu-milli",
-            &PROCESSOR_MILLI.to_string(),
+            &cpu_milli.to_string(),
             "--domain",
             domain,
-        ]
-        .map(String::from);
+        ];
+        let args: Vec<String> = args
+            .iter()
+            .chain(options)
+            .map(ToString::to_string)
+            .collect();
         let log = self.folder.join(format!("{}-worker.log", machine.name));
         machine.worker = Some(SiteProcess::start("waxwing-standin", &args, log));
     }
