--- a/crates/wax-agent/src/boots.rs
+++ b/crates/wax-agent/src/boots.rs
@@ -1,10 +1,11 @@
 //! Boots of the worker on this machine: which has checked in, which is dead, which is driven.
 //!
 //! A boot that is driven is never registered a second time: all that runs on it would count as lost,
-//! and would be started elsewhere while it runs.
+//! and would be started elsewhere while it runs. Which of two boots lives is told by what answers a
+//! call: check-ins may be late, and the time of day by which boots start may step back.
 
 use std::collections::{HashSet, VecDeque};
-use wax_batch::WorkerView;
+use wax_batch::{BootId, WorkerView};
 
 /// Dead boots that an owner is told: more than one machine has within a term.
 const MOST_TOLD: usize = 8;
@@ -44,17 +45,17 @@
 #[derive(Debug, Default)]
 pub struct BootWatch {
     candidate: Option<BootReport>,
-    dead: HashSet<Box<str>>,
-    newest_dead: VecDeque<Box<str>>,
+    dead: HashSet<BootId>,
+    newest_dead: VecDeque<BootId>,
 }
 
 impl BootWatch {
     /// Takes a check-in while the boot `driven` is driven.
-    pub fn check_in(&mut self, report: BootReport, driven: Option<&str>) -> CheckInStep {
-        if self.dead.contains(&report.view.id) {
+    pub fn check_in(&mut self, report: BootReport, driven: Option<&BootId>) -> CheckInStep {
+        if self.dead.contains(&report.view.boot) {
             return CheckInStep::Dead;
         }
-        if driven == Some(&*report.view.id) {
+        if driven.is_some_and(|driven| driven.may_be(&report.view.boot)) {
             return CheckInStep::Update(report);
         }
         self.candidate = Some(report);
@@ -69,33 +70,35 @@
     /// Takes the candidate while the boot `driven` is driven.
     ///
     /// A boot checks in again while its first answer is awaited, and is driven once that has come.
-    pub fn take_candidate(&mut self, driven: Option<&str>) -> CandidateStep {
+    pub fn take_candidate(&mut self, driven: Option<&BootId>) -> CandidateStep {
         match self.candidate.take() {
-            Some(report) if self.dead.contains(&report.view.id) => CandidateStep::None,
-            Some(report) if driven == Some(&*report.view.id) => CandidateStep::Update(report),
+            Some(report) if self.dead.contains(&report.view.boot) => CandidateStep::None,
+            Some(report) if driven.is_some_and(|driven| driven.may_be(&report.view.boot)) => {
+                CandidateStep::Update(report)
+            }
             Some(report) => CandidateStep::Verify(report),
             None => CandidateStep::None,
         }
     }
 
     /// The boot has ended: its late check-ins count for nothing.
-    pub fn bury(&mut self, id: &str) {
-        if !self.dead.insert(id.into()) {
+    pub fn bury(&mut self, boot: &BootId) {
+        if !self.dead.insert(boot.clone()) {
             return;
         }
-        self.newest_dead.push_back(id.into());
+        self.newest_dead.push_back(boot.clone());
         if self.newest_dead.len() > MOST_TOLD {
             self.newest_dead.pop_front();
         }
     }
 
     /// The boots that ended last, for an owner that may wait for one of them.
-    pub fn newest_dead(&self) -> Vec<String> {
-        self.newest_dead.iter().map(|id| id.to_string()).collect()
+    pub fn newest_dead(&self) -> impl Iterator<Item = &BootId> {
+        self.newest_dead.iter()
     }
 
     /// Whether the boot has ended.
-    pub fn is_dead(&self, id: &str) -> bool {
-        self.dead.contains(id)
+    pub fn is_dead(&self, boot: &BootId) -> bool {
+        self.dead.contains(boot)
     }
 }
--- a/crates/wax-agent/src/check_ins.rs
+++ b/crates/wax-agent/src/check_ins.rs
@@ -3,8 +3,9 @@
 use crate::boots::{BootReport, CheckInStep};
 use crate::state::{AgentState, WorkerBoot};
 use http::StatusCode;
-use platform::{CheckInReply, CheckInRoute, decode_check_in, match_check_in};
+use platform::{CheckInReply, CheckInRoute, decode_check_in, decode_leave, match_check_in};
 use std::rc::Rc;
+use wax_batch::BootId;
 use wax_http::{
     HttpHandler, HttpReply, HttpRequest, collect_body, empty_reply, error_reply, json_reply,
 };
@@ -24,10 +25,13 @@
         let route = match_check_in(request.method(), request.uri().path());
         match route {
             None => empty_reply(StatusCode::NOT_FOUND),
-            Some(CheckInRoute::Leave(id)) => {
-                self.leave(&id);
-                empty_reply(StatusCode::OK)
-            }
+            Some(CheckInRoute::Leave(id)) => match collect_body(request, REPORT_BYTES).await {
+                Ok(body) => {
+                    self.leave(&decode_leave(&id, &body));
+                    empty_reply(StatusCode::OK)
+                }
+                Err(error) => error_reply(&error),
+            },
             Some(CheckInRoute::Report(id)) => match self.report(&id, request).await {
                 Ok(()) => json_reply(StatusCode::OK, &CheckInReply::default()),
                 Err(error) => error_reply(&error),
@@ -43,20 +47,19 @@
             WaxError::new(ErrorKind::Invalid, Step::ParseRequest, id, error)
                 .with_help("send a worker's report as the platform's pages describe it")
         })?;
-        self.state
-            .note_start_time(id, report.started_ms, "check-in");
         let report = BootReport {
             view: self.state.place_worker(report.view),
             sequence: report.sequence,
         };
+        let said = report.view.boot.clone();
         let driven = self.state.driven();
         let step = self
             .state
             .boots
             .borrow_mut()
-            .check_in(report, driven.as_deref());
+            .check_in(report, driven.as_ref());
         match step {
-            CheckInStep::Dead => tracing::info!(worker = id, "late check-in of a dead boot"),
+            CheckInStep::Dead => tracing::info!(worker = %said, "late check-in of a dead boot"),
             CheckInStep::Update(report) => self.state.update_boot(report),
             CheckInStep::Verify => {
                 self.state.changed.notify(usize::MAX);
@@ -66,22 +69,22 @@
     }
 
     /// The worker's word that it ends; the owner may wait for a boot that this process never drove.
-    fn leave(&self, id: &str) {
-        self.state.boots.borrow_mut().bury(id);
+    fn leave(&self, said: &BootId) {
+        let driven = self.state.driven().filter(|driven| driven.may_be(said));
+        let boot = driven.as_ref().unwrap_or(said);
+        self.state.boots.borrow_mut().bury(boot);
         let left = self
             .state
             .boot
             .borrow_mut()
-            .take_if(|boot: &mut WorkerBoot| *boot.view.id == *id);
-        tracing::info!(worker = id, driven = left.is_some(), "worker has left");
-        self.state.crashes.borrow_mut().note_left(id);
+            .take_if(|life: &mut WorkerBoot| life.view.boot == *boot);
+        tracing::info!(worker = %boot, driven = left.is_some(), "worker has left");
+        self.state.crashes.borrow_mut().note_left(boot);
         if let Some(left) = left {
             left.lose_runs(self.state.now());
         }
-        self.state.tell(PoolBody::WorkerGone(WorkerGone {
-            worker: id.into(),
-            dead: true,
-        }));
+        self.state
+            .tell(PoolBody::WorkerGone(WorkerGone::new(boot, true)));
         self.state.changed.notify(usize::MAX);
     }
 }
--- a/crates/wax-agent/src/crash_log.rs
+++ b/crates/wax-agent/src/crash_log.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 use std::time::Duration;
-use wax_batch::{LostRun, WorkerState, WorkerView};
+use wax_batch::{BootId, LostRun, WorkerState, WorkerView};
 use wax_types::TimePoint;
 use wax_wire::BootCrashed;
 
@@ -14,7 +14,7 @@
 /// What ran on boots that crashed lately, and on one whose leases have lapsed: that may have crashed.
 #[derive(Debug, Default)]
 pub struct CrashLog {
-    lapsed: Option<(Box<str>, Vec<LostRun>)>,
+    lapsed: Option<(BootId, Vec<LostRun>)>,
     crashes: VecDeque<(TimePoint, BootCrashed)>,
 }
 
@@ -22,19 +22,19 @@
     /// The leases of a boot have lapsed; whether it crashed shows once another one checks in.
     pub fn note_lapsed(&mut self, view: &WorkerView, runs: Vec<LostRun>) {
         if view.state != WorkerState::Draining {
-            self.lapsed = Some((view.id.clone(), runs));
+            self.lapsed = Some((view.boot.clone(), runs));
         }
     }
 
     /// A boot is driven from now on; returns the crash of the one that lapsed before, if that was another.
-    pub fn note_driven(&mut self, id: &str, now: TimePoint) -> Option<BootCrashed> {
+    pub fn note_driven(&mut self, boot: &BootId, now: TimePoint) -> Option<BootCrashed> {
         let (lapsed, runs) = self.lapsed.take()?;
-        (*lapsed != *id).then(|| self.keep(&lapsed, &runs, now))
+        (!lapsed.may_be(boot)).then(|| self.keep(&lapsed, &runs, now))
     }
 
     /// A boot has said that it ends.
-    pub fn note_left(&mut self, id: &str) {
-        self.lapsed.take_if(|(lapsed, _)| **lapsed == *id);
+    pub fn note_left(&mut self, boot: &BootId) {
+        self.lapsed.take_if(|(lapsed, _)| lapsed.may_be(boot));
     }
 
     /// A boot has ended while it was driven; returns its crash, if it did not say that it would end.
@@ -44,13 +44,14 @@
         runs: &[LostRun],
         now: TimePoint,
     ) -> Option<BootCrashed> {
-        (view.state != WorkerState::Draining).then(|| self.keep(&view.id, runs, now))
+        (view.state != WorkerState::Draining).then(|| self.keep(&view.boot, runs, now))
     }
 
-    fn keep(&mut self, id: &str, runs: &[LostRun], now: TimePoint) -> BootCrashed {
+    fn keep(&mut self, boot: &BootId, runs: &[LostRun], now: TimePoint) -> BootCrashed {
         let crash = BootCrashed {
-            worker: id.into(),
+            worker: boot.worker_id().into(),
             runs: runs.iter().map(Into::into).collect(),
+            started_ms: boot.started_ms(),
         };
         self.crashes.push_back((now, crash.clone()));
         if self.crashes.len() > MOST_KEPT {
--- a/crates/wax-agent/src/driver.rs
+++ b/crates/wax-agent/src/driver.rs
@@ -6,7 +6,7 @@
 use platform::{HoldReply, HoldRequest, WorkerRefusal};
 use std::rc::Rc;
 use std::time::Duration;
-use wax_batch::WorkerView;
+use wax_batch::{BootId, WorkerView};
 use wax_trace::{Counter, count};
 use wax_types::TimePoint;
 use wax_wire::{
@@ -65,8 +65,8 @@
         return;
     }
     let driven = state.driven();
-    let step = state.boots.borrow_mut().take_candidate(driven.as_deref());
-    let BootReport { view, sequence } = match step {
+    let step = state.boots.borrow_mut().take_candidate(driven.as_ref());
+    let report = match step {
         CandidateStep::Verify(report) => report,
         CandidateStep::Update(report) => {
             state.update_boot(report);
@@ -80,29 +80,48 @@
         ack_cursor: 0,
         wait_ms: 0,
     };
-    match state.worker.hold(&view.id, &request, HOLD_LIMIT).await {
-        Ok(Ok(_)) if state.boots.borrow().is_dead(&view.id) => {
-            tracing::info!(worker = %view.id, "boot has left before it was registered");
-        }
-        Ok(Ok(_)) => replace_boot(state, view, sequence),
-        Ok(Err(WorkerRefusal::OtherBoot)) => {
-            tracing::info!(worker = %view.id, "check-in of a boot that does not answer");
-            state.boots.borrow_mut().bury(&view.id);
-        }
-        Ok(Err(refusal)) => tracing::warn!(worker = %view.id, ?refusal, "first hold refused"),
-        Err(error) => tracing::warn!(worker = %view.id, %error, "first hold failed"),
+    let said = &report.view.boot;
+    match state.worker.hold(said, &request, HOLD_LIMIT).await {
+        Ok(Ok(reply)) => take_first_answer(state, report, &reply),
+        Ok(Err(WorkerRefusal::OtherBoot)) => refuse_candidate(state, said),
+        Ok(Err(refusal)) => tracing::warn!(worker = %said, ?refusal, "first hold refused"),
+        Err(error) => tracing::warn!(worker = %said, %error, "first hold failed"),
     }
 }
 
+/// The boot that answers may be an earlier or a later one than that which has checked in.
+fn take_first_answer(state: &Rc<AgentState>, report: BootReport, reply: &HoldReply) {
+    let BootReport { view, sequence } = report;
+    let said = view.boot.clone();
+    let answers = BootId::new(said.worker_id(), reply.started_ms);
+    if answers.is_other_boot(&said) {
+        refuse_candidate(state, &said);
+        return;
+    }
+    let boot = said.or_started(reply.started_ms);
+    if state.driven().is_some_and(|driven| driven.may_be(&boot)) {
+        state.update_boot(BootReport { view, sequence });
+    } else if state.boots.borrow().is_dead(&boot) {
+        tracing::info!(worker = %boot, "boot has left before it was registered");
+    } else {
+        replace_boot(state, WorkerView { boot, ..view }, sequence);
+    }
+}
+
+fn refuse_candidate(state: &AgentState, boot: &BootId) {
+    tracing::info!(worker = %boot, "check-in of a boot that does not answer");
+    state.boots.borrow_mut().bury(boot);
+}
+
 fn replace_boot(state: &Rc<AgentState>, view: WorkerView, sequence: u64) {
     if let Some(before) = state.driven() {
         drop_boot(state, &before, "a new boot has checked in");
     }
-    tracing::info!(worker = %view.id, service = %view.service, state = ?view.state, "worker registered");
+    tracing::info!(worker = %view.boot, service = %view.service, state = ?view.state, "worker registered");
     let crash = state
         .crashes
         .borrow_mut()
-        .note_driven(&view.id, state.now());
+        .note_driven(&view.boot, state.now());
     tell_crash(state, crash);
     let mut boot = WorkerBoot::new(view, sequence, state.now());
     // An earlier process on this machine may have extended leases this far.
@@ -117,12 +136,15 @@
     }
 }
 
-fn drop_boot(state: &Rc<AgentState>, id: &str, why: &str) {
-    let ended = state.boot.borrow_mut().take_if(|boot| *boot.view.id == *id);
+fn drop_boot(state: &Rc<AgentState>, driven: &BootId, why: &str) {
+    let ended = state
+        .boot
+        .borrow_mut()
+        .take_if(|boot| boot.view.boot == *driven);
     if let Some(ended) = ended {
-        state.boots.borrow_mut().bury(id);
+        state.boots.borrow_mut().bury(driven);
         count(Counter::WorkersGone);
-        tracing::warn!(worker = id, why, "worker is gone");
+        tracing::warn!(worker = %driven, why, "worker is gone");
         let now = state.now();
         let runs = ended.lose_runs(now);
         let crash = state
@@ -131,46 +153,40 @@
             .note_ended(&ended.view, &runs, now);
         // Before the end itself: by that its tasks wait again.
         tell_crash(state, crash);
-        state.tell(PoolBody::WorkerGone(WorkerGone {
-            worker: id.into(),
-            dead: true,
-        }));
+        state.tell(PoolBody::WorkerGone(WorkerGone::new(driven, true)));
     }
 }
 
 /// Once all leases have lapsed nothing runs there any more; the boot must be verified anew.
-fn drop_lapsed(state: &Rc<AgentState>, id: &str) {
+fn drop_lapsed(state: &Rc<AgentState>, driven: &BootId) {
     let now = state.now();
     let mut boot = state.boot.borrow_mut();
     let Some(lapsed) = boot
         .as_mut()
-        .filter(|boot| *boot.view.id == *id && boot.lease.has_lapsed(now))
+        .filter(|boot| boot.view.boot == *driven && boot.lease.has_lapsed(now))
     else {
         return;
     };
     count(Counter::WorkersGone);
-    tracing::warn!(worker = id, "leases have lapsed");
+    tracing::warn!(worker = %driven, "leases have lapsed");
     let runs = lapsed.lose_runs(now);
     let view = lapsed.view.clone();
     state.crashes.borrow_mut().note_lapsed(&view, runs);
     let sequence = lapsed.sequence;
     *boot = None;
-    state.tell(PoolBody::WorkerGone(WorkerGone {
-        worker: id.into(),
-        dead: false,
-    }));
+    state.tell(PoolBody::WorkerGone(WorkerGone::new(driven, false)));
     let report = BootReport { view, sequence };
     state.boots.borrow_mut().offer(report);
 }
 
-async fn hold_once(state: &Rc<AgentState>, id: &str) -> HoldStep {
+async fn hold_once(state: &Rc<AgentState>, driven: &BootId) -> HoldStep {
     let generation = state
         .link
         .borrow()
         .as_ref()
         .map_or(0, |link| link.generation);
     let begun = state.now();
-    let Some((request, told)) = prepare(state, id, begun) else {
+    let Some((request, told)) = prepare(state, driven, begun) else {
         return HoldStep::Failed;
     };
     let tells = generation != 0 && told != generation;
@@ -182,12 +198,17 @@
         },
         ..request
     };
-    let answer = state.worker.hold(id, &request, HOLD_LIMIT).await;
-    state.note_answer(id, matches!(answer, Ok(Ok(_))));
+    let answer = state.worker.hold(driven, &request, HOLD_LIMIT).await;
+    if let Ok(Ok(reply)) = &answer
+        && !is_answer_of(state, driven, reply)
+    {
+        return HoldStep::OtherBoot;
+    }
+    state.note_answer(driven, matches!(answer, Ok(Ok(_))));
     match answer {
         Ok(Ok(reply)) => {
-            let fresh = note_reply(state, id, &reply, generation, tells);
-            pace(state, id);
+            let fresh = note_reply(state, driven, &reply, generation, tells);
+            pace(state, driven);
             let early = state.now().since(begun) < HOLD_WAIT / 4;
             if !fresh && early && !tells {
                 HoldStep::Idle
@@ -197,20 +218,31 @@
         }
         Ok(Err(WorkerRefusal::OtherBoot)) => HoldStep::OtherBoot,
         Ok(Err(refusal)) => {
-            tracing::warn!(worker = id, ?refusal, "hold refused");
+            tracing::warn!(worker = %driven, ?refusal, "hold refused");
             HoldStep::Failed
         }
         Err(error) => {
             count(Counter::HoldsUnanswered);
-            tracing::debug!(worker = id, %error, "hold failed");
+            tracing::debug!(worker = %driven, %error, "hold failed");
             HoldStep::Failed
         }
     }
 }
 
-fn prepare(state: &AgentState, id: &str, now: TimePoint) -> Option<(HoldRequest, u64)> {
+/// Whether the driven boot gives this answer. A worker that has started again under its id takes the calls that
+/// are meant for the boot before.
+fn is_answer_of(state: &AgentState, driven: &BootId, reply: &HoldReply) -> bool {
+    let mut boot = state.boot.borrow_mut();
+    let Some(boot) = boot.as_mut().filter(|boot| boot.view.boot == *driven) else {
+        return true;
+    };
+    boot.answers = boot.answers.or(reply.started_ms);
+    reply.started_ms.is_none() || reply.started_ms == boot.answers
+}
+
+fn prepare(state: &AgentState, driven: &BootId, now: TimePoint) -> Option<(HoldRequest, u64)> {
     let mut boot = state.boot.borrow_mut();
-    let boot = boot.as_mut().filter(|boot| *boot.view.id == *id)?;
+    let boot = boot.as_mut().filter(|boot| boot.view.boot == *driven)?;
     boot.hold += 1;
     let request = HoldRequest {
         lease_until_ms: boot
@@ -226,22 +258,21 @@
 /// Takes the lists into the table and tells the owner; says whether they brought anything.
 fn note_reply(
     state: &AgentState,
-    id: &str,
+    driven: &BootId,
     reply: &HoldReply,
     generation: u64,
     tells: bool,
 ) -> bool {
-    state.note_start_time(id, reply.started_ms, "hold");
     let now = state.now();
     let mut boot = state.boot.borrow_mut();
-    let Some(boot) = boot.as_mut().filter(|boot| *boot.view.id == *id) else {
+    let Some(boot) = boot.as_mut().filter(|boot| boot.view.boot == *driven) else {
         return false;
     };
     boot.lease.note(now, reply.clock_ms);
     let hold = boot.hold;
     let news = boot.table.observe(&reply.running, &reply.ended, hold);
     for mark in &news.passed_over {
-        tracing::warn!(worker = id, task = %mark.task, run = mark.run, "end passed over");
+        tracing::warn!(worker = %driven, task = %mark.task, run = mark.run, "end passed over");
     }
     if tells {
         boot.told = generation;
@@ -274,11 +305,11 @@
     fresh
 }
 
-fn pace(state: &Rc<AgentState>, id: &str) {
+fn pace(state: &Rc<AgentState>, driven: &BootId) {
     let now = state.now();
     {
         let mut boot = state.boot.borrow_mut();
-        let Some(boot) = boot.as_mut().filter(|boot| *boot.view.id == *id) else {
+        let Some(boot) = boot.as_mut().filter(|boot| boot.view.boot == *driven) else {
             return;
         };
         let sample = boot.table.pace_sample();
--- a/crates/wax-agent/src/orders.rs
+++ b/crates/wax-agent/src/orders.rs
@@ -8,7 +8,7 @@
 use platform::{CallError, OrderOutcome, StartRequest, WorkerRefusal};
 use std::rc::Rc;
 use std::time::Duration;
-use wax_batch::{RunMark, StartRefusal};
+use wax_batch::{BootId, RunMark, StartRefusal};
 use wax_trace::{Counter, Latency, count, count_many, note_latency};
 use wax_wire::{PoolBody, RefusalFrame, RunNews, SeatFrame, StartRun};
 
@@ -37,19 +37,24 @@
         let mark = RunMark::from(&order.seat.mark);
         match self.admit(&order, mark) {
             Err(refusal) => self.tell_refusal(mark, refusal),
-            Ok(request) => {
+            Ok((boot, request)) => {
                 let state = self.clone();
-                spawn(async move { state.start(order.worker.into(), request).await }).detach();
+                spawn(async move { state.start(boot, request).await }).detach();
             }
         }
     }
 
     /// The guard: what starts must fit, the owner's authority must reach to now, and the worker's failure
     /// domain must not be drained.
-    fn admit(&self, order: &StartRun, mark: RunMark) -> Result<StartRequest, StartRefusal> {
+    fn admit(
+        &self,
+        order: &StartRun,
+        mark: RunMark,
+    ) -> Result<(BootId, StartRequest), StartRefusal> {
+        let meant = order.boot();
         let now = self.now();
         let mut boot = self.boot.borrow_mut();
-        let Some(boot) = boot.as_mut().filter(|boot| *boot.view.id == *order.worker) else {
+        let Some(boot) = boot.as_mut().filter(|boot| boot.view.boot.may_be(&meant)) else {
             return Err(StartRefusal::Stale);
         };
         if now >= self.authority.get() || !self.is_kept() {
@@ -62,17 +67,18 @@
         };
         boot.table
             .begin(mark, (&order.seat).into(), &boot.view, now)?;
-        Ok(StartRequest {
+        let request = StartRequest {
             mark,
             text: order.text.as_str().into(),
             lease_until_ms,
             token: self.token.get(),
             checkpoint: order.checkpoint.as_str().into(),
             ticket: order.ticket.as_str().into(),
-        })
+        };
+        Ok((boot.view.boot.clone(), request))
     }
 
-    async fn start(self: Rc<Self>, boot: Box<str>, request: StartRequest) {
+    async fn start(self: Rc<Self>, boot: BootId, request: StartRequest) {
         let mark = request.mark;
         let sent = self.now();
         let answer = self.worker.start(&boot, &request, START_LIMIT).await;
@@ -96,7 +102,7 @@
     }
 
     /// Ends the doubt about a start: a hold may have shown it running, else a stop forbids it.
-    async fn settle_start(self: Rc<Self>, boot: Box<str>, mark: RunMark) {
+    async fn settle_start(self: Rc<Self>, boot: BootId, mark: RunMark) {
         let starting =
             self.with_table(&boot, |table| table.stand(mark) == Some(RunStand::Starting));
         if starting == Some(true) {
@@ -104,7 +110,7 @@
         }
     }
 
-    fn note_started(self: &Rc<Self>, boot: &str, mark: RunMark) {
+    fn note_started(self: &Rc<Self>, boot: &BootId, mark: RunMark) {
         let known = self.with_table(boot, |table| {
             table.started(mark);
             table.stand(mark) == Some(RunStand::Running)
@@ -119,7 +125,7 @@
         }
     }
 
-    fn note_refused(&self, boot: &str, mark: RunMark, refusal: WorkerRefusal) {
+    fn note_refused(&self, boot: &BootId, mark: RunMark, refusal: WorkerRefusal) {
         let refusal = match refusal {
             WorkerRefusal::Room => StartRefusal::Room,
             WorkerRefusal::Unwell | WorkerRefusal::Invalid => StartRefusal::Unwell,
@@ -142,7 +148,12 @@
 
     /// Stops a run by the owner's order.
     pub(crate) fn order_stop(self: &Rc<Self>, mark: RunMark) {
-        let Some(boot) = self.boot.borrow().as_ref().map(|boot| boot.view.id.clone()) else {
+        let Some(boot) = self
+            .boot
+            .borrow()
+            .as_ref()
+            .map(|boot| boot.view.boot.clone())
+        else {
             return;
         };
         let state = self.clone();
@@ -150,7 +161,7 @@
     }
 
     /// Sends a stop until it is answered, or the boot is another.
-    pub(crate) async fn stop(self: Rc<Self>, boot: Box<str>, mark: RunMark) {
+    pub(crate) async fn stop(self: Rc<Self>, boot: BootId, mark: RunMark) {
         loop {
             if self.with_table(&boot, |table| table.stopping(mark)) != Some(true) {
                 // The run has ended, or its boot has: the end tells, on this link or the next. To
@@ -164,7 +175,7 @@
             match answer {
                 Ok(OrderOutcome::Done) => {
                     let mut state = self.boot.borrow_mut();
-                    if let Some(state) = state.as_mut().filter(|state| state.view.id == boot) {
+                    if let Some(state) = state.as_mut().filter(|state| state.view.boot == boot) {
                         let hold = state.hold;
                         state.table.stopped(mark, hold);
                     }
@@ -191,8 +202,8 @@
             };
             let sample = boot.table.pace_sample();
             boot.pace.plan(&sample, self.now(), &self.pace_rules_now());
-            log_changes(&boot.view.id, &boot.pace.take_changes());
-            (boot.view.id.clone(), boot.table.repace(&boot.pace))
+            log_changes(&boot.view.boot, &boot.pace.take_changes());
+            (boot.view.boot.clone(), boot.table.repace(&boot.pace))
         };
         count_many(Counter::PaceOrders, marks.len() as u64);
         for (mark, percent) in marks {
@@ -214,22 +225,22 @@
 
     pub(crate) fn with_table<T>(
         &self,
-        boot: &str,
+        boot: &BootId,
         act: impl FnOnce(&mut crate::table::RunTable) -> T,
     ) -> Option<T> {
         let mut state = self.boot.borrow_mut();
-        let state = state.as_mut().filter(|state| *state.view.id == *boot)?;
+        let state = state.as_mut().filter(|state| state.view.boot == *boot)?;
         Some(act(&mut state.table))
     }
 }
 
 /// One line for each pace that has changed by much, with the run that it protects.
-fn log_changes(worker: &str, changes: &[PaceChange]) {
+fn log_changes(worker: &BootId, changes: &[PaceChange]) {
     let rounded = |value: f64| (value * 1_000.0).round() / 1_000.0;
     for change in changes {
         let cause = change.cause.as_ref();
         tracing::info!(
-            worker,
+            %worker,
             image = %change.filling,
             percent = change.percent,
             protects = cause.map(|cause| tracing::field::display(cause.run.task)),
--- a/crates/wax-agent/src/owner_link.rs
+++ b/crates/wax-agent/src/owner_link.rs
@@ -166,7 +166,7 @@
     let (mut reader, mut writer) = split_stream(stream);
     let hello = AgentHello {
         node: state.node.to_string(),
-        dead: state.boots.borrow().newest_dead(),
+        dead: state.boots.borrow().newest_dead().map(Into::into).collect(),
     };
     writer.write(PoolBody::AgentHello(hello)).await?;
     match reader.read().await? {
@@ -272,7 +272,8 @@
         PoolBody::Stop(order) => state.order_stop(RunMark::from(&order.mark)),
         PoolBody::Ack(ack) => {
             let mut boot = state.boot.borrow_mut();
-            if let Some(boot) = boot.as_mut().filter(|boot| *boot.view.id == *ack.worker) {
+            let meant = ack.boot();
+            if let Some(boot) = boot.as_mut().filter(|boot| boot.view.boot.may_be(&meant)) {
                 boot.ack_cursor = boot.ack_cursor.max(ack.cursor);
             }
         }
@@ -289,8 +290,9 @@
 }
 
 fn keep_worker(state: &AgentState, kept: &WorkerKept) {
+    let meant = kept.boot();
     let mut boot = state.boot.borrow_mut();
-    let Some(boot) = boot.as_mut().filter(|boot| *boot.view.id == *kept.worker) else {
+    let Some(boot) = boot.as_mut().filter(|boot| boot.view.boot.may_be(&meant)) else {
         return;
     };
     for seat in &kept.seats {
--- a/crates/wax-agent/src/process.rs
+++ b/crates/wax-agent/src/process.rs
@@ -69,7 +69,6 @@
         lease_rules: LeaseRules::default(),
         pace_rules,
         link: RefCell::default(),
-        started_ms: Cell::new(None),
         boot: RefCell::default(),
         boots: RefCell::default(),
         crashes: RefCell::default(),
--- a/crates/wax-agent/src/state.rs
+++ b/crates/wax-agent/src/state.rs
@@ -10,7 +10,7 @@
 use platform::WorkerClient;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use wax_batch::{LostRun, StartRefusal, WorkerState, WorkerView};
+use wax_batch::{BootId, LostRun, StartRefusal, WorkerState, WorkerView};
 use wax_policy::{DrainRules, DrainVerdict, DrainView, PaceRules};
 use wax_trace::{Counter, count};
 use wax_types::{ProcessClock, TimePoint};
@@ -31,6 +31,8 @@
 pub(crate) struct WorkerBoot {
     pub(crate) view: WorkerView,
     pub(crate) sequence: u64,
+    /// The start time by which its answers are told from another boot's, Unix milliseconds.
+    pub(crate) answers: Option<u64>,
     /// Holds without an answer since the last one with it.
     pub(crate) unanswered: u32,
     /// When it last answered.
@@ -57,7 +59,7 @@
         for lost in &runs {
             count(Counter::RunsLost);
             tracing::info!(
-                worker = %self.view.id,
+                worker = %self.view.boot,
                 task = %lost.mark.task,
                 run = lost.mark.run,
                 ran_ms = lost.ran.map(|ran| ran.as_millis() as u64),
@@ -80,6 +82,7 @@
     /// A boot that has answered now.
     pub(crate) fn new(view: WorkerView, sequence: u64, now: TimePoint) -> Self {
         Self {
+            answers: view.boot.started_ms(),
             view,
             sequence,
             unanswered: 0,
@@ -101,15 +104,13 @@
     /// The machine's failure domain, which is its worker's too.
     pub(crate) failure_domain: Box<str>,
     /// The last boot that named another one: it is told once.
-    pub(crate) named_elsewhere: RefCell<Box<str>>,
+    pub(crate) named_elsewhere: RefCell<BootId>,
     pub(crate) clock: ProcessClock,
     pub(crate) worker: WorkerClient,
     pub(crate) lease_rules: LeaseRules,
     /// May change with the settings.
     pub(crate) pace_rules: Rc<Cell<PaceRules>>,
     pub(crate) link: RefCell<Option<OwnerLink>>,
-    /// The start time that the worker told last.
-    pub(crate) started_ms: Cell<Option<u64>>,
     /// The boot that is driven.
     pub(crate) boot: RefCell<Option<WorkerBoot>>,
     /// Boots that have checked in and are not verified yet, and those that are dead.
@@ -163,10 +164,10 @@
     /// starts while its failure domain is drained.
     pub(crate) fn place_worker(&self, said: WorkerView) -> WorkerView {
         let is_elsewhere = said.failure_domain != self.failure_domain;
-        if is_elsewhere && *self.named_elsewhere.borrow() != said.id {
-            *self.named_elsewhere.borrow_mut() = said.id.clone();
+        if is_elsewhere && *self.named_elsewhere.borrow() != said.boot {
+            *self.named_elsewhere.borrow_mut() = said.boot.clone();
             tracing::warn!(
-                worker = %said.id,
+                worker = %said.boot,
                 said = %said.failure_domain,
                 machine = %self.failure_domain,
                 "worker names another failure domain"
@@ -201,9 +202,9 @@
     }
 
     /// Notes whether a hold was answered; the owner hears of a worker that falls silent or is back.
-    pub(crate) fn note_answer(&self, id: &str, answered: bool) {
+    pub(crate) fn note_answer(&self, driven: &BootId, answered: bool) {
         let mut boot = self.boot.borrow_mut();
-        let Some(boot) = boot.as_mut().filter(|boot| *boot.view.id == *id) else {
+        let Some(boot) = boot.as_mut().filter(|boot| boot.view.boot == *driven) else {
             return;
         };
         if answered {
@@ -213,43 +214,32 @@
         boot.unanswered = if answered { 0 } else { boot.unanswered + 1 };
         let is_silent = boot.unanswered >= SILENT_AFTER;
         if was_silent != is_silent {
-            tracing::info!(worker = id, silent = is_silent, "worker answers changed");
+            tracing::info!(worker = %driven, silent = is_silent, "worker answers changed");
             self.tell(PoolBody::WorkerChanged((&boot.shown_view()).into()));
         }
     }
 
-    /// Notes when the worker says that it started.
-    pub(crate) fn note_start_time(&self, id: &str, started_ms: Option<u64>, source: &'static str) {
-        let before_ms = self.started_ms.replace(started_ms);
-        if before_ms != started_ms {
-            tracing::info!(
-                worker = id,
-                started_ms,
-                before_ms,
-                source,
-                "worker start time"
-            );
-        }
-    }
-
     /// The boot has answered an order.
-    pub(crate) fn note_heard(&self, id: &str) {
+    pub(crate) fn note_heard(&self, driven: &BootId) {
         let mut boot = self.boot.borrow_mut();
-        if let Some(boot) = boot.as_mut().filter(|boot| *boot.view.id == *id) {
+        if let Some(boot) = boot.as_mut().filter(|boot| boot.view.boot == *driven) {
             boot.answered = self.now();
         }
     }
 
-    /// The id of the boot that is driven.
-    pub(crate) fn driven(&self) -> Option<Box<str>> {
+    /// The boot that is driven.
+    pub(crate) fn driven(&self) -> Option<BootId> {
         let boot = self.boot.borrow();
-        boot.as_ref().map(|boot| boot.view.id.clone())
+        boot.as_ref().map(|boot| boot.view.boot.clone())
     }
 
     /// Takes a later check-in of the boot that is driven; the owner hears of what it places by.
     pub(crate) fn update_boot(&self, report: BootReport) {
         let mut boot = self.boot.borrow_mut();
-        let Some(boot) = boot.as_mut().filter(|boot| boot.view.id == report.view.id) else {
+        let Some(boot) = boot
+            .as_mut()
+            .filter(|boot| boot.view.boot.may_be(&report.view.boot))
+        else {
             return;
         };
         if report.sequence < boot.sequence {
@@ -257,18 +247,21 @@
         }
         boot.sequence = report.sequence;
         let told = boot.view.clone();
-        boot.view = report.view;
+        boot.view = WorkerView {
+            boot: told.boot.clone(),
+            ..report.view
+        };
         if told.state == WorkerState::Draining {
             // A worker that has said that it leaves does not come back in this boot.
             boot.view.state = WorkerState::Draining;
         }
         if told.state != boot.view.state {
-            tracing::info!(worker = %boot.view.id, state = ?boot.view.state, "worker state");
+            tracing::info!(worker = %boot.view.boot, state = ?boot.view.state, "worker state");
         }
         let (had, has) = (told.capacity, boot.view.capacity);
         if had != has {
             tracing::info!(
-                worker = %boot.view.id,
+                worker = %boot.view.boot,
                 cpu_milli = has.cpu_milli,
                 memory_mb = has.memory_mb,
                 accelerators = has.accelerators,
--- a/crates/wax-agent/tests/crashes.rs
+++ b/crates/wax-agent/tests/crashes.rs
@@ -2,16 +2,20 @@
 
 use std::time::Duration;
 use wax_agent::CrashLog;
-use wax_batch::{JobName, LostRun, RunMark, TaskName, WorkerState, WorkerView};
+use wax_batch::{BootId, JobName, LostRun, RunMark, TaskName, WorkerState, WorkerView};
 use wax_types::TimePoint;
 
 fn at(millis: u64) -> TimePoint {
     TimePoint::from_millis(100_000 + millis)
 }
 
+fn boot(id: &str) -> BootId {
+    id.into()
+}
+
 fn view(id: &str, state: WorkerState) -> WorkerView {
     WorkerView {
-        id: id.into(),
+        boot: id.into(),
         state,
         ..Default::default()
     }
@@ -51,7 +55,7 @@
     let draining = view("i-1", WorkerState::Draining);
     assert_eq!(log.note_ended(&draining, &[lost()], at(0)), None);
     log.note_lapsed(&draining, vec![lost()]);
-    assert_eq!(log.note_driven("i-2", at(10)), None);
+    assert_eq!(log.note_driven(&boot("i-2"), at(10)), None);
 }
 
 #[test]
@@ -59,12 +63,20 @@
     let mut log = CrashLog::default();
     let silent = view("i-1", WorkerState::Ready);
     log.note_lapsed(&silent, vec![lost()]);
-    assert_eq!(log.note_driven("i-1", at(10)), None, "it was only silent");
+    assert_eq!(
+        log.note_driven(&boot("i-1"), at(10)),
+        None,
+        "it was only silent"
+    );
     log.note_lapsed(&silent, vec![lost()]);
-    log.note_left("i-1");
-    assert_eq!(log.note_driven("i-2", at(20)), None, "it said that it ends");
+    log.note_left(&boot("i-1"));
+    assert_eq!(
+        log.note_driven(&boot("i-2"), at(20)),
+        None,
+        "it said that it ends"
+    );
     log.note_lapsed(&silent, vec![lost()]);
-    let crash = log.note_driven("i-2", at(30)).expect("it crashed");
+    let crash = log.note_driven(&boot("i-2"), at(30)).expect("it crashed");
     assert_eq!(crash.worker, "i-1");
 }
 
@@ -77,3 +89,17 @@
     }
     assert_eq!(told(&log, 100).len(), 8);
 }
+
+#[test]
+fn a_boot_whose_leases_lapsed_crashed_if_its_worker_started_again_under_the_id() {
+    let mut log = CrashLog::default();
+    let before = BootId::new("i-1", Some(1_000));
+    let silent = WorkerView {
+        boot: before.clone(),
+        ..Default::default()
+    };
+    log.note_lapsed(&silent, vec![lost()]);
+    let after = BootId::new("i-1", Some(2_000));
+    let crash = log.note_driven(&after, at(10)).expect("it crashed");
+    assert_eq!(crash.boot(), before);
+}
--- a/crates/wax-batch/src/approvals.rs
+++ b/crates/wax-batch/src/approvals.rs
@@ -83,11 +83,11 @@
             return None;
         }
         let rules = (self.rules.fill_limit(0), &self.rules);
-        let room: Vec<(WorkerKey, &Box<str>)> = self
+        let room: Vec<(WorkerKey, &str)> = self
             .workers
             .iter()
             .filter(|(_, worker)| worker.has_room(&job.queue.service, spec, rules, now))
-            .map(|(key, worker)| (key, &worker.view.id))
+            .map(|(key, worker)| (key, worker.view.boot.worker_id()))
             .collect();
         if room
             .iter()
@@ -101,7 +101,7 @@
             .into_iter()
             .filter(|(key, _)| !denied(key))
             .take(most)
-            .map(|(key, id)| (key, id.clone()))
+            .map(|(key, id)| (key, id.into()))
             .collect();
         let name = format!("{}.{}.{}", job.name, at.occurrence, at.step);
         (!workers.is_empty()).then(|| AdviceAsk {
--- a/crates/wax-batch/src/lib.rs
+++ b/crates/wax-batch/src/lib.rs
@@ -5,6 +5,7 @@
 mod approvals;
 mod blame;
 mod book;
+mod boot;
 mod crashes;
 mod ends;
 mod fit;
@@ -29,6 +30,7 @@
 pub use book::{
     BookNote, JobBook, JobInfo, JobKey, RunSeat, StartOrder, StepAt, StopOrder, TaskAt, WorkerLife,
 };
+pub use boot::BootId;
 pub use crashes::CrashNote;
 pub use ends::StartRefusal;
 pub use life::{JobLife, OccurrenceLife, StepLife, TaskLife, TaskStand};
--- a/crates/wax-batch/src/worker.rs
+++ b/crates/wax-batch/src/worker.rs
@@ -1,5 +1,6 @@
 //! Workers as an owner sees them, and what they report.
 
+use crate::boot::BootId;
 use crate::names::RunMark;
 use crate::spec::TaskSize;
 use std::time::Duration;
@@ -24,8 +25,8 @@
 /// What a worker says of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct WorkerView {
-    /// One boot of a worker; another boot has another id.
-    pub id: Box<str>,
+    /// Which boot of the worker says so.
+    pub boot: BootId,
     /// The service whose tasks it runs.
     pub service: Box<str>,
     /// Its failure domain.
--- a/crates/wax-batch/tests/crash_storm.rs
+++ b/crates/wax-batch/tests/crash_storm.rs
@@ -150,7 +150,7 @@
 
     fn view(number: usize, boot: u32, state: WorkerState) -> WorkerView {
         WorkerView {
-            id: format!("w{number}-{boot}").into(),
+            boot: format!("w{number}-{boot}").as_str().into(),
             service: "svc".into(),
             capacity: wax_batch::TaskSize {
                 cpu_milli: PROCESSORS_MILLI,
--- a/crates/wax-batch/tests/crashes.rs
+++ b/crates/wax-batch/tests/crashes.rs
@@ -262,7 +262,7 @@
     assert_eq!(orders.len(), 1);
     let worker = orders[0].worker;
     let silent = WorkerView {
-        id: "x".into(),
+        boot: "x".into(),
         service: "svc".into(),
         capacity: size(4_000),
         state: WorkerState::Silent,
--- a/crates/wax-batch/tests/drained.rs
+++ b/crates/wax-batch/tests/drained.rs
@@ -11,7 +11,7 @@
 
 fn view_in(id: &str, domain: &str) -> WorkerView {
     WorkerView {
-        id: id.into(),
+        boot: id.into(),
         service: "svc".into(),
         failure_domain: domain.into(),
         rack: Some(format!("rack-{domain}").into()),
--- a/crates/wax-batch/tests/places.rs
+++ b/crates/wax-batch/tests/places.rs
@@ -82,7 +82,7 @@
     let mut book = book(1);
     worker(&mut book, "plain", 8_000);
     let view = wax_batch::WorkerView {
-        id: "special".into(),
+        boot: "special".into(),
         service: "svc".into(),
         labels: vec!["gpu".into(), "r1".into()],
         rack: Some("r1".into()),
@@ -298,7 +298,7 @@
     assert_eq!(orders.len(), 3);
     start_all(&mut book, &orders, at(0));
     let view = wax_batch::WorkerView {
-        id: "leaving".into(),
+        boot: "leaving".into(),
         service: "svc".into(),
         state: wax_batch::WorkerState::Draining,
         remaining_ms: 300,
@@ -410,7 +410,7 @@
 fn racked(book: &mut JobBook, id: &str, rack: &str, cpu_milli: u32) {
     book.worker_joined(
         wax_batch::WorkerView {
-            id: id.into(),
+            boot: id.into(),
             service: "svc".into(),
             labels: vec![rack.into()],
             rack: Some(rack.into()),
--- a/crates/wax-batch/tests/support/mod.rs
+++ b/crates/wax-batch/tests/support/mod.rs
@@ -92,7 +92,7 @@
 pub(crate) fn worker(book: &mut JobBook, id: &str, cpu_milli: u32) -> WorkerKey {
     book.worker_joined(
         WorkerView {
-            id: id.into(),
+            boot: id.into(),
             service: "svc".into(),
             capacity: TaskSize {
                 cpu_milli,
--- a/crates/wax-front/src/owner_link.rs
+++ b/crates/wax-front/src/owner_link.rs
@@ -14,8 +14,8 @@
 use wax_owner::{CandidateRank, OwnerFitness, relay_transaction};
 use wax_types::TimePoint;
 use wax_wire::{
-    BootsDead, ConfigPush, EntryHello, LinkPing, PoolBody, PoolReader, PoolWriter, RelayAsk,
-    split_stream,
+    BootFrame, BootsDead, ConfigPush, EntryHello, LinkPing, PoolBody, PoolReader, PoolWriter,
+    RelayAsk, split_stream,
 };
 
 /// Longest time for a connection and its first answer.
@@ -72,7 +72,8 @@
 /// Links to the owner at `address`; returns where else it may be.
 async fn try_owner(state: &Rc<FrontState>, address: SocketAddr) -> Option<SocketAddr> {
     match timeout(CONNECT_LIMIT, greet(state, address)).await {
-        Ok(Ok(Greeting::Owner(reader, writer, epoch))) => {
+        Ok(Ok(Greeting::Owner(stream, epoch))) => {
+            let (reader, writer) = *stream;
             tracing::info!(owner = %address, "linked to the owner");
             run_link(state, epoch, reader, writer).await;
             tracing::info!(owner = %address, "link to the owner ended");
@@ -103,7 +104,7 @@
 
 enum Greeting {
     /// With the owner's term.
-    Owner(PoolReader, PoolWriter, u64),
+    Owner(Box<(PoolReader, PoolWriter)>, u64),
     Elsewhere(Option<SocketAddr>),
 }
 
@@ -123,7 +124,7 @@
                 let error = "it is of an earlier term than this process";
                 return Err(io::Error::new(io::ErrorKind::InvalidData, error));
             }
-            Ok(Greeting::Owner(reader, writer, welcome.epoch))
+            Ok(Greeting::Owner(Box::new((reader, writer)), welcome.epoch))
         }
         Some(PoolBody::NotOwner(other)) => Ok(Greeting::Elsewhere(other.address.parse().ok())),
         _ => Err(io::Error::new(io::ErrorKind::InvalidData, "no welcome")),
@@ -152,9 +153,9 @@
 
 /// A new owner may wait for workers that this front knows to be gone.
 fn tell_dead(state: &FrontState, outbox: &UnboundedSender<PoolBody>) {
-    let newest = state.shared.gone.borrow().newest();
-    if !newest.is_empty() {
-        let boots = newest.into_iter().map(String::from).collect();
+    let gone = state.shared.gone.borrow();
+    let boots: Vec<BootFrame> = gone.newest().map(Into::into).collect();
+    if !boots.is_empty() {
         // The queue is new: it takes the first message.
         let _ = outbox.unbounded_send(PoolBody::BootsDead(BootsDead { boots }));
     }
@@ -264,7 +265,7 @@
         PoolBody::BootsDead(dead) => {
             let mut gone = state.shared.gone.borrow_mut();
             for boot in &dead.boots {
-                gone.note(boot);
+                gone.note(&boot.into());
             }
         }
         PoolBody::Config(push) => {
--- a/crates/wax-owner/src/agents.rs
+++ b/crates/wax-owner/src/agents.rs
@@ -12,7 +12,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use wax_batch::{CrashVerdict, LostRun, RunEnd, RunMark, RunReport, WorkerKey, WorkerView};
+use wax_batch::{BootId, CrashVerdict, LostRun, RunEnd, RunMark, RunReport, WorkerKey, WorkerView};
 use wax_trace::{Counter, count_many};
 use wax_types::{TimePoint, wall_clock_ms};
 use wax_wire::{
@@ -38,7 +38,7 @@
     // The queue is new: it takes the first message.
     let _ = outbox.unbounded_send(PoolBody::Welcome(welcome));
     open_link(shared, tenure, &node, link, &outbox);
-    tenure.note_dead(shared, &hello.dead);
+    tenure.note_dead(shared, hello.dead.iter().map(BootId::from));
     let writing = spawn(write_link(writer, inbox));
     let link_life = AgentLink {
         shared,
@@ -182,7 +182,7 @@
     /// Takes over a worker's runs, once the store knows that this agent may be given orders.
     async fn worker_up(&self, up: WorkerUp) {
         self.tenure.loaded.wait().await;
-        self.store_row(up.worker.id()).await;
+        self.store_row(&up.worker.boot()).await;
         if self.tenure.over.is_raised() || !self.is_current() {
             return;
         }
@@ -190,7 +190,7 @@
         let view: WorkerView = up.worker.into();
         let runs: Vec<RunReport> = up.runs.iter().map(Into::into).collect();
         let ends: Vec<RunEnd> = up.ends.iter().map(Into::into).collect();
-        let id = view.id.clone();
+        let boot = view.boot.clone();
         let worker = self.join(view, now);
         let mut book = self.tenure.book.borrow_mut();
         book.sync_worker(worker, &runs, &ends, now, now_ms);
@@ -205,28 +205,26 @@
         }
         let cursor = book.acknowledged(worker);
         drop(book);
-        tracing::info!(agent = self.node, worker = %id, runs = runs.len(), ends = ends.len(), "worker taken over");
+        tracing::info!(agent = self.node, worker = %boot, runs = runs.len(), ends = ends.len(), "worker taken over");
         let kept = WorkerKept {
-            worker: id.to_string(),
+            worker: boot.worker_id().into(),
             seats,
+            started_ms: boot.started_ms(),
         };
         self.send(PoolBody::WorkerKept(kept));
         if self.tenure.is_news(up.known_pairs) {
             self.send(PoolBody::Presses(self.tenure.all_presses()));
         }
         // An acknowledgement may have been lost with the link before.
-        self.send(PoolBody::Ack(AckEnds {
-            worker: id.into(),
-            cursor,
-        }));
+        self.send(PoolBody::Ack(AckEnds::new(&boot, cursor)));
         self.tenure.dispatch.notify(usize::MAX);
     }
 
     fn join(&self, view: WorkerView, now: TimePoint) -> WorkerKey {
         let before = self.tenure.agents.borrow().worker(self.node);
-        let id = view.id.clone();
+        let boot = view.boot.clone();
         let key = match before {
-            Some((key, known)) if known == id => {
+            Some((key, known)) if known == boot => {
                 let mut book = self.tenure.book.borrow_mut();
                 book.worker_changed(key, view);
                 book.worker_reachable(key, true);
@@ -241,15 +239,15 @@
         self.tenure
             .agents
             .borrow_mut()
-            .compared(self.node, key, &id);
+            .compared(self.node, key, &boot);
         key
     }
 
     /// Waits until the store says that the worker may be given orders.
-    async fn store_row(&self, worker: &str) {
+    async fn store_row(&self, boot: &BootId) {
         loop {
             let listener = self.tenure.rows_stored.listen();
-            let is_stored = self.tenure.agents.borrow_mut().ask_row(self.node, worker);
+            let is_stored = self.tenure.agents.borrow_mut().ask_row(self.node, boot);
             if is_stored || self.tenure.over.is_raised() || !self.is_current() {
                 return;
             }
@@ -265,7 +263,7 @@
 
     fn worker_changed(&self, view: WorkerView) {
         let known = self.tenure.agents.borrow().worker(self.node);
-        if let Some((key, _)) = known.filter(|(_, id)| *id == view.id) {
+        if let Some((key, _)) = known.filter(|(_, boot)| *boot == view.boot) {
             self.tenure.book.borrow_mut().worker_changed(key, view);
             self.tenure.dispatch.notify(usize::MAX);
         }
@@ -290,7 +288,7 @@
             tracing::info!(
                 task = %note.mark.task,
                 run = note.mark.run,
-                worker = %crash.worker,
+                worker = %crash.boot(),
                 ran_ms = note.ran.as_millis() as u64,
                 crashes = note.crashes,
                 verdict = ?note.verdict,
@@ -301,17 +299,17 @@
     }
 
     fn worker_gone(&self, gone: &WorkerGone) {
+        let boot = gone.boot();
         let key = self
             .tenure
             .agents
             .borrow_mut()
-            .worker_gone(self.node, &gone.worker);
-        tracing::warn!(agent = self.node, worker = %gone.worker, dead = gone.dead, "worker is gone");
+            .worker_gone(self.node, &boot);
+        tracing::warn!(agent = self.node, worker = %boot, dead = gone.dead, "worker is gone");
         self.tenure.write.notify(usize::MAX);
         self.tenure.dispatch.notify(usize::MAX);
         if gone.dead {
-            self.tenure
-                .note_dead(self.shared, std::slice::from_ref(&gone.worker));
+            self.tenure.note_dead(self.shared, [boot]);
         }
         if let Some(key) = key {
             self.tenure.lose_worker(key, self.shared.now());
--- a/crates/wax-owner/src/chain.rs
+++ b/crates/wax-owner/src/chain.rs
@@ -165,18 +165,12 @@
 
 /// What an agent's row is to hold; `None` if it is to go.
 fn agent_row(node: &str, note: &AgentNote) -> Option<AgentRow> {
-    let node = node.to_owned();
     match note {
-        AgentNote::Linked { worker } => Some(AgentRow {
-            node,
-            worker: worker.to_string(),
-            ..Default::default()
-        }),
-        AgentNote::Unlinked { worker, jobs } => Some(AgentRow {
-            node,
-            worker: worker.to_string(),
+        AgentNote::Linked { boot } => Some(AgentRow::linked(node, boot)),
+        AgentNote::Unlinked { boot, jobs } => Some(AgentRow {
             unlinked: true,
             jobs: jobs.iter().map(|job| job.0).collect(),
+            ..AgentRow::linked(node, boot)
         }),
         AgentNote::Gone => None,
     }
--- a/crates/wax-owner/src/dispatch.rs
+++ b/crates/wax-owner/src/dispatch.rs
@@ -5,7 +5,7 @@
 use compio::time::timeout;
 use std::rc::Rc;
 use std::time::Duration;
-use wax_batch::{StartOrder, UnheardRuns, WorkerKey};
+use wax_batch::{BootId, StartOrder, UnheardRuns, WorkerKey};
 use wax_trace::{Counter, Latency, count, note_latency};
 use wax_types::{TimePoint, wall_clock_ms};
 use wax_wire::{AckEnds, PoolBody, SeatFrame, StartRun, StopRun};
@@ -72,11 +72,8 @@
     }
     let cursors = tenure.book.borrow_mut().take_cursors();
     for (worker, cursor) in cursors {
-        let id = worker_id(tenure, worker);
-        let ack = AckEnds {
-            worker: id.into(),
-            cursor,
-        };
+        let boot = worker_boot(tenure, worker);
+        let ack = AckEnds::new(&boot, cursor);
         tenure.tell_worker(worker, PoolBody::Ack(ack));
     }
     if tenure.book.borrow().has_notes() {
@@ -111,9 +108,9 @@
     tenure.strain.set(book.strain(now));
 }
 
-fn worker_id(tenure: &Tenure, worker: WorkerKey) -> Box<str> {
+fn worker_boot(tenure: &Tenure, worker: WorkerKey) -> BootId {
     let agents = tenure.agents.borrow();
-    agents.worker_id(worker).unwrap_or_default().into()
+    agents.boot(worker).cloned().unwrap_or_default()
 }
 
 /// Each step that waits for a new reason, at most once a second a step.
@@ -141,10 +138,11 @@
 fn send_start(tenure: &Tenure, order: &StartOrder) {
     count(Counter::StartsOrdered);
     let step = &order.spec.steps[usize::from(order.mark.task.step)];
+    let boot = worker_boot(tenure, order.worker);
     tracing::info!(
         task = %order.mark.task,
         run = order.mark.run,
-        worker = %worker_id(tenure, order.worker),
+        worker = %boot,
         resumes = !order.checkpoint.is_empty(),
         waited_ms = millis(order.reason.waited),
         hope = order.reason.rank.hope,
@@ -160,7 +158,8 @@
         text: order.spec.text.to_string(),
         checkpoint: order.checkpoint.to_string(),
         ticket: order.ticket.to_string(),
-        worker: worker_id(tenure, order.worker).into(),
+        worker: boot.worker_id().into(),
+        started_ms: boot.started_ms(),
     };
     tenure.tell_worker(order.worker, PoolBody::Start(start));
 }
--- a/crates/wax-owner/src/entries.rs
+++ b/crates/wax-owner/src/entries.rs
@@ -14,7 +14,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use wax_batch::JobName;
+use wax_batch::{BootId, JobName};
 use wax_types::TimePoint;
 use wax_wire::{
     ConfigPush, JobAsk, JobTold, LeaseGrant, LinkPing, OwnerWelcome, PoolBody, PoolReader,
@@ -109,7 +109,7 @@
             Vec::new()
         }
         PoolBody::BootsDead(dead) => {
-            tenure.note_dead(shared, &dead.boots);
+            tenure.note_dead(shared, dead.boots.iter().map(BootId::from));
             Vec::new()
         }
         PoolBody::Config(push) => {
--- a/crates/wax-owner/src/roster.rs
+++ b/crates/wax-owner/src/roster.rs
@@ -8,7 +8,7 @@
 use futures_channel::mpsc::UnboundedSender;
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
-use wax_batch::{JobName, UnheardRuns, WorkerKey};
+use wax_batch::{BootId, JobName, UnheardRuns, WorkerKey};
 use wax_types::TimePoint;
 use wax_wire::PoolBody;
 
@@ -20,18 +20,18 @@
 enum RowStand {
     Absent,
     /// It is to say that this worker may be given orders.
-    Queued(Box<str>),
+    Queued(BootId),
     /// It says that this worker may be given orders.
-    Stored(Box<str>),
+    Stored(BootId),
     /// It says, or is to say, what may run on this worker: the worker gets no orders.
-    Unlinked(Box<str>),
+    Unlinked(BootId),
 }
 
 impl RowStand {
-    fn worker(&self) -> Option<&str> {
+    fn boot(&self) -> Option<&BootId> {
         match self {
             Self::Absent => None,
-            Self::Queued(worker) | Self::Stored(worker) | Self::Unlinked(worker) => Some(worker),
+            Self::Queued(boot) | Self::Stored(boot) | Self::Unlinked(boot) => Some(boot),
         }
     }
 }
@@ -41,13 +41,13 @@
 pub enum AgentNote {
     /// Its worker may be given orders.
     Linked {
-        /// The worker's id.
-        worker: Box<str>,
+        /// The worker's boot.
+        boot: BootId,
     },
     /// Its worker gets no orders until the row says otherwise.
     Unlinked {
-        /// The worker's id.
-        worker: Box<str>,
+        /// The worker's boot.
+        boot: BootId,
         /// Jobs of which a run may be there.
         jobs: BTreeSet<JobName>,
     },
@@ -63,7 +63,7 @@
     outbox: Option<UnboundedSender<PoolBody>>,
     unlinked_at: TimePoint,
     /// Its worker, once its runs were compared in this term.
-    worker: Option<(WorkerKey, Box<str>)>,
+    worker: Option<(WorkerKey, BootId)>,
     /// What may run there of earlier terms, until its runs were compared.
     earlier: Option<UnheardRuns>,
     /// Until when the last grant reaches.
@@ -112,8 +112,8 @@
 impl AgentRoster {
     /// Takes a row of the store at a takeover; all that it speaks of has lapsed by `lapse_at`.
     pub fn load(&mut self, node: &str, row: &AgentRow, lapse_at: TimePoint, gone: &GoneBoots) {
-        let worker: Box<str> = row.worker.as_str().into();
-        if gone.has(&worker) {
+        let boot = row.boot();
+        if gone.has(&boot) {
             self.notes.insert(node.into(), AgentNote::Gone);
             return;
         }
@@ -125,10 +125,10 @@
         if row.unlinked {
             let jobs: HashSet<JobName> = row.jobs.iter().map(|job| JobName(*job)).collect();
             agent.earlier = Some(UnheardRuns::Only(jobs));
-            agent.row = RowStand::Unlinked(worker);
+            agent.row = RowStand::Unlinked(boot);
         } else {
             agent.earlier = Some(UnheardRuns::Any);
-            agent.row = RowStand::Stored(worker);
+            agent.row = RowStand::Stored(boot);
         }
     }
 
@@ -221,18 +221,16 @@
     }
 
     /// Whether the store knows that the worker may be given orders; asks for it to be told if not.
-    pub fn ask_row(&mut self, node: &str, worker: &str) -> bool {
+    pub fn ask_row(&mut self, node: &str, boot: &BootId) -> bool {
         let Some(agent) = self.agents.get_mut(node) else {
             return true;
         };
         match &agent.row {
-            RowStand::Stored(known) if **known == *worker => true,
-            RowStand::Queued(known) if **known == *worker => false,
+            RowStand::Stored(known) if known == boot => true,
+            RowStand::Queued(known) if known == boot => false,
             _ => {
-                agent.row = RowStand::Queued(worker.into());
-                let note = AgentNote::Linked {
-                    worker: worker.into(),
-                };
+                agent.row = RowStand::Queued(boot.clone());
+                let note = AgentNote::Linked { boot: boot.clone() };
                 self.notes.insert(node.into(), note);
                 false
             }
@@ -245,24 +243,24 @@
         &mut self,
         node: &str,
         worker: WorkerKey,
-        id: &str,
-    ) -> Option<(WorkerKey, Box<str>)> {
+        boot: &BootId,
+    ) -> Option<(WorkerKey, BootId)> {
         let agent = self.agents.get_mut(node)?;
         agent.lapse_at = None;
         agent.earlier = None;
-        agent.worker.replace((worker, id.into()))
+        agent.worker.replace((worker, boot.clone()))
     }
 
     /// The worker of an agent, if its runs were compared in this term.
-    pub fn worker(&self, node: &str) -> Option<(WorkerKey, Box<str>)> {
+    pub fn worker(&self, node: &str) -> Option<(WorkerKey, BootId)> {
         self.agents.get(node)?.worker.clone()
     }
 
     /// The agent says that nothing runs on a worker any more; returns it if it was known.
-    pub fn worker_gone(&mut self, node: &str, id: &str) -> Option<WorkerKey> {
+    pub fn worker_gone(&mut self, node: &str, boot: &BootId) -> Option<WorkerKey> {
         let agent = self.agents.get_mut(node)?;
-        let key = agent.worker.take_if(|(_, known)| **known == *id);
-        let was_unheard = agent.earlier.is_some() && agent.row.worker() == Some(id);
+        let key = agent.worker.take_if(|(_, known)| known.may_be(boot));
+        let was_unheard = agent.earlier.is_some() && agent.row.boot() == Some(boot);
         if key.is_some() || was_unheard {
             agent.earlier = None;
             agent.lapse_at = None;
@@ -274,17 +272,17 @@
     }
 
     /// A boot of a worker is dead for good, whoever says so; returns its agent if it was waited for.
-    pub fn boot_dead(&mut self, id: &str) -> Option<Box<str>> {
-        if id.is_empty() {
+    pub fn boot_dead(&mut self, boot: &BootId) -> Option<Box<str>> {
+        if boot.worker_id().is_empty() {
             // Rows of older versions name no worker.
             return None;
         }
         let unheard = self
             .agents
             .iter()
-            .find(|(_, agent)| agent.earlier.is_some() && agent.row.worker() == Some(id));
+            .find(|(_, agent)| agent.earlier.is_some() && agent.row.boot() == Some(boot));
         let node = unheard.map(|(node, _)| node.clone())?;
-        self.worker_gone(&node, id);
+        self.worker_gone(&node, boot);
         if self
             .agents
             .get(&node)
@@ -330,15 +328,15 @@
     ) {
         for (node, agent) in &mut self.agents {
             let is_away = agent.outbox.is_none() && now.since(agent.unlinked_at) >= UNLINKED_AFTER;
-            let Some((key, id)) = agent.worker.as_ref().filter(|_| is_away) else {
+            let Some((key, boot)) = agent.worker.as_ref().filter(|_| is_away) else {
                 continue;
             };
             if !matches!(agent.row, RowStand::Stored(_)) {
                 continue;
             }
-            agent.row = RowStand::Unlinked(id.clone());
+            agent.row = RowStand::Unlinked(boot.clone());
             let note = AgentNote::Unlinked {
-                worker: id.clone(),
+                boot: boot.clone(),
                 jobs: jobs_on(*key),
             };
             self.notes.insert(node.clone(), note);
@@ -369,13 +367,13 @@
     /// The store has these notes.
     pub fn notes_stored(&mut self, notes: &[(Box<str>, AgentNote)]) {
         for (node, note) in notes {
-            let AgentNote::Linked { worker } = note else {
+            let AgentNote::Linked { boot } = note else {
                 continue;
             };
             if let Some(agent) = self.agents.get_mut(node)
-                && agent.row == RowStand::Queued(worker.clone())
+                && agent.row == RowStand::Queued(boot.clone())
             {
-                agent.row = RowStand::Stored(worker.clone());
+                agent.row = RowStand::Stored(boot.clone());
             }
         }
     }
@@ -390,13 +388,15 @@
         agent.outbox.as_ref()
     }
 
-    /// The id of a worker.
-    pub fn worker_id(&self, worker: WorkerKey) -> Option<&str> {
+    /// The boot of a worker.
+    pub fn boot(&self, worker: WorkerKey) -> Option<&BootId> {
         let mut workers = self
             .agents
             .values()
             .filter_map(|agent| agent.worker.as_ref());
-        workers.find(|(key, _)| *key == worker).map(|(_, id)| &**id)
+        workers
+            .find(|(key, _)| *key == worker)
+            .map(|(_, boot)| boot)
     }
 
     /// The queues towards all agents that are linked.
--- a/crates/wax-owner/src/rows.rs
+++ b/crates/wax-owner/src/rows.rs
@@ -2,7 +2,7 @@
 
 use platform::RowKey;
 use prost::Message;
-use wax_batch::JobName;
+use wax_batch::{BootId, JobName};
 
 /// Who owns the shard; changes at a takeover only.
 pub const OWNER_TABLE: &str = "owner";
@@ -70,6 +70,26 @@
     /// If so: the jobs of which a run may be there.
     #[prost(fixed64, repeated, tag = "4")]
     pub jobs: Vec<u64>,
+    /// When the worker's boot started, Unix milliseconds, if that is known.
+    #[prost(uint64, optional, tag = "5")]
+    pub started_ms: Option<u64>,
+}
+
+impl AgentRow {
+    /// The row of an agent whose worker may be given orders.
+    pub(crate) fn linked(node: &str, boot: &BootId) -> Self {
+        Self {
+            node: node.into(),
+            worker: boot.worker_id().into(),
+            started_ms: boot.started_ms(),
+            ..Default::default()
+        }
+    }
+
+    /// The boot of its worker.
+    pub(crate) fn boot(&self) -> BootId {
+        BootId::new(&*self.worker, self.started_ms)
+    }
 }
 
 /// The key of the owner's row.
--- a/crates/wax-owner/src/tenure.rs
+++ b/crates/wax-owner/src/tenure.rs
@@ -11,12 +11,12 @@
 use std::collections::HashMap;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
-use wax_batch::{JobBook, JobName, JobOutcome, WorkerKey};
+use wax_batch::{BootId, JobBook, JobName, JobOutcome, WorkerKey};
 use wax_http::ShutdownSignal;
 use wax_policy::DrainView;
 use wax_trace::{Counter, count};
 use wax_types::{TimePoint, wall_clock_ms};
-use wax_wire::{BootsDead, PoolBody, PressFrame, PressNews, RelayTold};
+use wax_wire::{BootFrame, BootsDead, PoolBody, PressFrame, PressNews, RelayTold};
 
 /// What a caller may be told of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -313,13 +313,13 @@
     }
 
     /// Boots of workers are dead for good: nobody waits for them, here or at the next takeover.
-    pub(crate) fn note_dead(&self, shared: &PoolShared, boots: &[String]) {
+    pub(crate) fn note_dead(&self, shared: &PoolShared, boots: impl IntoIterator<Item = BootId>) {
         let mut news = Vec::new();
         for boot in boots {
-            if shared.gone.borrow_mut().note(boot) {
-                news.push(boot.clone());
+            if shared.gone.borrow_mut().note(&boot) {
+                news.push(BootFrame::from(&boot));
             }
-            let waited_for = self.agents.borrow_mut().boot_dead(boot);
+            let waited_for = self.agents.borrow_mut().boot_dead(&boot);
             if let Some(node) = waited_for {
                 tracing::info!(agent = %node, worker = %boot, "no longer waited for: its worker is gone");
                 self.write.notify(usize::MAX);
--- a/crates/wax-owner/tests/roster.rs
+++ b/crates/wax-owner/tests/roster.rs
@@ -3,7 +3,7 @@
 use futures_channel::mpsc::{UnboundedSender, unbounded};
 use slotmap::SlotMap;
 use std::collections::BTreeSet;
-use wax_batch::{JobName, UnheardRuns, WorkerKey};
+use wax_batch::{BootId, JobName, UnheardRuns, WorkerKey};
 use wax_owner::{AgentNote, AgentRoster, AgentRow, GoneBoots, OwnerSpans};
 use wax_types::TimePoint;
 use wax_wire::PoolBody;
@@ -24,6 +24,11 @@
     SlotMap::<WorkerKey, ()>::with_key().insert(())
 }
 
+/// A boot that doesn't tell its start time.
+fn boot(worker: &str) -> BootId {
+    worker.into()
+}
+
 fn row(worker: &str) -> AgentRow {
     AgentRow {
         node: "side".into(),
@@ -78,11 +83,14 @@
     /// Links an agent, has its worker's row stored and its runs compared.
     fn join(&mut self, node: &str, link: u64, worker: (WorkerKey, &str), millis: u64) {
         self.open(node, link, millis);
-        self.roster.ask_row(node, worker.1);
+        self.roster.ask_row(node, &boot(worker.1));
         let notes = self.roster.take_notes(100);
         self.roster.notes_stored(&notes);
-        assert!(self.roster.ask_row(node, worker.1), "the store knows it");
-        self.roster.compared(node, worker.0, worker.1);
+        assert!(
+            self.roster.ask_row(node, &boot(worker.1)),
+            "the store knows it"
+        );
+        self.roster.compared(node, worker.0, &boot(worker.1));
     }
 }
 
@@ -100,7 +108,7 @@
 fn an_agent_that_goes_before_its_first_order_leaves_no_row() {
     let mut case = Case::new();
     case.open("side-1", 1, 0);
-    assert!(!case.roster.ask_row("side-1", "w1"));
+    assert!(!case.roster.ask_row("side-1", &boot("w1")));
     let asked = case.roster.take_notes(100);
     assert_eq!(asked.len(), 1);
     case.close("side-1", 1, 50);
@@ -131,9 +139,9 @@
         case.load("side-2", &row("w2"));
         if by_agent {
             case.open("side-1", 1, 0);
-            case.roster.worker_gone("side-1", "w1");
+            case.roster.worker_gone("side-1", &boot("w1"));
         } else {
-            let waited_for = case.roster.boot_dead("w1");
+            let waited_for = case.roster.boot_dead(&boot("w1"));
             assert_eq!(waited_for.as_deref(), Some("side-1"));
         }
         assert_eq!(case.roster.unheard_agents(), 1, "but for the other one");
@@ -144,7 +152,7 @@
 #[test]
 fn a_worker_that_left_before_the_takeover_is_not_waited_for() {
     let mut dead = GoneBoots::default();
-    dead.note("w1");
+    dead.note(&boot("w1"));
     let mut case = Case::new();
     case.roster.load("side-1", &row("w1"), at(15_000), &dead);
     assert!(case.roster.unheard().is_none());
@@ -157,8 +165,8 @@
     let mut case = Case::new();
     case.load("side-1", &row("w1"));
     case.join("side-1", 1, (key, "w2"), 0);
-    assert_eq!(case.roster.boot_dead("w1"), None);
-    assert!(case.roster.worker_gone("side-1", "w1").is_none());
+    assert_eq!(case.roster.boot_dead(&boot("w1")), None);
+    assert!(case.roster.worker_gone("side-1", &boot("w1")).is_none());
     assert!(case.roster.outbox(key).is_some(), "it gets orders");
 }
 
@@ -172,9 +180,9 @@
     case.roster.note_unlinked(at(1_500), jobs);
     assert!(!case.roster.has_notes(), "links break and are back");
     case.roster.note_unlinked(at(2_100), jobs);
-    let worker: Box<str> = "w1".into();
+    let boot = boot("w1");
     let jobs = BTreeSet::from([JobName(7)]);
-    let note = AgentNote::Unlinked { worker, jobs };
+    let note = AgentNote::Unlinked { boot, jobs };
     assert_eq!(case.roster.take_notes(100), vec![("side-1".into(), note)]);
 }
 
@@ -189,14 +197,17 @@
     let away = case.roster.take_notes(100);
     // The link is back while that is written.
     case.open("side-1", 2, 2_150);
-    assert!(!case.roster.ask_row("side-1", "w1"));
+    assert!(!case.roster.ask_row("side-1", &boot("w1")));
     case.roster.notes_stored(&away);
-    assert!(!case.roster.ask_row("side-1", "w1"), "not stored yet");
+    assert!(
+        !case.roster.ask_row("side-1", &boot("w1")),
+        "not stored yet"
+    );
     assert!(case.roster.outbox(key).is_none());
     let back = case.roster.take_notes(100);
     case.roster.notes_stored(&back);
-    assert!(case.roster.ask_row("side-1", "w1"));
-    case.roster.compared("side-1", key, "w1");
+    assert!(case.roster.ask_row("side-1", &boot("w1")));
+    case.roster.compared("side-1", key, &boot("w1"));
     assert!(case.roster.outbox(key).is_some());
 }
 
@@ -215,7 +226,11 @@
     let mut case = Case::new();
     case.load("side-1", &AgentRow::default());
     assert_eq!(case.roster.unheard(), UnheardRuns::Any);
-    assert_eq!(case.roster.boot_dead(""), None, "no boot is named so");
+    assert_eq!(
+        case.roster.boot_dead(&boot("")),
+        None,
+        "no boot is named so"
+    );
 }
 
 /// Another owner may have heard the agent and extended its leases while this one could not know it.
@@ -237,7 +252,7 @@
     for number in 0..250 {
         let node = format!("side-{number}");
         case.open(&node, number, 0);
-        case.roster.ask_row(&node, &format!("w{number}"));
+        case.roster.ask_row(&node, &boot(&format!("w{number}")));
     }
     let mut taken = 0;
     while case.roster.has_notes() {
@@ -263,3 +278,30 @@
     let lapsed = case.roster.drop_lapsed(bound, bound);
     assert_eq!(lapsed.workers, [worker]);
 }
+
+/// A worker that crashed and started again under its id: the next owner's row speaks of the later boot.
+#[test]
+fn the_word_that_a_boot_is_dead_says_nothing_of_the_next_boot_under_its_id() {
+    let before = BootId::new("w1", Some(1_000));
+    let started = |started_ms| AgentRow {
+        started_ms,
+        ..row("w1")
+    };
+    let mut gone = GoneBoots::default();
+    assert!(gone.note(&before));
+    let mut case = Case::new();
+    case.roster
+        .load("side-1", &started(Some(2_000)), at(15_000), &gone);
+    assert_eq!(case.roster.boot_dead(&before), None);
+    assert_eq!(
+        case.roster.unheard_agents(),
+        1,
+        "the later boot is waited for"
+    );
+    case.roster
+        .load("side-2", &started(None), at(15_000), &gone);
+    assert_eq!(case.roster.unheard_agents(), 2, "it may be either boot");
+    case.roster
+        .load("side-3", &started(Some(1_000)), at(15_000), &gone);
+    assert_eq!(case.roster.unheard_agents(), 2, "this one is dead");
+}
--- a/crates/wax-wire/src/lib.rs
+++ b/crates/wax-wire/src/lib.rs
@@ -23,5 +23,7 @@
     PressFrame, PressNews, RoomFrame, RunNews, SeatFrame, StartRun, StopRun, WorkerGone,
     WorkerKept, WorkerUp,
 };
-pub use pool_parts::{EndFrame, LostFrame, MarkFrame, RefusalFrame, ReportFrame, WorkerFrame};
+pub use pool_parts::{
+    BootFrame, EndFrame, LostFrame, MarkFrame, RefusalFrame, ReportFrame, WorkerFrame,
+};
 pub use relay::{ExpectFrame, RelayAsk, RelayFate, RelayTold, RowFrame};
--- a/crates/wax-wire/src/pool.rs
+++ b/crates/wax-wire/src/pool.rs
@@ -1,10 +1,12 @@
 //! Messages between the owner of a shard, the agents beside workers, and entries.
 
-use crate::pool_parts::{EndFrame, LostFrame, MarkFrame, RefusalFrame, ReportFrame, WorkerFrame};
+use crate::pool_parts::{
+    BootFrame, EndFrame, LostFrame, MarkFrame, RefusalFrame, ReportFrame, WorkerFrame,
+};
 use crate::relay::{RelayAsk, RelayTold};
 use prost::{Message, Oneof};
 use std::time::Duration;
-use wax_batch::TaskSize;
+use wax_batch::{BootId, TaskSize};
 use wax_policy::{DrainView, PairPress};
 use wax_types::TimePoint;
 
@@ -106,8 +108,8 @@
     #[prost(string, tag = "1")]
     pub node: String,
     /// Boots of its worker that it knows to be dead for good.
-    #[prost(string, repeated, tag = "2")]
-    pub dead: Vec<String>,
+    #[prost(message, repeated, tag = "3")]
+    pub dead: Vec<BootFrame>,
 }
 
 /// First message of an entry.
@@ -229,6 +231,44 @@
     }
 }
 
+/// Messages that name a boot of a worker by its id and its start time.
+macro_rules! names_boot {
+    ($($frame:ident),*) => {
+        $(
+            impl $frame {
+                /// The boot that is meant.
+                pub fn boot(&self) -> BootId {
+                    BootId::new(&*self.worker, self.started_ms)
+                }
+            }
+        )*
+    };
+}
+
+names_boot!(WorkerKept, WorkerGone, BootCrashed, StartRun, AckEnds);
+
+impl WorkerGone {
+    /// Says that all that ran on a boot has ended.
+    pub fn new(boot: &BootId, dead: bool) -> Self {
+        Self {
+            worker: boot.worker_id().into(),
+            dead,
+            started_ms: boot.started_ms(),
+        }
+    }
+}
+
+impl AckEnds {
+    /// Says that a boot's ends up to a number are in the store.
+    pub fn new(boot: &BootId, cursor: u64) -> Self {
+        Self {
+            worker: boot.worker_id().into(),
+            cursor,
+            started_ms: boot.started_ms(),
+        }
+    }
+}
+
 /// All that a worker runs and has ended, as of one moment.
 #[derive(Clone, PartialEq, Message)]
 pub struct WorkerUp {
@@ -292,6 +332,9 @@
     /// The runs that were named, with what is known of them.
     #[prost(message, repeated, tag = "2")]
     pub seats: Vec<SeatFrame>,
+    /// When its boot started, Unix milliseconds, if that is known.
+    #[prost(uint64, optional, tag = "3")]
+    pub started_ms: Option<u64>,
 }
 
 /// All that ran on the worker has surely ended.
@@ -303,6 +346,9 @@
     /// Whether this boot is dead for good; else only its leases have lapsed.
     #[prost(bool, tag = "2")]
     pub dead: bool,
+    /// When its boot started, Unix milliseconds, if that is known.
+    #[prost(uint64, optional, tag = "3")]
+    pub started_ms: Option<u64>,
 }
 
 /// A boot of a worker ended without a word that it would.
@@ -314,14 +360,17 @@
     /// The runs that were there.
     #[prost(message, repeated, tag = "2")]
     pub runs: Vec<LostFrame>,
+    /// When its boot started, Unix milliseconds, if that is known.
+    #[prost(uint64, optional, tag = "3")]
+    pub started_ms: Option<u64>,
 }
 
 /// Boots of workers that are dead for good: nothing runs there, now or later.
 #[derive(Clone, PartialEq, Message)]
 pub struct BootsDead {
-    /// Their ids.
-    #[prost(string, repeated, tag = "1")]
-    pub boots: Vec<String>,
+    /// Which.
+    #[prost(message, repeated, tag = "2")]
+    pub boots: Vec<BootFrame>,
 }
 
 /// What became of runs since the last news.
@@ -359,6 +408,9 @@
     /// The worker for which it is meant.
     #[prost(string, tag = "5")]
     pub worker: String,
+    /// When its boot started, Unix milliseconds, if that is known.
+    #[prost(uint64, optional, tag = "6")]
+    pub started_ms: Option<u64>,
 }
 
 /// An order to stop a run.
@@ -378,6 +430,9 @@
     /// The number.
     #[prost(uint64, tag = "2")]
     pub cursor: u64,
+    /// When its boot started, Unix milliseconds, if that is known.
+    #[prost(uint64, optional, tag = "3")]
+    pub started_ms: Option<u64>,
 }
 
 /// Asks for a job, or for a queue if it is named.
--- a/crates/wax-wire/src/pool_parts.rs
+++ b/crates/wax-wire/src/pool_parts.rs
@@ -3,8 +3,8 @@
 use prost::Message;
 use std::time::Duration;
 use wax_batch::{
-    JobName, LostRun, RunEnd, RunEndKind, RunMark, RunReport, StartRefusal, TaskName, TaskSize,
-    WorkerState, WorkerView,
+    BootId, JobName, LostRun, RunEnd, RunEndKind, RunMark, RunReport, StartRefusal, TaskName,
+    TaskSize, WorkerState, WorkerView,
 };
 
 /// A run of a task.
@@ -75,19 +75,45 @@
     remaining_ms: u32,
     #[prost(bool, tag = "12")]
     silent: bool,
+    #[prost(uint64, optional, tag = "13")]
+    started_ms: Option<u64>,
 }
 
 impl WorkerFrame {
-    /// The worker's id.
-    pub fn id(&self) -> &str {
-        &self.id
+    /// The boot that speaks.
+    pub fn boot(&self) -> BootId {
+        BootId::new(&*self.id, self.started_ms)
+    }
+}
+
+/// A boot of a worker.
+#[derive(Clone, PartialEq, Message)]
+pub struct BootFrame {
+    #[prost(string, tag = "1")]
+    worker: String,
+    #[prost(uint64, optional, tag = "2")]
+    started_ms: Option<u64>,
+}
+
+impl From<&BootId> for BootFrame {
+    fn from(boot: &BootId) -> Self {
+        Self {
+            worker: boot.worker_id().into(),
+            started_ms: boot.started_ms(),
+        }
+    }
+}
+
+impl From<&BootFrame> for BootId {
+    fn from(frame: &BootFrame) -> Self {
+        Self::new(&*frame.worker, frame.started_ms)
     }
 }
 
 impl From<&WorkerView> for WorkerFrame {
     fn from(view: &WorkerView) -> Self {
         Self {
-            id: view.id.to_string(),
+            id: view.boot.worker_id().into(),
             service: view.service.to_string(),
             failure_domain: view.failure_domain.to_string(),
             rack: view.rack.as_deref().map(Into::into),
@@ -99,6 +125,7 @@
             cold_ms: view.cold_ms,
             remaining_ms: view.remaining_ms,
             silent: view.state == WorkerState::Silent,
+            started_ms: view.boot.started_ms(),
         }
     }
 }
@@ -106,7 +133,7 @@
 impl From<WorkerFrame> for WorkerView {
     fn from(frame: WorkerFrame) -> Self {
         Self {
-            id: frame.id.into(),
+            boot: frame.boot(),
             service: frame.service.into(),
             failure_domain: frame.failure_domain.into(),
             rack: frame.rack.map(Into::into),
--- a/crates/wax-wire/tests/pool.rs
+++ b/crates/wax-wire/tests/pool.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 use tokio_util::codec::{Decoder, Encoder};
 use wax_batch::{
-    JobName, LostRun, RunEnd, RunEndKind, RunMark, RunReport, StartRefusal, TaskName, TaskSize,
-    WorkerState, WorkerView,
+    BootId, JobName, LostRun, RunEnd, RunEndKind, RunMark, RunReport, StartRefusal, TaskName,
+    TaskSize, WorkerState, WorkerView,
 };
 use wax_policy::PairPress;
 use wax_wire::*;
@@ -22,9 +22,13 @@
     }
 }
 
+fn boot() -> BootId {
+    BootId::new("i-1", Some(7))
+}
+
 fn view() -> WorkerView {
     WorkerView {
-        id: "i-1".into(),
+        boot: boot(),
         service: "svc".into(),
         failure_domain: "a".into(),
         rack: Some("r1".into()),
@@ -104,7 +108,7 @@
 }
 
 survives! {
-    agent_hello: PoolBody::AgentHello(AgentHello { node: "side-1".into(), dead: vec!["i-0".into()] }),
+    agent_hello: PoolBody::AgentHello(AgentHello { node: "side-1".into(), dead: vec![(&boot()).into()] }),
     entry_hello: PoolBody::EntryHello(EntryHello {
         node: "edge-1".into(),
         address: "10.0.0.1:7700".into(),
@@ -139,9 +143,9 @@
         ends: vec![(&end()).into()],
         known_pairs: 480,
     }),
-    worker_kept: PoolBody::WorkerKept(WorkerKept { worker: "i-1".into(), seats: vec![seat()] }),
+    worker_kept: PoolBody::WorkerKept(WorkerKept { worker: "i-1".into(), seats: vec![seat()], started_ms: Some(7) }),
     worker_changed: PoolBody::WorkerChanged((&view()).into()),
-    worker_gone: PoolBody::WorkerGone(WorkerGone { worker: "i-1".into(), dead: true }),
+    worker_gone: PoolBody::WorkerGone(WorkerGone::new(&boot(), true)),
     news: PoolBody::News(RunNews {
         started: vec![mark().into()],
         refused: vec![RefusalFrame::new(mark(), StartRefusal::Unwell)],
@@ -154,9 +158,10 @@
         checkpoint: "".into(),
         ticket: "t".into(),
         worker: "i-1".into(),
+        started_ms: Some(7),
     }),
     stop: PoolBody::Stop(StopRun { mark: mark().into() }),
-    ack: PoolBody::Ack(AckEnds { worker: "i-1".into(), cursor: 57 }),
+    ack: PoolBody::Ack(AckEnds::new(&boot(), 57)),
     ask: PoolBody::Ask(JobAsk { ask: 1, job: 2, queue: "q".into() }),
     told: PoolBody::Told(JobTold { ask: 1, known: true, outcome: 1, begun: true, pending: 4 }),
     config: PoolBody::Config(ConfigPush { text: b"{}".to_vec() }),
@@ -168,6 +173,7 @@
     boot_crashed: PoolBody::BootCrashed(BootCrashed {
         worker: "i-1".into(),
         runs: vec![(&lost()).into(), (&LostRun { ran: None, ..lost() }).into()],
+        started_ms: None,
     }),
 }
 
@@ -178,6 +184,9 @@
     assert_eq!(RunReport::from(&ReportFrame::from(&report())), report());
     assert_eq!(RunEnd::from(&EndFrame::from(&end())), end());
     assert_eq!(LostRun::from(&LostFrame::from(&lost())), lost());
+    for boot in [boot(), "i-1".into()] {
+        assert_eq!(BootId::from(&BootFrame::from(&boot)), boot);
+    }
     for why in [
         StartRefusal::Room,
         StartRefusal::Unwell,
--- a/tests/pool/links.rs
+++ b/tests/pool/links.rs
@@ -56,7 +56,7 @@
 
     fn tell_worker(&self, ends: &[RunEnd]) {
         let view = WorkerView {
-            id: WORKER.into(),
+            boot: WORKER.into(),
             service: "svc".into(),
             capacity: TaskSize {
                 cpu_milli: 4_000,
--- a/tests/pool/many_agents.rs
+++ b/tests/pool/many_agents.rs
@@ -65,10 +65,7 @@
     }
 
     fn leave(&self) {
-        let gone = WorkerGone {
-            worker: self.worker.clone(),
-            dead: true,
-        };
+        let gone = WorkerGone::new(&self.worker.as_str().into(), true);
         self.outbox
             .unbounded_send(PoolBody::WorkerGone(gone))
             .expect("the link stands");
@@ -86,7 +83,7 @@
 
 fn worker_up(id: &str) -> PoolBody {
     let view = WorkerView {
-        id: id.into(),
+        boot: id.into(),
         service: "other".into(),
         capacity: TaskSize {
             cpu_milli: 1_000,
