Tests that fail: orders for a boot that reach the next one under its id

A call names a worker by its id, so that a restarted worker takes calls that are meant for the boot before: a start that was sent before the restart was known, and any order that the platform carries out late.

--- a/tests/pool/restarts.rs
+++ b/tests/pool/restarts.rs
@@ -1,6 +1,6 @@
 //! Workers that restart under the id that they had.
 
-use crate::site::{Site, job, name, run, wait_for};
+use crate::site::{RestartClock, Site, job, name, run, wait_for};
 use serde_json::{Value, json};
 
 /// Enough tasks that every worker has ended more of them than it is given after its restart.
@@ -19,32 +19,90 @@
 }
 
 /// The ends of a boot are numbered from 1 again.
+async fn end_on_restarted(test: &str, clock: RestartClock) {
+    let mut site = Site::start(test, 1, 2).await;
+    site.submit(&name(1), &job(1, FIRST_TASKS, 50)).await;
+    site.wait_state(&name(1), "completed").await;
+    site.restart_worker(0, clock).await;
+    wait_ordered(&site, 0).await;
+    site.submit(&name(2), &job(1, 8, 300)).await;
+    site.wait_state(&name(2), "completed").await;
+    assert_eq!(site.starts(&name(2)).await, 8, "starts of eight tasks");
+    site.audit().await;
+}
+
+async fn lasting_on_restarted(test: &str, clock: RestartClock) {
+    let mut site = Site::start(test, 1, 1).await;
+    site.submit(&name(1), &lasting_job(2)).await;
+    site.wait_running(&name(1)).await;
+    site.restart_worker(0, clock).await;
+    wait_for("both tasks to run again", || async {
+        (site.starts(&name(1)).await == 2).then_some(())
+    })
+    .await;
+    site.audit().await;
+}
+
+macro_rules! restart_clocks {
+    ($($name:ident: $case:ident, $clock:ident;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                run($case(stringify!($name), RestartClock::$clock));
+            }
+        )*
+    };
+}
+
+restart_clocks! {
+    an_end_on_a_worker_restarted_under_its_id_counts_once: end_on_restarted, Ahead;
+    an_end_on_a_worker_whose_clock_starts_anew_counts_once: end_on_restarted, Anew;
+    a_lasting_task_runs_again_after_its_worker_restarted_under_its_id: lasting_on_restarted, Ahead;
+    a_lasting_task_runs_again_after_its_workers_clock_started_anew: lasting_on_restarted, Anew;
+}
+
+/// The agent sends the start when it no longer is the boot before that takes it.
 #[test]
-fn an_end_on_a_worker_restarted_under_its_id_counts_once() {
+fn a_start_that_reaches_the_next_boot_under_the_id_does_not_run_twice() {
     run(async {
-        let mut site = Site::start("restart-ends", 1, 2).await;
-        site.submit(&name(1), &job(1, FIRST_TASKS, 50)).await;
-        site.wait_state(&name(1), "completed").await;
-        site.restart_worker(0).await;
-        wait_ordered(&site, 0).await;
-        site.submit(&name(2), &job(1, 8, 300)).await;
+        let mut site = Site::start("restart-start", 1, 2).await;
+        site.wait_logs("front-0", "worker taken over", 2).await;
+        site.signal_agent(0, libc::SIGSTOP);
+        // Half of the room: what was taken for lost is started on the other worker at once.
+        site.submit(&name(2), &job(1, 4, 1_500)).await;
+        wait_for("all starts to be ordered", || async {
+            let tasks = (0..4).map(|index| format!("{}.0.0.{index}", name(2)));
+            let ordered = tasks.filter(|task| site.starts_ordered(task) > 0);
+            (ordered.count() == 4).then_some(())
+        })
+        .await;
+        site.restart_worker(0, RestartClock::Anew).await;
+        site.wait_worker(0).await;
+        // The next boot gets its orders late, so that there is time to start its runs elsewhere.
+        site.store_faults(json!({ "delay_ms": 700 })).await;
+        site.signal_agent(0, libc::SIGCONT);
         site.wait_state(&name(2), "completed").await;
-        assert_eq!(site.starts(&name(2)).await, 8, "starts of eight tasks");
         site.audit().await;
     });
 }
 
+/// The platform may carry out an order seconds late, by then on the next boot.
 #[test]
-fn a_lasting_task_runs_again_after_its_worker_restarted_under_its_id() {
+fn an_order_for_the_boot_before_is_fenced_off_after_a_restart_under_its_id() {
     run(async {
-        let mut site = Site::start("restart-lasting", 1, 1).await;
-        site.submit(&name(1), &lasting_job(2)).await;
-        site.wait_running(&name(1)).await;
-        site.restart_worker(0).await;
-        wait_for("both tasks to run again", || async {
-            (site.starts(&name(1)).await == 2).then_some(())
-        })
-        .await;
-        site.audit().await;
+        let mut site = Site::start("restart-fence", 1, 1).await;
+        let before = wait_ordered(&site, 0).await;
+        site.restart_worker(0, RestartClock::Anew).await;
+        wait_ordered(&site, 0).await;
+        site.submit(&name(1), &job(1, 1, 50)).await;
+        site.wait_state(&name(1), "completed").await;
+        let task = format!("{}.0.0.0", name(2));
+        let start = json!({ "task": task, "run": 1, "spec": "", "deadlineMs": 5_000_000, "fencingToken": before });
+        let hold = json!({ "fencingToken": before, "ackCursor": 1_000 });
+        for (path, order) in [("run-start", start), ("hold", hold)] {
+            let answer = site.order_worker(0, path, &order).await;
+            let (status, reason) = (answer.status, answer.json()["reason"].clone());
+            assert_eq!((status, reason), (409, json!("fence")), "{path}");
+        }
     });
 }
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -115,6 +115,15 @@
     pub(crate) peers: SocketAddr,
 }
 
+/// What the clock of a restarted worker shows.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum RestartClock {
+    /// It counts from its start.
+    Anew,
+    /// It is further than any lease of the boot before reaches.
+    Ahead,
+}
+
 /// One machine with a worker and its agent.
 pub(crate) struct Machine {
     pub(crate) agent: Option<SiteProcess>,
@@ -421,11 +430,15 @@
         self.spawn_worker(number, domain, PROCESSOR_MILLI, &[]);
     }
 
-    /// Kills a worker and starts it under the same id. Its clock is ahead of the one before.
-    pub(crate) async fn restart_worker(&mut self, number: usize) {
+    /// Kills a worker and starts it under the same id.
+    pub(crate) async fn restart_worker(&mut self, number: usize, clock: RestartClock) {
         self.kill_worker(number).await;
         let restarts = self.machines[number].restarts + 1;
-        let clock_ms = (CLOCK_AHEAD_MS * u64::from(restarts)).to_string();
+        let clock_ms = match clock {
+            RestartClock::Anew => 0,
+            RestartClock::Ahead => CLOCK_AHEAD_MS * u64::from(restarts),
+        };
+        let clock_ms = clock_ms.to_string();
         self.start_worker_again(number, PROCESSOR_MILLI, &["--clock-ms", &clock_ms]);
     }
 
@@ -593,6 +606,17 @@
         assert_eq!(answer.status, 200);
     }
 
+    /// Waits until a worker's process takes calls.
+    pub(crate) async fn wait_worker(&self, number: usize) {
+        self.history(number).await;
+    }
+
+    /// Sends a worker an order beside its agent's.
+    pub(crate) async fn order_worker(&self, number: usize, order: &str, body: &Value) -> Answer {
+        let url = format!("http://{}/v1/{order}", self.machines[number].app);
+        post_json(&url, body).await.expect("the worker answers")
+    }
+
     fn url(&self, front: usize, job: &str) -> String {
         format!("http://{}/g/{job}", self.fronts[front].callers)
     }
