The next boot under an id is fenced off from orders for the one before

What callers saw: not seen in the record; reproduced. A task ran on two workers. Cause: a call names a worker by its id, so that a restarted worker takes a start that was sent before the restart was known, or that the platform carries out late; the agent counted its run as lost with the boot before, and the owner started the task elsewhere. A late hold would acknowledge ends by the old cursor. Class: an order outlives the boot that it is meant for. Change: the next boot under an id is driven only once it has answered a call with a token that no order to the boot before had; the agent links anew for it, and what was told is sent before the old link closes. A run that the boot before never listed is not lost with it: the next boot's list decides, and the owner hears of both at once. A worker that has just failed to answer gets no cursor. Why it works: after that call nothing with an older token is carried out, so that its lists are all that came before. Ruled out: to stop each unanswered start on the next boot; a late hold with an old cursor would still pass.

--- a/crates/wax-agent/src/boots.rs
+++ b/crates/wax-agent/src/boots.rs
@@ -4,7 +4,7 @@
 //! and would be started elsewhere while it runs. Which of two boots lives is told by what answers a
 //! call: check-ins may be late, and the time of day by which boots start may step back.
 
-use std::collections::{HashSet, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use wax_batch::{BootId, WorkerView};
 
 /// Dead boots that an owner is told: more than one machine has within a term.
@@ -47,6 +47,8 @@
     candidate: Option<BootReport>,
     dead: HashSet<BootId>,
     newest_dead: VecDeque<BootId>,
+    /// By worker id: the boot that was driven last, and the highest token of its orders.
+    ordered: HashMap<Box<str>, (BootId, u64)>,
 }
 
 impl BootWatch {
@@ -81,6 +83,20 @@
         }
     }
 
+    /// Notes that the boot is given orders with this fencing token.
+    pub fn note_token(&mut self, boot: &BootId, token: u64) {
+        self.ordered.retain(|_, (_, known)| *known == token);
+        self.ordered
+            .insert(boot.worker_id().into(), (boot.clone(), token));
+    }
+
+    /// Whether orders with this token were meant for an earlier boot of the worker: carried out late, they would
+    /// pass on this one.
+    pub fn needs_token(&self, boot: &BootId, token: u64) -> bool {
+        let ordered = self.ordered.get(boot.worker_id());
+        ordered.is_some_and(|(known, used)| *used == token && known.is_other_boot(boot))
+    }
+
     /// The boot has ended: its late check-ins count for nothing.
     pub fn bury(&mut self, boot: &BootId) {
         if !self.dead.insert(boot.clone()) {
--- a/crates/wax-agent/src/check_ins.rs
+++ b/crates/wax-agent/src/check_ins.rs
@@ -81,7 +81,7 @@
         tracing::info!(worker = %boot, driven = left.is_some(), "worker has left");
         self.state.crashes.borrow_mut().note_left(boot);
         if let Some(left) = left {
-            left.lose_runs(self.state.now());
+            left.lose_runs(self.state.now(), &[]);
         }
         self.state
             .tell(PoolBody::WorkerGone(WorkerGone::new(boot, true)));
--- a/crates/wax-agent/src/driver.rs
+++ b/crates/wax-agent/src/driver.rs
@@ -6,7 +6,7 @@
 use platform::{HoldReply, HoldRequest, WorkerRefusal};
 use std::rc::Rc;
 use std::time::Duration;
-use wax_batch::{BootId, WorkerView};
+use wax_batch::{BootId, RunMark, WorkerView};
 use wax_trace::{Counter, count};
 use wax_types::TimePoint;
 use wax_wire::{
@@ -32,8 +32,10 @@
     Idle,
     /// It was not answered, or refused for now.
     Failed,
-    /// Another boot answers at the address.
+    /// Another worker answers at the address.
     OtherBoot,
+    /// The worker has started again under its id.
+    Restarted,
 }
 
 /// Drives whatever boot of the worker there is, for the life of the process.
@@ -44,15 +46,26 @@
             wait_change(&state).await;
             continue;
         };
+        if is_replaced(&state) {
+            wait_change(&state).await;
+            drop_lapsed(&state, &boot);
+            continue;
+        }
         match hold_once(&state, &boot).await {
             HoldStep::Answered => {}
             HoldStep::Idle | HoldStep::Failed => sleep(HOLD_PAUSE).await,
             HoldStep::OtherBoot => drop_boot(&state, &boot, "another boot answers"),
+            HoldStep::Restarted => end_restarted(&state, &boot),
         }
         drop_lapsed(&state, &boot);
     }
 }
 
+fn is_replaced(state: &AgentState) -> bool {
+    let boot = state.boot.borrow();
+    boot.as_ref().is_some_and(|boot| boot.is_replaced)
+}
+
 async fn wait_change(state: &AgentState) {
     let listener = state.changed.listen();
     // Either the change or the pause; both lead to another look.
@@ -99,12 +112,30 @@
         return;
     }
     let boot = said.or_started(reply.started_ms);
-    if state.driven().is_some_and(|driven| driven.may_be(&boot)) {
+    let driven = state.driven();
+    if driven.as_ref().is_some_and(|driven| driven.may_be(&boot)) {
         state.update_boot(BootReport { view, sequence });
+        return;
+    }
+    if let Some(driven) = driven.filter(|driven| driven.is_other_boot(&boot)) {
+        end_restarted(state, &driven);
+    }
+    let needs_token = {
+        let boots = state.boots.borrow();
+        boots.needs_token(&boot, state.token.get())
+    };
+    if needs_token {
+        state.token_wanted.notify(usize::MAX);
+        let view = WorkerView { boot, ..view };
+        state
+            .boots
+            .borrow_mut()
+            .offer(BootReport { view, sequence });
     } else if state.boots.borrow().is_dead(&boot) {
         tracing::info!(worker = %boot, "boot has left before it was registered");
     } else {
-        replace_boot(state, WorkerView { boot, ..view }, sequence);
+        let on_next: Vec<RunMark> = reply.marks().collect();
+        replace_boot(state, WorkerView { boot, ..view }, sequence, &on_next);
     }
 }
 
@@ -113,8 +144,12 @@
     state.boots.borrow_mut().bury(boot);
 }
 
-fn replace_boot(state: &Rc<AgentState>, view: WorkerView, sequence: u64) {
-    if let Some(before) = state.driven() {
+/// Drives a boot that has answered a call with a token that no boot of its worker has seen: `on_next` is all that
+/// came to it with older ones.
+fn replace_boot(state: &Rc<AgentState>, view: WorkerView, sequence: u64, on_next: &[RunMark]) {
+    if is_replaced(state) {
+        settle_replaced(state, on_next);
+    } else if let Some(before) = state.driven() {
         drop_boot(state, &before, "a new boot has checked in");
     }
     tracing::info!(worker = %view.boot, service = %view.service, state = ?view.state, "worker registered");
@@ -146,7 +181,7 @@
         count(Counter::WorkersGone);
         tracing::warn!(worker = %driven, why, "worker is gone");
         let now = state.now();
-        let runs = ended.lose_runs(now);
+        let runs = ended.lose_runs(now, &[]);
         let crash = state
             .crashes
             .borrow_mut()
@@ -157,6 +192,46 @@
     }
 }
 
+/// The driven boot's worker has started again under its id. What the boot has listed is lost with it; other runs
+/// may have come to the next one, which tells once it is driven.
+fn end_restarted(state: &Rc<AgentState>, driven: &BootId) {
+    let has_unlisted = {
+        let mut boot = state.boot.borrow_mut();
+        let Some(boot) = boot.as_mut().filter(|boot| boot.view.boot == *driven) else {
+            return;
+        };
+        boot.is_replaced = boot.table.has_unlisted();
+        if boot.is_replaced {
+            let longest = state.lease_rules.ahead + state.lease_rules.grace;
+            boot.lease.assume(state.now(), longest);
+        }
+        boot.is_replaced
+    };
+    if has_unlisted {
+        tracing::warn!(worker = %driven, "worker has started again: some runs may be on its next boot");
+    } else {
+        drop_boot(state, driven, "it has started again under its id");
+    }
+}
+
+/// Ends the replaced boot but for the runs that are on the next one. The owner hears of both at once, from what
+/// the next boot lists: in between, the tasks of those runs would be started elsewhere.
+fn settle_replaced(state: &Rc<AgentState>, on_next: &[RunMark]) {
+    let Some(ended) = state.boot.borrow_mut().take() else {
+        return;
+    };
+    state.boots.borrow_mut().bury(&ended.view.boot);
+    count(Counter::WorkersGone);
+    tracing::warn!(worker = %ended.view.boot, on_next = on_next.len(), "worker is gone");
+    let now = state.now();
+    let runs = ended.lose_runs(now, on_next);
+    let crash = state
+        .crashes
+        .borrow_mut()
+        .note_ended(&ended.view, &runs, now);
+    tell_crash(state, crash);
+}
+
 /// Once all leases have lapsed nothing runs there any more; the boot must be verified anew.
 fn drop_lapsed(state: &Rc<AgentState>, driven: &BootId) {
     let now = state.now();
@@ -169,14 +244,18 @@
     };
     count(Counter::WorkersGone);
     tracing::warn!(worker = %driven, "leases have lapsed");
-    let runs = lapsed.lose_runs(now);
+    let runs = lapsed.lose_runs(now, &[]);
     let view = lapsed.view.clone();
     state.crashes.borrow_mut().note_lapsed(&view, runs);
-    let sequence = lapsed.sequence;
+    let (sequence, is_replaced) = (lapsed.sequence, lapsed.is_replaced);
     *boot = None;
     state.tell(PoolBody::WorkerGone(WorkerGone::new(driven, false)));
-    let report = BootReport { view, sequence };
-    state.boots.borrow_mut().offer(report);
+    let mut boots = state.boots.borrow_mut();
+    if is_replaced {
+        boots.bury(driven);
+    } else {
+        boots.offer(BootReport { view, sequence });
+    }
 }
 
 async fn hold_once(state: &Rc<AgentState>, driven: &BootId) -> HoldStep {
@@ -202,7 +281,7 @@
     if let Ok(Ok(reply)) = &answer
         && !is_answer_of(state, driven, reply)
     {
-        return HoldStep::OtherBoot;
+        return HoldStep::Restarted;
     }
     state.note_answer(driven, matches!(answer, Ok(Ok(_))));
     match answer {
@@ -244,12 +323,22 @@
     let mut boot = state.boot.borrow_mut();
     let boot = boot.as_mut().filter(|boot| boot.view.boot == *driven)?;
     boot.hold += 1;
+    state
+        .boots
+        .borrow_mut()
+        .note_token(driven, state.token.get());
+    // A boot that failed to answer may have been followed by another, whose ends have low numbers.
+    let ack_cursor = if boot.unanswered > 0 {
+        0
+    } else {
+        boot.ack_cursor
+    };
     let request = HoldRequest {
         lease_until_ms: boot
             .lease
             .extend(now, state.authority.get(), &state.lease_rules),
         token: state.token.get(),
-        ack_cursor: boot.ack_cursor,
+        ack_cursor,
         wait_ms: 0,
     };
     Some((request, boot.told))
--- a/crates/wax-agent/src/orders.rs
+++ b/crates/wax-agent/src/orders.rs
@@ -54,7 +54,10 @@
         let meant = order.boot();
         let now = self.now();
         let mut boot = self.boot.borrow_mut();
-        let Some(boot) = boot.as_mut().filter(|boot| boot.view.boot.may_be(&meant)) else {
+        let Some(boot) = boot
+            .as_mut()
+            .filter(|boot| boot.view.boot.may_be(&meant) && !boot.is_replaced)
+        else {
             return Err(StartRefusal::Stale);
         };
         if now >= self.authority.get() || !self.is_kept() {
--- a/crates/wax-agent/src/owner_link.rs
+++ b/crates/wax-agent/src/owner_link.rs
@@ -26,6 +26,8 @@
 const TAKEOVER_LIMIT: Duration = Duration::from_millis(5_000);
 /// Beside an owner that has lost the store, another is looked for this often.
 const SEEK_PERIOD: Duration = Duration::from_millis(400);
+/// How long a link that is closed on purpose may take to send what was told on it.
+const FLUSH_LIMIT: Duration = Duration::from_millis(200);
 /// Between two rounds of the search, with as much again at random.
 const SEARCH_PAUSE: Duration = Duration::from_millis(120);
 
@@ -186,6 +188,7 @@
         return "an owner of the past";
     }
     let (outbox, inbox) = unbounded();
+    let token_wanted = state.token_wanted.listen();
     state.token.set(link.token);
     state.granted.set(TimePoint::default());
     state.owner_cut_off.set(false);
@@ -198,11 +201,21 @@
     let heard = Rc::new(Cell::new(state.now()));
     let writing = spawn(write_link(link.writer, inbox));
     let pinging = spawn(ping(state.clone(), outbox, heard.clone()));
-    let why = read_link(state, link.reader, &heard).await;
+    let why = {
+        let read = pin!(read_link(state, link.reader, &heard));
+        match select(read, token_wanted).await {
+            Either::Left((why, _)) => Some(why),
+            Either::Right(_) => None,
+        }
+    };
     // Dropped tasks are cancelled; the connection closes with them.
     drop(pinging);
-    drop(writing);
-    why
+    *state.link.borrow_mut() = None;
+    if why.is_none() {
+        // The owner is to hear what was told before on this link.
+        let _ = timeout(FLUSH_LIMIT, writing).await;
+    }
+    why.unwrap_or("a higher token is needed")
 }
 
 async fn write_link(mut writer: PoolWriter, mut inbox: UnboundedReceiver<PoolBody>) {
--- a/crates/wax-agent/src/process.rs
+++ b/crates/wax-agent/src/process.rs
@@ -80,5 +80,6 @@
         strain: Cell::new(0.0),
         token: Cell::new(0),
         changed: Event::new(),
+        token_wanted: Event::new(),
     }
 }
--- a/crates/wax-agent/src/state.rs
+++ b/crates/wax-agent/src/state.rs
@@ -10,7 +10,7 @@
 use platform::WorkerClient;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use wax_batch::{BootId, LostRun, StartRefusal, WorkerState, WorkerView};
+use wax_batch::{BootId, LostRun, RunMark, StartRefusal, WorkerState, WorkerView};
 use wax_policy::{DrainRules, DrainVerdict, DrainView, PaceRules};
 use wax_trace::{Counter, count};
 use wax_types::{ProcessClock, TimePoint};
@@ -46,16 +46,19 @@
     pub(crate) ack_cursor: u64,
     /// The number of the hold that is under way.
     pub(crate) hold: u64,
+    /// Whether its worker has started again under its id, and some of its runs may be on the next boot.
+    pub(crate) is_replaced: bool,
 }
 
 /// After this many holds without an answer a worker counts as silent.
 const SILENT_AFTER: u32 = 2;
 
 impl WorkerBoot {
-    /// What was on it when it ended, a line for each run.
-    pub(crate) fn lose_runs(&self, now: TimePoint) -> Vec<LostRun> {
+    /// What was on it when it ended, a line for each run; `kept` names those that are on the next boot.
+    pub(crate) fn lose_runs(&self, now: TimePoint, kept: &[RunMark]) -> Vec<LostRun> {
         let silent_ms = now.since(self.answered).as_millis() as u64;
-        let runs = self.table.lost_runs(self.answered);
+        let mut runs = self.table.lost_runs(self.answered);
+        runs.retain(|lost| !kept.contains(&lost.mark));
         for lost in &runs {
             count(Counter::RunsLost);
             tracing::info!(
@@ -93,6 +96,7 @@
             pace: PaceControl::default(),
             ack_cursor: 0,
             hold: 0,
+            is_replaced: false,
         }
     }
 }
@@ -132,6 +136,8 @@
     pub(crate) token: Cell<u64>,
     /// Something has changed that the driver waits for.
     pub(crate) changed: Event,
+    /// A new link is asked for, with a higher token.
+    pub(crate) token_wanted: Event,
 }
 
 impl AgentState {
--- a/crates/wax-agent/src/table.rs
+++ b/crates/wax-agent/src/table.rs
@@ -48,6 +48,8 @@
     pace: u32,
     /// When its start was sent; `None` if this process did not send it.
     sent: Option<TimePoint>,
+    /// Whether the boot has listed it.
+    was_listed: bool,
 }
 
 /// What a hold has brought that the owner does not know yet.
@@ -166,6 +168,7 @@
                 row.stand = RunStand::Running;
             }
             row.report = report.clone();
+            row.was_listed = true;
             if row.has_news() {
                 row.percent_sent = report.percent;
                 row.checkpoint_sent = report.checkpoint.clone();
@@ -212,6 +215,11 @@
         lost.collect()
     }
 
+    /// Whether a run's start was sent and the boot has not listed it: the worker's next boot may have taken it.
+    pub fn has_unlisted(&self) -> bool {
+        self.rows.values().any(|row| !row.was_listed)
+    }
+
     /// Whether a run's size is missing.
     pub fn is_sized(&self) -> bool {
         self.rows.values().all(|row| row.seat.is_some())
@@ -296,6 +304,7 @@
             checkpoint_sent: "".into(),
             pace: 100,
             sent: None,
+            was_listed: false,
         }
     }
 
--- a/crates/wax-agent/tests/boots.rs
+++ b/crates/wax-agent/tests/boots.rs
@@ -128,3 +128,22 @@
     );
     assert_eq!(watch.check_in(news, None), CheckInStep::Verify);
 }
+
+#[test]
+fn the_next_boot_under_an_id_needs_a_token_that_no_order_to_the_one_before_had() {
+    let (before, next) = (started(1_000), started(2_000));
+    let mut watch = BootWatch::default();
+    watch.note_token(&before, 7);
+    assert!(watch.needs_token(&next, 7));
+    assert!(!watch.needs_token(&next, 8), "the token has risen");
+    assert!(!watch.needs_token(&before, 7), "it is verified anew");
+    assert!(!watch.needs_token(&boot("b"), 7), "its orders name its id");
+}
+
+#[test]
+fn an_id_that_is_back_after_another_one_needs_a_higher_token_too() {
+    let mut watch = BootWatch::default();
+    watch.note_token(&started(1_000), 7);
+    watch.note_token(&boot("b"), 7);
+    assert!(watch.needs_token(&started(2_000), 7));
+}
--- a/crates/wax-agent/tests/guards.rs
+++ b/crates/wax-agent/tests/guards.rs
@@ -308,3 +308,14 @@
         }
     }
 }
+
+#[test]
+fn a_run_that_was_not_listed_may_be_on_the_next_boot() {
+    let mut table = RunTable::default();
+    let begun = table.begin(mark(0, 1), seat(1_000), &view(1_000), at(0));
+    assert_eq!(begun, Ok(()));
+    table.started(mark(0, 1));
+    assert!(table.has_unlisted(), "an answer does not tell the boot");
+    table.observe(&[report(mark(0, 1))], &[], 1);
+    assert!(!table.has_unlisted());
+}
