A leave without a start time ends only a boot that drains

What callers saw: not seen in the record; reproduced. Lasting tasks were started on a second worker while they ran. Cause: a leave names the worker by its id. One of the boot before that comes late, without a start time, ended the next boot in the agent's books. A leave with a start time counts for that boot. Tests: three late calls of the boot before, on real processes.

--- a/crates/wax-agent/src/state.rs
+++ b/crates/wax-agent/src/state.rs
@@ -239,6 +239,17 @@
         boot.as_ref().map(|boot| boot.view.boot.clone())
     }
 
+    /// Whether a leave is surely of the boot that is driven. One without a start time may be a late call of an
+    /// earlier boot, unless this one has said that it drains, as workers do before they leave.
+    pub(crate) fn takes_leave(&self, said: &BootId) -> bool {
+        let boot = self.boot.borrow();
+        boot.as_ref().is_some_and(|boot| {
+            let is_draining = boot.view.state == WorkerState::Draining;
+            let is_told = said.started_ms() == boot.view.boot.started_ms();
+            !boot.is_replaced && boot.view.boot.may_be(said) && (is_told || is_draining)
+        })
+    }
+
     /// Takes a later check-in of the boot that is driven; the owner hears of what it places by.
     pub(crate) fn update_boot(&self, report: BootReport) {
         let mut boot = self.boot.borrow_mut();
--- a/crates/wax-standin/src/site_worker.rs
+++ b/crates/wax-standin/src/site_worker.rs
@@ -7,7 +7,7 @@
 use cyper::Client;
 use http::StatusCode;
 use serde::Deserialize;
-use serde_json::json;
+use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -47,6 +47,8 @@
     runs: RefCell<SiteRuns>,
     faults: RefCell<WorkerFaults>,
     sequence: Cell<u64>,
+    /// Its last report.
+    reported: RefCell<Value>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -70,6 +72,7 @@
         runs: RefCell::new(SiteRuns::new(&options)),
         faults: RefCell::default(),
         sequence: Cell::new(0),
+        reported: RefCell::default(),
     });
     spawn(tick(state.clone())).detach();
     spawn(check_in(state.clone(), options, address)).detach();
@@ -102,20 +105,8 @@
     );
     loop {
         state.sequence.set(state.sequence.get() + 1);
-        let word = if state.faults.borrow().draining {
-            "draining"
-        } else {
-            "ready"
-        };
-        let cpu_milli = state.faults.borrow().cpu_milli;
-        let cpu_milli = cpu_milli.unwrap_or(options.cpu_milli);
-        let body = json!({
-            "service": options.service, "address": address.to_string(), "zone": options.domain, "version": "v1",
-            "slots": 8, "state": word, "coldRemainingMs": 0,
-            "capacity": { "cpu": cpu_milli, "memMb": options.memory_mb, "gpu": 0 },
-            "labels": ["a", "r1"], "clockMs": state.runs.borrow().clock_ms(), "sequence": state.sequence.get(),
-            "born": state.runs.borrow().started_ms(),
-        });
+        let body = state.report(&options, address);
+        *state.reported.borrow_mut() = body.clone();
         if let Ok(request) = client.post(&url)
             && let Ok(request) = request.json(&body)
         {
@@ -139,6 +130,7 @@
                     Err(error) => error_reply(&error),
                 };
             }
+            "/report" => return json_reply(StatusCode::OK, &*self.reported.borrow()),
             "/token" => return json_reply(StatusCode::OK, &self.runs.borrow().token()),
             "/history" => return json_reply(StatusCode::OK, self.runs.borrow().history()),
             _ => {}
@@ -167,6 +159,21 @@
 }
 
 impl WorkerState {
+    /// What the worker says of itself.
+    fn report(&self, options: &SiteWorkerOptions, address: SocketAddr) -> Value {
+        let faults = self.faults.borrow();
+        let runs = self.runs.borrow();
+        let word = if faults.draining { "draining" } else { "ready" };
+        let cpu_milli = faults.cpu_milli.unwrap_or(options.cpu_milli);
+        json!({
+            "service": options.service, "address": address.to_string(), "zone": options.domain, "version": "v1",
+            "slots": 8, "state": word, "coldRemainingMs": 0,
+            "capacity": { "cpu": cpu_milli, "memMb": options.memory_mb, "gpu": 0 },
+            "labels": ["a", "r1"], "clockMs": runs.clock_ms(), "sequence": self.sequence.get(),
+            "born": runs.started_ms(),
+        })
+    }
+
     async fn start(&self, request: HttpRequest) -> HttpReply {
         let order: RunOrder = match parse_json(request, BODY_LIMIT).await {
             Ok(order) => order,
--- a/tests/pool/restarts.rs
+++ b/tests/pool/restarts.rs
@@ -106,3 +106,42 @@
         }
     });
 }
+
+/// A call of the boot before that comes once the next one is driven.
+async fn late_word(test: &str, call: &str, tells_start: bool) {
+    let mut site = Site::start(test, 1, 2).await;
+    site.wait_logs("front-0", "worker taken over", 2).await;
+    let before = site.worker_report(0).await;
+    site.restart_worker(0, RestartClock::Anew).await;
+    site.wait_logs("front-0", "worker taken over", 3).await;
+    site.submit(&name(1), &lasting_job(8)).await;
+    let all_run = || async { (site.starts(&name(1)).await == 8).then_some(()) };
+    wait_for("all tasks to run", all_run).await;
+    let mut word = before.clone();
+    if !tells_start {
+        word = json!({ "state": "ready", "sequence": 90 });
+    }
+    site.tell_agent(0, call, &word).await;
+    // A job that is submitted later ends later than anything that the call has led to.
+    site.submit(&name(2), &job(3, 4, 200)).await;
+    site.wait_state(&name(2), "completed").await;
+    assert_eq!(site.starts(&name(1)).await, 8, "no task is started again");
+    site.audit().await;
+}
+
+macro_rules! late_words {
+    ($($name:ident: $call:expr, $tells_start:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                run(late_word(stringify!($name), $call, $tells_start));
+            }
+        )*
+    };
+}
+
+late_words! {
+    a_late_check_in_of_the_boot_before_changes_nothing: "heartbeat", true;
+    a_late_leave_of_the_boot_before_changes_nothing: "leave", true;
+    a_late_leave_without_a_start_time_changes_nothing: "leave", false;
+}
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -611,6 +611,21 @@
         self.history(number).await;
     }
 
+    /// What a worker says of itself.
+    pub(crate) async fn worker_report(&self, number: usize) -> Value {
+        let url = format!("http://{}/report", self.machines[number].app);
+        wait_for("a worker's report", || get_json(&url)).await
+    }
+
+    /// Calls an agent as its worker would.
+    pub(crate) async fn tell_agent(&self, number: usize, call: &str, body: &Value) {
+        let id = self.worker_id(number);
+        let agent = self.machines[number].check_ins;
+        let url = format!("http://{agent}/v1/instances/{id}/{call}");
+        let answer = post_json(&url, body).await.expect("the agent answers");
+        assert_eq!(answer.status, 200);
+    }
+
     /// Sends a worker an order beside its agent's.
     pub(crate) async fn order_worker(&self, number: usize, order: &str, body: &Value) -> Answer {
         let url = format!("http://{}/v1/{order}", self.machines[number].app);
