Tests: restarts under an id beside other faults

Ten cases on real processes, each with lasting tasks and wide jobs over the restart: twice within one hold, an earlier start time, less room, a drain before it, the owner killed or frozen, the agent away or frozen, the store down, all workers at once.

--- a/tests/pool/restarts.rs
+++ b/tests/pool/restarts.rs
@@ -1,6 +1,6 @@
 //! Workers that restart under the id that they had.
 
-use crate::site::{RestartClock, Site, job, name, run, wait_for};
+use crate::site::{PROCESSOR_MILLI, RestartClock, Site, job, name, run, wait_for};
 use serde_json::{Value, json};
 
 /// Enough tasks that every worker has ended more of them than it is given after its restart.
@@ -145,3 +145,120 @@
     a_late_leave_of_the_boot_before_changes_nothing: "leave", true;
     a_late_leave_without_a_start_time_changes_nothing: "leave", false;
 }
+
+/// What happens beside a restart of the first worker.
+#[derive(Debug, Clone, Copy)]
+enum RestartCase {
+    Twice,
+    EarlierStart,
+    LessRoom,
+    Drained,
+    OwnerKilled,
+    OwnerFrozen,
+    AgentKilled,
+    AgentFrozen,
+    StoreDown,
+    AllWorkers,
+}
+
+impl RestartCase {
+    async fn play(self, site: &mut Site) {
+        let clock = RestartClock::Anew;
+        match self {
+            Self::Twice => {
+                site.restart_worker(0, clock).await;
+                site.wait_worker(0).await;
+                site.restart_worker(0, RestartClock::Ahead).await;
+            }
+            Self::EarlierStart => {
+                site.kill_worker(0).await;
+                site.start_worker_again(0, PROCESSOR_MILLI, &["--started-ms", "1000"]);
+            }
+            Self::LessRoom => {
+                site.kill_worker(0).await;
+                site.start_worker_again(0, PROCESSOR_MILLI / 4, &[]);
+            }
+            Self::Drained => {
+                site.worker_faults(0, json!({ "draining": true })).await;
+                site.wait_log("side-0", "Draining").await;
+                site.restart_worker(0, clock).await;
+            }
+            Self::OwnerKilled => {
+                site.restart_worker(0, clock).await;
+                site.kill_front(0);
+                site.start_front(0);
+            }
+            Self::OwnerFrozen => {
+                site.signal_front(0, libc::SIGSTOP);
+                site.restart_worker(0, clock).await;
+                site.wait_log("front-1", "took over the shard").await;
+                site.signal_front(0, libc::SIGCONT);
+            }
+            Self::AgentKilled => {
+                site.kill_agent(0);
+                site.restart_worker(0, clock).await;
+                site.start_agent(0);
+            }
+            Self::AgentFrozen => {
+                site.signal_agent(0, libc::SIGSTOP);
+                site.restart_worker(0, clock).await;
+                site.wait_log("front-0", "agent unlinked").await;
+                site.signal_agent(0, libc::SIGCONT);
+            }
+            Self::StoreDown => {
+                site.store_faults(json!({ "down": true })).await;
+                site.restart_worker(0, clock).await;
+                site.wait_log("front-0", "worker is gone").await;
+                site.store_faults(json!({})).await;
+            }
+            Self::AllWorkers => {
+                for number in 0..site.machines.len() {
+                    site.restart_worker(number, clock).await;
+                }
+            }
+        }
+    }
+}
+
+/// Lasting tasks and a wide job go on over a restart; nothing runs twice or beyond a worker's room.
+async fn restart_beside(test: &str, case: RestartCase) {
+    let mut site = Site::start(test, 2, 3).await;
+    site.own_by_first(&name(9)).await;
+    site.submit(&name(1), &lasting_job(4)).await;
+    let all_run = || async { (site.running(&name(1)).await == 4).then_some(()) };
+    wait_for("all lasting tasks to run", all_run).await;
+    site.submit(&name(2), &job(2, 12, 300)).await;
+    site.wait_running(&name(2)).await;
+    case.play(&mut site).await;
+    site.submit(&name(3), &job(1, 12, 100)).await;
+    for job_name in [name(2), name(3)] {
+        site.wait_state(&job_name, "completed").await;
+    }
+    let all_run = || async { (site.running(&name(1)).await == 4).then_some(()) };
+    wait_for("all lasting tasks to run again", all_run).await;
+    site.audit().await;
+}
+
+macro_rules! restarts_beside {
+    ($($name:ident: $case:ident;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                run(restart_beside(stringify!($name), RestartCase::$case));
+            }
+        )*
+    };
+}
+
+restarts_beside! {
+    a_worker_restarts_twice_within_one_hold: Twice;
+    a_worker_restarts_after_its_time_of_day_stepped_back: EarlierStart;
+    a_worker_restarts_with_less_room: LessRoom;
+    a_worker_restarts_after_it_said_that_it_drains: Drained;
+    a_worker_restarts_while_the_owner_is_killed: OwnerKilled;
+    a_worker_restarts_while_the_owner_is_frozen: OwnerFrozen;
+    a_worker_restarts_while_its_agent_is_away: AgentKilled;
+    a_worker_restarts_while_its_agent_is_frozen: AgentFrozen;
+    a_worker_restarts_while_the_store_is_down: StoreDown;
+    all_workers_restart_at_once: AllWorkers;
+}
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -749,6 +749,27 @@
         starts
     }
 
+    /// How many tasks of a job run now, by what the workers have seen.
+    pub(crate) async fn running(&self, job: &str) -> usize {
+        let mut running = 0;
+        for number in 0..self.machines.len() {
+            let history = self.history(number).await;
+            let mut tasks: HashSet<&str> = HashSet::new();
+            for row in history.as_array().into_iter().flatten() {
+                let Some(task) = row["task"].as_str().filter(|_| names(row, job)) else {
+                    continue;
+                };
+                match row["what"].as_str().unwrap_or_default() {
+                    "start" => drop(tasks.insert(task)),
+                    "ack" | "over" => {}
+                    _ => drop(tasks.remove(task)),
+                }
+            }
+            running += tasks.len();
+        }
+        running
+    }
+
     /// How many starts of a job's tasks there were in a failure domain.
     pub(crate) async fn starts_in(&self, domain: &str, job: &str) -> usize {
         let mut starts = 0;
