--- a/tests/pool/restarts.rs
+++ b/tests/pool/restarts.rs
@@ -1,18 +1,11 @@
 //! Workers that restart under the id that they had.
 
-use crate::site::{PROCESSOR_MILLI, RestartClock, Site, job, name, run, wait_for};
-use serde_json::{Value, json};
+use crate::site::{PROCESSOR_MILLI, RestartClock, Site, job, lasting_job, name, run, wait_for};
+use serde_json::json;
 
 /// Enough tasks that every worker has ended more of them than it is given after its restart.
 const FIRST_TASKS: u32 = 24;
 
-/// A job of tasks that run until it is cancelled.
-fn lasting_job(count: u32) -> Value {
-    let work = json!({ "ms": 600_000, "cpu": 500, "mem": 100 });
-    let step = json!({ "count": count, "cpu": 500, "memMb": 100, "longRunning": true });
-    json!({ "spec": work.to_string(), "phases": [step] })
-}
-
 /// Waits until the worker has taken an order since it started.
 async fn wait_ordered(site: &Site, number: usize) -> u64 {
     wait_for("an order to the worker", || site.worker_token(number)).await
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -116,7 +116,7 @@
 }
 
 /// What the clock of a restarted worker shows.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RestartClock {
     /// It counts from its start.
     Anew,
@@ -433,6 +433,11 @@
     /// Kills a worker and starts it under the same id.
     pub(crate) async fn restart_worker(&mut self, number: usize, clock: RestartClock) {
         self.kill_worker(number).await;
+        self.start_worker_under_id(number, clock);
+    }
+
+    /// Starts the worker that was killed under the id that it had.
+    pub(crate) fn start_worker_under_id(&mut self, number: usize, clock: RestartClock) {
         let restarts = self.machines[number].restarts + 1;
         let clock_ms = match clock {
             RestartClock::Anew => 0,
@@ -442,7 +447,7 @@
         self.start_worker_again(number, PROCESSOR_MILLI, &["--clock-ms", &clock_ms]);
     }
 
-    /// Starts the worker that was killed under the id that it had.
+    /// The same, with so many processors and other options.
     pub(crate) fn start_worker_again(&mut self, number: usize, cpu_milli: u32, options: &[&str]) {
         let machine = &mut self.machines[number];
         machine.restarts += 1;
@@ -938,6 +943,13 @@
     json!({ "spec": spec, "phases": phases })
 }
 
+/// A job of tasks that run until it is cancelled.
+pub(crate) fn lasting_job(count: u32) -> Value {
+    let work = json!({ "ms": 600_000, "cpu": 500, "mem": 100 });
+    let step = json!({ "count": count, "cpu": 500, "memMb": 100, "longRunning": true });
+    json!({ "spec": work.to_string(), "phases": [step] })
+}
+
 /// The name of the `n`-th job of a test.
 pub(crate) fn name(n: u64) -> String {
     format!("{n:016x}")
--- a/tests/pool/soak.rs
+++ b/tests/pool/soak.rs
@@ -1,11 +1,11 @@
 //! Faults in series and overlapping, drawn from a seed, beside callers that come all the while.
 //!
 //! After the faults are over, what callers were told and what workers have seen is compared: every accepted
-//! job ends, nothing that was refused has run, no task runs twice or over a worker's capacity, a drained failure
+//! job ends, every task of a lasting job runs, nothing that was refused has run, no task runs twice or over a worker's capacity, a drained failure
 //! domain gets nothing new, and no front has gone back to an older config.
 
 use crate::calls::call;
-use crate::site::{DOMAINS, Site, job, name, run, wait_for};
+use crate::site::{DOMAINS, Site, job, lasting_job, name, run, wait_for};
 use crate::soak_plan::{FaultTarget, PlannedFault, SoakFault, SoakSize, draw_plan};
 use compio::runtime::spawn;
 use compio::time::sleep;
@@ -22,10 +22,14 @@
 const CALLER_GAP_MS: u64 = 250;
 /// A caller gives up after so many tries, or fewer.
 const MOST_TRIES: u32 = 8;
+/// No caller's job has this name.
+const LASTING_JOB: &str = "ffffffffffffffff";
 /// One job in so many has tasks that always fail.
 const FAILS_ONE_IN: u32 = 10;
 /// The `maxAttempts` of the site's queues.
 const MOST_ATTEMPTS: usize = 2;
+/// Tasks of the job that lasts through the soak.
+const LASTING_TASKS: u32 = 3;
 /// One job in so many is cancelled.
 const CANCEL_ONE_IN: u32 = 8;
 
@@ -130,7 +134,9 @@
         (FaultTarget::Way(front), _) => site.relays[front].silence_open(),
         (FaultTarget::Agent(number), SoakFault::Kill) => site.kill_agent(number),
         (FaultTarget::Agent(number), _) => site.signal_agent(number, libc::SIGSTOP),
-        (FaultTarget::Worker(number), SoakFault::Kill) => site.kill_worker(number).await,
+        (FaultTarget::Worker(number), SoakFault::Kill | SoakFault::Restart(_)) => {
+            site.kill_worker(number).await;
+        }
         (FaultTarget::Worker(number), fault) => {
             let faults = match fault {
                 SoakFault::FailAll => json!({ "fail": true }),
@@ -169,6 +175,9 @@
         (FaultTarget::Agent(number), SoakFault::Kill) => site.start_agent(number),
         (FaultTarget::Agent(number), _) => site.signal_agent(number, libc::SIGCONT),
         (FaultTarget::Worker(number), SoakFault::Kill) => site.start_worker(number),
+        (FaultTarget::Worker(number), SoakFault::Restart(clock)) => {
+            site.start_worker_under_id(number, clock);
+        }
         (FaultTarget::Worker(number), _) => site.worker_faults(number, json!({})).await,
         (FaultTarget::Store, _) => site.store_faults(json!({})).await,
         (FaultTarget::Domain(domain), _) => site.undrain(domain).await,
@@ -228,6 +237,11 @@
             "{name} was refused at each try and ran"
         );
     }
+    let all_last = || async {
+        let running = site.running(LASTING_JOB).await;
+        (running == LASTING_TASKS as usize).then_some(())
+    };
+    wait_for("all lasting tasks to run", all_last).await;
     site.audit().await;
     site.audit_attempts(MOST_ATTEMPTS).await;
     let newest = routes.last().expect("there is one");
@@ -265,6 +279,7 @@
         open: Cell::new(0),
         stop: Cell::new(false),
     });
+    site.submit(LASTING_JOB, &lasting_job(LASTING_TASKS)).await;
     let coming = spawn(callers.clone().come(seed));
     let mut routes = vec!["/g/".to_owned()];
     play_faults(&mut site, &plan, &mut routes).await;
--- a/tests/pool/soak_plan.rs
+++ b/tests/pool/soak_plan.rs
@@ -1,5 +1,6 @@
 //! Which faults a soak brings about, and when: drawn from a seed alone.
 
+use crate::site::RestartClock;
 use fastrand::Rng;
 use std::collections::HashSet;
 use std::time::Duration;
@@ -31,6 +32,8 @@
 pub(crate) enum SoakFault {
     /// SIGKILL, and a start at the end.
     Kill,
+    /// SIGKILL of a worker, and a start under its id at the end.
+    Restart(RestartClock),
     /// SIGTERM, and a start at the end.
     Stop,
     /// SIGSTOP, and SIGCONT at the end.
@@ -80,6 +83,8 @@
             SoakFault::Drain => rng.u64(6_000..9_000),
             // Beyond what a link may be silent, and leases last.
             SoakFault::Freeze => rng.u64(300..6_000),
+            // From within one hold of the agent to beyond the room that leases leave.
+            SoakFault::Restart(_) => rng.u64(0..1_500),
             _ => rng.u64(300..3_500),
         });
         let busy: HashSet<FaultTarget> = plan
@@ -103,7 +108,7 @@
 fn draw_fault(rng: &mut Rng, size: SoakSize, domains: &[&'static str]) -> (FaultTarget, SoakFault) {
     let front = rng.usize(0..size.fronts);
     let machine = rng.usize(0..size.machines);
-    match rng.u32(0..20) {
+    match rng.u32(0..24) {
         0 => (FaultTarget::Front(front), SoakFault::Kill),
         1 => (FaultTarget::Front(front), SoakFault::Stop),
         2 | 3 => (FaultTarget::Front(front), SoakFault::Freeze),
@@ -123,6 +128,14 @@
             let domain = domains[rng.usize(0..domains.len())];
             (FaultTarget::Domain(domain), SoakFault::Drain)
         }
-        _ => (FaultTarget::Config, SoakFault::AddRoute),
+        19 => (FaultTarget::Config, SoakFault::AddRoute),
+        20 => (
+            FaultTarget::Worker(machine),
+            SoakFault::Restart(RestartClock::Ahead),
+        ),
+        _ => (
+            FaultTarget::Worker(machine),
+            SoakFault::Restart(RestartClock::Anew),
+        ),
     }
 }
