Dead boots that an agent remembers are bounded

Read in the code, not measured. Change: the newest 256 are kept. A late check-in of one that is forgotten is verified by an answer, which it does not get. Test: 1,000 restarts keep 256, and the newest eight are told.

--- a/crates/wax-agent/src/boots.rs
+++ b/crates/wax-agent/src/boots.rs
@@ -9,6 +9,9 @@
 
 /// Dead boots that an owner is told: more than one machine has within a term.
 const MOST_TOLD: usize = 8;
+/// Dead boots that are remembered: more than end within the longest time that a check-in may be late. One that is
+/// forgotten gives no answer, and is not driven either.
+const MOST_DEAD: usize = 256;
 
 /// What a worker says of itself in one check-in.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -46,7 +49,8 @@
 pub struct BootWatch {
     candidate: Option<BootReport>,
     dead: HashSet<BootId>,
-    newest_dead: VecDeque<BootId>,
+    /// The dead boots, the newest last.
+    buried: VecDeque<BootId>,
     /// By worker id: the boot that was driven last, and the highest token of its orders.
     ordered: HashMap<Box<str>, (BootId, u64)>,
 }
@@ -102,15 +106,17 @@
         if !self.dead.insert(boot.clone()) {
             return;
         }
-        self.newest_dead.push_back(boot.clone());
-        if self.newest_dead.len() > MOST_TOLD {
-            self.newest_dead.pop_front();
+        self.buried.push_back(boot.clone());
+        if self.buried.len() > MOST_DEAD
+            && let Some(oldest) = self.buried.pop_front()
+        {
+            self.dead.remove(&oldest);
         }
     }
 
     /// The boots that ended last, for an owner that may wait for one of them.
     pub fn newest_dead(&self) -> impl Iterator<Item = &BootId> {
-        self.newest_dead.iter()
+        self.buried.iter().rev().take(MOST_TOLD)
     }
 
     /// Whether the boot has ended.
--- a/crates/wax-agent/tests/boots.rs
+++ b/crates/wax-agent/tests/boots.rs
@@ -147,3 +147,17 @@
     watch.note_token(&boot("b"), 7);
     assert!(watch.needs_token(&started(2_000), 7));
 }
+
+#[test]
+fn a_worker_that_restarts_all_the_time_fills_no_memory() {
+    let mut watch = BootWatch::default();
+    for restart in 0..1_000 {
+        watch.note_token(&started(restart), restart);
+        watch.bury(&started(restart));
+    }
+    let known = (0..1_000).filter(|restart| watch.is_dead(&started(*restart)));
+    assert_eq!(known.count(), 256);
+    let told: Vec<&BootId> = watch.newest_dead().collect();
+    assert_eq!(told.len(), 8);
+    assert_eq!(told[0], &started(999));
+}
