Agent: what decides which boot is driven has a file of its own

boot_change.rs holds what registers, replaces and gives up boots; driver.rs keeps the holds. No test changes; agent and restart tests pass.

--- a/crates/wax-agent/src/lib.rs
+++ b/crates/wax-agent/src/lib.rs
@@ -3,6 +3,7 @@
 //! It starts only what fits beside everything that runs, is being stopped, or may begin yet, and
 //! extends the worker's leases only while an owner has confirmed its authority lately.
 
+mod boot_change;
 mod boots;
 mod check_ins;
 mod crash_log;
