A worker that died between two links of its agent is not waited for

A task waited 9.6 s for the leases of a worker that its agent knew to be dead. Cause: the agent's word of a worker's end is lost if the link is down; the next hello names the dead boots, but the owner went by that only for workers of earlier terms. Class: word that is told once, on a link that may be gone. Change: a boot in the hello ends a worker of this term as well; an agent's word of an end is taken for exactly the boot it names. Test: frame by frame, in links.rs; before, the task started elsewhere only after `leases have lapsed unheard`, 9,614 ms after it was ordered.

--- a/crates/wax-owner/src/agents.rs
+++ b/crates/wax-owner/src/agents.rs
@@ -38,7 +38,12 @@
     // The queue is new: it takes the first message.
     let _ = outbox.unbounded_send(PoolBody::Welcome(welcome));
     open_link(shared, tenure, &node, link, &outbox);
-    tenure.note_dead(shared, hello.dead.iter().map(BootId::from));
+    let dead: Vec<BootId> = hello.dead.iter().map(BootId::from).collect();
+    for boot in &dead {
+        // The word of its end may have been lost with the link before.
+        tenure.worker_gone(&node, boot, shared.now());
+    }
+    tenure.note_dead(shared, dead);
     let writing = spawn(write_link(writer, inbox));
     let link_life = AgentLink {
         shared,
@@ -300,20 +305,11 @@
 
     fn worker_gone(&self, gone: &WorkerGone) {
         let boot = gone.boot();
-        let key = self
-            .tenure
-            .agents
-            .borrow_mut()
-            .worker_gone(self.node, &boot);
         tracing::warn!(agent = self.node, worker = %boot, dead = gone.dead, "worker is gone");
-        self.tenure.write.notify(usize::MAX);
-        self.tenure.dispatch.notify(usize::MAX);
+        self.tenure.worker_gone(self.node, &boot, self.shared.now());
         if gone.dead {
             self.tenure.note_dead(self.shared, [boot]);
         }
-        if let Some(key) = key {
-            self.tenure.lose_worker(key, self.shared.now());
-        }
     }
 
     /// Gathers what the agents have learned; all are told of what has changed.
--- a/crates/wax-owner/src/roster.rs
+++ b/crates/wax-owner/src/roster.rs
@@ -259,7 +259,7 @@
     /// The agent says that nothing runs on a worker any more; returns it if it was known.
     pub fn worker_gone(&mut self, node: &str, boot: &BootId) -> Option<WorkerKey> {
         let agent = self.agents.get_mut(node)?;
-        let key = agent.worker.take_if(|(_, known)| known.may_be(boot));
+        let key = agent.worker.take_if(|(_, known)| known == boot);
         let was_unheard = agent.earlier.is_some() && agent.row.boot() == Some(boot);
         if key.is_some() || was_unheard {
             agent.earlier = None;
--- a/crates/wax-owner/src/tenure.rs
+++ b/crates/wax-owner/src/tenure.rs
@@ -338,6 +338,16 @@
         }
     }
 
+    /// An agent says that nothing runs on a boot of its worker any more.
+    pub(crate) fn worker_gone(&self, node: &str, boot: &BootId, now: TimePoint) {
+        let key = self.agents.borrow_mut().worker_gone(node, boot);
+        self.write.notify(usize::MAX);
+        self.dispatch.notify(usize::MAX);
+        if let Some(key) = key {
+            self.lose_worker(key, now);
+        }
+    }
+
     /// Takes a worker whose runs have surely ended out of the book.
     pub(crate) fn lose_worker(&self, worker: WorkerKey, now: TimePoint) {
         self.book
--- a/tests/pool/links.rs
+++ b/tests/pool/links.rs
@@ -7,7 +7,7 @@
 use futures_channel::mpsc::{UnboundedSender, unbounded};
 use std::net::SocketAddr;
 use std::time::Duration;
-use wax_batch::{RunEnd, RunEndKind, RunMark, TaskSize, WorkerView};
+use wax_batch::{BootId, RunEnd, RunEndKind, RunMark, TaskSize, WorkerView};
 use wax_wire::{
     AgentHello, EndFrame, LinkPing, PoolBody, PoolReader, PoolWriter, RunNews, WorkerUp,
     split_stream,
@@ -27,11 +27,16 @@
 impl PlayedAgent {
     /// Links to the owner; nothing is told yet.
     async fn link(owner: SocketAddr) -> Option<Self> {
+        Self::link_as(owner, "played", None).await
+    }
+
+    /// Links to the owner as the agent of a machine; says that this boot is dead.
+    async fn link_as(owner: SocketAddr, node: &str, dead: Option<BootId>) -> Option<Self> {
         let stream = TcpStream::connect(owner).await.ok()?;
         let (mut reader, mut writer): (PoolReader, PoolWriter) = split_stream(stream);
         let hello = AgentHello {
-            node: "played".into(),
-            ..Default::default()
+            node: node.into(),
+            dead: dead.iter().map(Into::into).collect(),
         };
         writer.write(PoolBody::AgentHello(hello)).await.ok()?;
         let answer = reader.read().await.ok()??;
@@ -55,8 +60,12 @@
     }
 
     fn tell_worker(&self, ends: &[RunEnd]) {
+        self.tell_boot(WORKER.into(), ends);
+    }
+
+    fn tell_boot(&self, boot: BootId, ends: &[RunEnd]) {
         let view = WorkerView {
-            boot: WORKER.into(),
+            boot,
             service: "svc".into(),
             capacity: TaskSize {
                 cpu_milli: 4_000,
@@ -138,3 +147,31 @@
         }
     });
 }
+
+/// A worker dies while its agent has no link, so that the word of its end is lost.
+#[test]
+fn a_worker_that_died_between_two_links_is_not_waited_for() {
+    run(async {
+        let site = Site::start("dead-between", 1, 0).await;
+        let owner = site.fronts[0].peers;
+        let link = |node: &'static str, dead: Option<BootId>| async move {
+            let open = || PlayedAgent::link_as(owner, node, dead.clone());
+            wait_for("the front to own the shard", open).await
+        };
+        let (dying, other) = (BootId::new("i-dying", Some(1)), BootId::from("i-other"));
+        let mut agent = link("one", None).await;
+        agent.tell_boot(dying.clone(), &[]);
+        agent.wait_kept().await;
+        site.submit(&name(1), &job(1, 1, 50)).await;
+        let first = agent.next_start().await;
+        drop(agent);
+        let mut second = link("two", None).await;
+        second.tell_boot(other, &[]);
+        second.wait_kept().await;
+        let _agent = link("one", Some(dying)).await;
+        let again = second.next_start().await;
+        assert_eq!(again.task, first.task);
+        let lapsed = site.log("front-0").contains("leases have lapsed");
+        assert!(!lapsed, "the task waited for leases of a dead worker");
+    });
+}
