--- /dev/null
+++ b/crates/wax-wire/tests/fuzz.rs
@@ -0,0 +1,71 @@
+//! Whatever a peer sends, decoding it ends no process.
+
+#[path = "../../../tests/common/fuzz.rs"]
+mod fuzz;
+
+use fuzz::{damage_bytes, fuzz};
+use prost::Message;
+use wax_batch::{BootId, JobName, RunMark, TaskName, WorkerView};
+use wax_wire::{
+    AckEnds, AgentHello, MarkFrame, PoolBody, PoolFrame, ReportFrame, RunNews, StopRun, WorkerGone,
+    WorkerUp,
+};
+
+fn samples() -> Vec<Vec<u8>> {
+    let boot = BootId::new("i-1", Some(1_768_132_800_123));
+    let task = TaskName {
+        job: JobName(1),
+        occurrence: 0,
+        step: 2,
+        index: 17,
+    };
+    let mark = RunMark { task, run: 3 };
+    let view = WorkerView {
+        boot: boot.clone(),
+        ..Default::default()
+    };
+    let bodies = [
+        PoolBody::AgentHello(AgentHello {
+            node: "side-1".into(),
+            dead: vec![(&boot).into()],
+        }),
+        PoolBody::WorkerUp(WorkerUp {
+            worker: (&view).into(),
+            runs: vec![ReportFrame::default()],
+            ends: Vec::new(),
+            known_pairs: 3,
+        }),
+        PoolBody::WorkerGone(WorkerGone::new(&boot, true)),
+        PoolBody::Ack(AckEnds::new(&boot, 57)),
+        PoolBody::Stop(StopRun {
+            mark: MarkFrame::from(mark),
+        }),
+        PoolBody::News(RunNews {
+            started: vec![mark.into()],
+            ..Default::default()
+        }),
+    ];
+    let frames = bodies.into_iter().map(PoolFrame::from);
+    frames.map(|frame| frame.encode_to_vec()).collect()
+}
+
+#[test]
+fn damaged_frames_of_the_pool_end_nothing() {
+    fuzz(&samples(), damage_bytes, |bytes| {
+        let Ok(frame) = PoolFrame::decode(bytes) else {
+            return;
+        };
+        match frame.body {
+            Some(PoolBody::WorkerUp(up)) => {
+                let runs = up.runs.iter().map(wax_batch::RunReport::from);
+                drop((WorkerView::from(up.worker), runs.count()));
+            }
+            Some(PoolBody::WorkerGone(gone)) => drop(gone.boot()),
+            Some(PoolBody::Ack(ack)) => drop(ack.boot()),
+            Some(PoolBody::AgentHello(hello)) => {
+                drop(hello.dead.iter().map(BootId::from).collect::<Vec<_>>());
+            }
+            _ => {}
+        }
+    });
+}
--- /dev/null
+++ b/tests/common/fuzz.rs
@@ -0,0 +1,62 @@
+//! Damages what another process writes: seeded, so that a failing case can be played again.
+
+use fastrand::Rng;
+
+/// Cases of each decoder in CI; `WAXWING_FUZZ` asks for more by hand.
+const CASES: u64 = 4_000;
+
+/// Runs `decode` on damaged copies of the samples; a panic ends the test with the seed of its case.
+pub(crate) fn fuzz(
+    samples: &[Vec<u8>],
+    damage: fn(&mut Rng, &[u8]) -> Vec<u8>,
+    decode: impl Fn(&[u8]),
+) {
+    let asked = std::env::var("WAXWING_FUZZ").ok();
+    let cases = asked.map_or(CASES, |cases| {
+        cases.parse().expect("WAXWING_FUZZ is a number")
+    });
+    for seed in 0..cases {
+        let mut rng = Rng::with_seed(seed);
+        let sample = &samples[rng.usize(0..samples.len())];
+        let damaged = damage(&mut rng, sample);
+        let _case = FuzzCase {
+            seed,
+            text: &damaged,
+        };
+        decode(&damaged);
+    }
+}
+
+/// Tells of the case that panics.
+struct FuzzCase<'a> {
+    seed: u64,
+    text: &'a [u8],
+}
+
+impl Drop for FuzzCase<'_> {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("case {}: {}", self.seed, self.text.escape_ascii());
+        }
+    }
+}
+
+/// Flips, drops, doubles and inserts bytes, and cuts the end off.
+pub(crate) fn damage_bytes(rng: &mut Rng, sample: &[u8]) -> Vec<u8> {
+    let mut bytes = sample.to_vec();
+    for _ in 0..rng.usize(1..6) {
+        let at = rng.usize(0..=bytes.len());
+        match rng.u32(0..5) {
+            0 if at < bytes.len() => bytes[at] ^= 1 << rng.u32(0..8),
+            1 if at < bytes.len() => drop(bytes.remove(at)),
+            2 => bytes.insert(at, rng.u8(..)),
+            3 => bytes.truncate(at),
+            _ => {
+                let from = rng.usize(0..=at);
+                let part = bytes[from..at].to_vec();
+                bytes.splice(at..at, part);
+            }
+        }
+    }
+    bytes
+}
