--- a/tests/pool/crashes.rs
+++ b/tests/pool/crashes.rs
@@ -31,12 +31,13 @@
 async fn wait_given_up(
     site: &mut Site,
     job_name: &str,
+    revive: fn(&mut Site),
     mut at_start: impl FnMut(&mut Site, usize),
 ) {
     let task = format!("{job_name}.0.0.0");
     let begun = Instant::now();
     loop {
-        site.revive_workers();
+        revive(site);
         let starts = site.starts_ordered(&task);
         assert!(starts <= MOST_STARTS, "{task} was started {starts} times");
         at_start(site, starts);
@@ -54,7 +55,7 @@
         let mut site = Site::start("crashes", 1, 4).await;
         site.submit(&name(1), &crashing_job(3, 10)).await;
         site.submit(&name(2), &job(2, 6, 300)).await;
-        wait_given_up(&mut site, &name(1), |_, _| {}).await;
+        wait_given_up(&mut site, &name(1), Site::revive_workers, |_, _| {}).await;
         site.revive_workers();
         site.wait_state(&name(2), "completed").await;
         site.audit().await;
@@ -66,7 +67,7 @@
     run(async {
         let mut site = Site::start("crashes-late", 1, 3).await;
         site.submit(&name(1), &crashing_job(1, 900)).await;
-        wait_given_up(&mut site, &name(1), |_, _| {}).await;
+        wait_given_up(&mut site, &name(1), Site::revive_workers, |_, _| {}).await;
         site.audit().await;
     });
 }
@@ -78,7 +79,7 @@
         site.own_by_first(&name(9)).await;
         site.submit(&name(1), &crashing_job(1, 10)).await;
         let mut owner = Some(0);
-        wait_given_up(&mut site, &name(1), |site, starts| {
+        wait_given_up(&mut site, &name(1), Site::revive_workers, |site, starts| {
             if starts >= 2
                 && let Some(owner) = owner.take()
             {
@@ -90,3 +91,23 @@
         site.audit().await;
     });
 }
+
+/// A run that its worker did not outlive is listed by no boot.
+#[test]
+fn a_task_that_ends_workers_which_restart_under_their_ids_is_given_up() {
+    run(async {
+        let mut site = Site::start("crashes-same-id", 1, 4).await;
+        site.submit(&name(1), &crashing_job(3, 10)).await;
+        site.submit(&name(2), &job(2, 6, 300)).await;
+        wait_given_up(
+            &mut site,
+            &name(1),
+            Site::restart_crashed_workers,
+            |_, _| {},
+        )
+        .await;
+        site.restart_crashed_workers();
+        site.wait_state(&name(2), "completed").await;
+        site.audit().await;
+    });
+}
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -510,6 +510,16 @@
         }
     }
 
+    /// Starts workers again that have ended by themselves, under the ids that they had.
+    pub(crate) fn restart_crashed_workers(&mut self) {
+        for number in 0..self.machines.len() {
+            let worker = self.machines[number].worker.as_mut();
+            if worker.is_some_and(|worker| !worker.is_running()) {
+                self.start_worker_under_id(number, RestartClock::Anew);
+            }
+        }
+    }
+
     /// How many starts of a task were ordered, by the lines of all fronts.
     pub(crate) fn starts_ordered(&self, task: &str) -> usize {
         let task = format!("\"task\":\"{task}\"");
