--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -706,6 +706,17 @@
         None
     }
 
+    /// Whether all these jobs have ended.
+    pub(crate) async fn jobs_ended(&self, jobs: &[String]) -> bool {
+        for job in jobs {
+            let state = self.state(job).await;
+            if !state.is_some_and(|state| state == "completed" || state == "failed") {
+                return false;
+            }
+        }
+        true
+    }
+
     pub(crate) async fn wait_state(&self, job: &str, state: &str) {
         wait_for(&format!("{job} to be {state}"), || async {
             self.state(job).await.filter(|known| known == state)
@@ -728,7 +739,19 @@
             return Value::Null;
         }
         let url = format!("http://{}/history", self.machines[number].app);
-        wait_for("a history", || get_json(&url)).await
+        let log = format!("{}-worker", self.machines[number].name);
+        wait_for("a history", || async {
+            let history = get_json(&url).await;
+            // One that its task has ended left its history in its last line.
+            let is_crashed = || {
+                let log = self.log(&log);
+                log.lines()
+                    .last()
+                    .is_some_and(|line| line.contains("\"history\""))
+            };
+            history.or_else(|| is_crashed().then_some(Value::Null))
+        })
+        .await
     }
 
     /// Waits until a task of the job runs on a worker.
--- a/tests/pool/soak.rs
+++ b/tests/pool/soak.rs
@@ -18,6 +18,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// A job that has not ended after this time will not end.
+const PATIENCE: Duration = Duration::from_secs(90);
+/// Workers that their tasks have ended are back within this time.
+const REVIVE_PAUSE: Duration = Duration::from_millis(150);
 /// Between two callers, at the most.
 const CALLER_GAP_MS: u64 = 250;
 /// A caller gives up after so many tries, or fewer.
@@ -30,6 +34,8 @@
 const MOST_ATTEMPTS: usize = 2;
 /// Tasks of the job that lasts through the soak.
 const LASTING_TASKS: u32 = 3;
+/// The first task of one job in so many ends every worker that starts it.
+const CRASHES_ONE_IN: u32 = 30;
 /// One job in so many is cancelled.
 const CANCEL_ONE_IN: u32 = 8;
 
@@ -100,6 +106,11 @@
         if rng.u32(0..FAILS_ONE_IN) == 0 {
             let work = json!({ "ms": ms, "cpu": 1000, "mem": 100, "fail": true });
             body["spec"] = json!(work.to_string());
+        } else if rng.u32(0..CRASHES_ONE_IN) == 0 {
+            let crash_ms = rng.u64(0..ms);
+            let work =
+                json!({ "ms": ms, "cpu": 1000, "mem": 100, "crash": 0, "crash_ms": crash_ms });
+            body["spec"] = json!(work.to_string());
         }
         let body = body.to_string();
         let mut word = self.submit(&mut rng, &name, &body).await;
@@ -110,6 +121,15 @@
         self.open.set(self.open.get() - 1);
     }
 
+    /// Jobs that were accepted and not cancelled.
+    fn accepted(&self) -> Vec<String> {
+        let words = self.words.borrow();
+        let accepted = words
+            .iter()
+            .filter(|(_, word)| **word == CallerWord::Accepted);
+        accepted.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Callers come until `stop` is set.
     async fn come(self: Rc<Self>, seed: u64) {
         let mut rng = Rng::with_seed(seed);
@@ -200,7 +220,10 @@
     steps.sort_by_key(|(at, begins, _)| (*at, !begins));
     let began = Instant::now();
     for (at, begins, planned) in steps {
-        sleep(at.saturating_sub(began.elapsed())).await;
+        while began.elapsed() < at {
+            sleep(REVIVE_PAUSE.min(at.saturating_sub(began.elapsed()))).await;
+            site.restart_crashed_workers();
+        }
         let step = if begins { "begins" } else { "ends" };
         println!(
             "{:>6.2} s {step} {planned:?}",
@@ -285,10 +308,12 @@
     play_faults(&mut site, &plan, &mut routes).await;
     callers.stop.set(true);
     coming.await.expect("callers come to the end");
-    wait_for("all callers to have their word", || async {
-        (callers.open.get() == 0).then_some(())
-    })
-    .await;
+    let begun = Instant::now();
+    while callers.open.get() > 0 || !site.jobs_ended(&callers.accepted()).await {
+        assert!(begun.elapsed() < PATIENCE, "some jobs do not end");
+        site.restart_crashed_workers();
+        sleep(REVIVE_PAUSE).await;
+    }
     check(&site, &callers, &routes).await;
 }
 
