--- a/crates/wax-owner/src/tenure.rs
+++ b/crates/wax-owner/src/tenure.rs
@@ -344,6 +344,7 @@
         self.write.notify(usize::MAX);
         self.dispatch.notify(usize::MAX);
         if let Some(key) = key {
+            tracing::info!(agent = node, worker = %boot, "runs of a worker that is gone have ended");
             self.lose_worker(key, now);
         }
     }
