--- /dev/null
+++ b/tests/pool/site/audit.rs
@@ -0,0 +1,252 @@
+//! What the workers of a played site have seen, and what holds by it.
+
+use super::{DRAIN_BOUND_MS, Site, unix_us};
+use crate::calls::get_json;
+use crate::common::wait_for;
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+impl Site {
+    /// What workers have seen that a task has ended.
+    fn histories_of_crashed(&self) -> Vec<Value> {
+        let logs = self.machines.iter();
+        let logs: Vec<String> = logs
+            .map(|machine| self.log(&format!("{}-worker", machine.name)))
+            .collect();
+        let lines = logs.iter().flat_map(|log| log.lines());
+        let words = lines.filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        let histories = words.filter_map(|word| word.get("history").cloned());
+        histories.collect()
+    }
+
+    /// What a worker has seen in its present life; nothing while it is down.
+    pub(super) async fn history(&self, number: usize) -> Value {
+        if self.machines[number].worker.is_none() {
+            return Value::Null;
+        }
+        let url = format!("http://{}/history", self.machines[number].app);
+        let log = format!("{}-worker", self.machines[number].name);
+        wait_for("a history", || async {
+            let history = get_json(&url).await;
+            // One that its task has ended left its history in its last line.
+            let is_crashed = || {
+                let log = self.log(&log);
+                log.lines()
+                    .last()
+                    .is_some_and(|line| line.contains("\"history\""))
+            };
+            history.or_else(|| is_crashed().then_some(Value::Null))
+        })
+        .await
+    }
+
+    /// Waits until a task of the job runs on a worker.
+    pub(crate) async fn wait_running(&self, job: &str) -> usize {
+        wait_for("a task to run", || async {
+            for number in 0..self.machines.len() {
+                let url = format!("http://{}/history", self.machines[number].app);
+                let history = get_json(&url).await.unwrap_or_default();
+                let rows = history.as_array().cloned().unwrap_or_default();
+                if rows
+                    .iter()
+                    .any(|row| row["what"] == "start" && names(row, job))
+                {
+                    return Some(number);
+                }
+            }
+            None
+        })
+        .await
+    }
+
+    /// How many starts of a job's tasks there were.
+    pub(crate) async fn starts(&self, job: &str) -> usize {
+        let mut starts = 0;
+        for number in 0..self.machines.len() {
+            let history = self.history(number).await;
+            let rows = history.as_array().cloned().unwrap_or_default();
+            starts += rows
+                .iter()
+                .filter(|row| row["what"] == "start" && names(row, job))
+                .count();
+        }
+        starts
+    }
+
+    /// How many tasks of a job run now, by what the workers have seen.
+    pub(crate) async fn running(&self, job: &str) -> usize {
+        let mut running = 0;
+        for number in 0..self.machines.len() {
+            let history = self.history(number).await;
+            let mut tasks: HashSet<&str> = HashSet::new();
+            for row in history.as_array().into_iter().flatten() {
+                let Some(task) = row["task"].as_str().filter(|_| names(row, job)) else {
+                    continue;
+                };
+                match row["what"].as_str().unwrap_or_default() {
+                    "start" => drop(tasks.insert(task)),
+                    "ack" | "over" => {}
+                    _ => drop(tasks.remove(task)),
+                }
+            }
+            running += tasks.len();
+        }
+        running
+    }
+
+    /// How many starts of a job's tasks there were in a failure domain.
+    pub(crate) async fn starts_in(&self, domain: &str, job: &str) -> usize {
+        let mut starts = 0;
+        for number in 0..self.machines.len() {
+            if self.machines[number].domain == domain {
+                let history = self.history(number).await;
+                let rows = history.as_array().cloned().unwrap_or_default();
+                let begun = rows.iter();
+                let begun = begun.filter(|row| row["what"] == "start" && names(row, job));
+                starts += begun.count();
+            }
+        }
+        starts
+    }
+
+    /// No start in a drained failure domain beyond the bound, by what its workers have seen.
+    pub(super) async fn audit_drains(&self) {
+        for number in 0..self.machines.len() {
+            let history = self.history(number).await;
+            for row in history.as_array().into_iter().flatten() {
+                let at = row["at"].as_u64().unwrap_or_default();
+                let domain = self.machines[number].domain;
+                let late = self.drains.iter().find(|drain| {
+                    drain.domain == domain
+                        && at > drain.acknowledged + DRAIN_BOUND_MS * 1_000
+                        && drain.taken_back.is_none_or(|back| at < back)
+                });
+                let is_start = row["what"] == "start";
+                assert!(
+                    !is_start || late.is_none(),
+                    "a start in a drained domain: {row}, {late:?}"
+                );
+            }
+        }
+    }
+
+    /// All that workers have seen, those included that have ended.
+    async fn all_rows(&self) -> Vec<Value> {
+        let mut rows = Vec::new();
+        for history in self.past.iter().chain(&self.histories_of_crashed()) {
+            rows.extend(history.as_array().cloned().unwrap_or_default());
+        }
+        for number in 0..self.machines.len() {
+            let history = self.history(number).await;
+            rows.extend(history.as_array().cloned().unwrap_or_default());
+        }
+        rows
+    }
+
+    /// The jobs of which any task was ever started.
+    pub(crate) async fn started_jobs(&self) -> HashSet<String> {
+        let rows = self.all_rows().await;
+        let starts = rows.iter().filter(|row| row["what"] == "start");
+        let tasks = starts.filter_map(|row| row["task"].as_str()?.split('.').next());
+        tasks.map(Into::into).collect()
+    }
+
+    /// No task is started once the store has taken note of so many failed runs of it.
+    pub(crate) async fn audit_attempts(&self, most: usize) {
+        let mut rows = self.all_rows().await;
+        rows.sort_by_key(|row| row["at"].as_u64());
+        let mut failed: HashSet<(String, u64)> = HashSet::new();
+        let mut noted: HashMap<String, usize> = HashMap::new();
+        for row in &rows {
+            let task = row["task"].as_str().unwrap_or_default().to_owned();
+            let run = row["run"].as_u64().unwrap_or_default();
+            match row["what"].as_str().unwrap_or_default() {
+                "failed" => drop(failed.insert((task, run))),
+                "ack" if failed.contains(&(task.clone(), run)) => {
+                    *noted.entry(task).or_default() += 1;
+                }
+                "start" => {
+                    let noted = noted.get(&task).copied().unwrap_or_default();
+                    assert!(noted < most, "{task} was started after {noted} failed runs");
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// The versions of the config that a front has put in force, a list for each of its boots.
+    pub(crate) fn config_versions(&self, front: usize) -> Vec<Vec<u64>> {
+        let mut boots = vec![Vec::new()];
+        for line in self.log(&format!("front-{front}")).lines() {
+            let line: Value = serde_json::from_str(line).unwrap_or_default();
+            match line["message"].as_str() {
+                Some("front started") => boots.push(Vec::new()),
+                Some("config in force") => {
+                    let boot = boots.last_mut().expect("there is one");
+                    boot.extend(line["version"].as_u64());
+                }
+                _ => {}
+            }
+        }
+        boots
+    }
+
+    /// Checks the promises against what the workers themselves have seen.
+    pub(crate) async fn audit(&self) {
+        self.audit_drains().await;
+        let mut rows = self.all_rows().await;
+        rows.sort_by_key(|row| row["at"].as_u64());
+        let mut running: HashMap<String, u64> = HashMap::new();
+        let mut done: BTreeMap<String, u64> = BTreeMap::new();
+        let mut acknowledged: HashSet<(String, u64)> = HashSet::new();
+        for row in &rows {
+            let task = row["task"].as_str().unwrap_or_default().to_owned();
+            let run = row["run"].as_u64().unwrap_or_default();
+            match row["what"].as_str().unwrap_or_default() {
+                "over" => panic!("a worker was given more than it has: {row}"),
+                "start" => {
+                    let other = running.insert(task.clone(), run);
+                    assert!(other.is_none(), "{task} runs twice: {other:?} and {run}");
+                    let ended = done
+                        .get(&task)
+                        .is_some_and(|run| acknowledged.contains(&(task.clone(), *run)));
+                    assert!(!ended, "{task} was started after its end was taken note of");
+                }
+                "ack" => {
+                    acknowledged.insert((task, run));
+                }
+                how => {
+                    running.remove(&task);
+                    if how == "done" {
+                        done.insert(task, run);
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn names(row: &Value, job: &str) -> bool {
+    row["task"]
+        .as_str()
+        .is_some_and(|task| task.starts_with(job))
+}
+
+/// A history with an end of everything that ran when the worker was killed.
+pub(super) fn with_deaths(history: &Value) -> Value {
+    let mut rows = history.as_array().cloned().unwrap_or_default();
+    let mut running: BTreeMap<String, Value> = BTreeMap::new();
+    for row in &rows {
+        let task = row["task"].as_str().unwrap_or_default().to_owned();
+        match row["what"].as_str().unwrap_or_default() {
+            "start" => running.insert(task, row.clone()),
+            "ack" | "over" => None,
+            _ => running.remove(&task),
+        };
+    }
+    let now = unix_us();
+    for (task, row) in running {
+        rows.push(json!({ "what": "killed", "task": task, "run": row["run"], "at": now }));
+    }
+    Value::Array(rows)
+}
