Owner: fronts are ranked once for all heartbeats of a period

Cause: each heartbeat of a front had its rank counted over all fronts: the square of their number, five times a second. A rank decides only who tries first, so that one ranking each 200 ms serves all heartbeats.

--- a/crates/wax-owner/src/candidates.rs
+++ b/crates/wax-owner/src/candidates.rs
@@ -170,22 +170,11 @@
     }
 }
 
-/// How many of the others go before a candidate, and how strong the strongest of all is.
-pub fn rank_among<'a>(
-    candidate: &Candidate<'_>,
-    all: impl Iterator<Item = Candidate<'a>>,
-) -> CandidateRank {
-    let mut rank = CandidateRank {
-        rank: 0,
-        best: candidate.fitness,
-    };
-    for other in all {
-        rank.best = rank.best.max(other.fitness);
-        if other.order() < candidate.order() {
-            rank.rank += 1;
-        }
-    }
-    rank
+/// The candidates, the one that goes first at the next takeover in front.
+pub fn rank_all<'a>(all: impl Iterator<Item = Candidate<'a>>) -> Vec<Candidate<'a>> {
+    let mut ranked: Vec<Candidate<'a>> = all.collect();
+    ranked.sort_unstable_by(|one, other| one.order().cmp(&other.order()));
+    ranked
 }
 
 /// The owner as it sees itself.
--- a/crates/wax-owner/src/entries.rs
+++ b/crates/wax-owner/src/entries.rs
@@ -1,7 +1,7 @@
 //! The owner's side of a link with another front.
 
 use crate::agents::write_link;
-use crate::candidates::{OwnerFitness, rank_among};
+use crate::candidates::OwnerFitness;
 use crate::fronts::FrontLife;
 use crate::relay::{PeerAge, relay_transaction};
 use crate::shared::PoolShared;
@@ -45,8 +45,9 @@
         heard_at: shared.now(),
         behind_since: None,
         config_sent: 0,
+        rank: u32::MAX,
     };
-    tenure.fronts.borrow_mut().insert(node.into(), life);
+    tenure.fronts.borrow_mut().insert(node, life);
     let writing = spawn(write_link(writer, inbox));
     let mut age = PeerAge::default();
     let serve = async {
@@ -77,10 +78,7 @@
         Either::Right(_) => tracing::info!(front = node, "front unlinked with the term"),
     }
     drop(writing);
-    let mut fronts = tenure.fronts.borrow_mut();
-    if fronts.get(node).is_some_and(|front| front.link == link) {
-        fronts.remove(node);
-    }
+    tenure.fronts.borrow_mut().remove(node, link);
 }
 
 /// The answer waits for the store; other messages do not wait for it.
@@ -136,10 +134,7 @@
         front.heard_at = now;
         pushes = front.is_due(ping.config, version, now);
     }
-    let rank = fronts.get(node).map(|front| {
-        let all = fronts.iter().map(|(node, front)| front.candidate(node));
-        rank_among(&front.candidate(node), all)
-    });
+    let rank = fronts.rank(node, now);
     drop(fronts);
     let mut answers = vec![PoolBody::Grant(LeaseGrant {
         sent_us: ping.sent_us,
@@ -147,8 +142,8 @@
         store_lost: silent_for(tenure, now) > shared.spans.doubt,
         config: version,
         strain: 0.0,
-        rank: rank.map_or(0, |rank| rank.rank),
-        best: rank.map_or(0, |rank| rank.best.0),
+        rank: rank.rank,
+        best: rank.best.0,
         drains: None,
         config_age_ms: shared
             .config_view
--- a/crates/wax-owner/src/front_way.rs
+++ b/crates/wax-owner/src/front_way.rs
@@ -72,8 +72,8 @@
     let now = shared.now();
     let fronts = tenure.fronts.borrow();
     let served = fronts
-        .iter()
-        .filter(|(_, front)| !front.store_lost && now.since(front.heard_at) <= HEARD_LATELY);
-    let best = served.max_by_key(|(_, front)| front.fitness);
-    best.is_some_and(|(_, front)| front.outbox.unbounded_send(ask).is_ok())
+        .values()
+        .filter(|front| !front.store_lost && now.since(front.heard_at) <= HEARD_LATELY);
+    let best = served.max_by_key(|front| front.fitness);
+    best.is_some_and(|front| front.outbox.unbounded_send(ask).is_ok())
 }
--- a/crates/wax-owner/src/lib.rs
+++ b/crates/wax-owner/src/lib.rs
@@ -31,7 +31,7 @@
 
 pub use candidates::{
     Candidate, CandidateRank, MachineStrength, OwnerFitness, OwnerStanding, TakeoverChance,
-    TimerLateness, rank_among,
+    TimerLateness, rank_all,
 };
 pub use fate::{TxFate, transact};
 pub use gone::GoneBoots;
--- a/crates/wax-owner/src/tenure.rs
+++ b/crates/wax-owner/src/tenure.rs
@@ -1,7 +1,7 @@
 //! One term of ownership: the book, the agents, and whether it still holds.
 
 use crate::candidates::OwnerStanding;
-use crate::fronts::FrontLife;
+use crate::fronts::FrontRoster;
 use crate::roster::AgentRoster;
 use crate::rows::OwnerRow;
 use crate::shared::PoolShared;
@@ -46,8 +46,8 @@
     pub(crate) after_release: bool,
     pub(crate) book: RefCell<JobBook>,
     pub(crate) agents: RefCell<AgentRoster>,
-    /// Queues towards the fronts that are linked, by their names.
-    pub(crate) fronts: RefCell<HashMap<Box<str>, FrontLife>>,
+    /// The fronts that are linked.
+    pub(crate) fronts: RefCell<FrontRoster>,
     /// Whether the last transaction went through a front, as the store did not answer this one.
     pub(crate) store_turns_away: Cell<bool>,
     /// Transactions that fronts were asked to send.
@@ -299,7 +299,7 @@
             age: now.since(self.began),
         };
         let fronts = self.fronts.borrow();
-        let candidates = fronts.iter().map(|(node, front)| front.candidate(node));
+        let candidates = fronts.candidates();
         let has_store = now.since(self.confirmed.get()) < shared.spans.doubt;
         if has_store && !self.letting_go.is_raised() && standing.gives_way(candidates, now) {
             tracing::warn!(
--- a/crates/wax-owner/tests/candidates.rs
+++ b/crates/wax-owner/tests/candidates.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 use wax_owner::{
     Candidate, CandidateRank, MachineStrength, OwnerFitness, OwnerStanding, TakeoverChance,
-    TimerLateness, rank_among,
+    TimerLateness, rank_all,
 };
 use wax_types::TimePoint;
 
@@ -44,8 +44,13 @@
             ..front("d", STRONG)
         },
     ];
-    let ranks = fronts.map(|front| rank_among(&front, fronts.iter().copied()).rank);
-    assert_eq!(ranks, [1, 0, 2, 3], "one that the store turns away is last");
+    let ranked = rank_all(fronts.into_iter());
+    let names: Vec<&str> = ranked.iter().map(|front| front.node).collect();
+    assert_eq!(
+        names,
+        ["a", "b", "c", "d"],
+        "one that the store turns away is last"
+    );
 }
 
 #[test]
