Heartbeats: the larger the pool, the fewer from each agent and front

Cause: 800 agents each 400 ms and 182 fronts each 200 ms are 2,900 heartbeats a second, and as many answers. The owner names the pause with each grant: an agent's grows from 320 agents on, up to 1 s (two may be lost within a grant of 2.5 s); a front's from 40 fronts on, as far as it still hears of the owner's readings of the config in time. The eight fronts that go first at a takeover keep 200 ms. What counts as silence grows with the pause. Pools of up to 320 agents and 40 fronts beat as before. Costs: an agent of a pool of 800 gives a silent owner up after 2.4 s instead of 1.8 s.

--- /dev/null
+++ b/benches/owner_load.rs
@@ -0,0 +1,315 @@
+//! What a front that owns costs, by the size of its pool: a real front, with agents and fronts played here.
+//!
+//! `cargo build --release --workspace && cargo bench --bench owner_load -- AGENTS FRONTS TASKS_PER_SECOND`.
+
+#[path = "../tests/proofs/support/calls.rs"]
+#[allow(dead_code, reason = "shared with the proofs, which use all of it")]
+mod calls;
+#[path = "../tests/common/mod.rs"]
+#[allow(dead_code, reason = "shared with the tests, which use all of it")]
+mod common;
+#[path = "../tests/pool/relay.rs"]
+#[allow(dead_code, reason = "shared with the tests, which use all of it")]
+mod relay;
+#[path = "../tests/pool/site.rs"]
+#[allow(dead_code, reason = "shared with the tests, which use all of it")]
+mod site;
+
+use compio::net::TcpStream;
+use compio::runtime::{JoinHandle, spawn};
+use compio::time::sleep;
+use futures_channel::mpsc::{UnboundedSender, unbounded};
+use futures_util::future::join_all;
+use serde_json::json;
+use site::{Site, name, run, wait_for};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use wax_agent::GatheredNews;
+use wax_batch::{RunEnd, RunEndKind, RunMark, RunReport, TaskSize, WorkerView};
+use wax_wire::{
+    AgentHello, EntryHello, LinkPing, PoolBody, PoolReader, PoolWriter, RunNews, StartRun,
+    WorkerUp, split_stream,
+};
+
+/// How long the load is watched.
+const WATCH: Duration = Duration::from_secs(10);
+/// Tasks of one job.
+const TASKS: u32 = 20;
+/// How long each task runs.
+const TASK_TIME: Duration = Duration::from_millis(1_200);
+/// How often an agent learns of its worker's progress.
+const HOLD_PERIOD: Duration = Duration::from_millis(250);
+/// Heartbeats until the owner says otherwise.
+const FIRST_PERIOD: Duration = Duration::from_millis(400);
+
+/// A worker and its agent, as far as the owner sees them.
+struct PlayedAgent {
+    outbox: UnboundedSender<PoolBody>,
+    ends: Cell<u64>,
+    running: RefCell<Vec<(RunMark, Instant)>>,
+    gathered: RefCell<GatheredNews>,
+    period: Cell<Duration>,
+}
+
+impl PlayedAgent {
+    fn tell(&self, body: PoolBody) {
+        // The owner's end closes the link.
+        let _ = self.outbox.unbounded_send(body);
+    }
+
+    async fn run_task(self: Rc<Self>, order: StartRun) {
+        let mark = RunMark::from(&order.seat.mark);
+        self.gathered.borrow_mut().note_started(mark);
+        self.running.borrow_mut().push((mark, Instant::now()));
+        sleep(TASK_TIME).await;
+        self.running
+            .borrow_mut()
+            .retain(|(other, _)| *other != mark);
+        self.ends.set(self.ends.get() + 1);
+        let end = RunEnd {
+            number: self.ends.get(),
+            mark,
+            kind: RunEndKind::Done,
+            checkpoint: "".into(),
+        };
+        let news = RunNews {
+            ends: vec![(&end).into()],
+            ..Default::default()
+        };
+        let news = self.gathered.borrow_mut().complete(news);
+        self.tell(PoolBody::News(news));
+    }
+
+    async fn report(self: Rc<Self>) {
+        loop {
+            sleep(HOLD_PERIOD).await;
+            let running = self.running.borrow();
+            for (mark, since) in &*running {
+                self.gathered.borrow_mut().note_going(RunReport {
+                    mark: *mark,
+                    checkpoint: "".into(),
+                    percent: (100.0 * since.elapsed().div_duration_f64(TASK_TIME)) as u32,
+                    figure: 900,
+                    listed: true,
+                });
+            }
+        }
+    }
+
+    async fn ping(self: Rc<Self>) {
+        loop {
+            if let Some(news) = self.gathered.borrow_mut().take() {
+                self.tell(PoolBody::News(news));
+            }
+            let ping = LinkPing::default();
+            if self.outbox.unbounded_send(PoolBody::Ping(ping)).is_err() {
+                return;
+            }
+            sleep(self.period.get()).await;
+        }
+    }
+}
+
+async fn open(owner: SocketAddr, hello: PoolBody) -> Option<(PoolReader, PoolWriter)> {
+    let stream = TcpStream::connect(owner).await.ok()?;
+    let (mut reader, mut writer): (PoolReader, PoolWriter) = split_stream(stream);
+    writer.write(hello).await.ok()?;
+    matches!(reader.read().await.ok()??, PoolBody::Welcome(_)).then_some((reader, writer))
+}
+
+async fn link_agent(owner: SocketAddr, number: usize) -> Option<Vec<JoinHandle<()>>> {
+    let hello = AgentHello {
+        node: format!("side-{number}"),
+        ..Default::default()
+    };
+    let (mut reader, mut writer) = open(owner, PoolBody::AgentHello(hello)).await?;
+    let (outbox, mut inbox) = unbounded();
+    let writing = spawn(async move {
+        // The owner's end closes the link.
+        let _ = writer.drain(&mut inbox).await;
+    });
+    let agent = Rc::new(PlayedAgent {
+        outbox,
+        ends: Cell::new(0),
+        running: RefCell::default(),
+        gathered: RefCell::default(),
+        period: Cell::new(FIRST_PERIOD),
+    });
+    agent.tell(worker_up(number));
+    while !matches!(reader.read().await.ok()??, PoolBody::WorkerKept(_)) {}
+    sleep(FIRST_PERIOD.mul_f64(fastrand::f64())).await;
+    let reading = spawn({
+        let agent = agent.clone();
+        async move {
+            while let Ok(Some(body)) = reader.read().await {
+                match body {
+                    PoolBody::Start(order) => spawn(agent.clone().run_task(order)).detach(),
+                    PoolBody::Grant(grant) => agent.period.set(grant.period(FIRST_PERIOD)),
+                    _ => {}
+                }
+            }
+        }
+    });
+    let tasks = vec![
+        writing,
+        reading,
+        spawn(agent.clone().ping()),
+        spawn(agent.report()),
+    ];
+    Some(tasks)
+}
+
+fn worker_up(number: usize) -> PoolBody {
+    let view = WorkerView {
+        boot: format!("i-{number}").as_str().into(),
+        service: "svc".into(),
+        failure_domain: ["a", "b", "c"][number % 3].into(),
+        rack: Some(format!("r{}", number / 12).into()),
+        capacity: TaskSize {
+            cpu_milli: 16_000,
+            memory_mb: 64_000,
+            accelerators: 0,
+        },
+        ..Default::default()
+    };
+    PoolBody::WorkerUp(WorkerUp {
+        worker: (&view).into(),
+        runs: Vec::new(),
+        ends: Vec::new(),
+        known_pairs: 0,
+    })
+}
+
+async fn link_front(owner: SocketAddr, number: usize) -> Option<Vec<JoinHandle<()>>> {
+    let hello = EntryHello {
+        node: format!("edge-{number}"),
+        address: format!("127.0.0.1:{}", 1 + number),
+    };
+    let (mut reader, mut writer) = open(owner, PoolBody::EntryHello(hello)).await?;
+    let period = Rc::new(Cell::new(Duration::from_millis(200)));
+    let told = period.clone();
+    let reading = spawn(async move {
+        while let Ok(Some(body)) = reader.read().await {
+            if let PoolBody::Grant(grant) = body {
+                told.set(grant.period(Duration::from_millis(200)));
+            }
+        }
+    });
+    let pinging = spawn(async move {
+        let ping = LinkPing {
+            config: 3,
+            fitness: 500,
+            ..Default::default()
+        };
+        while writer.write(PoolBody::Ping(ping.clone())).await.is_ok() {
+            sleep(period.get()).await;
+        }
+    });
+    Some(vec![reading, pinging])
+}
+
+/// User and system seconds of a process.
+fn cpu_seconds(pid: u32) -> (f64, f64) {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let fields: Vec<&str> = stat
+        .rsplit(')')
+        .next()
+        .unwrap_or("")
+        .split_whitespace()
+        .collect();
+    let seconds = |index: usize| {
+        fields
+            .get(index)
+            .and_then(|text| text.parse::<f64>().ok())
+            .unwrap_or(0.0)
+            / 100.0
+    };
+    (seconds(11), seconds(12))
+}
+
+fn peak_mib(pid: u32) -> f64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+    let kib = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<f64>().ok());
+    kib.unwrap_or(0.0) / 1_024.0
+}
+
+async fn hand_in(site: &Site, tasks_per_second: u32, until: Instant) -> u64 {
+    let pause = Duration::from_secs(1) * TASKS / tasks_per_second;
+    let step = json!({ "count": TASKS, "cpu": 700, "memMb": 1_400, "estimatedMs": 1_200 });
+    let body = json!({ "spec": "{}", "phases": [step] }).to_string();
+    let mut jobs = 0;
+    while Instant::now() < until {
+        jobs += 1;
+        let job = name(1_000 + jobs);
+        let answer = site.ask(0, http::Method::POST, &job, body.clone().into_bytes());
+        let (answer, ()) = futures_util::join!(answer, sleep(pause));
+        assert_eq!(answer.map(|answer| answer.status), Ok(200));
+    }
+    jobs
+}
+
+async fn measure(agents: usize, fronts: usize, tasks_per_second: u32) {
+    let site = Site::start("owner-load", 1, 0).await;
+    let owner = site.fronts[0].peers;
+    let first = wait_for("the front to own the shard", || link_agent(owner, 0)).await;
+    let began = Instant::now();
+    let rest = join_all((1..agents).map(|number| link_agent(owner, number))).await;
+    let linked = began.elapsed();
+    let linked_agents = 1 + rest.iter().flatten().count();
+    let linked_fronts = join_all((0..fronts).map(|number| link_front(owner, number))).await;
+    let linked_fronts = linked_fronts.iter().flatten().count();
+    let pid = site.fronts[0].process.as_ref().expect("it runs").pid();
+    hand_in(
+        &site,
+        tasks_per_second,
+        Instant::now() + Duration::from_secs(3),
+    )
+    .await;
+    let (began, before) = (Instant::now(), cpu_seconds(pid));
+    hand_in(&site, tasks_per_second, began + WATCH).await;
+    let after = cpu_seconds(pid);
+    let seconds = began.elapsed().as_secs_f64();
+    println!(
+        "agents {linked_agents} fronts {linked_fronts} tasks/s {tasks_per_second}: user {:.3} system {:.3} cores, peak {:.1} MiB, all linked in {} ms",
+        (after.0 - before.0) / seconds,
+        (after.1 - before.1) / seconds,
+        peak_mib(pid),
+        linked.as_millis(),
+    );
+    if let Ok(hold) = std::env::var("OWNER_LOAD_HOLD_S") {
+        println!("owner {pid}");
+        let hold = Duration::from_secs(hold.parse().expect("seconds"));
+        hand_in(&site, tasks_per_second, Instant::now() + hold).await;
+    }
+    drop((first, rest));
+}
+
+fn main() {
+    // `cargo test --benches` must not start a measurement.
+    if std::env::args().any(|arg| arg == "--test") {
+        return;
+    }
+    let sizes: Vec<usize> = std::env::args()
+        .skip(1)
+        .filter_map(|arg| arg.parse().ok())
+        .collect();
+    match sizes[..] {
+        [agents, fronts, tasks_per_second] => {
+            run(measure(agents, fronts, tasks_per_second as u32));
+        }
+        _ => {
+            for (agents, fronts, tasks) in [
+                (30, 7, 20),
+                (100, 23, 70),
+                (300, 69, 210),
+                (800, 183, 560),
+                (1_600, 366, 1_120),
+            ] {
+                run(measure(agents, fronts, tasks));
+            }
+        }
+    }
+}
--- a/crates/wax-agent/src/owner_link.rs
+++ b/crates/wax-agent/src/owner_link.rs
@@ -13,13 +13,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_batch::RunMark;
+use wax_policy::AGENT_PERIOD;
 use wax_types::TimePoint;
 use wax_wire::{AgentHello, LinkPing, PoolBody, PoolReader, PoolWriter, WorkerKept, split_stream};
 
 /// Longest time for a connection and its first answer.
 const CONNECT_LIMIT: Duration = Duration::from_millis(600);
-/// Between two heartbeats.
-const PING_PERIOD: Duration = Duration::from_millis(400);
 /// A link without an answer to its heartbeats for this long is given up.
 const LINK_LIMIT: Duration = Duration::from_millis(1_800);
 /// The same while the owner still loads its shard and has not taken over the worker's runs.
@@ -238,13 +237,14 @@
         if outbox.unbounded_send(PoolBody::Ping(ping)).is_err() {
             return;
         }
-        sleep(PING_PERIOD).await;
+        sleep(state.period.get()).await;
     }
 }
 
 fn silence_limit(state: &AgentState) -> Duration {
+    let longer = state.period.get().saturating_sub(AGENT_PERIOD);
     if state.is_kept() || state.boot.borrow().is_none() {
-        LINK_LIMIT
+        LINK_LIMIT + longer
     } else {
         TAKEOVER_LIMIT
     }
@@ -274,6 +274,7 @@
     match body {
         PoolBody::Grant(grant) => {
             state.owner_cut_off.set(grant.store_lost);
+            state.period.set(grant.period(AGENT_PERIOD));
             state.strain.set(f64::from(grant.strain));
             if let Some(frame) = grant.drains {
                 state.take_drains(frame, TimePoint(grant.sent_us));
--- a/crates/wax-agent/src/state.rs
+++ b/crates/wax-agent/src/state.rs
@@ -11,6 +11,7 @@
 use platform::WorkerClient;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
 use wax_batch::{BootId, LostRun, RunMark, StartRefusal, WorkerState, WorkerView};
 use wax_policy::{DrainRules, DrainVerdict, DrainView, PaceRules};
 use wax_trace::{Counter, count};
@@ -134,6 +135,8 @@
     /// Failure domains that get nothing new, by the owners' words.
     pub(crate) drains: RefCell<DrainView>,
     pub(crate) drain_rules: DrainRules,
+    /// Between two heartbeats, by the owner's last grant.
+    pub(crate) period: Cell<Duration>,
     /// The share of the jobs that fill which are late, by the owner's last word.
     pub(crate) strain: Cell<f64>,
     /// The highest token that was ever used.
--- a/crates/wax-front/src/owner_link.rs
+++ b/crates/wax-front/src/owner_link.rs
@@ -12,6 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_owner::{CandidateRank, OwnerFitness, relay_transaction};
+use wax_policy::FRONT_PERIOD;
 use wax_types::TimePoint;
 use wax_wire::{
     BootFrame, BootsDead, ConfigPush, EntryHello, LinkPing, PoolBody, PoolReader, PoolWriter,
@@ -20,8 +21,6 @@
 
 /// Longest time for a connection and its first answer.
 const CONNECT_LIMIT: Duration = Duration::from_millis(600);
-/// Between two heartbeats.
-const PING_PERIOD: Duration = Duration::from_millis(200);
 /// A link without an answer for this long is given up.
 const LINK_LIMIT: Duration = Duration::from_millis(800);
 /// Between two tries, with as much again at random.
@@ -143,6 +142,8 @@
         let replaced = pin!(wait_replaced(state, epoch));
         select(read, replaced).await;
     }
+    // What was heard on the link says no more than a heartbeat at the usual period would.
+    state.shared.heartbeat.set(FRONT_PERIOD);
     *state.outbox.borrow_mut() = None;
     state.asks.borrow_mut().clear();
     state.relays.borrow_mut().clear();
@@ -162,8 +163,12 @@
 }
 
 async fn read_link(state: &Rc<FrontState>, mut reader: PoolReader) {
-    while let Ok(Ok(Some(body))) = timeout(LINK_LIMIT, reader.read()).await {
-        take_message(state, body);
+    loop {
+        let limit = state.shared.heard_within(LINK_LIMIT);
+        match timeout(limit, reader.read()).await {
+            Ok(Ok(Some(body))) => take_message(state, body),
+            _ => return,
+        }
     }
 }
 
@@ -202,8 +207,9 @@
         if outbox.unbounded_send(PoolBody::Ping(ping)).is_err() {
             return;
         }
-        sleep(PING_PERIOD).await;
-        state.shared.note_timer(PING_PERIOD, now);
+        let period = state.shared.heartbeat.get();
+        sleep(period).await;
+        state.shared.note_timer(period, now);
     }
 }
 
@@ -233,6 +239,7 @@
             };
             state.shared.owner_heard.set(heard);
             state.shared.link_heard.set(state.shared.now());
+            state.shared.heartbeat.set(grant.period(FRONT_PERIOD));
             state.shared.rank.set(Some(CandidateRank {
                 rank: grant.rank,
                 best: OwnerFitness(grant.best),
--- a/crates/wax-front/src/state.rs
+++ b/crates/wax-front/src/state.rs
@@ -52,7 +52,8 @@
 
     /// Whether an owner whose store answers was heard lately: it sends what this front cannot.
     pub(crate) fn hears_owner(&self) -> bool {
-        self.shared.now().since(self.shared.owner_heard.get()) < HEARD_LATELY
+        let lately = self.shared.heard_within(HEARD_LATELY);
+        self.shared.now().since(self.shared.owner_heard.get()) < lately
     }
 
     /// Whether neither the store nor an owner that has it was heard for a while: what is asked for now
--- a/crates/wax-owner/src/entries.rs
+++ b/crates/wax-owner/src/entries.rs
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_batch::{BootId, JobName};
+use wax_policy::front_period;
 use wax_types::TimePoint;
 use wax_wire::{
     ConfigPush, JobAsk, JobTold, LeaseGrant, LinkPing, OwnerWelcome, PoolBody, PoolReader,
@@ -135,6 +136,7 @@
         pushes = front.is_due(ping.config, version, now);
     }
     let rank = fronts.rank(node, now);
+    let period = front_period(fronts.len(), rank.rank, &shared.config_rules);
     drop(fronts);
     let mut answers = vec![PoolBody::Grant(LeaseGrant {
         sent_us: ping.sent_us,
@@ -144,6 +146,7 @@
         strain: 0.0,
         rank: rank.rank,
         best: rank.best.0,
+        period_ms: period.as_millis() as u32,
         drains: None,
         config_age_ms: shared
             .config_view
--- a/crates/wax-owner/src/fronts.rs
+++ b/crates/wax-owner/src/fronts.rs
@@ -86,6 +86,10 @@
         self.lives.values()
     }
 
+    pub(crate) fn len(&self) -> usize {
+        self.lives.len()
+    }
+
     pub(crate) fn candidates(&self) -> impl Iterator<Item = Candidate<'_>> {
         let lives = self.lives.iter();
         lives.map(|(node, front)| front.candidate(node))
--- a/crates/wax-owner/src/roster.rs
+++ b/crates/wax-owner/src/roster.rs
@@ -9,6 +9,7 @@
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 use wax_batch::{BootId, JobName, UnheardRuns, WorkerKey};
+use wax_policy::agent_period;
 use wax_types::TimePoint;
 use wax_wire::PoolBody;
 
@@ -399,6 +400,11 @@
             .map(|(_, boot)| boot)
     }
 
+    /// The pause between two heartbeats of each agent.
+    pub fn period(&self) -> Duration {
+        agent_period(self.agents.len())
+    }
+
     /// The queues towards all agents that are linked.
     pub fn outboxes(&self) -> impl Iterator<Item = &UnboundedSender<PoolBody>> {
         self.agents
--- a/crates/wax-owner/src/shared.rs
+++ b/crates/wax-owner/src/shared.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_batch::QueueTable;
-use wax_policy::{ConfigRules, ConfigView, DrainRules, DrainView, PlaceRules};
+use wax_policy::{ConfigRules, ConfigView, DrainRules, DrainView, FRONT_PERIOD, PlaceRules};
 use wax_types::{ErrorKind, ProcessClock, Step, TimePoint, WaxError};
 
 /// A change of the config is in force after this, where the settings name no bound.
@@ -88,6 +88,8 @@
     pub owner_heard: Cell<TimePoint>,
     /// When any owner was last heard by this process's link, whether or not its store answers.
     pub link_heard: Cell<TimePoint>,
+    /// Between two heartbeats of that link, by the owner's last grant.
+    pub heartbeat: Cell<Duration>,
     /// When the store last answered this process.
     pub store_heard: Cell<TimePoint>,
     /// Up to when the config in force is known to be the newest.
@@ -155,6 +157,7 @@
             tenure: RefCell::default(),
             owner_heard: Cell::default(),
             link_heard: Cell::default(),
+            heartbeat: Cell::new(FRONT_PERIOD),
             store_heard: Cell::default(),
             config_view: Cell::default(),
             config_rules: ConfigRules::new(CONFIG_BOUND, DrainRules::default()),
@@ -174,6 +177,12 @@
         self.strength.fitness(self.lateness.get().mean())
     }
 
+    /// For how long an owner that was heard counts as there, longer by two of the heartbeats that it has done
+    /// without.
+    pub fn heard_within(&self, usual: Duration) -> Duration {
+        usual + self.heartbeat.get().saturating_sub(FRONT_PERIOD) * 2
+    }
+
     /// Notes a timer of `span` that was set at `began`.
     pub fn note_timer(&self, span: Duration, began: TimePoint) {
         let mut lateness = self.lateness.get();
--- a/crates/wax-owner/src/watch.rs
+++ b/crates/wax-owner/src/watch.rs
@@ -176,12 +176,13 @@
 
 async fn look(shared: &PoolShared, watch: &mut BeatWatch) -> Result<Look, WaxError> {
     let now = shared.now();
+    let lately = shared.heard_within(HEARD_LATELY);
     let known = shared.owner.borrow().clone();
     // An earlier process at this address is surely dead, and a released term has no owner.
     let free = known.as_ref().is_some_and(|owner| {
         acts_no_more(shared, owner) || shared.owner_refused.get() == owner.epoch
     });
-    if known.is_some() && !free && now.since(shared.owner_heard.get()) < HEARD_LATELY {
+    if known.is_some() && !free && now.since(shared.owner_heard.get()) < lately {
         watch.seen = None;
         return Ok(Look::Wait);
     }
@@ -200,7 +201,7 @@
         }
     }
     let since = watch.note(version, now);
-    let lives = now.since(shared.link_heard.get()) < HEARD_LATELY;
+    let lives = now.since(shared.link_heard.get()) < lately;
     let span = match lives {
         true => shared.spans.patience,
         false => shared.spans.silence,
--- a/crates/wax-wire/src/pool.rs
+++ b/crates/wax-wire/src/pool.rs
@@ -10,6 +10,9 @@
 use wax_policy::{DrainView, PairPress};
 use wax_types::TimePoint;
 
+/// Heartbeats come at least this often, whatever an owner asks for: its grants reach twice as far.
+const MOST_PERIOD: Duration = Duration::from_millis(1_200);
+
 /// One message.
 #[derive(Clone, PartialEq, Message)]
 pub struct PoolFrame {
@@ -193,6 +196,19 @@
     /// readings when this was sent, milliseconds; nothing before the first.
     #[prost(uint64, optional, tag = "9")]
     pub config_age_ms: Option<u64>,
+    /// When the next heartbeat is due, milliseconds after the one that is answered; 0 leaves it to the sender.
+    #[prost(uint32, tag = "10")]
+    pub period_ms: u32,
+}
+
+impl LeaseGrant {
+    /// The pause between two heartbeats: as the owner asks, or `usual`.
+    pub fn period(&self, usual: Duration) -> Duration {
+        match self.period_ms {
+            0 => usual,
+            asked => Duration::from_millis(asked.into()).clamp(usual, MOST_PERIOD),
+        }
+    }
 }
 
 /// The failure domains to which nothing new is sent.
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -1,5 +1,6 @@
 //! A small installation: a store, fronts, agents and their workers.
 
+#[path = "site/audit.rs"]
 mod audit;
 
 use crate::calls::{Answer, call, get_json, post_json};
@@ -45,6 +46,12 @@
         Self { child, log }
     }
 
+    /// Its process id.
+    #[allow(dead_code, reason = "used where processes are measured")]
+    pub(crate) fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub(crate) fn signal(&self, signal: i32) {
         let pid = self.child.id() as i32;
         // SAFETY: `kill` takes plain numbers; the process is our own child, not yet waited for.
