Owner: a round looks at agents that are due, not at all

Cause: each round of the dispatcher, one for each change, went through all agents three times (lapses, links that are gone, what was not heard), and each order looked for its agent among all. Now by due time and by worker.

--- a/crates/wax-owner/src/dispatch.rs
+++ b/crates/wax-owner/src/dispatch.rs
@@ -210,6 +210,10 @@
         return;
     }
     let agents = tenure.agents.borrow();
+    let changes = Some(agents.unheard_changes());
+    if tenure.unheard_seen.replace(changes) == changes {
+        return;
+    }
     let unheard = agents.unheard();
     let mut book = tenure.book.borrow_mut();
     if *book.unheard() == unheard {
--- a/crates/wax-owner/src/roster.rs
+++ b/crates/wax-owner/src/roster.rs
@@ -6,6 +6,7 @@
 use crate::rows::AgentRow;
 use crate::spans::OwnerSpans;
 use futures_channel::mpsc::UnboundedSender;
+use slotmap::{SecondaryMap, SlotMap};
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 use wax_batch::{BootId, JobName, UnheardRuns, WorkerKey};
@@ -56,9 +57,16 @@
     Gone,
 }
 
+slotmap::new_key_type! {
+    /// An agent of a term.
+    struct AgentKey;
+}
+
 /// An agent as the owner knows it.
 #[derive(Debug)]
 struct AgentLife {
+    /// Its name.
+    node: Box<str>,
     /// The number of its link; 0 without one.
     link: u64,
     outbox: Option<UnboundedSender<PoolBody>>,
@@ -75,8 +83,9 @@
 }
 
 impl AgentLife {
-    fn new(now: TimePoint) -> Self {
+    fn new(node: &str, now: TimePoint) -> Self {
         Self {
+            node: node.into(),
             link: 0,
             outbox: None,
             unlinked_at: now,
@@ -92,6 +101,10 @@
     fn may_run_any(&self) -> bool {
         self.worker.is_some() || self.earlier.is_some()
     }
+
+    fn worker_key(&self) -> Option<WorkerKey> {
+        self.worker.as_ref().map(|(key, _)| *key)
+    }
 }
 
 /// What became of agents whose leases have lapsed unheard.
@@ -104,13 +117,81 @@
 }
 
 /// The agents of a term.
+///
+/// A round of the dispatcher comes with each change of a large pool: it must not look through all agents.
 #[derive(Debug, Default)]
 pub struct AgentRoster {
-    agents: HashMap<Box<str>, AgentLife>,
+    agents: SlotMap<AgentKey, AgentLife>,
+    names: HashMap<Box<str>, AgentKey>,
+    workers: SecondaryMap<WorkerKey, AgentKey>,
+    /// When leases lapse of which nothing certain is known.
+    lapses: BTreeSet<(TimePoint, AgentKey)>,
+    /// Agents without a link.
+    away: BTreeSet<AgentKey>,
+    /// Agents that may run something of earlier terms and were not heard.
+    earlier: BTreeSet<AgentKey>,
+    /// Rises with each change of what may run of earlier terms.
+    earlier_changes: u64,
+    /// The agents by the boots that their rows name.
+    boots: HashMap<BootId, AgentKey>,
     notes: HashMap<Box<str>, AgentNote>,
 }
 
 impl AgentRoster {
+    fn agent(&self, node: &str) -> Option<&AgentLife> {
+        self.agents.get(*self.names.get(node)?)
+    }
+
+    /// The key of an agent, which is new without a link if it was not known.
+    fn enter(&mut self, node: &str, now: TimePoint) -> AgentKey {
+        if let Some(key) = self.names.get(node) {
+            return *key;
+        }
+        let key = self.agents.insert(AgentLife::new(node, now));
+        self.names.insert(node.into(), key);
+        self.away.insert(key);
+        key
+    }
+
+    /// Changes an agent, and what is indexed by it.
+    fn change<T>(&mut self, key: AgentKey, act: impl FnOnce(&mut AgentLife) -> T) -> Option<T> {
+        let life = self.agents.get_mut(key)?;
+        let (lapse_before, worker_before) = (life.lapse_at, life.worker_key());
+        let was_unheard = life.earlier.is_some();
+        let done = act(life);
+        let (lapse_at, worker) = (life.lapse_at, life.worker_key());
+        let (is_away, is_unheard) = (life.outbox.is_none(), life.earlier.is_some());
+        if lapse_at != lapse_before {
+            self.lapses.extend(lapse_at.map(|at| (at, key)));
+            lapse_before.map(|at| self.lapses.remove(&(at, key)));
+        }
+        if worker != worker_before {
+            worker_before.map(|worker| self.workers.remove(worker));
+            worker.map(|worker| self.workers.insert(worker, key));
+        }
+        set_member(&mut self.away, key, is_away);
+        if is_unheard != was_unheard {
+            set_member(&mut self.earlier, key, is_unheard);
+            self.earlier_changes += 1;
+        }
+        Some(done)
+    }
+
+    fn remove(&mut self, key: AgentKey) {
+        self.change(key, |agent| {
+            agent.lapse_at = None;
+            agent.worker = None;
+            agent.earlier = None;
+        });
+        self.away.remove(&key);
+        if let Some(agent) = self.agents.remove(key) {
+            self.names.remove(&agent.node);
+            if let Some(boot) = agent.row.boot() {
+                self.boots.remove(boot);
+            }
+        }
+    }
+
     /// Takes a row of the store at a takeover; all that it speaks of has lapsed by `lapse_at`.
     pub fn load(&mut self, node: &str, row: &AgentRow, lapse_at: TimePoint, gone: &GoneBoots) {
         let boot = row.boot();
@@ -118,26 +199,30 @@
             self.notes.insert(node.into(), AgentNote::Gone);
             return;
         }
-        let agent = self
-            .agents
-            .entry(node.into())
-            .or_insert_with(|| AgentLife::new(TimePoint::default()));
-        agent.lapse_at = Some(lapse_at);
-        if row.unlinked {
-            let jobs: HashSet<JobName> = row.jobs.iter().map(|job| JobName(*job)).collect();
-            agent.earlier = Some(UnheardRuns::Only(jobs));
-            agent.row = RowStand::Unlinked(boot);
-        } else {
-            agent.earlier = Some(UnheardRuns::Any);
-            agent.row = RowStand::Stored(boot);
-        }
+        let key = self.enter(node, TimePoint::default());
+        self.boots.insert(boot.clone(), key);
+        self.change(key, |agent| {
+            agent.lapse_at = Some(lapse_at);
+            if row.unlinked {
+                let jobs: HashSet<JobName> = row.jobs.iter().map(|job| JobName(*job)).collect();
+                agent.earlier = Some(UnheardRuns::Only(jobs));
+                agent.row = RowStand::Unlinked(boot);
+            } else {
+                agent.earlier = Some(UnheardRuns::Any);
+                agent.row = RowStand::Stored(boot);
+            }
+        });
     }
 
     /// What agents that were not heard may still run of earlier terms.
     pub fn unheard(&self) -> UnheardRuns {
         let mut all = HashSet::new();
-        for agent in self.agents.values() {
-            match &agent.earlier {
+        for key in &self.earlier {
+            match self
+                .agents
+                .get(*key)
+                .and_then(|agent| agent.earlier.as_ref())
+            {
                 Some(UnheardRuns::Any) => return UnheardRuns::Any,
                 Some(UnheardRuns::Only(jobs)) => all.extend(jobs),
                 None => {}
@@ -146,10 +231,14 @@
         UnheardRuns::Only(all)
     }
 
+    /// Rises whenever [`AgentRoster::unheard`] may have changed.
+    pub fn unheard_changes(&self) -> u64 {
+        self.earlier_changes
+    }
+
     /// How many agents may run something of earlier terms and were not heard.
     pub fn unheard_agents(&self) -> usize {
-        let agents = self.agents.values();
-        agents.filter(|agent| agent.earlier.is_some()).count()
+        self.earlier.len()
     }
 
     /// Takes a new link; returns the worker whose runs are to be compared anew.
@@ -161,20 +250,19 @@
         now: TimePoint,
         spans: &OwnerSpans,
     ) -> Option<WorkerKey> {
-        let agent = self
-            .agents
-            .entry(node.into())
-            .or_insert_with(|| AgentLife::new(now));
-        // An owner before, or an earlier link, may have granted until now. Without this bound what ran on
-        // the worker counted as lapsed at once if the link broke before the first grant on it.
-        agent.grant_end = agent.grant_end.max(now + spans.grant);
-        // Until its worker's runs are told on this link, those of the link before count.
-        if agent.lapse_at.is_none() && agent.worker.is_some() {
-            agent.lapse_at = Some(agent.grant_end + spans.lapse_after_grant());
-        }
-        agent.link = link;
-        agent.outbox = Some(outbox.clone());
-        agent.worker.as_ref().map(|(key, _)| *key)
+        let key = self.enter(node, now);
+        self.change(key, |agent| {
+            // An owner before, or an earlier link, may have granted until now. Without this bound what ran on
+            // the worker counted as lapsed at once if the link broke before the first grant on it.
+            agent.grant_end = agent.grant_end.max(now + spans.grant);
+            // Until its worker's runs are told on this link, those of the link before count.
+            if agent.lapse_at.is_none() && agent.worker.is_some() {
+                agent.lapse_at = Some(agent.grant_end + spans.lapse_after_grant());
+            }
+            agent.link = link;
+            agent.outbox = Some(outbox.clone());
+            agent.worker_key()
+        })?
     }
 
     /// Notes that a link has ended; returns the worker that cannot be reached now. `None` says that
@@ -186,50 +274,53 @@
         now: TimePoint,
         spans: &OwnerSpans,
     ) -> Option<Option<WorkerKey>> {
-        let agent = self
-            .agents
-            .get_mut(node)
-            .filter(|agent| agent.link == link)?;
-        agent.outbox = None;
-        agent.link = 0;
-        agent.unlinked_at = now;
+        let key = *self.names.get(node)?;
+        let agent = self.agents.get(key).filter(|agent| agent.link == link)?;
         if !agent.may_run_any() {
             // No order was given, so that there is nothing to wait for: neither here nor after the
-            // next takeover. Waiting for such an agent held up lasting tasks for 11.8 s.
+            // next takeover.
             if agent.row != RowStand::Absent {
                 self.notes.insert(node.into(), AgentNote::Gone);
             }
-            self.agents.remove(node);
+            self.remove(key);
             return Some(None);
         }
-        let lapse_at = agent.grant_end + spans.lapse_after_grant();
-        agent.lapse_at.get_or_insert(lapse_at);
-        Some(agent.worker.as_ref().map(|(key, _)| *key))
+        self.change(key, |agent| {
+            agent.outbox = None;
+            agent.link = 0;
+            agent.unlinked_at = now;
+            let lapse_at = agent.grant_end + spans.lapse_after_grant();
+            agent.lapse_at.get_or_insert(lapse_at);
+            agent.worker_key()
+        })
     }
 
     /// Whether a link is the agent's newest.
     pub fn is_current(&self, node: &str, link: u64) -> bool {
-        self.agents
-            .get(node)
-            .is_some_and(|agent| agent.link == link)
+        self.agent(node).is_some_and(|agent| agent.link == link)
     }
 
     /// Notes that the agent's authority reaches until `end`.
     pub fn granted(&mut self, node: &str, end: TimePoint) {
-        if let Some(agent) = self.agents.get_mut(node) {
+        let key = self.names.get(node);
+        if let Some(agent) = key.and_then(|key| self.agents.get_mut(*key)) {
             agent.grant_end = agent.grant_end.max(end);
         }
     }
 
     /// Whether the store knows that the worker may be given orders; asks for it to be told if not.
     pub fn ask_row(&mut self, node: &str, boot: &BootId) -> bool {
-        let Some(agent) = self.agents.get_mut(node) else {
+        let Some(key) = self.names.get(node) else {
+            return true;
+        };
+        let Some(agent) = self.agents.get_mut(*key) else {
             return true;
         };
         match &agent.row {
             RowStand::Stored(known) if known == boot => true,
             RowStand::Queued(known) if known == boot => false,
             _ => {
+                self.boots.insert(boot.clone(), *key);
                 agent.row = RowStand::Queued(boot.clone());
                 let note = AgentNote::Linked { boot: boot.clone() };
                 self.notes.insert(node.into(), note);
@@ -246,30 +337,37 @@
         worker: WorkerKey,
         boot: &BootId,
     ) -> Option<(WorkerKey, BootId)> {
-        let agent = self.agents.get_mut(node)?;
-        agent.lapse_at = None;
-        agent.earlier = None;
-        agent.worker.replace((worker, boot.clone()))
+        let key = *self.names.get(node)?;
+        self.change(key, |agent| {
+            agent.lapse_at = None;
+            agent.earlier = None;
+            agent.worker.replace((worker, boot.clone()))
+        })?
     }
 
     /// The worker of an agent, if its runs were compared in this term.
     pub fn worker(&self, node: &str) -> Option<(WorkerKey, BootId)> {
-        self.agents.get(node)?.worker.clone()
+        self.agent(node)?.worker.clone()
     }
 
     /// The agent says that nothing runs on a worker any more; returns it if it was known.
     pub fn worker_gone(&mut self, node: &str, boot: &BootId) -> Option<WorkerKey> {
-        let agent = self.agents.get_mut(node)?;
-        let key = agent.worker.take_if(|(_, known)| known == boot);
-        let was_unheard = agent.earlier.is_some() && agent.row.boot() == Some(boot);
-        if key.is_some() || was_unheard {
-            agent.earlier = None;
-            agent.lapse_at = None;
-            agent.row = RowStand::Absent;
+        let key = *self.names.get(node)?;
+        let (worker, was_unheard) = self.change(key, |agent| {
+            let worker = agent.worker.take_if(|(_, known)| known == boot);
+            let was_unheard = agent.earlier.is_some() && agent.row.boot() == Some(boot);
+            if worker.is_some() || was_unheard {
+                agent.earlier = None;
+                agent.lapse_at = None;
+                agent.row = RowStand::Absent;
+            }
+            (worker, was_unheard)
+        })?;
+        if worker.is_some() || was_unheard {
             // The next owner need not wait for this agent.
             self.notes.insert(node.into(), AgentNote::Gone);
         }
-        key.map(|(key, _)| key)
+        worker.map(|(key, _)| key)
     }
 
     /// A boot of a worker is dead for good, whoever says so; returns its agent if it was waited for.
@@ -278,18 +376,13 @@
             // Rows of older versions name no worker.
             return None;
         }
-        let unheard = self
-            .agents
-            .iter()
-            .find(|(_, agent)| agent.earlier.is_some() && agent.row.boot() == Some(boot));
-        let node = unheard.map(|(node, _)| node.clone())?;
+        let key = *self.boots.get(boot)?;
+        let waits_for =
+            |agent: &&AgentLife| agent.earlier.is_some() && agent.row.boot() == Some(boot);
+        let node = self.agents.get(key).filter(waits_for)?.node.clone();
         self.worker_gone(&node, boot);
-        if self
-            .agents
-            .get(&node)
-            .is_some_and(|agent| agent.outbox.is_none())
-        {
-            self.agents.remove(&node);
+        if self.away.contains(&key) {
+            self.remove(key);
         }
         Some(node)
     }
@@ -300,23 +393,26 @@
     /// owner may have heard the agent and extended its leases.
     pub fn drop_lapsed(&mut self, now: TimePoint, confirmed: TimePoint) -> LapsedAgents {
         let mut lapsed = LapsedAgents::default();
-        let notes = &mut self.notes;
-        self.agents.retain(|node, agent| {
-            if agent.lapse_at.is_none_or(|at| now < at || confirmed < at) {
-                return true;
+        while let Some((at, key)) = self.lapses.first().copied() {
+            if now < at || confirmed < at {
+                break;
             }
-            agent.lapse_at = None;
-            agent.earlier = None;
-            lapsed.nodes.push(node.clone());
-            lapsed
-                .workers
-                .extend(agent.worker.take().map(|(key, _)| key));
-            if agent.outbox.is_some() {
-                return true;
+            let worker = self.change(key, |agent| {
+                agent.lapse_at = None;
+                agent.earlier = None;
+                agent.worker.take().map(|(key, _)| key)
+            });
+            lapsed.workers.extend(worker.flatten());
+            let Some(agent) = self.agents.get(key) else {
+                break;
+            };
+            let node = agent.node.clone();
+            if agent.outbox.is_none() {
+                self.notes.insert(node.clone(), AgentNote::Gone);
+                self.remove(key);
             }
-            notes.insert(node.clone(), AgentNote::Gone);
-            false
-        });
+            lapsed.nodes.push(node);
+        }
         lapsed
     }
 
@@ -327,20 +423,23 @@
         now: TimePoint,
         jobs_on: impl Fn(WorkerKey) -> BTreeSet<JobName>,
     ) {
-        for (node, agent) in &mut self.agents {
-            let is_away = agent.outbox.is_none() && now.since(agent.unlinked_at) >= UNLINKED_AFTER;
-            let Some((key, boot)) = agent.worker.as_ref().filter(|_| is_away) else {
+        for key in &self.away {
+            let Some(agent) = self.agents.get_mut(*key) else {
+                continue;
+            };
+            let Some((worker, boot)) = agent.worker.as_ref() else {
                 continue;
             };
-            if !matches!(agent.row, RowStand::Stored(_)) {
+            let is_due = now.since(agent.unlinked_at) >= UNLINKED_AFTER;
+            if !is_due || !matches!(agent.row, RowStand::Stored(_)) {
                 continue;
             }
             agent.row = RowStand::Unlinked(boot.clone());
             let note = AgentNote::Unlinked {
                 boot: boot.clone(),
-                jobs: jobs_on(*key),
+                jobs: jobs_on(*worker),
             };
-            self.notes.insert(node.clone(), note);
+            self.notes.insert(agent.node.clone(), note);
         }
     }
 
@@ -371,7 +470,8 @@
             let AgentNote::Linked { boot } = note else {
                 continue;
             };
-            if let Some(agent) = self.agents.get_mut(node)
+            let key = self.names.get(node);
+            if let Some(agent) = key.and_then(|key| self.agents.get_mut(*key))
                 && agent.row == RowStand::Queued(boot.clone())
             {
                 agent.row = RowStand::Stored(boot.clone());
@@ -382,22 +482,14 @@
     /// The queue towards a worker, if its agent is linked and its runs were compared on this link: an
     /// order by an older view could undo what the agent has yet to tell.
     pub fn outbox(&self, worker: WorkerKey) -> Option<&UnboundedSender<PoolBody>> {
-        let agent = self.agents.values().find(|agent| {
-            let known = agent.worker.as_ref().is_some_and(|(key, _)| *key == worker);
-            known && agent.lapse_at.is_none()
-        })?;
-        agent.outbox.as_ref()
+        let agent = self.agents.get(*self.workers.get(worker)?)?;
+        agent.outbox.as_ref().filter(|_| agent.lapse_at.is_none())
     }
 
     /// The boot of a worker.
     pub fn boot(&self, worker: WorkerKey) -> Option<&BootId> {
-        let mut workers = self
-            .agents
-            .values()
-            .filter_map(|agent| agent.worker.as_ref());
-        workers
-            .find(|(key, _)| *key == worker)
-            .map(|(_, boot)| boot)
+        let agent = self.agents.get(*self.workers.get(worker)?)?;
+        agent.worker.as_ref().map(|(_, boot)| boot)
     }
 
     /// The pause between two heartbeats of each agent.
@@ -412,3 +504,11 @@
             .filter_map(|agent| agent.outbox.as_ref())
     }
 }
+
+fn set_member(set: &mut BTreeSet<AgentKey>, key: AgentKey, is_member: bool) {
+    if is_member {
+        set.insert(key);
+    } else {
+        set.remove(&key);
+    }
+}
--- a/crates/wax-owner/src/tenure.rs
+++ b/crates/wax-owner/src/tenure.rs
@@ -77,6 +77,8 @@
     pub(crate) press_stored: Cell<TimePoint>,
     /// Notified when agents' rows were stored.
     pub(crate) rows_stored: Event,
+    /// The count of changes of what was not heard of earlier terms, as the book was last told.
+    pub(crate) unheard_seen: Cell<Option<u64>>,
     /// Whether starts wait, as a drain may have gone unseen for too long.
     pub(crate) drains_unsure: Cell<bool>,
     /// There may be something to place, stop or acknowledge.
@@ -134,6 +136,7 @@
             press_unstored: Cell::new(false),
             press_stored: Cell::new(shared.now()),
             rows_stored: Event::new(),
+            unheard_seen: Cell::new(None),
             drains_unsure: Cell::new(false),
             dispatch: Event::new(),
             write: Event::new(),
