Placement: workers are asked once for all tasks of a step

Cause: each of a step's tasks asked all workers, although only the worker of the task before had changed. Tasks that have failed, or under which workers have ended, still ask all for themselves. In debug builds each choice is compared with one that asks all. Ends that wait for the store are looked for at the workers that have some, not at all. With tasks that fill, each worker asked costs look-ups for all pairs of images on it.

--- a/crates/wax-batch/src/book.rs
+++ b/crates/wax-batch/src/book.rs
@@ -165,6 +165,8 @@
     pub(crate) ready: BTreeSet<StepAt>,
     pub(crate) dirty: BTreeSet<JobKey>,
     pub(crate) stops: Vec<StopOrder>,
+    /// Workers with ends that they may not forget yet.
+    pub(crate) unacknowledged: BTreeSet<WorkerKey>,
     /// Waits that are to be told; see [`JobBook::take_waits`].
     pub(crate) waits: Vec<StepWait>,
     pub(crate) config: Rc<QueueConfig>,
@@ -193,6 +195,7 @@
             ready: BTreeSet::new(),
             dirty: BTreeSet::new(),
             stops: Vec::new(),
+            unacknowledged: BTreeSet::new(),
             waits: Vec::new(),
             config: Rc::default(),
             rules,
--- a/crates/wax-batch/src/crashes.rs
+++ b/crates/wax-batch/src/crashes.rs
@@ -45,10 +45,11 @@
 }
 
 impl WorkerLife {
-    /// Whether it is kept for the trial of another task than this one.
-    pub(crate) fn is_kept_from(&self, at: TaskAt, now: TimePoint) -> bool {
+    /// Whether it is kept for the trial of another task than this one; `None` stands for any task under which
+    /// no worker has ended.
+    pub(crate) fn is_kept_from(&self, at: Option<TaskAt>, now: TimePoint) -> bool {
         match self.trial {
-            Some(WorkerTrial::Reserved { task, until }) => now < until && task != at,
+            Some(WorkerTrial::Reserved { task, until }) => now < until && Some(task) != at,
             Some(WorkerTrial::Running { mark, until }) => {
                 // One that fell silent may have ended by this run: that shows once it is back.
                 let is_open = now < until || self.view.state == WorkerState::Silent;
@@ -182,7 +183,7 @@
     pub(crate) fn trials_are_full(&self, at: TaskAt, service: &str, now: TimePoint) -> bool {
         let workers = self.workers.values();
         let of_service = workers.filter(|worker| *worker.view.service == *service);
-        let kept = of_service.filter(|worker| worker.is_kept_from(at, now));
+        let kept = of_service.filter(|worker| worker.is_kept_from(Some(at), now));
         kept.count() >= (self.workers_of(service) / WORKERS_PER_TRIAL).max(1)
     }
 
--- a/crates/wax-batch/src/ends.rs
+++ b/crates/wax-batch/src/ends.rs
@@ -81,6 +81,7 @@
         if let Some(life) = self.workers.get_mut(worker) {
             let number = end.number;
             life.pending.push_back(PendingEnd { number, covered });
+            self.unacknowledged.insert(worker);
         }
     }
 
@@ -337,12 +338,15 @@
     /// Moves the cursors of workers past ends that the store knows; returns those that moved.
     pub fn take_cursors(&mut self) -> Vec<(WorkerKey, u64)> {
         let mut moved = Vec::new();
-        for (key, life) in &mut self.workers {
+        let (workers, jobs) = (&mut self.workers, &self.jobs);
+        self.unacknowledged.retain(|key| {
+            let Some(life) = workers.get_mut(*key) else {
+                return false;
+            };
             let before = life.cursor;
             while let Some(first) = life.pending.front() {
                 let known = first.covered.is_none_or(|(job, changes)| {
-                    self.jobs
-                        .get(job)
+                    jobs.get(job)
                         .is_none_or(|job| job.stored_changes >= changes)
                 });
                 if !known {
@@ -352,9 +356,10 @@
                 life.pending.pop_front();
             }
             if life.cursor > before {
-                moved.push((key, life.cursor));
+                moved.push((*key, life.cursor));
             }
-        }
+            !life.pending.is_empty()
+        });
         moved
     }
 }
--- a/crates/wax-batch/src/lib.rs
+++ b/crates/wax-batch/src/lib.rs
@@ -13,6 +13,7 @@
 mod moves;
 mod names;
 mod notes;
+mod offers;
 mod patience;
 mod place;
 mod progress;
--- /dev/null
+++ b/crates/wax-batch/src/offers.rs
@@ -0,0 +1,125 @@
+//! The workers that would take a task of a step, the cheapest first.
+//!
+//! A step of many tasks is placed in one go. Each placement changes one worker, so that the others need not be
+//! looked at again.
+
+use crate::why::WaitReason;
+use crate::worker::WorkerKey;
+use std::cmp::{Ordering, Reverse};
+use std::collections::{BinaryHeap, HashMap};
+
+/// What a worker takes for a task.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct WorkerOffer {
+    cost: f64,
+    /// Among equals the first worker of the book goes first.
+    position: usize,
+    worker: WorkerKey,
+    /// The count of the worker's changes that the offer knows of.
+    version: u32,
+}
+
+impl Eq for WorkerOffer {}
+
+impl Ord for WorkerOffer {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let by_cost = self.cost.total_cmp(&other.cost);
+        by_cost.then(self.position.cmp(&other.position))
+    }
+}
+
+impl PartialOrd for WorkerOffer {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+/// The cheapest worker and the cost of the next one.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct BestOffer {
+    pub(crate) worker: WorkerKey,
+    pub(crate) cost: f64,
+    pub(crate) next_cost: Option<f64>,
+}
+
+/// All offers for the tasks of one step.
+#[derive(Debug)]
+pub(crate) struct StepOffers {
+    offers: BinaryHeap<Reverse<WorkerOffer>>,
+    versions: HashMap<WorkerKey, u32>,
+    /// The obstacle of the worker that comes nearest to taking a task.
+    nearest: WaitReason,
+}
+
+impl StepOffers {
+    /// Asks all workers, in the book's order.
+    pub(crate) fn ask(answers: impl Iterator<Item = (WorkerKey, Result<f64, WaitReason>)>) -> Self {
+        let mut nearest = WaitReason::NoWorker;
+        let mut offers = Vec::new();
+        for (position, (worker, answer)) in answers.enumerate() {
+            match answer {
+                Ok(cost) => offers.push(Reverse(WorkerOffer {
+                    cost,
+                    position,
+                    worker,
+                    version: 0,
+                })),
+                Err(reason) => nearest = nearest.max(reason),
+            }
+        }
+        Self {
+            offers: offers.into(),
+            versions: HashMap::new(),
+            nearest,
+        }
+    }
+
+    /// The cheapest worker.
+    ///
+    /// # Errors
+    ///
+    /// Why no worker takes a task.
+    pub(crate) fn best(&mut self) -> Result<BestOffer, WaitReason> {
+        let best = self.current().ok_or(self.nearest)?;
+        self.offers.pop();
+        let next_cost = self.current().map(|next| next.cost);
+        self.offers.push(Reverse(best));
+        Ok(BestOffer {
+            worker: best.worker,
+            cost: best.cost,
+            next_cost,
+        })
+    }
+
+    /// The first offer that its worker still stands by.
+    fn current(&mut self) -> Option<WorkerOffer> {
+        while let Some(Reverse(first)) = self.offers.peek().copied() {
+            let version = self.versions.get(&first.worker).copied().unwrap_or(0);
+            if first.version == version {
+                return Some(first);
+            }
+            self.offers.pop();
+        }
+        None
+    }
+
+    /// A task was placed on a worker, or taken back from it: what it answers now counts.
+    pub(crate) fn changed(
+        &mut self,
+        worker: WorkerKey,
+        position: usize,
+        answer: Result<f64, WaitReason>,
+    ) {
+        let version = self.versions.entry(worker).or_default();
+        *version += 1;
+        match answer {
+            Ok(cost) => self.offers.push(Reverse(WorkerOffer {
+                cost,
+                position,
+                worker,
+                version: *version,
+            })),
+            Err(reason) => self.nearest = self.nearest.max(reason),
+        }
+    }
+}
--- a/crates/wax-batch/src/place.rs
+++ b/crates/wax-batch/src/place.rs
@@ -1,7 +1,9 @@
 //! Which task starts where.
 
-use crate::book::{JobBook, StartOrder, StepAt, TaskAt};
+use crate::book::{JobBook, StartOrder, StepAt, TaskAt, WorkerLife};
+use crate::life::TaskLife;
 use crate::names::RunMark;
+use crate::offers::StepOffers;
 use crate::patience::FillPatience;
 use crate::rank::JobRank;
 use crate::spec::StepSpec;
@@ -53,6 +55,23 @@
     rack: Option<Box<str>>,
 }
 
+/// A task that has failed, or under which workers have ended.
+struct SpecialTask<'a> {
+    at: TaskAt,
+    life: &'a TaskLife,
+    is_suspected: bool,
+    /// Whether it starts on machines only under which no worker has ended.
+    avoids: bool,
+}
+
+impl SpecialTask<'_> {
+    /// Whether it may not go back to this worker yet.
+    fn is_shunned(&self, key: WorkerKey, now: TimePoint) -> bool {
+        let shuns = self.life.shuns;
+        shuns.is_some_and(|(shunned, until)| shunned == key && now < until)
+    }
+}
+
 impl JobBook {
     /// Places what can be placed now, the most urgent first.
     pub fn place(&mut self, now: TimePoint) -> Vec<StartOrder> {
@@ -130,11 +149,13 @@
             self.place_gang(at, &ask, now, orders);
             return;
         }
+        let mut known = None;
         for (nth, index) in waiting.into_iter().enumerate() {
             let task = TaskAt { step: at, index };
-            match self.choose(task, &ask, now) {
+            match self.choose(task, &ask, &mut known, now) {
                 PlaceChoice::Worker(chosen) => {
                     orders.push(self.order(task, chosen, &ask, None, now));
+                    self.note_placed(at, &ask, &mut known, chosen.key, now);
                 }
                 PlaceChoice::Wait(reason) => {
                     self.note_wait(task, &ask, reason, now);
@@ -158,11 +179,13 @@
         let last_run = self.last_run(at);
         let run = self.next_run(&self.jobs[at.job], last_run);
         let mut members = Vec::with_capacity(count as usize);
+        let mut known = None;
         for index in 0..count {
             let task = TaskAt { step: at, index };
-            match self.choose(task, ask, now) {
+            match self.choose(task, ask, &mut known, now) {
                 PlaceChoice::Worker(chosen) => {
-                    members.push(self.order(task, chosen, ask, Some(run), now))
+                    members.push(self.order(task, chosen, ask, Some(run), now));
+                    self.note_placed(at, ask, &mut known, chosen.key, now);
                 }
                 PlaceChoice::Wait(reason) => {
                     let reason = match members.is_empty() {
@@ -291,84 +314,199 @@
         most.map(|(rack, _)| rack.into())
     }
 
-    fn choose(&mut self, at: TaskAt, ask: &StepAsk<'_>, now: TimePoint) -> PlaceChoice {
-        let step = ask.step;
-        let job = &self.jobs[at.step.job];
-        let Some(occurrence) = job.occurrences.get(&at.step.occurrence) else {
+    fn choose(
+        &mut self,
+        at: TaskAt,
+        ask: &StepAsk<'_>,
+        known: &mut Option<(FillPatience, StepOffers)>,
+        now: TimePoint,
+    ) -> PlaceChoice {
+        let Some(patience) = self.patience(at.step, ask, now) else {
             return PlaceChoice::Wait(WaitReason::NoWorker);
         };
-        let life = &occurrence.steps[usize::from(at.step.step)];
-        let shuns = life.tasks[at.index as usize].shuns;
-        let patience = FillPatience::of(&self.rules, job, life, ask.calm, now);
+        let Some(task) = self.task(at) else {
+            return PlaceChoice::Wait(WaitReason::NoWorker);
+        };
+        if task.shuns.is_some() || !task.blame.is_empty() {
+            return self.choose_for_itself(at, ask, patience, now);
+        }
+        let offers = match known.take().filter(|(of, _)| *of == patience) {
+            Some((_, offers)) => offers,
+            None => self.ask_workers(None, at.step, ask, patience, now),
+        };
+        let (_, offers) = known.insert((patience, offers));
+        let best = offers.best();
+        debug_assert_eq!(
+            best,
+            self.ask_workers(None, at.step, ask, patience, now).best(),
+            "a worker has changed unseen"
+        );
+        match best {
+            Ok(best) => {
+                let worker = &self.workers[best.worker];
+                PlaceChoice::Worker(ChosenWorker {
+                    key: best.worker,
+                    cost: best.cost,
+                    next_cost: best.next_cost,
+                    pace: worker.pace_for(ask.step, &self.pairs, &self.rules),
+                })
+            }
+            Err(reason) => PlaceChoice::Wait(reason),
+        }
+    }
+
+    /// A task of a step was placed on a worker: what it takes for the next one has changed.
+    fn note_placed(
+        &self,
+        at: StepAt,
+        ask: &StepAsk<'_>,
+        known: &mut Option<(FillPatience, StepOffers)>,
+        placed: WorkerKey,
+        now: TimePoint,
+    ) {
+        let Some((patience, offers)) = known else {
+            return;
+        };
+        let position = self.workers.keys().position(|key| key == placed);
+        if let (Some(position), Some(worker)) = (position, self.workers.get(placed)) {
+            let answer = self.offer(None, at, (placed, worker), ask, *patience, now);
+            offers.changed(placed, position, answer);
+        }
+    }
+
+    fn patience(&self, at: StepAt, ask: &StepAsk<'_>, now: TimePoint) -> Option<FillPatience> {
+        let job = self.jobs.get(at.job)?;
+        let life = self.step_life(at)?;
+        Some(FillPatience::of(&self.rules, job, life, ask.calm, now))
+    }
+
+    fn task(&self, at: TaskAt) -> Option<&TaskLife> {
+        self.step_life(at.step)?.tasks.get(at.index as usize)
+    }
+
+    fn ask_workers(
+        &self,
+        special: Option<&SpecialTask<'_>>,
+        at: StepAt,
+        ask: &StepAsk<'_>,
+        patience: FillPatience,
+        now: TimePoint,
+    ) -> StepOffers {
+        let answers = self.workers.iter().map(|(key, worker)| {
+            let answer = self.offer(special, at, (key, worker), ask, patience, now);
+            (key, answer)
+        });
+        StepOffers::ask(answers)
+    }
+
+    /// What a worker takes for a task of the step, or why it takes none. `special` is set for a task that
+    /// has failed, or under which workers have ended.
+    fn offer(
+        &self,
+        special: Option<&SpecialTask<'_>>,
+        at: StepAt,
+        (key, worker): (WorkerKey, &WorkerLife),
+        ask: &StepAsk<'_>,
+        patience: FillPatience,
+        now: TimePoint,
+    ) -> Result<f64, WaitReason> {
+        let step = ask.step;
         let fill_limit = match patience {
             FillPatience::Careful | FillPatience::Late | FillPatience::Any => ask.fill_limit,
             FillPatience::Starved => f64::INFINITY,
         };
-        let blame = &life.tasks[at.index as usize].blame;
+        if let Some(obstacle) = worker.obstacle(ask.service, step, (fill_limit, &self.rules), now) {
+            return Err(obstacle);
+        }
+        let most = match step.most_per_worker {
+            0 => u32::MAX,
+            most => most,
+        };
+        let life = self.step_life(at).ok_or(WaitReason::NoWorker)?;
+        if life.spread.get(&key).copied().unwrap_or(0) >= most {
+            return Err(WaitReason::Spread);
+        }
+        if special.is_some_and(|task| task.avoids && task.life.blame.names(&worker.machine)) {
+            return Err(WaitReason::FailedThere);
+        }
+        if worker.is_kept_from(special.map(|task| task.at), now) {
+            return Err(WaitReason::Trial);
+        }
+        if !worker.bears(
+            step,
+            patience.least_pace(&self.rules),
+            &self.pairs,
+            &self.rules,
+        ) {
+            return Err(WaitReason::Interference);
+        }
+        let is_advised = self.jobs[at.job].queue.advice.is_some();
+        if is_advised && self.ticket(at, key, now).is_none() {
+            return Err(WaitReason::Advice);
+        }
+        let cost = worker.cost(step, ask.rack.as_deref(), &self.pairs, &self.rules);
+        match special {
+            None => Ok(cost),
+            Some(task) if task.is_shunned(key, now) => Err(WaitReason::FailedThere),
+            Some(task) => Ok(cost + self.special_cost(task, key, worker, now)),
+        }
+    }
+
+    /// What it costs beside [`WorkerLife::cost`] to place a task that has failed, or under which workers have
+    /// ended.
+    fn special_cost(
+        &self,
+        task: &SpecialTask<'_>,
+        key: WorkerKey,
+        worker: &WorkerLife,
+        now: TimePoint,
+    ) -> f64 {
+        let mut cost = 0.0;
+        if task.life.shuns.is_some_and(|(shunned, _)| shunned == key) {
+            cost += self.rules.shun_cost;
+        }
+        if !task.life.blame.is_empty() {
+            let crashed = self.crashed.get(&worker.machine).copied();
+            cost += worker.blame_cost(task.at, task.is_suspected, crashed, now);
+        }
+        cost
+    }
+
+    /// Chooses for a task that is not like the others of its step: all workers are asked for it alone.
+    fn choose_for_itself(
+        &mut self,
+        at: TaskAt,
+        ask: &StepAsk<'_>,
+        patience: FillPatience,
+        now: TimePoint,
+    ) -> PlaceChoice {
         let is_suspected = self.trial_of(at).is_some();
-        let avoids = self.avoids_machines(blame, ask.service, now);
         if is_suspected && self.trials_are_full(at, ask.service, now) {
             return PlaceChoice::Wait(WaitReason::Trial);
         }
-        let most = if step.most_per_worker == 0 {
-            u32::MAX
-        } else {
-            step.most_per_worker
+        let Some(life) = self.task(at) else {
+            return PlaceChoice::Wait(WaitReason::NoWorker);
         };
-        let advised = job.queue.advice.is_some();
-        let least_pace = patience.least_pace(&self.rules);
-        let mut best: Option<ChosenWorker> = None;
-        let mut nearest = WaitReason::NoWorker;
-        for (key, worker) in &self.workers {
-            let here = life.spread.get(&key).copied().unwrap_or(0);
-            let obstacle = worker.obstacle(ask.service, step, (fill_limit, &self.rules), now);
-            let obstacle = match obstacle {
-                None if here >= most => Some(WaitReason::Spread),
-                None if avoids && blame.names(&worker.machine) => Some(WaitReason::FailedThere),
-                None if worker.is_kept_from(at, now) => Some(WaitReason::Trial),
-                None if !worker.bears(step, least_pace, &self.pairs, &self.rules) => {
-                    Some(WaitReason::Interference)
-                }
-                None if advised && self.ticket(at.step, key, now).is_none() => {
-                    Some(WaitReason::Advice)
-                }
-                None => shuns
-                    .filter(|(shunned, until)| *shunned == key && now < *until)
-                    .map(|_| WaitReason::FailedThere),
-                found => found,
-            };
-            if let Some(reason) = obstacle {
-                nearest = nearest.max(reason);
-                continue;
-            }
-            let mut cost = worker.cost(step, ask.rack.as_deref(), &self.pairs, &self.rules);
-            if shuns.is_some_and(|(shunned, _)| shunned == key) {
-                cost += self.rules.shun_cost;
-            }
-            if !blame.is_empty() {
-                let crashed = self.crashed.get(&worker.machine).copied();
-                cost += worker.blame_cost(at, is_suspected, crashed, now);
-            }
-            best = Some(match best {
-                Some(known) if known.cost <= cost => ChosenWorker {
-                    next_cost: Some(known.next_cost.map_or(cost, |next| next.min(cost))),
-                    ..known
-                },
-                known => ChosenWorker {
-                    key,
-                    cost,
-                    next_cost: known.map(|known| known.cost),
-                    pace: worker.pace_for(step, &self.pairs, &self.rules),
-                },
-            });
-        }
-        match best {
-            Some(chosen) if is_suspected && !self.reserve_trial(at, chosen.key, now) => {
-                PlaceChoice::Wait(WaitReason::Trial)
-            }
-            Some(chosen) => PlaceChoice::Worker(chosen),
-            None => PlaceChoice::Wait(nearest),
+        let task = SpecialTask {
+            at,
+            life,
+            is_suspected,
+            avoids: self.avoids_machines(&life.blame, ask.service, now),
+        };
+        let mut offers = self.ask_workers(Some(&task), at.step, ask, patience, now);
+        let best = match offers.best() {
+            Ok(best) => best,
+            Err(reason) => return PlaceChoice::Wait(reason),
+        };
+        if is_suspected && !self.reserve_trial(at, best.worker, now) {
+            return PlaceChoice::Wait(WaitReason::Trial);
         }
+        PlaceChoice::Worker(ChosenWorker {
+            key: best.worker,
+            cost: best.cost,
+            next_cost: best.next_cost,
+            pace: self.workers[best.worker].pace_for(ask.step, &self.pairs, &self.rules),
+        })
     }
 
     fn order(
