Links: buffers begin at 2 KiB and grow for larger frames

Cause: each link had four buffers of 8 KiB; an owner of 800 agents and 183 fronts keeps nearly a thousand.

--- a/crates/wax-wire/src/link.rs
+++ b/crates/wax-wire/src/link.rs
@@ -18,6 +18,10 @@
 /// Bytes of one body that may be under way before the receiver grants more.
 pub const WINDOW_BYTES: u32 = 256 << 10;
 
+/// What each of a link's four buffers begins with. Nearly all frames are smaller, and an owner keeps a link to
+/// each process of its pool; buffers grow for a larger frame.
+const BUFFER_BYTES: usize = 2 << 10;
+
 /// The length in front of each frame.
 const LENGTH_BYTES: usize = 4;
 
@@ -81,8 +85,9 @@
 
 /// Wraps a connected stream in the codec and splits it.
 pub fn split_stream<M: LinkFrame>(stream: TcpStream) -> (LinkReader<M>, LinkWriter<M>) {
-    let stream = Box::pin(AsyncStream::new(stream)).compat();
-    let (sink, stream) = Framed::new(stream, PeerCodec::new()).split();
+    let stream = Box::pin(AsyncStream::with_capacity(BUFFER_BYTES, stream)).compat();
+    let framed = Framed::with_capacity(stream, PeerCodec::new(), BUFFER_BYTES);
+    let (sink, stream) = framed.split();
     (LinkReader { stream }, LinkWriter { sink })
 }
 
