Owner: a row that was stored wakes the link that waits for it alone

Cause: one event told all links of each transaction that agents' rows were stored. A takeover of 800 agents whose rows are new takes 25 transactions, each of which woke up all links that still waited: half the square. Tests: only the link that waits for the row is woken; a newer link wakes the one that it replaces.

--- a/crates/wax-owner/src/agents.rs
+++ b/crates/wax-owner/src/agents.rs
@@ -252,11 +252,13 @@
     /// Waits until the store says that the worker may be given orders.
     async fn store_row(&self, boot: &BootId) {
         loop {
-            let listener = self.tenure.rows_stored.listen();
             let is_stored = self.tenure.agents.borrow_mut().ask_row(self.node, boot);
             if is_stored || self.tenure.over.is_raised() || !self.is_current() {
                 return;
             }
+            let Some(listener) = self.tenure.agents.borrow().listen_row(self.node) else {
+                return;
+            };
             self.tenure.write.notify(usize::MAX);
             listener.await;
         }
--- a/crates/wax-owner/src/roster.rs
+++ b/crates/wax-owner/src/roster.rs
@@ -5,6 +5,7 @@
 use crate::gone::GoneBoots;
 use crate::rows::AgentRow;
 use crate::spans::OwnerSpans;
+use event_listener::{Event, EventListener};
 use futures_channel::mpsc::UnboundedSender;
 use slotmap::{SecondaryMap, SlotMap};
 use std::collections::{BTreeSet, HashMap, HashSet};
@@ -80,6 +81,8 @@
     /// Set while nothing certain is known of its worker: by then everything there has lapsed.
     lapse_at: Option<TimePoint>,
     row: RowStand,
+    /// Notified when the row was stored, or another link takes this one's place.
+    row_settled: Event,
 }
 
 impl AgentLife {
@@ -94,6 +97,7 @@
             grant_end: now,
             lapse_at: None,
             row: RowStand::Absent,
+            row_settled: Event::new(),
         }
     }
 
@@ -260,6 +264,7 @@
                 agent.lapse_at = Some(agent.grant_end + spans.lapse_after_grant());
             }
             agent.link = link;
+            agent.row_settled.notify(usize::MAX);
             agent.outbox = Some(outbox.clone());
             agent.worker_key()
         })?
@@ -329,6 +334,11 @@
         }
     }
 
+    /// Listens for the agent's row to be stored: whoever waits for another row is not woken.
+    pub fn listen_row(&self, node: &str) -> Option<EventListener> {
+        Some(self.agent(node)?.row_settled.listen())
+    }
+
     /// The runs of the agent's worker were compared: nothing of earlier terms is unheard there.
     /// Returns the worker that was known before.
     pub fn compared(
@@ -475,6 +485,7 @@
                 && agent.row == RowStand::Queued(boot.clone())
             {
                 agent.row = RowStand::Stored(boot.clone());
+                agent.row_settled.notify(usize::MAX);
             }
         }
     }
--- a/crates/wax-owner/src/tenure.rs
+++ b/crates/wax-owner/src/tenure.rs
@@ -75,8 +75,6 @@
     /// Whether presses have changed since the store was told, and when it was.
     pub(crate) press_unstored: Cell<bool>,
     pub(crate) press_stored: Cell<TimePoint>,
-    /// Notified when agents' rows were stored.
-    pub(crate) rows_stored: Event,
     /// The count of changes of what was not heard of earlier terms, as the book was last told.
     pub(crate) unheard_seen: Cell<Option<u64>>,
     /// Whether starts wait, as a drain may have gone unseen for too long.
@@ -135,7 +133,6 @@
             press_news: RefCell::default(),
             press_unstored: Cell::new(false),
             press_stored: Cell::new(shared.now()),
-            rows_stored: Event::new(),
             unheard_seen: Cell::new(None),
             drains_unsure: Cell::new(false),
             dispatch: Event::new(),
@@ -247,7 +244,6 @@
         self.over.raise();
         self.dispatch.notify(usize::MAX);
         self.write.notify(usize::MAX);
-        self.rows_stored.notify(usize::MAX);
     }
 
     /// Sends a message to the agent of a worker, if it may be given orders.
--- a/crates/wax-owner/src/writer.rs
+++ b/crates/wax-owner/src/writer.rs
@@ -193,7 +193,6 @@
     }
     drop(book);
     tenure.agents.borrow_mut().notes_stored(&item.agents);
-    tenure.rows_stored.notify(usize::MAX);
     tenure.dispatch.notify(usize::MAX);
 }
 
--- a/crates/wax-owner/tests/roster.rs
+++ b/crates/wax-owner/tests/roster.rs
@@ -1,6 +1,7 @@
 //! The agents of a term: who is waited for at a takeover, and what the store is told of them.
 
 use futures_channel::mpsc::{UnboundedSender, unbounded};
+use futures_util::FutureExt;
 use slotmap::SlotMap;
 use std::collections::BTreeSet;
 use wax_batch::{BootId, JobName, UnheardRuns, WorkerKey};
@@ -305,3 +306,36 @@
         .load("side-3", &started(Some(1_000)), at(15_000), &gone);
     assert_eq!(case.roster.unheard_agents(), 2, "this one is dead");
 }
+
+/// With one event for all rows, each transaction of a takeover woke up all links that waited for a row.
+#[test]
+fn a_row_that_was_stored_wakes_only_whoever_waits_for_it() {
+    let mut case = Case::new();
+    for (link, node) in (1..).zip(["side-1", "side-2"]) {
+        case.open(node, link, 0);
+        assert!(!case.roster.ask_row(node, &boot(node)));
+    }
+    let mut waits = ["side-1", "side-2"].map(|node| case.roster.listen_row(node));
+    let notes = case.roster.take_notes(100);
+    let (first, _): (Vec<_>, Vec<_>) = notes.into_iter().partition(|(node, _)| **node == *"side-1");
+    case.roster.notes_stored(&first);
+    let woken = waits.each_mut().map(|wait| {
+        let wait = wait.as_mut().expect("the agent is known");
+        wait.now_or_never().is_some()
+    });
+    assert_eq!(woken, [true, false]);
+}
+
+/// A link that is replaced must not wait for ever.
+#[test]
+fn a_newer_link_wakes_whoever_waits_for_the_row() {
+    let mut case = Case::new();
+    case.open("side-1", 1, 0);
+    assert!(!case.roster.ask_row("side-1", &boot("w1")));
+    let mut wait = case
+        .roster
+        .listen_row("side-1")
+        .expect("the agent is known");
+    case.open("side-1", 2, 100);
+    assert!((&mut wait).now_or_never().is_some());
+}
