Dead boots are told to the fronts that may take over next

Cause: word of each dead boot went to each front, and each front told a new owner 128 boots: workers times fronts. A release here replaces 88 workers at a time, 360 in all, beside 182 fronts: 2 MB, and 23,000 boots to be compared at a takeover; 128 and 1,024 were counts for dozens of workers. Now the eight fronts that go first hear of each at once, one that comes to be among them hears what it has missed, and they alone tell a new owner, in pages. Remembered are 4,096: all workers of twice the fleet, twice. Tried before: word with the heartbeat of every front. Costs: if all eight and the owner are lost while the store is silent, the next owner waits for leases.

--- a/crates/wax-front/src/owner_link.rs
+++ b/crates/wax-front/src/owner_link.rs
@@ -12,17 +12,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_owner::{CandidateRank, OwnerFitness, relay_transaction};
-use wax_policy::FRONT_PERIOD;
+use wax_policy::{FRONT_PERIOD, is_watcher};
 use wax_types::TimePoint;
 use wax_wire::{
-    BootFrame, BootsDead, ConfigPush, EntryHello, LinkPing, PoolBody, PoolReader, PoolWriter,
-    RelayAsk, split_stream,
+    BootsDead, ConfigPush, EntryHello, LinkPing, PoolBody, PoolReader, PoolWriter, RelayAsk,
+    split_stream,
 };
 
 /// Longest time for a connection and its first answer.
 const CONNECT_LIMIT: Duration = Duration::from_millis(600);
 /// A link without an answer for this long is given up.
 const LINK_LIMIT: Duration = Duration::from_millis(800);
+/// Dead boots that one message names: some kilobytes.
+const MOST_DEAD_TOLD: usize = 256;
 /// Between two tries, with as much again at random.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -152,13 +154,24 @@
     drop(writing);
 }
 
-/// A new owner may wait for workers that this front knows to be gone.
+/// A new owner may wait for workers that this front knows to be gone. The fronts that go first at a takeover hear
+/// of each sooner than others; what all would tell is the same.
 fn tell_dead(state: &FrontState, outbox: &UnboundedSender<PoolBody>) {
+    let is_watcher = state
+        .shared
+        .rank
+        .get()
+        .is_none_or(|turn| is_watcher(turn.rank));
     let gone = state.shared.gone.borrow();
-    let boots: Vec<BootFrame> = gone.newest().map(Into::into).collect();
-    if !boots.is_empty() {
-        // The queue is new: it takes the first message.
-        let _ = outbox.unbounded_send(PoolBody::BootsDead(BootsDead { boots }));
+    let mut told = if is_watcher { 0 } else { gone.count() };
+    loop {
+        let page = BootsDead::new(gone.after(told, MOST_DEAD_TOLD));
+        if page.boots.is_empty() {
+            return;
+        }
+        told += page.boots.len() as u64;
+        // A link that has just closed is replaced, and all is told on the next one.
+        let _ = outbox.unbounded_send(PoolBody::BootsDead(page));
     }
 }
 
--- a/crates/wax-owner/src/entries.rs
+++ b/crates/wax-owner/src/entries.rs
@@ -38,16 +38,8 @@
     // The queue is new: it takes the first message.
     let _ = outbox.unbounded_send(PoolBody::Welcome(welcome));
     let link = tenure.next_front_link();
-    let life = FrontLife {
-        link,
-        outbox: outbox.clone(),
-        fitness: OwnerFitness::default(),
-        store_lost: false,
-        heard_at: shared.now(),
-        behind_since: None,
-        config_sent: 0,
-        rank: u32::MAX,
-    };
+    let dead_told = shared.gone.borrow().count();
+    let life = FrontLife::new(link, outbox.clone(), dead_told, shared.now());
     tenure.fronts.borrow_mut().insert(node, life);
     let writing = spawn(write_link(writer, inbox));
     let mut age = PeerAge::default();
@@ -130,12 +122,11 @@
     let mut fronts = tenure.fronts.borrow_mut();
     let mut pushes = false;
     if let Some(front) = fronts.get_mut(node) {
-        front.fitness = OwnerFitness(ping.fitness);
-        front.store_lost = ping.store_lost;
-        front.heard_at = now;
+        front.heard(OwnerFitness(ping.fitness), ping.store_lost, now);
         pushes = front.is_due(ping.config, version, now);
     }
     let rank = fronts.rank(node, now);
+    fronts.tell_watchers(&shared.gone.borrow());
     let period = front_period(fronts.len(), rank.rank, &shared.config_rules);
     drop(fronts);
     let mut answers = vec![PoolBody::Grant(LeaseGrant {
--- a/crates/wax-owner/src/fronts.rs
+++ b/crates/wax-owner/src/fronts.rs
@@ -1,15 +1,17 @@
 //! The fronts of a term: how well each would own the shard, and which config it has.
 
 use crate::candidates::{Candidate, CandidateRank, OwnerFitness, rank_all};
+use crate::gone::GoneBoots;
 use futures_channel::mpsc::UnboundedSender;
 use std::collections::HashMap;
 use std::time::Duration;
+use wax_policy::is_watcher;
 use wax_types::TimePoint;
-use wax_wire::PoolBody;
+use wax_wire::{BootsDead, PoolBody};
 
 /// A front that is linked to the owner.
 #[derive(Debug)]
-pub(crate) struct FrontLife {
+pub struct FrontLife {
     /// The number of its link.
     pub(crate) link: u64,
     pub(crate) outbox: UnboundedSender<PoolBody>,
@@ -21,6 +23,8 @@
     pub(crate) behind_since: Option<TimePoint>,
     /// The version of the config that it was sent last.
     pub(crate) config_sent: u64,
+    /// How many of the dead boots it has been told.
+    pub(crate) dead_told: u64,
     /// Its turn at the next takeover, by the last ranking; a new one goes last.
     pub(crate) rank: u32,
 }
@@ -29,9 +33,39 @@
 /// each heartbeat, 1,400 routes took 0.3 MB to each of 35 fronts, seconds of a small link.
 const CONFIG_PATIENCE: Duration = Duration::from_millis(600);
 
+/// Dead boots that one message names: some kilobytes.
+const MOST_DEAD_TOLD: usize = 256;
+
 impl FrontLife {
+    /// A front that has just linked, and knows the first `dead_told` of the dead boots.
+    pub fn new(
+        link: u64,
+        outbox: UnboundedSender<PoolBody>,
+        dead_told: u64,
+        now: TimePoint,
+    ) -> Self {
+        Self {
+            link,
+            outbox,
+            fitness: OwnerFitness::default(),
+            store_lost: false,
+            heard_at: now,
+            behind_since: None,
+            config_sent: 0,
+            dead_told,
+            rank: u32::MAX,
+        }
+    }
+
+    /// Takes what a heartbeat says of the front.
+    pub fn heard(&mut self, fitness: OwnerFitness, store_lost: bool, now: TimePoint) {
+        self.fitness = fitness;
+        self.store_lost = store_lost;
+        self.heard_at = now;
+    }
+
     /// Whether the front is to be sent the config: it has `theirs`, the owner `ours`.
-    pub(crate) fn is_due(&mut self, theirs: u64, ours: u64, now: TimePoint) -> bool {
+    pub fn is_due(&mut self, theirs: u64, ours: u64, now: TimePoint) -> bool {
         if theirs >= ours {
             self.behind_since = None;
             return false;
@@ -44,6 +78,13 @@
         is_due
     }
 
+    /// The dead boots that the front was not told yet, some kilobytes of them.
+    fn dead_news(&mut self, gone: &GoneBoots) -> Option<BootsDead> {
+        let news = BootsDead::new(gone.after(self.dead_told, MOST_DEAD_TOLD));
+        self.dead_told = gone.count().min(self.dead_told + news.boots.len() as u64);
+        (!news.boots.is_empty()).then_some(news)
+    }
+
     pub(crate) fn candidate<'a>(&self, node: &'a str) -> Candidate<'a> {
         Candidate {
             node,
@@ -59,44 +100,80 @@
 
 /// The fronts that are linked.
 #[derive(Debug, Default)]
-pub(crate) struct FrontRoster {
+pub struct FrontRoster {
     lives: HashMap<Box<str>, FrontLife>,
     ranked_at: Option<TimePoint>,
     best: OwnerFitness,
+    /// How many fronts rankings have gone through.
+    ranked: u64,
+    /// The fronts that go first at a takeover, and those that were not ranked yet.
+    watchers: Vec<Box<str>>,
 }
 
 impl FrontRoster {
     /// Takes a new link of a front, in place of an earlier one.
-    pub(crate) fn insert(&mut self, node: &str, life: FrontLife) {
+    pub fn insert(&mut self, node: &str, life: FrontLife) {
+        self.watchers.push(node.into());
         self.lives.insert(node.into(), life);
     }
 
     /// A link has ended; a newer one of the same front stays.
-    pub(crate) fn remove(&mut self, node: &str, link: u64) {
+    pub fn remove(&mut self, node: &str, link: u64) {
         if self.lives.get(node).is_some_and(|front| front.link == link) {
             self.lives.remove(node);
         }
     }
 
-    pub(crate) fn get_mut(&mut self, node: &str) -> Option<&mut FrontLife> {
+    /// A front that is linked.
+    pub fn get_mut(&mut self, node: &str) -> Option<&mut FrontLife> {
         self.lives.get_mut(node)
     }
 
+    /// All fronts.
     pub(crate) fn values(&self) -> impl Iterator<Item = &FrontLife> {
         self.lives.values()
     }
 
-    pub(crate) fn len(&self) -> usize {
+    /// Whether no front is linked.
+    pub fn is_empty(&self) -> bool {
+        self.lives.is_empty()
+    }
+
+    /// How many fronts are linked.
+    pub fn len(&self) -> usize {
         self.lives.len()
     }
 
+    /// All fronts, as candidates.
     pub(crate) fn candidates(&self) -> impl Iterator<Item = Candidate<'_>> {
         let lives = self.lives.iter();
         lives.map(|(node, front)| front.candidate(node))
     }
 
+    /// How many fronts rankings have gone through since the last call.
+    pub fn take_ranked(&mut self) -> u64 {
+        std::mem::take(&mut self.ranked)
+    }
+
+    /// Tells the fronts that may take over next which boots are dead; returns how many messages that took. All
+    /// fronts would make a release of all workers cost the square of the pool.
+    pub fn tell_watchers(&mut self, gone: &GoneBoots) -> usize {
+        let mut messages = 0;
+        for node in &self.watchers {
+            let Some(front) = self.lives.get_mut(node) else {
+                continue;
+            };
+            while let Some(news) = front.dead_news(gone) {
+                messages += 1;
+                // A link that has just closed is replaced; the next owner then waits for leases instead.
+                let _ = front.outbox.unbounded_send(PoolBody::BootsDead(news));
+            }
+        }
+        messages
+    }
+
     /// The turn of a front at the next takeover.
-    pub(crate) fn rank(&mut self, node: &str, now: TimePoint) -> CandidateRank {
+    pub fn rank(&mut self, node: &str, now: TimePoint) -> CandidateRank {
         if self.ranked_at.is_none_or(|at| now.since(at) >= RANK_PERIOD) {
             self.rank_again(now);
         }
@@ -111,6 +188,7 @@
 
     fn rank_again(&mut self, now: TimePoint) {
         self.ranked_at = Some(now);
+        self.ranked += self.lives.len() as u64;
         let ranked = rank_all(self.candidates());
         let names: Vec<Box<str>> = ranked.iter().map(|front| front.node.into()).collect();
         self.best = ranked
@@ -118,10 +196,12 @@
             .map(|front| front.fitness)
             .max()
             .unwrap_or_default();
-        for (rank, node) in (0..).zip(names) {
-            if let Some(front) = self.lives.get_mut(&node) {
+        for (rank, node) in (0..).zip(&names) {
+            if let Some(front) = self.lives.get_mut(node) {
                 front.rank = rank;
             }
         }
+        let watchers = (0..).zip(names).take_while(|(rank, _)| is_watcher(*rank));
+        self.watchers = watchers.map(|(_, node)| node).collect();
     }
 }
--- a/crates/wax-owner/src/gone.rs
+++ b/crates/wax-owner/src/gone.rs
@@ -7,16 +7,17 @@
 use std::collections::{HashSet, VecDeque};
 use wax_batch::BootId;
 
-/// Boots that are remembered: more than leave within the longest wait for leases on a large pool.
-const MOST_BOOTS: usize = 1_024;
-/// Of these the newest are told to a new owner, in one message of some kilobytes.
-const MOST_TOLD: usize = 128;
+/// Boots that are remembered: a release of all workers of a pool of twice the size to design for, and another one
+/// before the longest wait for leases is over.
+const MOST_BOOTS: usize = 4_096;
 
 /// Boots that are dead.
 #[derive(Debug, Default)]
 pub struct GoneBoots {
     known: HashSet<BootId>,
     order: VecDeque<BootId>,
+    /// How many have been forgotten.
+    forgotten: u64,
 }
 
 impl GoneBoots {
@@ -30,6 +31,7 @@
             && let Some(oldest) = self.order.pop_front()
         {
             self.known.remove(&oldest);
+            self.forgotten += 1;
         }
         true
     }
@@ -39,8 +41,14 @@
         self.known.contains(boot)
     }
 
-    /// The boots that died last.
-    pub fn newest(&self) -> impl Iterator<Item = &BootId> {
-        self.order.iter().rev().take(MOST_TOLD)
+    /// How many were ever noted.
+    pub fn count(&self) -> u64 {
+        self.forgotten + self.order.len() as u64
+    }
+
+    /// Up to `most` boots that were noted after the first `count`, in their order.
+    pub fn after(&self, count: u64, most: usize) -> impl Iterator<Item = &BootId> {
+        let passed = count.saturating_sub(self.forgotten) as usize;
+        self.order.iter().skip(passed).take(most)
     }
 }
--- a/crates/wax-owner/src/lib.rs
+++ b/crates/wax-owner/src/lib.rs
@@ -34,6 +34,7 @@
     TimerLateness, rank_all,
 };
 pub use fate::{TxFate, transact};
+pub use fronts::{FrontLife, FrontRoster};
 pub use gone::GoneBoots;
 pub use listener::serve_peers;
 pub use operator_rows::{keep_operator_rows, read_operator_rows};
--- a/crates/wax-owner/src/tenure.rs
+++ b/crates/wax-owner/src/tenure.rs
@@ -16,7 +16,7 @@
 use wax_policy::DrainView;
 use wax_trace::{Counter, count};
 use wax_types::{TimePoint, wall_clock_ms};
-use wax_wire::{BootFrame, BootsDead, PoolBody, PressFrame, PressNews, RelayTold};
+use wax_wire::{PoolBody, PressFrame, PressNews, RelayTold};
 
 /// What a caller may be told of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -313,11 +313,9 @@
 
     /// Boots of workers are dead for good: nobody waits for them, here or at the next takeover.
     pub(crate) fn note_dead(&self, shared: &PoolShared, boots: impl IntoIterator<Item = BootId>) {
-        let mut news = Vec::new();
+        let mut is_news = false;
         for boot in boots {
-            if shared.gone.borrow_mut().note(&boot) {
-                news.push(BootFrame::from(&boot));
-            }
+            is_news |= shared.gone.borrow_mut().note(&boot);
             let waited_for = self.agents.borrow_mut().boot_dead(&boot);
             if let Some(node) = waited_for {
                 tracing::info!(agent = %node, worker = %boot, "no longer waited for: its worker is gone");
@@ -325,15 +323,9 @@
                 self.dispatch.notify(usize::MAX);
             }
         }
-        if news.is_empty() {
-            return;
-        }
-        let word = BootsDead { boots: news };
-        for front in self.fronts.borrow().values() {
-            // A link that has just closed is replaced; the next owner then waits for leases instead.
-            let _ = front
-                .outbox
-                .unbounded_send(PoolBody::BootsDead(word.clone()));
+        if is_news {
+            let gone = shared.gone.borrow();
+            self.fronts.borrow_mut().tell_watchers(&gone);
         }
     }
 
--- a/crates/wax-policy/src/heartbeats.rs
+++ b/crates/wax-policy/src/heartbeats.rs
@@ -27,7 +27,7 @@
 ///
 /// A front goes by the owner's readings of the config as long as it hears of each in time.
 pub fn front_period(fronts: usize, rank: u32, rules: &ConfigRules) -> Duration {
-    if rank < WATCHERS {
+    if is_watcher(rank) {
         return FRONT_PERIOD;
     }
     let room = rules.read_age(ConfigReader::Front) - rules.read_age(ConfigReader::Owner);
@@ -35,6 +35,11 @@
     spread_over(fronts, FRONT_RATE).clamp(FRONT_PERIOD, longest)
 }
 
+/// Whether a front of this rank is among those that go first at the next takeover.
+pub fn is_watcher(rank: u32) -> bool {
+    rank < WATCHERS
+}
+
 fn spread_over(peers: usize, rate: u32) -> Duration {
     let peers = u32::try_from(peers).unwrap_or(u32::MAX);
     Duration::from_secs(1).saturating_mul(peers) / rate
--- a/crates/wax-policy/src/lib.rs
+++ b/crates/wax-policy/src/lib.rs
@@ -31,7 +31,7 @@
 pub use contact::{ContactChoice, LeaseTerms, WorkerContact};
 pub use drains::{DrainRules, DrainVerdict, DrainView};
 pub use gate::{GateChoice, ReleaseChoice, SlotGate};
-pub use heartbeats::{AGENT_PERIOD, FRONT_PERIOD, agent_period, front_period};
+pub use heartbeats::{AGENT_PERIOD, FRONT_PERIOD, agent_period, front_period, is_watcher};
 pub use interference::{LoadBand, PairEstimate, PairTable};
 pub use kinds::{KindKey, KindTable};
 pub use pace_rules::PaceRules;
--- a/crates/wax-wire/src/pool.rs
+++ b/crates/wax-wire/src/pool.rs
@@ -389,6 +389,15 @@
     pub boots: Vec<BootFrame>,
 }
 
+impl BootsDead {
+    /// Names these boots.
+    pub fn new<'a>(boots: impl Iterator<Item = &'a BootId>) -> Self {
+        Self {
+            boots: boots.map(BootFrame::from).collect(),
+        }
+    }
+}
+
 /// What became of runs since the last news.
 #[derive(Clone, PartialEq, Message)]
 pub struct RunNews {
