Owner: what has changed of pairs of images goes with the answer to a heartbeat

Cause: each second a message of its own went to each of 800 agents, each a wake-up of both sides. Changes are kept in rounds of a second; an agent hears the rounds that it has missed, and all pairs if it has missed too many.

--- a/crates/wax-owner/src/agents.rs
+++ b/crates/wax-owner/src/agents.rs
@@ -1,6 +1,7 @@
 //! The owner's side of a link with an agent.
 
 use crate::dispatch::seat_frame;
+use crate::press_log::PressStep;
 use crate::shared::PoolShared;
 use crate::tenure::Tenure;
 use crate::writer::silent_for;
@@ -52,6 +53,7 @@
         link,
         outbox,
         is_compared: Cell::new(false),
+        presses_told: Cell::new(tenure.press_log.borrow().closed()),
     };
     let why = {
         let read = pin!(link_life.read(reader));
@@ -112,6 +114,8 @@
     outbox: UnboundedSender<PoolBody>,
     /// Whether all that is on the worker was told on this link.
     is_compared: Cell<bool>,
+    /// How many rounds of changed presses it was told.
+    presses_told: Cell<u64>,
 }
 
 impl AgentLink<'_> {
@@ -174,6 +178,7 @@
             .agents
             .borrow_mut()
             .granted(self.node, now + valid);
+        self.tell_presses(now);
         self.send(PoolBody::Grant(LeaseGrant {
             sent_us: ping.sent_us,
             valid_ms: valid.as_millis() as u64,
@@ -185,6 +190,19 @@
         }));
     }
 
+    /// Presses that have changed go with the answer to a heartbeat: the agent wakes up once for both.
+    fn tell_presses(&self, now: TimePoint) {
+        let mut log = self.tenure.press_log.borrow_mut();
+        let step = log.news_after(self.presses_told.get(), now);
+        self.presses_told.set(log.closed());
+        drop(log);
+        match step {
+            PressStep::Nothing => {}
+            PressStep::Changes(news) => self.send(PoolBody::Presses(news)),
+            PressStep::All => self.send(PoolBody::Presses(self.tenure.all_presses())),
+        }
+    }
+
     /// Takes over a worker's runs, once the store knows that this agent may be given orders.
     async fn worker_up(&self, up: WorkerUp) {
         self.tenure.loaded.wait().await;
@@ -333,10 +351,11 @@
         self.tenure
             .press_unstored
             .set(!told.is_empty() || self.tenure.press_unstored.get());
-        self.tenure.press_news.borrow_mut().extend(
-            told.into_iter()
-                .map(|pair| ((pair.serving.clone(), pair.filling.clone()), pair)),
-        );
+        let now = self.shared.now();
+        let mut log = self.tenure.press_log.borrow_mut();
+        for pair in told {
+            log.note(pair, now);
+        }
     }
 
     fn news(&self, news: &RunNews) {
--- a/crates/wax-owner/src/dispatch.rs
+++ b/crates/wax-owner/src/dispatch.rs
@@ -16,19 +16,12 @@
 const STOOD_STILL: Duration = Duration::from_millis(500);
 /// After that, progress comes in anew within this time.
 const BLIND_AFTER: Duration = Duration::from_millis(2_000);
-/// Agents are told this often of presses that have changed.
-const PRESS_PERIOD: Duration = Duration::from_millis(1_000);
 /// Changes that come together are dispatched together.
 const GATHER: Duration = Duration::from_millis(2);
 
 /// Dispatches until the term ends.
 pub(crate) async fn dispatch_orders(shared: Rc<PoolShared>, tenure: Rc<Tenure>) {
-    let mut pressed = shared.now();
     while !tenure.over.is_raised() {
-        if shared.now().since(pressed) >= PRESS_PERIOD {
-            pressed = shared.now();
-            tenure.tell_presses();
-        }
         let listener = tenure.dispatch.listen();
         // Either a change or the time; both lead to another look.
         if timeout(IDLE_PERIOD, listener).await.is_ok() {
--- a/crates/wax-owner/src/lib.rs
+++ b/crates/wax-owner/src/lib.rs
@@ -18,6 +18,7 @@
 mod listener;
 mod load;
 mod operator_rows;
+mod press_log;
 mod relay;
 mod roster;
 mod rows;
@@ -38,6 +39,7 @@
 pub use gone::GoneBoots;
 pub use listener::serve_peers;
 pub use operator_rows::{keep_operator_rows, read_operator_rows};
+pub use press_log::{PressLog, PressStep};
 pub use relay::{AskOutcome, PeerAge, RelayDoubt, encode_ask, relay_transaction};
 pub use roster::{AgentNote, AgentRoster, LapsedAgents};
 pub use rows::{
--- a/crates/wax-owner/src/roster.rs
+++ b/crates/wax-owner/src/roster.rs
@@ -507,13 +507,6 @@
     pub fn period(&self) -> Duration {
         agent_period(self.agents.len())
     }
-
-    /// The queues towards all agents that are linked.
-    pub fn outboxes(&self) -> impl Iterator<Item = &UnboundedSender<PoolBody>> {
-        self.agents
-            .values()
-            .filter_map(|agent| agent.outbox.as_ref())
-    }
 }
 
 fn set_member(set: &mut BTreeSet<AgentKey>, key: AgentKey, is_member: bool) {
--- a/crates/wax-owner/src/tenure.rs
+++ b/crates/wax-owner/src/tenure.rs
@@ -2,6 +2,7 @@
 
 use crate::candidates::OwnerStanding;
 use crate::fronts::FrontRoster;
+use crate::press_log::PressLog;
 use crate::roster::AgentRoster;
 use crate::rows::OwnerRow;
 use crate::shared::PoolShared;
@@ -70,8 +71,8 @@
     pub(crate) links: Cell<u64>,
     /// Links with fronts opened in this term.
     pub(crate) front_links: Cell<u64>,
-    /// Presses that have changed since the agents were told.
-    pub(crate) press_news: RefCell<HashMap<(String, String), PressFrame>>,
+    /// Presses that have changed since agents were told.
+    pub(crate) press_log: RefCell<PressLog>,
     /// Whether presses have changed since the store was told, and when it was.
     pub(crate) press_unstored: Cell<bool>,
     pub(crate) press_stored: Cell<TimePoint>,
@@ -130,7 +131,7 @@
             jobs_heard: Cell::new(TimePoint::default()),
             links: Cell::new(0),
             front_links: Cell::new(0),
-            press_news: RefCell::default(),
+            press_log: RefCell::default(),
             press_unstored: Cell::new(false),
             press_stored: Cell::new(shared.now()),
             unheard_seen: Cell::new(None),
@@ -274,22 +275,6 @@
         }
     }
 
-    /// Tells all agents of presses that have changed.
-    pub(crate) fn tell_presses(&self) {
-        let changed = std::mem::take(&mut *self.press_news.borrow_mut());
-        if changed.is_empty() {
-            return;
-        }
-        let news = PressNews {
-            pairs: changed.into_values().collect(),
-            rooms: Vec::new(),
-        };
-        for outbox in self.agents.borrow().outboxes() {
-            // A link that has just closed is replaced; presses are learned again.
-            let _ = outbox.unbounded_send(PoolBody::Presses(news.clone()));
-        }
-    }
-
     /// Hands the shard over, orderly, where a front carries it far better.
     pub(crate) fn look_for_stronger(&self, shared: &PoolShared, now: TimePoint) {
         let standing = OwnerStanding {
