--- a/crates/wax-batch/src/book.rs
+++ b/crates/wax-batch/src/book.rs
@@ -11,6 +11,7 @@
 use crate::why::{PlaceReason, StepWait, StopReason};
 use crate::worker::{WorkerKey, WorkerView};
 use slotmap::SlotMap;
+use std::cell::Cell;
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
@@ -183,6 +184,10 @@
     pub(crate) unheard: UnheardRuns,
     /// Failure domains that get nothing new.
     pub(crate) drained: BTreeSet<Box<str>>,
+    /// How often a worker was asked what it takes for a task.
+    pub(crate) workers_asked: Cell<u64>,
+    /// Which worker the last step began with, by its position.
+    pub(crate) first_asked: usize,
 }
 
 impl JobBook {
@@ -205,6 +210,8 @@
             crashed: HashMap::new(),
             unheard: UnheardRuns::Any,
             drained: BTreeSet::new(),
+            workers_asked: Cell::new(0),
+            first_asked: 0,
         }
     }
 
@@ -537,6 +544,11 @@
         self.jobs.get(*self.names.get(&name)?)
     }
 
+    /// How often a worker was asked what it takes for a task, since the last call.
+    pub fn take_workers_asked(&self) -> u64 {
+        self.workers_asked.take()
+    }
+
     /// All workers.
     pub fn workers(&self) -> impl Iterator<Item = (WorkerKey, &WorkerLife)> {
         self.workers.iter()
--- a/crates/wax-batch/src/life.rs
+++ b/crates/wax-batch/src/life.rs
@@ -99,6 +99,8 @@
     pub done: u32,
     /// Why its tasks wait, as last told, and when that was.
     pub told_wait: Option<(WaitReason, TimePoint)>,
+    /// Not before this is it looked for a worker again: none took a task.
+    pub look_at: Option<TimePoint>,
     /// Tasks on each worker, for steps that are kept apart.
     pub spread: BTreeMap<WorkerKey, u32>,
     /// Whether a run of it was listed as running in this term, or it was opened after such a step.
--- a/crates/wax-batch/src/offers.rs
+++ b/crates/wax-batch/src/offers.rs
@@ -49,14 +49,26 @@
     versions: HashMap<WorkerKey, u32>,
     /// The obstacle of the worker that comes nearest to taking a task.
     nearest: WaitReason,
+    is_whole: bool,
 }
 
 impl StepOffers {
-    /// Asks all workers, in the book's order.
-    pub(crate) fn ask(answers: impl Iterator<Item = (WorkerKey, Result<f64, WaitReason>)>) -> Self {
+    /// Takes answers of workers, each with its position in the book, until so many were asked and so many offer
+    /// something.
+    pub(crate) fn ask(
+        answers: impl Iterator<Item = (usize, WorkerKey, Result<f64, WaitReason>)>,
+        enough_asked: usize,
+        enough_offers: usize,
+    ) -> Self {
         let mut nearest = WaitReason::NoWorker;
         let mut offers = Vec::new();
-        for (position, (worker, answer)) in answers.enumerate() {
+        let mut asked = 0;
+        let mut answers = answers.peekable();
+        while answers.peek().is_some() && (asked < enough_asked || offers.len() < enough_offers) {
+            let Some((position, worker, answer)) = answers.next() else {
+                break;
+            };
+            asked += 1;
             match answer {
                 Ok(cost) => offers.push(Reverse(WorkerOffer {
                     cost,
@@ -68,12 +80,18 @@
             }
         }
         Self {
+            is_whole: answers.peek().is_none(),
             offers: offers.into(),
             versions: HashMap::new(),
             nearest,
         }
     }
 
+    /// Whether all workers were asked.
+    pub(crate) fn is_whole(&self) -> bool {
+        self.is_whole
+    }
+
     /// The cheapest worker.
     ///
     /// # Errors
--- a/crates/wax-batch/src/place.rs
+++ b/crates/wax-batch/src/place.rs
@@ -14,6 +14,16 @@
 use std::time::Duration;
 use wax_types::TimePoint;
 
+/// Of a larger pool only so many workers are asked if they offer enough. Without that each step of a job would cost
+/// as much as the pool is large, and a pool of twice the size four times as much.
+const ENOUGH_ASKED: usize = 256;
+/// How far apart the workers are with which two steps in a row begin; a prime, so that all take their turn.
+const FIRST_STEP: usize = 101;
+/// Offers that leave a choice for each task of a step.
+const OFFERS_PER_TASK: usize = 2;
+/// A step that fits nowhere on a large pool is looked at again after this for each worker that was asked.
+const PAUSE_PER_WORKER: Duration = Duration::from_micros(25);
+
 /// The same step is not told more often to wait, whatever the reason.
 const TELL_PAUSE: Duration = Duration::from_secs(1);
 
@@ -51,10 +61,22 @@
     waited: Duration,
     /// Whether most of the service's processors are not booked.
     calm: bool,
+    /// The worker that is asked first, by its position in the book.
+    first: usize,
+    /// With so many offers no more workers of a large pool are asked.
+    enough_offers: usize,
     /// The rack to be preferred: that of the data, or of the step's other tasks.
     rack: Option<Box<str>>,
 }
 
+impl StepAsk<'_> {
+    /// Whether the tasks do as well on one worker as on another with the same room: not all need be asked then.
+    fn takes_any(&self) -> bool {
+        let step = self.step;
+        self.rack.is_none() && step.label.is_none() && !step.lasts && !step.gang
+    }
+}
+
 /// A task that has failed, or under which workers have ended.
 struct SpecialTask<'a> {
     at: TaskAt,
@@ -77,7 +99,7 @@
     pub fn place(&mut self, now: TimePoint) -> Vec<StartOrder> {
         let mut ranked: Vec<(JobRank, StepAt)> = Vec::with_capacity(self.ready.len());
         for at in &self.ready {
-            if !self.has_cleared(*at) {
+            if !self.has_cleared(*at, now) {
                 continue;
             }
             let job = &self.jobs[at.job];
@@ -91,11 +113,42 @@
         orders
     }
 
-    /// Whether any waiting task of a step may be started.
-    fn has_cleared(&self, at: StepAt) -> bool {
+    /// When a step that fitted nowhere is to be looked at again, if that is sooner than `limit`.
+    pub fn next_look(&self, now: TimePoint, limit: Duration) -> Duration {
+        let steps = self.ready.iter().filter_map(|at| self.step_life(*at));
+        let looks = steps.filter_map(|step| step.look_at);
+        let next = looks.filter(|at| *at > now).min();
+        next.map_or(limit, |at| at.since(now).min(limit))
+    }
+
+    /// Steps begin with different workers, so that those in front are not asked more often.
+    fn next_first(&mut self) -> usize {
+        self.first_asked = self.first_asked.wrapping_add(FIRST_STEP);
+        self.first_asked
+    }
+
+    /// Notes that a step's tasks fit nowhere. On a small pool it is looked at with the next change.
+    fn pause_step(&mut self, at: StepAt, now: TimePoint) {
+        let workers = self.workers.len();
+        if workers <= ENOUGH_ASKED {
+            return;
+        }
+        let pause = PAUSE_PER_WORKER.saturating_mul(workers as u32);
+        let job = self.jobs.get_mut(at.job);
+        let occurrence = job.and_then(|job| job.occurrences.get_mut(&at.occurrence));
+        if let Some(occurrence) = occurrence {
+            occurrence.steps[usize::from(at.step)].look_at = Some(now + pause);
+        }
+    }
+
+    /// Whether any waiting task of a step may be started, and is to be looked at now.
+    fn has_cleared(&self, at: StepAt, now: TimePoint) -> bool {
         let Some(step) = self.step_life(at) else {
             return false;
         };
+        if step.look_at.is_some_and(|at| now < at) {
+            return false;
+        }
         match self.clearance(at, step) {
             StepClearance::All => true,
             some => step
@@ -144,6 +197,8 @@
             waited: now.since(life.since),
             calm: step.fills && !step.gang && self.is_calm(&service),
             rack: self.wanted_rack(at, step, &service, now),
+            first: self.next_first(),
+            enough_offers: waiting.len().saturating_mul(OFFERS_PER_TASK),
         };
         if step.gang {
             self.place_gang(at, &ask, now, orders);
@@ -160,6 +215,7 @@
                 PlaceChoice::Wait(reason) => {
                     self.note_wait(task, &ask, reason, now);
                     if nth < free {
+                        self.pause_step(at, now);
                         return;
                     }
                 }
@@ -196,6 +252,7 @@
                         self.take_back(at, &member, now);
                     }
                     self.note_wait(task, ask, reason, now);
+                    self.pause_step(at, now);
                     return;
                 }
             }
@@ -330,17 +387,21 @@
         if task.shuns.is_some() || !task.blame.is_empty() {
             return self.choose_for_itself(at, ask, patience, now);
         }
-        let offers = match known.take().filter(|(of, _)| *of == patience) {
+        let mut offers = match known.take().filter(|(of, _)| *of == patience) {
             Some((_, offers)) => offers,
             None => self.ask_workers(None, at.step, ask, patience, now),
         };
-        let (_, offers) = known.insert((patience, offers));
-        let best = offers.best();
-        debug_assert_eq!(
-            best,
-            self.ask_workers(None, at.step, ask, patience, now).best(),
+        let mut best = offers.best();
+        if best.is_err() && !offers.is_whole() {
+            offers = self.ask_workers(None, at.step, ask, patience, now);
+            best = offers.best();
+        }
+        debug_assert!(
+            self.workers.len() > ENOUGH_ASKED
+                || best == self.ask_workers(None, at.step, ask, patience, now).best(),
             "a worker has changed unseen"
         );
+        *known = Some((patience, offers));
         match best {
             Ok(best) => {
                 let worker = &self.workers[best.worker];
@@ -392,11 +453,18 @@
         patience: FillPatience,
         now: TimePoint,
     ) -> StepOffers {
-        let answers = self.workers.iter().map(|(key, worker)| {
+        let answer = |(position, (key, worker)): (usize, (WorkerKey, &WorkerLife))| {
+            self.workers_asked.update(|count| count + 1);
             let answer = self.offer(special, at, (key, worker), ask, patience, now);
-            (key, answer)
-        });
-        StepOffers::ask(answers)
+            (position, key, answer)
+        };
+        let workers = self.workers.iter().enumerate();
+        if special.is_some() || !ask.takes_any() {
+            return StepOffers::ask(workers.map(answer), usize::MAX, usize::MAX);
+        }
+        let first = ask.first % self.workers.len().max(1);
+        let from_first = workers.clone().skip(first).chain(workers.take(first));
+        StepOffers::ask(from_first.map(answer), ENOUGH_ASKED, ask.enough_offers)
     }
 
     /// What a worker takes for a task of the step, or why it takes none. `special` is set for a task that
--- a/crates/wax-owner/src/dispatch.rs
+++ b/crates/wax-owner/src/dispatch.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_batch::{BootId, StartOrder, UnheardRuns, WorkerKey};
-use wax_trace::{Counter, Latency, count, note_latency};
+use wax_trace::{Counter, Latency, count, count_many, note_latency};
 use wax_types::{TimePoint, wall_clock_ms};
 use wax_wire::{AckEnds, PoolBody, SeatFrame, StartRun, StopRun};
 
@@ -24,7 +24,8 @@
     while !tenure.over.is_raised() {
         let listener = tenure.dispatch.listen();
         // Either a change or the time; both lead to another look.
-        if timeout(IDLE_PERIOD, listener).await.is_ok() {
+        let wait = tenure.book.borrow().next_look(shared.now(), IDLE_PERIOD);
+        if timeout(wait, listener).await.is_ok() {
             compio::time::sleep(GATHER).await;
         }
         dispatch_once(&shared, &tenure);
@@ -56,6 +57,14 @@
             log_waits(tenure);
         }
     }
+    count_many(
+        Counter::WorkersAsked,
+        tenure.book.borrow().take_workers_asked(),
+    );
+    count_many(
+        Counter::AgentsLookedAt,
+        tenure.agents.borrow().take_looked_at(),
+    );
     let stops = tenure.book.borrow_mut().take_stops();
     for stop in stops {
         tracing::info!(task = %stop.mark.task, run = stop.mark.run, why = %stop.why, "stop ordered");
--- a/crates/wax-owner/src/roster.rs
+++ b/crates/wax-owner/src/roster.rs
@@ -8,6 +8,7 @@
 use event_listener::{Event, EventListener};
 use futures_channel::mpsc::UnboundedSender;
 use slotmap::{SecondaryMap, SlotMap};
+use std::cell::Cell;
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 use wax_batch::{BootId, JobName, UnheardRuns, WorkerKey};
@@ -132,10 +133,14 @@
     lapses: BTreeSet<(TimePoint, AgentKey)>,
     /// Agents without a link.
     away: BTreeSet<AgentKey>,
+    /// When agents whose link has gone are to be written down as such.
+    unlinks: BTreeSet<(TimePoint, AgentKey)>,
     /// Agents that may run something of earlier terms and were not heard.
     earlier: BTreeSet<AgentKey>,
     /// Rises with each change of what may run of earlier terms.
     earlier_changes: u64,
+    /// How many agents rounds have looked at.
+    looked_at: Cell<u64>,
     /// The agents by the boots that their rows name.
     boots: HashMap<BootId, AgentKey>,
     notes: HashMap<Box<str>, AgentNote>,
@@ -222,6 +227,7 @@
     pub fn unheard(&self) -> UnheardRuns {
         let mut all = HashSet::new();
         for key in &self.earlier {
+            self.looked_at.update(|count| count + 1);
             match self
                 .agents
                 .get(*key)
@@ -298,6 +304,9 @@
             agent.lapse_at.get_or_insert(lapse_at);
             agent.worker_key()
         })
+        .inspect(|_| {
+            self.unlinks.insert((now + UNLINKED_AFTER, key));
+        })
     }
 
     /// Whether a link is the agent's newest.
@@ -325,6 +334,9 @@
             RowStand::Stored(known) if known == boot => true,
             RowStand::Queued(known) if known == boot => false,
             _ => {
+                if let Some(before) = agent.row.boot() {
+                    self.boots.remove(before);
+                }
                 self.boots.insert(boot.clone(), *key);
                 agent.row = RowStand::Queued(boot.clone());
                 let note = AgentNote::Linked { boot: boot.clone() };
@@ -374,6 +386,7 @@
             (worker, was_unheard)
         })?;
         if worker.is_some() || was_unheard {
+            self.boots.remove(boot);
             // The next owner need not wait for this agent.
             self.notes.insert(node.into(), AgentNote::Gone);
         }
@@ -407,6 +420,7 @@
             if now < at || confirmed < at {
                 break;
             }
+            self.looked_at.update(|count| count + 1);
             let worker = self.change(key, |agent| {
                 agent.lapse_at = None;
                 agent.earlier = None;
@@ -433,15 +447,17 @@
         now: TimePoint,
         jobs_on: impl Fn(WorkerKey) -> BTreeSet<JobName>,
     ) {
-        for key in &self.away {
-            let Some(agent) = self.agents.get_mut(*key) else {
+        while let Some((due, key)) = self.unlinks.first().copied().filter(|(due, _)| *due <= now) {
+            self.unlinks.remove(&(due, key));
+            self.looked_at.update(|count| count + 1);
+            let Some(agent) = self.agents.get_mut(key) else {
                 continue;
             };
-            let Some((worker, boot)) = agent.worker.as_ref() else {
+            let is_away = agent.outbox.is_none() && now.since(agent.unlinked_at) >= UNLINKED_AFTER;
+            let Some((worker, boot)) = agent.worker.as_ref().filter(|_| is_away) else {
                 continue;
             };
-            let is_due = now.since(agent.unlinked_at) >= UNLINKED_AFTER;
-            if !is_due || !matches!(agent.row, RowStand::Stored(_)) {
+            if !matches!(agent.row, RowStand::Stored(_)) {
                 continue;
             }
             agent.row = RowStand::Unlinked(boot.clone());
@@ -453,6 +469,11 @@
         }
     }
 
+    /// How many agents rounds have looked at since the last call.
+    pub fn take_looked_at(&self) -> u64 {
+        self.looked_at.take()
+    }
+
     /// Whether anything is to be written.
     pub fn has_notes(&self) -> bool {
         !self.notes.is_empty()
@@ -486,6 +507,11 @@
             {
                 agent.row = RowStand::Stored(boot.clone());
                 agent.row_settled.notify(usize::MAX);
+                if let Some(key) = key.filter(|_| agent.outbox.is_none()) {
+                    // Its link has gone while it was written down.
+                    self.unlinks
+                        .insert((agent.unlinked_at + UNLINKED_AFTER, *key));
+                }
             }
         }
     }
--- a/crates/wax-owner/tests/roster.rs
+++ b/crates/wax-owner/tests/roster.rs
@@ -339,3 +339,20 @@
     case.open("side-1", 2, 100);
     assert!((&mut wait).now_or_never().is_some());
 }
+
+#[test]
+fn an_agent_whose_link_goes_while_it_is_written_down_is_written_down_again() {
+    let mut case = Case::new();
+    let key = worker_key();
+    case.join("side-1", 1, (key, "w1"), 0);
+    case.open("side-1", 2, 100);
+    let next = boot("w2");
+    assert!(!case.roster.ask_row("side-1", &next));
+    let linked = case.roster.take_notes(100);
+    case.close("side-1", 2, 200);
+    case.roster.note_unlinked(at(5_000), |_| BTreeSet::new());
+    assert!(!case.roster.has_notes(), "its row is on its way");
+    case.roster.notes_stored(&linked);
+    case.roster.note_unlinked(at(5_100), |_| BTreeSet::new());
+    assert!(case.roster.has_notes(), "the row says that it is linked");
+}
--- a/crates/wax-trace/src/counter.rs
+++ b/crates/wax-trace/src/counter.rs
@@ -119,6 +119,10 @@
     ChainRelayed = "chain.relayed",
     /// Transactions of an owner's chain that the store does not take.
     ChainRefused = "chain.refused",
+    /// Workers asked what they take for a task.
+    WorkersAsked = "workers.asked",
+    /// Agents looked at by rounds of the dispatcher.
+    AgentsLookedAt = "agents.looked_at",
     /// Starts ordered from agents.
     StartsOrdered = "starts.ordered",
     /// Starts that a worker or its agent refused.
