Listeners let as many connections wait as the system allows

Cause: the standard library listens with a backlog of 128. When an owner lets go, 800 agents connect to it, and then to the next one, within milliseconds: what does not fit is dropped and tried again after a second, and an agent gives a connection up after 0.6 s. Ruled out: the owner's processor (a whole core, 0.08 used on the mean), the store's rows (all were there). Test: 600 peers connect before any is accepted; with 128 it fails at the 130th. 4,096 is the bound of the system itself (net.core.somaxconn), and twice the fleet is 1,966.

--- a/crates/wax-http/src/server.rs
+++ b/crates/wax-http/src/server.rs
@@ -9,6 +9,7 @@
 use futures_util::future::{Either, select};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use rustix::net::{AddressFamily, SocketFlags, SocketType, bind, listen, socket_with, sockopt};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
@@ -25,6 +26,9 @@
 /// After a failed accept, such as for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Connections that may wait to be accepted: the system's own bound, unless it is set higher.
+const BACKLOG: i32 = 4_096;
+
 /// Answers requests of one server.
 pub trait HttpHandler: 'static {
     /// Answers one request.
@@ -37,17 +41,26 @@
 ///
 /// The address is not ours or is in use.
 pub fn bind_listener(address: SocketAddr) -> Result<TcpListener, WaxError> {
-    let bind = || {
-        let listener = StdListener::bind(address)?;
-        listener.set_nonblocking(true)?;
-        TcpListener::from_std(listener)
-    };
-    bind().map_err(|error: io::Error| {
+    open_listener(address).map_err(|error: io::Error| {
         WaxError::new(ErrorKind::Invalid, Step::Listen, address.to_string(), error)
             .with_help("choose an address of this machine and a free port, or port 0")
     })
 }
 
+/// With the standard library's backlog of 128, most of a large pool is turned away when it links at once.
+fn open_listener(address: SocketAddr) -> io::Result<TcpListener> {
+    let family = match address {
+        SocketAddr::V4(_) => AddressFamily::INET,
+        SocketAddr::V6(_) => AddressFamily::INET6,
+    };
+    let flags = SocketFlags::CLOEXEC | SocketFlags::NONBLOCK;
+    let socket = socket_with(family, SocketType::STREAM, flags, None)?;
+    sockopt::set_socket_reuseaddr(&socket, true)?;
+    bind(&socket, &address)?;
+    listen(&socket, BACKLOG)?;
+    TcpListener::from_std(StdListener::from(socket))
+}
+
 /// Counts the open connections of a server.
 #[derive(Debug, Default)]
 pub struct OpenCount {
--- /dev/null
+++ b/crates/wax-http/tests/backlog.rs
@@ -0,0 +1,36 @@
+//! Many peers that connect at once, before any is accepted.
+
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+use wax_http::bind_listener;
+
+/// More than the standard library lets wait.
+const PEERS: usize = 600;
+/// A connection that is not taken at once is tried again by the system after a second.
+const LIMIT: Duration = Duration::from_millis(900);
+
+#[test]
+fn hundreds_of_peers_connect_before_any_is_accepted() {
+    let runtime = compio::runtime::Runtime::new().expect("the runtime starts");
+    runtime.block_on(async {
+        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        let listener = bind_listener(any).expect("it binds");
+        let address = listener.local_addr().expect("it has an address");
+        let peers: Vec<_> = (0..PEERS)
+            .map_while(|_| TcpStream::connect_timeout(&address, LIMIT).ok())
+            .collect();
+        assert_eq!(peers.len(), PEERS);
+    });
+}
+
+#[test]
+fn an_address_in_use_is_a_clear_error() {
+    let runtime = compio::runtime::Runtime::new().expect("the runtime starts");
+    runtime.block_on(async {
+        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        let listener = bind_listener(any).expect("it binds");
+        let address = listener.local_addr().expect("it has an address");
+        let error = bind_listener(address).expect_err("it is in use");
+        assert!(error.to_string().contains(&address.to_string()), "{error}");
+    });
+}
