Renames: expected finish, overload, stalled; figures and history leave the comments

No behaviour changes. hope: u8 is the enum ExpectedFinish (log field finish), strain is overload, a run that stands still has stalled.

--- a/crates/wax-agent/src/owner_link.rs
+++ b/crates/wax-agent/src/owner_link.rs
@@ -275,7 +275,7 @@
         PoolBody::Grant(grant) => {
             state.owner_cut_off.set(grant.store_lost);
             state.period.set(grant.period(AGENT_PERIOD));
-            state.strain.set(f64::from(grant.strain));
+            state.overload.set(f64::from(grant.overload));
             if let Some(frame) = grant.drains {
                 state.take_drains(frame, TimePoint(grant.sent_us));
             }
--- a/crates/wax-agent/src/process.rs
+++ b/crates/wax-agent/src/process.rs
@@ -78,7 +78,7 @@
         drains: RefCell::default(),
         drain_rules,
         period: Cell::new(AGENT_PERIOD),
-        strain: Cell::new(0.0),
+        overload: Cell::new(0.0),
         token: Cell::new(0),
         changed: Event::new(),
         token_wanted: Event::new(),
--- a/crates/wax-agent/src/state.rs
+++ b/crates/wax-agent/src/state.rs
@@ -138,7 +138,7 @@
     /// Between two heartbeats, by the owner's last grant.
     pub(crate) period: Cell<Duration>,
     /// The share of the jobs that fill which are late, by the owner's last word.
-    pub(crate) strain: Cell<f64>,
+    pub(crate) overload: Cell<f64>,
     /// The highest token that was ever used.
     pub(crate) token: Cell<u64>,
     /// Something has changed that the driver waits for.
@@ -150,7 +150,7 @@
 impl AgentState {
     /// The rules of pacing as matters stand.
     pub(crate) fn pace_rules_now(&self) -> PaceRules {
-        self.pace_rules.get().strained(self.strain.get())
+        self.pace_rules.get().strained(self.overload.get())
     }
 
     pub(crate) fn now(&self) -> TimePoint {
--- a/crates/wax-batch/src/approvals.rs
+++ b/crates/wax-batch/src/approvals.rs
@@ -5,6 +5,7 @@
 use crate::worker::WorkerKey;
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
+use wax_policy::ExpectedFinish;
 use wax_types::TimePoint;
 
 /// The advisor is asked for this many workers a waiting task.
@@ -82,7 +83,7 @@
         if known.is_some_and(|known| now.since(known.asked) < ASK_PAUSE) {
             return None;
         }
-        let rules = (self.rules.fill_limit(0), &self.rules);
+        let rules = (self.rules.fill_limit(ExpectedFinish::InTime), &self.rules);
         let room: Vec<(WorkerKey, &str)> = self
             .workers
             .iter()
--- a/crates/wax-batch/src/crashes.rs
+++ b/crates/wax-batch/src/crashes.rs
@@ -13,11 +13,9 @@
 const WORKERS_PER_TRIAL: usize = 3;
 /// A machine whose worker has just crashed, under whatever ran there, is taken late for such a task: it
 /// may go down and up by turns. In shares of a worker's processors; falls to nothing over the span.
-/// Without it workers end 852 times for 824 (40 played storms of `crash_storm`, one job in 20).
 const CRASHED_COST: f64 = 5.0;
 const CRASHED_SPAN: Duration = Duration::from_secs(30);
-/// A machine whose worker crashes again within this may go down and up by turns. Without it up to 13
-/// jobs of 8,000 fail that ended no worker (40 plays of `crash_storm`, two workers of 11 that flap).
+/// A machine whose worker crashes again within this may go down and up by turns.
 const AGAIN_WITHIN: Duration = Duration::from_secs(6);
 /// The worker that is kept for a task is taken before any other, in shares of a worker's processors.
 const KEPT_COST: f64 = -20.0;
@@ -188,8 +186,7 @@
     }
 
     /// Keeps a worker for a suspected task; says whether it can start there now, as the only one: a trial
-    /// beside another fresh start proves nothing. Without it workers end 1,056 times for 824 (40 played
-    /// storms of `crash_storm`, one job in 20).
+    /// beside another fresh start proves nothing.
     pub(crate) fn reserve_trial(&mut self, at: TaskAt, worker: WorkerKey, now: TimePoint) -> bool {
         let Some(life) = self.workers.get_mut(worker) else {
             return false;
--- a/crates/wax-batch/src/moves.rs
+++ b/crates/wax-batch/src/moves.rs
@@ -1,4 +1,4 @@
-//! Moves runs that fill and that their worker lets stand still.
+//! Moves runs that fill and that have stalled on their worker.
 
 use crate::book::{JobBook, StopOrder, TaskAt};
 use crate::life::TaskSeat;
@@ -6,13 +6,14 @@
 use crate::why::StopReason;
 use crate::worker::{WorkerKey, WorkerState};
 use std::time::Duration;
+use wax_policy::ExpectedFinish;
 use wax_types::TimePoint;
 
 /// Work that is nearly done is not worth a move, percent.
 const NEARLY_DONE: u32 = 80;
 
 impl JobBook {
-    /// Orders the stop of runs that stand still and that another worker would bear.
+    /// Orders the stop of runs that have stalled and that another worker would bear.
     ///
     /// They keep their checkpoint, and are placed anew when their end is heard.
     pub fn move_stalled(&mut self, now: TimePoint) {
@@ -21,7 +22,7 @@
             for (mark, run) in worker.runs.iter().filter(|(_, run)| run.filling_milli > 0) {
                 let still = run
                     .task
-                    .and_then(|at| Some((at, self.stands_still(at, now)?)));
+                    .and_then(|at| Some((at, self.stalled_for(at, now)?)));
                 stalled.extend(still.map(|(at, still)| (still, key, *mark, at)));
             }
         }
@@ -99,13 +100,13 @@
             return false;
         };
         let step = &job.spec.steps[usize::from(at.step.step)];
-        let rules = (self.rules.fill_limit(0), &self.rules);
+        let rules = (self.rules.fill_limit(ExpectedFinish::InTime), &self.rules);
         let mut others = self.workers.iter().filter(|(key, _)| *key != worker);
         others.any(|(_, other)| other.has_room(&job.queue.service, step, rules, now))
     }
 
-    /// For how long a run has stood still, if that is long enough to move it.
-    fn stands_still(&self, at: TaskAt, now: TimePoint) -> Option<Duration> {
+    /// For how long a run has stalled, if that is long enough to move it.
+    fn stalled_for(&self, at: TaskAt, now: TimePoint) -> Option<Duration> {
         let job = self.jobs.get(at.step.job).filter(|job| !job.is_over())?;
         let spec = &job.spec.steps[usize::from(at.step.step)];
         let seat = self
@@ -129,7 +130,7 @@
             other.has_room(
                 &job.queue.service,
                 step,
-                (self.rules.fill_limit(0), &self.rules),
+                (self.rules.fill_limit(ExpectedFinish::InTime), &self.rules),
                 now,
             ) && other.bears(step, self.rules.careful_pace, &self.pairs, &self.rules)
         })
--- a/crates/wax-batch/src/place.rs
+++ b/crates/wax-batch/src/place.rs
@@ -12,6 +12,7 @@
 use crate::worker::{WorkerKey, WorkerState};
 use std::collections::BTreeMap;
 use std::time::Duration;
+use wax_policy::ExpectedFinish;
 use wax_types::TimePoint;
 
 /// Of a larger pool only so many workers are asked if they offer enough. Without that each step of a job would cost
@@ -193,7 +194,11 @@
             step,
             service: &service,
             rank,
-            fill_limit: self.rules.fill_limit(if step.gang { 0 } else { rank.hope }),
+            fill_limit: self.rules.fill_limit(if step.gang {
+                ExpectedFinish::InTime
+            } else {
+                rank.finish
+            }),
             waited: now.since(life.since),
             calm: step.fills && !step.gang && self.is_calm(&service),
             rack: self.wanted_rack(at, step, &service, now),
--- a/crates/wax-batch/src/rank.rs
+++ b/crates/wax-batch/src/rank.rs
@@ -5,6 +5,7 @@
 use crate::queue::QueueRules;
 use crate::spec::JobSpec;
 use std::time::Duration;
+use wax_policy::ExpectedFinish;
 use wax_types::TimePoint;
 
 /// Longest chain of estimated work from each step to the end, milliseconds, that step included.
@@ -30,8 +31,8 @@
 /// How urgent a waiting step is; the least goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct JobRank {
-    /// 0 makes its objective, 1 is late but counts, 2 counts for nothing any more.
-    pub hope: u8,
+    /// When its job is expected to finish.
+    pub finish: ExpectedFinish,
     /// The queue's priority.
     pub priority: u32,
     /// What is left of the job, core milliseconds: the least goes first, since under overload it
@@ -66,7 +67,7 @@
 
 impl JobBook {
     /// The share of the open jobs that fill whose objective has passed, 0 to 1.
-    pub fn strain(&self, now: TimePoint) -> f64 {
+    pub fn overload(&self, now: TimePoint) -> f64 {
         let fills = |job: &&JobLife| job.spec.steps.iter().any(|step| step.fills);
         let open: Vec<&JobLife> = self.jobs.values().filter(|job| !job.is_over()).collect();
         let open: Vec<&JobLife> = open.into_iter().filter(fills).collect();
@@ -104,12 +105,12 @@
         let occurrence = job.occurrences.get(&number);
         let due = occurrence.map_or(job.accepted, |life| life.due);
         let start = |factor| due + Duration::from_millis(latest_start_ms(job, step, factor));
-        let (hope, latest_start) = if now <= start(1.0) {
-            (0, start(1.0))
+        let (finish, latest_start) = if now <= start(1.0) {
+            (ExpectedFinish::InTime, start(1.0))
         } else if now <= start(LATE_FACTOR) {
-            (1, start(LATE_FACTOR))
+            (ExpectedFinish::Late, start(LATE_FACTOR))
         } else {
-            (2, start(LATE_FACTOR))
+            (ExpectedFinish::TooLate, start(LATE_FACTOR))
         };
         let lasts = job
             .spec
@@ -117,7 +118,11 @@
             .get(usize::from(step))
             .is_some_and(|step| step.lasts);
         Self {
-            hope: if lasts { 0 } else { hope },
+            finish: if lasts {
+                ExpectedFinish::InTime
+            } else {
+                finish
+            },
             priority: job.queue.priority,
             left: work_left(job, occurrence),
             latest_start,
--- a/crates/wax-batch/tests/life.rs
+++ b/crates/wax-batch/tests/life.rs
@@ -517,10 +517,10 @@
         add(&mut book, 10 + number, 1, &spec(vec![fills.clone()]), None);
     }
     add(&mut book, 20, 1, &spec(vec![step(1, 1_000)]), None);
-    assert_eq!(book.strain(at(60_000)), 0.0, "three jobs are too few");
+    assert_eq!(book.overload(at(60_000)), 0.0, "three jobs are too few");
     add(&mut book, 13, 1, &spec(vec![fills]), None);
-    assert_eq!(book.strain(at(0)), 0.0);
-    assert_eq!(book.strain(at(60_000)), 1.0);
+    assert_eq!(book.overload(at(0)), 0.0);
+    assert_eq!(book.overload(at(60_000)), 1.0);
     book.cancel(wax_batch::JobName(13), wall(60_000));
-    assert_eq!(book.strain(at(60_000)), 0.0, "again too few");
+    assert_eq!(book.overload(at(60_000)), 0.0, "again too few");
 }
--- a/crates/wax-owner/src/agents.rs
+++ b/crates/wax-owner/src/agents.rs
@@ -183,7 +183,7 @@
             sent_us: ping.sent_us,
             valid_ms: valid.as_millis() as u64,
             store_lost: silent_for(self.tenure, now) > spans.patience,
-            strain: self.tenure.strain.get() as f32,
+            overload: self.tenure.overload.get() as f32,
             period_ms: self.tenure.agents.borrow().period().as_millis() as u32,
             drains: DrainFrame::new(&self.shared.drains.borrow(), now),
             ..Default::default()
--- a/crates/wax-owner/src/candidates.rs
+++ b/crates/wax-owner/src/candidates.rs
@@ -1,8 +1,7 @@
 //! Which front is to own the shard next, and how long the others wait.
 //!
-//! A rank is only a turn: who owns is decided by the store's condition, whoever tries. With owners
-//! taken at random, fronts of 0.069 of a core owned a pool of 160 workers, fell silent under its load
-//! and followed one another; the same day was worth 0.51 to 0.61 so, 0.67 to 0.70 with a strong one.
+//! A rank is only a turn: who owns is decided by the store's condition, whoever tries. A weak front that owns a
+//! large pool is late, counts as silent and is replaced by the next one, so that strong ones go first.
 
 use std::cmp::Reverse;
 use std::time::Duration;
--- a/crates/wax-owner/src/chain.rs
+++ b/crates/wax-owner/src/chain.rs
@@ -23,8 +23,7 @@
 const ROWS_PER_JOB: usize = 3;
 /// Entries of each transaction beside the above: both conditions, the beat, presses, the owner.
 const OTHER_ENTRIES: usize = 5;
-/// Above the store's bound a transaction is refused for ever: three owners one after another stood
-/// still when 160 agents were written down at once.
+/// Above the store's bound a transaction is refused for ever.
 const _: () = assert!(
     OTHER_ENTRIES + NOTES_PER_TX + AGENTS_PER_TX + ROWS_PER_JOB * FORGET_PER_TX <= TX_ENTRIES
 );
--- a/crates/wax-owner/src/dispatch.rs
+++ b/crates/wax-owner/src/dispatch.rs
@@ -12,8 +12,8 @@
 
 /// Without a change the book is looked through this often: times pass, too.
 const IDLE_PERIOD: Duration = Duration::from_millis(100);
-/// A gap between two rounds beyond this means that the process, not the workers, stood still.
-const STOOD_STILL: Duration = Duration::from_millis(500);
+/// A gap between two rounds beyond this means that this process was stalled, not the workers.
+const PROCESS_STALL: Duration = Duration::from_millis(500);
 /// After that, progress comes in anew within this time.
 const BLIND_AFTER: Duration = Duration::from_millis(2_000);
 /// Changes that come together are dispatched together.
@@ -37,7 +37,7 @@
     if !tenure.loaded.is_raised() || tenure.over.is_raised() {
         return;
     }
-    if now.since(tenure.dispatched.replace(now)) > STOOD_STILL {
+    if now.since(tenure.dispatched.replace(now)) > PROCESS_STALL {
         tenure.blind_until.set(now + BLIND_AFTER);
     }
     drop_lapsed(tenure, now);
@@ -107,7 +107,7 @@
         book.move_stalled(now);
     }
     book.evacuate(now);
-    tenure.strain.set(book.strain(now));
+    tenure.overload.set(book.overload(now));
 }
 
 fn worker_boot(tenure: &Tenure, worker: WorkerKey) -> BootId {
@@ -147,7 +147,7 @@
         worker = %boot,
         resumes = !order.checkpoint.is_empty(),
         waited_ms = millis(order.reason.waited),
-        hope = order.reason.rank.hope,
+        finish = ?order.reason.rank.finish,
         left_ms = order.reason.rank.left,
         cost = rounded(order.reason.cost),
         next_cost = order.reason.next_cost.map(rounded),
--- a/crates/wax-owner/src/entries.rs
+++ b/crates/wax-owner/src/entries.rs
@@ -134,7 +134,7 @@
         valid_ms: 0,
         store_lost: silent_for(tenure, now) > shared.spans.doubt,
         config: version,
-        strain: 0.0,
+        overload: 0.0,
         rank: rank.rank,
         best: rank.best.0,
         period_ms: period.as_millis() as u32,
--- a/crates/wax-owner/src/fronts.rs
+++ b/crates/wax-owner/src/fronts.rs
@@ -29,8 +29,8 @@
     pub(crate) rank: u32,
 }
 
-/// A front follows the store itself: only one that stays behind for this long is sent the config. At
-/// each heartbeat, 1,400 routes took 0.3 MB to each of 35 fronts, seconds of a small link.
+/// A front follows the store itself: only one that stays behind for this long is sent the config, which may take
+/// seconds of a small link.
 const CONFIG_PATIENCE: Duration = Duration::from_millis(600);
 
 /// Dead boots that one message names: some kilobytes.
--- a/crates/wax-owner/src/listener.rs
+++ b/crates/wax-owner/src/listener.rs
@@ -58,7 +58,7 @@
 }
 
 /// The term of this process, if it owns the shard. While nobody does, word of the next owner is waited
-/// for: it comes within some tens of milliseconds, and 160 agents need not search for it.
+/// for: it comes soon, and no agent need search for it.
 async fn wait_owner(shared: &PoolShared) -> Option<Rc<Tenure>> {
     let listener = shared.owner_changed.listen();
     let tenure = shared.current_tenure();
--- a/crates/wax-owner/src/relay.rs
+++ b/crates/wax-owner/src/relay.rs
@@ -25,7 +25,7 @@
 /// Whether a transaction that others were asked to send may take effect yet.
 ///
 /// A question that was handed to a link may be read and carried out at any later time, whether or not
-/// the link stands: 19 jobs on one day were refused on such grounds and ran a second later.
+/// the link stands.
 #[derive(Debug, Default)]
 pub struct RelayDoubt {
     may_be_sent: bool,
--- a/crates/wax-owner/src/tenure.rs
+++ b/crates/wax-owner/src/tenure.rs
@@ -64,7 +64,7 @@
     /// Until when progress that was not heard says nothing of the workers.
     pub(crate) blind_until: Cell<TimePoint>,
     /// The share of the open jobs that fill which are late, by the last look through all.
-    pub(crate) strain: Cell<f64>,
+    pub(crate) overload: Cell<f64>,
     /// When the feed of jobs was last heard.
     pub(crate) jobs_heard: Cell<TimePoint>,
     /// Links with agents opened in this term.
@@ -127,7 +127,7 @@
             dispatched: Cell::new(shared.now()),
             looked_through: Cell::new(TimePoint::default()),
             blind_until: Cell::new(TimePoint::default()),
-            strain: Cell::new(0.0),
+            overload: Cell::new(0.0),
             jobs_heard: Cell::new(TimePoint::default()),
             links: Cell::new(0),
             front_links: Cell::new(0),
@@ -256,8 +256,7 @@
     }
 
     /// Whether an agent that knows so many pairs is to be told of all: one that was told by the owner
-    /// before knows most. 480 pairs of 50 bytes to each of 160 agents are 4 MB, worked out: 1.5 s of a
-    /// link of 20 Mbit/s at each takeover.
+    /// before knows most, and all pairs to each agent would keep a slow link busy at each takeover.
     pub(crate) fn is_news(&self, known_pairs: u32) -> bool {
         let known = known_pairs as usize;
         known < self.book.borrow().presses().len().min(MOST_PAIRS) / 2
--- a/crates/wax-policy/src/lib.rs
+++ b/crates/wax-policy/src/lib.rs
@@ -35,7 +35,7 @@
 pub use interference::{LoadBand, PairEstimate, PairTable};
 pub use kinds::{KindKey, KindTable};
 pub use pace_rules::PaceRules;
-pub use place_rules::PlaceRules;
+pub use place_rules::{ExpectedFinish, PlaceRules};
 pub use placement::{
     FirmWeights, PlaceChoice, PlaceContext, PlacePolicy, RunningTask, TaskDemand, WorkerKey,
     WorkerSlot, WorkerTable,
--- a/crates/wax-policy/src/pace_rules.rs
+++ b/crates/wax-policy/src/pace_rules.rs
@@ -42,10 +42,10 @@
 
 impl PaceRules {
     /// The rules where this share of the jobs that fill is late, 0 to 1.
-    pub fn strained(self, strain: f64) -> Self {
-        let strain = strain.clamp(0.0, 1.0);
+    pub fn strained(self, overload: f64) -> Self {
+        let overload = overload.clamp(0.0, 1.0);
         Self {
-            aim: self.aim + strain * (self.strained_aim - self.aim),
+            aim: self.aim + overload * (self.strained_aim - self.aim),
             ..self
         }
     }
--- a/crates/wax-policy/src/place_rules.rs
+++ b/crates/wax-policy/src/place_rules.rs
@@ -59,14 +59,24 @@
     }
 }
 
+/// When a job is expected to finish, by its objective; the least goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ExpectedFinish {
+    /// Within the objective.
+    InTime,
+    /// Late, but it still counts.
+    Late,
+    /// So late that it counts for nothing.
+    TooLate,
+}
+
 impl PlaceRules {
-    /// How much of a worker's spare processors may be asked for by jobs that can make their
-    /// objective (0), are late but count (1), or count no more (2).
-    pub fn fill_limit(&self, hope: u8) -> f64 {
-        match hope {
-            0 => self.fill_limit_soon,
-            1 => self.fill_limit_late,
-            _ => self.fill_limit_past,
+    /// How much of a worker's spare processors jobs that are expected to finish so may ask for.
+    pub fn fill_limit(&self, finish: ExpectedFinish) -> f64 {
+        match finish {
+            ExpectedFinish::InTime => self.fill_limit_soon,
+            ExpectedFinish::Late => self.fill_limit_late,
+            ExpectedFinish::TooLate => self.fill_limit_past,
         }
     }
 }
--- a/crates/wax-wire/src/pool.rs
+++ b/crates/wax-wire/src/pool.rs
@@ -182,7 +182,7 @@
     pub config: u64,
     /// The share of the open jobs that fill which are late, 0 to 1.
     #[prost(float, tag = "5")]
-    pub strain: f32,
+    pub overload: f32,
     /// To an entry: how many others go before it at the next takeover.
     #[prost(uint32, tag = "6")]
     pub rank: u32,
--- a/crates/wax-wire/tests/pool.rs
+++ b/crates/wax-wire/tests/pool.rs
@@ -135,7 +135,7 @@
     welcome: PoolBody::Welcome(OwnerWelcome { epoch: 3, token: 9 }),
     not_owner: PoolBody::NotOwner(NotOwner { address: "10.0.0.1:7".into(), epoch: 3 }),
     ping: PoolBody::Ping(LinkPing { sent_us: 5, config: 7, fitness: 500, store_lost: true }),
-    grant: PoolBody::Grant(LeaseGrant { sent_us: 5, valid_ms: 2_500, store_lost: true, config: 7, strain: 0.5, rank: 3, best: 500, period_ms: 900, config_age_ms: Some(40),
+    grant: PoolBody::Grant(LeaseGrant { sent_us: 5, valid_ms: 2_500, store_lost: true, config: 7, overload: 0.5, rank: 3, best: 500, period_ms: 900, config_age_ms: Some(40),
         drains: Some(DrainFrame { version: 9, domains: vec!["a".into(), "b".into()], age_ms: 40 }) }),
     worker_up: PoolBody::WorkerUp(WorkerUp {
         worker: (&view()).into(),
