Tests: a port is looked at without listening on it

The look at a port listened; a process that another test's thread starts at that moment holds a copy of the socket until it runs its program. Test: with a copy of the look's socket left open the port can be taken; it failed with the listening look. A port on which somebody listens still counts as taken. No check or wait was changed.

--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -13,6 +13,7 @@
 mod jobs;
 mod links;
 mod many_agents;
+mod ports;
 mod relay;
 mod restarts;
 mod site;
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -7,10 +7,13 @@
 pub(crate) use crate::common::{run, wait_for};
 use crate::relay::Relay;
 use http::Method;
+use rustix::net::{AddressFamily, SocketFlags, SocketType, bind, socket_with, sockopt};
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener};
+use std::io;
+use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
@@ -96,6 +99,20 @@
 /// the process it gave one away, and a front found its port in use.
 const PORTS: std::ops::Range<u16> = 12_000..32_000;
 
+/// Takes a port that nobody listens on, without listening: a process that another thread starts meanwhile holds a
+/// copy of the socket until it runs its program.
+///
+/// # Errors
+///
+/// Somebody listens there.
+pub(crate) fn probe_port(address: SocketAddr) -> io::Result<OwnedFd> {
+    let flags = SocketFlags::CLOEXEC;
+    let socket = socket_with(AddressFamily::INET, SocketType::STREAM, flags, None)?;
+    sockopt::set_socket_reuseaddr(&socket, true)?;
+    bind(&socket, &address)?;
+    Ok(socket)
+}
+
 /// A port that is free on an address and was not given out before.
 fn free_port(ip: &str) -> SocketAddr {
     loop {
@@ -107,8 +124,9 @@
         if !is_new {
             continue;
         }
-        if let Ok(listener) = TcpListener::bind((ip, port)) {
-            return listener.local_addr().expect("it has an address");
+        let address = SocketAddr::new(ip.parse().expect("an address"), port);
+        if probe_port(address).is_ok() {
+            return address;
         }
     }
 }
