waxwing logs report: starts before the acceptance, runs without an end, delay without a reason

Cause 1: the owner may start a job's tasks before the front logs "job accepted", as that line is written when the store's answer has arrived. All jobs are added first now.

Cause 2: only "run ended" ended a run. Refusals, runs lost or ended with their worker, later starts of the same task, ended jobs and workers, and the number of runs that a worker lists to a new owner are read now.

Cause 3: every gap without a reason counted as "no owner", as did every job without a start. Now only the time up to a takeover does; the rest is "wait: unknown".

The same kind of fault elsewhere: refused starts counted as "lost", all stops as "stalled", a task with a stopped copy or without an end line as "unfinished" in a completed job; a line in two files as two runs; a repeated end replaced the first; the plot kept ended jobs open; "bound" ended the time before the last run was over.

--- a/crates/wax-cli/src/commands/bound.rs
+++ b/crates/wax-cli/src/commands/bound.rs
@@ -131,13 +131,13 @@
     }
 }
 
-/// Returns the time of the last log line about a job. No line records work done after the latest of
-/// these times.
+/// Returns when the last run of a job was over by the log lines, or when the job ended if that is
+/// later. No line records work done after this time.
 fn last_activity(job: &JobHistory) -> f64 {
-    let runs = job.runs.iter().map(|run| {
-        let ended = run.end.as_ref().map(|(at, _)| *at);
-        ended.unwrap_or(run.ordered_at)
-    });
+    let runs = job
+        .runs
+        .iter()
+        .map(|run| run.over_at.unwrap_or(run.ordered_at));
     let ended = job.end.as_ref().map(|(at, _)| *at);
     runs.chain(ended).fold(job.requested_at, f64::max)
 }
--- a/crates/wax-logs/src/cause.rs
+++ b/crates/wax-logs/src/cause.rs
@@ -4,7 +4,7 @@
 //! without a result, its wait, and then the task whose end allowed its step to start.
 
 use crate::event::step_of;
-use crate::history::{JobHistory, RunHistory, StepWait};
+use crate::history::{JobHistory, LOST, RunHistory, STALLED, StepWait};
 use std::collections::BTreeMap;
 use std::fmt;
 
@@ -14,16 +14,20 @@
     /// Time by which the runs with a result along the path exceeded, in total, half of the
     /// objective.
     SlowRun,
-    /// Time spent on runs that were ordered to stop, usually because they made no progress.
+    /// Time spent on runs that were ordered to stop because they made no progress.
     Stalled,
+    /// Time spent on runs that were ordered to stop for another reason, which it holds.
+    Stopped(Box<str>),
+    /// Time spent on starts that were refused. Holds the reason for the refusal.
+    Refused(Box<str>),
     /// Time spent on runs that failed.
     Failed,
     /// Time spent on runs that were lost with their worker or agent.
     Lost,
     /// Time in which tasks waited. Holds the last reason that was reported; `unknown` if none was.
     Wait(Box<str>),
-    /// Time between the acceptance, or the end of the previous task, and the start of the wait: no
-    /// owner was handling the job.
+    /// Time between the acceptance, or the end of the previous task, and a later takeover: no owner
+    /// was handling the job.
     NoOwner,
     /// Time between the caller's request and the acceptance.
     Accepting,
@@ -36,6 +40,8 @@
         match self {
             Self::SlowRun => formatter.write_str("slow run"),
             Self::Stalled => formatter.write_str("stalled"),
+            Self::Stopped(why) => write!(formatter, "stopped: {why}"),
+            Self::Refused(why) => write!(formatter, "refused: {why}"),
             Self::Failed => formatter.write_str("failed"),
             Self::Lost => formatter.write_str("lost"),
             Self::Wait(reason) => write!(formatter, "wait: {reason}"),
@@ -57,8 +63,8 @@
 
 /// Tolerance when the timestamps of an end and of the start that it allowed are compared, seconds.
 const TIME_TOLERANCE_S: f64 = 0.05;
-/// Time that is attributed to a task without a result, or to the missing owner of a job whose tasks
-/// were never started, seconds. Large enough to outweigh the earlier causes on the path.
+/// Time that is attributed to a task without a result, or to the wait of a job whose tasks were never
+/// started, seconds. Large enough to outweigh the earlier causes on the path.
 const UNFINISHED_TASK_S: f64 = 20.0;
 /// Limit on the tasks of a path that are followed; a longer path is not followed to its start.
 const MAX_PATH_STEPS: usize = 64;
@@ -74,15 +80,16 @@
     add(DelayCause::Accepting, job.accepted_at - job.requested_at);
     let tasks = runs_by_task(job);
     let mut run_time = 0.0;
-    let mut next = last_task(&tasks);
+    let mut next = last_task(job, &tasks);
     for _ in 0..MAX_PATH_STEPS {
         let Some(runs) = next.and_then(|task| tasks.get(task)) else {
             break;
         };
+        let runs = runs_to_result(runs);
         let Some((first, last)) = runs.first().zip(runs.last()) else {
             break;
         };
-        match last.done_at() {
+        match result_at(job, last) {
             Some(end) => run_time += end - last.ordered_at,
             None => add(DelayCause::Unfinished, UNFINISHED_TASK_S),
         }
@@ -93,21 +100,23 @@
             );
         }
         let counted_from = first.ordered_at - first.waited_s;
-        let previous = predecessor(&tasks, counted_from, &first.task);
+        let previous = predecessor(job, &tasks, counted_from, &first.task);
         let previous_end = previous.map_or(job.accepted_at, |(_, end)| end);
         // The wait counter of a step restarts when a sibling task is requeued. An earlier wait
         // report shows that the step was already waiting before the restart.
         let reported = first_wait_report(job, first, previous_end);
         let wait_start = reported.map_or(counted_from, |reported| reported.min(counted_from));
+        let (without_owner, unreported_wait) = split_at_takeover(job, previous_end, wait_start);
         add(
             wait_cause(job, first, previous_end),
             first.ordered_at - wait_start,
         );
-        add(DelayCause::NoOwner, wait_start - previous_end);
+        add(DelayCause::NoOwner, without_owner);
+        add(unknown_wait(), unreported_wait);
         next = previous.map(|(task, _)| task);
     }
     if tasks.is_empty() {
-        add(DelayCause::NoOwner, UNFINISHED_TASK_S);
+        add(unstarted_cause(job), UNFINISHED_TASK_S);
     }
     add(DelayCause::SlowRun, run_time - job.objective_s / 2.0);
     let mut list: Vec<DelayShare> = shares
@@ -128,13 +137,28 @@
     tasks
 }
 
-fn task_done_at(runs: &[&RunHistory]) -> Option<f64> {
-    runs.iter().find_map(|run| run.done_at())
+/// Returns the runs of a task up to the first one with a result. A later run is a copy that was
+/// stopped.
+fn runs_to_result<'a, 'b>(runs: &'b [&'a RunHistory]) -> &'b [&'a RunHistory] {
+    let with_result = runs.iter().position(|run| run.done_at().is_some());
+    &runs[..with_result.map_or(runs.len(), |index| index + 1)]
+}
+
+/// Returns when a task's last run ended with a result. The report of the end may have been lost; in
+/// a completed job, each task had a result.
+fn result_at(job: &JobHistory, last: &RunHistory) -> Option<f64> {
+    let is_completed = job.response_time_s().is_some();
+    let unreported = last.over_at.filter(|_| is_completed && last.end.is_none());
+    last.done_at().or(unreported)
+}
+
+fn task_done_at(job: &JobHistory, runs: &[&RunHistory]) -> Option<f64> {
+    result_at(job, runs_to_result(runs).last()?)
 }
 
 /// Returns a task without a result or, if all have one, the task that ended last.
-fn last_task<'a>(tasks: &TaskRuns<'a>) -> Option<&'a str> {
-    let end = |runs: &[&RunHistory]| task_done_at(runs).unwrap_or(f64::INFINITY);
+fn last_task<'a>(job: &JobHistory, tasks: &TaskRuns<'a>) -> Option<&'a str> {
+    let end = |runs: &[&RunHistory]| task_done_at(job, runs).unwrap_or(f64::INFINITY);
     let last = tasks
         .iter()
         .max_by(|one, other| end(one.1).total_cmp(&end(other.1)));
@@ -142,20 +166,49 @@
 }
 
 /// Returns the task of another step whose end was the last one before a step started to wait.
-fn predecessor<'a>(tasks: &TaskRuns<'a>, wait_start: f64, task: &str) -> Option<(&'a str, f64)> {
+fn predecessor<'a>(
+    job: &JobHistory,
+    tasks: &TaskRuns<'a>,
+    wait_start: f64,
+    task: &str,
+) -> Option<(&'a str, f64)> {
     let ends = tasks.iter().filter_map(|(other, runs)| {
-        let end = task_done_at(runs)?;
+        let end = task_done_at(job, runs)?;
         let is_candidate = step_of(other) != step_of(task) && end <= wait_start + TIME_TOLERANCE_S;
         is_candidate.then_some((*other, end))
     });
     ends.max_by(|one, other| one.1.total_cmp(&other.1))
 }
 
+/// Splits the time before a wait, of which no line gives the reason, at the last takeover in it.
+/// Returns the seconds before the takeover, in which no owner handled the job, and those after it.
+/// Without a takeover an owner handled the job all the time.
+fn split_at_takeover(job: &JobHistory, from: f64, to: f64) -> (f64, f64) {
+    let mut takeovers = job.takeovers.iter().rev().copied();
+    match takeovers.find(|at| (from..=to).contains(at)) {
+        Some(takeover) => (takeover - from, to - takeover),
+        None => (0.0, (to - from).max(0.0)),
+    }
+}
+
+/// Returns why no task of a job was ever started.
+fn unstarted_cause(job: &JobHistory) -> DelayCause {
+    match job.waits.last() {
+        Some(wait) => DelayCause::Wait(wait.reason.clone()),
+        None if job.takeovers.is_empty() => unknown_wait(),
+        None => DelayCause::NoOwner,
+    }
+}
+
 /// Returns why a run had no result.
 fn failed_run_cause(run: &RunHistory) -> DelayCause {
+    let given_up = run.given_up.as_ref().map(|(_, why)| &**why);
+    let refused = given_up.filter(|why| *why != LOST);
     match (&run.stop_reason, run.end.as_ref().map(|(_, how)| &**how)) {
-        (Some(_), _) => DelayCause::Stalled,
+        (Some(why), _) if **why == *STALLED => DelayCause::Stalled,
+        (Some(why), _) => DelayCause::Stopped(why.clone()),
         (None, Some("Failed")) => DelayCause::Failed,
+        (None, None) => refused.map_or(DelayCause::Lost, |why| DelayCause::Refused(why.into())),
         _ => DelayCause::Lost,
     }
 }
@@ -183,5 +236,9 @@
 /// Returns the reason that was reported last before the first start of a task.
 fn wait_cause(job: &JobHistory, first: &RunHistory, previous_end: f64) -> DelayCause {
     let last = wait_reports(job, first, previous_end).next_back();
-    DelayCause::Wait(last.map_or_else(|| "unknown".into(), |wait| wait.reason.clone()))
+    last.map_or_else(unknown_wait, |wait| DelayCause::Wait(wait.reason.clone()))
+}
+
+fn unknown_wait() -> DelayCause {
+    DelayCause::Wait("unknown".into())
 }
--- a/crates/wax-logs/src/event.rs
+++ b/crates/wax-logs/src/event.rs
@@ -70,6 +70,47 @@
         /// How the run ended, such as `Done` or `Failed`.
         how: Box<str>,
     },
+    /// A run has ended because its worker terminated.
+    #[serde(rename = "run ended with its worker")]
+    EndWithWorker {
+        /// Name of the task.
+        task: Box<str>,
+        /// Number of the task's start.
+        run: u64,
+    },
+    /// An agent has given up a run because it has lost the worker.
+    #[serde(rename = "run lost with its worker")]
+    Lost {
+        /// Name of the task.
+        task: Box<str>,
+        /// Number of the task's start.
+        run: u64,
+    },
+    /// An agent or its worker has refused the start of a run, and later the owner has received the
+    /// refusal.
+    #[serde(rename = "start refused")]
+    Refused {
+        /// Name of the task.
+        task: Box<str>,
+        /// Number of the task's start.
+        run: u64,
+        /// Reason for the refusal, such as `Unwell` or `Stale`.
+        why: Box<str>,
+    },
+    /// The owner has received the list of a worker's runs.
+    #[serde(rename = "worker taken over")]
+    WorkerTakenOver {
+        /// Name of the worker.
+        worker: Box<str>,
+        /// Number of runs in progress on the worker.
+        runs: usize,
+    },
+    /// No run is in progress any more on a worker that has left or was given up.
+    #[serde(rename = "all runs of an ended worker have ended")]
+    WorkerEnded {
+        /// Name of the worker.
+        worker: Box<str>,
+    },
     /// The reason for which a step waits has changed.
     #[serde(rename = "step waits")]
     Wait {
--- a/crates/wax-logs/src/history.rs
+++ b/crates/wax-logs/src/history.rs
@@ -2,8 +2,14 @@
 
 use crate::event::{LogEvent, job_of, step_of};
 use crate::line::LogLine;
+use crate::run_ends::{WorkerListing, close_runs};
 use std::collections::BTreeMap;
 
+/// Reason to give up a run that was lost with its worker.
+pub(crate) const LOST: &str = "lost";
+/// Reason to stop a run that makes no progress.
+pub(crate) const STALLED: &str = "stalled";
+
 /// One run of a task and how it ended. Times are seconds since 1970.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RunHistory {
@@ -25,6 +31,12 @@
     pub stop_reason: Option<Box<str>>,
     /// When and how the run ended; `None` if no owner has received its end.
     pub end: Option<(f64, Box<str>)>,
+    /// When and why the run was refused or given up; `None` if it was not. The reason is that of
+    /// the refusal, or `lost` if the worker was lost.
+    pub given_up: Option<(f64, Box<str>)>,
+    /// When the run was over by its own lines or, without any, at the latest by the lines of its
+    /// task, job and worker; `None` if no line shows it.
+    pub over_at: Option<f64>,
 }
 
 impl RunHistory {
@@ -71,6 +83,8 @@
     pub waits: Vec<StepWait>,
     /// When the job was first reported as ended, and its outcome.
     pub end: Option<(f64, Box<str>)>,
+    /// When processes took over the shard, from the request on.
+    pub takeovers: Vec<f64>,
 }
 
 impl JobHistory {
@@ -120,50 +134,78 @@
             started_at: lines.first().map_or(0.0, |line| line.timestamp_s),
             ..Default::default()
         };
-        for line in lines {
+        // A front logs the acceptance when the store's answer arrives. The owner may learn of the
+        // job and start its tasks before that, so all jobs are added before the other events.
+        let (accepted, others): (Vec<LogLine>, Vec<LogLine>) = lines
+            .into_iter()
+            .partition(|line| matches!(line.event, LogEvent::Accepted { .. }));
+        for line in accepted {
+            history.add_job(line.timestamp_s, line.event);
+        }
+        let mut listings = Vec::new();
+        for line in others {
+            listings.extend(WorkerListing::new(line.timestamp_s, &line.event));
             history.add_event(line.timestamp_s, line.event);
         }
+        close_runs(&mut history.jobs, &listings);
+        let takeovers = &history.takeovers;
+        for job in history.jobs.values_mut() {
+            let later = takeovers.iter().filter(|at| **at >= job.requested_at);
+            job.takeovers = later.copied().collect();
+        }
         history
     }
 
+    fn add_job(&mut self, at: f64, event: LogEvent) {
+        let LogEvent::Accepted {
+            job,
+            queue,
+            took_ms,
+            tasks,
+            work_ms,
+            objective_ms,
+            long_running,
+        } = event
+        else {
+            return;
+        };
+        let history = JobHistory {
+            job: job.clone(),
+            queue,
+            requested_at: at - took_ms as f64 / 1e3,
+            accepted_at: at,
+            tasks,
+            work_core_s: work_ms as f64 / 1e3,
+            objective_s: objective_ms as f64 / 1e3,
+            long_running,
+            runs: Vec::new(),
+            waits: Vec::new(),
+            end: None,
+            takeovers: Vec::new(),
+        };
+        self.jobs.entry(job).or_insert(history);
+    }
+
     fn add_event(&mut self, at: f64, event: LogEvent) {
         match event {
-            LogEvent::Accepted {
-                job,
-                queue,
-                took_ms,
-                tasks,
-                work_ms,
-                objective_ms,
-                long_running,
-            } => {
-                let history = JobHistory {
-                    job: job.clone(),
-                    queue,
-                    requested_at: at - took_ms as f64 / 1e3,
-                    accepted_at: at,
-                    tasks,
-                    work_core_s: work_ms as f64 / 1e3,
-                    objective_s: objective_ms as f64 / 1e3,
-                    long_running,
-                    runs: Vec::new(),
-                    waits: Vec::new(),
-                    end: None,
-                };
-                self.jobs.entry(job).or_insert(history);
-            }
             LogEvent::NotAccepted { queue, .. } => self.not_accepted.push((at, queue)),
             LogEvent::Start { .. } => self.add_start(at, event),
             LogEvent::Stop { task, run, why } => {
                 if let Some(known) = self.run_mut(&task, run) {
-                    known.stop_reason = Some(why);
+                    // Later orders to stop the same run repeat the first one.
+                    known.stop_reason.get_or_insert(why);
                 }
             }
             LogEvent::End { task, run, how } => {
                 if let Some(known) = self.run_mut(&task, run) {
-                    known.end = Some((at, how));
+                    // A later owner may log the same end again.
+                    known.end.get_or_insert((at, how));
                 }
             }
+            LogEvent::EndWithWorker { task, run } | LogEvent::Lost { task, run } => {
+                self.give_up_run(&task, run, at, LOST.into());
+            }
+            LogEvent::Refused { task, run, why } => self.give_up_run(&task, run, at, why),
             LogEvent::Wait { task, reason, .. } => {
                 if let Some(job) = self.jobs.get_mut(job_of(&task)) {
                     job.waits.push(StepWait {
@@ -187,7 +229,18 @@
             }
             LogEvent::Takeover { .. } => self.takeovers.push(at),
             LogEvent::StoreLost => self.store_losses.push(at),
-            LogEvent::Other => {}
+            // Jobs were added before, and listings of workers are applied after all events.
+            LogEvent::Accepted { .. }
+            | LogEvent::WorkerTakenOver { .. }
+            | LogEvent::WorkerEnded { .. }
+            | LogEvent::Other => {}
+        }
+    }
+
+    fn give_up_run(&mut self, task: &str, run: u64, at: f64, why: Box<str>) {
+        if let Some(known) = self.run_mut(task, run) {
+            // Both the agent and the owner log it.
+            known.given_up.get_or_insert((at, why));
         }
     }
 
@@ -203,6 +256,10 @@
         else {
             return;
         };
+        if self.run_mut(&task, run).is_some() {
+            // The same line may be in several files.
+            return;
+        }
         if let Some(job) = self.jobs.get_mut(job_of(&task)) {
             job.runs.push(RunHistory {
                 task,
@@ -214,6 +271,8 @@
                 resumes,
                 stop_reason: None,
                 end: None,
+                given_up: None,
+                over_at: None,
             });
         }
     }
--- a/crates/wax-logs/src/lib.rs
+++ b/crates/wax-logs/src/lib.rs
@@ -10,6 +10,7 @@
 mod line;
 mod plot;
 mod report;
+mod run_ends;
 
 pub use cause::{DelayCause, DelayShare, attribute_delay};
 pub use event::LogEvent;
--- a/crates/wax-logs/src/report.rs
+++ b/crates/wax-logs/src/report.rs
@@ -1,7 +1,7 @@
 //! Aggregates a pool's history by queue and by window of time, and prints the timeline of one job.
 
 use crate::cause::attribute_delay;
-use crate::history::{JobHistory, PoolHistory, RunHistory};
+use crate::history::{JobHistory, PoolHistory, RunHistory, STALLED};
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
@@ -97,7 +97,8 @@
     for job in history.jobs.values().filter(|job| *job.queue == *queue) {
         count_job(&mut row, job);
         let first = job.runs.iter().map(|run| run.ordered_at).reduce(f64::min);
-        starts.extend(first.map(|first| first - job.requested_at));
+        // The clocks of the front and the owner may differ.
+        starts.extend(first.map(|first| (first - job.requested_at).max(0.0)));
         row.stalled += count(job.runs.iter().filter(|run| is_stalled(run)));
         for runs in steps(job).values() {
             spreads.push(start_spread(runs));
@@ -171,16 +172,16 @@
     rows.into_values().collect()
 }
 
-/// Returns whether a run was in progress at a time. A run without a reported end counts as in
-/// progress.
+/// Returns whether a run was in progress at a time. A run counts as in progress until a line shows
+/// that it is over.
 pub(crate) fn is_running_at(run: &RunHistory, at: f64) -> bool {
-    run.ordered_at <= at && run.end.as_ref().is_none_or(|(end, _)| *end > at)
+    run.ordered_at <= at && run.over_at.is_none_or(|over_at| over_at > at)
 }
 
 fn is_stalled(run: &RunHistory) -> bool {
     run.stop_reason
         .as_ref()
-        .is_some_and(|why| **why == *"stalled")
+        .is_some_and(|why| **why == *STALLED)
 }
 
 fn steps(job: &JobHistory) -> BTreeMap<&str, Vec<&RunHistory>> {
@@ -249,6 +250,9 @@
             let why = why.unwrap_or_default();
             events.push((*at, format!("{} run {} ends {how}{why}", run.task, run.run)));
         }
+        if let Some((at, why)) = &run.given_up {
+            events.push((*at, format!("{} run {} given up: {why}", run.task, run.run)));
+        }
     }
     for wait in &job.waits {
         events.push((
--- a/crates/wax-logs/tests/reports.rs
+++ b/crates/wax-logs/tests/reports.rs
@@ -120,6 +120,213 @@
     assert!((shares[0].seconds - 5.48).abs() < 0.01, "{shares:?}");
 }
 
+fn shares_of(lines: &[String], job: &str) -> Vec<(String, f64)> {
+    let shares = attribute_delay(&history(lines).jobs[job]);
+    let shares = shares.iter();
+    shares
+        .map(|share| (share.cause.to_string(), share.seconds))
+        .collect()
+}
+
+fn takeover(at_ms: u32) -> String {
+    line(at_ms, "\"message\":\"took over the shard\",\"epoch\":2")
+}
+
+/// The owner may log the first starts before the front logs the acceptance. They were dropped, so
+/// that a later restart counted as the first start.
+#[test]
+fn start_that_is_logged_before_the_acceptance_counts_as_the_first_start() {
+    let lines = [
+        start(1_000, "a.0.0.0", 1, 2),
+        accepted(1_010, "a", 4_000).replace("\"lasts\":false", "\"lasts\":true"),
+        end(20_000, "a.0.0.0", 1, "Failed"),
+        start(20_010, "a.0.0.0", 2, 2),
+    ];
+    let report = build_report(&history(&lines), 100.0);
+    let first_start = report.queues[0].first_start;
+    assert!(first_start[1].abs() < 0.01, "{first_start:?}");
+    assert_eq!(report.windows[0].starts, 2);
+}
+
+/// The events of a job that ends before the front logs its acceptance were dropped, too.
+#[test]
+fn events_before_the_acceptance_are_kept() {
+    let lines = [
+        waits(900, "a.0.0.0", "spare"),
+        start(905, "a.0.0.0", 1, 2),
+        stop(906, "a.0.0.0", 1),
+        end(907, "a.0.0.0", 1, "Done"),
+        job_end(908, "a"),
+        accepted(910, "a", 4_000),
+    ];
+    let job = &history(&lines).jobs["a"];
+    assert_eq!((job.waits.len(), job.runs.len()), (1, 1));
+    assert!(job.runs[0].end.is_some() && job.runs[0].stop_reason.is_some());
+    assert!(job.is_in_time());
+}
+
+/// Returns the number of runs in progress 10 s after the first line.
+fn running_at_10_s(lines: &[String]) -> u32 {
+    build_report(&history(lines), 10.0).windows[0].running
+}
+
+fn task_line(at_ms: u32, message: &str, task: &str, run: u32) -> String {
+    line(
+        at_ms,
+        &format!("\"message\":\"{message}\",\"task\":\"{task}\",\"run\":{run},\"why\":\"Unwell\""),
+    )
+}
+
+fn worker_line(at_ms: u32, message: &str, runs: u32) -> String {
+    line(
+        at_ms,
+        &format!(
+            "\"message\":\"{message}\",\"agent\":\"n\",\"worker\":\"w\",\"runs\":{runs},\"ends\":0"
+        ),
+    )
+}
+
+/// Each case has a job of two tasks that start at second 1. Lines other than `run ended` show that
+/// some of the runs are over; without them, the runs counted as in progress forever.
+macro_rules! running_tests {
+    ($($name:ident: [$($line:expr),* $(,)?], $running:literal,)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut lines = vec![
+                    accepted(1_000, "a", 4_000),
+                    start(1_000, "a.0.0.0", 1, 2),
+                    start(1_001, "a.0.0.1", 1, 2),
+                ];
+                lines.extend([$($line),*]);
+                assert_eq!(running_at_10_s(&lines), $running);
+            }
+        )*
+    };
+}
+
+running_tests! {
+    runs_without_any_later_line_are_in_progress: [], 2,
+    refused_start_is_not_in_progress: [task_line(2_000, "start refused", "a.0.0.0", 1)], 1,
+    run_lost_with_its_worker_is_not_in_progress:
+        [task_line(2_000, "run lost with its worker", "a.0.0.0", 1)], 1,
+    run_ended_with_its_worker_is_not_in_progress:
+        [task_line(2_000, "run ended with its worker", "a.0.0.0", 1)], 1,
+    later_start_supersedes_the_runs_of_an_earlier_term:
+        [takeover(2_000), start(3_000, "a.0.0.0", 65_537, 2), start(4_000, "a.0.0.0", 65_538, 2)], 2,
+    runs_of_an_ended_job_are_not_in_progress: [takeover(2_000), job_end(3_000, "a")], 0,
+    runs_of_an_ended_worker_are_not_in_progress:
+        [worker_line(2_000, "all runs of an ended worker have ended", 0)], 0,
+    run_that_the_worker_does_not_list_to_a_new_owner_is_not_in_progress:
+        [takeover(2_000), worker_line(3_000, "worker taken over", 1)], 1,
+    runs_that_the_worker_lists_to_a_new_owner_are_in_progress:
+        [takeover(2_000), worker_line(3_000, "worker taken over", 2)], 2,
+    line_in_two_files_counts_once:
+        [start(1_000, "a.0.0.0", 1, 2), end(2_000, "a.0.0.0", 1, "Done")], 1,
+    repeated_end_keeps_its_first_time:
+        [end(2_000, "a.0.0.0", 1, "Done"), takeover(15_000), end(16_000, "a.0.0.0", 1, "Done")], 1,
+}
+
+/// Of the runs on a worker that lists one run to its new owner, the one with a later end was it.
+#[test]
+fn listed_run_is_the_one_whose_end_is_reported_later() {
+    let lines = [
+        accepted(1_000, "a", 4_000),
+        start(1_000, "a.0.0.0", 1, 2),
+        start(1_001, "a.0.0.1", 1, 2),
+        takeover(2_000),
+        worker_line(3_000, "worker taken over", 1),
+        end(15_000, "a.0.0.0", 1, "Done"),
+    ];
+    let history = history(&lines);
+    let over: Vec<Option<f64>> = history.jobs["a"]
+        .runs
+        .iter()
+        .map(|run| run.over_at)
+        .collect();
+    assert_eq!(
+        over[0].zip(over[1]).map(|(one, other)| one - other),
+        Some(12.0)
+    );
+}
+
+/// A late job, the time before whose wait no line explains, counted as having no owner on days on
+/// which the owner never changed.
+#[test]
+fn time_without_reason_is_attributed_to_a_missing_owner_only_before_a_takeover() {
+    let mut lines = vec![
+        takeover(500),
+        accepted(1_000, "a", 1_000),
+        start(7_000, "a.0.0.0", 1, 2),
+        end(8_000, "a.0.0.0", 1, "Done"),
+        job_end(8_010, "a"),
+    ];
+    let cause = |lines: &[String]| shares_of(lines, "a")[0].clone();
+    let (name, seconds) = cause(&lines);
+    assert_eq!(name, "wait: unknown");
+    assert!((seconds - 6.0).abs() < 0.01, "{seconds}");
+    lines.push(takeover(6_000));
+    let (name, seconds) = cause(&lines);
+    assert_eq!(name, "no owner");
+    assert!((seconds - 5.0).abs() < 0.01, "{seconds}");
+}
+
+/// Jobs of which no task was started counted as having no owner, whatever their steps waited for.
+#[test]
+fn job_that_was_never_started_is_attributed_to_what_its_steps_wait_for() {
+    let mut lines = vec![takeover(500), accepted(1_000, "a", 1_000)];
+    assert_eq!(shares_of(&lines, "a")[0].0, "wait: unknown");
+    lines.push(takeover(6_000));
+    assert_eq!(shares_of(&lines, "a")[0].0, "no owner");
+    lines.push(waits(6_500, "a.0.0.0", "capacity"));
+    assert_eq!(shares_of(&lines, "a")[0].0, "wait: capacity");
+}
+
+/// Refused starts counted as lost with their worker, and all ordered stops as stalled runs.
+#[test]
+fn runs_without_a_result_are_attributed_to_how_they_ended() {
+    let lines = [
+        accepted(1_000, "a", 1_000),
+        start(1_000, "a.0.0.0", 1, 2),
+        task_line(4_000, "start refused", "a.0.0.0", 1),
+        start(4_000, "a.0.0.0", 2, 2),
+        stop(5_000, "a.0.0.0", 2).replace("stalled", "evacuated"),
+        end(6_000, "a.0.0.0", 2, "Stopped"),
+        start(6_000, "a.0.0.0", 3, 2),
+        task_line(7_000, "run lost with its worker", "a.0.0.0", 3),
+        start(7_000, "a.0.0.0", 4, 2),
+        end(7_100, "a.0.0.0", 4, "Done"),
+        job_end(7_110, "a"),
+    ];
+    let shares = shares_of(&lines, "a");
+    let names: Vec<&str> = shares.iter().map(|(name, _)| name.as_str()).collect();
+    assert_eq!(
+        names[..3],
+        ["refused: Unwell", "stopped: evacuated", "lost"]
+    );
+}
+
+/// The end of a run may be missing from the lines, and a copy of a task may be stopped after its
+/// result. Neither makes a task of a completed job unfinished.
+#[test]
+fn completed_job_has_no_unfinished_task() {
+    let lines = [
+        accepted(1_000, "a", 1_000),
+        start(1_000, "a.0.0.0", 1, 2),
+        end(2_000, "a.0.0.0", 1, "Done"),
+        start(2_100, "a.0.0.0", 2, 2),
+        end(2_200, "a.0.0.0", 2, "Stopped"),
+        start(3_000, "a.0.1.0", 1, 2),
+        job_end(6_000, "a"),
+    ];
+    let shares = shares_of(&lines, "a");
+    assert_eq!(shares[0].0, "slow run", "{shares:?}");
+    assert!(
+        shares.iter().all(|(name, _)| name != "unfinished"),
+        "{shares:?}"
+    );
+}
+
 /// Log files are read in any order, so a run's end may be parsed before its start. The history must
 /// be sorted by time first; otherwise ends would be lost.
 #[test]
