wax-owner: log the ends that reach the owner in a worker's list

A run that ends between two owners or two links reaches the owner in the list of the worker's runs and ends, which was applied without a line. Reports from the logs showed such runs as in progress and their tasks as unfinished. Runs that the worker does not list any more are logged as "run ended", "Unlisted".

--- a/crates/wax-owner/src/agent_links.rs
+++ b/crates/wax-owner/src/agent_links.rs
@@ -10,6 +10,7 @@
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 use futures_util::future::{Either, select};
 use std::cell::Cell;
+use std::collections::HashSet;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -229,6 +230,7 @@
         let ends: Vec<RunEnd> = snapshot.ends.iter().map(Into::into).collect();
         let boot = view.boot.clone();
         let worker = self.register_worker(view, now);
+        self.log_listed_ends(worker, &runs, &ends);
         let mut scheduler = self.term.scheduler.borrow_mut();
         scheduler.reconcile_worker(worker, &runs, &ends, now, now_ms);
         self.is_reconciled.set(true);
@@ -257,6 +259,29 @@
         self.term.dispatch.notify(usize::MAX);
     }
 
+    /// Logs the ends in a worker's snapshot that this term has not received yet, and the runs that
+    /// the worker should have but does not list. Without these lines the runs that end between two
+    /// owners or two links would seem to go on.
+    fn log_listed_ends(&self, worker: WorkerKey, runs: &[RunReport], ends: &[RunEnd]) {
+        let scheduler = self.term.scheduler.borrow();
+        let Some((_, record)) = scheduler.workers().find(|(key, _)| *key == worker) else {
+            return;
+        };
+        for end in ends {
+            if end.number > record.last_end_number {
+                log_run_end(self.node, end.run_id, &format!("{:?}", end.kind));
+            }
+        }
+        let listed: HashSet<RunId> = runs
+            .iter()
+            .map(|run| run.run_id)
+            .chain(ends.iter().map(|end| end.run_id))
+            .collect();
+        for run_id in record.runs.keys().filter(|run| !listed.contains(run)) {
+            log_run_end(self.node, *run_id, "Unlisted");
+        }
+    }
+
     fn register_worker(&self, view: WorkerView, now: TimePoint) -> WorkerKey {
         let before = self.term.agents.borrow().worker(self.node);
         let boot = view.boot.clone();
@@ -406,10 +431,14 @@
         }
         for end in &updates.ends {
             let end = RunEnd::from(end);
-            tracing::info!(task = %end.run_id.task, run = end.run_id.run, agent = self.node, how = ?end.kind, "run ended");
+            log_run_end(self.node, end.run_id, &format!("{:?}", end.kind));
             scheduler.record_end(worker, &end, now, now_ms);
         }
         drop(scheduler);
         self.term.dispatch.notify(usize::MAX);
     }
 }
+
+fn log_run_end(node: &str, run_id: RunId, how: &str) {
+    tracing::info!(task = %run_id.task, run = run_id.run, agent = node, how, "run ended");
+}
--- a/tests/pool/faults.rs
+++ b/tests/pool/faults.rs
@@ -21,6 +21,32 @@
     });
 }
 
+/// Ends between two owners reach the new one in the lists of the agents. These ends were not logged, so that
+/// reports from the logs showed the runs as unfinished.
+#[test]
+fn the_end_of_each_run_is_logged_when_the_owner_is_killed() {
+    run(async {
+        let mut site = Site::start_across_domains("owner-ends", 2, 4, 2).await;
+        site.make_first_front_owner(&name(1)).await;
+        site.submit(&name(2), &job(2, 8, 300)).await;
+        site.wait_running(&name(2)).await;
+        site.kill_front(0);
+        site.wait_state(&name(2), "completed").await;
+        let logs = [site.log("front-0"), site.log("front-1")].concat();
+        let of_job = format!("\"task\":\"{}.", name(2));
+        let ended = logs.lines().filter(|line| {
+            line.contains(&of_job)
+                && line.contains("run ended")
+                && line.contains("\"how\":\"Done\"")
+        });
+        let tasks: std::collections::BTreeSet<&str> = ended
+            .filter_map(|line| line.split(&of_job).nth(1)?.split('"').next())
+            .collect();
+        assert_eq!(tasks.len(), 16, "{tasks:?}");
+        site.audit().await;
+    });
+}
+
 #[test]
 fn jobs_survive_a_kill_of_all_fronts_and_agents() {
     run(async {
