--- a/tests/pool/faults.rs
+++ b/tests/pool/faults.rs
@@ -1,8 +1,8 @@
 //! Jobs under kills, freezes, outages and lost replies.
 
-use crate::site::{Site, job, name, run, wait_for};
+use crate::site::{Site, job, long_running_job, name, run, wait_for};
 use http::Method;
-use serde_json::json;
+use serde_json::{Value, json};
 
 #[test]
 fn jobs_survive_a_kill_of_their_owner() {
@@ -22,12 +22,14 @@
 }
 
 /// Ends between two owners reach the new one in the lists of the agents. These ends were not logged, so that
-/// reports from the logs showed the runs as unfinished.
+/// reports from the logs showed the runs as unfinished and in progress.
 #[test]
 fn the_end_of_each_run_is_logged_when_the_owner_is_killed() {
     run(async {
         let mut site = Site::start_across_domains("owner-ends", 2, 4, 2).await;
         site.make_first_front_owner(&name(1)).await;
+        site.submit(&name(3), &long_running_job(3)).await;
+        site.wait_running(&name(3)).await;
         site.submit(&name(2), &job(2, 8, 300)).await;
         site.wait_running(&name(2)).await;
         site.kill_front(0);
@@ -43,6 +45,15 @@
             .filter_map(|line| line.split(&of_job).nth(1)?.split('"').next())
             .collect();
         assert_eq!(tasks.len(), 16, "{tasks:?}");
+        let report: Value =
+            serde_json::from_str(&site.log_report(&["--json"])).expect("the report must be JSON");
+        let last = report["windows"].as_array().and_then(|rows| rows.last());
+        let running = last.expect("the report must have windows")["running"].as_u64();
+        assert_eq!(
+            running,
+            Some(3),
+            "only the long-running tasks go on: {report}"
+        );
         site.audit().await;
     });
 }
