waxwing logs report: list windows in which only runs end

Windows had a row only for starts, acceptances, waits and the like, so RUNNING kept the value of the last of these.

--- a/crates/wax-logs/src/report.rs
+++ b/crates/wax-logs/src/report.rs
@@ -143,6 +143,10 @@
         });
         for run in &job.runs {
             row(run.ordered_at, &mut |row| row.starts += 1);
+            if let Some(over_at) = run.over_at {
+                // The number of runs in progress changes, even if nothing else happens.
+                row(over_at, &mut |_| {});
+            }
             if let (Some((at, _)), true) = (&run.end, is_stalled(run)) {
                 row(*at, &mut |row| row.stalled += 1);
             }
--- a/crates/wax-logs/tests/reports.rs
+++ b/crates/wax-logs/tests/reports.rs
@@ -227,6 +227,21 @@
         [end(2_000, "a.0.0.0", 1, "Done"), takeover(15_000), end(16_000, "a.0.0.0", 1, "Done")], 1,
 }
 
+/// Only starts had a window of their own, so that the last windows showed runs in progress that had
+/// ended later without anything else happening.
+#[test]
+fn window_in_which_only_runs_end_is_listed() {
+    let lines = [
+        accepted(1_000, "a", 9_000),
+        start(1_000, "a.0.0.0", 1, 2),
+        end(6_000, "a.0.0.0", 1, "Done"),
+        job_end(6_010, "a"),
+    ];
+    let windows = build_report(&history(&lines), 2.0).windows;
+    let running: Vec<(f64, u32)> = windows.iter().map(|row| (row.from, row.running)).collect();
+    assert_eq!(running, [(0.0, 1), (4.0, 0)]);
+}
+
 /// Of the runs on a worker that lists one run to its new owner, the one with a later end was it.
 #[test]
 fn listed_run_is_the_one_whose_end_is_reported_later() {
