Complete whole best-effort jobs while capacity is short

Change: with policy.sharing.whole_jobs, jobs in progress come before new ones, a job begins only with most of its tasks at once, and none begins while begun jobs that can be in time wait for capacity. Off by default.

--- a/crates/wax-batch/src/lib.rs
+++ b/crates/wax-batch/src/lib.rs
@@ -23,6 +23,7 @@
 mod reports;
 mod reservations;
 mod scheduler;
+mod sharing;
 mod spec;
 mod unreconciled;
 mod updates;
--- a/crates/wax-batch/src/placement.rs
+++ b/crates/wax-batch/src/placement.rs
@@ -7,6 +7,7 @@
 use crate::records::TaskRecord;
 use crate::relaxation::PlacementRelaxation;
 use crate::scheduler::{JobScheduler, StartOrder, StepRef, TaskRef, WorkerRecord};
+use crate::sharing::BeginMode;
 use crate::spec::StepSpec;
 use crate::unreconciled::StepEligibility;
 use crate::worker::{WorkerKey, WorkerState};
@@ -66,6 +67,8 @@
     /// For a best-effort step, whether the service is lightly loaded; false for other steps and for
     /// gangs.
     lightly_loaded: bool,
+    /// Whether and how the step's job begins.
+    begin_mode: BeginMode,
     /// Position of the worker that is evaluated first.
     scan_start: usize,
     /// Number of offers after which no further workers of a large pool are evaluated.
@@ -109,12 +112,12 @@
                 continue;
             }
             let job = &self.jobs[step_ref.job];
-            ranked.push((
-                JobRank::new(job, step_ref.occurrence, step_ref.step, now),
-                *step_ref,
-            ));
+            let mut rank = JobRank::new(job, step_ref.occurrence, step_ref.step, now);
+            rank.unbegun = self.is_unbegun(job, &job.spec.steps[usize::from(step_ref.step)]);
+            ranked.push((rank, *step_ref));
         }
         ranked.sort_unstable();
+        self.retain_startable(&mut ranked, now);
         let mut orders = Vec::new();
         for (rank, step_ref) in ranked {
             self.place_step(step_ref, rank, now, &mut orders);
@@ -148,10 +151,15 @@
             return;
         }
         let delay = RECHECK_DELAY_PER_WORKER.saturating_mul(workers as u32);
+        self.set_next_check(step_ref, now + delay);
+    }
+
+    /// Sets the time before which the step is not checked again.
+    pub(crate) fn set_next_check(&mut self, step_ref: StepRef, time: TimePoint) {
         let job = self.jobs.get_mut(step_ref.job);
         let occurrence = job.and_then(|job| job.occurrences.get_mut(&step_ref.occurrence));
         if let Some(occurrence) = occurrence {
-            occurrence.steps[usize::from(step_ref.step)].next_check = Some(now + delay);
+            occurrence.steps[usize::from(step_ref.step)].next_check = Some(time);
         }
     }
 
@@ -215,6 +223,7 @@
             }),
             waited: now.since(record.waiting_since),
             lightly_loaded: step.best_effort && !step.gang && self.is_lightly_loaded(&service),
+            begin_mode: self.begin_mode(step_ref, now),
             rack: self.preferred_rack(step_ref, step, &service, now),
             scan_start: self.advance_scan_start(),
             enough_offers: waiting.len().saturating_mul(OFFERS_PER_TASK),
@@ -223,6 +232,8 @@
             self.place_gang(step_ref, &request, now, orders);
             return;
         }
+        let waiting_count = waiting.len();
+        let mut step_orders = Vec::new();
         let mut cached = None;
         for (nth, index) in waiting.into_iter().enumerate() {
             let task = TaskRef {
@@ -231,18 +242,25 @@
             };
             match self.choose_worker(task, &request, &mut cached, now) {
                 WorkerChoice::Worker(chosen) => {
-                    orders.push(self.create_order(task, chosen, &request, None, now));
+                    step_orders.push(self.create_order(task, chosen, &request, None, now));
                     self.refresh_offer(step_ref, &request, &mut cached, chosen.key, now);
+                    if request.begin_mode == BeginMode::SingleTask {
+                        break;
+                    }
                 }
                 WorkerChoice::Wait(reason) => {
-                    self.report_wait(task, &request, reason, now);
+                    self.report_wait(task, request.waited, reason, now);
                     if nth < without_crashes {
                         self.delay_next_check(step_ref, now);
-                        return;
+                        break;
                     }
                 }
             }
         }
+        if request.begin_mode == BeginMode::Whole {
+            step_orders = self.begin_or_postpone(step_ref, step_orders, waiting_count, now);
+        }
+        orders.append(&mut step_orders);
     }
 
     /// Places all members of a gang or none.
@@ -276,7 +294,7 @@
                     for member in members {
                         self.revoke_order(step_ref, &member, now);
                     }
-                    self.report_wait(task, request, reason, now);
+                    self.report_wait(task, request.waited, reason, now);
                     self.delay_next_check(step_ref, now);
                     return;
                 }
@@ -287,10 +305,10 @@
 
     /// Records why a step's tasks wait, unless the reason is unchanged or a report was made a
     /// moment ago.
-    fn report_wait(
+    pub(crate) fn report_wait(
         &mut self,
         task_ref: TaskRef,
-        request: &StepRequest<'_>,
+        waited: Duration,
         reason: WaitReason,
         now: TimePoint,
     ) {
@@ -312,7 +330,7 @@
         self.waits.push(StepWait {
             task,
             waiting: record.waiting,
-            waited: request.waited,
+            waited,
             reason,
         });
     }
@@ -331,7 +349,7 @@
     }
 
     /// Undoes the placement of a task whose start order was not returned to the caller.
-    fn revoke_order(&mut self, step_ref: StepRef, order: &StartOrder, now: TimePoint) {
+    pub(crate) fn revoke_order(&mut self, step_ref: StepRef, order: &StartOrder, now: TimePoint) {
         let task = TaskRef {
             step: step_ref,
             index: order.run_id.task.index,
@@ -342,7 +360,7 @@
 
     /// Returns whether less than the share `low_use` of a service's processors is reserved. Counts
     /// ready workers in failure domains that are not drained.
-    fn is_lightly_loaded(&self, service: &str) -> bool {
+    pub(crate) fn is_lightly_loaded(&self, service: &str) -> bool {
         let workers = self.workers.values();
         let ready = workers.filter(|worker| {
             *worker.view.service == *service
@@ -500,6 +518,9 @@
     ) -> Option<PlacementRelaxation> {
         let job = self.jobs.get(step_ref.job)?;
         let record = self.step_record(step_ref)?;
+        if let Some(relaxation) = request.begin_mode.relaxation() {
+            return Some(relaxation);
+        }
         Some(PlacementRelaxation::of(
             &self.rules,
             job,
--- a/crates/wax-batch/src/rank.rs
+++ b/crates/wax-batch/src/rank.rs
@@ -37,6 +37,9 @@
     pub finish: ExpectedFinish,
     /// Priority of the queue; 0 is the highest.
     pub priority: u32,
+    /// Whether the step belongs to a best-effort job that has not begun; always false unless the
+    /// rules of sharing are in force.
+    pub unbegun: bool,
     /// Remaining work of the occurrence, core milliseconds. The least remaining work goes first:
     /// under overload it yields the most value for its cost, and nearly finished jobs are not
     /// delayed.
@@ -128,6 +131,7 @@
                 finish
             },
             priority: job.queue.priority,
+            unbegun: false,
             remaining_work_ms: remaining_work_ms(job, occurrence),
             latest_start,
         }
--- a/crates/wax-batch/src/reasons.rs
+++ b/crates/wax-batch/src/reasons.rs
@@ -53,6 +53,8 @@
     Trial,
     /// The members of a gang do not all fit at the same time.
     Gang,
+    /// The job has not begun, and jobs that have begun take the capacity.
+    Turn,
 }
 
 impl fmt::Display for WaitReason {
@@ -70,6 +72,7 @@
             Self::FailedThere => "failed_there",
             Self::Trial => "trial",
             Self::Gang => "gang",
+            Self::Turn => "turn",
         })
     }
 }
--- a/crates/wax-batch/src/records.rs
+++ b/crates/wax-batch/src/records.rs
@@ -254,6 +254,9 @@
     pub stored_outcome: JobOutcome,
     /// Whether any task of the job has started.
     pub started: bool,
+    /// Whether the job has begun as a whole, or a run of it was adopted; see
+    /// [`SharingRules`](wax_policy::SharingRules).
+    pub begun: bool,
     /// Reason of a failure.
     pub reason: Option<Box<str>>,
     /// Number of changes that must be stored.
--- a/crates/wax-batch/src/scheduler.rs
+++ b/crates/wax-batch/src/scheduler.rs
@@ -16,7 +16,9 @@
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
-use wax_policy::{InterferenceTable, PairInterference, PlacementRules, WorkerInterference};
+use wax_policy::{
+    InterferenceTable, PairInterference, PlacementRules, SharingRules, WorkerInterference,
+};
 use wax_types::TimePoint;
 
 slotmap::new_key_type! {
@@ -177,6 +179,7 @@
     pub(crate) waits: Vec<StepWait>,
     pub(crate) config: Rc<QueueConfig>,
     pub(crate) rules: PlacementRules,
+    pub(crate) sharing_rules: SharingRules,
     /// Answers of the placement advisor, by step.
     pub(crate) approvals: HashMap<StepRef, StepApproval>,
     /// Interference of best-effort images with serving images.
@@ -212,6 +215,7 @@
             waits: Vec::new(),
             config: Rc::default(),
             rules,
+            sharing_rules: SharingRules::default(),
             approvals: HashMap::new(),
             pairs: InterferenceTable::default(),
             epoch,
@@ -306,6 +310,7 @@
             ended_ms: 0,
             stored_outcome: JobOutcome::Open,
             started: false,
+            begun: false,
             reason: None,
             changes: 0,
             stored_changes: 0,
@@ -313,6 +318,7 @@
         };
         if let Some(progress) = progress {
             job.restore(progress);
+            job.begun = job.has_progress();
         }
         let is_over = job.is_over();
         let key = self.jobs.insert(job);
--- /dev/null
+++ b/crates/wax-batch/src/sharing.rs
@@ -0,0 +1,186 @@
+//! Completes whole best-effort jobs instead of parts of many while capacity is short.
+//!
+//! A job has begun once a step of it was started with most of its tasks at once, or a run of it was
+//! adopted. Begun jobs are placed before others. The state is rebuilt by a new owner from adopted
+//! runs and stored progress.
+
+use crate::rank::JobRank;
+use crate::reasons::WaitReason;
+use crate::records::{JobRecord, StepRecord};
+use crate::relaxation::PlacementRelaxation;
+use crate::scheduler::{JobScheduler, StartOrder, StepRef, TaskRef};
+use crate::spec::StepSpec;
+use std::time::Duration;
+use wax_policy::{BeginChoice, BegunLoad, ExpectedFinish, SharingRules};
+use wax_types::TimePoint;
+
+/// Delay before the next search for workers for a job that could not begin. Each search evaluates
+/// every worker for up to all tasks of a step, only to undo the placements.
+const BEGIN_RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// Whether and how a step's job begins in a placement round.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum BeginMode {
+    /// The job has begun, or the rules of sharing do not apply to the step.
+    Begun,
+    /// The job begins if enough tasks of the step find a worker.
+    Whole,
+    /// The step may start a single task, because the service has capacity to spare and no task of
+    /// the job runs.
+    SingleTask,
+}
+
+impl BeginMode {
+    /// Returns the demands of the step's waiting tasks; `None` if they depend on the waiting time.
+    /// A job that has not begun does not lower its demands, because a job that begins at a low pace
+    /// cannot end in time.
+    pub(crate) fn relaxation(self) -> Option<PlacementRelaxation> {
+        match self {
+            Self::Begun => None,
+            Self::Whole => Some(PlacementRelaxation::PreferredPace),
+            Self::SingleTask => Some(PlacementRelaxation::Starved),
+        }
+    }
+}
+
+impl JobRecord {
+    /// Returns whether any task has run, by the stored progress.
+    pub(crate) fn has_progress(&self) -> bool {
+        let occurrences = self.occurrences.values();
+        let mut steps = occurrences.flat_map(|occurrence| &occurrence.steps);
+        steps.any(|step| step.done > 0 || step.tasks.iter().any(|task| task.last_run > 0))
+    }
+}
+
+impl JobScheduler {
+    /// Replaces the rules that decide which best-effort jobs begin.
+    pub fn set_sharing_rules(&mut self, rules: SharingRules) {
+        self.sharing_rules = rules;
+    }
+
+    /// Returns whether the step belongs to a best-effort job that has not begun. Gangs start as a
+    /// whole in any case.
+    pub(crate) fn is_unbegun(&self, job: &JobRecord, step: &StepSpec) -> bool {
+        self.sharing_rules.is_enabled() && step.best_effort && !step.gang && !job.begun
+    }
+
+    /// Removes the steps of jobs that may not begin now from the ranked steps.
+    pub(crate) fn retain_startable(
+        &mut self,
+        ranked: &mut Vec<(JobRank, StepRef)>,
+        now: TimePoint,
+    ) {
+        if !self.sharing_rules.is_enabled() || self.sharing_rules.may_begin(self.begun_load(ranked))
+        {
+            return;
+        }
+        let mut held_back = Vec::new();
+        ranked.retain(|(rank, step_ref)| {
+            let may_start =
+                !rank.unbegun || self.begin_mode(*step_ref, now) == BeginMode::SingleTask;
+            if !may_start {
+                held_back.push(*step_ref);
+            }
+            may_start
+        });
+        for step_ref in held_back {
+            self.report_turn(step_ref, now);
+        }
+    }
+
+    fn report_turn(&mut self, step_ref: StepRef, now: TimePoint) {
+        let Some(record) = self.step_record(step_ref) else {
+            return;
+        };
+        let waited = now.since(record.waiting_since);
+        let first = record.tasks.iter().position(|task| task.is_waiting());
+        let task_ref = TaskRef {
+            step: step_ref,
+            index: first.unwrap_or(0) as u32,
+        };
+        self.report_wait(task_ref, waited, WaitReason::Turn, now);
+    }
+
+    fn begun_load(&self, ranked: &[(JobRank, StepRef)]) -> BegunLoad {
+        let begun = ranked
+            .iter()
+            .filter(|(rank, _)| !rank.unbegun && rank.finish == ExpectedFinish::InTime);
+        let waiting = begun.filter_map(|(_, step_ref)| {
+            let step = &self.jobs[step_ref.job].spec.steps[usize::from(step_ref.step)];
+            let record = self.step_record(*step_ref).filter(|_| step.best_effort)?;
+            Some(u64::from(record.waiting) * u64::from(step.size.cpu_milli))
+        });
+        let workers = self.workers.values();
+        BegunLoad {
+            waiting_milli: waiting.sum(),
+            running_milli: workers
+                .map(|worker| u64::from(worker.best_effort_milli))
+                .sum(),
+        }
+    }
+
+    /// Returns how the step's job begins, if it may begin.
+    pub(crate) fn begin_mode(&self, step_ref: StepRef, now: TimePoint) -> BeginMode {
+        let job = &self.jobs[step_ref.job];
+        let step = &job.spec.steps[usize::from(step_ref.step)];
+        if !self.is_unbegun(job, step) {
+            return BeginMode::Begun;
+        }
+        let may_start_single = self
+            .step_record(step_ref)
+            .is_some_and(|record| is_starved(record, job, self.rules.starvation_wait, now))
+            && self.is_lightly_loaded(&job.queue.service);
+        if may_start_single {
+            BeginMode::SingleTask
+        } else {
+            BeginMode::Whole
+        }
+    }
+
+    /// Decides whether the step's job begins with the orders that were created for the step, and
+    /// undoes their placements if it does not.
+    pub(crate) fn begin_or_postpone(
+        &mut self,
+        step_ref: StepRef,
+        step_orders: Vec<StartOrder>,
+        waiting: usize,
+        now: TimePoint,
+    ) -> Vec<StartOrder> {
+        match self.sharing_rules.begin_choice(step_orders.len(), waiting) {
+            BeginChoice::Begin => {
+                self.jobs[step_ref.job].begun = true;
+                step_orders
+            }
+            BeginChoice::Postpone => {
+                for order in step_orders {
+                    self.withdraw_order(step_ref, &order, now);
+                }
+                self.set_next_check(step_ref, now + BEGIN_RETRY_DELAY);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Undoes a placement whose order was never sent, so that its run number is free again.
+    fn withdraw_order(&mut self, step_ref: StepRef, order: &StartOrder, now: TimePoint) {
+        self.revoke_order(step_ref, order, now);
+        let index = order.run_id.task.index;
+        let task_ref = TaskRef {
+            step: step_ref,
+            index,
+        };
+        if let Some(task) = self.task_mut(task_ref) {
+            task.last_run = order.run_id.run - 1;
+        }
+    }
+}
+
+/// Returns whether no task of the job runs although the step has waited for long.
+fn is_starved(
+    record: &StepRecord,
+    job: &JobRecord,
+    starvation_wait: Duration,
+    now: TimePoint,
+) -> bool {
+    now.since(record.waiting_since) >= starvation_wait && !job.has_placed()
+}
--- a/crates/wax-owner/src/shared.rs
+++ b/crates/wax-owner/src/shared.rs
@@ -14,6 +14,7 @@
 use wax_batch::QueueTable;
 use wax_policy::{
     ConfigRules, ConfigView, DrainRules, DrainView, FRONT_HEARTBEAT_PERIOD, PlacementRules,
+    SharingRules,
 };
 use wax_types::{ErrorKind, ProcessClock, Step, TimePoint, WaxError};
 
@@ -64,6 +65,7 @@
     pub refused_epoch: Cell<u64>,
     /// Limits and weights of placement; the settings may change them.
     placement_rules: Cell<PlacementRules>,
+    sharing_rules: Cell<SharingRules>,
     /// Config in force.
     pub config: RefCell<QueueTable>,
     /// The operator's text of the config in force.
@@ -151,6 +153,7 @@
             ended_job_retention,
             advisor,
             placement_rules: Cell::default(),
+            sharing_rules: Cell::default(),
             config: RefCell::default(),
             config_text: RefCell::default(),
             config_changed: Event::new(),
@@ -225,6 +228,19 @@
         }
     }
 
+    /// Returns the rules in force that decide which best-effort jobs begin.
+    pub fn sharing_rules(&self) -> SharingRules {
+        self.sharing_rules.get()
+    }
+
+    /// Replaces the rules that decide which best-effort jobs begin.
+    pub fn set_sharing_rules(&self, rules: SharingRules) {
+        self.sharing_rules.set(rules);
+        if let Some(term) = self.current_term() {
+            term.scheduler.borrow_mut().set_sharing_rules(rules);
+        }
+    }
+
     /// Returns the current time.
     pub fn now(&self) -> TimePoint {
         self.clock.now()
--- a/crates/wax-policy/src/lib.rs
+++ b/crates/wax-policy/src/lib.rs
@@ -21,6 +21,7 @@
 mod retry;
 mod routing;
 mod rules;
+mod sharing;
 mod sizing;
 mod workday;
 
@@ -55,5 +56,6 @@
     AttemptEnd, RouteChoice, RoutePolicy, RouteTable, UpstreamKey, UpstreamLoad, UpstreamView,
 };
 pub use rules::{RuleError, RuleInfo, RuleSetting, RuleSwitch, RuleValue};
+pub use sharing::{BeginChoice, BegunLoad, SharingRules};
 pub use sizing::SizeTable;
 pub use workday::WorkDay;
