wax-policy: estimate the speed of workers and decide when they are slow

Cause: nothing recorded the speed of a worker.

Change: WorkerPerformance keeps the last observations of one boot of a worker and gives a relative speed with a confidence and an age; its verdict returns to normal through a hold-off and a trial. StepRunTimes and ImageRunTimes are the references, select_slow is the floor of a service.

Observations are ordered by the start of the time that they cover.

--- a/crates/wax-policy/src/lib.rs
+++ b/crates/wax-policy/src/lib.rs
@@ -15,12 +15,15 @@
 mod mitigation;
 mod pace_rules;
 mod pair_interference;
+mod performance;
+mod performance_rules;
 mod placement;
 mod placement_rules;
 mod rendezvous;
 mod retry;
 mod routing;
 mod rules;
+mod run_times;
 mod sizing;
 mod workday;
 
@@ -44,6 +47,11 @@
     CoresByImage, InterferenceEstimate, InterferenceTable, LoadChange, LoadSample,
     PairInterference, WorkerInterference,
 };
+pub use performance::{
+    ServiceWorker, SpeedCause, SpeedEstimate, SpeedFinding, SpeedObservation, SpeedVerdict,
+    WorkerPerformance, is_move_worthwhile, select_slow,
+};
+pub use performance_rules::PerformanceRules;
 pub use placement::{
     CustomerWeights, PlacementChoice, PlacementContext, PlacementPolicy, RunningTask, TaskDemand,
     WorkerCapacity, WorkerKey, WorkerTable,
@@ -55,5 +63,6 @@
     AttemptEnd, RouteChoice, RoutePolicy, RouteTable, UpstreamKey, UpstreamLoad, UpstreamView,
 };
 pub use rules::{RuleError, RuleInfo, RuleSetting, RuleSwitch, RuleValue};
+pub use run_times::{ImageRunTimes, StepRunTimes, compare_with_step, slow_run_time};
 pub use sizing::SizeTable;
 pub use workday::WorkDay;
