wax-batch: place short tasks elsewhere and move runs off slow workers

Change: performance.rs feeds the speed estimates from start orders, ends and reports. offer_cost adds the cost of a slow worker. slow_moves.rs stops long-running tasks and checkpointed runs on slow workers where a normal worker fits (StopReason::SlowWorker), within max_moves and the max_unavailable of the step. A task counts as available only if it is placed, running, not being stopped, and its last report gave 100 percent. TaskPlacement gets `working`, which follows a decrease unlike `percent`, and `adopted`, since the start time of an adopted run is unknown.

Nothing is recorded and no cost is added while the part is off.

--- a/crates/wax-batch/src/ends.rs
+++ b/crates/wax-batch/src/ends.rs
@@ -137,6 +137,7 @@
             self.reset_to_waiting(task_ref, worker, now);
             return;
         }
+        self.observe_end(worker, task_ref, kind, now);
         if !checkpoint.is_empty()
             && let Some(task) = self.task_mut(task_ref)
         {
--- a/crates/wax-batch/src/lib.rs
+++ b/crates/wax-batch/src/lib.rs
@@ -13,6 +13,7 @@
 mod migrations;
 mod names;
 mod offers;
+mod performance;
 mod placement;
 mod progress;
 mod queue;
@@ -23,6 +24,7 @@
 mod reports;
 mod reservations;
 mod scheduler;
+mod slow_moves;
 mod spec;
 mod unreconciled;
 mod updates;
@@ -34,6 +36,7 @@
 pub use crashes::CrashFinding;
 pub use ends::StartRefusal;
 pub use names::{JobName, RunId, TaskName};
+pub use performance::{SlowWorkerInfo, SpeedChange};
 pub use placement::WorkerChoice;
 pub use progress::{
     JobOutcome, JobProgress, JobRow, OccurrenceProgress, StepProgress, TaskFailures,
--- a/crates/wax-batch/src/migrations.rs
+++ b/crates/wax-batch/src/migrations.rs
@@ -11,7 +11,7 @@
 use wax_types::TimePoint;
 
 /// Runs with at least this share of their work done are not moved, percent.
-const NEARLY_DONE_PERCENT: u32 = 80;
+pub(crate) const NEARLY_DONE_PERCENT: u32 = 80;
 
 impl JobScheduler {
     /// Orders the stop of stalled best-effort runs that could make progress on another worker.
@@ -60,7 +60,7 @@
     }
 
     /// Returns the placement of a task, if it has one.
-    fn placement_of(&self, task_ref: TaskRef) -> Option<&TaskPlacement> {
+    pub(crate) fn placement_of(&self, task_ref: TaskRef) -> Option<&TaskPlacement> {
         let job = self.jobs.get(task_ref.step.job)?;
         let occurrence = job.occurrences.get(&task_ref.step.occurrence)?;
         let step = &occurrence.steps[usize::from(task_ref.step.step)];
@@ -172,7 +172,7 @@
         })
     }
 
-    fn stop_run(
+    pub(crate) fn stop_run(
         &mut self,
         task_ref: TaskRef,
         worker: WorkerKey,
--- a/crates/wax-batch/src/placement.rs
+++ b/crates/wax-batch/src/placement.rs
@@ -445,7 +445,8 @@
             None => self.collect_offers(None, task_ref.step, request, relaxation, now),
         };
         let mut best = offers.best();
-        if best.is_err() && !offers.covers_all_workers() {
+        let is_slow = best.is_ok_and(|best| self.performance.avoids(best.worker, request.step));
+        if (best.is_err() || is_slow) && !offers.covers_all_workers() {
             offers = self.collect_offers(None, task_ref.step, request, relaxation, now);
             best = offers.best();
         }
@@ -595,7 +596,8 @@
         if is_advised && self.ticket(step_ref, key, now).is_none() {
             return Err(WaitReason::Advice);
         }
-        let cost = worker.cost(step, request.rack.as_deref(), &self.pairs, &self.rules);
+        let cost = worker.cost(step, request.rack.as_deref(), &self.pairs, &self.rules)
+            + self.performance.cost(key, step);
         match failed {
             None => Ok(cost),
             Some(task) if task.is_excluded(key, now) => Err(WaitReason::FailedThere),
@@ -691,6 +693,7 @@
         let ticket = self.ticket(task_ref.step, worker, now).unwrap_or_default();
         let run = run.unwrap_or_else(|| self.next_run(job, task.last_run));
         self.reserve_task(task_ref, worker, run, false, now);
+        self.observe_order(worker, task_ref, run, now);
         StartOrder {
             worker,
             run_id: RunId {
--- a/crates/wax-batch/src/reasons.rs
+++ b/crates/wax-batch/src/reasons.rs
@@ -104,6 +104,8 @@
     Stalled,
     /// The worker is shutting down.
     Evacuated,
+    /// The worker is slow, and a normal worker has capacity.
+    SlowWorker,
 }
 
 impl fmt::Display for StopReason {
@@ -116,6 +118,7 @@
             Self::DoneElsewhere => "done_elsewhere",
             Self::Stalled => "stalled",
             Self::Evacuated => "evacuated",
+            Self::SlowWorker => "slow_worker",
         })
     }
 }
--- a/crates/wax-batch/src/records.rs
+++ b/crates/wax-batch/src/records.rs
@@ -40,6 +40,11 @@
     pub percent: u32,
     /// Time of the last increase of `percent`, or of the start before the first increase.
     pub progressed_at: TimePoint,
+    /// Whether the last report gave 100 percent; a long-running task is then working. Unlike
+    /// `percent`, this follows a decrease.
+    pub working: bool,
+    /// Whether the run was found on its worker, so that its start time is unknown.
+    pub adopted: bool,
 }
 
 /// State of one task.
--- a/crates/wax-batch/src/reports.rs
+++ b/crates/wax-batch/src/reports.rs
@@ -211,11 +211,13 @@
         }
         if let Some(placement) = task.placement_mut() {
             placement.running = true;
+            placement.working = report.percent == 100;
             if report.percent > placement.percent {
                 placement.percent = report.percent;
                 placement.progressed_at = now;
             }
         }
+        self.observe_load(worker, task_ref, report, now);
         self.jobs[task_ref.step.job].started = true;
         if report.confirmed_by_worker {
             self.mark_located(task_ref);
--- a/crates/wax-batch/src/reservations.rs
+++ b/crates/wax-batch/src/reservations.rs
@@ -104,6 +104,8 @@
             stop_ordered: false,
             percent: 0,
             progressed_at: now,
+            working: false,
+            adopted: running,
         });
         *step.spread.entry(worker).or_default() += 1;
         if running {
--- a/crates/wax-batch/src/scheduler.rs
+++ b/crates/wax-batch/src/scheduler.rs
@@ -4,6 +4,7 @@
 use crate::approvals::StepApproval;
 use crate::crashes::WorkerIsolation;
 use crate::names::{JobName, RunId, TaskName};
+use crate::performance::PerformanceTracker;
 use crate::progress::{JobOutcome, JobProgress, JobRow};
 use crate::queue::{QueueConfig, QueueRules};
 use crate::reasons::{PlacementReason, StepWait, StopReason};
@@ -190,6 +191,8 @@
     pub(crate) unreconciled: UnreconciledRuns,
     /// Failure domains that get no new tasks.
     pub(crate) drained: BTreeSet<Box<str>>,
+    /// Speeds of the workers.
+    pub(crate) performance: PerformanceTracker,
     /// Number of times a worker was evaluated for a task; see
     /// [`JobScheduler::take_workers_evaluated`].
     pub(crate) workers_evaluated: Cell<u64>,
@@ -218,6 +221,7 @@
             last_vm_crash: HashMap::new(),
             unreconciled: UnreconciledRuns::Any,
             drained: BTreeSet::new(),
+            performance: PerformanceTracker::default(),
             workers_evaluated: Cell::new(0),
             scan_start: 0,
         }
