Enable worker performance by the settings section policy.performance

Agents report the tail latency of serving tasks over their target with the next heartbeat; so far a task that had reached 100 percent was not reported again, and the owner never learned its tail latency. With the section off, neither the messages nor the decisions change.

Measured: cargo test of wax-settings, wax-policy, wax-batch, wax-agent, wax-owner, wax-trace and wax-front, no failure.

--- a/crates/wax-agent/src/driver.rs
+++ b/crates/wax-agent/src/driver.rs
@@ -197,6 +197,11 @@
     for report in updates.progressed {
         boot.updates.note_progress(report);
     }
+    if state.performance_rules.get().enabled > 0 {
+        for report in boot.table.tail_reports() {
+            boot.updates.note_progress(report);
+        }
+    }
     let has_updates = !updates.ended.is_empty() || !updates.never_started.is_empty();
     if has_updates {
         let refused = updates.never_started.iter();
--- a/crates/wax-agent/src/process.rs
+++ b/crates/wax-agent/src/process.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use wax_http::{HttpServer, ShutdownSignal, bind_listener};
-use wax_policy::{AGENT_HEARTBEAT_PERIOD, DrainRules, PaceRules};
+use wax_policy::{AGENT_HEARTBEAT_PERIOD, DrainRules, PaceRules, PerformanceRules};
 use wax_settings::DaemonSettings;
 use wax_types::{ErrorKind, ProcessClock, Step, TimePoint, WaxError};
 
@@ -25,6 +25,7 @@
 pub async fn run_agent(
     settings: &DaemonSettings,
     pace_rules: Rc<Cell<PaceRules>>,
+    performance_rules: Rc<Cell<PerformanceRules>>,
     directory: impl OwnerDirectory + 'static,
     shutdown: ShutdownSignal,
 ) -> Result<(), WaxError> {
@@ -40,7 +41,8 @@
         bound: pool.drain_bound(),
     };
     let vm = (&*settings.name, &*settings.failure_domain);
-    let state = Rc::new(new_state(vm, worker, pace_rules, drain_rules));
+    let rules = (pace_rules, performance_rules, drain_rules);
+    let state = Rc::new(new_state(vm, worker, rules));
     let listener = bind_listener(check_ins)?;
     let handler = Rc::new(CheckInHandler {
         state: state.clone(),
@@ -57,8 +59,11 @@
 fn new_state(
     (node, failure_domain): (&str, &str),
     worker: SocketAddr,
-    pace_rules: Rc<Cell<PaceRules>>,
-    drain_rules: DrainRules,
+    (pace_rules, performance_rules, drain_rules): (
+        Rc<Cell<PaceRules>>,
+        Rc<Cell<PerformanceRules>>,
+        DrainRules,
+    ),
 ) -> AgentState {
     AgentState {
         node: node.into(),
@@ -68,6 +73,7 @@
         worker: WorkerClient::new(worker),
         lease_rules: LeaseRules::default(),
         pace_rules,
+        performance_rules,
         link: RefCell::default(),
         boot: RefCell::default(),
         boots: RefCell::default(),
--- a/crates/wax-agent/src/run_table.rs
+++ b/crates/wax-agent/src/run_table.rs
@@ -51,6 +51,8 @@
     start_sent_at: Option<TimePoint>,
     /// Whether a hold of this boot has listed the run.
     was_listed: bool,
+    /// Whether the last report of the tail latency exceeded its target.
+    reported_over_target: bool,
 }
 
 /// Changes that the answer to one hold shows and that the owner does not know yet.
@@ -206,6 +208,31 @@
         updates
     }
 
+    /// Returns the reports of serving runs whose tail latency exceeds its target by the last hold,
+    /// and of those that were returned by the previous call and no longer do.
+    pub fn tail_reports(&mut self) -> Vec<RunReport> {
+        let mut reports = Vec::new();
+        for entry in self.entries.values_mut() {
+            let target =
+                entry
+                    .placement
+                    .as_ref()
+                    .map_or(0, |placement| match placement.best_effort {
+                        true => 0,
+                        false => placement.tail_target_ms,
+                    });
+            let is_over = target > 0
+                && entry.state == RunState::Running
+                && entry.report.percent == 100
+                && entry.report.load_metric > target;
+            if is_over || entry.reported_over_target {
+                reports.push(entry.report.clone());
+            }
+            entry.reported_over_target = is_over;
+        }
+        reports
+    }
+
     /// Returns the last reports of all runs, for the owner's reconciliation.
     pub fn reports(&self) -> Vec<RunReport> {
         self.entries
@@ -335,6 +362,7 @@
             pace_percent: 100,
             start_sent_at: None,
             was_listed: false,
+            reported_over_target: false,
         }
     }
 
--- a/crates/wax-agent/src/state.rs
+++ b/crates/wax-agent/src/state.rs
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_batch::{BootId, LostRun, RunId, StartRefusal, WorkerState, WorkerView};
-use wax_policy::{DrainRules, DrainVerdict, DrainView, PaceRules};
+use wax_policy::{DrainRules, DrainVerdict, DrainView, PaceRules, PerformanceRules};
 use wax_trace::{Counter, count};
 use wax_types::{ProcessClock, TimePoint};
 use wax_wire::{DrainFrame, PoolBody};
@@ -125,6 +125,7 @@
     pub(crate) lease_rules: LeaseRules,
     /// Rules of pacing; they change when the settings are reloaded.
     pub(crate) pace_rules: Rc<Cell<PaceRules>>,
+    pub(crate) performance_rules: Rc<Cell<PerformanceRules>>,
     pub(crate) link: RefCell<Option<OwnerLink>>,
     /// The active boot, to which the agent sends orders; `None` while there is none.
     pub(crate) boot: RefCell<Option<WorkerBoot>>,
--- a/crates/wax-front/src/process.rs
+++ b/crates/wax-front/src/process.rs
@@ -54,6 +54,7 @@
     shared.set_bounds(pool.config_bound(), pool.drain_bound());
     let shared = Rc::new(shared);
     shared.set_placement_rules(settings.policy.place);
+    shared.set_performance_rules(settings.policy.performance);
     let state = Rc::new(FrontState::new(shared.clone()));
     let callers_shutdown = ShutdownSignal::default();
     let callers_server = HttpServer::new(
@@ -100,11 +101,12 @@
     }
 }
 
-/// Applies reloaded settings to the running process: the store's address and the placement rules.
+/// Applies reloaded settings to the running process: the store's address and the rules of the owner.
 async fn apply_changes(shared: Rc<PoolShared>, mut changes: UnboundedReceiver<DaemonSettings>) {
     while let Some(settings) = changes.next().await {
         shared.store.set_address(settings.platform.address);
         shared.set_placement_rules(settings.policy.place);
+        shared.set_performance_rules(settings.policy.performance);
         tracing::info!(store = %settings.platform.address, "settings reloaded");
     }
 }
--- a/crates/wax-owner/src/dispatch.rs
+++ b/crates/wax-owner/src/dispatch.rs
@@ -2,6 +2,7 @@
 
 use crate::owner_term::OwnerTerm;
 use crate::shared::PoolShared;
+use crate::slow_workers::review_slow_workers;
 use compio::time::timeout;
 use std::rc::Rc;
 use std::time::Duration;
@@ -43,6 +44,8 @@
     }
     if now.since(term.dispatched_at.replace(now)) > PROCESS_STALL_THRESHOLD {
         term.progress_unreliable_until.set(now + PROGRESS_CATCH_UP);
+        let mut scheduler = term.scheduler.borrow_mut();
+        scheduler.ignore_performance_until(now + PROGRESS_CATCH_UP);
     }
     remove_expired(term, now);
     queue_unlinked(term, now);
@@ -108,6 +111,7 @@
     scheduler.start_due_occurrences(now, wall_clock_ms());
     if now >= term.progress_unreliable_until.get() {
         scheduler.move_stalled(now);
+        review_slow_workers(&mut scheduler, now);
     }
     scheduler.evacuate(now);
     term.overload.set(scheduler.overload(now));
--- a/crates/wax-owner/src/lib.rs
+++ b/crates/wax-owner/src/lib.rs
@@ -24,6 +24,7 @@
 mod roster;
 mod rows;
 mod shared;
+mod slow_workers;
 mod takeover_delay;
 mod timeouts;
 mod tx_resolution;
--- a/crates/wax-owner/src/owner_term.rs
+++ b/crates/wax-owner/src/owner_term.rs
@@ -116,6 +116,7 @@
             scheduler.set_config(config.clone());
         }
         scheduler.set_drained(shared.drains.borrow().domains());
+        scheduler.set_performance_rules(shared.performance_rules());
         Self {
             shared: Rc::downgrade(shared),
             epoch: row.epoch,
@@ -256,6 +257,7 @@
         tracing::warn!(epoch = self.epoch, why = reason, "term ended");
         count(Counter::TermsEnded);
         self.ended.raise();
+        wax_trace::set_slow_workers(Vec::new());
         self.dispatch.notify(usize::MAX);
         self.write.notify(usize::MAX);
     }
--- a/crates/wax-owner/src/shared.rs
+++ b/crates/wax-owner/src/shared.rs
@@ -13,7 +13,8 @@
 use std::time::Duration;
 use wax_batch::QueueTable;
 use wax_policy::{
-    ConfigRules, ConfigView, DrainRules, DrainView, FRONT_HEARTBEAT_PERIOD, PlacementRules,
+    ConfigRules, ConfigView, DrainRules, DrainView, FRONT_HEARTBEAT_PERIOD, PerformanceRules,
+    PlacementRules,
 };
 use wax_types::{ErrorKind, ProcessClock, Step, TimePoint, WaxError};
 
@@ -64,6 +65,8 @@
     pub refused_epoch: Cell<u64>,
     /// Limits and weights of placement; the settings may change them.
     placement_rules: Cell<PlacementRules>,
+    /// Rules about slow workers; the settings may change them.
+    performance_rules: Cell<PerformanceRules>,
     /// Config in force.
     pub config: RefCell<QueueTable>,
     /// The operator's text of the config in force.
@@ -151,6 +154,7 @@
             ended_job_retention,
             advisor,
             placement_rules: Cell::default(),
+            performance_rules: Cell::default(),
             config: RefCell::default(),
             config_text: RefCell::default(),
             config_changed: Event::new(),
@@ -225,6 +229,19 @@
         }
     }
 
+    /// Returns the rules about slow workers in force.
+    pub fn performance_rules(&self) -> PerformanceRules {
+        self.performance_rules.get()
+    }
+
+    /// Replaces the rules about slow workers; an owner uses them from now on.
+    pub fn set_performance_rules(&self, rules: PerformanceRules) {
+        self.performance_rules.set(rules);
+        if let Some(term) = self.current_term() {
+            term.scheduler.borrow_mut().set_performance_rules(rules);
+        }
+    }
+
     /// Returns the current time.
     pub fn now(&self) -> TimePoint {
         self.clock.now()
--- a/crates/wax-trace/src/counter.rs
+++ b/crates/wax-trace/src/counter.rs
@@ -146,6 +146,12 @@
     TasksGivenUp = "tasks.given_up",
     /// Workers quarantined because they fail every task.
     WorkersQuarantined = "workers.quarantined",
+    /// Verdicts that a worker is slow.
+    WorkersFoundSlow = "workers.found_slow",
+    /// Verdicts that a slow worker is normal again.
+    WorkersFoundNormal = "workers.found_normal",
+    /// Runs that were stopped on a slow worker to start on another.
+    RunsMovedOffSlow = "runs.moved_off_slow",
 }
 
 const COUNTER_COUNT: usize = NAMES.len();
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -9,7 +9,7 @@
     HttpHandler, HttpReply, HttpRequest, HttpServer, OutgoingBody, ShutdownSignal, bind_listener,
     empty_reply,
 };
-use wax_trace::{counter_values, render_latencies};
+use wax_trace::{counter_values, render_latencies, render_slow_workers};
 use wax_types::WaxError;
 
 struct MetricsHandler;
@@ -35,6 +35,7 @@
         }
     }
     render_latencies(&mut text);
+    render_slow_workers(&mut text);
     text
 }
 
