Judge a run that has not ended by its reported progress

Cause: beside best-effort tasks, where tail latencies are no evidence, the replay found slow workers 1.6 to 3.8 s after they turned slow: a task of 1 s was evidence only after 3 s.

Change: a run that exceeds its reference by 700 ms is compared by the run time that its reported percentage leads to. The percentage may be 10 percent and 250 ms old.

--- a/crates/wax-batch/src/performance.rs
+++ b/crates/wax-batch/src/performance.rs
@@ -14,7 +14,8 @@
 use std::time::Duration;
 use wax_policy::{
     ImageRunTimes, PerformanceRules, ServiceWorker, SpeedCause, SpeedFinding, SpeedObservation,
-    SpeedVerdict, StepRunTimes, WorkerPerformance, compare_with_step, select_slow, slow_run_time,
+    SpeedVerdict, StepRunTimes, WorkerPerformance, compare_with_step, overdue_after,
+    projected_run_time, select_slow,
 };
 use wax_types::TimePoint;
 
@@ -449,7 +450,7 @@
         else {
             return Some(now + RECHECK_PERIOD);
         };
-        let overdue_at = placement.sent_at + slow_run_time(reference, &tracker.rules);
+        let overdue_at = placement.sent_at + overdue_after(reference, &tracker.rules);
         if now < overdue_at {
             return Some(overdue_at);
         }
@@ -458,12 +459,12 @@
         let worker = self.workers.get(placement.worker)?;
         let is_confirmed =
             placement.running && worker.reachable && worker.last_contact >= overdue_at;
-        let run_time = now.since(placement.sent_at);
+        let elapsed = worker.last_contact.since(placement.sent_at);
+        let run_time = projected_run_time(elapsed, placement.percent);
         if is_confirmed
             && tracker.compare(run_time, source, reference, &image) == Some(SpeedFinding::Slow)
         {
-            let share_done = f64::from(placement.percent.clamp(10, 100)) / 100.0;
-            let speed = share_done * reference.as_secs_f64() / run_time.as_secs_f64().max(0.001);
+            let speed = reference.as_secs_f64() / run_time.as_secs_f64().max(0.001);
             let observation = SpeedObservation {
                 source,
                 speed,
--- a/crates/wax-batch/tests/slow_worker_replay.rs
+++ b/crates/wax-batch/tests/slow_worker_replay.rs
@@ -63,7 +63,7 @@
 }
 
 impl Replay {
-    fn new(seed: u64, enabled: bool, slow_for_a_time: bool) -> Self {
+    fn new(seed: u64, enabled: bool, slow_for_a_time: bool, best_effort_tasks: u32) -> Self {
         let mut scheduler = scheduler(1);
         scheduler.set_performance_rules(PerformanceRules {
             enabled: enabled.into(),
@@ -103,7 +103,7 @@
             image: "fill".into(),
             estimate_ms: 60_000,
             max_per_worker: 1,
-            ..step(20, 2_000)
+            ..step(best_effort_tasks, 2_000)
         };
         add_job(&mut replay.scheduler, 50, 1, &spec(vec![filler]), None);
         replay
@@ -300,11 +300,24 @@
 }
 
 const SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
+/// Number of best-effort tasks, at most one on each worker, that leaves workers without one.
+const FEW: u32 = 20;
+
+/// Beside best-effort tasks, tail latencies are no evidence; short tasks alone must do.
+#[test]
+fn slow_workers_are_found_beside_best_effort_tasks() {
+    for seed in SEEDS {
+        let result = Replay::new(seed, true, true, WORKERS as u32).run();
+        println!("seed {seed}: {result:?}");
+        let found: BTreeSet<usize> = result.found_slow_at.keys().copied().collect();
+        assert_eq!(found, (0..SLOW_WORKERS).collect(), "seed {seed}");
+    }
+}
 
 #[test]
 fn slow_workers_are_found_soon_and_no_others() {
     for seed in SEEDS {
-        let result = Replay::new(seed, true, true).run();
+        let result = Replay::new(seed, true, true, FEW).run();
         println!("seed {seed}: {result:?}");
         let found: BTreeSet<usize> = result.found_slow_at.keys().copied().collect();
         assert_eq!(found, (0..SLOW_WORKERS).collect(), "seed {seed}");
@@ -322,8 +335,8 @@
 #[test]
 fn slow_workers_get_few_tasks_and_are_normal_again_afterwards() {
     for seed in SEEDS {
-        let with = Replay::new(seed, true, true).run();
-        let without = Replay::new(seed, false, true).run();
+        let with = Replay::new(seed, true, true, FEW).run();
+        let without = Replay::new(seed, false, true, FEW).run();
         println!("seed {seed}: {with:?} {without:?}");
         assert!(without.short_starts_on_slow > 50, "seed {seed}");
         assert!(
@@ -346,7 +359,7 @@
 #[test]
 fn without_a_disturbance_no_worker_counts_as_slow() {
     for seed in SEEDS {
-        let result = Replay::new(seed, true, false).run();
+        let result = Replay::new(seed, true, false, FEW).run();
         assert!(result.found_slow_at.is_empty(), "seed {seed}: {result:?}");
     }
 }
--- a/crates/wax-batch/tests/slow_workers.rs
+++ b/crates/wax-batch/tests/slow_workers.rs
@@ -513,3 +513,39 @@
     report_tails(&mut scheduler, &orders, 400, 40);
     assert_eq!(scheduler.slow_workers().count(), 0);
 }
+
+#[test]
+fn in_a_large_pool_a_normal_worker_beyond_the_sample_is_found() {
+    let mut scheduler = enabled_scheduler(1);
+    let keys = workers(&mut scheduler, 400);
+    let slow = [keys[0], keys[1]];
+    slow_down(&mut scheduler, &slow, 7, 0);
+    assert_eq!(scheduler.slow_workers().count(), 2);
+    // All workers but the slow ones and the last are full.
+    add_job(&mut scheduler, 8, 1, &spec(vec![step(397, 16_000)]), None);
+    let orders = scheduler.place(at(1_500));
+    assert_eq!(orders.len(), 397);
+    let used: Vec<WorkerKey> = orders.iter().map(|order| order.worker).collect();
+    let free = keys
+        .iter()
+        .find(|key| !used.contains(key) && !slow.contains(key));
+    for job in 9..19 {
+        add_job(&mut scheduler, job, 1, &spec(vec![step(1, 1_000)]), None);
+        let orders = scheduler.place(at(1_600 + job));
+        assert_eq!(Some(&orders[0].worker), free, "job {job}");
+    }
+}
+
+#[test]
+fn the_part_evaluates_no_worker_more_often_while_none_is_slow() {
+    let evaluated = |mut scheduler: JobScheduler| {
+        workers(&mut scheduler, 800);
+        for job in 7..27 {
+            add_job(&mut scheduler, job, 1, &spec(vec![step(3, 1_000)]), None);
+            scheduler.place(at(job));
+            scheduler.review_performance(at(job));
+        }
+        scheduler.take_workers_evaluated()
+    };
+    assert_eq!(evaluated(enabled_scheduler(1)), evaluated(scheduler(1)));
+}
--- a/crates/wax-policy/src/lib.rs
+++ b/crates/wax-policy/src/lib.rs
@@ -63,6 +63,8 @@
     AttemptEnd, RouteChoice, RoutePolicy, RouteTable, UpstreamKey, UpstreamLoad, UpstreamView,
 };
 pub use rules::{RuleError, RuleInfo, RuleSetting, RuleSwitch, RuleValue};
-pub use run_times::{ImageRunTimes, StepRunTimes, compare_with_step, slow_run_time};
+pub use run_times::{
+    ImageRunTimes, StepRunTimes, compare_with_step, overdue_after, projected_run_time,
+};
 pub use sizing::SizeTable;
 pub use workday::WorkDay;
--- a/crates/wax-policy/src/run_times.rs
+++ b/crates/wax-policy/src/run_times.rs
@@ -16,6 +16,11 @@
 /// Number of standard deviations by which the logarithm of a run time exceeds the mean of its image
 /// if it counts as slow.
 const IMAGE_DEVIATIONS: f64 = 2.5;
+/// Smallest progress that an agent reports, percent. The progress of a run is less than this ahead of
+/// its last report.
+const PROGRESS_STEP_PERCENT: u32 = 10;
+/// Time between two reports of a worker to its agent.
+const REPORT_DELAY: Duration = Duration::from_millis(250);
 /// Longest run time that a step's histogram distinguishes; longer ones count as this.
 const MAX_RUN_TIME_MS: u64 = 3_600_000;
 
@@ -71,9 +76,23 @@
 }
 
 /// Returns the run time from which a run counts as slow.
-pub fn slow_run_time(median: Duration, rules: &PerformanceRules) -> Duration {
+fn slow_run_time(median: Duration, rules: &PerformanceRules) -> Duration {
     let by_factor = median.mul_f64(rules.slow_factor);
-    by_factor.max(median + rules.min_excess)
+    by_factor.max(overdue_after(median, rules))
+}
+
+/// Returns the time after the start order from which a run that has not ended is compared with its
+/// reference.
+pub fn overdue_after(reference: Duration, rules: &PerformanceRules) -> Duration {
+    reference + rules.min_excess
+}
+
+/// Returns a lower bound of the run time of a run that has not ended `elapsed` after its start
+/// order, by its reported progress.
+pub fn projected_run_time(elapsed: Duration, percent: u32) -> Duration {
+    let share = f64::from((percent + PROGRESS_STEP_PERCENT).min(100)) / 100.0;
+    let reported_for = elapsed.saturating_sub(REPORT_DELAY);
+    elapsed.max(reported_for.div_f64(share))
 }
 
 /// Run times of an image in all jobs, as mean and variance of their logarithms.
--- a/crates/wax-policy/tests/performance.rs
+++ b/crates/wax-policy/tests/performance.rs
@@ -5,7 +5,7 @@
 use wax_policy::{
     ImageRunTimes, PerformanceRules, ServiceWorker, SpeedCause, SpeedFinding, SpeedObservation,
     SpeedVerdict, StepRunTimes, WorkerPerformance, compare_with_step, is_move_worthwhile,
-    select_slow,
+    projected_run_time, select_slow,
 };
 use wax_types::TimePoint;
 
@@ -271,6 +271,29 @@
     assert_eq!(compare_with_step(run_time, median, &rules()), None);
 }
 
+/// Tests whether a run that has not ended is slow beside a reference of 1,000 ms, by the time since
+/// its start order and its reported percentage.
+macro_rules! progress_tests {
+    ($($name:ident: $elapsed:literal ms, $percent:literal % => $slow:literal,)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let reference = Duration::from_millis(1_000);
+                let run_time = projected_run_time(Duration::from_millis($elapsed), $percent);
+                let finding = compare_with_step(run_time, reference, &rules());
+                assert_eq!(finding == Some(SpeedFinding::Slow), $slow, "{run_time:?}");
+            }
+        )*
+    };
+}
+
+progress_tests! {
+    a_sixth_of_the_speed_shows_by_its_progress: 1_800 ms, 20 % => true,
+    half_the_speed_is_not_slow: 1_800 ms, 80 % => false,
+    a_start_delayed_by_700_ms_is_not_slow: 1_750 ms, 70 % => false,
+    three_times_the_reference_is_slow_at_any_progress: 3_000 ms, 95 % => true,
+}
+
 #[test]
 fn a_step_has_a_median_after_three_runs_on_two_workers() {
     let mut step = StepRunTimes::new(1).expect("the histogram has valid bounds");
