Bound the searches for a normal worker, and look beyond the sample

Cause: in a pool of more than 256 workers, a short task started on a slow worker when the sample held two slow workers with capacity and no normal one; the second collection of offers used the same sample. Moves searched all workers for each run on a slow worker every 100 ms. The slot of a trial task was lost when its job was cancelled.

Change: all workers are evaluated when the best offer of a sample is slow (not for best-effort steps). Moves search at most four times per round, and a step without capacity is not searched for again for 500 ms. The end of a run is observed before the check whether its job is over.

Measured: cargo test -p wax-batch passes; the new tests of the sample and of the trial slot were seen to fail before the change.

--- a/crates/wax-batch/src/ends.rs
+++ b/crates/wax-batch/src/ends.rs
@@ -132,12 +132,12 @@
         {
             return;
         }
+        self.observe_end(worker, task_ref, kind, now);
         let key = task_ref.step.job;
         if self.jobs[key].is_over() {
             self.reset_to_waiting(task_ref, worker, now);
             return;
         }
-        self.observe_end(worker, task_ref, kind, now);
         if !checkpoint.is_empty()
             && let Some(task) = self.task_mut(task_ref)
         {
--- a/crates/wax-batch/src/performance.rs
+++ b/crates/wax-batch/src/performance.rs
@@ -10,7 +10,7 @@
 use crate::worker::{RunEndKind, RunReport, WorkerKey, WorkerState};
 use slotmap::SecondaryMap;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::time::Duration;
 use wax_policy::{
     ImageRunTimes, PerformanceRules, ServiceWorker, SpeedCause, SpeedFinding, SpeedObservation,
@@ -119,6 +119,8 @@
     pruned_at: TimePoint,
     changes: Vec<SpeedChange>,
     pub(crate) moves: BTreeMap<TaskRef, SlowMove>,
+    /// Steps without capacity on normal workers, with the time of the search.
+    pub(crate) full_steps: BTreeMap<StepRef, TimePoint>,
 }
 
 /// Returns whether the step's tasks run to an end by themselves at a speed that depends on the
@@ -151,9 +153,10 @@
         }
     }
 
-    /// Returns whether tasks of the step are placed on another worker if they fit there.
+    /// Returns whether all other workers are evaluated before a task of the step is placed on this
+    /// one. For best-effort tasks, which are many, the sample is enough.
     pub(crate) fn avoids(&self, worker: WorkerKey, step: &StepSpec) -> bool {
-        self.cost(worker, step) > 0.0
+        !step.best_effort && self.cost(worker, step) > 0.0
     }
 
     pub(crate) fn verdict(&self, worker: WorkerKey) -> SpeedVerdict {
@@ -529,7 +532,7 @@
     }
 
     fn advance_verdicts(&mut self, now: TimePoint) {
-        let looks_slow: Vec<WorkerKey> = self
+        let looks_slow: BTreeSet<WorkerKey> = self
             .performance
             .workers
             .iter()
@@ -586,7 +589,11 @@
     }
 
     /// Returns those of the workers that may count as slow, by the floor of each service.
-    fn select_slow_workers(&self, looks_slow: &[WorkerKey], now: TimePoint) -> Vec<WorkerKey> {
+    fn select_slow_workers(
+        &self,
+        looks_slow: &BTreeSet<WorkerKey>,
+        now: TimePoint,
+    ) -> BTreeSet<WorkerKey> {
         let mut services: BTreeMap<&str, Vec<ServiceWorker<WorkerKey>>> = BTreeMap::new();
         for (key, worker) in self.workers.iter() {
             let looks_slow = looks_slow.contains(&key);
@@ -641,6 +648,9 @@
         tracker
             .tails
             .retain(|_, tail| now.since(tail.reported_at) <= window);
+        tracker
+            .full_steps
+            .retain(|_, searched_at| now.since(*searched_at) < PRUNE_PERIOD);
         let keep_moves = pause.max(crate::slow_moves::MAX_MOVE_TIME);
         tracker
             .moves
--- a/crates/wax-batch/src/placement.rs
+++ b/crates/wax-batch/src/placement.rs
@@ -445,11 +445,15 @@
             None => self.collect_offers(None, task_ref.step, request, relaxation, now),
         };
         let mut best = offers.best();
-        let is_slow = best.is_ok_and(|best| self.performance.avoids(best.worker, request.step));
-        if (best.is_err() || is_slow) && !offers.covers_all_workers() {
+        if best.is_err() && !offers.covers_all_workers() {
             offers = self.collect_offers(None, task_ref.step, request, relaxation, now);
             best = offers.best();
         }
+        let is_slow = best.is_ok_and(|best| self.performance.avoids(best.worker, request.step));
+        if is_slow && !offers.covers_all_workers() {
+            offers = self.collect_all_offers(None, task_ref.step, request, relaxation, now);
+            best = offers.best();
+        }
         debug_assert!(
             self.workers.len() > SAMPLE_SIZE
                 || best
@@ -524,15 +528,15 @@
         relaxation: PlacementRelaxation,
         now: TimePoint,
     ) -> StepOffers {
+        if failed.is_some() || !request.accepts_any_worker() {
+            return self.collect_all_offers(failed, step_ref, request, relaxation, now);
+        }
         let offer = |(position, (key, worker)): (usize, (WorkerKey, &WorkerRecord))| {
             self.workers_evaluated.update(|count| count + 1);
-            let offer = self.offer_cost(failed, step_ref, (key, worker), request, relaxation, now);
+            let offer = self.offer_cost(None, step_ref, (key, worker), request, relaxation, now);
             (position, key, offer)
         };
         let workers = self.workers.iter().enumerate();
-        if failed.is_some() || !request.accepts_any_worker() {
-            return StepOffers::collect(workers.map(offer), usize::MAX, usize::MAX);
-        }
         let scan_start = request.scan_start % self.workers.len().max(1);
         let from_scan_start = workers
             .clone()
@@ -545,6 +549,24 @@
         )
     }
 
+    /// Evaluates all workers, however large the pool is.
+    fn collect_all_offers(
+        &self,
+        failed: Option<&FailedTask<'_>>,
+        step_ref: StepRef,
+        request: &StepRequest<'_>,
+        relaxation: PlacementRelaxation,
+        now: TimePoint,
+    ) -> StepOffers {
+        let workers = self.workers.iter().enumerate();
+        let offers = workers.map(|(position, (key, worker))| {
+            self.workers_evaluated.update(|count| count + 1);
+            let offer = self.offer_cost(failed, step_ref, (key, worker), request, relaxation, now);
+            (position, key, offer)
+        });
+        StepOffers::collect(offers, usize::MAX, usize::MAX)
+    }
+
     /// Returns the cost of placing a task of the step on a worker, or why the worker takes none.
     /// `failed` is set for a task with failed runs or crashes.
     fn offer_cost(
--- a/crates/wax-batch/src/slow_moves.rs
+++ b/crates/wax-batch/src/slow_moves.rs
@@ -6,15 +6,21 @@
 use crate::performance::SlowMove;
 use crate::reasons::StopReason;
 use crate::records::{StepRecord, TaskRecord};
-use crate::scheduler::{JobScheduler, TaskRef};
+use crate::scheduler::{JobScheduler, StepRef, TaskRef};
 use crate::spec::StepSpec;
 use crate::worker::WorkerKey;
+use std::collections::BTreeMap;
 use std::time::Duration;
 use wax_policy::{ExpectedFinish, SpeedVerdict, is_move_worthwhile};
 use wax_types::TimePoint;
 
 /// Time after which a move counts as over even if the task is not working again.
 pub(crate) const MAX_MOVE_TIME: Duration = Duration::from_secs(10);
+/// Number of searches for a normal worker per round; each goes through all workers.
+const MAX_SEARCHES_PER_ROUND: usize = 4;
+/// Time for which a step without capacity on normal workers is not searched for again, so that
+/// others have their turn.
+const FULL_STEP_PAUSE: Duration = Duration::from_millis(500);
 /// Share of the estimated run time that a resumed run is assumed to repeat.
 const REPEATED_SHARE: f64 = 0.1;
 
@@ -30,7 +36,7 @@
 impl StepRecord {
     /// Returns whether one more task may be taken down within the step's limit. Tasks that are down
     /// for any cause count.
-    pub(crate) fn may_take_down_one(&self, spec: &StepSpec) -> bool {
+    fn may_take_down_one(&self, spec: &StepSpec) -> bool {
         let Some(limit) = spec.max_unavailable else {
             return true;
         };
@@ -60,27 +66,54 @@
         }
         candidates.sort_unstable();
         let mut moving = self.slow_moves_in_progress(now);
-        let mut ordered = 0;
+        let mut may_take_down: BTreeMap<StepRef, bool> = BTreeMap::new();
+        let (mut searches, mut ordered) = (0, 0);
         for (_, task_ref, worker, run_id) in candidates {
-            if moving >= self.performance.rules.max_moves as usize {
+            if moving >= self.performance.rules.max_moves as usize
+                || searches >= MAX_SEARCHES_PER_ROUND
+            {
                 break;
             }
-            if self.gains_by_move(task_ref, worker, now)
-                && self.fits_normal_worker(task_ref, moving, now)
+            let was_full = self.performance.full_steps.get(&task_ref.step);
+            if was_full.is_some_and(|searched_at| now.since(*searched_at) < FULL_STEP_PAUSE)
+                || !self.gains_by_move(task_ref, worker, now)
             {
-                self.stop_run(task_ref, worker, run_id, StopReason::SlowWorker);
-                let slow_move = SlowMove {
-                    run: run_id.run,
-                    ordered_at: now,
-                };
-                self.performance.moves.insert(task_ref, slow_move);
-                moving += 1;
-                ordered += 1;
+                continue;
+            }
+            let may_take_down_one = may_take_down
+                .entry(task_ref.step)
+                .or_insert_with(|| self.may_take_down_one(task_ref.step));
+            if !*may_take_down_one {
+                continue;
+            }
+            searches += 1;
+            if !self.fits_normal_worker(task_ref, moving, now) {
+                self.performance.full_steps.insert(task_ref.step, now);
+                continue;
             }
+            self.stop_run(task_ref, worker, run_id, StopReason::SlowWorker);
+            let slow_move = SlowMove {
+                run: run_id.run,
+                ordered_at: now,
+            };
+            self.performance.moves.insert(task_ref, slow_move);
+            may_take_down.remove(&task_ref.step);
+            moving += 1;
+            ordered += 1;
         }
         ordered
     }
 
+    fn may_take_down_one(&self, step_ref: StepRef) -> bool {
+        let spec = self
+            .jobs
+            .get(step_ref.job)
+            .and_then(|job| job.spec.steps.get(usize::from(step_ref.step)));
+        let record = self.step_record(step_ref);
+        spec.zip(record)
+            .is_some_and(|(spec, record)| !spec.long_running || record.may_take_down_one(spec))
+    }
+
     /// Returns the number of moves whose tasks are not running again.
     fn slow_moves_in_progress(&self, now: TimePoint) -> usize {
         let moves = self.performance.moves.iter();
@@ -106,7 +139,8 @@
             })
     }
 
-    /// Returns whether a run on a slow worker should be moved, apart from the capacity elsewhere.
+    /// Returns whether a run on a slow worker should be moved, apart from the capacity elsewhere and
+    /// the limit of its step.
     fn gains_by_move(&self, task_ref: TaskRef, worker: WorkerKey, now: TimePoint) -> bool {
         let Some(job) = self
             .jobs
@@ -137,7 +171,7 @@
             return false;
         }
         if spec.long_running {
-            return record.may_take_down_one(spec);
+            return true;
         }
         if !spec.checkpoints || placement.percent >= NEARLY_DONE_PERCENT {
             return false;
--- a/crates/wax-batch/tests/slow_workers.rs
+++ b/crates/wax-batch/tests/slow_workers.rs
@@ -205,22 +205,18 @@
     let mut scheduler = enabled_scheduler(2);
     let keys = workers(&mut scheduler, 5);
     add_job(&mut scheduler, 7, 1, &spec(vec![step(10, 500)]), None);
-    for index in 0..10 {
-        let worker = keys[index as usize % 5];
-        scheduler.reconcile_worker(worker, &[], &[], at(0), unix_ms(0));
-        let listed = report(run_id(7, 0, index, 1), 10, 0);
-        scheduler.adopt_run(worker, &listed, at(0));
+    for (nth, worker) in (0..).zip(&keys) {
+        let listed = [nth, nth + 5].map(|index| report(run_id(7, 0, index, 1), 10, 0));
+        scheduler.reconcile_worker(*worker, &listed, &[], at(0), unix_ms(0));
     }
-    for index in 0..10_u32 {
-        let worker = keys[index as usize % 5];
-        // The runs on the first worker end much later, because they were started later.
-        let millis = if worker == keys[0] { 2_000 } else { 100 };
-        let end = end(
-            u64::from(index) + 1,
-            run_id(7, 0, index, 1),
-            RunEndKind::Done,
-        );
-        scheduler.record_end(worker, &end, at(millis), unix_ms(millis));
+    // The runs on the first worker end much later, because they were started later.
+    let (on_first, on_others): (Vec<u32>, Vec<u32>) = (0..10).partition(|index| index % 5 == 0);
+    for (millis, indexes) in [(100, on_others), (2_000, on_first)] {
+        for index in indexes {
+            let run_id = run_id(7, 0, index, 1);
+            let end = end(u64::from(index) + 1, run_id, RunEndKind::Done);
+            scheduler.record_end(keys[index as usize % 5], &end, at(millis), unix_ms(millis));
+        }
     }
     scheduler.review_performance(at(2_100));
     assert_eq!(scheduler.slow_workers().count(), 0);
@@ -491,7 +487,7 @@
 #[test]
 fn a_tail_latency_over_its_target_everywhere_is_the_load_of_the_image() {
     let mut scheduler = enabled_scheduler(1);
-    workers(&mut scheduler, 5);
+    workers(&mut scheduler, 12);
     let orders = start_serving(&mut scheduler, 6, serving_step(4, None), 0);
     report_tails(&mut scheduler, &orders, 400, 400);
     assert_eq!(scheduler.slow_workers().count(), 0);
@@ -518,7 +514,7 @@
 fn in_a_large_pool_a_normal_worker_beyond_the_sample_is_found() {
     let mut scheduler = enabled_scheduler(1);
     let keys = workers(&mut scheduler, 400);
-    let slow = [keys[0], keys[1]];
+    let slow = [keys[100], keys[101]];
     slow_down(&mut scheduler, &slow, 7, 0);
     assert_eq!(scheduler.slow_workers().count(), 2);
     // All workers but the slow ones and the last are full.
@@ -529,13 +525,51 @@
     let free = keys
         .iter()
         .find(|key| !used.contains(key) && !slow.contains(key));
-    for job in 9..19 {
+    // The scans begin at different workers, so that some samples lack the free one.
+    for job in 9..209 {
         add_job(&mut scheduler, job, 1, &spec(vec![step(1, 1_000)]), None);
         let orders = scheduler.place(at(1_600 + job));
         assert_eq!(Some(&orders[0].worker), free, "job {job}");
+        let end = end(100_000 + job, orders[0].run_id, RunEndKind::Stopped);
+        scheduler.cancel(wax_batch::JobName(job), unix_ms(1_600 + job));
+        scheduler.record_end(
+            orders[0].worker,
+            &end,
+            at(1_600 + job),
+            unix_ms(1_600 + job),
+        );
     }
 }
 
+#[test]
+fn a_trial_task_that_gives_no_evidence_is_replaced() {
+    let mut scheduler = enabled_scheduler(1);
+    let keys = workers(&mut scheduler, 5);
+    slow_down(&mut scheduler, &keys[..1], 7, 0);
+    add_job(&mut scheduler, 8, 1, &spec(vec![step(4, 15_000)]), None);
+    assert_eq!(scheduler.place(at(1_500)).len(), 4);
+    scheduler.review_performance(at(5_000));
+    assert_eq!(scheduler.speed_verdict(keys[0]), SpeedVerdict::Trial);
+    add_job(&mut scheduler, 9, 1, &spec(vec![step(3, 500)]), None);
+    let orders = scheduler.place(at(5_100));
+    let on_trial: Vec<&StartOrder> = orders
+        .iter()
+        .filter(|order| order.worker == keys[0])
+        .collect();
+    assert_eq!(
+        (orders.len(), on_trial.len()),
+        (3, 2),
+        "the trial has two tasks"
+    );
+    scheduler.cancel(wax_batch::JobName(9), unix_ms(5_200));
+    add_job(&mut scheduler, 10, 1, &spec(vec![step(1, 500)]), None);
+    assert_ne!(scheduler.place(at(5_250))[0].worker, keys[0]);
+    let stopped = end(99_999, on_trial[0].run_id, RunEndKind::Stopped);
+    scheduler.record_end(keys[0], &stopped, at(5_300), unix_ms(5_300));
+    add_job(&mut scheduler, 11, 1, &spec(vec![step(1, 500)]), None);
+    assert_eq!(scheduler.place(at(5_400))[0].worker, keys[0]);
+}
+
 #[test]
 fn the_part_evaluates_no_worker_more_often_while_none_is_slow() {
     let evaluated = |mut scheduler: JobScheduler| {
