--- a/crates/wax-batch/src/performance.rs
+++ b/crates/wax-batch/src/performance.rs
@@ -73,7 +73,7 @@
     pub age: Option<Duration>,
     /// Time for which a slow worker gets no short tasks.
     pub hold_off: Duration,
-    /// Number of workers that count as slow now, including those in a trial.
+    /// Number of workers that count as slow now, including those in a probe.
     pub slow_workers: usize,
 }
 
--- a/crates/wax-batch/tests/slow_workers.rs
+++ b/crates/wax-batch/tests/slow_workers.rs
@@ -542,29 +542,29 @@
 }
 
 #[test]
-fn a_trial_task_that_gives_no_evidence_is_replaced() {
+fn a_probe_task_that_gives_no_evidence_is_replaced() {
     let mut scheduler = enabled_scheduler(1);
     let keys = workers(&mut scheduler, 5);
     slow_down(&mut scheduler, &keys[..1], 7, 0);
     add_job(&mut scheduler, 8, 1, &spec(vec![step(4, 15_000)]), None);
     assert_eq!(scheduler.place(at(1_500)).len(), 4);
     scheduler.review_performance(at(5_000));
-    assert_eq!(scheduler.speed_verdict(keys[0]), SpeedVerdict::Trial);
+    assert_eq!(scheduler.speed_verdict(keys[0]), SpeedVerdict::Probing);
     add_job(&mut scheduler, 9, 1, &spec(vec![step(3, 500)]), None);
     let orders = scheduler.place(at(5_100));
-    let on_trial: Vec<&StartOrder> = orders
+    let on_probe: Vec<&StartOrder> = orders
         .iter()
         .filter(|order| order.worker == keys[0])
         .collect();
     assert_eq!(
-        (orders.len(), on_trial.len()),
+        (orders.len(), on_probe.len()),
         (3, 2),
-        "the trial has two tasks"
+        "the probe has two tasks"
     );
     scheduler.cancel(wax_batch::JobName(9), unix_ms(5_200));
     add_job(&mut scheduler, 10, 1, &spec(vec![step(1, 500)]), None);
     assert_ne!(scheduler.place(at(5_250))[0].worker, keys[0]);
-    let stopped = end(99_999, on_trial[0].run_id, RunEndKind::Stopped);
+    let stopped = end(99_999, on_probe[0].run_id, RunEndKind::Stopped);
     scheduler.record_end(keys[0], &stopped, at(5_300), unix_ms(5_300));
     add_job(&mut scheduler, 11, 1, &spec(vec![step(1, 500)]), None);
     assert_eq!(scheduler.place(at(5_400))[0].worker, keys[0]);
--- a/crates/wax-owner/src/slow_workers.rs
+++ b/crates/wax-owner/src/slow_workers.rs
@@ -37,7 +37,7 @@
     match change.verdict {
         SpeedVerdict::Slow => count(Counter::WorkersFoundSlow),
         SpeedVerdict::Normal => count(Counter::WorkersFoundNormal),
-        SpeedVerdict::Trial => {}
+        SpeedVerdict::Probing => {}
     }
     tracing::info!(
         worker = %change.boot,
--- a/crates/wax-policy/src/performance.rs
+++ b/crates/wax-policy/src/performance.rs
@@ -68,7 +68,7 @@
     /// Tasks are placed elsewhere if they fit there.
     Slow,
     /// The worker takes a few short tasks that show whether it is still slow.
-    Trial,
+    Probing,
 }
 
 impl SpeedVerdict {
@@ -77,7 +77,7 @@
         match self {
             Self::Normal => "normal",
             Self::Slow => "slow",
-            Self::Trial => "trial",
+            Self::Probing => "probing",
         }
     }
 }
@@ -89,11 +89,11 @@
     Evidence,
     /// The hold-off is over.
     HoldOffOver,
-    /// The trial tasks ran at normal speed.
-    TrialPassed,
-    /// A trial task was slow.
-    TrialFailed,
-    /// The trial brought no evidence for a long time.
+    /// The probe tasks ran at normal speed.
+    ProbePassed,
+    /// A probe task was slow.
+    ProbeFailed,
+    /// The probe brought no evidence for a long time.
     NoEvidence,
     /// More workers look slow than may count as slow.
     Floor,
@@ -107,8 +107,8 @@
         match self {
             Self::Evidence => "evidence",
             Self::HoldOffOver => "hold_off_over",
-            Self::TrialPassed => "trial_passed",
-            Self::TrialFailed => "trial_failed",
+            Self::ProbePassed => "probe_passed",
+            Self::ProbeFailed => "probe_failed",
             Self::NoEvidence => "no_evidence",
             Self::Floor => "floor",
             Self::Disabled => "disabled",
@@ -120,7 +120,7 @@
 enum SpeedState {
     Normal { since: TimePoint },
     Slow { until: TimePoint },
-    Trial { since: TimePoint, runs_left: u32 },
+    Probing { since: TimePoint, runs_left: u32 },
 }
 
 /// Evidence of one boot of a worker, and the verdict on it.
@@ -132,7 +132,7 @@
     state: SpeedState,
     hold_off: Duration,
     /// Observations that cover an earlier time are ignored: they would show the state before the
-    /// trial.
+    /// probe.
     counted_from: TimePoint,
     /// Speed when the worker was last found slow.
     slow_speed: f64,
@@ -182,8 +182,8 @@
     /// against slow ones that began later.
     pub fn estimate(&self, now: TimePoint, rules: &PerformanceRules) -> SpeedEstimate {
         let min_weight = match self.state {
-            // A job that is long on every worker may fail a trial, which costs one hold-off.
-            SpeedState::Trial { .. } => f64::MIN_POSITIVE,
+            // A job that is long on every worker may fail a probe, which costs one hold-off.
+            SpeedState::Probing { .. } => f64::MIN_POSITIVE,
             _ => f64::from(rules.min_evidence),
         };
         let (mut slow, mut normal) = (0.0, 0.0);
@@ -229,31 +229,31 @@
         match self.state {
             SpeedState::Normal { .. } => SpeedVerdict::Normal,
             SpeedState::Slow { .. } => SpeedVerdict::Slow,
-            SpeedState::Trial { .. } => SpeedVerdict::Trial,
+            SpeedState::Probing { .. } => SpeedVerdict::Probing,
         }
     }
 
     /// Returns whether the worker takes short tasks like others: it is normal, or lacks runs for its
-    /// trial.
+    /// probe.
     pub fn takes_short_tasks(&self) -> bool {
         match self.state {
             SpeedState::Normal { .. } => true,
             SpeedState::Slow { .. } => false,
-            SpeedState::Trial { runs_left, .. } => runs_left > 0,
+            SpeedState::Probing { runs_left, .. } => runs_left > 0,
         }
     }
 
     /// Records that a short task was placed on the worker.
     pub fn record_short_start(&mut self) {
-        if let SpeedState::Trial { runs_left, .. } = &mut self.state {
+        if let SpeedState::Probing { runs_left, .. } = &mut self.state {
             *runs_left = runs_left.saturating_sub(1);
         }
     }
 
     /// Records that a short task that was placed at `placed_at` has ended without evidence. During a
-    /// trial, another task takes its turn.
+    /// probe, another task takes its turn.
     pub fn record_end_without_evidence(&mut self, placed_at: TimePoint) {
-        if let SpeedState::Trial { since, runs_left } = &mut self.state
+        if let SpeedState::Probing { since, runs_left } = &mut self.state
             && placed_at >= *since
         {
             *runs_left += 1;
@@ -334,20 +334,20 @@
                 }
                 self.observations.clear();
                 self.counted_from = now;
-                self.state = SpeedState::Trial {
+                self.state = SpeedState::Probing {
                     since: now,
-                    runs_left: rules.trial_runs,
+                    runs_left: rules.probe_runs,
                 };
                 Some(SpeedCause::HoldOffOver)
             }
-            SpeedState::Trial { .. } if estimate.looks_slow => {
+            SpeedState::Probing { .. } if estimate.looks_slow => {
                 self.hold_off = self.doubled_hold_off(rules);
                 self.set_slow(now, estimate.speed);
-                Some(SpeedCause::TrialFailed)
+                Some(SpeedCause::ProbeFailed)
             }
-            SpeedState::Trial { since, .. } => {
-                if self.normal_runs(now, rules) >= rules.trial_runs as usize {
-                    self.set_normal(now, SpeedCause::TrialPassed)
+            SpeedState::Probing { since, .. } => {
+                if self.normal_runs(now, rules) >= rules.probe_runs as usize {
+                    self.set_normal(now, SpeedCause::ProbePassed)
                 } else if now.since(since) >= rules.max_hold_off {
                     self.set_normal(now, SpeedCause::NoEvidence)
                 } else {
--- a/crates/wax-policy/src/performance_rules.rs
+++ b/crates/wax-policy/src/performance_rules.rs
@@ -26,12 +26,12 @@
         /// Time for which a slow worker gets no short tasks. Doubled each time the worker is still
         /// slow afterwards.
         hold_off: Duration = ("hold_off_ms", "ms", 3000, 100 to 600000),
-        /// Maximum of the doubled `hold_off`, and the time after which a trial without evidence
+        /// Maximum of the doubled `hold_off`, and the time after which a probe without evidence
         /// ends. Workers were slow for 16 s; a longer hold-off would often outlast that.
         max_hold_off: Duration = ("max_hold_off_ms", "ms", 6000, 100 to 3600000),
         /// Number of short tasks that a worker gets after the hold-off. If all run at normal speed,
         /// the worker is normal again.
-        trial_runs: u32 = ("trial_runs", "runs", 2, 1 to 100),
+        probe_runs: u32 = ("probe_runs", "runs", 2, 1 to 100),
         /// Maximum share of the ready workers of a service that count as slow.
         max_slow_share: f64 = ("max_slow_share", "share", 0.4, 0 to 0.9, off 0),
         /// Cost of a slow worker. It exceeds the sum of the other costs, so that another worker is
--- a/crates/wax-policy/tests/performance.rs
+++ b/crates/wax-policy/tests/performance.rs
@@ -89,19 +89,19 @@
     worker.record_short_start();
     assert!(worker.takes_short_tasks());
     worker.record_short_start();
-    assert!(!worker.takes_short_tasks(), "the trial has two tasks");
+    assert!(!worker.takes_short_tasks(), "the probe has two tasks");
     worker.observe(observation(3, 1.0, 1.0, 3_800));
     assert_eq!(worker.advance(at(3_900), true, &rules()), None);
     worker.observe(observation(4, 1.0, 1.0, 4_000));
     assert_eq!(
         worker.advance(at(4_100), true, &rules()),
-        Some(SpeedCause::TrialPassed)
+        Some(SpeedCause::ProbePassed)
     );
     assert_eq!(worker.verdict(), SpeedVerdict::Normal);
 }
 
 #[test]
-fn the_hold_off_doubles_with_each_failed_trial_up_to_its_limit() {
+fn the_hold_off_doubles_with_each_failed_probe_up_to_its_limit() {
     let mut worker = slow_worker();
     let mut now = 200;
     let mut hold_offs = vec![worker.hold_off().as_millis() as u64];
@@ -114,17 +114,17 @@
         worker.observe(observation(source, 0.16, 1.0, now));
         assert_eq!(
             worker.advance(at(now), true, &rules()),
-            Some(SpeedCause::TrialFailed)
+            Some(SpeedCause::ProbeFailed)
         );
         hold_offs.push(worker.hold_off().as_millis() as u64);
-        // The evidence of the failed trial must not be fresh at the end of the hold-off.
+        // The evidence of the failed probe must not be fresh at the end of the hold-off.
         now += 100;
     }
     assert_eq!(hold_offs, [3_000, 6_000, 6_000, 6_000, 6_000]);
 }
 
 #[test]
-fn a_run_from_before_the_trial_does_not_fail_it() {
+fn a_run_from_before_the_probe_does_not_fail_it() {
     let mut worker = slow_worker();
     worker.advance(at(3_300), true, &rules());
     worker.observe(SpeedObservation {
@@ -132,11 +132,11 @@
         ..observation(9, 0.16, 1.0, 3_400)
     });
     assert_eq!(worker.advance(at(3_500), true, &rules()), None);
-    assert_eq!(worker.verdict(), SpeedVerdict::Trial);
+    assert_eq!(worker.verdict(), SpeedVerdict::Probing);
 }
 
 #[test]
-fn fresh_evidence_at_the_end_of_the_hold_off_extends_it_without_a_trial() {
+fn fresh_evidence_at_the_end_of_the_hold_off_extends_it_without_a_probe() {
     let mut worker = slow_worker();
     worker.observe(observation(5, 0.16, 0.5, 3_000));
     assert_eq!(worker.advance(at(3_300), true, &rules()), None);
@@ -173,7 +173,7 @@
 }
 
 #[test]
-fn a_trial_without_evidence_ends() {
+fn a_probe_without_evidence_ends() {
     let mut worker = slow_worker();
     worker.advance(at(3_300), true, &rules());
     assert_eq!(
--- a/crates/wax-trace/src/slow_workers.rs
+++ b/crates/wax-trace/src/slow_workers.rs
@@ -8,7 +8,7 @@
 pub struct SlowWorker {
     /// Boot of the worker.
     pub boot: String,
-    /// Verdict on the worker: `slow` or `trial`.
+    /// Verdict on the worker: `slow` or `probing`.
     pub verdict: &'static str,
     /// Cause of the last change of the verdict.
     pub cause: &'static str,
