Test a slow worker with real processes

Change: the stand-in worker gets the fault slow_times, by which its runs are slower. tests/pool/slow_workers.rs enables policy.performance by a reload of the settings, waits for the verdict slow of the slow worker, and after the fault for the verdict normal.

--- a/crates/wax-standin/src/site_runs.rs
+++ b/crates/wax-standin/src/site_runs.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap};
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Order to start or stop a run; `spec` is empty in a stop order.
 #[derive(Debug, Clone, Default, Deserialize)]
@@ -67,6 +67,15 @@
     work: TaskWork,
     /// Start of the run on the worker's clock, milliseconds.
     began_ms: u64,
+    /// Time by which slowness of the worker has delayed the run so far, milliseconds.
+    delay_ms: f64,
+}
+
+impl RunRecord {
+    /// Returns the time for which the run has worked at full speed, milliseconds.
+    fn worked_ms(&self, clock_ms: u64) -> u64 {
+        clock_ms.saturating_sub(self.began_ms + self.delay_ms as u64)
+    }
 }
 
 /// Reply to an order. `reason` is set if the order was refused.
@@ -189,6 +198,7 @@
             run: order.run,
             work,
             began_ms: self.clock_ms(),
+            delay_ms: 0.0,
         };
         self.running.insert(order.task.clone(), record);
         let cpu: u32 = self.running.values().map(|record| record.work.cpu).sum();
@@ -234,6 +244,14 @@
         self.answer(None)
     }
 
+    /// Delays all runs that have worked for `elapsed` at a `slow_times` lower speed.
+    pub(crate) fn delay_runs(&mut self, elapsed: Duration, slow_times: f64) {
+        let delay_ms = elapsed.as_secs_f64() * 1_000.0 * (1.0 - 1.0 / slow_times);
+        for record in self.running.values_mut() {
+            record.delay_ms += delay_ms;
+        }
+    }
+
     /// Ends runs that have finished their work, and all runs once the lease has expired. With
     /// `fail`, finished runs end as failed.
     pub(crate) fn end_finished_runs(&mut self, fail: bool) {
@@ -243,7 +261,7 @@
             .running
             .iter()
             .filter_map(|(task, record)| {
-                let done = now >= record.began_ms + record.work.ms;
+                let done = record.worked_ms(now) >= record.work.ms;
                 match (done, expired) {
                     (true, _) if fail || record.work.fail => Some((task.clone(), "failed")),
                     (true, _) => Some((task.clone(), "done")),
@@ -297,8 +315,8 @@
             .running
             .iter()
             .map(|(task, record)| {
-                let elapsed_ms = self.clock_ms() - record.began_ms;
-                let percent = (elapsed_ms * 100 / record.work.ms.max(1)).min(100);
+                let worked_ms = record.worked_ms(self.clock_ms());
+                let percent = (worked_ms * 100 / record.work.ms.max(1)).min(100);
                 json!([task, record.run, "", percent, record.work.cpu])
             })
             .collect();
--- a/crates/wax-standin/src/site_worker.rs
+++ b/crates/wax-standin/src/site_worker.rs
@@ -12,7 +12,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use wax_http::{
     HttpHandler, HttpReply, HttpRequest, HttpServer, ShutdownSignal, bind_listener, empty_reply,
     error_reply, json_reply, parse_json,
@@ -40,6 +40,8 @@
     late_percent: u32,
     /// Delay of these start orders, milliseconds.
     late_ms: u64,
+    /// Factor by which all runs are slower; 0 or 1 for full speed.
+    slow_times: f64,
     /// The worker reports the state `draining`.
     draining: bool,
     /// Processor capacity that the worker reports, thousandths of a core; `None` reports the value
@@ -89,8 +91,15 @@
 }
 
 async fn run_ticks(state: Rc<SiteWorkerState>) {
+    let mut last_tick = Instant::now();
     loop {
         sleep(TICK_PERIOD).await;
+        let elapsed = last_tick.elapsed();
+        last_tick = Instant::now();
+        let slow_times = state.faults.borrow().slow_times;
+        if slow_times > 1.0 {
+            state.runs.borrow_mut().delay_runs(elapsed, slow_times);
+        }
         if state.runs.borrow_mut().check_crash() {
             // The history is printed because it cannot be queried after the crash.
             println!("{}", json!({ "history": state.runs.borrow().history() }));
--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -17,6 +17,7 @@
 mod ports;
 mod restarts;
 mod site;
+mod slow_workers;
 mod soak;
 mod soak_plan;
 mod store_proxy;
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -385,6 +385,15 @@
         .await;
     }
 
+    /// Adds lines to the settings of a front and waits until they are in force.
+    pub(crate) async fn add_front_settings(&self, number: usize, lines: &str) {
+        let settings = &self.fronts[number].settings;
+        let text = std::fs::read_to_string(settings).expect("the settings must be readable");
+        std::fs::write(settings, text + lines).expect("the settings must be written");
+        self.wait_log(&format!("front-{number}"), "settings reloaded")
+            .await;
+    }
+
     pub(crate) fn is_front_running(&mut self, number: usize) -> bool {
         let process = self.fronts[number].process.as_mut();
         process.is_some_and(SiteProcess::is_running)
