Do not take a worker that has just started for slow

Cause: a worker reports reduced speed for some time after its start (cold_ms), and has a placement cost of its own for that time.

Change: its runs give no evidence and no reference while it is cold.

Measured: the new test failed before the change; cargo test -p wax-batch passes (tests/slow_workers.rs 29).

--- a/crates/wax-batch/src/performance.rs
+++ b/crates/wax-batch/src/performance.rs
@@ -304,6 +304,12 @@
         job.spec.steps.get(usize::from(task_ref.step.step))
     }
 
+    /// Returns whether the worker has started so recently that its speed is still reduced.
+    fn is_cold(&self, worker: WorkerKey) -> bool {
+        let worker = self.workers.get(worker);
+        worker.is_some_and(|worker| worker.view.cold_ms > 0)
+    }
+
     /// Registers a start order, so that the run is checked while it has not ended.
     pub(crate) fn observe_order(
         &mut self,
@@ -339,6 +345,7 @@
             return;
         };
         let image = step.image.clone();
+        let is_cold = self.is_cold(worker);
         let Some(task) = self.task_mut(task_ref) else {
             return;
         };
@@ -349,6 +356,7 @@
         let is_comparable = kind == RunEndKind::Done
             && !placement.adopted
             && task.checkpoint.is_empty()
+            && !is_cold
             && placement.sent_at >= self.performance.unreliable_until;
         let run_time = now.since(placement.sent_at);
         let tracker = &mut self.performance;
@@ -460,8 +468,10 @@
         // An end is reported at once. A message of the agent after the run became overdue therefore
         // shows that the run has not ended; without one, the agent or its link may be slow.
         let worker = self.workers.get(placement.worker)?;
-        let is_confirmed =
-            placement.running && worker.reachable && worker.last_contact >= overdue_at;
+        let is_confirmed = placement.running
+            && worker.reachable
+            && worker.last_contact >= overdue_at
+            && !self.is_cold(placement.worker);
         let elapsed = worker.last_contact.since(placement.sent_at);
         let run_time = projected_run_time(elapsed, placement.percent);
         if is_confirmed
--- a/crates/wax-batch/tests/slow_workers.rs
+++ b/crates/wax-batch/tests/slow_workers.rs
@@ -144,6 +144,20 @@
     assert_eq!(scheduler.speed_verdict(keys[0]), SpeedVerdict::Normal);
 }
 
+#[test]
+fn a_worker_that_has_just_started_is_not_taken_for_slow() {
+    let mut scheduler = enabled_scheduler(1);
+    let keys = workers(&mut scheduler, 5);
+    let (_, record) = scheduler.workers().next().expect("five workers");
+    let cold = wax_batch::WorkerView {
+        cold_ms: 5_000,
+        ..record.view.clone()
+    };
+    scheduler.update_worker(keys[0], cold);
+    slow_down(&mut scheduler, &keys[..1], 7, 0);
+    assert_eq!(scheduler.speed_verdict(keys[0]), SpeedVerdict::Normal);
+}
+
 #[test]
 fn no_short_task_starts_on_a_slow_worker_while_another_fits() {
     let mut scheduler = enabled_scheduler(1);
