Merge worker performance estimates

Conflicts: the settings sections and rules of sharing and performance stand side by side; sections of policy are listed in one place.

--- a/crates/wax-batch/src/ends.rs
+++ b/crates/wax-batch/src/ends.rs
@@ -132,6 +132,7 @@
         {
             return;
         }
+        self.observe_end(worker, task_ref, kind, now);
         let key = task_ref.step.job;
         if self.jobs[key].is_over() {
             self.reset_to_waiting(task_ref, worker, now);
--- a/crates/wax-batch/src/placement.rs
+++ b/crates/wax-batch/src/placement.rs
@@ -467,6 +467,11 @@
             offers = self.collect_offers(None, task_ref.step, request, relaxation, now);
             best = offers.best();
         }
+        let is_slow = best.is_ok_and(|best| self.performance.avoids(best.worker, request.step));
+        if is_slow && !offers.covers_all_workers() {
+            offers = self.collect_all_offers(None, task_ref.step, request, relaxation, now);
+            best = offers.best();
+        }
         debug_assert!(
             self.workers.len() > SAMPLE_SIZE
                 || best
@@ -544,15 +549,15 @@
         relaxation: PlacementRelaxation,
         now: TimePoint,
     ) -> StepOffers {
+        if failed.is_some() || !request.accepts_any_worker() {
+            return self.collect_all_offers(failed, step_ref, request, relaxation, now);
+        }
         let offer = |(position, (key, worker)): (usize, (WorkerKey, &WorkerRecord))| {
             self.workers_evaluated.update(|count| count + 1);
-            let offer = self.offer_cost(failed, step_ref, (key, worker), request, relaxation, now);
+            let offer = self.offer_cost(None, step_ref, (key, worker), request, relaxation, now);
             (position, key, offer)
         };
         let workers = self.workers.iter().enumerate();
-        if failed.is_some() || !request.accepts_any_worker() {
-            return StepOffers::collect(workers.map(offer), usize::MAX, usize::MAX);
-        }
         let scan_start = request.scan_start % self.workers.len().max(1);
         let from_scan_start = workers
             .clone()
@@ -565,6 +570,24 @@
         )
     }
 
+    /// Evaluates all workers, however large the pool is.
+    fn collect_all_offers(
+        &self,
+        failed: Option<&FailedTask<'_>>,
+        step_ref: StepRef,
+        request: &StepRequest<'_>,
+        relaxation: PlacementRelaxation,
+        now: TimePoint,
+    ) -> StepOffers {
+        let workers = self.workers.iter().enumerate();
+        let offers = workers.map(|(position, (key, worker))| {
+            self.workers_evaluated.update(|count| count + 1);
+            let offer = self.offer_cost(failed, step_ref, (key, worker), request, relaxation, now);
+            (position, key, offer)
+        });
+        StepOffers::collect(offers, usize::MAX, usize::MAX)
+    }
+
     /// Returns the cost of placing a task of the step on a worker, or why the worker takes none.
     /// `failed` is set for a task with failed runs or crashes.
     fn offer_cost(
@@ -616,7 +639,8 @@
         if is_advised && self.ticket(step_ref, key, now).is_none() {
             return Err(WaitReason::Advice);
         }
-        let cost = worker.cost(step, request.rack.as_deref(), &self.pairs, &self.rules);
+        let cost = worker.cost(step, request.rack.as_deref(), &self.pairs, &self.rules)
+            + self.performance.cost(key, step);
         match failed {
             None => Ok(cost),
             Some(task) if task.is_excluded(key, now) => Err(WaitReason::FailedThere),
@@ -712,6 +736,7 @@
         let ticket = self.ticket(task_ref.step, worker, now).unwrap_or_default();
         let run = run.unwrap_or_else(|| self.next_run(job, task.last_run));
         self.reserve_task(task_ref, worker, run, false, now);
+        self.observe_order(worker, task_ref, run, now);
         StartOrder {
             worker,
             run_id: RunId {
--- a/crates/wax-front/src/process.rs
+++ b/crates/wax-front/src/process.rs
@@ -55,6 +55,7 @@
     let shared = Rc::new(shared);
     shared.set_placement_rules(settings.policy.place);
     shared.set_sharing_rules(settings.policy.sharing);
+    shared.set_performance_rules(settings.policy.performance);
     let state = Rc::new(FrontState::new(shared.clone()));
     let callers_shutdown = ShutdownSignal::default();
     let callers_server = HttpServer::new(
@@ -101,12 +102,13 @@
     }
 }
 
-/// Applies reloaded settings to the running process: the store's address and the placement rules.
+/// Applies reloaded settings to the running process: the store's address and the rules of the owner.
 async fn apply_changes(shared: Rc<PoolShared>, mut changes: UnboundedReceiver<DaemonSettings>) {
     while let Some(settings) = changes.next().await {
         shared.store.set_address(settings.platform.address);
         shared.set_placement_rules(settings.policy.place);
         shared.set_sharing_rules(settings.policy.sharing);
+        shared.set_performance_rules(settings.policy.performance);
         tracing::info!(store = %settings.platform.address, "settings reloaded");
     }
 }
--- a/crates/wax-owner/src/shared.rs
+++ b/crates/wax-owner/src/shared.rs
@@ -13,8 +13,8 @@
 use std::time::Duration;
 use wax_batch::QueueTable;
 use wax_policy::{
-    ConfigRules, ConfigView, DrainRules, DrainView, FRONT_HEARTBEAT_PERIOD, PlacementRules,
-    SharingRules,
+    ConfigRules, ConfigView, DrainRules, DrainView, FRONT_HEARTBEAT_PERIOD, PerformanceRules,
+    PlacementRules, SharingRules,
 };
 use wax_types::{ErrorKind, ProcessClock, Step, TimePoint, WaxError};
 
@@ -66,6 +66,8 @@
     /// Limits and weights of placement; the settings may change them.
     placement_rules: Cell<PlacementRules>,
     sharing_rules: Cell<SharingRules>,
+    /// Rules about slow workers; the settings may change them.
+    performance_rules: Cell<PerformanceRules>,
     /// Config in force.
     pub config: RefCell<QueueTable>,
     /// The operator's text of the config in force.
@@ -154,6 +156,7 @@
             advisor,
             placement_rules: Cell::default(),
             sharing_rules: Cell::default(),
+            performance_rules: Cell::default(),
             config: RefCell::default(),
             config_text: RefCell::default(),
             config_changed: Event::new(),
@@ -241,6 +244,19 @@
         }
     }
 
+    /// Returns the rules about slow workers in force.
+    pub fn performance_rules(&self) -> PerformanceRules {
+        self.performance_rules.get()
+    }
+
+    /// Replaces the rules about slow workers; an owner uses them from now on.
+    pub fn set_performance_rules(&self, rules: PerformanceRules) {
+        self.performance_rules.set(rules);
+        if let Some(term) = self.current_term() {
+            term.scheduler.borrow_mut().set_performance_rules(rules);
+        }
+    }
+
     /// Returns the current time.
     pub fn now(&self) -> TimePoint {
         self.clock.now()
--- a/crates/wax-policy/src/lib.rs
+++ b/crates/wax-policy/src/lib.rs
@@ -15,12 +15,15 @@
 mod mitigation;
 mod pace_rules;
 mod pair_interference;
+mod performance;
+mod performance_rules;
 mod placement;
 mod placement_rules;
 mod rendezvous;
 mod retry;
 mod routing;
 mod rules;
+mod run_times;
 mod sharing;
 mod sizing;
 mod workday;
@@ -45,6 +48,11 @@
     CoresByImage, InterferenceEstimate, InterferenceTable, LoadChange, LoadSample,
     PairInterference, WorkerInterference,
 };
+pub use performance::{
+    ServiceWorker, SpeedCause, SpeedEstimate, SpeedFinding, SpeedObservation, SpeedVerdict,
+    WorkerPerformance, is_move_worthwhile, select_slow,
+};
+pub use performance_rules::PerformanceRules;
 pub use placement::{
     CustomerWeights, PlacementChoice, PlacementContext, PlacementPolicy, RunningTask, TaskDemand,
     WorkerCapacity, WorkerKey, WorkerTable,
@@ -56,6 +64,9 @@
     AttemptEnd, RouteChoice, RoutePolicy, RouteTable, UpstreamKey, UpstreamLoad, UpstreamView,
 };
 pub use rules::{RuleError, RuleInfo, RuleSetting, RuleSwitch, RuleValue};
+pub use run_times::{
+    ImageRunTimes, StepRunTimes, compare_with_step, overdue_after, projected_run_time,
+};
 pub use sharing::{BeginChoice, BegunLoad, SharingRules};
 pub use sizing::SizeTable;
 pub use workday::WorkDay;
--- a/crates/wax-settings/src/policy.rs
+++ b/crates/wax-settings/src/policy.rs
@@ -1,7 +1,7 @@
 //! Section `policy` of the settings file: rules of placement and pacing in the pool.
 
 use serde::Deserialize;
-use wax_policy::{PaceRules, PlacementRules, RuleInfo, SharingRules};
+use wax_policy::{PaceRules, PerformanceRules, PlacementRules, RuleInfo, SharingRules};
 
 /// Rules of the pool's decisions. Each key is a number in the unit of its rule, or `off` if the
 /// rule can be switched off.
@@ -15,15 +15,22 @@
     pub pace: PaceRules,
     /// Rules by which the owner decides which best-effort jobs begin.
     pub sharing: SharingRules,
+    /// Rules by which the owner recognizes and avoids slow workers.
+    pub performance: PerformanceRules,
 }
 
 impl PolicySettings {
-    /// Returns all rules, each with the name of its section (`place`, `pace` or `sharing`).
+    /// Returns all rules, each with the name of its section, such as `place`.
     pub fn infos(&self) -> Vec<(&'static str, RuleInfo)> {
-        let place = self.place.infos().into_iter().map(|info| ("place", info));
-        let pace = self.pace.infos().into_iter().map(|info| ("pace", info));
-        let sharing = self.sharing.infos().into_iter();
-        let sharing = sharing.map(|info| ("sharing", info));
-        place.chain(pace).chain(sharing).collect()
+        let sections = [
+            ("place", self.place.infos()),
+            ("pace", self.pace.infos()),
+            ("sharing", self.sharing.infos()),
+            ("performance", self.performance.infos()),
+        ];
+        let named = sections
+            .into_iter()
+            .flat_map(|(section, infos)| infos.into_iter().map(move |info| (section, info)));
+        named.collect()
     }
 }
