--- a/crates/wax-policy/src/lib.rs
+++ b/crates/wax-policy/src/lib.rs
@@ -1,6 +1,7 @@
 //! Scheduling and routing decisions as functions and small state machines without I/O. The present
 //! time is always an argument.
 
+mod acceptance_rules;
 mod admission;
 mod average;
 mod backoff;
@@ -17,13 +18,16 @@
 mod pair_interference;
 mod placement;
 mod placement_rules;
+mod refusals;
 mod rendezvous;
 mod retry;
 mod routing;
 mod rules;
 mod sizing;
+mod store_health;
 mod workday;
 
+pub use acceptance_rules::AcceptanceRules;
 pub use admission::{AdmitChoice, TeamKey, TeamLimits, TeamTable};
 pub use average::DecayedMean;
 pub use backoff::BackoffPlan;
@@ -49,6 +53,7 @@
     WorkerCapacity, WorkerKey, WorkerTable,
 };
 pub use placement_rules::{ExpectedFinish, PlacementRules};
+pub use refusals::{JobRefusals, RefusalTable};
 pub use rendezvous::{rank_score, top_member};
 pub use retry::RetryBudget;
 pub use routing::{
@@ -56,4 +61,5 @@
 };
 pub use rules::{RuleError, RuleInfo, RuleSetting, RuleSwitch, RuleValue};
 pub use sizing::SizeTable;
+pub use store_health::{StoreAnswer, StoreHealth, StoreState, probe_delay, retry_delay};
 pub use workday::WorkDay;
