wax-front: refuse at once during an outage of the store, and probe for its end

Cause: a front tried each submission until 150 ms before its deadline and then named a retry delay of 0.7 s, so that callers used up four retries within some 3 s of an outage of 8 s. Change: with policy.acceptance.enabled, a front records the result of each call, logs changes of the store's state, and refuses submissions, queries and cancellations at once while the store is unavailable by both routes. The retry delay follows the age of the outage. A submission whose transaction is known to have had no effect is given up as soon as the outage is known; one without an answer is sent again until its effect is known, else the answer is 504, also for a later submission of that job. A front that lost the store probes it by reading one row, within a rate that all fronts share, and at once when the owner reports that it has the store again.

--- a/crates/wax-front/src/accept.rs
+++ b/crates/wax-front/src/accept.rs
@@ -1,7 +1,8 @@
 //! Accepts a job: stores it and then acknowledges it.
 
-use crate::state::{FrontState, STORE_RETRY_AFTER};
+use crate::state::FrontState;
 use crate::store_route::transact_by_any_route;
+use crate::store_view::unknown_outcome;
 use platform::{RowWrite, TxRequest};
 use prost::Message;
 use wax_batch::{JobName, JobRow, JobSpec, QueueRules};
@@ -31,8 +32,13 @@
     deadline: TimePoint,
 ) -> Result<AcceptOutcome, WaxError> {
     let shared = &state.shared;
-    if state.is_cut_off() {
-        return Err(not_stored("neither the store nor the owner can be reached"));
+    if state.acceptance.get().is_enabled() {
+        if state.is_store_down() || state.is_store_too_slow(deadline) {
+            return Err(state.refuse_job_at_once(job));
+        }
+    } else if state.is_cut_off() {
+        let text = "neither the store nor the owner can be reached";
+        return Err(state.refuse_job(job, text));
     }
     let mut row = JobRow::new(
         spec,
@@ -57,7 +63,10 @@
             remove: Vec::new(),
         };
         match transact_by_any_route(state, &tx, deadline).await {
-            TxResolution::Committed(_) => return Ok(AcceptOutcome::Stored),
+            TxResolution::Committed(_) => {
+                state.refusals.borrow_mut().remove(job.0);
+                return Ok(AcceptOutcome::Stored);
+            }
             TxResolution::Conflict(rows) => {
                 if let Some(stored) = rows.iter().find(|row| row.key == job_key(job)) {
                     let is_ours = JobRow::decode(&*stored.value)
@@ -73,10 +82,10 @@
                     shared.owner.borrow_mut().take();
                 }
                 if shared.now() >= deadline {
-                    return Err(not_stored("the owner changes again and again"));
+                    return Err(state.refuse_job(job, "the owner changes again and again"));
                 }
             }
-            TxResolution::NotSent(error) => return Err(not_stored(&error.label)),
+            TxResolution::NotSent(error) => return Err(state.refuse_job(job, &error.label)),
             TxResolution::Refused(error) => {
                 let text = format!("the store takes no such job: {}", error.label);
                 return Err(
@@ -85,22 +94,10 @@
                 );
             }
             TxResolution::Unknown(error) => {
-                let text = format!("it is not known whether the job is stored: {}", error.label);
-                return Err(
-                    WaxError::new(ErrorKind::Timeout, Step::SubmitJob, "store", text)
-                        .with_help("submit the same job again"),
-                );
+                let mut refusals = state.refusals.borrow_mut();
+                refusals.record_unresolved(job.0, shared.now());
+                return Err(unknown_outcome(&error.label));
             }
         }
     }
 }
-
-fn not_stored(text: &str) -> WaxError {
-    WaxError::new(
-        ErrorKind::Unavailable(STORE_RETRY_AFTER),
-        Step::SubmitJob,
-        "store",
-        text,
-    )
-    .with_help("the job was not accepted; submit it again after the given time")
-}
--- a/crates/wax-front/src/cancel.rs
+++ b/crates/wax-front/src/cancel.rs
@@ -1,10 +1,12 @@
 //! Cancels a job: stores the cancellation and acknowledges it; the owner then stops running tasks.
 
+use crate::direct_route::transact_directly;
 use crate::state::{FrontState, STORE_RETRY_AFTER};
+use crate::store_view::classify_result;
 use platform::{RowWrite, StoredRow, TxRequest};
 use std::time::Duration;
 use wax_batch::JobName;
-use wax_owner::{JOB_TABLE, TxResolution, cancel_key, job_key, transact};
+use wax_owner::{JOB_TABLE, TxResolution, cancel_key, job_key};
 use wax_types::{ErrorKind, Step, TimePoint, WaxError};
 use wax_wire::{JobCancelled, PoolBody};
 
@@ -23,6 +25,10 @@
     job: JobName,
     limit: Duration,
 ) -> Result<Vec<StoredRow>, WaxError> {
+    if state.is_store_down() {
+        return Err(state.refuse_query(Step::ReadJob));
+    }
+    let sent_at = state.shared.now();
     let key = job_key(job);
     let end = format!("{}%00", cancel_key(job).key);
     let page = state
@@ -30,8 +36,11 @@
         .store
         .read(JOB_TABLE, &key.part, &key.key, &end, limit)
         .await;
-    state.note_store_answer(page.is_ok());
-    Ok(page?.rows)
+    state.record_store_call(classify_result(&page), sent_at);
+    match page {
+        Ok(page) => Ok(page.rows),
+        Err(error) => Err(state.with_retry_after(error)),
+    }
 }
 
 /// Stores the cancellation of a job.
@@ -39,7 +48,8 @@
 /// # Errors
 ///
 /// `Timeout` if the store has not confirmed the cancellation in time; `Unavailable` if the job's
-/// rows kept changing until the deadline.
+/// rows kept changing until the deadline, or if the store is known to be unavailable and nothing
+/// was stored.
 pub(crate) async fn cancel_job(
     state: &FrontState,
     job: JobName,
@@ -63,13 +73,16 @@
             }],
             remove: Vec::new(),
         };
-        match transact(&shared.store, shared.clock, &tx, deadline).await {
+        match transact_directly(state, &tx, deadline).await {
             TxResolution::Committed(_) => {
                 notify_owner(state, job);
                 return Ok(CancelOutcome::Cancelled);
             }
             // Another request has cancelled the job, or the job was deleted: read the rows again.
             TxResolution::Conflict(_) => {}
+            TxResolution::NotSent(_) if state.is_store_down() => {
+                return Err(state.refuse_query(Step::SubmitJob));
+            }
             TxResolution::NotSent(error)
             | TxResolution::Unknown(error)
             | TxResolution::Refused(error) => {
--- a/crates/wax-front/src/lib.rs
+++ b/crates/wax-front/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod accept;
 mod cancel;
+mod direct_route;
 mod handler;
 mod owner_link;
 mod process;
@@ -11,5 +12,6 @@
 mod show;
 mod state;
 mod store_route;
+mod store_view;
 
 pub use process::run_front;
--- a/crates/wax-front/src/process.rs
+++ b/crates/wax-front/src/process.rs
@@ -54,7 +54,12 @@
     shared.set_bounds(pool.config_bound(), pool.drain_bound());
     let shared = Rc::new(shared);
     shared.set_placement_rules(settings.policy.place);
-    let state = Rc::new(FrontState::new(shared.clone()));
+    let seeds = pool.peer_seeds();
+    let state = Rc::new(FrontState::new(
+        shared.clone(),
+        settings.policy.acceptance,
+        seeds.len(),
+    ));
     let callers_shutdown = ShutdownSignal::default();
     let callers_server = HttpServer::new(
         bind_listener(callers)?,
@@ -72,10 +77,10 @@
         ShutdownSignal::default(),
     );
     spawn(serve_peers(shared.clone(), bind_listener(pool.peers)?)).detach();
-    spawn(apply_changes(shared.clone(), changes)).detach();
+    spawn(apply_changes(state.clone(), changes)).detach();
     spawn(readiness_server.run()).detach();
     spawn(follow_operator_rows(shared.clone())).detach();
-    spawn(maintain_owner_link(state.clone(), pool.peer_seeds())).detach();
+    spawn(maintain_owner_link(state.clone(), seeds)).detach();
     spawn(watch_store(state)).detach();
     let ownership = spawn(run_ownership(shared, shutdown.clone()));
     tracing::info!(name = %settings.name, %callers, peers = %pool.peers, "front started");
@@ -100,11 +105,13 @@
     }
 }
 
-/// Applies reloaded settings to the running process: the store's address and the placement rules.
-async fn apply_changes(shared: Rc<PoolShared>, mut changes: UnboundedReceiver<DaemonSettings>) {
+/// Applies reloaded settings to the running process: the store's address and the rules of the
+/// policy.
+async fn apply_changes(state: Rc<FrontState>, mut changes: UnboundedReceiver<DaemonSettings>) {
     while let Some(settings) = changes.next().await {
-        shared.store.set_address(settings.platform.address);
-        shared.set_placement_rules(settings.policy.place);
+        state.shared.store.set_address(settings.platform.address);
+        state.shared.set_placement_rules(settings.policy.place);
+        state.acceptance.set(settings.policy.acceptance);
         tracing::info!(store = %settings.platform.address, "settings reloaded");
     }
 }
--- a/crates/wax-front/src/state.rs
+++ b/crates/wax-front/src/state.rs
@@ -1,5 +1,6 @@
 //! State of a front in addition to [`PoolShared`], which also holds what ownership needs.
 
+use event_listener::Event;
 use futures_channel::mpsc::UnboundedSender;
 use futures_channel::oneshot;
 use std::cell::{Cell, RefCell};
@@ -7,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_owner::PoolShared;
+use wax_policy::{AcceptanceRules, RefusalTable, StoreHealth, StoreState};
 use wax_types::TimePoint;
 use wax_wire::{JobReply, PoolBody, RelayReply};
 
@@ -25,6 +27,18 @@
     pub(crate) store_lost_since: Cell<Option<TimePoint>>,
     /// Number of this front's transactions that are in flight.
     pub(crate) in_flight: Cell<u32>,
+    /// Rules of answers to callers while the store is slow or unavailable.
+    pub(crate) acceptance: Cell<AcceptanceRules>,
+    /// Estimate of the store's state. It is kept up only while `acceptance` is enabled.
+    pub(crate) health: RefCell<StoreHealth>,
+    /// State of the store in the last log line.
+    pub(crate) logged_store_state: Cell<StoreState>,
+    /// Jobs that this front refused.
+    pub(crate) refusals: RefCell<RefusalTable>,
+    /// Number of fronts that the settings name as peers.
+    pub(crate) peer_count: usize,
+    /// Notified when the store may be back, so that it is probed before the next planned time.
+    pub(crate) probe_due: Event,
 }
 
 /// Retry delay that callers get while the store does not answer.
@@ -40,7 +54,11 @@
 const OWNER_MAX_SILENCE: Duration = Duration::from_millis(800);
 
 impl FrontState {
-    pub(crate) fn new(shared: Rc<PoolShared>) -> Self {
+    pub(crate) fn new(
+        shared: Rc<PoolShared>,
+        acceptance: AcceptanceRules,
+        peer_count: usize,
+    ) -> Self {
         Self {
             shared,
             outbox: RefCell::default(),
@@ -49,6 +67,12 @@
             next_request: Cell::new(1),
             store_lost_since: Cell::new(None),
             in_flight: Cell::new(0),
+            acceptance: Cell::new(acceptance),
+            health: RefCell::default(),
+            logged_store_state: Cell::new(StoreState::Unknown),
+            refusals: RefCell::default(),
+            peer_count,
+            probe_due: Event::new(),
         }
     }
 
--- a/crates/wax-policy/src/refusals.rs
+++ b/crates/wax-policy/src/refusals.rs
@@ -9,6 +9,9 @@
 /// Age after which a refusal is forgotten; callers have given up by then.
 const MAX_AGE: Duration = Duration::from_secs(60);
 
+/// Time for which a transaction without an answer may still take effect.
+const MAX_EFFECT_DELAY: Duration = Duration::from_secs(15);
+
 /// Refusals of one job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct JobRefusals {
@@ -23,6 +26,8 @@
 pub struct RefusalTable {
     jobs: HashMap<u64, JobRefusals>,
     order: VecDeque<(TimePoint, u64)>,
+    /// Jobs whose last transaction may still take effect, in the order of recording.
+    unresolved: VecDeque<(TimePoint, u64)>,
 }
 
 impl RefusalTable {
@@ -45,9 +50,27 @@
         refusals.count - 1
     }
 
+    /// Records that it is not known whether a job is stored.
+    pub fn record_unresolved(&mut self, job: u64, now: TimePoint) {
+        while let Some((at, _)) = self.unresolved.front()
+            && (now.since(*at) >= MAX_EFFECT_DELAY || self.unresolved.len() >= MAX_JOBS)
+        {
+            self.unresolved.pop_front();
+        }
+        self.unresolved.push_back((now, job));
+    }
+
+    /// Returns whether an earlier transaction may still store the job, so that its caller must not
+    /// be told that it is not accepted.
+    pub fn is_unresolved(&self, job: u64, now: TimePoint) -> bool {
+        let mut unresolved = self.unresolved.iter();
+        unresolved.any(|(at, other)| *other == job && now.since(*at) < MAX_EFFECT_DELAY)
+    }
+
     /// Removes a job that was accepted.
     pub fn remove(&mut self, job: u64) {
         self.jobs.remove(&job);
+        self.unresolved.retain(|(_, other)| *other != job);
     }
 
     /// Returns the number of remembered jobs.
--- a/crates/wax-policy/src/store_health.rs
+++ b/crates/wax-policy/src/store_health.rs
@@ -160,12 +160,12 @@
         self.answered_at = Some(now);
     }
 
-    /// Records whether the owner, by its own report, has lost the store.
-    pub fn record_owner_report(&mut self, store_lost: bool, now: TimePoint) {
-        self.owner_lost_since = match store_lost {
-            true => self.owner_lost_since.or(Some(now)),
-            false => None,
-        };
+    /// Records whether the owner, by its own report, has lost the store. Returns whether the owner
+    /// has just regained it.
+    pub fn record_owner_report(&mut self, store_lost: bool, now: TimePoint) -> bool {
+        let before = self.owner_lost_since;
+        self.owner_lost_since = store_lost.then(|| before.unwrap_or(now));
+        before.is_some() && !store_lost
     }
 
     /// Returns the state of the store. `has_relay` tells whether an owner that reaches the store can
--- a/crates/wax-policy/tests/store_health.rs
+++ b/crates/wax-policy/tests/store_health.rs
@@ -106,12 +106,13 @@
 #[test]
 fn the_owners_report_gives_the_age_to_a_front_that_was_idle() {
     let mut health = StoreHealth::default();
-    health.record_owner_report(true, at(1_000));
-    health.record_owner_report(true, at(2_000));
+    assert!(!health.record_owner_report(true, at(1_000)));
+    assert!(!health.record_owner_report(true, at(2_000)));
     assert_eq!(health.outage_age(at(4_000)), Duration::ZERO);
     health.record(Busy, at(4_000), at(4_000));
     assert_eq!(health.outage_age(at(4_500)), ms(3_500));
-    health.record_owner_report(false, at(4_600));
+    assert!(health.record_owner_report(false, at(4_600)));
+    assert!(!health.record_owner_report(false, at(4_700)));
     assert_eq!(health.outage_age(at(5_000)), ms(1_000));
 }
 
@@ -267,6 +268,19 @@
     }
 }
 
+/// A caller must not be told "not accepted" while an earlier transaction may store its job.
+#[test]
+fn a_job_stays_unresolved_while_its_transaction_may_take_effect() {
+    let mut table = RefusalTable::default();
+    table.record_unresolved(1, at(0));
+    assert!(table.is_unresolved(1, at(14_000)));
+    assert!(!table.is_unresolved(2, at(14_000)));
+    assert!(!table.is_unresolved(1, at(15_000)));
+    table.record_unresolved(3, at(15_000));
+    table.remove(3);
+    assert!(!table.is_unresolved(3, at(15_000)));
+}
+
 #[test]
 fn the_memory_of_refusals_is_bounded_and_forgets() {
     let mut table = RefusalTable::default();
--- /dev/null
+++ b/tests/pool/acceptance.rs
@@ -0,0 +1,159 @@
+//! Answers to callers, and accepted work, while the store is unavailable.
+
+use crate::calls::Answer;
+use crate::site::{Site, job, name, run, wait_for};
+use http::Method;
+use serde_json::json;
+
+/// Log line of a change of the store's state.
+const STATE_LINE: &str = "state of the store changed";
+
+async fn submit_once(site: &Site, front: usize, job_name: &str) -> Answer {
+    let body = job(1, 1, 20).to_string().into_bytes();
+    site.request(front, Method::POST, job_name, body)
+        .await
+        .expect("the front must answer")
+}
+
+/// Returns the retry delay of an answer in whole seconds; 0 if it has none.
+fn retry_seconds(answer: &Answer) -> u64 {
+    let header = answer.retry_after.as_deref();
+    header.map_or(0, |text| text.parse().expect("the header must be a number"))
+}
+
+/// Submits new jobs until one is refused with at least this retry delay; returns the number of jobs.
+async fn wait_for_delay(site: &Site, first: u64, seconds: u64) -> u64 {
+    let count = std::cell::Cell::new(0);
+    wait_for("a refusal with a longer retry delay", || async {
+        let answer = submit_once(site, 0, &name(first + count.get())).await;
+        count.set(count.get() + 1);
+        assert_eq!(answer.status, 503);
+        (retry_seconds(&answer) >= seconds).then_some(())
+    })
+    .await;
+    count.get()
+}
+
+/// Callers have four retries. If all refusals name the delay of the start of an outage, they have
+/// used them up within some 3 s.
+#[test]
+fn retry_delays_grow_with_the_age_of_an_outage() {
+    run(async {
+        let site = Site::start_with_acceptance("outage", 1, 1).await;
+        site.submit(&name(1), &job(1, 1, 20)).await;
+        site.wait_state(&name(1), "completed").await;
+        site.set_store_faults(json!({ "down": true })).await;
+        let refused = wait_for_delay(&site, 100, 4).await;
+        let log = site.log("front-0");
+        assert!(log.contains("the store is unavailable (Busy)"));
+        // A query that the owner cannot answer fails for the same reason.
+        let query = site
+            .request(0, Method::GET, &name(9_999), Vec::new())
+            .await
+            .expect("the front must answer");
+        assert_eq!(query.status, 503);
+        assert!(retry_seconds(&query) >= 4, "{:?}", query.retry_after);
+        let cancel = site
+            .request(0, Method::DELETE, &name(9_999), Vec::new())
+            .await
+            .expect("the front must answer");
+        assert_eq!(cancel.status, 503);
+        assert!(retry_seconds(&cancel) >= 4, "{:?}", cancel.retry_after);
+        site.set_store_faults(json!({})).await;
+        for n in 0..refused {
+            let status = wait_for("the front to read the job table", || async {
+                let job_name = name(100 + n);
+                let answer = site.request(0, Method::GET, &job_name, Vec::new()).await;
+                let status = answer.ok()?.status;
+                (status != 503).then_some(status)
+            });
+            assert_eq!(status.await, 410, "a refused job must be unknown");
+        }
+        site.submit(&name(2), &job(1, 1, 20)).await;
+        site.wait_state(&name(2), "completed").await;
+        site.audit().await;
+    });
+}
+
+/// A front that refuses all requests gets no answers from the store unless it probes it.
+#[test]
+fn a_front_detects_the_end_of_an_outage_without_requests() {
+    run(async {
+        let site = Site::start_with_acceptance("probe", 2, 1).await;
+        site.set_store_faults(json!({ "down": true })).await;
+        for front in 0..2 {
+            wait_for("a refusal at once", || async {
+                let answer = submit_once(&site, front, &name(1)).await;
+                assert_eq!(answer.status, 503);
+                let log = site.log(&format!("front-{front}"));
+                log.contains("the store is unavailable").then_some(())
+            })
+            .await;
+        }
+        site.set_store_faults(json!({})).await;
+        for front in 0..2 {
+            let log = format!("front-{front}");
+            site.wait_log(&log, "\"state\":\"Recovering\"").await;
+            let answer = submit_once(&site, front, &name(10 + front as u64)).await;
+            assert_eq!(answer.status, 200);
+            let changes = site.log(&log).matches(STATE_LINE).count();
+            assert!(changes < 10, "{changes} log lines of one outage");
+        }
+        site.audit().await;
+    });
+}
+
+/// The owner reaches the store: a front that the store refuses must not refuse its callers.
+#[test]
+fn a_front_that_alone_lost_the_store_refuses_nobody() {
+    run(async {
+        let site = Site::start_with_acceptance("alone", 2, 1).await;
+        site.submit(&name(1), &job(1, 1, 20)).await;
+        site.wait_state(&name(1), "completed").await;
+        // Either front may own the shard, so each is cut off once.
+        for number in 0..2 {
+            site.store_proxies[number].cut();
+            for n in 0..4 {
+                let job_name = name(10 + 10 * number as u64 + n);
+                wait_for("the front to accept a job", || async {
+                    let answer = submit_once(&site, number, &job_name).await;
+                    (answer.status == 200).then_some(())
+                })
+                .await;
+                site.wait_state(&job_name, "completed").await;
+            }
+            site.store_proxies[number].restore();
+        }
+        let logs = site.log("front-0") + &site.log("front-1");
+        assert!(logs.contains("transaction was relayed by the owner"));
+        site.audit().await;
+    });
+}
+
+/// The loss of replies must never turn into a refusal of a job that runs.
+#[test]
+fn lost_replies_refuse_no_job_that_runs() {
+    run(async {
+        let site = Site::start_with_acceptance("loses", 2, 2).await;
+        site.set_store_faults(json!({ "lose_percent": 60 })).await;
+        let mut refused = Vec::new();
+        for n in 0..12 {
+            let answer = submit_once(&site, n as usize % 2, &name(n)).await;
+            assert!(
+                [200, 503, 504].contains(&answer.status),
+                "{}",
+                answer.status
+            );
+            if answer.status == 503 {
+                refused.push(name(n));
+            }
+        }
+        site.set_store_faults(json!({})).await;
+        site.submit(&name(100), &job(1, 1, 20)).await;
+        site.wait_state(&name(100), "completed").await;
+        for job_name in refused {
+            assert_eq!(site.state(&job_name).await, None, "{job_name} was refused");
+        }
+        site.audit().await;
+    });
+}
