wax-front: submissions that wait share transactions

Cause: each submission was a transaction of its own, of which the store takes 200 per second and part; after an outage some 160 jobs come back at once. Change: with policy.acceptance.enabled, jobs that arrive while four transactions of the front are in flight wait and share the next one, each still stored only if no job of its name is. Jobs that were refused earlier go first. A job that exists ends alone; a conflict on the owner's row sends the others again with its new version; a batch that the store rejects is sent job by job. A resubmission of a job that the owner knows is answered 200 during an outage.

--- a/crates/wax-front/src/accept.rs
+++ b/crates/wax-front/src/accept.rs
@@ -1,13 +1,16 @@
 //! Accepts a job: stores it and then acknowledges it.
 
+use crate::show::query_owner;
 use crate::state::FrontState;
 use crate::store_route::transact_by_any_route;
-use crate::store_view::unknown_outcome;
+use crate::store_view::{invalid_job, unknown_outcome};
+use crate::submit_queue::submit_job;
 use platform::{RowWrite, TxRequest};
 use prost::Message;
+use std::rc::Rc;
 use wax_batch::{JobName, JobRow, JobSpec, QueueRules};
 use wax_owner::{TxResolution, job_key, owner_key, record_owner_row};
-use wax_types::{ErrorKind, Step, TimePoint, WaxError, wall_clock_ms};
+use wax_types::{TimePoint, WaxError, wall_clock_ms};
 
 /// How a job came to be stored.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -25,7 +28,7 @@
 /// `Unavailable` if the job was not stored and will not be stored by this request; `Timeout` if
 /// the result is unknown, so that the job may be stored.
 pub(crate) async fn accept_job(
-    state: &FrontState,
+    state: &Rc<FrontState>,
     queue: &QueueRules,
     job: JobName,
     spec: &JobSpec,
@@ -34,19 +37,19 @@
     let shared = &state.shared;
     if state.acceptance.get().is_enabled() {
         if state.is_store_down() || state.is_store_too_slow(deadline) {
-            return Err(state.refuse_job_at_once(job));
+            // A job that is stored must not be refused: its caller may not have received the answer.
+            return match query_owner(state, job).await {
+                Some(_) => Ok(AcceptOutcome::AlreadyStored),
+                None => Err(state.refuse_job_at_once(job)),
+            };
         }
-    } else if state.is_cut_off() {
+        return submit_job(state, job, new_row(queue, spec), deadline).await;
+    }
+    if state.is_cut_off() {
         let text = "neither the store nor the owner can be reached";
         return Err(state.refuse_job(job, text));
     }
-    let mut row = JobRow::new(
-        spec,
-        &queue.name,
-        &queue.service,
-        wall_clock_ms(),
-        fastrand::u64(1..),
-    );
+    let mut row = new_row(queue, spec);
     loop {
         let owner = shared.owner.borrow().clone();
         // The row carries the number of the current term. Owners of earlier terms have never seen
@@ -63,10 +66,7 @@
             remove: Vec::new(),
         };
         match transact_by_any_route(state, &tx, deadline).await {
-            TxResolution::Committed(_) => {
-                state.refusals.borrow_mut().remove(job.0);
-                return Ok(AcceptOutcome::Stored);
-            }
+            TxResolution::Committed(_) => return Ok(AcceptOutcome::Stored),
             TxResolution::Conflict(rows) => {
                 if let Some(stored) = rows.iter().find(|row| row.key == job_key(job)) {
                     let is_ours = JobRow::decode(&*stored.value)
@@ -87,17 +87,21 @@
             }
             TxResolution::NotSent(error) => return Err(state.refuse_job(job, &error.label)),
             TxResolution::Refused(error) => {
-                let text = format!("the store takes no such job: {}", error.label);
-                return Err(
-                    WaxError::new(ErrorKind::Invalid, Step::SubmitJob, "store", text)
-                        .with_help("submit a smaller job"),
-                );
+                return Err(invalid_job(&error.label));
             }
             TxResolution::Unknown(error) => {
-                let mut refusals = state.refusals.borrow_mut();
-                refusals.record_unresolved(job.0, shared.now());
                 return Err(unknown_outcome(&error.label));
             }
         }
     }
 }
+
+fn new_row(queue: &QueueRules, spec: &JobSpec) -> JobRow {
+    JobRow::new(
+        spec,
+        &queue.name,
+        &queue.service,
+        wall_clock_ms(),
+        fastrand::u64(1..),
+    )
+}
--- a/crates/wax-front/src/lib.rs
+++ b/crates/wax-front/src/lib.rs
@@ -6,6 +6,7 @@
 mod cancel;
 mod direct_route;
 mod handler;
+mod job_batch;
 mod owner_link;
 mod process;
 mod readiness;
@@ -13,5 +14,7 @@
 mod state;
 mod store_route;
 mod store_view;
+mod submit_queue;
 
+pub use job_batch::{BatchStep, JobBatch, JobResult, QueuedJob};
 pub use process::run_front;
--- a/crates/wax-front/src/show.rs
+++ b/crates/wax-front/src/show.rs
@@ -60,7 +60,9 @@
     }
 }
 
-async fn query_owner(state: &FrontState, job: JobName) -> Option<(JobOutcome, bool)> {
+/// Asks the owner for a job's outcome, and whether it has started. `None` if the owner does not know
+/// the job or does not answer.
+pub(crate) async fn query_owner(state: &FrontState, job: JobName) -> Option<(JobOutcome, bool)> {
     if let Some(term) = state.shared.current_term() {
         return match term.job_status(job) {
             JobStatus::Known { outcome, started } => Some((outcome, started)),
--- a/crates/wax-front/src/state.rs
+++ b/crates/wax-front/src/state.rs
@@ -1,5 +1,6 @@
 //! State of a front in addition to [`PoolShared`], which also holds what ownership needs.
 
+use crate::submit_queue::SubmitQueue;
 use event_listener::Event;
 use futures_channel::mpsc::UnboundedSender;
 use futures_channel::oneshot;
@@ -33,6 +34,8 @@
     pub(crate) health: RefCell<StoreHealth>,
     /// State of the store in the last log line.
     pub(crate) logged_store_state: Cell<StoreState>,
+    /// Submitted jobs that wait for a transaction. Used only while `acceptance` is enabled.
+    pub(crate) submissions: SubmitQueue,
     /// Jobs that this front refused.
     pub(crate) refusals: RefCell<RefusalTable>,
     /// Number of fronts that the settings name as peers.
@@ -70,6 +73,7 @@
             acceptance: Cell::new(acceptance),
             health: RefCell::default(),
             logged_store_state: Cell::new(StoreState::Unknown),
+            submissions: SubmitQueue::default(),
             refusals: RefCell::default(),
             peer_count,
             probe_due: Event::new(),
--- a/crates/wax-front/src/store_view.rs
+++ b/crates/wax-front/src/store_view.rs
@@ -175,3 +175,10 @@
     WaxError::new(ErrorKind::Timeout, Step::SubmitJob, "store", text)
         .with_help("submit the same job again")
 }
+
+/// Returns the error for a job that the store rejects.
+pub(crate) fn invalid_job(text: &str) -> WaxError {
+    let text = format!("the store takes no such job: {text}");
+    WaxError::new(ErrorKind::Invalid, Step::SubmitJob, "store", text)
+        .with_help("submit a smaller job")
+}
