tests: accepted work goes on during an outage of the store

Cause: nothing tested that steps are placed, ends processed and failed tasks restarted without the store. Change: a pool test of all three.

--- a/tests/pool/acceptance.rs
+++ b/tests/pool/acceptance.rs
@@ -156,6 +156,37 @@
     });
 }
 
+/// Accepted work goes on without the store: the steps of a known job are placed, ends are
+/// processed, and a failed task is started again. The owner starts tasks until its view of the
+/// drains is too old, some 3.6 s on this site.
+#[test]
+fn accepted_work_goes_on_during_an_outage() {
+    run(async {
+        let site = Site::start_with_acceptance("goes-on", 1, 2).await;
+        let mut failing = job(1, 1, 400);
+        failing["spec"] = json!(json!({ "ms": 400, "fail": true }).to_string());
+        site.submit(&name(1), &failing).await;
+        site.submit(&name(2), &job(3, 2, 200)).await;
+        site.wait_running(&name(1)).await;
+        site.wait_running(&name(2)).await;
+        site.set_store_faults(json!({ "down": true })).await;
+        wait_for("all steps to start without the store", || async {
+            (site.start_count(&name(2)).await == 6).then_some(())
+        })
+        .await;
+        wait_for("the failed task to start again", || async {
+            (site.start_count(&name(1)).await == 2).then_some(())
+        })
+        .await;
+        let answer = submit_once(&site, 0, &name(3)).await;
+        assert_eq!(answer.status, 503, "the store must still be down");
+        site.set_store_faults(json!({})).await;
+        site.wait_state(&name(2), "completed").await;
+        site.wait_state(&name(1), "failed").await;
+        site.audit().await;
+    });
+}
+
 /// Submits jobs at the same time; returns the status of each, 0 without an answer.
 async fn submit_together(site: &Site, front: usize, jobs: std::ops::Range<u64>) -> Vec<u16> {
     let body = job(1, 1, 20).to_string().into_bytes();
