Remove the acceptance rules for store outages again

Callers spend all retries within the 3 s that they wait in total, counted from their first attempt, so no retry delay bridges an outage of 8 s; of 34 s, submissions of 5 s are lost in any case.

--- a/crates/wax-front/src/accept.rs
+++ b/crates/wax-front/src/accept.rs
@@ -1,16 +1,12 @@
 //! Accepts a job: stores it and then acknowledges it.
 
-use crate::show::query_owner;
-use crate::state::FrontState;
+use crate::state::{FrontState, STORE_RETRY_AFTER};
 use crate::store_route::transact_by_any_route;
-use crate::store_view::{invalid_job, unknown_outcome};
-use crate::submit_queue::submit_job;
 use platform::{RowWrite, TxRequest};
 use prost::Message;
-use std::rc::Rc;
 use wax_batch::{JobName, JobRow, JobSpec, QueueRules};
 use wax_owner::{TxResolution, job_key, owner_key, record_owner_row};
-use wax_types::{TimePoint, WaxError, wall_clock_ms};
+use wax_types::{ErrorKind, Step, TimePoint, WaxError, wall_clock_ms};
 
 /// How a job came to be stored.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,28 +24,23 @@
 /// `Unavailable` if the job was not stored and will not be stored by this request; `Timeout` if
 /// the result is unknown, so that the job may be stored.
 pub(crate) async fn accept_job(
-    state: &Rc<FrontState>,
+    state: &FrontState,
     queue: &QueueRules,
     job: JobName,
     spec: &JobSpec,
     deadline: TimePoint,
 ) -> Result<AcceptOutcome, WaxError> {
     let shared = &state.shared;
-    if state.acceptance.get().is_enabled() {
-        if state.is_store_down() || state.is_store_too_slow(deadline) {
-            // A job that is stored must not be refused: its caller may not have received the answer.
-            return match query_owner(state, job).await {
-                Some(_) => Ok(AcceptOutcome::AlreadyStored),
-                None => Err(state.refuse_job_at_once(job)),
-            };
-        }
-        return submit_job(state, job, new_row(queue, spec), deadline).await;
-    }
     if state.is_cut_off() {
-        let text = "neither the store nor the owner can be reached";
-        return Err(state.refuse_job(job, text));
+        return Err(not_stored("neither the store nor the owner can be reached"));
     }
-    let mut row = new_row(queue, spec);
+    let mut row = JobRow::new(
+        spec,
+        &queue.name,
+        &queue.service,
+        wall_clock_ms(),
+        fastrand::u64(1..),
+    );
     loop {
         let owner = shared.owner.borrow().clone();
         // The row carries the number of the current term. Owners of earlier terms have never seen
@@ -82,26 +73,34 @@
                     shared.owner.borrow_mut().take();
                 }
                 if shared.now() >= deadline {
-                    return Err(state.refuse_job(job, "the owner changes again and again"));
+                    return Err(not_stored("the owner changes again and again"));
                 }
             }
-            TxResolution::NotSent(error) => return Err(state.refuse_job(job, &error.label)),
+            TxResolution::NotSent(error) => return Err(not_stored(&error.label)),
             TxResolution::Refused(error) => {
-                return Err(invalid_job(&error.label));
+                let text = format!("the store takes no such job: {}", error.label);
+                return Err(
+                    WaxError::new(ErrorKind::Invalid, Step::SubmitJob, "store", text)
+                        .with_help("submit a smaller job"),
+                );
             }
             TxResolution::Unknown(error) => {
-                return Err(unknown_outcome(&error.label));
+                let text = format!("it is not known whether the job is stored: {}", error.label);
+                return Err(
+                    WaxError::new(ErrorKind::Timeout, Step::SubmitJob, "store", text)
+                        .with_help("submit the same job again"),
+                );
             }
         }
     }
 }
 
-fn new_row(queue: &QueueRules, spec: &JobSpec) -> JobRow {
-    JobRow::new(
-        spec,
-        &queue.name,
-        &queue.service,
-        wall_clock_ms(),
-        fastrand::u64(1..),
+fn not_stored(text: &str) -> WaxError {
+    WaxError::new(
+        ErrorKind::Unavailable(STORE_RETRY_AFTER),
+        Step::SubmitJob,
+        "store",
+        text,
     )
+    .with_help("the job was not accepted; submit it again after the given time")
 }
--- a/crates/wax-front/src/cancel.rs
+++ b/crates/wax-front/src/cancel.rs
@@ -1,12 +1,10 @@
 //! Cancels a job: stores the cancellation and acknowledges it; the owner then stops running tasks.
 
-use crate::direct_route::transact_directly;
 use crate::state::{FrontState, STORE_RETRY_AFTER};
-use crate::store_view::classify_result;
 use platform::{RowWrite, StoredRow, TxRequest};
 use std::time::Duration;
 use wax_batch::JobName;
-use wax_owner::{JOB_TABLE, TxResolution, cancel_key, job_key};
+use wax_owner::{JOB_TABLE, TxResolution, cancel_key, job_key, transact};
 use wax_types::{ErrorKind, Step, TimePoint, WaxError};
 use wax_wire::{JobCancelled, PoolBody};
 
@@ -25,10 +23,6 @@
     job: JobName,
     limit: Duration,
 ) -> Result<Vec<StoredRow>, WaxError> {
-    if state.is_store_down() {
-        return Err(state.refuse_query(Step::ReadJob));
-    }
-    let sent_at = state.shared.now();
     let key = job_key(job);
     let end = format!("{}%00", cancel_key(job).key);
     let page = state
@@ -36,11 +30,8 @@
         .store
         .read(JOB_TABLE, &key.part, &key.key, &end, limit)
         .await;
-    state.record_store_call(classify_result(&page), sent_at);
-    match page {
-        Ok(page) => Ok(page.rows),
-        Err(error) => Err(state.with_retry_after(error)),
-    }
+    state.note_store_answer(page.is_ok());
+    Ok(page?.rows)
 }
 
 /// Stores the cancellation of a job.
@@ -48,8 +39,7 @@
 /// # Errors
 ///
 /// `Timeout` if the store has not confirmed the cancellation in time; `Unavailable` if the job's
-/// rows kept changing until the deadline, or if the store is known to be unavailable and nothing
-/// was stored.
+/// rows kept changing until the deadline.
 pub(crate) async fn cancel_job(
     state: &FrontState,
     job: JobName,
@@ -73,16 +63,13 @@
             }],
             remove: Vec::new(),
         };
-        match transact_directly(state, &tx, deadline).await {
+        match transact(&shared.store, shared.clock, &tx, deadline).await {
             TxResolution::Committed(_) => {
                 notify_owner(state, job);
                 return Ok(CancelOutcome::Cancelled);
             }
             // Another request has cancelled the job, or the job was deleted: read the rows again.
             TxResolution::Conflict(_) => {}
-            TxResolution::NotSent(_) if state.is_store_down() => {
-                return Err(state.refuse_query(Step::SubmitJob));
-            }
             TxResolution::NotSent(error)
             | TxResolution::Unknown(error)
             | TxResolution::Refused(error) => {
--- a/crates/wax-front/src/owner_link.rs
+++ b/crates/wax-front/src/owner_link.rs
@@ -272,7 +272,6 @@
                 state.shared.now()
             };
             state.shared.owner_contact_at.set(contact_at);
-            state.record_owner_report(grant.store_lost);
             state.shared.link_contact_at.set(state.shared.now());
             state
                 .shared
--- a/crates/wax-front/src/process.rs
+++ b/crates/wax-front/src/process.rs
@@ -56,12 +56,7 @@
     shared.set_placement_rules(settings.policy.place);
     shared.set_sharing_rules(settings.policy.sharing);
     shared.set_performance_rules(settings.policy.performance);
-    let seeds = pool.peer_seeds();
-    let state = Rc::new(FrontState::new(
-        shared.clone(),
-        settings.policy.acceptance,
-        seeds.len(),
-    ));
+    let state = Rc::new(FrontState::new(shared.clone()));
     let callers_shutdown = ShutdownSignal::default();
     let callers_server = HttpServer::new(
         bind_listener(callers)?,
@@ -79,10 +74,10 @@
         ShutdownSignal::default(),
     );
     spawn(serve_peers(shared.clone(), bind_listener(pool.peers)?)).detach();
-    spawn(apply_changes(state.clone(), changes)).detach();
+    spawn(apply_changes(shared.clone(), changes)).detach();
     spawn(readiness_server.run()).detach();
     spawn(follow_operator_rows(shared.clone())).detach();
-    spawn(maintain_owner_link(state.clone(), seeds)).detach();
+    spawn(maintain_owner_link(state.clone(), pool.peer_seeds())).detach();
     spawn(watch_store(state)).detach();
     let ownership = spawn(run_ownership(shared, shutdown.clone()));
     tracing::info!(name = %settings.name, %callers, peers = %pool.peers, "front started");
@@ -107,17 +102,13 @@
     }
 }
 
-/// Applies reloaded settings to the running process: the store's address and the rules of the
-/// policy.
-async fn apply_changes(state: Rc<FrontState>, mut changes: UnboundedReceiver<DaemonSettings>) {
+/// Applies reloaded settings to the running process: the store's address and the rules of the owner.
+async fn apply_changes(shared: Rc<PoolShared>, mut changes: UnboundedReceiver<DaemonSettings>) {
     while let Some(settings) = changes.next().await {
-        state.shared.store.set_address(settings.platform.address);
-        state.shared.set_placement_rules(settings.policy.place);
-        state.shared.set_sharing_rules(settings.policy.sharing);
-        state
-            .shared
-            .set_performance_rules(settings.policy.performance);
-        state.acceptance.set(settings.policy.acceptance);
+        shared.store.set_address(settings.platform.address);
+        shared.set_placement_rules(settings.policy.place);
+        shared.set_sharing_rules(settings.policy.sharing);
+        shared.set_performance_rules(settings.policy.performance);
         tracing::info!(store = %settings.platform.address, "settings reloaded");
     }
 }
--- a/crates/wax-front/src/show.rs
+++ b/crates/wax-front/src/show.rs
@@ -2,7 +2,6 @@
 
 use crate::cancel::read_job_rows;
 use crate::state::FrontState;
-use crate::store_view::classify_result;
 use compio::time::timeout;
 use futures_channel::oneshot;
 use platform::JobState;
@@ -34,10 +33,12 @@
     if !rows.iter().any(|row| row.key == job_key(job)) {
         return Ok(None);
     }
-    let sent_at = state.shared.now();
-    let progress = state.shared.store.read_row(&progress_key(job), left).await;
-    state.record_store_call(classify_result(&progress), sent_at);
-    let progress = match progress.map_err(|error| state.with_retry_after(error))? {
+    let progress = state
+        .shared
+        .store
+        .read_row(&progress_key(job), left)
+        .await?;
+    let progress = match progress {
         Some(row) => JobProgress::decode(&*row.value)
             .map_err(|error| WaxError::new(ErrorKind::Protocol, Step::ReadJob, "store", error))?,
         None => JobProgress::default(),
@@ -60,9 +61,7 @@
     }
 }
 
-/// Asks the owner for a job's outcome, and whether it has started. `None` if the owner does not know
-/// the job or does not answer.
-pub(crate) async fn query_owner(state: &FrontState, job: JobName) -> Option<(JobOutcome, bool)> {
+async fn query_owner(state: &FrontState, job: JobName) -> Option<(JobOutcome, bool)> {
     if let Some(term) = state.shared.current_term() {
         return match term.job_status(job) {
             JobStatus::Known { outcome, started } => Some((outcome, started)),
@@ -88,9 +87,6 @@
             .map(|reply| reply.pending_job_count),
     };
     pending.ok_or_else(|| {
-        if state.is_store_down() {
-            return state.refuse_query(Step::ReadJob);
-        }
         let kind = ErrorKind::Unavailable(Duration::from_secs(1));
         WaxError::new(
             kind,
--- a/crates/wax-front/src/state.rs
+++ b/crates/wax-front/src/state.rs
@@ -1,7 +1,5 @@
 //! State of a front in addition to [`PoolShared`], which also holds what ownership needs.
 
-use crate::submit_queue::SubmitQueue;
-use event_listener::Event;
 use futures_channel::mpsc::UnboundedSender;
 use futures_channel::oneshot;
 use std::cell::{Cell, RefCell};
@@ -9,7 +7,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_owner::PoolShared;
-use wax_policy::{AcceptanceRules, RefusalTable, StoreHealth, StoreState};
 use wax_types::TimePoint;
 use wax_wire::{JobReply, PoolBody, RelayReply};
 
@@ -28,20 +25,6 @@
     pub(crate) store_lost_since: Cell<Option<TimePoint>>,
     /// Number of this front's transactions that are in flight.
     pub(crate) in_flight: Cell<u32>,
-    /// Rules of answers to callers while the store is slow or unavailable.
-    pub(crate) acceptance: Cell<AcceptanceRules>,
-    /// Estimate of the store's state. It is kept up only while `acceptance` is enabled.
-    pub(crate) health: RefCell<StoreHealth>,
-    /// State of the store in the last log line.
-    pub(crate) logged_store_state: Cell<StoreState>,
-    /// Submitted jobs that wait for a transaction. Used only while `acceptance` is enabled.
-    pub(crate) submissions: SubmitQueue,
-    /// Jobs that this front refused.
-    pub(crate) refusals: RefCell<RefusalTable>,
-    /// Number of fronts that the settings name as peers.
-    pub(crate) peer_count: usize,
-    /// Notified when the store may be back, so that it is probed before the next planned time.
-    pub(crate) probe_due: Event,
 }
 
 /// Retry delay that callers get while the store does not answer.
@@ -57,11 +40,7 @@
 const OWNER_MAX_SILENCE: Duration = Duration::from_millis(800);
 
 impl FrontState {
-    pub(crate) fn new(
-        shared: Rc<PoolShared>,
-        acceptance: AcceptanceRules,
-        peer_count: usize,
-    ) -> Self {
+    pub(crate) fn new(shared: Rc<PoolShared>) -> Self {
         Self {
             shared,
             outbox: RefCell::default(),
@@ -70,13 +49,6 @@
             next_request: Cell::new(1),
             store_lost_since: Cell::new(None),
             in_flight: Cell::new(0),
-            acceptance: Cell::new(acceptance),
-            health: RefCell::default(),
-            logged_store_state: Cell::new(StoreState::Unknown),
-            submissions: SubmitQueue::default(),
-            refusals: RefCell::default(),
-            peer_count,
-            probe_due: Event::new(),
         }
     }
 
@@ -106,23 +78,17 @@
     /// Records whether the store has answered a call.
     pub(crate) fn note_store_answer(&self, answered: bool) {
         let now = self.shared.now();
-        // The rules of acceptance have log lines of their own; with them, single calls are recorded.
-        let logs_calls = !self.acceptance.get().is_enabled();
         match (answered, self.store_lost_since.get()) {
             (true, Some(since)) => {
                 self.store_lost_since.set(None);
-                if logs_calls {
-                    tracing::info!(
-                        seconds = now.since(since).as_secs_f64(),
-                        "the store answers again"
-                    );
-                }
+                tracing::info!(
+                    seconds = now.since(since).as_secs_f64(),
+                    "the store answers again"
+                );
             }
             (false, None) => {
                 self.store_lost_since.set(Some(now));
-                if logs_calls {
-                    tracing::warn!("the store does not answer");
-                }
+                tracing::warn!("the store does not answer");
             }
             _ => {}
         }
--- a/crates/wax-front/src/store_route.rs
+++ b/crates/wax-front/src/store_route.rs
@@ -4,7 +4,6 @@
 //! sent by both routes takes effect at most once: its conditions name the versions of all rows that
 //! it writes.
 
-use crate::direct_route::transact_directly;
 use crate::state::FrontState;
 use compio::time::{sleep, timeout};
 use futures_channel::oneshot;
@@ -12,8 +11,8 @@
 use platform::TxRequest;
 use std::pin::pin;
 use std::time::Duration;
-use wax_owner::{RelayAttempt, RelayTracker, TxResolution, encode_relay_request};
-use wax_types::{ErrorKind, Step, TimePoint, WaxError};
+use wax_owner::{RelayAttempt, RelayTracker, TxResolution, encode_relay_request, transact};
+use wax_types::TimePoint;
 use wax_wire::PoolBody;
 
 /// Delay after which the second route is used, too, if the first has given no answer. A healthy
@@ -23,13 +22,6 @@
 const SECOND_ROUTE_DELAY: Duration = Duration::from_millis(1_200);
 /// Delay before the next relay attempt, without a link to the owner or after a missing answer.
 const RELAY_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Time that the owner gets for one relay attempt if the rules of acceptance are enabled. An owner
-/// that has just lost the store, too, would otherwise hold the transaction until its deadline.
-const RELAY_ATTEMPT_TIME: Duration = Duration::from_millis(800);
-/// Time for the owner's answer after it has given up an attempt.
-const RELAY_ANSWER_MARGIN: Duration = Duration::from_millis(300);
-/// Period of the checks whether a route that has not been used yet is still of use.
-const DOWN_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
 /// Sends a transaction unchanged by both routes, until its resolution is known or `deadline` has
 /// passed.
@@ -39,6 +31,7 @@
     deadline: TimePoint,
 ) -> TxResolution {
     let _in_flight = InFlightGuard::new(state);
+    let shared = &state.shared;
     // While this front has lost the store, the relay is tried first.
     let prefers_relay = state.store_lost_since.get().is_some() && state.is_owner_reachable();
     let (direct_delay, relay_delay) = match prefers_relay {
@@ -46,22 +39,23 @@
         false => (Duration::ZERO, SECOND_ROUTE_DELAY),
     };
     let direct = pin!(async {
-        match sleep_unless_down(state, direct_delay).await {
-            true => transact_directly(state, tx, deadline).await,
-            false => TxResolution::NotSent(unavailable_error()),
-        }
+        sleep(direct_delay).await;
+        transact(&shared.store, shared.clock, tx, deadline).await
     });
     let relayed = pin!(async {
-        match sleep_unless_down(state, relay_delay).await {
-            true => relay_through_owner(state, tx, deadline).await,
-            false => TxResolution::NotSent(unavailable_error()),
-        }
+        sleep(relay_delay).await;
+        relay_through_owner(state, tx, deadline).await
     });
     match select(direct, relayed).await {
-        Either::Left((resolution, relayed)) => resolve(resolution, relayed).await,
+        Either::Left((resolution, relayed)) => {
+            note_direct(state, &resolution);
+            resolve(resolution, relayed).await
+        }
         Either::Right((resolution, direct)) => {
             if !resolution.is_known() {
-                return resolution.join(direct.await);
+                let direct = direct.await;
+                note_direct(state, &direct);
+                return resolution.join(direct);
             }
             state.note_store_answer(false);
             tracing::info!("transaction was relayed by the owner");
@@ -97,29 +91,8 @@
     }
 }
 
-/// Waits before a route is used. Returns `false` as soon as the store is known to be unavailable by
-/// any route.
-async fn sleep_unless_down(state: &FrontState, delay: Duration) -> bool {
-    let end = state.shared.now() + delay;
-    loop {
-        let left = end.since(state.shared.now());
-        if left.is_zero() {
-            return true;
-        }
-        if !state.acceptance.get().is_enabled() {
-            sleep(left).await;
-            return true;
-        }
-        if state.is_store_down() {
-            return false;
-        }
-        sleep(left.min(DOWN_CHECK_PERIOD)).await;
-    }
-}
-
-fn unavailable_error() -> WaxError {
-    let text = "the store is unavailable by any route";
-    WaxError::new(ErrorKind::Timeout, Step::SubmitJob, "store", text)
+fn note_direct(state: &FrontState, resolution: &TxResolution) {
+    state.note_store_answer(resolution.is_known());
 }
 
 /// Asks the owner to send the transaction, repeatedly until its resolution is known.
@@ -134,24 +107,12 @@
         if time_left.is_zero() {
             return tracker.finish();
         }
-        if state.is_store_down()
-            && let none @ TxResolution::NotSent(_) = tracker.finish()
-        {
-            return none;
-        }
         if !state.is_owner_reachable() {
             // There is no owner, or it has lost the store as well.
             sleep(RELAY_RETRY_DELAY.min(time_left)).await;
             continue;
         }
-        let (wait, answer_limit) = match state.acceptance.get().is_enabled() {
-            true => (
-                time_left.min(RELAY_ATTEMPT_TIME),
-                time_left.min(RELAY_ATTEMPT_TIME + RELAY_ANSWER_MARGIN),
-            ),
-            false => (time_left, time_left),
-        };
-        let attempt = send_relay_request(state, tx, wait, answer_limit).await;
+        let attempt = send_relay_request(state, tx, time_left).await;
         if let Some(resolution) = tracker.record(attempt) {
             return resolution;
         }
@@ -159,18 +120,20 @@
     }
 }
 
-/// Asks the owner to send the transaction for up to `wait`, and waits for its answer.
 async fn send_relay_request(
     state: &FrontState,
     tx: &TxRequest,
-    wait: Duration,
-    answer_limit: Duration,
+    timeout_after: Duration,
 ) -> RelayAttempt {
     let number = state.next_request.get();
     state.next_request.set(number + 1);
     let (sender, answer) = oneshot::channel();
-    let request =
-        PoolBody::RelayRequest(encode_relay_request(number, tx, wait, state.shared.now()));
+    let request = PoolBody::RelayRequest(encode_relay_request(
+        number,
+        tx,
+        timeout_after,
+        state.shared.now(),
+    ));
     let is_sent = match &*state.outbox.borrow() {
         Some(outbox) => outbox.unbounded_send(request).is_ok(),
         None => false,
@@ -179,7 +142,7 @@
         return RelayAttempt::NoLink;
     }
     state.pending_relays.borrow_mut().insert(number, sender);
-    let reply = timeout(answer_limit, answer).await;
+    let reply = timeout(timeout_after, answer).await;
     state.pending_relays.borrow_mut().remove(&number);
     match reply {
         Ok(Ok(reply)) => RelayAttempt::Answered(reply),
--- a/crates/wax-policy/src/lib.rs
+++ b/crates/wax-policy/src/lib.rs
@@ -1,7 +1,6 @@
 //! Scheduling and routing decisions as functions and small state machines without I/O. The present
 //! time is always an argument.
 
-mod acceptance_rules;
 mod admission;
 mod average;
 mod backoff;
@@ -20,7 +19,6 @@
 mod performance_rules;
 mod placement;
 mod placement_rules;
-mod refusals;
 mod rendezvous;
 mod retry;
 mod routing;
@@ -28,10 +26,8 @@
 mod run_times;
 mod sharing;
 mod sizing;
-mod store_health;
 mod workday;
 
-pub use acceptance_rules::AcceptanceRules;
 pub use admission::{AdmitChoice, TeamKey, TeamLimits, TeamTable};
 pub use average::DecayedMean;
 pub use backoff::BackoffPlan;
@@ -62,7 +58,6 @@
     WorkerCapacity, WorkerKey, WorkerTable,
 };
 pub use placement_rules::{ExpectedFinish, PlacementRules};
-pub use refusals::{JobRefusals, RefusalTable};
 pub use rendezvous::{rank_score, top_member};
 pub use retry::RetryBudget;
 pub use routing::{
@@ -74,5 +69,4 @@
 };
 pub use sharing::{BeginChoice, BegunLoad, SharingRules};
 pub use sizing::SizeTable;
-pub use store_health::{StoreAnswer, StoreHealth, StoreState, probe_delay, retry_delay};
 pub use workday::WorkDay;
--- a/crates/wax-settings/src/policy.rs
+++ b/crates/wax-settings/src/policy.rs
@@ -1,9 +1,7 @@
 //! Section `policy` of the settings file: rules of placement and pacing in the pool.
 
 use serde::Deserialize;
-use wax_policy::{
-    AcceptanceRules, PaceRules, PerformanceRules, PlacementRules, RuleInfo, SharingRules,
-};
+use wax_policy::{PaceRules, PerformanceRules, PlacementRules, RuleInfo, SharingRules};
 
 /// Rules of the pool's decisions. Each key is a number in the unit of its rule, or `off` if the
 /// rule can be switched off.
@@ -19,8 +17,6 @@
     pub sharing: SharingRules,
     /// Rules by which the owner recognizes and avoids slow workers.
     pub performance: PerformanceRules,
-    /// Rules by which a front answers callers while the store is slow or unavailable.
-    pub acceptance: AcceptanceRules,
 }
 
 impl PolicySettings {
@@ -31,7 +27,6 @@
             ("pace", self.pace.infos()),
             ("sharing", self.sharing.infos()),
             ("performance", self.performance.infos()),
-            ("acceptance", self.acceptance.infos()),
         ];
         let named = sections
             .into_iter()
--- a/crates/wax-trace/src/counter.rs
+++ b/crates/wax-trace/src/counter.rs
@@ -67,8 +67,6 @@
     StoreCommitsResolved = "store.settled",
     /// Calls to the store that the circuit breaker rejected without sending them.
     StoreCallsRejected = "store.refused",
-    /// Reads by which a front checks whether a lost store is back.
-    StoreProbes = "store.probes",
     /// Jobs accepted.
     JobsAccepted = "jobs.accepted",
     /// Jobs rejected because no worker is large enough for their tasks.
@@ -110,10 +108,6 @@
     JobsRepeated = "jobs.repeated",
     /// Submissions that were rejected or whose outcome is indeterminate.
     JobsNotAccepted = "jobs.not_accepted",
-    /// Submissions refused without a call to the store, because it was known to be unavailable.
-    JobsRefusedAtOnce = "jobs.refused_at_once",
-    /// Jobs that were sent to the store in one transaction with others.
-    JobsInSharedTransactions = "jobs.in_shared_transactions",
     /// Job cancellations that were stored.
     JobsCancelled = "jobs.cancelled",
     /// Jobs whose end was stored.
