Agents send unanswered starts and holds again

Cause: an agent waited 700 ms for the answer to a start and up to 1.05 s for that to a hold. Where 40% of the calls are not answered, starts were stopped and refused, workers counted as silent after two lost holds, and starts were refused as stale since the clock was read from holds only.

Change: with `policy.orders.resend: 1` (off by default) a start or hold without an answer is sent again on another connection, after a time-out from the worker's recent response times (floor 40 ms, ceiling the former limit; the ceiling applies while there are fewer than 8 answers). The delay doubles. The first acceptance of a start counts; a refusal counts only if a single copy was sent, otherwise the run is stopped. Before each copy of a start the agent checks authority, owner, drains and the run's state again. Each copy of a hold has a number of its own, and the other copies are given up before the next hold. The clock is read from the answers to all calls. A worker is silent by the time since its last answer to any call, or after two refused holds. Calls without an answer leave idle connections open while others are answered.

The run table ignores lists of older holds, and never reports a run as not started whose end the hold lists.

--- a/crates/wax-agent/src/driver.rs
+++ b/crates/wax-agent/src/driver.rs
@@ -1,14 +1,16 @@
 //! Drives the worker with one hold after another: a hold extends leases, and its answer lists runs.
 
 use crate::boot_change::{end_boot, expire_boot, handle_restart, is_replaced, verify_candidate};
-use crate::state::AgentState;
+use crate::copies::CallCopies;
+use crate::state::{AgentState, HoldResult};
 use compio::time::{sleep, timeout};
-use platform::{HoldReply, HoldRequest, WorkerRefusal};
+use platform::{CallError, HoldReply, HoldRequest, WorkerRefusal};
 use std::rc::Rc;
 use std::time::Duration;
 use wax_batch::BootId;
+use wax_policy::{ResendChoice, ResendPlan};
 use wax_trace::{Counter, count};
-use wax_types::TimePoint;
+use wax_types::{ErrorKind, Step, TimePoint, WaxError};
 use wax_wire::{
     HeadroomFrame, InterferenceFrame, InterferenceUpdate, PoolBody, RefusalFrame, RunUpdates,
     WorkerSnapshot,
@@ -41,6 +43,8 @@
 /// Drives the active boot, whichever it is, for the lifetime of the process.
 pub(crate) async fn drive_worker(state: Rc<AgentState>) {
     loop {
+        let keeps_idle = state.order_rules.get().is_enabled();
+        state.worker.set_keep_idle(keeps_idle);
         verify_candidate(&state).await;
         let Some(boot) = state
             .active_boot()
@@ -77,7 +81,7 @@
         .as_ref()
         .map_or(0, |link| link.generation);
     let started_at = state.now();
-    let Some((request, reported_link)) = prepare_hold(state, active, started_at) else {
+    let Some((request, reported_link, number)) = prepare_hold(state, active, started_at) else {
         return HoldOutcome::Failed;
     };
     let sends_full_list = generation != 0 && reported_link != generation;
@@ -89,16 +93,29 @@
         },
         ..request
     };
-    let answer = state.worker.hold(active, &request, HOLD_TIMEOUT).await;
+    let (number, answer) = if state.order_rules.get().is_enabled() {
+        send_hold_copies(state, active, request, number).await
+    } else {
+        (
+            number,
+            state.worker.hold(active, &request, HOLD_TIMEOUT).await,
+        )
+    };
     if let Ok(Ok(reply)) = &answer
         && !is_answer_of(state, active, reply)
     {
         return HoldOutcome::Restarted;
     }
-    state.note_hold_answer(active, matches!(answer, Ok(Ok(_))));
+    let result = match &answer {
+        Ok(Ok(_)) => HoldResult::Answered,
+        Ok(Err(_)) | Err(CallError::NotSent(_)) => HoldResult::Refused,
+        Err(CallError::Unknown(_)) => HoldResult::Lost,
+    };
+    state.note_hold_result(active, result);
     match answer {
         Ok(Ok(reply)) => {
-            let has_updates = apply_hold_reply(state, active, &reply, generation, sends_full_list);
+            let has_updates =
+                apply_hold_reply(state, active, (&reply, number), generation, sends_full_list);
             update_paces(state, active);
             let is_early = state.now().since(started_at) < HOLD_WAIT / 4;
             if !has_updates && is_early && !sends_full_list {
@@ -131,7 +148,13 @@
     reply.started_ms.is_none() || reply.started_ms == boot.answering_start_ms
 }
 
-fn prepare_hold(state: &AgentState, active: &BootId, now: TimePoint) -> Option<(HoldRequest, u64)> {
+/// Returns a hold, the link on which the boot's full run list was sent last, and the number of the
+/// hold.
+fn prepare_hold(
+    state: &AgentState,
+    active: &BootId,
+    now: TimePoint,
+) -> Option<(HoldRequest, u64, u64)> {
     let mut boot = state.boot.borrow_mut();
     let boot = boot.as_mut().filter(|boot| boot.view.boot == *active)?;
     boot.hold_number += 1;
@@ -154,15 +177,95 @@
         ack_cursor,
         wait_ms: 0,
     };
-    Some((request, boot.reported_link))
+    Some((request, boot.reported_link, boot.hold_number))
+}
+
+/// Sends a hold, with further copies while it has no answer. The first answer counts, and the other
+/// copies are given up before the next hold is sent, so that no older list follows a newer one.
+/// Returns the number of the copy that was answered.
+async fn send_hold_copies(
+    state: &Rc<AgentState>,
+    active: &BootId,
+    first: HoldRequest,
+    first_number: u64,
+) -> (u64, Result<Result<HoldReply, WorkerRefusal>, CallError>) {
+    let began_at = state.now();
+    let wait = Duration::from_millis(first.wait_ms);
+    let delay = state.hold_resend_delay(active, began_at, HOLD_TIMEOUT);
+    let ends_at = began_at + wait + HOLD_TIMEOUT;
+    let max_copies = state.order_rules.get().max_copies;
+    let mut plan = ResendPlan::new(began_at, delay, ends_at, max_copies).with_first_wait(wait);
+    let mut numbers = vec![first_number];
+    let mut copies = CallCopies::new();
+    loop {
+        let now = state.now();
+        let pause = match plan.choose(now) {
+            ResendChoice::GiveUp => {
+                state.note_losses(active, copies.lost(None));
+                let text = "no copy was answered in time";
+                let error = WaxError::new(ErrorKind::Timeout, Step::CallWorker, "worker", text);
+                return (first_number, Err(CallError::Unknown(error)));
+            }
+            ResendChoice::Wait(pause) => pause,
+            ResendChoice::Send => {
+                let request = if copies.sent() == 0 {
+                    first
+                } else if let Some((request, _, number)) = prepare_hold(state, active, now) {
+                    count(Counter::HoldsResent);
+                    numbers.push(number);
+                    // With a cursor of 0 the worker keeps all ends. The copy may reach another boot.
+                    HoldRequest {
+                        ack_cursor: 0,
+                        ..request
+                    }
+                } else {
+                    plan.stop_sending();
+                    continue;
+                };
+                plan.note_sent(now);
+                let sender = state.clone();
+                copies.push(now, async move {
+                    let wait = Duration::from_millis(request.wait_ms);
+                    // The limit of a hold counts from the end of its wait.
+                    let limit = ends_at.since(now).saturating_sub(wait);
+                    sender.worker.hold(active, &request, limit).await
+                });
+                continue;
+            }
+        };
+        let Some(copy) = copies.next(pause).await else {
+            state.update_contact(active);
+            continue;
+        };
+        if let Err(error) = &copy.answer {
+            if matches!(error, CallError::Unknown(_)) {
+                copies.note_failed();
+            }
+            if !copies.is_idle() {
+                continue;
+            }
+        }
+        let is_answered = copy.answer.is_ok();
+        state.note_losses(active, copies.lost(is_answered.then_some(copy.position)));
+        if is_answered {
+            let wait = if copy.position == 0 {
+                wait
+            } else {
+                Duration::ZERO
+            };
+            state.note_hold_time(active, copy.sent_at, wait);
+        }
+        let number = numbers.get(copy.position as usize).copied();
+        return (number.unwrap_or(first_number), copy.answer);
+    }
 }
 
-/// Applies the lists of running and ended runs, and sends the changes to the owner. Returns whether
+/// Applies the lists of running and ended runs in the answer to a hold of this number, and sends the changes to the owner. Returns whether
 /// there were any.
 fn apply_hold_reply(
     state: &AgentState,
     active: &BootId,
-    reply: &HoldReply,
+    (reply, number): (&HoldReply, u64),
     generation: u64,
     sends_full_list: bool,
 ) -> bool {
@@ -172,8 +275,7 @@
         return false;
     };
     boot.lease.note_clock(now, reply.clock_ms);
-    let hold = boot.hold_number;
-    let updates = boot.table.reconcile(&reply.running, &reply.ended, hold);
+    let updates = boot.table.reconcile(&reply.running, &reply.ended, number);
     for run_id in &updates.skipped_ends {
         tracing::warn!(worker = %active, task = %run_id.task, run = run_id.run, "ignored a run's end with an already processed number");
     }
--- a/crates/wax-agent/src/lease.rs
+++ b/crates/wax-agent/src/lease.rs
@@ -26,6 +26,9 @@
 /// Maximum age of the last reading of the worker's clock. A worker that has not answered for longer
 /// gets no extension: otherwise its leases could never be assumed to have expired.
 const MAX_READING_AGE: Duration = Duration::from_millis(1_000);
+/// How far a reading from the answer to an order may be ahead of the expected clock. Answers to
+/// orders do not name the boot, and a boot that has replaced the active one has a clock of its own.
+const MAX_CLOCK_LEAD_MS: u64 = 1_000;
 /// Extensions that are shorter than this are not granted.
 const MIN_EXTENSION: Duration = Duration::from_millis(50);
 
@@ -47,6 +50,18 @@
         }
     }
 
+    /// Records a reading of the worker's clock from the answer to an order that has just arrived.
+    /// The reading is ignored if it does not continue the readings from holds.
+    pub fn note_order_clock(&mut self, now: TimePoint, clock_ms: u64) {
+        let Some((read_at, last_ms)) = self.last_reading else {
+            return;
+        };
+        let expected_ms = last_ms + now.since(read_at).as_millis() as u64;
+        if clock_ms <= expected_ms + MAX_CLOCK_LEAD_MS {
+            self.note_clock(now, clock_ms);
+        }
+    }
+
     /// Returns the time on the worker's clock up to which leases may be extended now, and records
     /// it as granted. `None` if no extension is allowed.
     pub fn extend(
--- a/crates/wax-agent/src/lib.rs
+++ b/crates/wax-agent/src/lib.rs
@@ -7,6 +7,7 @@
 mod boot_change;
 mod boots;
 mod check_ins;
+mod copies;
 mod crash_log;
 mod driver;
 mod lease;
--- a/crates/wax-agent/src/orders.rs
+++ b/crates/wax-agent/src/orders.rs
@@ -1,5 +1,7 @@
 //! Carries out the owner's orders. Each runs in a task of its own until its result is known.
 
+use crate::boot_change::is_replaced;
+use crate::copies::CallCopies;
 use crate::pace::PaceChange;
 use crate::run_table::{PlacementInfo, RunState, RunTable};
 use crate::state::{AgentState, WorkerBoot};
@@ -9,7 +11,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_batch::{BootId, RunId, StartRefusal};
+use wax_policy::ResendChoice;
 use wax_trace::{Counter, Latency, count, count_many, record_latency};
+use wax_types::TimePoint;
 use wax_wire::{PlacementFrame, PoolBody, RefusalFrame, RunUpdates, StartRun};
 
 /// Timeout for a start; an unanswered start is followed by a stop.
@@ -39,7 +43,11 @@
             Err(refusal) => self.report_refusal(run_id, refusal),
             Ok((boot, request)) => {
                 let state = self.clone();
-                spawn(async move { state.send_start(boot, request).await }).detach();
+                if self.order_rules.get().is_enabled() {
+                    spawn(async move { state.send_start_copies(boot, request).await }).detach();
+                } else {
+                    spawn(async move { state.send_start(boot, request).await }).detach();
+                }
             }
         }
     }
@@ -89,7 +97,7 @@
         if answer.is_ok() {
             self.note_order_answer(&boot);
         }
-        match answer {
+        match answer.map(|reply| reply.outcome) {
             Ok(OrderOutcome::Done) => self.note_started(&boot, run_id),
             Ok(OrderOutcome::Refused(refusal)) => self.note_refused(&boot, run_id, refusal),
             Err(CallError::NotSent(error)) => {
@@ -104,6 +112,127 @@
         }
     }
 
+    /// Starts a run, with further copies of the order while it has no answer. The first acceptance
+    /// counts. A refusal counts only if no other copy was sent: of several copies one may have
+    /// started the run, or may still do so, although another one is refused.
+    async fn send_start_copies(self: Rc<Self>, boot: BootId, request: StartRequest) {
+        let run_id = request.run_id;
+        let began_at = self.now();
+        let mut plan = self.order_plan(&boot, began_at, START_TIMEOUT);
+        let mut copies = CallCopies::new();
+        let (mut all_unsent, mut last_error) = (true, None);
+        let answered = loop {
+            if !self.is_starting(&boot, run_id) {
+                // A hold has listed the run or its end, or a stop is being sent.
+                break None;
+            }
+            let now = self.now();
+            let wait = match plan.choose(now) {
+                ResendChoice::GiveUp => break None,
+                ResendChoice::Wait(_) if plan.is_exhausted() && copies.is_idle() => break None,
+                ResendChoice::Wait(wait) => wait,
+                ResendChoice::Send if copies.sent() > 0 && !self.may_resend(&request, now) => {
+                    plan.stop_sending();
+                    continue;
+                }
+                ResendChoice::Send => {
+                    plan.note_sent(now);
+                    if copies.sent() > 0 {
+                        count(Counter::StartsResent);
+                    }
+                    let limit = plan.time_left(now);
+                    copies.push(now, self.worker.start(&boot, &request, limit));
+                    continue;
+                }
+            };
+            let Some(copy) = copies.next(wait).await else {
+                continue;
+            };
+            match copy.answer {
+                Ok(reply) => {
+                    self.note_order_reply(&boot, copy.sent_at, reply.clock_ms);
+                    break Some((copy.position, reply.outcome));
+                }
+                Err(CallError::NotSent(error)) => {
+                    last_error = Some(error);
+                    if copies.is_idle() && all_unsent {
+                        break None;
+                    }
+                }
+                Err(CallError::Unknown(error)) => {
+                    copies.note_failed();
+                    (all_unsent, last_error) = (false, Some(error));
+                }
+            }
+        };
+        record_latency(Latency::StartRun, self.now().since(began_at));
+        let sent = copies.sent();
+        self.note_losses(&boot, copies.lost(answered.map(|(position, _)| position)));
+        let is_unsent = sent > 0 && all_unsent && copies.is_idle() && answered.is_none();
+        // Closes the connections of the copies without an answer.
+        drop(copies);
+        match answered {
+            Some((_, OrderOutcome::Done)) => {
+                if sent > 1 {
+                    count(Counter::StartsRecovered);
+                }
+                self.note_started(&boot, run_id);
+            }
+            Some((_, OrderOutcome::Refused(refusal))) if sent == 1 => {
+                self.note_refused(&boot, run_id, refusal);
+            }
+            None if is_unsent => {
+                let error = last_error.as_ref().map(tracing::field::display);
+                tracing::warn!(error, task = %run_id.task, run = run_id.run, "start was not sent");
+                self.note_refused(&boot, run_id, WorkerRefusal::Unwell);
+            }
+            _ => self.resolve_copies(boot, run_id, sent, answered).await,
+        }
+    }
+
+    /// Resolves a start whose copies were not answered, or refused after copies without an answer.
+    async fn resolve_copies(
+        self: Rc<Self>,
+        boot: BootId,
+        run_id: RunId,
+        copies: u32,
+        answered: Option<(u32, OrderOutcome)>,
+    ) {
+        let state = self
+            .with_table(&boot, |table| table.state(run_id))
+            .flatten();
+        match state {
+            Some(RunState::Running) => {
+                // A hold has listed the run.
+                count(Counter::StartsRecovered);
+                self.note_started(&boot, run_id);
+            }
+            Some(RunState::Starting) => {
+                count(Counter::StartsUnanswered);
+                let refusal = answered.map(|(_, outcome)| tracing::field::debug(outcome));
+                tracing::warn!(task = %run_id.task, run = run_id.run, copies, refusal, "start was not answered");
+                self.send_stop(boot, run_id).await;
+            }
+            Some(RunState::Stopping | RunState::Stopped { .. }) | None => {}
+        }
+    }
+
+    fn is_starting(&self, boot: &BootId, run_id: RunId) -> bool {
+        let state = self.with_table(boot, |table| table.state(run_id));
+        state.flatten() == Some(RunState::Starting)
+    }
+
+    /// Returns whether a further copy of a start may be sent: all that allowed the first copy must
+    /// still hold, and the owner must be the same.
+    fn may_resend(&self, request: &StartRequest, now: TimePoint) -> bool {
+        let is_replaced = is_replaced(self);
+        !is_replaced
+            && now < self.authority_until.get()
+            && self.is_reconciled()
+            && request.token == self.fencing_token.get()
+            && self.check_drains(now).is_ok()
+    }
+
     /// Resolves an unanswered start: unless a hold has listed the run meanwhile, it is stopped,
     /// which also prevents a late start.
     async fn resolve_start(self: Rc<Self>, boot: BootId, run_id: RunId) {
@@ -181,7 +310,7 @@
                 .worker
                 .stop(&boot, run_id, self.fencing_token.get(), ORDER_TIMEOUT)
                 .await;
-            match answer {
+            match answer.map(|reply| reply.outcome) {
                 Ok(OrderOutcome::Done) => {
                     let mut state = self.boot.borrow_mut();
                     if let Some(state) = state.as_mut().filter(|state| state.view.boot == boot) {
@@ -228,7 +357,8 @@
                     .worker
                     .pace(&boot, run_id, percent, token, ORDER_TIMEOUT)
                     .await;
-                if !matches!(answer, Ok(OrderOutcome::Done)) {
+                let outcome = answer.map(|reply| reply.outcome);
+                if !matches!(outcome, Ok(OrderOutcome::Done)) {
                     state.with_table(&boot, |table| table.forget_pace(run_id));
                 }
             })
@@ -244,7 +374,11 @@
         self.with_boot(boot, |boot| update(&mut boot.table))
     }
 
-    fn with_boot<T>(&self, boot: &BootId, update: impl FnOnce(&mut WorkerBoot) -> T) -> Option<T> {
+    pub(crate) fn with_boot<T>(
+        &self,
+        boot: &BootId,
+        update: impl FnOnce(&mut WorkerBoot) -> T,
+    ) -> Option<T> {
         let mut state = self.boot.borrow_mut();
         let state = state.as_mut().filter(|state| state.view.boot == *boot)?;
         Some(update(state))
--- a/crates/wax-agent/src/process.rs
+++ b/crates/wax-agent/src/process.rs
@@ -12,12 +12,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use wax_http::{HttpServer, ShutdownSignal, bind_listener};
-use wax_policy::{AGENT_HEARTBEAT_PERIOD, DrainRules, PaceRules};
+use wax_policy::{AGENT_HEARTBEAT_PERIOD, DrainRules, OrderRules, PaceRules};
 use wax_settings::DaemonSettings;
 use wax_types::{ErrorKind, ProcessClock, Step, TimePoint, WaxError};
 
 /// Runs an agent until `shutdown`; the worker's tasks continue under their leases. The rules of
-/// pacing may change while the agent runs.
+/// pacing and of unanswered calls may change while the agent runs.
 ///
 /// # Errors
 ///
@@ -25,6 +25,7 @@
 pub async fn run_agent(
     settings: &DaemonSettings,
     pace_rules: Rc<Cell<PaceRules>>,
+    order_rules: Rc<Cell<OrderRules>>,
     directory: impl OwnerDirectory + 'static,
     shutdown: ShutdownSignal,
 ) -> Result<(), WaxError> {
@@ -40,7 +41,8 @@
         bound: pool.drain_bound(),
     };
     let vm = (&*settings.name, &*settings.failure_domain);
-    let state = Rc::new(new_state(vm, worker, pace_rules, drain_rules));
+    let rules = (pace_rules, order_rules);
+    let state = Rc::new(new_state(vm, worker, rules, drain_rules));
     let listener = bind_listener(check_ins)?;
     let handler = Rc::new(CheckInHandler {
         state: state.clone(),
@@ -57,7 +59,7 @@
 fn new_state(
     (node, failure_domain): (&str, &str),
     worker: SocketAddr,
-    pace_rules: Rc<Cell<PaceRules>>,
+    (pace_rules, order_rules): (Rc<Cell<PaceRules>>, Rc<Cell<OrderRules>>),
     drain_rules: DrainRules,
 ) -> AgentState {
     AgentState {
@@ -68,6 +70,7 @@
         worker: WorkerClient::new(worker),
         lease_rules: LeaseRules::default(),
         pace_rules,
+        order_rules,
         link: RefCell::default(),
         boot: RefCell::default(),
         boots: RefCell::default(),
--- a/crates/wax-agent/src/run_table.rs
+++ b/crates/wax-agent/src/run_table.rs
@@ -72,6 +72,8 @@
 pub struct RunTable {
     entries: HashMap<RunId, RunEntry>,
     last_end_number: u64,
+    /// Number of the newest hold whose lists were applied.
+    last_hold: u64,
 }
 
 impl RunTable {
@@ -157,9 +159,14 @@
     }
 
     /// Reconciles the table with the lists of running and ended runs in the answer to hold number
-    /// `hold`.
+    /// `hold`. The lists of a hold that is older than one already applied are ignored: they may omit
+    /// runs that have started since, and list runs whose ends are known.
     pub fn reconcile(&mut self, running: &[RunReport], ended: &[RunEnd], hold: u64) -> HoldUpdates {
         let mut updates = HoldUpdates::default();
+        if hold < self.last_hold {
+            return updates;
+        }
+        self.last_hold = hold;
         for entry in self.entries.values_mut() {
             entry.report.confirmed_by_worker = false;
         }
@@ -192,7 +199,11 @@
             .iter()
             .map(|end| end.number)
             .fold(self.last_end_number, u64::max);
-        let listed = |run_id: &RunId| running.iter().any(|report| report.run_id == *run_id);
+        // A run with a listed end has started, also if the end's number was already processed.
+        let listed = |run_id: &RunId| {
+            running.iter().any(|report| report.run_id == *run_id)
+                || ended.iter().any(|end| end.run_id == *run_id)
+        };
         let omitted: Vec<RunId> = self
             .entries
             .iter()
--- a/crates/wax-agent/src/state.rs
+++ b/crates/wax-agent/src/state.rs
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_batch::{BootId, LostRun, RunId, StartRefusal, WorkerState, WorkerView};
-use wax_policy::{DrainRules, DrainVerdict, DrainView, PaceRules};
+use wax_policy::{AnswerTimes, DrainRules, DrainVerdict, DrainView, OrderRules, PaceRules};
 use wax_trace::{Counter, count};
 use wax_types::{ProcessClock, TimePoint};
 use wax_wire::{DrainFrame, PoolBody};
@@ -38,8 +38,18 @@
     pub(crate) answering_start_ms: Option<u64>,
     /// Number of consecutive holds that were not answered.
     pub(crate) unanswered_holds: u32,
+    /// Number of consecutive holds that were refused or could not be sent.
+    pub(crate) refused_holds: u32,
+    /// Whether the worker counts as silent.
+    pub(crate) is_silent: bool,
     /// When the boot last answered a hold or an order.
     pub(crate) answered_at: TimePoint,
+    /// Response times of orders and of holds without a wait, and all losses.
+    pub(crate) order_times: AnswerTimes,
+    /// Response times of holds beyond their wait, which the worker's timers lengthen.
+    pub(crate) hold_times: AnswerTimes,
+    /// Whether the last log line says that the worker leaves calls unanswered.
+    pub(crate) is_losing_calls: bool,
     /// Generation of the link on which the boot's full run list was sent last; 0 for none.
     pub(crate) reported_link: u64,
     pub(crate) table: RunTable,
@@ -56,6 +66,17 @@
     pub(crate) is_replaced: bool,
 }
 
+/// Result of a hold for the decision whether the worker is silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum HoldResult {
+    /// The worker answered.
+    Answered,
+    /// The worker refused the hold, or no connection to it could be opened.
+    Refused,
+    /// The worker may have got the hold and has not answered it.
+    Lost,
+}
+
 /// Number of consecutive unanswered holds from which on a worker counts as silent.
 const SILENT_AFTER_UNANSWERED_HOLDS: u32 = 2;
 
@@ -84,14 +105,23 @@
     /// answered.
     pub(crate) fn reported_view(&self) -> WorkerView {
         let mut view = self.view.clone();
-        if self.unanswered_holds >= SILENT_AFTER_UNANSWERED_HOLDS
-            && view.state == WorkerState::Ready
-        {
+        if self.is_silent && view.state == WorkerState::Ready {
             view.state = WorkerState::Silent;
         }
         view
     }
 
+    /// Decides whether the worker counts as silent: by the time since its last answer to any call
+    /// if unanswered calls are sent again, otherwise by the number of unanswered holds.
+    fn silence(&self, now: TimePoint, rules: &OrderRules) -> bool {
+        if rules.is_enabled() {
+            let is_refusing = self.refused_holds >= SILENT_AFTER_UNANSWERED_HOLDS;
+            is_refusing || now.since(self.answered_at) >= rules.silent_after
+        } else {
+            self.unanswered_holds >= SILENT_AFTER_UNANSWERED_HOLDS
+        }
+    }
+
     /// Creates the state of a boot that has just answered.
     pub(crate) fn new(view: WorkerView, sequence: u64, now: TimePoint) -> Self {
         Self {
@@ -99,7 +129,12 @@
             view,
             sequence,
             unanswered_holds: 0,
+            refused_holds: 0,
+            is_silent: false,
             answered_at: now,
+            order_times: AnswerTimes::default(),
+            hold_times: AnswerTimes::default(),
+            is_losing_calls: false,
             reported_link: 0,
             table: RunTable::default(),
             lease: LeaseClock::default(),
@@ -125,6 +160,8 @@
     pub(crate) lease_rules: LeaseRules,
     /// Rules of pacing; they change when the settings are reloaded.
     pub(crate) pace_rules: Rc<Cell<PaceRules>>,
+    /// Rules for calls that are not answered; they change when the settings are reloaded.
+    pub(crate) order_rules: Rc<Cell<OrderRules>>,
     pub(crate) link: RefCell<Option<OwnerLink>>,
     /// The active boot, to which the agent sends orders; `None` while there is none.
     pub(crate) boot: RefCell<Option<WorkerBoot>>,
@@ -238,25 +275,44 @@
         Err(StartRefusal::Drained)
     }
 
-    /// Records whether a hold was answered, and reports to the owner when the worker becomes silent
-    /// or answers again.
-    pub(crate) fn note_hold_answer(&self, active: &BootId, answered: bool) {
+    /// Records the result of a hold, and reports to the owner when the worker becomes silent or
+    /// answers again.
+    pub(crate) fn note_hold_result(&self, active: &BootId, result: HoldResult) {
+        let now = self.now();
+        self.with_boot(active, |boot| {
+            if result == HoldResult::Answered {
+                boot.answered_at = now;
+                boot.unanswered_holds = 0;
+                boot.refused_holds = 0;
+            } else {
+                boot.unanswered_holds += 1;
+            }
+            if result == HoldResult::Refused {
+                boot.refused_holds += 1;
+            }
+        });
+        self.update_contact(active);
+    }
+
+    /// Reports to the owner when the worker becomes silent or answers again, and logs when it
+    /// begins or ceases to leave calls unanswered.
+    pub(crate) fn update_contact(&self, active: &BootId) {
+        let now = self.now();
+        let rules = self.order_rules.get();
         let mut boot = self.boot.borrow_mut();
         let Some(boot) = boot.as_mut().filter(|boot| boot.view.boot == *active) else {
             return;
         };
-        if answered {
-            boot.answered_at = self.now();
+        let is_losing = rules.is_enabled() && boot.order_times.is_losing_calls(now);
+        if is_losing != boot.is_losing_calls {
+            boot.is_losing_calls = is_losing;
+            tracing::info!(worker = %active, losing = is_losing, "worker leaves calls unanswered or answers all again");
         }
-        let was_silent = boot.unanswered_holds >= SILENT_AFTER_UNANSWERED_HOLDS;
-        boot.unanswered_holds = if answered {
-            0
-        } else {
-            boot.unanswered_holds + 1
-        };
-        let is_silent = boot.unanswered_holds >= SILENT_AFTER_UNANSWERED_HOLDS;
-        if was_silent != is_silent {
-            tracing::info!(worker = %active, silent = is_silent, "worker became silent or answers again");
+        let is_silent = boot.silence(now, &rules);
+        if is_silent != boot.is_silent {
+            boot.is_silent = is_silent;
+            let silent_ms = now.since(boot.answered_at).as_millis() as u64;
+            tracing::info!(worker = %active, silent = is_silent, silent_ms, "worker became silent or answers again");
             self.send(PoolBody::WorkerChanged((&boot.reported_view()).into()));
         }
     }
--- a/crates/wax-agent/tests/guards.rs
+++ b/crates/wax-agent/tests/guards.rs
@@ -329,3 +329,215 @@
     table.reconcile(&[report(run_id(0, 1))], &[], 1);
     assert!(!table.has_unlisted());
 }
+
+/// Guards against a run that disappears from the table, or an end that is taken as new, because the
+/// answer to an older hold arrives after that to a newer one.
+#[test]
+fn lists_of_an_older_hold_are_ignored() {
+    let mut table = RunTable::default();
+    for index in 0..2 {
+        let reserved = table.reserve(run_id(index, 1), placement(100), &view(1_000), at(0));
+        assert_eq!(reserved, Ok(()));
+    }
+    table.reconcile(&[report(run_id(0, 1))], &[end(1, run_id(1, 1))], 4);
+    let updates = table.reconcile(&[report(run_id(1, 1))], &[], 3);
+    assert_eq!(updates, Default::default());
+    assert_eq!(
+        table.state(run_id(1, 1)),
+        None,
+        "the run has ended by the newer hold"
+    );
+    table.mark_stopping(run_id(0, 1));
+    table.mark_stopped(run_id(0, 1), 2);
+    let updates = table.reconcile(&[], &[], 3);
+    assert!(updates.never_started.is_empty(), "the list is outdated");
+    assert_eq!(table.reconcile(&[], &[], 5).never_started, [run_id(0, 1)]);
+}
+
+/// Guards against the report that a run never started although the worker lists its end.
+#[test]
+fn run_with_a_listed_end_is_never_reported_as_not_started() {
+    let mut table = RunTable::default();
+    table.reconcile(&[], &[end(5, run_id(1, 1))], 1);
+    let reserved = table.reserve(run_id(0, 1), placement(100), &view(1_000), at(0));
+    assert_eq!(reserved, Ok(()));
+    table.mark_stopping(run_id(0, 1));
+    table.mark_stopped(run_id(0, 1), 1);
+    // The number of the end was already processed, so that the end itself is ignored.
+    let updates = table.reconcile(&[], &[end(4, run_id(0, 1))], 2);
+    assert_eq!(updates.skipped_ends, [run_id(0, 1)]);
+    assert!(updates.never_started.is_empty());
+}
+
+/// Guards against starts that are refused because no hold was answered for a second, although the
+/// worker has answered orders.
+#[test]
+fn answers_to_orders_keep_the_reading_of_the_clock_recent() {
+    let rules = LeaseRules::default();
+    let mut lease = LeaseClock::default();
+    lease.note_order_clock(at(0), 5_000);
+    assert_eq!(
+        lease.extend(at(0), at(60_000), &rules),
+        None,
+        "an order does not show which boot's clock it is"
+    );
+    lease.note_clock(at(0), 5_000);
+    lease.note_order_clock(at(900), 5_890);
+    let until = lease.extend(at(1_800), at(60_000), &rules);
+    assert_eq!(until, Some(5_890 + 900 + 4_000));
+}
+
+/// Guards against leases by the clock of another boot, and by a reading that is older than the last.
+#[test]
+fn readings_that_do_not_continue_the_clock_are_ignored() {
+    let rules = LeaseRules::default();
+    let mut lease = LeaseClock::default();
+    lease.note_clock(at(0), 5_000);
+    lease.note_order_clock(at(100), 1_005_000);
+    lease.note_order_clock(at(100), 4_900);
+    let until = lease.extend(at(100), at(60_000), &rules);
+    assert_eq!(until, Some(9_100));
+}
+
+/// One copy of a call to the simulated worker.
+#[derive(Debug, Clone, Copy)]
+enum CopyCall {
+    Start,
+    Stop,
+    Hold,
+}
+
+#[derive(Debug, Clone)]
+enum CopyStep {
+    Send(CopyCall),
+    /// Executes the call in flight at this position.
+    Execute(usize),
+    /// Delivers the answer at this position.
+    Deliver(usize),
+    /// Ends the run on the worker.
+    Finish,
+}
+
+fn copy_step() -> impl Strategy<Value = CopyStep> {
+    let call = prop_oneof![
+        Just(CopyCall::Start),
+        Just(CopyCall::Stop),
+        Just(CopyCall::Hold),
+        Just(CopyCall::Hold),
+    ];
+    prop_oneof![
+        4 => call.prop_map(CopyStep::Send),
+        4 => (0..8_usize).prop_map(CopyStep::Execute),
+        4 => (0..8_usize).prop_map(CopyStep::Deliver),
+        1 => Just(CopyStep::Finish),
+    ]
+}
+
+/// A worker with one run, as the platform's workers behave.
+#[derive(Debug, Default)]
+struct SingleRunWorker {
+    is_running: bool,
+    is_closed: bool,
+    ends: Vec<RunEnd>,
+    starts: u32,
+}
+
+impl SingleRunWorker {
+    fn end(&mut self) {
+        if std::mem::take(&mut self.is_running) {
+            self.is_closed = true;
+            self.ends
+                .push(end(self.ends.len() as u64 + 1, run_id(0, 1)));
+        }
+    }
+
+    fn start(&mut self) -> bool {
+        if !self.is_running && !self.is_closed {
+            self.is_running = true;
+            self.starts += 1;
+        }
+        self.is_running
+    }
+
+    fn stop(&mut self) {
+        self.end();
+        self.is_closed = true;
+    }
+}
+
+/// Answer of the worker on its way to the agent.
+#[derive(Debug, Clone)]
+enum CopyAnswer {
+    Started(bool),
+    Stopped,
+    Listed(u64, Vec<RunReport>, Vec<RunEnd>),
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(4_000))]
+
+    /// Copies of starts, stops and holds are executed and answered in any order, or never. Of the
+    /// copies of a hold that are in flight at the same time, one answer counts. A run
+    /// that has started must not be reported as never started, a run that was reported so must not
+    /// start later, and its end is reported once.
+    #[test]
+    fn copies_in_any_order_never_contradict_the_worker(steps in prop::collection::vec(copy_step(), 1..60)) {
+        let id = run_id(0, 1);
+        let mut table = RunTable::default();
+        prop_assert_eq!(table.reserve(id, placement(1), &view(1_000), at(0)), Ok(()));
+        let mut worker = SingleRunWorker::default();
+        let (mut calls, mut answers) = (Vec::new(), Vec::new());
+        let (mut hold, mut ends, mut never_started) = (0, 0, false);
+        for step in steps {
+            match step {
+                // The agent sends no copy of a start after a stop.
+                CopyStep::Send(CopyCall::Start) if table.state(id) != Some(RunState::Starting) => {}
+                CopyStep::Send(CopyCall::Stop) if !table.mark_stopping(id) => {}
+                CopyStep::Send(call) => {
+                    if matches!(call, CopyCall::Hold) {
+                        hold += 1;
+                    }
+                    calls.push((call, hold));
+                }
+                CopyStep::Execute(position) if !calls.is_empty() => {
+                    let (call, number) = calls.remove(position % calls.len());
+                    answers.push(match call {
+                        CopyCall::Start => CopyAnswer::Started(worker.start()),
+                        CopyCall::Stop => {
+                            worker.stop();
+                            CopyAnswer::Stopped
+                        }
+                        CopyCall::Hold => {
+                            let running = if worker.is_running { vec![report(id)] } else { Vec::new() };
+                            CopyAnswer::Listed(number, running, worker.ends.clone())
+                        }
+                    });
+                }
+                CopyStep::Deliver(position) if !answers.is_empty() => {
+                    match answers.remove(position % answers.len()) {
+                        CopyAnswer::Started(true) => table.mark_running(id),
+                        // A refused copy of several does not resolve the start.
+                        CopyAnswer::Started(false) => {}
+                        CopyAnswer::Stopped => table.mark_stopped(id, hold),
+                        CopyAnswer::Listed(number, running, ended) => {
+                            let updates = table.reconcile(&running, &ended, number);
+                            // The first answer counts: the other copies are given up before the
+                            // next hold is sent. They may still be executed.
+                            calls.retain(|(call, _)| !matches!(call, CopyCall::Hold));
+                            answers.retain(|answer| !matches!(answer, CopyAnswer::Listed(..)));
+                            ends += updates.ended.len();
+                            never_started |= !updates.never_started.is_empty();
+                        }
+                    }
+                }
+                CopyStep::Execute(_) | CopyStep::Deliver(_) => {}
+                CopyStep::Finish => worker.end(),
+            }
+            prop_assert!(!(never_started && worker.starts > 0), "a started run was reported as never started");
+            prop_assert!(ends <= 1, "the end was reported {} times", ends);
+            let is_over = ends > 0 || never_started;
+            prop_assert!(!(is_over && table.state(id).is_some()), "the table has a run that is over");
+            prop_assert!(!(worker.is_running && table.is_empty()), "the table lacks a running run");
+        }
+    }
+}
--- a/crates/wax-policy/src/lib.rs
+++ b/crates/wax-policy/src/lib.rs
@@ -2,6 +2,7 @@
 //! time is always an argument.
 
 mod admission;
+mod answer_times;
 mod average;
 mod backoff;
 mod breaker;
@@ -13,11 +14,13 @@
 mod interference;
 mod kinds;
 mod mitigation;
+mod order_rules;
 mod pace_rules;
 mod pair_interference;
 mod placement;
 mod placement_rules;
 mod rendezvous;
+mod resend;
 mod retry;
 mod routing;
 mod rules;
@@ -25,6 +28,7 @@
 mod workday;
 
 pub use admission::{AdmitChoice, TeamKey, TeamLimits, TeamTable};
+pub use answer_times::AnswerTimes;
 pub use average::DecayedMean;
 pub use backoff::BackoffPlan;
 pub use breaker::{BreakerChoice, StoreBreaker};
@@ -39,6 +43,7 @@
 pub use interference::{LoadBand, PairEstimate, PairTable};
 pub use kinds::{KindKey, KindTable};
 pub use mitigation::{MitigationChoice, MitigationState, MitigationView, THROTTLED_PERCENT};
+pub use order_rules::OrderRules;
 pub use pace_rules::PaceRules;
 pub use pair_interference::{
     CoresByImage, InterferenceEstimate, InterferenceTable, LoadChange, LoadSample,
@@ -50,6 +55,7 @@
 };
 pub use placement_rules::{ExpectedFinish, PlacementRules};
 pub use rendezvous::{rank_score, top_member};
+pub use resend::{ResendChoice, ResendPlan};
 pub use retry::RetryBudget;
 pub use routing::{
     AttemptEnd, RouteChoice, RoutePolicy, RouteTable, UpstreamKey, UpstreamLoad, UpstreamView,
--- a/crates/wax-standin/src/site_runs.rs
+++ b/crates/wax-standin/src/site_runs.rs
@@ -17,6 +17,14 @@
     deadline_ms: u64,
     fencing_token: u64,
     checkpoint: String,
+    percent: u32,
+}
+
+impl RunOrder {
+    /// Returns the task and the number of its run.
+    pub(crate) fn run_key(&self) -> (String, u64) {
+        (self.task.clone(), self.run)
+    }
 }
 
 /// Behaviour of the tasks of a job, decoded from the job's spec.
@@ -101,6 +109,8 @@
     token: u64,
     /// End of the lease on the worker's clock, milliseconds.
     lease_ms: u64,
+    /// Last pace that was ordered for each task, in percent.
+    paces: BTreeMap<String, u32>,
     history: Vec<Value>,
 }
 
@@ -118,6 +128,7 @@
             highest_closed_runs: HashMap::new(),
             token: 0,
             lease_ms: 0,
+            paces: BTreeMap::new(),
             history: Vec::new(),
         }
     }
@@ -216,6 +227,20 @@
         self.answer(None)
     }
 
+    /// Records the pace of a task. The stand-in does not throttle runs.
+    pub(crate) fn pace(&mut self, order: RunOrder) -> OrderAnswer {
+        if !self.accept_token(order.fencing_token) {
+            return self.answer(Some("fence"));
+        }
+        self.paces.insert(order.task, order.percent);
+        self.answer(None)
+    }
+
+    /// Returns the last pace that was ordered for each task, in percent.
+    pub(crate) fn paces(&self) -> &BTreeMap<String, u32> {
+        &self.paces
+    }
+
     pub(crate) fn hold(&mut self, token: u64, until_ms: Option<u64>, cursor: u64) -> OrderAnswer {
         if !self.accept_token(token) {
             return self.answer(Some("fence"));
--- a/crates/wax-standin/src/site_worker.rs
+++ b/crates/wax-standin/src/site_worker.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,6 +41,14 @@
     late_percent: u32,
     /// Delay of these start orders, milliseconds.
     late_ms: u64,
+    /// Percentage of calls, of any kind, that are not answered and are executed later.
+    lost_percent: u32,
+    /// Number of first copies of each start that are not answered and are executed later.
+    lost_start_copies: u32,
+    /// Holds that may wait are not answered and are executed later.
+    lost_waiting_holds: bool,
+    /// Minimum and maximum delay until calls without an answer are executed, milliseconds.
+    lost_ms: (u64, u64),
     /// The worker reports the state `draining`.
     draining: bool,
     /// Processor capacity that the worker reports, thousandths of a core; `None` reports the value
@@ -49,7 +58,9 @@
 
 struct SiteWorkerState {
     id: String,
-    runs: RefCell<SiteRuns>,
+    runs: Rc<RefCell<SiteRuns>>,
+    /// Number of copies received of each start, by task and run.
+    start_copies: RefCell<HashMap<(String, u64), u32>>,
     faults: RefCell<SiteWorkerFaults>,
     /// Number of the last check-in.
     sequence: Cell<u64>,
@@ -75,7 +86,8 @@
     println!("{}", json!({ "worker": address }));
     let state = Rc::new(SiteWorkerState {
         id: options.id.clone(),
-        runs: RefCell::new(SiteRuns::new(&options)),
+        runs: Rc::new(RefCell::new(SiteRuns::new(&options))),
+        start_copies: RefCell::default(),
         faults: RefCell::default(),
         sequence: Cell::new(0),
         reported: RefCell::default(),
@@ -142,6 +154,7 @@
             }
             "/report" => return json_reply(StatusCode::OK, &*self.reported.borrow()),
             "/token" => return json_reply(StatusCode::OK, &self.runs.borrow().token()),
+            "/paces" => return json_reply(StatusCode::OK, self.runs.borrow().paces()),
             "/history" => return json_reply(StatusCode::OK, self.runs.borrow().history()),
             _ => {}
         }
@@ -152,7 +165,7 @@
         match path.as_str() {
             "/v1/run-start" => self.start(request).await,
             "/v1/run-stop" => self.order(request, SiteRuns::stop).await,
-            "/v1/pace" => self.order(request, |runs, _| runs.answer(None)).await,
+            "/v1/pace" => self.order(request, SiteRuns::pace).await,
             "/v1/hold" => self.hold(request).await,
             _ => empty_reply(StatusCode::NOT_FOUND),
         }
@@ -168,7 +181,31 @@
     json_reply(status, answer)
 }
 
+impl SiteWorkerFaults {
+    fn loses_call(&self) -> bool {
+        fastrand::u32(0..100) < self.lost_percent
+    }
+}
+
 impl SiteWorkerState {
+    /// Executes a call later, also if the caller closes the connection, and sends no answer.
+    async fn lose(
+        &self,
+        faults: &SiteWorkerFaults,
+        execute: impl FnOnce(&mut SiteRuns) + 'static,
+    ) -> HttpReply {
+        let (min, max) = faults.lost_ms;
+        let delay = Duration::from_millis(fastrand::u64(min..=max.max(min)));
+        let runs = self.runs.clone();
+        spawn(async move {
+            sleep(delay).await;
+            execute(&mut runs.borrow_mut());
+        })
+        .detach();
+        sleep(LOST_REPLY_DELAY).await;
+        empty_reply(StatusCode::GATEWAY_TIMEOUT)
+    }
+
     /// Returns the content of a check-in: identity, address, state and capacity.
     fn report(&self, options: &SiteWorkerOptions, address: SocketAddr) -> Value {
         let faults = self.faults.borrow();
@@ -190,6 +227,19 @@
             Err(error) => return error_reply(&error),
         };
         let faults = self.faults.borrow().clone();
+        let copies = {
+            let mut copies = self.start_copies.borrow_mut();
+            let copies = copies.entry(order.run_key()).or_default();
+            *copies += 1;
+            *copies
+        };
+        if copies <= faults.lost_start_copies || faults.loses_call() {
+            return self
+                .lose(&faults, move |runs| {
+                    runs.start(order);
+                })
+                .await;
+        }
         if fastrand::u32(0..100) < faults.late_percent {
             sleep(Duration::from_millis(faults.late_ms)).await;
             self.runs.borrow_mut().start(order);
@@ -202,9 +252,16 @@
     async fn order(
         &self,
         request: HttpRequest,
-        apply: impl Fn(&mut SiteRuns, RunOrder) -> OrderAnswer,
+        apply: impl Fn(&mut SiteRuns, RunOrder) -> OrderAnswer + 'static,
     ) -> HttpReply {
+        let faults = self.faults.borrow().clone();
         match parse_json(request, MAX_BODY_BYTES).await {
+            Ok(order) if faults.loses_call() => {
+                self.lose(&faults, move |runs| {
+                    apply(runs, order);
+                })
+                .await
+            }
             Ok(order) => reply(&apply(&mut self.runs.borrow_mut(), order)),
             Err(error) => error_reply(&error),
         }
@@ -215,6 +272,14 @@
             Ok(body) => body,
             Err(error) => return error_reply(&error),
         };
+        let faults = self.faults.borrow().clone();
+        if (faults.lost_waiting_holds && body.wait_ms > 0) || faults.loses_call() {
+            return self
+                .lose(&faults, move |runs| {
+                    runs.hold(body.fencing_token, body.deadline_ms, body.ack_cursor);
+                })
+                .await;
+        }
         let answer =
             self.runs
                 .borrow_mut()
--- a/crates/wax-trace/src/counter.rs
+++ b/crates/wax-trace/src/counter.rs
@@ -132,6 +132,16 @@
     StartsRefused = "starts.refused",
     /// Start orders that were not answered.
     StartsUnanswered = "starts.unanswered",
+    /// Further copies of starts that were sent because no answer had arrived.
+    StartsResent = "starts.resent",
+    /// Starts that only a later copy resolved.
+    StartsRecovered = "starts.recovered",
+    /// Further copies of stops that were sent because no answer had arrived.
+    StopsResent = "stops.resent",
+    /// Further copies of holds that were sent because no answer had arrived.
+    HoldsResent = "holds.resent",
+    /// Pace orders that were repeated because a late copy of an earlier one may still be executed.
+    PacesRepeated = "pace.repeated",
     /// Stop orders sent to agents.
     StopsOrdered = "stops.ordered",
     /// Hold calls to workers that were not answered.
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use wax_agent::OwnerDirectory;
 use wax_owner::{OwnerRow, owner_key};
-use wax_policy::PaceRules;
+use wax_policy::{OrderRules, PaceRules};
 use wax_settings::{DaemonSettings, SettingsFile};
 use wax_types::WaxError;
 
@@ -35,21 +35,31 @@
     let store = Rc::new(StoreClient::new(settings.platform.address));
     let pace_rules = Rc::new(Cell::new(settings.policy.pace));
     let changes = watch_settings(file);
-    spawn(apply_changes(store.clone(), pace_rules.clone(), changes)).detach();
+    let order_rules = Rc::new(Cell::new(settings.policy.orders));
+    let rules = (pace_rules.clone(), order_rules.clone());
+    spawn(apply_changes(store.clone(), rules, changes)).detach();
     let directory = StoreOwnerDirectory(store);
-    wax_agent::run_agent(&settings, pace_rules, directory, shutdown_signal()).await
+    wax_agent::run_agent(
+        &settings,
+        pace_rules,
+        order_rules,
+        directory,
+        shutdown_signal(),
+    )
+    .await
 }
 
-/// Applies the address of the store and the pacing rules of changed settings; an agent ignores
-/// other changes.
+/// Applies the address of the store, and the rules of pacing and of unanswered calls, of changed
+/// settings; an agent ignores other changes.
 async fn apply_changes(
     store: Rc<StoreClient>,
-    pace_rules: Rc<Cell<PaceRules>>,
+    (pace_rules, order_rules): (Rc<Cell<PaceRules>>, Rc<Cell<OrderRules>>),
     mut changes: UnboundedReceiver<DaemonSettings>,
 ) {
     while let Some(settings) = changes.next().await {
         store.set_address(settings.platform.address);
         pace_rules.set(settings.policy.pace);
+        order_rules.set(settings.policy.orders);
         tracing::info!(store = %settings.platform.address, "settings reloaded");
     }
 }
--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -14,6 +14,7 @@
 mod jobs;
 mod links;
 mod many_agents;
+mod orders;
 mod ports;
 mod restarts;
 mod site;
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -435,6 +435,25 @@
         vm.agent = Some(SiteProcess::start("waxwingd", &args, log));
     }
 
+    /// Sets the section `policy.orders` of all agents and fronts and starts their processes again.
+    pub(crate) async fn set_order_rules(&mut self, rules: &str) {
+        let settings = self.fronts.iter().map(|front| &front.settings);
+        for file in settings.chain(self.vms.iter().map(|vm| &vm.settings)) {
+            let text = std::fs::read_to_string(file).expect("the settings must be readable");
+            let text = format!("{text}policy:\n  orders: {{{rules}}}\n");
+            std::fs::write(file, text).expect("the settings must be written");
+        }
+        for number in 0..self.vms.len() {
+            self.kill_agent(number);
+            self.start_agent(number);
+        }
+        for number in 0..self.fronts.len() {
+            self.kill_front(number);
+            self.start_front(number);
+            self.wait_ready(number).await;
+        }
+    }
+
     pub(crate) fn signal_agent(&self, number: usize, signal: i32) {
         let process = self.vms[number].agent.as_ref();
         process.expect("the agent must be running").signal(signal);
