Agents send unanswered stops again and repeat paces

A pace order without an answer may be executed up to 12 s later and overwrite a newer one; the run then works at a pace that the agent does not know.

Change: with `policy.orders.resend: 1` a stop has several copies in flight, and the first acknowledgement counts. The agent sends the planned pace of a run again each second while a late copy of an unanswered order may still be executed, and once afterwards.

Seen to fail in guards.rs: without the record of the loss, without the last repetition, and with repetition for runs that are being stopped. The pool tests of the lost agent, the lost owner and the cancelled job check the audits of the workers; they also pass with the section off.

--- a/crates/wax-agent/src/orders.rs
+++ b/crates/wax-agent/src/orders.rs
@@ -23,6 +23,15 @@
 /// Delay between two attempts to send a stop.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// What becomes of a stop whose copies have been answered or given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StopProgress {
+    /// The stop is acknowledged, or the run or its boot has ended.
+    Over,
+    /// The stop is sent again.
+    Repeat,
+}
+
 impl From<&PlacementFrame> for PlacementInfo {
     fn from(frame: &PlacementFrame) -> Self {
         Self {
@@ -35,6 +44,10 @@
     }
 }
 
+/// Limit of a pace order as a multiple of the time without an answer after which other orders are
+/// sent again.
+const PACE_LIMIT_FACTOR: u32 = 4;
+
 impl AgentState {
     /// Starts a run, if the order is meant for the active boot and passes the admission checks.
     pub(crate) fn handle_start(self: &Rc<Self>, order: StartRun) {
@@ -300,6 +313,13 @@
     /// Sends a stop until it is answered or the boot is no longer active.
     pub(crate) async fn send_stop(self: Rc<Self>, boot: BootId, run_id: RunId) {
         loop {
+            if self.order_rules.get().is_enabled() {
+                if self.send_stop_copies(&boot, run_id).await == StopProgress::Over {
+                    return;
+                }
+                sleep(STOP_RETRY_DELAY).await;
+                continue;
+            }
             if self.with_table(&boot, |table| table.mark_stopping(run_id)) != Some(true) {
                 // The run or its boot has ended. The owner learns of it from the end itself, on
                 // this link or the next. A reply that the run never started would let a finished
@@ -331,6 +351,70 @@
         }
     }
 
+    /// Sends a stop, with further copies while it has no answer. The first acknowledgement counts:
+    /// whatever the other copies do later, the worker does not start the run again.
+    async fn send_stop_copies(&self, boot: &BootId, run_id: RunId) -> StopProgress {
+        let mut plan = self.order_plan(boot, self.now(), ORDER_TIMEOUT);
+        let mut copies = CallCopies::new();
+        loop {
+            if self.with_table(boot, |table| table.mark_stopping(run_id)) != Some(true) {
+                // The run or its boot has ended; see `send_stop`.
+                return StopProgress::Over;
+            }
+            let now = self.now();
+            let wait = match plan.choose(now) {
+                ResendChoice::GiveUp => break,
+                ResendChoice::Wait(_) if plan.is_exhausted() && copies.is_idle() => break,
+                ResendChoice::Wait(wait) => wait,
+                ResendChoice::Send => {
+                    plan.note_sent(now);
+                    if copies.sent() > 0 {
+                        count(Counter::StopsResent);
+                    }
+                    let (token, limit) = (self.fencing_token.get(), plan.time_left(now));
+                    copies.push(now, self.worker.stop(boot, run_id, token, limit));
+                    continue;
+                }
+            };
+            let Some(copy) = copies.next(wait).await else {
+                continue;
+            };
+            let position = copy.position;
+            match copy.answer {
+                Ok(reply) => {
+                    self.note_order_reply(boot, copy.sent_at, reply.clock_ms);
+                    match reply.outcome {
+                        OrderOutcome::Done => {
+                            self.with_boot(boot, |boot| {
+                                boot.table.mark_stopped(run_id, boot.hold_number);
+                            });
+                            self.note_losses(boot, copies.lost(Some(position)));
+                            return StopProgress::Over;
+                        }
+                        OrderOutcome::Refused(WorkerRefusal::OtherBoot) => {
+                            return StopProgress::Over;
+                        }
+                        OrderOutcome::Refused(refusal) => {
+                            tracing::warn!(task = %run_id.task, run = run_id.run, ?refusal, "stop refused");
+                        }
+                    }
+                }
+                Err(CallError::Unknown(_)) => copies.note_failed(),
+                Err(CallError::NotSent(error)) => {
+                    tracing::debug!(%error, task = %run_id.task, run = run_id.run, "stop was not sent");
+                }
+            }
+            if copies.is_idle() {
+                // Neither a refusal nor a broken connection is resolved by an immediate copy.
+                break;
+            }
+        }
+        let sent = copies.sent();
+        self.note_losses(boot, copies.lost(None));
+        tracing::warn!(task = %run_id.task, run = run_id.run, copies = sent, "stop was not answered");
+        StopProgress::Repeat
+    }
+
     /// Plans the paces of best-effort runs and sends those that have changed to the worker.
     pub(crate) fn send_pace_orders(self: &Rc<Self>) {
         let (boot, orders) = {
@@ -342,27 +426,53 @@
             boot.pace
                 .plan_paces(&sample, self.now(), &self.current_pace_rules());
             log_pace_changes(&boot.view.boot, &boot.pace.take_changes());
-            (
-                boot.view.boot.clone(),
-                boot.table.take_pace_orders(&boot.pace),
-            )
+            let mut orders = boot.table.take_pace_orders(&boot.pace);
+            let rules = self.order_rules.get();
+            if rules.is_enabled() {
+                let now = self.now();
+                boot.table.note_paces_sent(&orders, now);
+                let repeated = boot
+                    .table
+                    .take_repeated_paces(&boot.pace, now, rules.pace_repeat);
+                count_many(Counter::PacesRepeated, repeated.len() as u64);
+                orders.extend(repeated);
+            }
+            (boot.view.boot.clone(), orders)
         };
         count_many(Counter::PaceOrders, orders.len() as u64);
         for (run_id, percent) in orders {
             let state = self.clone();
             let boot = boot.clone();
-            spawn(async move {
-                let token = state.fencing_token.get();
-                let answer = state
-                    .worker
-                    .pace(&boot, run_id, percent, token, ORDER_TIMEOUT)
-                    .await;
-                let outcome = answer.map(|reply| reply.outcome);
-                if !matches!(outcome, Ok(OrderOutcome::Done)) {
-                    state.with_table(&boot, |table| table.forget_pace(run_id));
+            spawn(async move { state.send_pace(&boot, run_id, percent).await }).detach();
+        }
+    }
+
+    async fn send_pace(&self, boot: &BootId, run_id: RunId, percent: u32) {
+        let rules = self.order_rules.get();
+        let (token, sent_at) = (self.fencing_token.get(), self.now());
+        let limit = if rules.is_enabled() {
+            // The pace is planned again by the time it would be sent again, so there are no copies.
+            // A limit of a single time-out would close the connection at each slow answer.
+            (self.order_resend_delay(boot, sent_at, ORDER_TIMEOUT) * PACE_LIMIT_FACTOR)
+                .min(ORDER_TIMEOUT)
+        } else {
+            ORDER_TIMEOUT
+        };
+        let answer = self.worker.pace(boot, run_id, percent, token, limit).await;
+        if rules.is_enabled() {
+            match &answer {
+                Ok(reply) => self.note_order_reply(boot, sent_at, reply.clock_ms),
+                Err(CallError::Unknown(_)) => {
+                    self.note_losses(boot, 1);
+                    let until = sent_at + rules.late_execution;
+                    self.with_table(boot, |table| table.note_pace_lost(run_id, until));
                 }
-            })
-            .detach();
+                Err(CallError::NotSent(_)) => {}
+            }
+        }
+        let outcome = answer.map(|reply| reply.outcome);
+        if !matches!(outcome, Ok(OrderOutcome::Done)) {
+            self.with_table(boot, |table| table.forget_pace(run_id));
         }
     }
 
--- a/crates/wax-agent/src/run_table.rs
+++ b/crates/wax-agent/src/run_table.rs
@@ -2,6 +2,7 @@
 
 use crate::pace::{PaceControl, PaceSample, ServingSample};
 use std::collections::HashMap;
+use std::time::Duration;
 use wax_batch::{
     LostRun, RunEnd, RunId, RunReport, StartRefusal, TaskSize, WorkerState, WorkerView,
 };
@@ -47,6 +48,10 @@
     reported_percent: u32,
     reported_checkpoint: Box<str>,
     pace_percent: u32,
+    /// When the last pace order was sent, if unanswered calls are sent again.
+    pace_sent_at: TimePoint,
+    /// Until when an unanswered pace order may still be executed and overwrite a newer one.
+    late_pace_until: TimePoint,
     /// When this process sent the start; `None` if an earlier process did.
     start_sent_at: Option<TimePoint>,
     /// Whether a hold of this boot has listed the run.
@@ -310,6 +315,47 @@
         }
     }
 
+    /// Records when pace orders were sent.
+    pub fn note_paces_sent(&mut self, orders: &[(RunId, u32)], now: TimePoint) {
+        for (run_id, _) in orders {
+            if let Some(entry) = self.entries.get_mut(run_id) {
+                entry.pace_sent_at = now;
+            }
+        }
+    }
+
+    /// Records that a pace order was not answered and may be executed up to `until`.
+    pub fn note_pace_lost(&mut self, run_id: RunId, until: TimePoint) {
+        if let Some(entry) = self.entries.get_mut(&run_id) {
+            entry.late_pace_until = entry.late_pace_until.max(until);
+        }
+    }
+
+    /// Returns the planned paces of the runs whose pace a late copy may have overwritten, and
+    /// records them as sent. A run is listed at most once in `interval`, and once more after no
+    /// late copy can be executed any more.
+    pub fn take_repeated_paces(
+        &mut self,
+        control: &PaceControl,
+        now: TimePoint,
+        interval: Duration,
+    ) -> Vec<(RunId, u32)> {
+        let mut orders = Vec::new();
+        for (run_id, entry) in &mut self.entries {
+            let Some(placement) = &entry.placement else {
+                continue;
+            };
+            let is_due = entry.pace_sent_at < entry.late_pace_until
+                && now.since(entry.pace_sent_at) >= interval;
+            if is_due && entry.state == RunState::Running {
+                entry.pace_percent = control.pace_percent(&placement.image);
+                entry.pace_sent_at = now;
+                orders.push((*run_id, entry.pace_percent));
+            }
+        }
+        orders
+    }
+
     /// Returns the number of runs.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -344,6 +390,8 @@
             reported_percent: 0,
             reported_checkpoint: "".into(),
             pace_percent: 100,
+            pace_sent_at: TimePoint::default(),
+            late_pace_until: TimePoint::default(),
             start_sent_at: None,
             was_listed: false,
         }
--- a/crates/wax-agent/tests/guards.rs
+++ b/crates/wax-agent/tests/guards.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
-use wax_agent::{LeaseClock, LeaseRules, PlacementInfo, RunState, RunTable};
+use wax_agent::{LeaseClock, LeaseRules, PaceControl, PlacementInfo, RunState, RunTable};
 use wax_batch::{
     JobName, RunEnd, RunEndKind, RunId, RunReport, StartRefusal, TaskName, TaskSize, WorkerState,
     WorkerView,
@@ -541,3 +541,51 @@
         }
     }
 }
+
+/// Guards against a run that keeps the pace of a late copy: while such a copy may be executed, the
+/// planned pace is sent again, and once more afterwards.
+#[test]
+fn pace_is_repeated_until_no_late_copy_can_be_executed() {
+    let mut table = RunTable::default();
+    let best_effort = PlacementInfo {
+        best_effort: true,
+        image: "blue".into(),
+        ..placement(100)
+    };
+    let reserved = table.reserve(run_id(0, 1), best_effort, &view(1_000), at(0));
+    assert_eq!(reserved, Ok(()));
+    table.mark_running(run_id(0, 1));
+    let control = PaceControl::default();
+    let interval = Duration::from_secs(1);
+    table.note_paces_sent(&[(run_id(0, 1), 40)], at(0));
+    assert!(
+        table
+            .take_repeated_paces(&control, at(60_000), interval)
+            .is_empty(),
+        "nothing is repeated without a loss"
+    );
+    table.note_pace_lost(run_id(0, 1), at(12_000));
+    let mut repeated = Vec::new();
+    for millis in (0..30_000).step_by(250) {
+        for order in table.take_repeated_paces(&control, at(millis), interval) {
+            assert_eq!(order, (run_id(0, 1), 100), "the planned pace");
+            repeated.push(millis);
+        }
+    }
+    let expected: Vec<u64> = (1..=12).map(|second| second * 1_000).collect();
+    assert_eq!(repeated, expected);
+}
+
+/// Guards against pace orders for runs that are being stopped.
+#[test]
+fn pace_of_a_stopping_run_is_not_repeated() {
+    let mut table = RunTable::default();
+    let reserved = table.reserve(run_id(0, 1), placement(100), &view(1_000), at(0));
+    assert_eq!(reserved, Ok(()));
+    table.mark_running(run_id(0, 1));
+    table.note_pace_lost(run_id(0, 1), at(12_000));
+    table.mark_stopping(run_id(0, 1));
+    let repeated =
+        table.take_repeated_paces(&PaceControl::default(), at(5_000), Duration::from_secs(1));
+    assert!(repeated.is_empty());
+}
