The owner limits starts on workers that leave them unanswered

Cause: a start without an answer was refused as `Unwell`, which excluded the worker for 3 s and then let any number of starts through at once.

Change: agents with `policy.orders.resend: 1` refuse such a start as `Unanswered`, which older peers read as `Unwell` (a new field beside the known reason). An owner with the section on gives that worker one unresolved start at a time, with exponential back-off between them (250 ms to 4 s), until it answers a start or lists its run. Other workers are preferred by the cost of a failed worker. At most half of a service's ready workers are limited; the limits with the fewest losses are lifted first. A limit expires, so that a gang that needs several places on the worker starts at last. With the section off the owner treats the reason as `Unwell`.

Tests: wax-batch order_backoff 8 of 8, wax-wire pool 24 of 24, all other tests of wax-batch, wax-wire and wax-owner pass. Seen to fail in order_backoff.rs, one at a time: without the lifting of excess limits, the wait for the last start, the expiry, the cost, the end of the limit by an answer or a listed run, the count of starts lost together, and the exclusion with the section off.

--- a/crates/wax-agent/src/driver.rs
+++ b/crates/wax-agent/src/driver.rs
@@ -7,7 +7,7 @@
 use platform::{CallError, HoldReply, HoldRequest, WorkerRefusal};
 use std::rc::Rc;
 use std::time::Duration;
-use wax_batch::BootId;
+use wax_batch::{BootId, StartRefusal};
 use wax_policy::{ResendChoice, ResendPlan};
 use wax_trace::{Counter, count};
 use wax_types::{ErrorKind, Step, TimePoint, WaxError};
@@ -301,9 +301,13 @@
     }
     let has_updates = !updates.ended.is_empty() || !updates.never_started.is_empty();
     if has_updates {
+        let refusal = if state.order_rules.get().is_enabled() {
+            StartRefusal::Unanswered
+        } else {
+            StartRefusal::Unwell
+        };
         let refused = updates.never_started.iter();
-        let refused =
-            refused.map(|run_id| RefusalFrame::new(*run_id, wax_batch::StartRefusal::Unwell));
+        let refused = refused.map(|run_id| RefusalFrame::new(*run_id, refusal));
         let message = RunUpdates {
             refused: refused.collect(),
             ends: updates.ended.iter().map(Into::into).collect(),
--- a/crates/wax-batch/src/ends.rs
+++ b/crates/wax-batch/src/ends.rs
@@ -33,6 +33,8 @@
     Stale,
     /// The worker's failure domain is drained, or may be by now.
     Drained,
+    /// The worker answered no copy of the start. The run can never start there.
+    Unanswered,
 }
 
 impl JobScheduler {
@@ -49,8 +51,11 @@
             return;
         }
         self.end_run(worker, run_id, RunEndKind::Stopped, "", now, now_ms);
+        let is_limited =
+            refusal == StartRefusal::Unanswered && self.note_start_unanswered(worker, run_id, now);
         let exclusion = match refusal {
-            StartRefusal::Unwell => EXCLUSION_TIME,
+            StartRefusal::Unanswered if is_limited => SHORT_EXCLUSION_TIME,
+            StartRefusal::Unwell | StartRefusal::Unanswered => EXCLUSION_TIME,
             // Agent and owner disagree for a moment. Without a pause the same order would be sent
             // again immediately.
             StartRefusal::Room | StartRefusal::Stale | StartRefusal::Drained => {
--- a/crates/wax-batch/src/fit.rs
+++ b/crates/wax-batch/src/fit.rs
@@ -35,6 +35,8 @@
             || now < self.excluded_until
         {
             Some(WaitReason::NotReady)
+        } else if !self.start_limit.allows_start(&self.runs, now) {
+            Some(WaitReason::Unanswered)
         } else if self.drained {
             Some(WaitReason::Drained)
         } else {
--- a/crates/wax-batch/src/lib.rs
+++ b/crates/wax-batch/src/lib.rs
@@ -13,6 +13,7 @@
 mod migrations;
 mod names;
 mod offers;
+mod order_backoff;
 mod placement;
 mod progress;
 mod queue;
@@ -34,6 +35,7 @@
 pub use crashes::CrashFinding;
 pub use ends::StartRefusal;
 pub use names::{JobName, RunId, TaskName};
+pub use order_backoff::StartLimit;
 pub use placement::WorkerChoice;
 pub use progress::{
     JobOutcome, JobProgress, JobRow, OccurrenceProgress, StepProgress, TaskFailures,
--- a/crates/wax-batch/src/placement.rs
+++ b/crates/wax-batch/src/placement.rs
@@ -103,6 +103,7 @@
 impl JobScheduler {
     /// Places the waiting tasks that can start now, the most urgent steps first.
     pub fn place(&mut self, now: TimePoint) -> Vec<StartOrder> {
+        self.lift_excess_start_limits();
         let mut ranked: Vec<(JobRank, StepRef)> = Vec::with_capacity(self.ready_steps.len());
         for step_ref in &self.ready_steps {
             if !self.is_eligible(*step_ref, now) {
@@ -595,7 +596,10 @@
         if is_advised && self.ticket(step_ref, key, now).is_none() {
             return Err(WaitReason::Advice);
         }
-        let cost = worker.cost(step, request.rack.as_deref(), &self.pairs, &self.rules);
+        let mut cost = worker.cost(step, request.rack.as_deref(), &self.pairs, &self.rules);
+        if worker.start_limit.is_active() {
+            cost += self.rules.failed_worker_cost;
+        }
         match failed {
             None => Ok(cost),
             Some(task) if task.is_excluded(key, now) => Err(WaitReason::FailedThere),
@@ -691,12 +695,12 @@
         let ticket = self.ticket(task_ref.step, worker, now).unwrap_or_default();
         let run = run.unwrap_or_else(|| self.next_run(job, task.last_run));
         self.reserve_task(task_ref, worker, run, false, now);
+        let task = self.task_name(task_ref);
+        let run_id = RunId { task, run };
+        self.note_start_ordered(worker, run_id);
         StartOrder {
             worker,
-            run_id: RunId {
-                task: self.task_name(task_ref),
-                run,
-            },
+            run_id,
             spec,
             checkpoint,
             ticket,
--- a/crates/wax-batch/src/reasons.rs
+++ b/crates/wax-batch/src/reasons.rs
@@ -33,6 +33,8 @@
     /// Each worker is unreachable, unhealthy, about to leave, or excluded for a while after
     /// failures or refusals.
     NotReady,
+    /// All otherwise suitable workers have left starts unanswered and get one start at a time.
+    Unanswered,
     /// All otherwise suitable workers are in drained failure domains.
     Drained,
     /// No worker has enough free capacity.
@@ -60,6 +62,7 @@
         formatter.write_str(match self {
             Self::NoWorker => "no_worker",
             Self::NotReady => "not_ready",
+            Self::Unanswered => "unanswered",
             Self::Drained => "drained",
             Self::Label => "label",
             Self::Spread => "spread",
--- a/crates/wax-batch/src/reports.rs
+++ b/crates/wax-batch/src/reports.rs
@@ -2,6 +2,7 @@
 //! stops runs that no job needs.
 
 use crate::names::RunId;
+use crate::order_backoff::StartLimit;
 use crate::reasons::StopReason;
 use crate::records::TaskState;
 use crate::scheduler::{JobScheduler, RunReservation, StopOrder, WorkerRecord};
@@ -33,6 +34,7 @@
             vm: vm.into(),
             last_start: TimePoint::default(),
             isolation: None,
+            start_limit: StartLimit::default(),
         })
     }
 
@@ -184,6 +186,7 @@
 
     /// Records that a worker has started a run.
     pub fn record_start(&mut self, worker: WorkerKey, run_id: RunId, now: TimePoint) {
+        self.note_start_answered(worker);
         let Some(task_ref) = self.task_of_run(worker, run_id) else {
             return;
         };
@@ -200,6 +203,7 @@
 
     /// Records the reported progress of a run.
     pub fn record_progress(&mut self, worker: WorkerKey, report: &RunReport, now: TimePoint) {
+        self.note_run_listed(worker, report.run_id);
         let Some(task_ref) = self.task_of_run(worker, report.run_id) else {
             return;
         };
--- a/crates/wax-batch/src/scheduler.rs
+++ b/crates/wax-batch/src/scheduler.rs
@@ -4,6 +4,7 @@
 use crate::approvals::StepApproval;
 use crate::crashes::WorkerIsolation;
 use crate::names::{JobName, RunId, TaskName};
+use crate::order_backoff::{StartLimit, StartLimits};
 use crate::progress::{JobOutcome, JobProgress, JobRow};
 use crate::queue::{QueueConfig, QueueRules};
 use crate::reasons::{PlacementReason, StepWait, StopReason};
@@ -141,6 +142,8 @@
     /// Isolation of the worker for a task that is suspected of crashing its worker. It may have
     /// expired already.
     pub(crate) isolation: Option<WorkerIsolation>,
+    /// Limit of the starts after starts without an answer.
+    pub(crate) start_limit: StartLimit,
 }
 
 /// Resources that one run reserves on a worker.
@@ -196,6 +199,8 @@
     /// Position of the worker at which the last evaluated step began its scan; unbounded, so taken
     /// modulo the number of workers.
     pub(crate) scan_start: usize,
+    /// Workers whose starts are limited because they have left starts unanswered.
+    pub(crate) start_limits: StartLimits,
 }
 
 impl JobScheduler {
@@ -220,6 +225,7 @@
             drained: BTreeSet::new(),
             workers_evaluated: Cell::new(0),
             scan_start: 0,
+            start_limits: StartLimits::default(),
         }
     }
 
--- a/crates/wax-front/src/process.rs
+++ b/crates/wax-front/src/process.rs
@@ -54,6 +54,7 @@
     shared.set_bounds(pool.config_bound(), pool.drain_bound());
     let shared = Rc::new(shared);
     shared.set_placement_rules(settings.policy.place);
+    shared.set_order_rules(settings.policy.orders);
     let state = Rc::new(FrontState::new(shared.clone()));
     let callers_shutdown = ShutdownSignal::default();
     let callers_server = HttpServer::new(
@@ -105,6 +106,7 @@
     while let Some(settings) = changes.next().await {
         shared.store.set_address(settings.platform.address);
         shared.set_placement_rules(settings.policy.place);
+        shared.set_order_rules(settings.policy.orders);
         tracing::info!(store = %settings.platform.address, "settings reloaded");
     }
 }
--- a/crates/wax-owner/src/agent_links.rs
+++ b/crates/wax-owner/src/agent_links.rs
@@ -13,8 +13,10 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use wax_batch::{BootId, CrashVerdict, LostRun, RunEnd, RunId, RunReport, WorkerKey, WorkerView};
-use wax_trace::{Counter, count_many};
+use wax_batch::{
+    BootId, CrashVerdict, LostRun, RunEnd, RunId, RunReport, StartRefusal, WorkerKey, WorkerView,
+};
+use wax_trace::{Counter, count, count_many};
 use wax_types::{TimePoint, wall_clock_ms};
 use wax_wire::{
     AckEnds, AgentHello, AllRunsEnded, BootCrashed, DrainFrame, InterferenceFrame,
@@ -393,6 +395,15 @@
         }
         let (now, now_ms) = (self.shared.now(), wall_clock_ms());
         let mut scheduler = self.term.scheduler.borrow_mut();
+        if !updates.started.is_empty()
+            && let Some(limit) = scheduler.start_limit(worker)
+        {
+            tracing::info!(
+                agent = self.node,
+                unanswered = limit.unanswered,
+                "worker answers starts again"
+            );
+        }
         for run_id in &updates.started {
             scheduler.record_start(worker, RunId::from(run_id), now);
         }
@@ -400,6 +411,18 @@
             let (run_id, reason) = refusal.decode();
             tracing::info!(task = %run_id.task, run = run_id.run, agent = self.node, why = ?reason, "start refused");
             scheduler.record_refusal(worker, run_id, reason, now, now_ms);
+            if reason == StartRefusal::Unanswered
+                && let Some(limit) = scheduler.start_limit(worker)
+            {
+                count(Counter::StartLimits);
+                let backoff_ms = limit.until.since(now).as_millis() as u64;
+                tracing::info!(
+                    agent = self.node,
+                    unanswered = limit.unanswered,
+                    backoff_ms,
+                    "starts on the worker are limited"
+                );
+            }
         }
         for report in &updates.running {
             scheduler.adopt_run(worker, &report.into(), now);
--- a/crates/wax-owner/src/owner_term.rs
+++ b/crates/wax-owner/src/owner_term.rs
@@ -112,6 +112,7 @@
         former_owner_ended: bool,
     ) -> Self {
         let mut scheduler = JobScheduler::new(row.epoch, shared.placement_rules());
+        scheduler.set_order_rules(shared.order_rules());
         if let Some(config) = shared.config.borrow().config() {
             scheduler.set_config(config.clone());
         }
--- a/crates/wax-owner/src/shared.rs
+++ b/crates/wax-owner/src/shared.rs
@@ -13,7 +13,8 @@
 use std::time::Duration;
 use wax_batch::QueueTable;
 use wax_policy::{
-    ConfigRules, ConfigView, DrainRules, DrainView, FRONT_HEARTBEAT_PERIOD, PlacementRules,
+    ConfigRules, ConfigView, DrainRules, DrainView, FRONT_HEARTBEAT_PERIOD, OrderRules,
+    PlacementRules,
 };
 use wax_types::{ErrorKind, ProcessClock, Step, TimePoint, WaxError};
 
@@ -64,6 +65,7 @@
     pub refused_epoch: Cell<u64>,
     /// Limits and weights of placement; the settings may change them.
     placement_rules: Cell<PlacementRules>,
+    order_rules: Cell<OrderRules>,
     /// Config in force.
     pub config: RefCell<QueueTable>,
     /// The operator's text of the config in force.
@@ -151,6 +153,7 @@
             ended_job_retention,
             advisor,
             placement_rules: Cell::default(),
+            order_rules: Cell::default(),
             config: RefCell::default(),
             config_text: RefCell::default(),
             config_changed: Event::new(),
@@ -225,6 +228,19 @@
         }
     }
 
+    /// Returns the rules for workers that leave starts unanswered.
+    pub fn order_rules(&self) -> OrderRules {
+        self.order_rules.get()
+    }
+
+    /// Replaces the rules for workers that leave starts unanswered; an owner uses them from now on.
+    pub fn set_order_rules(&self, rules: OrderRules) {
+        self.order_rules.set(rules);
+        if let Some(term) = self.current_term() {
+            term.scheduler.borrow_mut().set_order_rules(rules);
+        }
+    }
+
     /// Returns the current time.
     pub fn now(&self) -> TimePoint {
         self.clock.now()
--- a/crates/wax-trace/src/counter.rs
+++ b/crates/wax-trace/src/counter.rs
@@ -142,6 +142,8 @@
     HoldsResent = "holds.resent",
     /// Pace orders that were repeated because a late copy of an earlier one may still be executed.
     PacesRepeated = "pace.repeated",
+    /// Unanswered starts after which the owner limited the starts on a worker.
+    StartLimits = "starts.limited",
     /// Stop orders sent to agents.
     StopsOrdered = "stops.ordered",
     /// Hold calls to workers that were not answered.
--- a/crates/wax-wire/src/pool_parts.rs
+++ b/crates/wax-wire/src/pool_parts.rs
@@ -284,6 +284,10 @@
     run_id: RunIdFrame,
     #[prost(uint32, tag = "2")]
     reason: u32,
+    /// Whether the worker left the start unanswered. The reason is then that of an unhealthy
+    /// worker, which is how peers without this field read it.
+    #[prost(bool, tag = "3")]
+    unanswered: bool,
 }
 
 impl RefusalFrame {
@@ -292,12 +296,13 @@
         let reason = match refusal {
             StartRefusal::Stale => 0,
             StartRefusal::Room => 1,
-            StartRefusal::Unwell => 2,
+            StartRefusal::Unwell | StartRefusal::Unanswered => 2,
             StartRefusal::Drained => 3,
         };
         Self {
             run_id: run_id.into(),
             reason,
+            unanswered: refusal == StartRefusal::Unanswered,
         }
     }
 
@@ -305,6 +310,7 @@
     pub fn decode(&self) -> (RunId, StartRefusal) {
         let refusal = match self.reason {
             1 => StartRefusal::Room,
+            2 if self.unanswered => StartRefusal::Unanswered,
             2 => StartRefusal::Unwell,
             3 => StartRefusal::Drained,
             _ => StartRefusal::Stale,
--- a/crates/wax-wire/tests/pool.rs
+++ b/crates/wax-wire/tests/pool.rs
@@ -196,6 +196,7 @@
         StartRefusal::Unwell,
         StartRefusal::Stale,
         StartRefusal::Drained,
+        StartRefusal::Unanswered,
     ] {
         assert_eq!(
             RefusalFrame::new(run_id(), reason).decode(),
@@ -203,3 +204,21 @@
         );
     }
 }
+
+/// Guards against older peers that take an unanswered start for one that came too late, and send
+/// the next start to the same worker at once.
+#[test]
+fn peers_without_the_reason_unanswered_read_it_as_unwell() {
+    #[derive(Clone, PartialEq, prost::Message)]
+    struct OldRefusal {
+        #[prost(uint32, tag = "2")]
+        reason: u32,
+    }
+    let reason_of = |refusal| {
+        let bytes = prost::Message::encode_to_vec(&RefusalFrame::new(run_id(), refusal));
+        let old: OldRefusal = prost::Message::decode(&*bytes).expect("known fields are unchanged");
+        old.reason
+    };
+    let unanswered = reason_of(StartRefusal::Unanswered);
+    assert_eq!(unanswered, reason_of(StartRefusal::Unwell));
+}
