--- a/crates/wax-agent/src/copies.rs
+++ b/crates/wax-agent/src/copies.rs
@@ -130,7 +130,7 @@
     ) {
         let now = self.now();
         self.with_boot(active, |boot| {
-            boot.answered_at = now;
+            boot.silence.note_answer(now);
             boot.order_times.record_answer(now, now.since(sent_at));
             if let Some(clock_ms) = clock_ms {
                 boot.lease.note_order_clock(now, clock_ms);
--- a/crates/wax-agent/src/state.rs
+++ b/crates/wax-agent/src/state.rs
@@ -13,7 +13,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_batch::{BootId, LostRun, RunId, StartRefusal, WorkerState, WorkerView};
-use wax_policy::{AnswerTimes, DrainRules, DrainVerdict, DrainView, OrderRules, PaceRules};
+use wax_policy::{
+    AnswerTimes, DrainRules, DrainVerdict, DrainView, OrderRules, PaceRules, SilenceClock,
+};
 use wax_trace::{Counter, count};
 use wax_types::{ProcessClock, TimePoint};
 use wax_wire::{DrainFrame, PoolBody};
@@ -43,7 +45,7 @@
     /// Whether the worker counts as silent.
     pub(crate) is_silent: bool,
     /// When the boot last answered a hold or an order.
-    pub(crate) answered_at: TimePoint,
+    pub(crate) silence: SilenceClock,
     /// Response times of orders and of holds without a wait, and all losses.
     pub(crate) order_times: AnswerTimes,
     /// Response times of holds beyond their wait, which the worker's timers lengthen.
@@ -84,8 +86,8 @@
     /// Logs and counts each run that was lost with the boot, except for those in `on_next`, which
     /// run on the worker's next boot. Returns the lost runs.
     pub(crate) fn log_lost_runs(&self, now: TimePoint, on_next: &[RunId]) -> Vec<LostRun> {
-        let silent_ms = now.since(self.answered_at).as_millis() as u64;
-        let mut runs = self.table.lost_runs(self.answered_at);
+        let silent_ms = now.since(self.silence.answered_at()).as_millis() as u64;
+        let mut runs = self.table.lost_runs(self.silence.answered_at());
         runs.retain(|lost| !on_next.contains(&lost.run_id));
         for lost in &runs {
             count(Counter::RunsLost);
@@ -113,10 +115,10 @@
 
     /// Decides whether the worker counts as silent: by the time since its last answer to any call
     /// if unanswered calls are sent again, otherwise by the number of unanswered holds.
-    fn silence(&self, now: TimePoint, rules: &OrderRules) -> bool {
+    fn check_silence(&mut self, now: TimePoint, rules: &OrderRules) -> bool {
+        let has_no_answer = self.silence.is_silent(now, rules.silent_after);
         if rules.is_enabled() {
-            let is_refusing = self.refused_holds >= SILENT_AFTER_UNANSWERED_HOLDS;
-            is_refusing || now.since(self.answered_at) >= rules.silent_after
+            has_no_answer || self.refused_holds >= SILENT_AFTER_UNANSWERED_HOLDS
         } else {
             self.unanswered_holds >= SILENT_AFTER_UNANSWERED_HOLDS
         }
@@ -131,7 +133,7 @@
             unanswered_holds: 0,
             refused_holds: 0,
             is_silent: false,
-            answered_at: now,
+            silence: SilenceClock::new(now),
             order_times: AnswerTimes::default(),
             hold_times: AnswerTimes::default(),
             is_losing_calls: false,
@@ -281,7 +283,7 @@
         let now = self.now();
         self.with_boot(active, |boot| {
             if result == HoldResult::Answered {
-                boot.answered_at = now;
+                boot.silence.note_answer(now);
                 boot.unanswered_holds = 0;
                 boot.refused_holds = 0;
             } else {
@@ -308,10 +310,10 @@
             boot.is_losing_calls = is_losing;
             tracing::info!(worker = %active, losing = is_losing, "worker leaves calls unanswered or answers all again");
         }
-        let is_silent = boot.silence(now, &rules);
+        let is_silent = boot.check_silence(now, &rules);
         if is_silent != boot.is_silent {
             boot.is_silent = is_silent;
-            let silent_ms = now.since(boot.answered_at).as_millis() as u64;
+            let silent_ms = now.since(boot.silence.answered_at()).as_millis() as u64;
             tracing::info!(worker = %active, silent = is_silent, silent_ms, "worker became silent or answers again");
             self.send(PoolBody::WorkerChanged((&boot.reported_view()).into()));
         }
@@ -321,7 +323,7 @@
     pub(crate) fn note_order_answer(&self, active: &BootId) {
         let mut boot = self.boot.borrow_mut();
         if let Some(boot) = boot.as_mut().filter(|boot| boot.view.boot == *active) {
-            boot.answered_at = self.now();
+            boot.silence.note_answer(self.now());
         }
     }
 
--- a/crates/wax-policy/src/lib.rs
+++ b/crates/wax-policy/src/lib.rs
@@ -24,6 +24,7 @@
 mod retry;
 mod routing;
 mod rules;
+mod silence;
 mod sizing;
 mod workday;
 
@@ -61,5 +62,6 @@
     AttemptEnd, RouteChoice, RoutePolicy, RouteTable, UpstreamKey, UpstreamLoad, UpstreamView,
 };
 pub use rules::{RuleError, RuleInfo, RuleSetting, RuleSwitch, RuleValue};
+pub use silence::SilenceClock;
 pub use sizing::SizeTable;
 pub use workday::WorkDay;
--- a/crates/wax-policy/tests/answer_times.rs
+++ b/crates/wax-policy/tests/answer_times.rs
@@ -1,7 +1,7 @@
 //! Time-outs from measured response times, and the schedule of the copies of a call.
 
 use std::time::Duration;
-use wax_policy::{AnswerTimes, OrderRules, ResendChoice, ResendPlan};
+use wax_policy::{AnswerTimes, OrderRules, ResendChoice, ResendPlan, SilenceClock};
 use wax_types::TimePoint;
 
 const CEILING: Duration = Duration::from_millis(700);
@@ -155,3 +155,30 @@
     assert!(mean_ms < 100, "{mean_ms} ms");
     assert!(unresolved < STARTS / 50, "{unresolved} of {STARTS}");
 }
+
+const SILENT_AFTER: Duration = Duration::from_millis(2_000);
+
+#[test]
+fn peer_is_silent_by_the_time_since_its_last_answer() {
+    let mut silence = SilenceClock::new(at(0));
+    for millis in (0..2_000).step_by(100) {
+        assert!(!silence.is_silent(at(millis), SILENT_AFTER), "{millis}");
+    }
+    assert!(silence.is_silent(at(2_000), SILENT_AFTER));
+    silence.note_answer(at(2_010));
+    assert!(!silence.is_silent(at(2_100), SILENT_AFTER));
+    assert_eq!(silence.answered_at(), at(2_010));
+}
+
+/// Guards against an agent that was suspended and reports its worker as silent when it resumes, before it has read
+/// the answers that have arrived.
+#[test]
+fn time_in_which_the_observer_was_suspended_is_not_silence() {
+    let mut silence = SilenceClock::new(at(0));
+    assert!(!silence.is_silent(at(1_000), SILENT_AFTER));
+    assert!(!silence.is_silent(at(9_000), SILENT_AFTER));
+    for millis in (9_100..11_000).step_by(100) {
+        assert!(!silence.is_silent(at(millis), SILENT_AFTER), "{millis}");
+    }
+    assert!(silence.is_silent(at(11_000), SILENT_AFTER));
+}
