--- a/crates/wax-agent/src/lib.rs
+++ b/crates/wax-agent/src/lib.rs
@@ -7,6 +7,7 @@
 mod boot_change;
 mod boots;
 mod check_ins;
+mod copies;
 mod crash_log;
 mod driver;
 mod lease;
@@ -15,6 +16,7 @@
 mod pace;
 mod pending_updates;
 mod process;
+mod rules;
 mod run_table;
 mod state;
 
@@ -25,4 +27,5 @@
 pub use pace::{BestEffortSample, PaceCause, PaceChange, PaceControl, PaceSample, ServingSample};
 pub use pending_updates::PendingUpdates;
 pub use process::run_agent;
+pub use rules::AgentRules;
 pub use run_table::{HoldUpdates, PlacementInfo, RunState, RunTable};
--- a/crates/wax-agent/src/orders.rs
+++ b/crates/wax-agent/src/orders.rs
@@ -1,5 +1,7 @@
 //! Carries out the owner's orders. Each runs in a task of its own until its result is known.
 
+use crate::boot_change::is_replaced;
+use crate::copies::CallCopies;
 use crate::pace::PaceChange;
 use crate::run_table::{PlacementInfo, RunState, RunTable};
 use crate::state::{AgentState, WorkerBoot};
@@ -9,7 +11,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_batch::{BootId, RunId, StartRefusal};
+use wax_policy::ResendChoice;
 use wax_trace::{Counter, Latency, count, count_many, record_latency};
+use wax_types::TimePoint;
 use wax_wire::{PlacementFrame, PoolBody, RefusalFrame, RunUpdates, StartRun};
 
 /// Timeout for a start; an unanswered start is followed by a stop.
@@ -19,6 +23,15 @@
 /// Delay between two attempts to send a stop.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// What becomes of a stop whose copies have been answered or given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StopProgress {
+    /// The stop is acknowledged, or the run or its boot has ended.
+    Over,
+    /// The stop is sent again.
+    Repeat,
+}
+
 impl From<&PlacementFrame> for PlacementInfo {
     fn from(frame: &PlacementFrame) -> Self {
         Self {
@@ -31,6 +44,10 @@
     }
 }
 
+/// Limit of a pace order as a multiple of the time without an answer after which other orders are
+/// sent again.
+const PACE_LIMIT_FACTOR: u32 = 4;
+
 impl AgentState {
     /// Starts a run, if the order is meant for the active boot and passes the admission checks.
     pub(crate) fn handle_start(self: &Rc<Self>, order: StartRun) {
@@ -39,7 +56,11 @@
             Err(refusal) => self.report_refusal(run_id, refusal),
             Ok((boot, request)) => {
                 let state = self.clone();
-                spawn(async move { state.send_start(boot, request).await }).detach();
+                if self.rules.orders.get().is_enabled() {
+                    spawn(async move { state.send_start_copies(boot, request).await }).detach();
+                } else {
+                    spawn(async move { state.send_start(boot, request).await }).detach();
+                }
             }
         }
     }
@@ -89,7 +110,7 @@
         if answer.is_ok() {
             self.note_order_answer(&boot);
         }
-        match answer {
+        match answer.map(|reply| reply.outcome) {
             Ok(OrderOutcome::Done) => self.note_started(&boot, run_id),
             Ok(OrderOutcome::Refused(refusal)) => self.note_refused(&boot, run_id, refusal),
             Err(CallError::NotSent(error)) => {
@@ -104,6 +125,127 @@
         }
     }
 
+    /// Starts a run, with further copies of the order while it has no answer. The first acceptance
+    /// counts. A refusal counts only if no other copy was sent: of several copies one may have
+    /// started the run, or may still do so, although another one is refused.
+    async fn send_start_copies(self: Rc<Self>, boot: BootId, request: StartRequest) {
+        let run_id = request.run_id;
+        let began_at = self.now();
+        let mut plan = self.order_plan(began_at, START_TIMEOUT);
+        let mut copies = CallCopies::new();
+        let (mut all_unsent, mut last_error) = (true, None);
+        let answered = loop {
+            if !self.is_starting(&boot, run_id) {
+                // A hold has listed the run or its end, or a stop is being sent.
+                break None;
+            }
+            let now = self.now();
+            let wait = match plan.choose(now) {
+                ResendChoice::GiveUp => break None,
+                ResendChoice::Wait(_) if plan.is_exhausted() && copies.is_idle() => break None,
+                ResendChoice::Wait(wait) => wait,
+                ResendChoice::Send if copies.sent() > 0 && !self.may_resend(&request, now) => {
+                    plan.stop_sending();
+                    continue;
+                }
+                ResendChoice::Send => {
+                    plan.note_sent(now);
+                    if copies.sent() > 0 {
+                        count(Counter::StartsResent);
+                    }
+                    let limit = plan.time_left(now);
+                    copies.push(now, self.worker.start(&boot, &request, limit));
+                    continue;
+                }
+            };
+            let Some(copy) = copies.next(wait).await else {
+                continue;
+            };
+            match copy.answer {
+                Ok(reply) => {
+                    self.note_order_reply(&boot, copy.sent_at, reply.clock_ms);
+                    break Some((copy.position, reply.outcome));
+                }
+                Err(CallError::NotSent(error)) => {
+                    last_error = Some(error);
+                    if copies.is_idle() && all_unsent {
+                        break None;
+                    }
+                }
+                Err(CallError::Unknown(error)) => {
+                    copies.note_failed();
+                    (all_unsent, last_error) = (false, Some(error));
+                }
+            }
+        };
+        record_latency(Latency::StartRun, self.now().since(began_at));
+        let sent = copies.sent();
+        self.note_losses(&boot, copies.lost(answered.map(|(position, _)| position)));
+        let is_unsent = sent > 0 && all_unsent && copies.is_idle() && answered.is_none();
+        // Closes the connections of the copies without an answer.
+        drop(copies);
+        match answered {
+            Some((_, OrderOutcome::Done)) => {
+                if sent > 1 {
+                    count(Counter::StartsRecovered);
+                }
+                self.note_started(&boot, run_id);
+            }
+            Some((_, OrderOutcome::Refused(refusal))) if sent == 1 => {
+                self.note_refused(&boot, run_id, refusal);
+            }
+            None if is_unsent => {
+                let error = last_error.as_ref().map(tracing::field::display);
+                tracing::warn!(error, task = %run_id.task, run = run_id.run, "start was not sent");
+                self.note_refused(&boot, run_id, WorkerRefusal::Unwell);
+            }
+            _ => self.resolve_copies(boot, run_id, sent, answered).await,
+        }
+    }
+
+    /// Resolves a start whose copies were not answered, or refused after copies without an answer.
+    async fn resolve_copies(
+        self: Rc<Self>,
+        boot: BootId,
+        run_id: RunId,
+        copies: u32,
+        answered: Option<(u32, OrderOutcome)>,
+    ) {
+        let state = self
+            .with_table(&boot, |table| table.state(run_id))
+            .flatten();
+        match state {
+            Some(RunState::Running) => {
+                // A hold has listed the run.
+                count(Counter::StartsRecovered);
+                self.note_started(&boot, run_id);
+            }
+            Some(RunState::Starting) => {
+                count(Counter::StartsUnanswered);
+                let refusal = answered.map(|(_, outcome)| tracing::field::debug(outcome));
+                tracing::warn!(task = %run_id.task, run = run_id.run, copies, refusal, "start was not answered");
+                self.send_stop(boot, run_id).await;
+            }
+            Some(RunState::Stopping | RunState::Stopped { .. }) | None => {}
+        }
+    }
+
+    fn is_starting(&self, boot: &BootId, run_id: RunId) -> bool {
+        let state = self.with_table(boot, |table| table.state(run_id));
+        state.flatten() == Some(RunState::Starting)
+    }
+
+    /// Returns whether a further copy of a start may be sent: all that allowed the first copy must
+    /// still hold, and the owner must be the same.
+    fn may_resend(&self, request: &StartRequest, now: TimePoint) -> bool {
+        let is_replaced = is_replaced(self);
+        !is_replaced
+            && now < self.authority_until.get()
+            && self.is_reconciled()
+            && request.token == self.fencing_token.get()
+            && self.check_drains(now).is_ok()
+    }
+
     /// Resolves an unanswered start: unless a hold has listed the run meanwhile, it is stopped,
     /// which also prevents a late start.
     async fn resolve_start(self: Rc<Self>, boot: BootId, run_id: RunId) {
@@ -171,6 +313,13 @@
     /// Sends a stop until it is answered or the boot is no longer active.
     pub(crate) async fn send_stop(self: Rc<Self>, boot: BootId, run_id: RunId) {
         loop {
+            if self.rules.orders.get().is_enabled() {
+                if self.send_stop_copies(&boot, run_id).await == StopProgress::Over {
+                    return;
+                }
+                sleep(STOP_RETRY_DELAY).await;
+                continue;
+            }
             if self.with_table(&boot, |table| table.mark_stopping(run_id)) != Some(true) {
                 // The run or its boot has ended. The owner learns of it from the end itself, on
                 // this link or the next. A reply that the run never started would let a finished
@@ -181,7 +330,7 @@
                 .worker
                 .stop(&boot, run_id, self.fencing_token.get(), ORDER_TIMEOUT)
                 .await;
-            match answer {
+            match answer.map(|reply| reply.outcome) {
                 Ok(OrderOutcome::Done) => {
                     let mut state = self.boot.borrow_mut();
                     if let Some(state) = state.as_mut().filter(|state| state.view.boot == boot) {
@@ -202,6 +351,70 @@
         }
     }
 
+    /// Sends a stop, with further copies while it has no answer. The first acknowledgement counts:
+    /// whatever the other copies do later, the worker does not start the run again.
+    async fn send_stop_copies(&self, boot: &BootId, run_id: RunId) -> StopProgress {
+        let mut plan = self.order_plan(self.now(), ORDER_TIMEOUT);
+        let mut copies = CallCopies::new();
+        loop {
+            if self.with_table(boot, |table| table.mark_stopping(run_id)) != Some(true) {
+                // The run or its boot has ended; see `send_stop`.
+                return StopProgress::Over;
+            }
+            let now = self.now();
+            let wait = match plan.choose(now) {
+                ResendChoice::GiveUp => break,
+                ResendChoice::Wait(_) if plan.is_exhausted() && copies.is_idle() => break,
+                ResendChoice::Wait(wait) => wait,
+                ResendChoice::Send => {
+                    plan.note_sent(now);
+                    if copies.sent() > 0 {
+                        count(Counter::StopsResent);
+                    }
+                    let (token, limit) = (self.fencing_token.get(), plan.time_left(now));
+                    copies.push(now, self.worker.stop(boot, run_id, token, limit));
+                    continue;
+                }
+            };
+            let Some(copy) = copies.next(wait).await else {
+                continue;
+            };
+            let position = copy.position;
+            match copy.answer {
+                Ok(reply) => {
+                    self.note_order_reply(boot, copy.sent_at, reply.clock_ms);
+                    match reply.outcome {
+                        OrderOutcome::Done => {
+                            self.with_boot(boot, |boot| {
+                                boot.table.mark_stopped(run_id, boot.hold_number);
+                            });
+                            self.note_losses(boot, copies.lost(Some(position)));
+                            return StopProgress::Over;
+                        }
+                        OrderOutcome::Refused(WorkerRefusal::OtherBoot) => {
+                            return StopProgress::Over;
+                        }
+                        OrderOutcome::Refused(refusal) => {
+                            tracing::warn!(task = %run_id.task, run = run_id.run, ?refusal, "stop refused");
+                        }
+                    }
+                }
+                Err(CallError::Unknown(_)) => copies.note_failed(),
+                Err(CallError::NotSent(error)) => {
+                    tracing::debug!(%error, task = %run_id.task, run = run_id.run, "stop was not sent");
+                }
+            }
+            if copies.is_idle() {
+                // Neither a refusal nor a broken connection is resolved by an immediate copy.
+                break;
+            }
+        }
+        let sent = copies.sent();
+        self.note_losses(boot, copies.lost(None));
+        tracing::warn!(task = %run_id.task, run = run_id.run, copies = sent, "stop was not answered");
+        StopProgress::Repeat
+    }
+
     /// Plans the paces of best-effort runs and sends those that have changed to the worker.
     pub(crate) fn send_pace_orders(self: &Rc<Self>) {
         let (boot, orders) = {
@@ -213,26 +426,52 @@
             boot.pace
                 .plan_paces(&sample, self.now(), &self.current_pace_rules());
             log_pace_changes(&boot.view.boot, &boot.pace.take_changes());
-            (
-                boot.view.boot.clone(),
-                boot.table.take_pace_orders(&boot.pace),
-            )
+            let mut orders = boot.table.take_pace_orders(&boot.pace);
+            let rules = self.rules.orders.get();
+            if rules.is_enabled() {
+                let now = self.now();
+                boot.table.note_paces_sent(&orders, now);
+                let repeated = boot
+                    .table
+                    .take_repeated_paces(&boot.pace, now, rules.pace_repeat);
+                count_many(Counter::PacesRepeated, repeated.len() as u64);
+                orders.extend(repeated);
+            }
+            (boot.view.boot.clone(), orders)
         };
         count_many(Counter::PaceOrders, orders.len() as u64);
         for (run_id, percent) in orders {
             let state = self.clone();
             let boot = boot.clone();
-            spawn(async move {
-                let token = state.fencing_token.get();
-                let answer = state
-                    .worker
-                    .pace(&boot, run_id, percent, token, ORDER_TIMEOUT)
-                    .await;
-                if !matches!(answer, Ok(OrderOutcome::Done)) {
-                    state.with_table(&boot, |table| table.forget_pace(run_id));
+            spawn(async move { state.send_pace(&boot, run_id, percent).await }).detach();
+        }
+    }
+
+    async fn send_pace(&self, boot: &BootId, run_id: RunId, percent: u32) {
+        let rules = self.rules.orders.get();
+        let (token, sent_at) = (self.fencing_token.get(), self.now());
+        let limit = if rules.is_enabled() {
+            // The pace is planned again by the time it would be sent again, so there are no copies.
+            // A limit of a single time-out would close the connection at each slow answer.
+            (self.order_resend_delay(sent_at, ORDER_TIMEOUT) * PACE_LIMIT_FACTOR).min(ORDER_TIMEOUT)
+        } else {
+            ORDER_TIMEOUT
+        };
+        let answer = self.worker.pace(boot, run_id, percent, token, limit).await;
+        if rules.is_enabled() {
+            match &answer {
+                Ok(reply) => self.note_order_reply(boot, sent_at, reply.clock_ms),
+                Err(CallError::Unknown(_)) => {
+                    self.note_losses(boot, 1);
+                    let until = sent_at + rules.late_execution;
+                    self.with_table(boot, |table| table.note_pace_lost(run_id, until));
                 }
-            })
-            .detach();
+                Err(CallError::NotSent(_)) => {}
+            }
+        }
+        let outcome = answer.map(|reply| reply.outcome);
+        if !matches!(outcome, Ok(OrderOutcome::Done)) {
+            self.with_table(boot, |table| table.forget_pace(run_id));
         }
     }
 
@@ -244,7 +483,11 @@
         self.with_boot(boot, |boot| update(&mut boot.table))
     }
 
-    fn with_boot<T>(&self, boot: &BootId, update: impl FnOnce(&mut WorkerBoot) -> T) -> Option<T> {
+    pub(crate) fn with_boot<T>(
+        &self,
+        boot: &BootId,
+        update: impl FnOnce(&mut WorkerBoot) -> T,
+    ) -> Option<T> {
         let mut state = self.boot.borrow_mut();
         let state = state.as_mut().filter(|state| state.view.boot == *boot)?;
         Some(update(state))
--- a/crates/wax-agent/src/process.rs
+++ b/crates/wax-agent/src/process.rs
@@ -4,6 +4,7 @@
 use crate::driver::drive_worker;
 use crate::lease::LeaseRules;
 use crate::owner_link::{OwnerDirectory, maintain_owner_link};
+use crate::rules::AgentRules;
 use crate::state::AgentState;
 use compio::runtime::spawn;
 use event_listener::Event;
@@ -12,20 +13,19 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use wax_http::{HttpServer, ShutdownSignal, bind_listener};
-use wax_policy::{AGENT_HEARTBEAT_PERIOD, DrainRules, PaceRules, PerformanceRules};
+use wax_policy::{AGENT_HEARTBEAT_PERIOD, DrainRules};
 use wax_settings::DaemonSettings;
 use wax_types::{ErrorKind, ProcessClock, Step, TimePoint, WaxError};
 
 /// Runs an agent until `shutdown`; the worker's tasks continue under their leases. The rules of
-/// pacing may change while the agent runs.
+/// pacing and of unanswered calls may change while the agent runs.
 ///
 /// # Errors
 ///
 /// The settings lack a section that an agent needs, or an address is in use.
 pub async fn run_agent(
     settings: &DaemonSettings,
-    pace_rules: Rc<Cell<PaceRules>>,
-    performance_rules: Rc<Cell<PerformanceRules>>,
+    rules: Rc<AgentRules>,
     directory: impl OwnerDirectory + 'static,
     shutdown: ShutdownSignal,
 ) -> Result<(), WaxError> {
@@ -41,8 +41,7 @@
         bound: pool.drain_bound(),
     };
     let vm = (&*settings.name, &*settings.failure_domain);
-    let rules = (pace_rules, performance_rules, drain_rules);
-    let state = Rc::new(new_state(vm, worker, rules));
+    let state = Rc::new(new_state(vm, worker, rules, drain_rules));
     let listener = bind_listener(check_ins)?;
     let handler = Rc::new(CheckInHandler {
         state: state.clone(),
@@ -59,11 +58,8 @@
 fn new_state(
     (node, failure_domain): (&str, &str),
     worker: SocketAddr,
-    (pace_rules, performance_rules, drain_rules): (
-        Rc<Cell<PaceRules>>,
-        Rc<Cell<PerformanceRules>>,
-        DrainRules,
-    ),
+    rules: Rc<AgentRules>,
+    drain_rules: DrainRules,
 ) -> AgentState {
     AgentState {
         node: node.into(),
@@ -72,8 +68,9 @@
         clock: ProcessClock::start(),
         worker: WorkerClient::new(worker),
         lease_rules: LeaseRules::default(),
-        pace_rules,
-        performance_rules,
+        rules,
+        order_times: RefCell::default(),
+        hold_times: RefCell::default(),
         link: RefCell::default(),
         boot: RefCell::default(),
         boots: RefCell::default(),
--- a/crates/wax-batch/src/lib.rs
+++ b/crates/wax-batch/src/lib.rs
@@ -13,6 +13,7 @@
 mod migrations;
 mod names;
 mod offers;
+mod order_backoff;
 mod performance;
 mod placement;
 mod progress;
@@ -37,6 +38,7 @@
 pub use crashes::CrashFinding;
 pub use ends::StartRefusal;
 pub use names::{JobName, RunId, TaskName};
+pub use order_backoff::StartLimit;
 pub use performance::{SlowWorkerInfo, SpeedChange};
 pub use placement::WorkerChoice;
 pub use progress::{
--- a/crates/wax-front/src/process.rs
+++ b/crates/wax-front/src/process.rs
@@ -56,6 +56,7 @@
     shared.set_placement_rules(settings.policy.place);
     shared.set_sharing_rules(settings.policy.sharing);
     shared.set_performance_rules(settings.policy.performance);
+    shared.set_order_rules(settings.policy.orders);
     let state = Rc::new(FrontState::new(shared.clone()));
     let callers_shutdown = ShutdownSignal::default();
     let callers_server = HttpServer::new(
@@ -109,6 +110,7 @@
         shared.set_placement_rules(settings.policy.place);
         shared.set_sharing_rules(settings.policy.sharing);
         shared.set_performance_rules(settings.policy.performance);
+        shared.set_order_rules(settings.policy.orders);
         tracing::info!(store = %settings.platform.address, "settings reloaded");
     }
 }
--- a/crates/wax-owner/src/owner_term.rs
+++ b/crates/wax-owner/src/owner_term.rs
@@ -113,6 +113,7 @@
     ) -> Self {
         let mut scheduler = JobScheduler::new(row.epoch, shared.placement_rules());
         scheduler.set_sharing_rules(shared.sharing_rules());
+        scheduler.set_order_rules(shared.order_rules());
         if let Some(config) = shared.config.borrow().config() {
             scheduler.set_config(config.clone());
         }
--- a/crates/wax-owner/src/shared.rs
+++ b/crates/wax-owner/src/shared.rs
@@ -13,8 +13,8 @@
 use std::time::Duration;
 use wax_batch::QueueTable;
 use wax_policy::{
-    ConfigRules, ConfigView, DrainRules, DrainView, FRONT_HEARTBEAT_PERIOD, PerformanceRules,
-    PlacementRules, SharingRules,
+    ConfigRules, ConfigView, DrainRules, DrainView, FRONT_HEARTBEAT_PERIOD, OrderRules,
+    PerformanceRules, PlacementRules, SharingRules,
 };
 use wax_types::{ErrorKind, ProcessClock, Step, TimePoint, WaxError};
 
@@ -68,6 +68,7 @@
     sharing_rules: Cell<SharingRules>,
     /// Rules about slow workers; the settings may change them.
     performance_rules: Cell<PerformanceRules>,
+    order_rules: Cell<OrderRules>,
     /// Config in force.
     pub config: RefCell<QueueTable>,
     /// The operator's text of the config in force.
@@ -157,6 +158,7 @@
             placement_rules: Cell::default(),
             sharing_rules: Cell::default(),
             performance_rules: Cell::default(),
+            order_rules: Cell::default(),
             config: RefCell::default(),
             config_text: RefCell::default(),
             config_changed: Event::new(),
@@ -257,6 +259,19 @@
         }
     }
 
+    /// Returns the rules for workers that leave starts unanswered.
+    pub fn order_rules(&self) -> OrderRules {
+        self.order_rules.get()
+    }
+
+    /// Replaces the rules for workers that leave starts unanswered; an owner uses them from now on.
+    pub fn set_order_rules(&self, rules: OrderRules) {
+        self.order_rules.set(rules);
+        if let Some(term) = self.current_term() {
+            term.scheduler.borrow_mut().set_order_rules(rules);
+        }
+    }
+
     /// Returns the current time.
     pub fn now(&self) -> TimePoint {
         self.clock.now()
--- a/crates/wax-policy/src/lib.rs
+++ b/crates/wax-policy/src/lib.rs
@@ -2,6 +2,7 @@
 //! time is always an argument.
 
 mod admission;
+mod answer_times;
 mod average;
 mod backoff;
 mod breaker;
@@ -13,6 +14,7 @@
 mod interference;
 mod kinds;
 mod mitigation;
+mod order_rules;
 mod pace_rules;
 mod pair_interference;
 mod performance;
@@ -20,15 +22,18 @@
 mod placement;
 mod placement_rules;
 mod rendezvous;
+mod resend;
 mod retry;
 mod routing;
 mod rules;
 mod run_times;
 mod sharing;
+mod silence;
 mod sizing;
 mod workday;
 
 pub use admission::{AdmitChoice, TeamKey, TeamLimits, TeamTable};
+pub use answer_times::AnswerTimes;
 pub use average::DecayedMean;
 pub use backoff::BackoffPlan;
 pub use breaker::{BreakerChoice, StoreBreaker};
@@ -43,6 +48,7 @@
 pub use interference::{LoadBand, PairEstimate, PairTable};
 pub use kinds::{KindKey, KindTable};
 pub use mitigation::{MitigationChoice, MitigationState, MitigationView, THROTTLED_PERCENT};
+pub use order_rules::OrderRules;
 pub use pace_rules::PaceRules;
 pub use pair_interference::{
     CoresByImage, InterferenceEstimate, InterferenceTable, LoadChange, LoadSample,
@@ -59,6 +65,7 @@
 };
 pub use placement_rules::{ExpectedFinish, PlacementRules};
 pub use rendezvous::{rank_score, top_member};
+pub use resend::{ResendChoice, ResendPlan};
 pub use retry::RetryBudget;
 pub use routing::{
     AttemptEnd, RouteChoice, RoutePolicy, RouteTable, UpstreamKey, UpstreamLoad, UpstreamView,
@@ -68,5 +75,6 @@
     ImageRunTimes, StepRunTimes, compare_with_step, overdue_after, projected_run_time,
 };
 pub use sharing::{BeginChoice, BegunLoad, SharingRules};
+pub use silence::SilenceClock;
 pub use sizing::SizeTable;
 pub use workday::WorkDay;
--- a/crates/wax-settings/src/policy.rs
+++ b/crates/wax-settings/src/policy.rs
@@ -1,7 +1,7 @@
 //! Section `policy` of the settings file: rules of placement and pacing in the pool.
 
 use serde::Deserialize;
-use wax_policy::{PaceRules, PerformanceRules, PlacementRules, RuleInfo, SharingRules};
+use wax_policy::{OrderRules, PaceRules, PerformanceRules, PlacementRules, RuleInfo, SharingRules};
 
 /// Rules of the pool's decisions. Each key is a number in the unit of its rule, or `off` if the
 /// rule can be switched off.
@@ -17,6 +17,9 @@
     pub sharing: SharingRules,
     /// Rules by which the owner recognizes and avoids slow workers.
     pub performance: PerformanceRules,
+    /// Rules for calls to workers that are not answered: agents send them again, and the owner
+    /// limits starts on the workers concerned.
+    pub orders: OrderRules,
 }
 
 impl PolicySettings {
@@ -27,6 +30,7 @@
             ("pace", self.pace.infos()),
             ("sharing", self.sharing.infos()),
             ("performance", self.performance.infos()),
+            ("orders", self.orders.infos()),
         ];
         let named = sections
             .into_iter()
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -13,9 +13,8 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
-use wax_agent::OwnerDirectory;
+use wax_agent::{AgentRules, OwnerDirectory};
 use wax_owner::{OwnerRow, owner_key};
-use wax_policy::{PaceRules, PerformanceRules};
 use wax_settings::{DaemonSettings, SettingsFile};
 use wax_types::WaxError;
 
@@ -33,33 +32,29 @@
 pub(crate) async fn run_agent(settings: DaemonSettings, file: &Path) -> Result<(), WaxError> {
     serve_metrics(settings.pool.as_ref().and_then(|pool| pool.metrics))?;
     let store = Rc::new(StoreClient::new(settings.platform.address));
-    let pace_rules = Rc::new(Cell::new(settings.policy.pace));
-    let performance_rules = Rc::new(Cell::new(settings.policy.performance));
-    let rules = (pace_rules.clone(), performance_rules.clone());
+    let rules = Rc::new(AgentRules {
+        pace: Cell::new(settings.policy.pace),
+        performance: Cell::new(settings.policy.performance),
+        orders: Cell::new(settings.policy.orders),
+    });
     let changes = watch_settings(file);
-    spawn(apply_changes(store.clone(), rules, changes)).detach();
+    spawn(apply_changes(store.clone(), rules.clone(), changes)).detach();
     let directory = StoreOwnerDirectory(store);
-    wax_agent::run_agent(
-        &settings,
-        pace_rules,
-        performance_rules,
-        directory,
-        shutdown_signal(),
-    )
-    .await
+    wax_agent::run_agent(&settings, rules, directory, shutdown_signal()).await
 }
 
-/// Applies the address of the store and the rules of changed settings; an agent ignores
-/// other changes.
+/// Applies the address of the store and the rules of changed settings; an agent ignores other
+/// changes.
 async fn apply_changes(
     store: Rc<StoreClient>,
-    (pace_rules, performance_rules): (Rc<Cell<PaceRules>>, Rc<Cell<PerformanceRules>>),
+    rules: Rc<AgentRules>,
     mut changes: UnboundedReceiver<DaemonSettings>,
 ) {
     while let Some(settings) = changes.next().await {
         store.set_address(settings.platform.address);
-        pace_rules.set(settings.policy.pace);
-        performance_rules.set(settings.policy.performance);
+        rules.pace.set(settings.policy.pace);
+        rules.performance.set(settings.policy.performance);
+        rules.orders.set(settings.policy.orders);
         tracing::info!(store = %settings.platform.address, "settings reloaded");
     }
 }
