Agents resolve runs whose starts were sent again after a restart of the worker

Cause: after a restart under the same id, runs that a hold had listed counted as lost with the earlier boot. Since starts are sent in several copies, a copy without an answer may still be executed by the next boot, while the owner starts the task elsewhere.

Change: a run of which a further copy was sent stays unresolved until no copy can be executed any more (late_ms, at least until the leases have expired); the next boot's list resolves it. A run that has ended is not in the table: a late copy may run it on the next boot until that boot gets a higher fencing token.

Measured: listed_run_may_be_on_the_next_boot_while_a_copy_of_its_start_is_unanswered fails without the check of the copies and passes with it.

--- a/crates/wax-agent/src/boot_change.rs
+++ b/crates/wax-agent/src/boot_change.rs
@@ -138,23 +138,23 @@
 }
 
 /// Handles a restart of the worker under the same id. Runs that the active boot has listed are
-/// lost with it. Unlisted ones may have been started by the next boot; they are resolved once that
-/// boot is active.
+/// lost with it, unless a copy of their start may still be executed. Such runs and unlisted ones may
+/// have been started by the next boot; they are resolved once that boot is active.
 pub(crate) fn handle_restart(state: &Rc<AgentState>, active: &BootId) {
-    let has_unlisted = {
+    let is_unresolved = {
         let mut boot = state.boot.borrow_mut();
         let boot = boot.as_mut().filter(|boot| boot.view.boot == *active);
         let Some(boot) = boot.filter(|boot| !boot.is_replaced) else {
             return;
         };
-        boot.is_replaced = boot.table.has_unlisted();
+        boot.is_replaced = boot.table.may_be_on_next_boot(state.now());
         if boot.is_replaced {
             let max_length = state.lease_rules.length + state.lease_rules.grace;
             boot.lease.assume_granted(state.now(), max_length);
         }
         boot.is_replaced
     };
-    if has_unlisted {
+    if is_unresolved {
         tracing::warn!(worker = %active, "worker restarted under the same id; some runs may be on its next boot");
     } else {
         end_boot(state, active, "worker restarted under the same id");
--- a/crates/wax-agent/src/orders.rs
+++ b/crates/wax-agent/src/orders.rs
@@ -152,6 +152,7 @@
                     plan.note_sent(now);
                     if copies.sent() > 0 {
                         count(Counter::StartsResent);
+                        self.note_start_copy(&boot, run_id, now);
                     }
                     let limit = plan.time_left(now);
                     copies.push(now, self.worker.start(&boot, &request, limit));
@@ -230,6 +231,16 @@
         }
     }
 
+    /// Records until when copies of a start that is sent again now may be executed: the lease that
+    /// they contain ends them, but its end is a time on the clock of the boot that executes them.
+    fn note_start_copy(&self, boot: &BootId, run_id: RunId, now: TimePoint) {
+        let late_until = now + self.rules.orders.get().late_execution;
+        self.with_boot(boot, |boot| {
+            let until = late_until.max(boot.lease.bound());
+            boot.table.note_start_copy(run_id, until);
+        });
+    }
+
     fn is_starting(&self, boot: &BootId, run_id: RunId) -> bool {
         let state = self.with_table(boot, |table| table.state(run_id));
         state.flatten() == Some(RunState::Starting)
--- a/crates/wax-agent/src/run_table.rs
+++ b/crates/wax-agent/src/run_table.rs
@@ -54,6 +54,8 @@
     late_pace_until: TimePoint,
     /// When this process sent the start; `None` if an earlier process did.
     start_sent_at: Option<TimePoint>,
+    /// Until when a further copy of the start may be executed; the default if only one was sent.
+    late_start_until: TimePoint,
     /// Whether a hold of this boot has listed the run.
     was_listed: bool,
     /// Whether the last report of the tail latency exceeded its target.
@@ -270,10 +272,19 @@
         lost.collect()
     }
 
-    /// Returns whether a start was sent for a run that no hold has listed: the worker's next boot
-    /// may have taken it.
-    pub fn has_unlisted(&self) -> bool {
-        self.entries.values().any(|entry| !entry.was_listed)
+    /// Records that a further copy of a start is sent, which may be executed up to `until`.
+    pub fn note_start_copy(&mut self, run_id: RunId, until: TimePoint) {
+        if let Some(entry) = self.entries.get_mut(&run_id) {
+            entry.late_start_until = entry.late_start_until.max(until);
+        }
+    }
+
+    /// Returns whether the worker's next boot may have started a run of the table: no hold has
+    /// listed the run, or one of several copies of its start may still be executed.
+    pub fn may_be_on_next_boot(&self, now: TimePoint) -> bool {
+        self.entries
+            .values()
+            .any(|entry| !entry.was_listed || now < entry.late_start_until)
     }
 
     /// Returns whether the size of every run is known.
@@ -420,6 +431,7 @@
             pace_sent_at: TimePoint::default(),
             late_pace_until: TimePoint::default(),
             start_sent_at: None,
+            late_start_until: TimePoint::default(),
             was_listed: false,
             reported_over_target: false,
         }
--- a/crates/wax-agent/tests/guards.rs
+++ b/crates/wax-agent/tests/guards.rs
@@ -323,11 +323,28 @@
     assert_eq!(reserved, Ok(()));
     table.mark_running(run_id(0, 1));
     assert!(
-        table.has_unlisted(),
+        table.may_be_on_next_boot(at(0)),
         "an answer does not show which boot started the run"
     );
     table.reconcile(&[report(run_id(0, 1))], &[], 1);
-    assert!(!table.has_unlisted());
+    assert!(!table.may_be_on_next_boot(at(0)));
+}
+
+/// Guards against a task that is started elsewhere while the worker's next boot runs it: the hold
+/// lists the run that the second copy of its start has begun, the worker restarts, and the next
+/// boot executes the first copy.
+#[test]
+fn listed_run_may_be_on_the_next_boot_while_a_copy_of_its_start_is_unanswered() {
+    let mut table = RunTable::default();
+    let reserved = table.reserve(run_id(0, 1), placement(1_000), &view(1_000), at(0));
+    assert_eq!(reserved, Ok(()));
+    table.note_start_copy(run_id(0, 1), at(12_000));
+    table.mark_running(run_id(0, 1));
+    table.reconcile(&[report(run_id(0, 1))], &[], 1);
+    assert!(table.may_be_on_next_boot(at(11_999)));
+    assert!(!table.may_be_on_next_boot(at(12_000)));
+    table.reconcile(&[], &[end(1, run_id(0, 1))], 2);
+    assert!(!table.may_be_on_next_boot(at(100)), "the run has ended");
 }
 
 /// Guards against a run that disappears from the table, or an end that is taken as new, because the
