Agents send no further copy of a start to a draining worker

Cause: the checks before a further copy left out the worker's own announcement of its end, which the admission of the first copy checks.

Change: may_resend checks the state of the worker too.

Measured: starts_are_not_sent_again_to_a_draining_worker fails without the check and passes with it.

--- a/crates/wax-agent/src/lib.rs
+++ b/crates/wax-agent/src/lib.rs
@@ -12,6 +12,8 @@
 mod driver;
 mod lease;
 mod orders;
+#[cfg(test)]
+mod orders_tests;
 mod owner_link;
 mod pace;
 mod pending_updates;
--- a/crates/wax-agent/src/orders.rs
+++ b/crates/wax-agent/src/orders.rs
@@ -1,6 +1,5 @@
 //! Carries out the owner's orders. Each runs in a task of its own until its result is known.
 
-use crate::boot_change::is_replaced;
 use crate::copies::CallCopies;
 use crate::pace::PaceChange;
 use crate::run_table::{PlacementInfo, RunState, RunTable};
@@ -10,7 +9,7 @@
 use platform::{CallError, OrderOutcome, StartRequest, WorkerRefusal};
 use std::rc::Rc;
 use std::time::Duration;
-use wax_batch::{BootId, RunId, StartRefusal};
+use wax_batch::{BootId, RunId, StartRefusal, WorkerState};
 use wax_policy::ResendChoice;
 use wax_trace::{Counter, Latency, count, count_many, record_latency};
 use wax_types::TimePoint;
@@ -248,9 +247,12 @@
 
     /// Returns whether a further copy of a start may be sent: all that allowed the first copy must
     /// still hold, and the owner must be the same.
-    fn may_resend(&self, request: &StartRequest, now: TimePoint) -> bool {
-        let is_replaced = is_replaced(self);
-        !is_replaced
+    pub(crate) fn may_resend(&self, request: &StartRequest, now: TimePoint) -> bool {
+        let boot = self.boot.borrow();
+        let takes_starts = boot
+            .as_ref()
+            .is_some_and(|boot| !boot.is_replaced && boot.view.state != WorkerState::Draining);
+        takes_starts
             && now < self.authority_until.get()
             && self.is_reconciled()
             && request.token == self.fencing_token.get()
--- /dev/null
+++ b/crates/wax-agent/src/orders_tests.rs
@@ -0,0 +1,85 @@
+//! Further copies of orders, and silence, by the state of the agent.
+
+use crate::process::new_state;
+use crate::rules::AgentRules;
+use crate::state::{AgentState, OwnerLink, WorkerBoot};
+use futures_channel::mpsc::unbounded;
+use platform::StartRequest;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use wax_batch::{BootId, JobName, RunId, TaskName, WorkerState, WorkerView};
+use wax_policy::{DrainRules, OrderRules, PaceRules, PerformanceRules};
+
+fn run_id() -> RunId {
+    RunId {
+        task: TaskName {
+            job: JobName(1),
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        },
+        run: 1,
+    }
+}
+
+/// Returns an agent with an active boot and a link to an owner, whose unanswered calls are sent
+/// again.
+fn linked_agent(worker: SocketAddr) -> Rc<AgentState> {
+    let orders = OrderRules {
+        enabled: 1,
+        ..OrderRules::default()
+    };
+    let rules = Rc::new(AgentRules {
+        pace: Cell::new(PaceRules::default()),
+        performance: Cell::new(PerformanceRules::default()),
+        orders: Cell::new(orders),
+    });
+    let drain_rules = DrainRules {
+        bound: Some(Duration::from_secs(60)),
+    };
+    let state = new_state(("vm", "domain"), worker, rules, drain_rules);
+    state.fencing_token.set(1);
+    let now = state.now();
+    state.authority_until.set(now + Duration::from_secs(60));
+    let (outbox, _) = unbounded();
+    *state.link.borrow_mut() = Some(OwnerLink {
+        generation: 1,
+        outbox,
+        is_reconciled: true,
+    });
+    let view = WorkerView {
+        boot: BootId::new("worker", Some(1)),
+        state: WorkerState::Ready,
+        ..Default::default()
+    };
+    let mut boot = WorkerBoot::new(view, 1, now);
+    boot.lease.assume_granted(now, Duration::from_secs(60));
+    *state.boot.borrow_mut() = Some(boot);
+    Rc::new(state)
+}
+
+/// Guards against a further copy of a start that reaches the worker after it has announced its end.
+#[test]
+fn starts_are_not_sent_again_to_a_draining_worker() {
+    let state = linked_agent(SocketAddr::from(([127, 0, 0, 1], 1)));
+    let now = state.now();
+    state
+        .drains
+        .borrow_mut()
+        .replace(1, Default::default(), now);
+    let request = StartRequest {
+        run_id: run_id(),
+        text: "".into(),
+        lease_until_ms: 0,
+        token: 1,
+        checkpoint: "".into(),
+        ticket: "".into(),
+    };
+    assert!(state.may_resend(&request, now));
+    let mut boot = state.boot.borrow_mut();
+    boot.as_mut().expect("the active boot").view.state = WorkerState::Draining;
+    drop(boot);
+    assert!(!state.may_resend(&request, now));
+}
--- a/crates/wax-agent/src/process.rs
+++ b/crates/wax-agent/src/process.rs
@@ -55,7 +55,7 @@
     Ok(())
 }
 
-fn new_state(
+pub(crate) fn new_state(
     (node, failure_domain): (&str, &str),
     worker: SocketAddr,
     rules: Rc<AgentRules>,
