Agents check for silence after the verification of a boot

Cause: a time of more than 1.5 s between two checks counts as a suspension of the agent. The verification of a boot that does not answer (800 ms) and the first hold after it (1,050 ms) take longer together, so that the active boot never counted as silent while another boot kept checking in.

Change: the driver checks after the verification too.

Measured: worker_becomes_silent_while_another_boot_is_verified fails without the check (not silent after 5 s) and passes with it (silent within 2.6 s).

--- a/crates/wax-agent/src/driver.rs
+++ b/crates/wax-agent/src/driver.rs
@@ -53,6 +53,8 @@
             wait_for_change(&state).await;
             continue;
         };
+        // The verification may have taken as long as a hold.
+        state.update_contact(&boot);
         if is_replaced(&state) {
             wait_for_change(&state).await;
             expire_boot(&state, &boot);
--- a/crates/wax-agent/src/orders_tests.rs
+++ b/crates/wax-agent/src/orders_tests.rs
@@ -1,12 +1,16 @@
 //! Further copies of orders, and silence, by the state of the agent.
 
+use crate::boots::BootReport;
+use crate::driver::drive_worker;
 use crate::process::new_state;
 use crate::rules::AgentRules;
 use crate::state::{AgentState, OwnerLink, WorkerBoot};
+use compio::runtime::{Runtime, spawn};
+use compio::time::sleep;
 use futures_channel::mpsc::unbounded;
 use platform::StartRequest;
 use std::cell::Cell;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Duration;
 use wax_batch::{BootId, JobName, RunId, TaskName, WorkerState, WorkerView};
@@ -83,3 +87,40 @@
     drop(boot);
     assert!(!state.may_resend(&request, now));
 }
+
+/// Address at which no call is answered: connections are accepted by the system and never read.
+fn unanswering_worker() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port must be free");
+    let address = listener.local_addr().expect("the listener must be bound");
+    (listener, address)
+}
+
+fn is_silent(state: &AgentState) -> bool {
+    let boot = state.boot.borrow();
+    boot.as_ref().expect("the active boot").is_silent
+}
+
+/// Guards against a worker that never counts as silent because another boot is verified between
+/// two holds: the time of the verification was taken for a suspension of the agent.
+#[test]
+fn worker_becomes_silent_while_another_boot_is_verified() {
+    let runtime = Runtime::new().expect("the runtime must start");
+    runtime.block_on(async {
+        let (_listener, address) = unanswering_worker();
+        let state = linked_agent(address);
+        spawn(drive_worker(state.clone())).detach();
+        for _ in 0..50 {
+            let view = WorkerView {
+                boot: BootId::new("worker", Some(2)),
+                ..Default::default()
+            };
+            let report = BootReport { view, sequence: 1 };
+            state.boots.borrow_mut().set_candidate(report);
+            sleep(Duration::from_millis(100)).await;
+            if is_silent(&state) {
+                return;
+            }
+        }
+        panic!("the worker does not count as silent after 5 s");
+    });
+}
