A worker that answers orders but no hold becomes silent

Cause: silence was judged by the last answer to any call. A worker whose holds are not answered got starts for ever: each answered start also moved the bound of its leases, so that the boot did not expire, and no end of a run became known.

Change: the worker counts as silent also twice silent_ms after its last answer to a hold.

Measured: worker_that_answers_only_orders_becomes_silent fails without the limit (not silent after 8 s) and passes with it (silent after 4 s).

--- a/crates/wax-agent/src/orders_tests.rs
+++ b/crates/wax-agent/src/orders_tests.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 use wax_batch::{BootId, JobName, RunId, TaskName, WorkerState, WorkerView};
 use wax_policy::{DrainRules, OrderRules, PaceRules, PerformanceRules};
+use wax_types::TimePoint;
 
 fn run_id() -> RunId {
     RunId {
@@ -124,3 +125,25 @@
         panic!("the worker does not count as silent after 5 s");
     });
 }
+
+/// Guards against a worker that gets starts for ever although it answers no hold: no end of a run
+/// would be known, and its leases would expire.
+#[test]
+fn worker_that_answers_only_orders_becomes_silent() {
+    let at = |millis: u64| TimePoint::from_millis(100_000 + millis);
+    let rules = OrderRules {
+        enabled: 1,
+        ..OrderRules::default()
+    };
+    let mut boot = WorkerBoot::new(WorkerView::default(), 1, at(0));
+    let mut silent_from = None;
+    for millis in (0..8_000).step_by(250) {
+        boot.silence.note_answer(at(millis));
+        if boot.check_silence(at(millis), &rules) {
+            silent_from = silent_from.or(Some(millis));
+        }
+    }
+    assert_eq!(silent_from, Some(4_000));
+    boot.note_hold_answer(at(8_000));
+    assert!(!boot.check_silence(at(8_000), &rules));
+}
--- a/crates/wax-agent/src/state.rs
+++ b/crates/wax-agent/src/state.rs
@@ -41,12 +41,14 @@
     pub(crate) answering_start_ms: Option<u64>,
     /// Number of consecutive holds that were not answered.
     pub(crate) unanswered_holds: u32,
-    /// Number of consecutive holds that were refused or could not be sent.
+    /// Number of holds since the last answered one that were refused or could not be sent.
     pub(crate) refused_holds: u32,
     /// Whether the worker counts as silent.
     pub(crate) is_silent: bool,
     /// When the boot last answered a hold or an order.
     pub(crate) silence: SilenceClock,
+    /// When the boot last answered a hold.
+    hold_silence: SilenceClock,
     /// Whether the last log line says that the worker leaves calls unanswered.
     pub(crate) is_losing_calls: bool,
     /// Generation of the link on which the boot's full run list was sent last; 0 for none.
@@ -78,6 +80,9 @@
 
 /// Number of consecutive unanswered holds from which on a worker counts as silent.
 const SILENT_AFTER_UNANSWERED_HOLDS: u32 = 2;
+/// Limit of the time without an answer to a hold, as a multiple of that without any answer. Without
+/// holds, leases are not extended and ends are not known, although orders are answered.
+const HOLD_SILENCE_FACTOR: u32 = 2;
 
 impl WorkerBoot {
     /// Logs and counts each run that was lost with the boot, except for those in `on_next`, which
@@ -110,17 +115,28 @@
         view
     }
 
-    /// Decides whether the worker counts as silent: by the time since its last answer to any call
-    /// if unanswered calls are sent again, otherwise by the number of unanswered holds.
-    fn check_silence(&mut self, now: TimePoint, rules: &OrderRules) -> bool {
+    /// Decides whether the worker counts as silent. If unanswered calls are sent again, it does by
+    /// the time since its last answer to any call and, with a longer limit, to a hold; otherwise by
+    /// the number of unanswered holds.
+    pub(crate) fn check_silence(&mut self, now: TimePoint, rules: &OrderRules) -> bool {
         let has_no_answer = self.silence.is_silent(now, rules.silent_after);
+        let hold_limit = rules.silent_after * HOLD_SILENCE_FACTOR;
+        let has_no_list = self.hold_silence.is_silent(now, hold_limit);
         if rules.is_enabled() {
-            has_no_answer || self.refused_holds >= SILENT_AFTER_UNANSWERED_HOLDS
+            has_no_answer || has_no_list || self.refused_holds >= SILENT_AFTER_UNANSWERED_HOLDS
         } else {
             self.unanswered_holds >= SILENT_AFTER_UNANSWERED_HOLDS
         }
     }
 
+    /// Records an answer to a hold.
+    pub(crate) fn note_hold_answer(&mut self, now: TimePoint) {
+        self.silence.note_answer(now);
+        self.hold_silence.note_answer(now);
+        self.unanswered_holds = 0;
+        self.refused_holds = 0;
+    }
+
     /// Creates the state of a boot that has just answered.
     pub(crate) fn new(view: WorkerView, sequence: u64, now: TimePoint) -> Self {
         Self {
@@ -131,6 +147,7 @@
             refused_holds: 0,
             is_silent: false,
             silence: SilenceClock::new(now),
+            hold_silence: SilenceClock::new(now),
             is_losing_calls: false,
             reported_link: 0,
             table: RunTable::default(),
@@ -280,9 +297,7 @@
         let now = self.now();
         self.with_boot(active, |boot| {
             if result == HoldResult::Answered {
-                boot.silence.note_answer(now);
-                boot.unanswered_holds = 0;
-                boot.refused_holds = 0;
+                boot.note_hold_answer(now);
             } else {
                 boot.unanswered_holds += 1;
             }
