Agents send the stop of a run in one task at a time

While a worker did not answer, tasks and connections grew with the number of links.

Change: if unanswered calls are sent again, a stop that is in progress is not sent by a second task. With the section off, nothing changes.

Measured: repeated_stops_of_a_run_share_their_calls fails without the check and passes with it: 1 connection for 20 orders.

--- a/crates/wax-agent/src/orders.rs
+++ b/crates/wax-agent/src/orders.rs
@@ -323,17 +323,27 @@
         spawn(async move { state.send_stop(boot, run_id).await }).detach();
     }
 
-    /// Sends a stop until it is answered or the boot is no longer active.
+    /// Sends a stop until it is answered or the boot is no longer active. If unanswered calls are
+    /// sent again, a stop that is being sent already is not sent by a second task.
     pub(crate) async fn send_stop(self: Rc<Self>, boot: BootId, run_id: RunId) {
+        let is_first = self.with_table(&boot, |table| table.begin_stop(run_id));
+        if self.rules.orders.get().is_enabled() && is_first != Some(true) {
+            return;
+        }
+        self.repeat_stop(&boot, run_id).await;
+        self.with_table(&boot, |table| table.end_stop(run_id));
+    }
+
+    async fn repeat_stop(&self, boot: &BootId, run_id: RunId) {
         loop {
             if self.rules.orders.get().is_enabled() {
-                if self.send_stop_copies(&boot, run_id).await == StopProgress::Over {
+                if self.send_stop_copies(boot, run_id).await == StopProgress::Over {
                     return;
                 }
                 sleep(STOP_RETRY_DELAY).await;
                 continue;
             }
-            if self.with_table(&boot, |table| table.mark_stopping(run_id)) != Some(true) {
+            if self.with_table(boot, |table| table.mark_stopping(run_id)) != Some(true) {
                 // The run or its boot has ended. The owner learns of it from the end itself, on
                 // this link or the next. A reply that the run never started would let a finished
                 // task run again.
@@ -341,12 +351,12 @@
             }
             let answer = self
                 .worker
-                .stop(&boot, run_id, self.fencing_token.get(), ORDER_TIMEOUT)
+                .stop(boot, run_id, self.fencing_token.get(), ORDER_TIMEOUT)
                 .await;
             match answer.map(|reply| reply.outcome) {
                 Ok(OrderOutcome::Done) => {
                     let mut state = self.boot.borrow_mut();
-                    if let Some(state) = state.as_mut().filter(|state| state.view.boot == boot) {
+                    if let Some(state) = state.as_mut().filter(|state| state.view.boot == *boot) {
                         let hold = state.hold_number;
                         state.table.mark_stopped(run_id, hold);
                     }
@@ -371,7 +381,7 @@
         let mut copies = CallCopies::new();
         loop {
             if self.with_table(boot, |table| table.mark_stopping(run_id)) != Some(true) {
-                // The run or its boot has ended; see `send_stop`.
+                // The run or its boot has ended; see `repeat_stop`.
                 return StopProgress::Over;
             }
             let now = self.now();
--- a/crates/wax-agent/src/orders_tests.rs
+++ b/crates/wax-agent/src/orders_tests.rs
@@ -4,6 +4,7 @@
 use crate::driver::drive_worker;
 use crate::process::new_state;
 use crate::rules::AgentRules;
+use crate::run_table::PlacementInfo;
 use crate::state::{AgentState, OwnerLink, WorkerBoot};
 use compio::runtime::{Runtime, spawn};
 use compio::time::sleep;
@@ -13,7 +14,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Duration;
-use wax_batch::{BootId, JobName, RunId, TaskName, WorkerState, WorkerView};
+use wax_batch::{BootId, JobName, RunId, TaskName, TaskSize, WorkerState, WorkerView};
 use wax_policy::{DrainRules, OrderRules, PaceRules, PerformanceRules};
 use wax_types::TimePoint;
 
@@ -147,3 +148,34 @@
     boot.note_hold_answer(at(8_000));
     assert!(!boot.check_silence(at(8_000), &rules));
 }
+
+/// Guards against calls that pile up while a worker does not answer: each owner that takes over
+/// orders the stop again.
+#[test]
+fn repeated_stops_of_a_run_share_their_calls() {
+    let runtime = Runtime::new().expect("the runtime must start");
+    runtime.block_on(async {
+        let (listener, address) = unanswering_worker();
+        listener
+            .set_nonblocking(true)
+            .expect("the listener must not block");
+        let state = linked_agent(address);
+        if let Some(boot) = state.boot.borrow_mut().as_mut() {
+            boot.view.capacity = TaskSize {
+                cpu_milli: 1,
+                memory_mb: 1,
+                accelerators: 0,
+            };
+            let view = boot.view.clone();
+            let placement = PlacementInfo::default();
+            let reserved = boot.table.reserve(run_id(), placement, &view, state.now());
+            assert_eq!(reserved, Ok(()));
+        }
+        for _ in 0..20 {
+            state.handle_stop(run_id());
+        }
+        sleep(Duration::from_millis(300)).await;
+        let connections = std::iter::from_fn(|| listener.accept().ok()).count();
+        assert_eq!(connections, 1);
+    });
+}
--- a/crates/wax-agent/src/run_table.rs
+++ b/crates/wax-agent/src/run_table.rs
@@ -54,6 +54,8 @@
     late_pace_until: TimePoint,
     /// When this process sent the start; `None` if an earlier process did.
     start_sent_at: Option<TimePoint>,
+    /// Whether a task of this process sends the stop until it is answered.
+    is_stop_in_progress: bool,
     /// Until when a further copy of the start may be executed; the default if only one was sent.
     late_start_until: TimePoint,
     /// Whether a hold of this boot has listed the run.
@@ -148,6 +150,20 @@
         true
     }
 
+    /// Records that the caller sends the stop until it is answered; returns whether the table has the
+    /// run and no other caller does so.
+    pub fn begin_stop(&mut self, run_id: RunId) -> bool {
+        let entry = self.entries.get_mut(&run_id);
+        entry.is_some_and(|entry| !std::mem::replace(&mut entry.is_stop_in_progress, true))
+    }
+
+    /// Records that the caller of [`RunTable::begin_stop`] sends no further stop.
+    pub fn end_stop(&mut self, run_id: RunId) {
+        if let Some(entry) = self.entries.get_mut(&run_id) {
+            entry.is_stop_in_progress = false;
+        }
+    }
+
     /// Records that the worker answered the stop while hold number `hold` was in progress.
     pub fn mark_stopped(&mut self, run_id: RunId, hold: u64) {
         if let Some(entry) = self.entries.get_mut(&run_id) {
@@ -431,6 +447,7 @@
             pace_sent_at: TimePoint::default(),
             late_pace_until: TimePoint::default(),
             start_sent_at: None,
+            is_stop_in_progress: false,
             late_start_until: TimePoint::default(),
             was_listed: false,
             reported_over_target: false,
