--- a/crates/wax-agent/src/driver.rs
+++ b/crates/wax-agent/src/driver.rs
@@ -262,8 +262,8 @@
     }
 }
 
-/// Applies the lists of running and ended runs in the answer to a hold of this number, and sends the changes to the owner. Returns whether
-/// there were any.
+/// Applies the lists of running and ended runs in the answer to a hold of this number, and sends the
+/// changes to the owner. Returns whether there were any.
 fn apply_hold_reply(
     state: &AgentState,
     active: &BootId,
--- a/crates/wax-agent/src/orders.rs
+++ b/crates/wax-agent/src/orders.rs
@@ -21,6 +21,9 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay between two attempts to send a stop.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Limit of a pace order as a multiple of the time without an answer after which other orders are
+/// sent again.
+const PACE_LIMIT_FACTOR: u32 = 4;
 
 /// What becomes of a stop whose copies have been answered or given up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,10 +46,6 @@
     }
 }
 
-/// Limit of a pace order as a multiple of the time without an answer after which other orders are
-/// sent again.
-const PACE_LIMIT_FACTOR: u32 = 4;
-
 impl AgentState {
     /// Starts a run, if the order is meant for the active boot and passes the admission checks.
     pub(crate) fn handle_start(self: &Rc<Self>, order: StartRun) {
@@ -127,7 +126,7 @@
     /// Starts a run, with further copies of the order while it has no answer. The first acceptance
     /// counts. A refusal counts only if no other copy was sent: of several copies one may have
     /// started the run, or may still do so, although another one is refused.
-    async fn send_start_copies(self: Rc<Self>, boot: BootId, request: StartRequest) {
+    pub(crate) async fn send_start_copies(self: Rc<Self>, boot: BootId, request: StartRequest) {
         let run_id = request.run_id;
         let began_at = self.now();
         let mut plan = self.order_plan(began_at, START_TIMEOUT);
@@ -262,10 +261,7 @@
     /// Resolves an unanswered start: unless a hold has listed the run meanwhile, it is stopped,
     /// which also prevents a late start.
     async fn resolve_start(self: Rc<Self>, boot: BootId, run_id: RunId) {
-        let is_starting = self.with_table(&boot, |table| {
-            table.state(run_id) == Some(RunState::Starting)
-        });
-        if is_starting == Some(true) {
+        if self.is_starting(&boot, run_id) {
             self.send_stop(boot, run_id).await;
         }
     }
--- a/crates/wax-agent/src/orders_tests.rs
+++ b/crates/wax-agent/src/orders_tests.rs
@@ -4,17 +4,18 @@
 use crate::driver::drive_worker;
 use crate::process::new_state;
 use crate::rules::AgentRules;
-use crate::run_table::PlacementInfo;
+use crate::run_table::{PlacementInfo, RunState};
 use crate::state::{AgentState, OwnerLink, WorkerBoot};
 use compio::runtime::{Runtime, spawn};
 use compio::time::sleep;
 use futures_channel::mpsc::unbounded;
 use platform::StartRequest;
 use std::cell::Cell;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Duration;
-use wax_batch::{BootId, JobName, RunId, TaskName, TaskSize, WorkerState, WorkerView};
+use wax_batch::{BootId, JobName, RunId, TaskName, WorkerState, WorkerView};
 use wax_policy::{DrainRules, OrderRules, PaceRules, PerformanceRules};
 use wax_types::TimePoint;
 
@@ -75,19 +76,31 @@
         .drains
         .borrow_mut()
         .replace(1, Default::default(), now);
-    let request = StartRequest {
+    let request = start_request();
+    assert!(state.may_resend(&request, now));
+    let mut boot = state.boot.borrow_mut();
+    boot.as_mut().expect("the active boot").view.state = WorkerState::Draining;
+    drop(boot);
+    assert!(!state.may_resend(&request, now));
+}
+
+fn reserve_run(state: &AgentState) {
+    let mut boot = state.boot.borrow_mut();
+    let boot = boot.as_mut().expect("the active boot");
+    let (view, placement) = (boot.view.clone(), PlacementInfo::default());
+    let reserved = boot.table.reserve(run_id(), placement, &view, state.now());
+    assert_eq!(reserved, Ok(()));
+}
+
+fn start_request() -> StartRequest {
+    StartRequest {
         run_id: run_id(),
         text: "".into(),
         lease_until_ms: 0,
         token: 1,
         checkpoint: "".into(),
         ticket: "".into(),
-    };
-    assert!(state.may_resend(&request, now));
-    let mut boot = state.boot.borrow_mut();
-    boot.as_mut().expect("the active boot").view.state = WorkerState::Draining;
-    drop(boot);
-    assert!(!state.may_resend(&request, now));
+    }
 }
 
 /// Address at which no call is answered: connections are accepted by the system and never read.
@@ -160,17 +173,7 @@
             .set_nonblocking(true)
             .expect("the listener must not block");
         let state = linked_agent(address);
-        if let Some(boot) = state.boot.borrow_mut().as_mut() {
-            boot.view.capacity = TaskSize {
-                cpu_milli: 1,
-                memory_mb: 1,
-                accelerators: 0,
-            };
-            let view = boot.view.clone();
-            let placement = PlacementInfo::default();
-            let reserved = boot.table.reserve(run_id(), placement, &view, state.now());
-            assert_eq!(reserved, Ok(()));
-        }
+        reserve_run(&state);
         for _ in 0..20 {
             state.handle_stop(run_id());
         }
@@ -179,3 +182,36 @@
         assert_eq!(connections, 1);
     });
 }
+
+/// Guards against a run that is stopped although the worker has accepted its start: the answer
+/// arrived while the agent was suspended.
+#[test]
+fn answer_that_arrived_while_the_agent_was_suspended_counts() {
+    let runtime = Runtime::new().expect("the runtime must start");
+    runtime.block_on(async {
+        let (listener, address) = unanswering_worker();
+        std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("the agent must connect");
+            let mut request = [0; 4_096];
+            let _ = stream.read(&mut request);
+            std::thread::sleep(Duration::from_millis(200));
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}");
+            std::thread::sleep(Duration::from_secs(3));
+        });
+        let state = linked_agent(address);
+        reserve_run(&state);
+        let boot = state.active_boot().expect("the active boot");
+        spawn(
+            state
+                .clone()
+                .send_start_copies(boot.clone(), start_request()),
+        )
+        .detach();
+        sleep(Duration::from_millis(100)).await;
+        // The runtime has one thread, so that nothing else runs in this time.
+        std::thread::sleep(Duration::from_millis(1_500));
+        sleep(Duration::from_millis(100)).await;
+        let run_state = state.with_table(&boot, |table| table.state(run_id()));
+        assert_eq!(run_state.flatten(), Some(RunState::Running));
+    });
+}
--- a/crates/wax-agent/src/state.rs
+++ b/crates/wax-agent/src/state.rs
@@ -80,8 +80,8 @@
 
 /// Number of consecutive unanswered holds from which on a worker counts as silent.
 const SILENT_AFTER_UNANSWERED_HOLDS: u32 = 2;
-/// Limit of the time without an answer to a hold, as a multiple of that without any answer. Without
-/// holds, leases are not extended and ends are not known, although orders are answered.
+/// Limit of the time without an answer to a hold, as a multiple of that without any answer. Only
+/// holds show the ends of runs, so that a worker that answers no hold must not get starts for ever.
 const HOLD_SILENCE_FACTOR: u32 = 2;
 
 impl WorkerBoot {
@@ -335,10 +335,8 @@
 
     /// Records that the boot has answered an order.
     pub(crate) fn note_order_answer(&self, active: &BootId) {
-        let mut boot = self.boot.borrow_mut();
-        if let Some(boot) = boot.as_mut().filter(|boot| boot.view.boot == *active) {
-            boot.silence.note_answer(self.now());
-        }
+        let now = self.now();
+        self.with_boot(active, |boot| boot.silence.note_answer(now));
     }
 
     /// Returns the active boot.
