--- a/crates/wax-agent/src/orders.rs
+++ b/crates/wax-agent/src/orders.rs
@@ -375,6 +375,7 @@
     async fn send_stop_copies(&self, boot: &BootId, run_id: RunId) -> StopProgress {
         let mut plan = self.order_plan(self.now(), ORDER_TIMEOUT);
         let mut copies = CallCopies::new();
+        let mut is_refused = false;
         loop {
             if self.with_table(boot, |table| table.mark_stopping(run_id)) != Some(true) {
                 // The run or its boot has ended; see `repeat_stop`.
@@ -414,6 +415,7 @@
                             return StopProgress::Over;
                         }
                         OrderOutcome::Refused(refusal) => {
+                            is_refused = true;
                             tracing::warn!(task = %run_id.task, run = run_id.run, ?refusal, "stop refused");
                         }
                     }
@@ -430,7 +432,9 @@
         }
         let sent = copies.sent();
         self.note_losses(boot, copies.lost(None));
-        tracing::warn!(task = %run_id.task, run = run_id.run, copies = sent, "stop was not answered");
+        if !is_refused {
+            tracing::warn!(task = %run_id.task, run = run_id.run, copies = sent, "stop was not answered");
+        }
         StopProgress::Repeat
     }
 
