Copies of a call end by their own limits before the call is given up

Cause: the limits of all copies end when the call is given up. If the call was given up first, a start of which no copy could be sent counted as unanswered and was stopped until its boot expired, and the idle connections of a broken path stayed open.

Change: at the end of its time a call waits at most 20 ms for copies in flight.

--- a/crates/wax-agent/src/copies.rs
+++ b/crates/wax-agent/src/copies.rs
@@ -10,6 +10,10 @@
 use wax_policy::ResendPlan;
 use wax_types::TimePoint;
 
+/// Time for copies to end by their own limits before a call is given up. Both end at the same time,
+/// and a copy that ends itself shows whether it was sent.
+const GIVE_UP_GRACE: Duration = Duration::from_millis(20);
+
 /// One copy of a call that was answered or has failed.
 pub(crate) struct EndedCopy<T> {
     /// Position of the copy among all copies of the call, from 0.
@@ -23,6 +27,7 @@
     calls: FuturesUnordered<LocalBoxFuture<'a, EndedCopy<T>>>,
     sent: u32,
     failed: u32,
+    give_up_at: Option<TimePoint>,
 }
 
 impl<'a, T: 'a> CallCopies<'a, T> {
@@ -31,6 +36,7 @@
             calls: FuturesUnordered::new(),
             sent: 0,
             failed: 0,
+            give_up_at: None,
         }
     }
 
@@ -71,6 +77,16 @@
         self.calls.is_empty()
     }
 
+    /// Returns how long to wait for copies whose limits have passed at `now`; `None` if the call has
+    /// to be given up.
+    pub(crate) fn grace(&mut self, now: TimePoint) -> Option<Duration> {
+        if self.is_idle() {
+            return None;
+        }
+        let until = *self.give_up_at.get_or_insert(now + GIVE_UP_GRACE);
+        (now < until).then(|| until.since(now))
+    }
+
     /// Number of copies that have no answer, if the copy at position `answered` was answered last;
     /// `None` if the call is given up. Copies sent after the answered one are not counted: they had
     /// less time.
--- a/crates/wax-agent/src/driver.rs
+++ b/crates/wax-agent/src/driver.rs
@@ -202,6 +202,7 @@
     loop {
         let now = state.now();
         let pause = match plan.choose(now) {
+            ResendChoice::GiveUp if let Some(pause) = copies.grace(now) => pause,
             ResendChoice::GiveUp => {
                 state.note_losses(active, copies.lost(None));
                 let text = "no copy was answered in time";
--- a/crates/wax-agent/src/orders.rs
+++ b/crates/wax-agent/src/orders.rs
@@ -139,7 +139,10 @@
             }
             let now = self.now();
             let wait = match plan.choose(now) {
-                ResendChoice::GiveUp => break None,
+                ResendChoice::GiveUp => match copies.grace(now) {
+                    Some(wait) => wait,
+                    None => break None,
+                },
                 ResendChoice::Wait(_) if plan.is_exhausted() && copies.is_idle() => break None,
                 ResendChoice::Wait(wait) => wait,
                 ResendChoice::Send if copies.sent() > 0 && !self.may_resend(&request, now) => {
@@ -383,7 +386,10 @@
             }
             let now = self.now();
             let wait = match plan.choose(now) {
-                ResendChoice::GiveUp => break,
+                ResendChoice::GiveUp => match copies.grace(now) {
+                    Some(wait) => wait,
+                    None => break,
+                },
                 ResendChoice::Wait(_) if plan.is_exhausted() && copies.is_idle() => break,
                 ResendChoice::Wait(wait) => wait,
                 ResendChoice::Send => {
--- a/crates/wax-agent/src/orders_tests.rs
+++ b/crates/wax-agent/src/orders_tests.rs
@@ -215,3 +215,27 @@
         assert_eq!(run_state.flatten(), Some(RunState::Running));
     });
 }
+
+/// Guards against a start that is resolved by stops although no copy of it could be sent.
+#[test]
+fn start_whose_connections_never_open_is_refused_as_not_sent() {
+    let runtime = Runtime::new().expect("the runtime must start");
+    runtime.block_on(async {
+        let (_listener, address) = unanswering_worker();
+        // Fills the backlog, so that the system opens no further connection.
+        let connect = || std::net::TcpStream::connect_timeout(&address, Duration::from_millis(50));
+        let _backlog: Vec<_> = std::iter::from_fn(|| connect().ok()).take(5_000).collect();
+        let state = linked_agent(address);
+        reserve_run(&state);
+        let boot = state.active_boot().expect("the active boot");
+        spawn(
+            state
+                .clone()
+                .send_start_copies(boot.clone(), start_request()),
+        )
+        .detach();
+        sleep(Duration::from_millis(900)).await;
+        let run_state = state.with_table(&boot, |table| table.state(run_id()));
+        assert_eq!(run_state.flatten(), None);
+    });
+}
