--- a/crates/wax-agent/src/driver.rs
+++ b/crates/wax-agent/src/driver.rs
@@ -53,6 +53,8 @@
             wait_for_change(&state).await;
             continue;
         };
+        // The verification may have taken as long as a hold.
+        state.update_contact(&boot);
         if is_replaced(&state) {
             wait_for_change(&state).await;
             expire_boot(&state, &boot);
@@ -200,6 +202,7 @@
     loop {
         let now = state.now();
         let pause = match plan.choose(now) {
+            ResendChoice::GiveUp if let Some(pause) = copies.grace(now) => pause,
             ResendChoice::GiveUp => {
                 state.note_losses(active, copies.lost(None));
                 let text = "no copy was answered in time";
@@ -260,8 +263,8 @@
     }
 }
 
-/// Applies the lists of running and ended runs in the answer to a hold of this number, and sends the changes to the owner. Returns whether
-/// there were any.
+/// Applies the lists of running and ended runs in the answer to a hold of this number, and sends the
+/// changes to the owner. Returns whether there were any.
 fn apply_hold_reply(
     state: &AgentState,
     active: &BootId,
--- a/crates/wax-agent/src/orders.rs
+++ b/crates/wax-agent/src/orders.rs
@@ -1,6 +1,5 @@
 //! Carries out the owner's orders. Each runs in a task of its own until its result is known.
 
-use crate::boot_change::is_replaced;
 use crate::copies::CallCopies;
 use crate::pace::PaceChange;
 use crate::run_table::{PlacementInfo, RunState, RunTable};
@@ -10,7 +9,7 @@
 use platform::{CallError, OrderOutcome, StartRequest, WorkerRefusal};
 use std::rc::Rc;
 use std::time::Duration;
-use wax_batch::{BootId, RunId, StartRefusal};
+use wax_batch::{BootId, RunId, StartRefusal, WorkerState};
 use wax_policy::ResendChoice;
 use wax_trace::{Counter, Latency, count, count_many, record_latency};
 use wax_types::TimePoint;
@@ -22,6 +21,9 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay between two attempts to send a stop.
 const STOP_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Limit of a pace order as a multiple of the time without an answer after which other orders are
+/// sent again.
+const PACE_LIMIT_FACTOR: u32 = 4;
 
 /// What becomes of a stop whose copies have been answered or given up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,10 +46,6 @@
     }
 }
 
-/// Limit of a pace order as a multiple of the time without an answer after which other orders are
-/// sent again.
-const PACE_LIMIT_FACTOR: u32 = 4;
-
 impl AgentState {
     /// Starts a run, if the order is meant for the active boot and passes the admission checks.
     pub(crate) fn handle_start(self: &Rc<Self>, order: StartRun) {
@@ -128,7 +126,7 @@
     /// Starts a run, with further copies of the order while it has no answer. The first acceptance
     /// counts. A refusal counts only if no other copy was sent: of several copies one may have
     /// started the run, or may still do so, although another one is refused.
-    async fn send_start_copies(self: Rc<Self>, boot: BootId, request: StartRequest) {
+    pub(crate) async fn send_start_copies(self: Rc<Self>, boot: BootId, request: StartRequest) {
         let run_id = request.run_id;
         let began_at = self.now();
         let mut plan = self.order_plan(began_at, START_TIMEOUT);
@@ -141,7 +139,10 @@
             }
             let now = self.now();
             let wait = match plan.choose(now) {
-                ResendChoice::GiveUp => break None,
+                ResendChoice::GiveUp => match copies.grace(now) {
+                    Some(wait) => wait,
+                    None => break None,
+                },
                 ResendChoice::Wait(_) if plan.is_exhausted() && copies.is_idle() => break None,
                 ResendChoice::Wait(wait) => wait,
                 ResendChoice::Send if copies.sent() > 0 && !self.may_resend(&request, now) => {
@@ -152,6 +153,7 @@
                     plan.note_sent(now);
                     if copies.sent() > 0 {
                         count(Counter::StartsResent);
+                        self.note_start_copy(&boot, run_id, now);
                     }
                     let limit = plan.time_left(now);
                     copies.push(now, self.worker.start(&boot, &request, limit));
@@ -230,6 +232,16 @@
         }
     }
 
+    /// Records until when copies of a start that is sent again now may be executed: the lease that
+    /// they contain ends them, but its end is a time on the clock of the boot that executes them.
+    fn note_start_copy(&self, boot: &BootId, run_id: RunId, now: TimePoint) {
+        let late_until = now + self.rules.orders.get().late_execution;
+        self.with_boot(boot, |boot| {
+            let until = late_until.max(boot.lease.bound());
+            boot.table.note_start_copy(run_id, until);
+        });
+    }
+
     fn is_starting(&self, boot: &BootId, run_id: RunId) -> bool {
         let state = self.with_table(boot, |table| table.state(run_id));
         state.flatten() == Some(RunState::Starting)
@@ -237,9 +249,12 @@
 
     /// Returns whether a further copy of a start may be sent: all that allowed the first copy must
     /// still hold, and the owner must be the same.
-    fn may_resend(&self, request: &StartRequest, now: TimePoint) -> bool {
-        let is_replaced = is_replaced(self);
-        !is_replaced
+    pub(crate) fn may_resend(&self, request: &StartRequest, now: TimePoint) -> bool {
+        let boot = self.boot.borrow();
+        let takes_starts = boot
+            .as_ref()
+            .is_some_and(|boot| !boot.is_replaced && boot.view.state != WorkerState::Draining);
+        takes_starts
             && now < self.authority_until.get()
             && self.is_reconciled()
             && request.token == self.fencing_token.get()
@@ -249,10 +264,7 @@
     /// Resolves an unanswered start: unless a hold has listed the run meanwhile, it is stopped,
     /// which also prevents a late start.
     async fn resolve_start(self: Rc<Self>, boot: BootId, run_id: RunId) {
-        let is_starting = self.with_table(&boot, |table| {
-            table.state(run_id) == Some(RunState::Starting)
-        });
-        if is_starting == Some(true) {
+        if self.is_starting(&boot, run_id) {
             self.send_stop(boot, run_id).await;
         }
     }
@@ -310,17 +322,27 @@
         spawn(async move { state.send_stop(boot, run_id).await }).detach();
     }
 
-    /// Sends a stop until it is answered or the boot is no longer active.
+    /// Sends a stop until it is answered or the boot is no longer active. If unanswered calls are
+    /// sent again, a stop that is being sent already is not sent by a second task.
     pub(crate) async fn send_stop(self: Rc<Self>, boot: BootId, run_id: RunId) {
+        let is_first = self.with_table(&boot, |table| table.begin_stop(run_id));
+        if self.rules.orders.get().is_enabled() && is_first != Some(true) {
+            return;
+        }
+        self.repeat_stop(&boot, run_id).await;
+        self.with_table(&boot, |table| table.end_stop(run_id));
+    }
+
+    async fn repeat_stop(&self, boot: &BootId, run_id: RunId) {
         loop {
             if self.rules.orders.get().is_enabled() {
-                if self.send_stop_copies(&boot, run_id).await == StopProgress::Over {
+                if self.send_stop_copies(boot, run_id).await == StopProgress::Over {
                     return;
                 }
                 sleep(STOP_RETRY_DELAY).await;
                 continue;
             }
-            if self.with_table(&boot, |table| table.mark_stopping(run_id)) != Some(true) {
+            if self.with_table(boot, |table| table.mark_stopping(run_id)) != Some(true) {
                 // The run or its boot has ended. The owner learns of it from the end itself, on
                 // this link or the next. A reply that the run never started would let a finished
                 // task run again.
@@ -328,12 +350,12 @@
             }
             let answer = self
                 .worker
-                .stop(&boot, run_id, self.fencing_token.get(), ORDER_TIMEOUT)
+                .stop(boot, run_id, self.fencing_token.get(), ORDER_TIMEOUT)
                 .await;
             match answer.map(|reply| reply.outcome) {
                 Ok(OrderOutcome::Done) => {
                     let mut state = self.boot.borrow_mut();
-                    if let Some(state) = state.as_mut().filter(|state| state.view.boot == boot) {
+                    if let Some(state) = state.as_mut().filter(|state| state.view.boot == *boot) {
                         let hold = state.hold_number;
                         state.table.mark_stopped(run_id, hold);
                     }
@@ -356,14 +378,18 @@
     async fn send_stop_copies(&self, boot: &BootId, run_id: RunId) -> StopProgress {
         let mut plan = self.order_plan(self.now(), ORDER_TIMEOUT);
         let mut copies = CallCopies::new();
+        let mut is_refused = false;
         loop {
             if self.with_table(boot, |table| table.mark_stopping(run_id)) != Some(true) {
-                // The run or its boot has ended; see `send_stop`.
+                // The run or its boot has ended; see `repeat_stop`.
                 return StopProgress::Over;
             }
             let now = self.now();
             let wait = match plan.choose(now) {
-                ResendChoice::GiveUp => break,
+                ResendChoice::GiveUp => match copies.grace(now) {
+                    Some(wait) => wait,
+                    None => break,
+                },
                 ResendChoice::Wait(_) if plan.is_exhausted() && copies.is_idle() => break,
                 ResendChoice::Wait(wait) => wait,
                 ResendChoice::Send => {
@@ -395,6 +421,7 @@
                             return StopProgress::Over;
                         }
                         OrderOutcome::Refused(refusal) => {
+                            is_refused = true;
                             tracing::warn!(task = %run_id.task, run = run_id.run, ?refusal, "stop refused");
                         }
                     }
@@ -411,7 +438,9 @@
         }
         let sent = copies.sent();
         self.note_losses(boot, copies.lost(None));
-        tracing::warn!(task = %run_id.task, run = run_id.run, copies = sent, "stop was not answered");
+        if !is_refused {
+            tracing::warn!(task = %run_id.task, run = run_id.run, copies = sent, "stop was not answered");
+        }
         StopProgress::Repeat
     }
 
