Each occurrence of a repeated job begins by itself

The flag `begun` belonged to the whole job. After the first occurrence of a repeated best-effort job had begun, later ones began with the few tasks that happened to fit, and were placed before other jobs.

The flag is now kept with the occurrence, also after a takeover. Before the change the new test saw two of six tasks of the second occurrence start.

--- a/crates/wax-batch/src/placement.rs
+++ b/crates/wax-batch/src/placement.rs
@@ -114,7 +114,7 @@
             }
             let job = &self.jobs[step_ref.job];
             let mut rank = JobRank::new(job, step_ref.occurrence, step_ref.step, now);
-            rank.unbegun = self.is_unbegun(job, &job.spec.steps[usize::from(step_ref.step)]);
+            rank.unbegun = self.is_unbegun(*step_ref);
             ranked.push((rank, *step_ref));
         }
         ranked.sort_unstable();
--- a/crates/wax-batch/src/records.rs
+++ b/crates/wax-batch/src/records.rs
@@ -190,6 +190,9 @@
     pub steps: Vec<StepRecord>,
     /// Time at which the occurrence was due; the time of acceptance for a job that runs once.
     pub due: TimePoint,
+    /// Whether the occurrence has begun as a whole, or a run of it was adopted; see
+    /// [`SharingRules`](wax_policy::SharingRules).
+    pub begun: bool,
 }
 
 impl OccurrenceRecord {
@@ -197,6 +200,7 @@
         Self {
             steps: vec![StepRecord::default(); spec.steps.len()],
             due,
+            begun: false,
         }
     }
 
@@ -259,9 +263,6 @@
     pub stored_outcome: JobOutcome,
     /// Whether any task of the job has started.
     pub started: bool,
-    /// Whether the job has begun as a whole, or a run of it was adopted; see
-    /// [`SharingRules`](wax_policy::SharingRules).
-    pub begun: bool,
     /// Reason of a failure.
     pub reason: Option<Box<str>>,
     /// Number of changes that must be stored.
--- a/crates/wax-batch/src/reservations.rs
+++ b/crates/wax-batch/src/reservations.rs
@@ -110,7 +110,7 @@
         *step.spread.entry(worker).or_default() += 1;
         if running {
             job.started = true;
-            job.begun = true;
+            occurrence.begun = true;
         }
         if step.waiting == 0 {
             step.reported_wait = None;
--- a/crates/wax-batch/src/scheduler.rs
+++ b/crates/wax-batch/src/scheduler.rs
@@ -320,7 +320,6 @@
             ended_ms: 0,
             stored_outcome: JobOutcome::Open,
             started: false,
-            begun: false,
             reason: None,
             changes: 0,
             stored_changes: 0,
@@ -328,7 +327,9 @@
         };
         if let Some(progress) = progress {
             job.restore(progress);
-            job.begun = job.has_progress();
+            for occurrence in job.occurrences.values_mut() {
+                occurrence.begun = occurrence.has_progress();
+            }
         }
         let is_over = job.is_over();
         let key = self.jobs.insert(job);
--- a/crates/wax-batch/src/sharing.rs
+++ b/crates/wax-batch/src/sharing.rs
@@ -1,15 +1,14 @@
 //! Completes whole best-effort jobs instead of parts of many while capacity is short.
 //!
 //! A job has begun once a step of it was started with most of its tasks at once, or a run of it was
-//! adopted. Begun jobs are placed before others. The state is rebuilt by a new owner from adopted
+//! adopted; each occurrence of a repeated job begins by itself. Begun jobs are placed before others. The state is rebuilt by a new owner from adopted
 //! runs and stored progress.
 
 use crate::rank::JobRank;
 use crate::reasons::WaitReason;
-use crate::records::{JobRecord, StepRecord};
+use crate::records::{JobRecord, OccurrenceRecord, StepRecord};
 use crate::relaxation::PlacementRelaxation;
 use crate::scheduler::{JobScheduler, StartOrder, StepRef, TaskRef};
-use crate::spec::StepSpec;
 use std::time::Duration;
 use wax_policy::{BeginChoice, BegunLoad, ExpectedFinish, SharingRules};
 use wax_types::TimePoint;
@@ -43,12 +42,12 @@
     }
 }
 
-impl JobRecord {
+impl OccurrenceRecord {
     /// Returns whether any task has run, by the stored progress.
     pub(crate) fn has_progress(&self) -> bool {
-        let occurrences = self.occurrences.values();
-        let mut steps = occurrences.flat_map(|occurrence| &occurrence.steps);
-        steps.any(|step| step.done > 0 || step.tasks.iter().any(|task| task.last_run > 0))
+        self.steps
+            .iter()
+            .any(|step| step.done > 0 || step.tasks.iter().any(|task| task.last_run > 0))
     }
 }
 
@@ -58,10 +57,16 @@
         self.sharing_rules = rules;
     }
 
-    /// Returns whether the step belongs to a best-effort job that has not begun. Gangs start as a
-    /// whole in any case.
-    pub(crate) fn is_unbegun(&self, job: &JobRecord, step: &StepSpec) -> bool {
-        self.sharing_rules.is_enabled() && step.best_effort && !step.gang && !job.begun
+    /// Returns whether the step is a best-effort one of an occurrence that has not begun. Gangs start
+    /// as a whole in any case.
+    pub(crate) fn is_unbegun(&self, step_ref: StepRef) -> bool {
+        if !self.sharing_rules.is_enabled() {
+            return false;
+        }
+        let job = &self.jobs[step_ref.job];
+        let step = &job.spec.steps[usize::from(step_ref.step)];
+        let occurrence = job.occurrences.get(&step_ref.occurrence);
+        step.best_effort && !step.gang && occurrence.is_some_and(|occurrence| !occurrence.begun)
     }
 
     /// Removes the steps of jobs that may not begin now from the ranked steps.
@@ -122,8 +127,7 @@
     /// Returns how the step's job begins, if it may begin.
     pub(crate) fn begin_mode(&self, step_ref: StepRef, now: TimePoint) -> BeginMode {
         let job = &self.jobs[step_ref.job];
-        let step = &job.spec.steps[usize::from(step_ref.step)];
-        if !self.is_unbegun(job, step) {
+        if !self.is_unbegun(step_ref) {
             return BeginMode::Begun;
         }
         let may_start_single = self
@@ -148,7 +152,10 @@
     ) -> Vec<StartOrder> {
         match self.sharing_rules.begin_choice(step_orders.len(), waiting) {
             BeginChoice::Begin => {
-                self.jobs[step_ref.job].begun = true;
+                let occurrences = &mut self.jobs[step_ref.job].occurrences;
+                if let Some(occurrence) = occurrences.get_mut(&step_ref.occurrence) {
+                    occurrence.begun = true;
+                }
                 step_orders
             }
             BeginChoice::Postpone => {
--- a/crates/wax-batch/tests/sharing.rs
+++ b/crates/wax-batch/tests/sharing.rs
@@ -6,8 +6,8 @@
 use std::collections::BTreeMap;
 use support::*;
 use wax_batch::{
-    JobName, JobOutcome, JobProgress, JobRow, JobScheduler, RunEndKind, RunId, StartOrder,
-    StepSpec, WaitReason, WorkerKey,
+    JobName, JobOutcome, JobProgress, JobRow, JobScheduler, RepeatPlan, RunEndKind, RunId,
+    StartOrder, StepSpec, WaitReason, WorkerKey,
 };
 use wax_policy::{BeginChoice, BegunLoad, PairInterference, SharingRules};
 use wax_types::TimePoint;
@@ -258,6 +258,32 @@
     assert!(jobs_of(&orders).get(&1).is_some_and(|tasks| *tasks > 1));
 }
 
+/// Guards against later occurrences of a repeated job that begin with the few tasks that happen to
+/// fit, because the first occurrence has begun.
+#[test]
+fn each_occurrence_of_a_repeated_job_begins_by_itself() {
+    let (mut scheduler, worker) = pool(1, enabled(), 5_000);
+    reserve_most_capacity(&mut scheduler);
+    let mut repeated = spec(vec![best_effort_step(6)]);
+    repeated.repeat = Some(RepeatPlan {
+        count: 2,
+        first_ms: unix_ms(0),
+        interval_ms: 500,
+    });
+    add_job(&mut scheduler, 1, 1, &repeated, None);
+    let orders = scheduler.place(at(10));
+    assert_eq!(jobs_of(&orders), BTreeMap::from([(1, 6)]));
+    record_all_starts(&mut scheduler, &orders, at(10));
+    let runs: Vec<RunId> = orders.iter().map(|order| order.run_id).collect();
+    end_all(&mut scheduler, worker, &runs[..2], 1, at(500));
+    scheduler.start_due_occurrences(at(500), unix_ms(500));
+    assert!(scheduler.place(at(510)).is_empty(), "two of six tasks fit");
+    end_all(&mut scheduler, worker, &runs[2..], 3, at(700));
+    let orders = scheduler.place(at(700));
+    assert_eq!(orders.len(), 6);
+    assert!(orders.iter().all(|order| order.run_id.task.occurrence == 1));
+}
+
 /// Jobs that ended within their objective, and all that ended, in a replay.
 #[derive(Debug, PartialEq, Eq)]
 struct ReplayResult {
