Count the load of begun jobs by service, and all their waiting steps

Two faults of the decision whether jobs may begin: - The load was summed over all services, so that begun jobs that waited for workers of one service held up the jobs of another with idle workers. - Only steps that were due for a check counted. In a pool of more than 256 workers a step that found no worker is checked again after up to 20 ms (800 workers), and in the rounds in between any job could begin.

Before the change, services_do_not_hold_up_each_other saw no start on the idle service, and waiting_steps_that_are_not_due_for_a_check_count saw a start 1 ms after a round that held jobs back.

--- a/crates/wax-batch/src/placement.rs
+++ b/crates/wax-batch/src/placement.rs
@@ -4,7 +4,7 @@
 use crate::offers::StepOffers;
 use crate::rank::JobRank;
 use crate::reasons::{PlacementReason, StepWait, WaitReason};
-use crate::records::TaskRecord;
+use crate::records::{StepRecord, TaskRecord};
 use crate::relaxation::PlacementRelaxation;
 use crate::scheduler::{JobScheduler, StartOrder, StepRef, TaskRef, WorkerRecord};
 use crate::sharing::BeginMode;
@@ -172,6 +172,12 @@
         if step.next_check.is_some_and(|time| now < time) {
             return false;
         }
+        self.has_startable_task(step_ref, step)
+    }
+
+    /// Returns whether a waiting task of the step may start, whether or not the step is due for a
+    /// check.
+    pub(crate) fn has_startable_task(&self, step_ref: StepRef, step: &StepRecord) -> bool {
         match self.eligibility(step_ref, step) {
             StepEligibility::All => true,
             limited => step
--- a/crates/wax-batch/src/sharing.rs
+++ b/crates/wax-batch/src/sharing.rs
@@ -9,6 +9,7 @@
 use crate::records::{JobRecord, OccurrenceRecord, StepRecord};
 use crate::relaxation::PlacementRelaxation;
 use crate::scheduler::{JobScheduler, StartOrder, StepRef, TaskRef};
+use std::collections::BTreeMap;
 use std::time::Duration;
 use wax_policy::{BeginChoice, BegunLoad, ExpectedFinish, SharingRules};
 use wax_types::TimePoint;
@@ -75,14 +76,18 @@
         ranked: &mut Vec<(JobRank, StepRef)>,
         now: TimePoint,
     ) {
-        if !self.sharing_rules.is_enabled() || self.sharing_rules.may_begin(self.begun_load(ranked))
-        {
+        if !ranked.iter().any(|(rank, _)| rank.unbegun) {
             return;
         }
+        let loads = self.begun_loads(now);
         let mut held_back = Vec::new();
         ranked.retain(|(rank, step_ref)| {
-            let may_start =
-                !rank.unbegun || self.begin_mode(*step_ref, now) == BeginMode::SingleTask;
+            let load = loads.get(&self.jobs[step_ref.job].queue.service);
+            let may_start = !rank.unbegun
+                || self
+                    .sharing_rules
+                    .may_begin(load.copied().unwrap_or_default())
+                || self.begin_mode(*step_ref, now) == BeginMode::SingleTask;
             if !may_start {
                 held_back.push(*step_ref);
             }
@@ -106,22 +111,29 @@
         self.report_wait(task_ref, waited, WaitReason::Turn, now);
     }
 
-    fn begun_load(&self, ranked: &[(JobRank, StepRef)]) -> BegunLoad {
-        let begun = ranked
-            .iter()
-            .filter(|(rank, _)| !rank.unbegun && rank.finish == ExpectedFinish::InTime);
-        let waiting = begun.filter_map(|(_, step_ref)| {
-            let step = &self.jobs[step_ref.job].spec.steps[usize::from(step_ref.step)];
-            let record = self.step_record(*step_ref).filter(|_| step.best_effort)?;
-            Some(u64::from(record.waiting) * u64::from(step.size.cpu_milli))
-        });
-        let workers = self.workers.values();
-        BegunLoad {
-            waiting_milli: waiting.sum(),
-            running_milli: workers
-                .map(|worker| u64::from(worker.best_effort_milli))
-                .sum(),
+    /// Returns the load of each service. Steps that are not due for a check count as well: they wait
+    /// all the same.
+    fn begun_loads(&self, now: TimePoint) -> BTreeMap<Box<str>, BegunLoad> {
+        let mut loads: BTreeMap<Box<str>, BegunLoad> = BTreeMap::new();
+        for worker in self.workers.values() {
+            let load = loads.entry(worker.view.service.clone()).or_default();
+            load.running_milli += u64::from(worker.best_effort_milli);
+        }
+        for step_ref in &self.ready_steps {
+            let job = &self.jobs[step_ref.job];
+            let step = &job.spec.steps[usize::from(step_ref.step)];
+            let Some(record) = self.step_record(*step_ref).filter(|_| step.best_effort) else {
+                continue;
+            };
+            let is_begun =
+                !self.is_unbegun(*step_ref) && self.has_startable_task(*step_ref, record);
+            let rank = JobRank::new(job, step_ref.occurrence, step_ref.step, now);
+            if is_begun && rank.finish == ExpectedFinish::InTime {
+                let load = loads.entry(job.queue.service.clone()).or_default();
+                load.waiting_milli += u64::from(record.waiting) * u64::from(step.size.cpu_milli);
+            }
         }
+        loads
     }
 
     /// Returns how the step's job begins, if it may begin.
--- a/crates/wax-batch/tests/sharing.rs
+++ b/crates/wax-batch/tests/sharing.rs
@@ -6,8 +6,8 @@
 use std::collections::BTreeMap;
 use support::*;
 use wax_batch::{
-    JobName, JobOutcome, JobProgress, JobRow, JobScheduler, RepeatPlan, RunEndKind, RunId,
-    StartOrder, StepSpec, WaitReason, WorkerKey,
+    JobName, JobOutcome, JobProgress, JobRow, JobScheduler, QueueConfig, QueueRules, RepeatPlan,
+    RunEndKind, RunId, StartOrder, StepSpec, TaskSize, WaitReason, WorkerKey, WorkerView,
 };
 use wax_policy::{BeginChoice, BegunLoad, PairInterference, SharingRules};
 use wax_types::TimePoint;
@@ -284,6 +284,94 @@
     assert!(orders.iter().all(|order| order.run_id.task.occurrence == 1));
 }
 
+/// Places a job of two steps whose second step waits for a full worker with a label. Other workers
+/// of the service are idle.
+fn pool_with_waiting_begun_job(
+    other_workers: usize,
+    config: QueueConfig,
+) -> (JobScheduler, WorkerKey) {
+    let mut scheduler = scheduler(1);
+    scheduler.set_config(config.into());
+    scheduler.set_sharing_rules(enabled());
+    let labelled = scheduler.add_worker(
+        WorkerView {
+            boot: "labelled".into(),
+            service: "svc".into(),
+            labels: ["fast".into()].into(),
+            capacity: TaskSize {
+                memory_mb: 60_000,
+                ..size(4_000)
+            },
+            ..Default::default()
+        },
+        "labelled",
+    );
+    for number in 0..other_workers {
+        worker(&mut scheduler, &format!("w{number}"), 4_000);
+    }
+    let widening = vec![
+        StepSpec {
+            label: Some("fast".into()),
+            ..best_effort_step(4)
+        },
+        StepSpec {
+            label: Some("fast".into()),
+            after: [0].into(),
+            ..best_effort_step(12)
+        },
+    ];
+    add_job(&mut scheduler, 1, 1, &spec(widening), None);
+    let orders = scheduler.place(at(0));
+    assert_eq!(orders.len(), 4);
+    record_all_starts(&mut scheduler, &orders, at(0));
+    let runs: Vec<RunId> = orders.iter().map(|order| order.run_id).collect();
+    end_all(&mut scheduler, labelled, &runs, 1, at(100));
+    let orders = scheduler.place(at(100));
+    assert_eq!(orders.len(), 4, "the rest of the begun job waits");
+    (scheduler, labelled)
+}
+
+/// Guards against jobs that begin in the rounds in which the waiting steps of begun jobs are not due
+/// for a check, as is usual in a pool of more than 256 workers.
+#[test]
+fn waiting_steps_that_are_not_due_for_a_check_count() {
+    let (mut scheduler, _) = pool_with_waiting_begun_job(300, config(2));
+    for millis in 101..120 {
+        add_best_effort(&mut scheduler, millis, 1);
+        assert!(scheduler.place(at(millis)).is_empty(), "at {millis} ms");
+    }
+}
+
+/// Guards against the begun jobs of one service that hold up the jobs of another.
+#[test]
+fn services_do_not_hold_up_each_other() {
+    let mut config = config(2);
+    let other = QueueRules {
+        name: "others".into(),
+        prefix: "/o/".into(),
+        service: "other".into(),
+        ..(*config.queues[0]).clone()
+    };
+    config.queues.push(other.into());
+    let (mut scheduler, _) = pool_with_waiting_begun_job(1, config);
+    let view = WorkerView {
+        boot: "other".into(),
+        service: "other".into(),
+        capacity: TaskSize {
+            memory_mb: 60_000,
+            ..size(4_000)
+        },
+        ..Default::default()
+    };
+    scheduler.add_worker(view, "other");
+    let job = spec(vec![best_effort_step(4)]);
+    let mut row = JobRow::new(&job, "others", "other", unix_ms(0), 1);
+    row.epoch = 1;
+    scheduler.add_job(JobName(2), row, None, at(0), unix_ms(0));
+    let orders = scheduler.place(at(110));
+    assert_eq!(jobs_of(&orders), BTreeMap::from([(2, 4)]));
+}
+
 /// Jobs that ended within their objective, and all that ended, in a replay.
 #[derive(Debug, PartialEq, Eq)]
 struct ReplayResult {
