A job that is wider than its service begins

A best-effort job began only if 70% of its waiting tasks found workers at once. A step with more tasks than the service can hold, or with a limit for each worker on too few workers, never reached the share: on an idle service it ran one task at a time, and none where 60% of the processors are reserved.

The required share now applies to at most the tasks that would fit if all short and best-effort runs of the service had ended. While such runs hold the capacity, jobs are postponed as before.

--- a/crates/wax-batch/src/sharing.rs
+++ b/crates/wax-batch/src/sharing.rs
@@ -162,7 +162,14 @@
         waiting: usize,
         now: TimePoint,
     ) -> Vec<StartOrder> {
-        match self.sharing_rules.begin_choice(step_orders.len(), waiting) {
+        let placeable = step_orders.len();
+        let waiting = match self.sharing_rules.begin_choice(placeable, waiting) {
+            BeginChoice::Begin => waiting,
+            BeginChoice::Postpone => {
+                waiting.min(placeable + self.tasks_in_used_capacity(step_ref, &step_orders))
+            }
+        };
+        match self.sharing_rules.begin_choice(placeable, waiting) {
             BeginChoice::Begin => {
                 let occurrences = &mut self.jobs[step_ref.job].occurrences;
                 if let Some(occurrence) = occurrences.get_mut(&step_ref.occurrence) {
@@ -180,6 +187,28 @@
         }
     }
 
+    /// Returns how many tasks of the step request as many processors as the runs that will end by
+    /// themselves, without those of `step_orders`. A job that is wider than the service gets no more
+    /// than these when it waits longer.
+    fn tasks_in_used_capacity(&self, step_ref: StepRef, step_orders: &[StartOrder]) -> usize {
+        let job = &self.jobs[step_ref.job];
+        let step = &job.spec.steps[usize::from(step_ref.step)];
+        let workers = self.workers.values();
+        let of_service = workers.filter(|worker| worker.view.service == job.queue.service);
+        let used_milli: u64 = of_service
+            .map(|worker| {
+                let short = worker
+                    .reserved
+                    .cpu_milli
+                    .saturating_sub(worker.long_running_milli);
+                u64::from(short) + u64::from(worker.best_effort_milli)
+            })
+            .sum();
+        let task_milli = u64::from(step.size.cpu_milli.max(1));
+        let of_orders = step_orders.len() as u64 * u64::from(step.size.cpu_milli);
+        (used_milli.saturating_sub(of_orders) / task_milli) as usize
+    }
+
     /// Undoes a placement whose order was never sent, so that its run number is free again.
     fn withdraw_order(&mut self, step_ref: StepRef, order: &StartOrder, now: TimePoint) {
         self.revoke_order(step_ref, order, now);
