Starved best-effort jobs get a task while capacity is short

With sharing enabled, a job that had not begun got a single task only where the service was lightly loaded. The condition was a second copy of that in relaxation.rs without the age.

Both places now share is_starved. The load of a service is determined once a round instead of once for each starved job.

Before the change the new test saw no start of a job of 10 s.

--- a/crates/wax-batch/src/placement.rs
+++ b/crates/wax-batch/src/placement.rs
@@ -219,6 +219,7 @@
         if waiting.is_empty() || is_gang_incomplete {
             return;
         }
+        let lightly_loaded = step.best_effort && !step.gang && self.is_lightly_loaded(&service);
         let request = StepRequest {
             step,
             service: &service,
@@ -229,8 +230,8 @@
                 rank.finish
             }),
             waited: now.since(record.waiting_since),
-            lightly_loaded: step.best_effort && !step.gang && self.is_lightly_loaded(&service),
-            begin_mode: self.begin_mode(step_ref, now),
+            lightly_loaded,
+            begin_mode: self.begin_mode(step_ref, lightly_loaded, now),
             rack: self.preferred_rack(step_ref, step, &service, now),
             scan_start: self.advance_scan_start(),
             enough_offers: waiting.len().saturating_mul(OFFERS_PER_TASK),
@@ -252,6 +253,7 @@
                     step_orders.push(self.create_order(task, chosen, &request, None, now));
                     self.refresh_offer(step_ref, &request, &mut cached, chosen.key, now);
                     if request.begin_mode == BeginMode::SingleTask {
+                        self.note_starved_start(&service, now);
                         break;
                     }
                 }
--- a/crates/wax-batch/src/relaxation.rs
+++ b/crates/wax-batch/src/relaxation.rs
@@ -29,8 +29,7 @@
         now: TimePoint,
     ) -> Self {
         let waited = now.since(step.waiting_since);
-        let is_old = lightly_loaded || now.since(job.accepted) >= rules.old_job_age;
-        if is_old && waited >= rules.starvation_wait && !job.has_placed() {
+        if is_starved(rules, job, step, lightly_loaded, now) {
             Self::Starved
         } else if waited < rules.preferred_pace_wait {
             Self::PreferredPace
@@ -50,3 +49,16 @@
         }
     }
 }
+
+/// Returns whether a step of an old job has waited for long while no task of the job is placed. On a
+/// lightly loaded service every job counts as old.
+pub(crate) fn is_starved(
+    rules: &PlacementRules,
+    job: &JobRecord,
+    step: &StepRecord,
+    lightly_loaded: bool,
+    now: TimePoint,
+) -> bool {
+    let is_old = lightly_loaded || now.since(job.accepted) >= rules.old_job_age;
+    is_old && now.since(step.waiting_since) >= rules.starvation_wait && !job.has_placed()
+}
--- a/crates/wax-batch/src/scheduler.rs
+++ b/crates/wax-batch/src/scheduler.rs
@@ -15,7 +15,7 @@
 use crate::worker::{WorkerKey, WorkerView};
 use slotmap::SlotMap;
 use std::cell::Cell;
-use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 use wax_policy::{
@@ -184,6 +184,8 @@
     pub(crate) config: Rc<QueueConfig>,
     pub(crate) rules: PlacementRules,
     pub(crate) sharing_rules: SharingRules,
+    /// Time of the last start of a starved job, by service; see [`JobScheduler::begin_mode`].
+    pub(crate) starved_starts: BTreeMap<Box<str>, TimePoint>,
     /// Answers of the placement advisor, by step.
     pub(crate) approvals: HashMap<StepRef, StepApproval>,
     /// Interference of best-effort images with serving images.
@@ -224,6 +226,7 @@
             config: Rc::default(),
             rules,
             sharing_rules: SharingRules::default(),
+            starved_starts: BTreeMap::new(),
             approvals: HashMap::new(),
             pairs: InterferenceTable::default(),
             epoch,
--- a/crates/wax-batch/src/sharing.rs
+++ b/crates/wax-batch/src/sharing.rs
@@ -6,10 +6,10 @@
 
 use crate::rank::JobRank;
 use crate::reasons::WaitReason;
-use crate::records::{JobRecord, OccurrenceRecord, StepRecord};
-use crate::relaxation::PlacementRelaxation;
+use crate::records::OccurrenceRecord;
+use crate::relaxation::{PlacementRelaxation, is_starved};
 use crate::scheduler::{JobScheduler, StartOrder, StepRef, TaskRef};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use wax_policy::{BeginChoice, BegunLoad, ExpectedFinish, SharingRules};
 use wax_types::TimePoint;
@@ -25,8 +25,7 @@
     Begun,
     /// The job begins if enough tasks of the step find a worker.
     Whole,
-    /// The step may start a single task, because the service has capacity to spare and no task of
-    /// the job runs.
+    /// The step may start a single task, because it is starved; see [`is_starved`].
     SingleTask,
 }
 
@@ -80,14 +79,22 @@
             return;
         }
         let loads = self.begun_loads(now);
+        let lightly_loaded: BTreeMap<Box<str>, bool> = loads
+            .keys()
+            .map(|service| (service.clone(), self.is_lightly_loaded(service)))
+            .collect();
         let mut held_back = Vec::new();
+        let mut with_starved_start: BTreeSet<Box<str>> = BTreeSet::new();
         ranked.retain(|(rank, step_ref)| {
-            let load = loads.get(&self.jobs[step_ref.job].queue.service);
+            let service = &self.jobs[step_ref.job].queue.service;
+            let load = loads.get(service);
+            let lightly_loaded = lightly_loaded.get(service).copied().unwrap_or(false);
             let may_start = !rank.unbegun
                 || self
                     .sharing_rules
                     .may_begin(load.copied().unwrap_or_default())
-                || self.begin_mode(*step_ref, now) == BeginMode::SingleTask;
+                || (self.begin_mode(*step_ref, lightly_loaded, now) == BeginMode::SingleTask
+                    && (lightly_loaded || with_starved_start.insert(service.clone())));
             if !may_start {
                 held_back.push(*step_ref);
             }
@@ -136,16 +143,25 @@
         loads
     }
 
-    /// Returns how the step's job begins, if it may begin.
-    pub(crate) fn begin_mode(&self, step_ref: StepRef, now: TimePoint) -> BeginMode {
+    /// Returns how the step's job begins, if it may begin. Where capacity is short, a service starts
+    /// one task of starved jobs in each `starvation_wait`: with a task of every old job, too little
+    /// capacity would remain to complete the begun ones.
+    pub(crate) fn begin_mode(
+        &self,
+        step_ref: StepRef,
+        lightly_loaded: bool,
+        now: TimePoint,
+    ) -> BeginMode {
         let job = &self.jobs[step_ref.job];
         if !self.is_unbegun(step_ref) {
             return BeginMode::Begun;
         }
-        let may_start_single = self
-            .step_record(step_ref)
-            .is_some_and(|record| is_starved(record, job, self.rules.starvation_wait, now))
-            && self.is_lightly_loaded(&job.queue.service);
+        let starved_start = self.starved_starts.get(&job.queue.service);
+        let may_start_single = (lightly_loaded
+            || starved_start.is_none_or(|at| now.since(*at) >= self.rules.starvation_wait))
+            && self
+                .step_record(step_ref)
+                .is_some_and(|record| is_starved(&self.rules, job, record, lightly_loaded, now));
         if may_start_single {
             BeginMode::SingleTask
         } else {
@@ -153,6 +169,11 @@
         }
     }
 
+    /// Records that a starved job has started a single task, so that the next one waits.
+    pub(crate) fn note_starved_start(&mut self, service: &str, now: TimePoint) {
+        self.starved_starts.insert(service.into(), now);
+    }
+
     /// Decides whether the step's job begins with the orders that were created for the step, and
     /// undoes their placements if it does not.
     pub(crate) fn begin_or_postpone(
@@ -222,13 +243,3 @@
         }
     }
 }
-
-/// Returns whether no task of the job runs although the step has waited for long.
-fn is_starved(
-    record: &StepRecord,
-    job: &JobRecord,
-    starvation_wait: Duration,
-    now: TimePoint,
-) -> bool {
-    now.since(record.waiting_since) >= starvation_wait && !job.has_placed()
-}
--- a/crates/wax-batch/tests/sharing.rs
+++ b/crates/wax-batch/tests/sharing.rs
@@ -228,6 +228,28 @@
     assert!(scheduler.place(at(2_200)).is_empty());
 }
 
+/// Guards against an accepted job that never runs because too little capacity for its begin is free
+/// at any time: as without the rules, an old job gets one task placed.
+#[test]
+fn an_old_job_starts_one_task_on_a_service_without_spare_capacity() {
+    let (mut scheduler, _) = pool(1, enabled(), 5_000);
+    reserve_most_capacity(&mut scheduler);
+    add_best_effort(&mut scheduler, 1, 10);
+    for millis in (10..10_000).step_by(500) {
+        assert!(scheduler.place(at(millis)).is_empty(), "at {millis} ms");
+    }
+    assert_eq!(
+        jobs_of(&scheduler.place(at(10_100))),
+        BTreeMap::from([(1, 1)])
+    );
+    assert!(scheduler.place(at(10_300)).is_empty());
+    add_best_effort(&mut scheduler, 2, 10);
+    add_best_effort(&mut scheduler, 3, 10);
+    scheduler.place(at(10_400));
+    let starts = [11_350, 11_400, 12_550, 12_600].map(|millis| scheduler.place(at(millis)).len());
+    assert_eq!(starts, [1, 0, 1, 0], "starved jobs take turns");
+}
+
 /// Guards against a job that runs one task at a time on an idle service because it has more tasks
 /// than fit there at once.
 #[test]
