--- a/crates/wax-batch/src/sharing.rs
+++ b/crates/wax-batch/src/sharing.rs
@@ -79,14 +79,14 @@
             return;
         }
         let loads = self.begun_loads(now);
-        let lightly_loaded: BTreeMap<Box<str>, bool> = loads
+        let lightly_loaded: BTreeMap<&str, bool> = loads
             .keys()
-            .map(|service| (service.clone(), self.is_lightly_loaded(service)))
+            .map(|service| (*service, self.is_lightly_loaded(service)))
             .collect();
         let mut held_back = Vec::new();
-        let mut with_starved_start: BTreeSet<Box<str>> = BTreeSet::new();
+        let mut with_starved_start: BTreeSet<&str> = BTreeSet::new();
         ranked.retain(|(rank, step_ref)| {
-            let service = &self.jobs[step_ref.job].queue.service;
+            let service = &*self.jobs[step_ref.job].queue.service;
             let load = loads.get(service);
             let lightly_loaded = lightly_loaded.get(service).copied().unwrap_or(false);
             let may_start = !rank.unbegun
@@ -94,7 +94,7 @@
                     .sharing_rules
                     .may_begin(load.copied().unwrap_or_default())
                 || (self.begin_mode(*step_ref, lightly_loaded, now) == BeginMode::SingleTask
-                    && (lightly_loaded || with_starved_start.insert(service.clone())));
+                    && (lightly_loaded || with_starved_start.insert(service)));
             if !may_start {
                 held_back.push(*step_ref);
             }
@@ -120,10 +120,10 @@
 
     /// Returns the load of each service. Steps that are not due for a check count as well: they wait
     /// all the same.
-    fn begun_loads(&self, now: TimePoint) -> BTreeMap<Box<str>, BegunLoad> {
-        let mut loads: BTreeMap<Box<str>, BegunLoad> = BTreeMap::new();
+    fn begun_loads(&self, now: TimePoint) -> BTreeMap<&str, BegunLoad> {
+        let mut loads: BTreeMap<&str, BegunLoad> = BTreeMap::new();
         for worker in self.workers.values() {
-            let load = loads.entry(worker.view.service.clone()).or_default();
+            let load = loads.entry(&worker.view.service).or_default();
             load.running_milli += u64::from(worker.best_effort_milli);
         }
         for step_ref in &self.ready_steps {
@@ -136,7 +136,7 @@
                 !self.is_unbegun(*step_ref) && self.has_startable_task(*step_ref, record);
             let rank = JobRank::new(job, step_ref.occurrence, step_ref.step, now);
             if is_begun && rank.finish == ExpectedFinish::InTime {
-                let load = loads.entry(job.queue.service.clone()).or_default();
+                let load = loads.entry(&job.queue.service).or_default();
                 load.waiting_milli += u64::from(record.waiting) * u64::from(step.size.cpu_milli);
             }
         }
