The floor of slow workers concerns ready workers only

Drained slow workers, which get no tasks in any case, took up the share of a service's workers that may count as slow, and counted as workers of the service. Slow workers that were still ready then counted as normal and got short tasks.

select_slow now gets the ready workers of a service; others keep their verdict. Before the change the new test saw the third slow worker of seven as normal after the two others were drained.

--- a/crates/wax-batch/src/performance.rs
+++ b/crates/wax-batch/src/performance.rs
@@ -598,16 +598,20 @@
                     .looks_slow)
     }
 
-    /// Returns those of the workers that may count as slow, by the floor of each service.
+    /// Returns those of the workers that may count as slow, by the floor of each service. The floor
+    /// concerns ready workers; others get no tasks in any case.
     fn select_slow_workers(
         &self,
         looks_slow: &BTreeSet<WorkerKey>,
         now: TimePoint,
     ) -> BTreeSet<WorkerKey> {
+        let mut selected = BTreeSet::new();
         let mut services: BTreeMap<&str, Vec<ServiceWorker<WorkerKey>>> = BTreeMap::new();
         for (key, worker) in self.workers.iter() {
             let looks_slow = looks_slow.contains(&key);
-            if looks_slow || worker.is_ready() {
+            if !worker.is_ready() {
+                selected.extend(looks_slow.then_some(key));
+            } else {
                 let service = services.entry(&worker.view.service).or_default();
                 service.push(ServiceWorker {
                     key,
@@ -616,10 +620,10 @@
                 });
             }
         }
-        let selected = services
-            .values()
-            .map(|workers| select_slow(workers, &self.performance.rules));
-        selected.flatten().collect()
+        for workers in services.values() {
+            selected.extend(select_slow(workers, &self.performance.rules));
+        }
+        selected
     }
 
     /// Returns the speed of a worker for the comparison within its service: by the evidence if the
--- a/crates/wax-batch/tests/slow_workers.rs
+++ b/crates/wax-batch/tests/slow_workers.rs
@@ -6,6 +6,7 @@
 use support::*;
 use wax_batch::{
     JobScheduler, RunEndKind, RunId, RunReport, StartOrder, StepSpec, StopReason, WorkerKey,
+    WorkerState,
 };
 use wax_policy::{PerformanceRules, SpeedVerdict};
 
@@ -201,6 +202,29 @@
     assert!(scheduler.slow_workers().count() <= 2);
 }
 
+/// Guards against slow workers that count as normal because drained ones, which get no tasks in any
+/// case, take up the permitted share.
+#[test]
+fn only_ready_workers_take_up_the_share_that_may_count_as_slow() {
+    let mut scheduler = enabled_scheduler(1);
+    let keys = workers(&mut scheduler, 7);
+    slow_down(&mut scheduler, &keys[..3], 7, 0);
+    let (slow, others): (Vec<WorkerKey>, Vec<WorkerKey>) = keys[..3]
+        .iter()
+        .copied()
+        .partition(|key| scheduler.speed_verdict(*key) == SpeedVerdict::Slow);
+    assert_eq!((slow.len(), others.len()), (2, 1));
+    for key in slow {
+        let view = scheduler.workers().find(|(other, _)| *other == key);
+        let mut view = view.expect("the worker is known").1.view.clone();
+        view.state = WorkerState::Draining;
+        scheduler.update_worker(key, view);
+    }
+    scheduler.review_performance(at(1_500));
+    assert_eq!(scheduler.speed_verdict(others[0]), SpeedVerdict::Slow);
+    assert_eq!(scheduler.slow_workers().count(), 3);
+}
+
 #[test]
 fn the_estimate_of_a_boot_ends_with_the_boot() {
     let mut scheduler = enabled_scheduler(1);
