A postponed job leaves the workers' last starts as they were

Orders that are withdrawn because a job does not begin had set the time of the worker's last start, its isolation and the last start under a limit. The search is repeated every 100 ms, so a task suspected of crashing its worker found no worker without a recent start, and had to reserve one and wait.

These values are now restored with the reservations. Before the change the new test saw the suspected task wait.

--- a/crates/wax-batch/src/placement.rs
+++ b/crates/wax-batch/src/placement.rs
@@ -242,6 +242,7 @@
         }
         let waiting_count = waiting.len();
         let mut step_orders = Vec::new();
+        let mut states_before = Vec::new();
         let mut cached = None;
         for (nth, index) in waiting.into_iter().enumerate() {
             let task = TaskRef {
@@ -250,6 +251,9 @@
             };
             match self.choose_worker(task, &request, &mut cached, now) {
                 WorkerChoice::Worker(chosen) => {
+                    if request.begin_mode == BeginMode::Whole {
+                        states_before.push(self.start_state(chosen.key));
+                    }
                     step_orders.push(self.create_order(task, chosen, &request, None, now));
                     self.refresh_offer(step_ref, &request, &mut cached, chosen.key, now);
                     if request.begin_mode == BeginMode::SingleTask {
@@ -267,7 +271,8 @@
             }
         }
         if request.begin_mode == BeginMode::Whole {
-            step_orders = self.begin_or_postpone(step_ref, step_orders, waiting_count, now);
+            step_orders =
+                self.begin_or_postpone(step_ref, step_orders, states_before, waiting_count, now);
         }
         orders.append(&mut step_orders);
     }
--- a/crates/wax-batch/src/sharing.rs
+++ b/crates/wax-batch/src/sharing.rs
@@ -4,11 +4,14 @@
 //! adopted; each occurrence of a repeated job begins by itself. Begun jobs are placed before others. The state is rebuilt by a new owner from adopted
 //! runs and stored progress.
 
+use crate::crashes::WorkerIsolation;
+use crate::order_backoff::StartLimit;
 use crate::rank::JobRank;
 use crate::reasons::WaitReason;
 use crate::records::OccurrenceRecord;
 use crate::relaxation::{PlacementRelaxation, is_starved};
 use crate::scheduler::{JobScheduler, StartOrder, StepRef, TaskRef};
+use crate::worker::WorkerKey;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use wax_policy::{BeginChoice, BegunLoad, ExpectedFinish, SharingRules};
@@ -29,6 +32,14 @@
     SingleTask,
 }
 
+/// What a start order changes of its worker besides the reservations.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct StartState {
+    last_start: TimePoint,
+    isolation: Option<WorkerIsolation>,
+    start_limit: StartLimit,
+}
+
 impl BeginMode {
     /// Returns the demands of the step's waiting tasks; `None` if they depend on the waiting time.
     /// A job that has not begun does not lower its demands, because a job that begins at a low pace
@@ -180,6 +191,7 @@
         &mut self,
         step_ref: StepRef,
         step_orders: Vec<StartOrder>,
+        states_before: Vec<StartState>,
         waiting: usize,
         now: TimePoint,
     ) -> Vec<StartOrder> {
@@ -199,8 +211,8 @@
                 step_orders
             }
             BeginChoice::Postpone => {
-                for order in step_orders {
-                    self.withdraw_order(step_ref, &order, now);
+                for (order, before) in step_orders.iter().zip(states_before).rev() {
+                    self.withdraw_order(step_ref, order, before, now);
                 }
                 self.set_next_check(step_ref, now + BEGIN_RETRY_DELAY);
                 Vec::new()
@@ -230,9 +242,31 @@
         (used_milli.saturating_sub(of_orders) / task_milli) as usize
     }
 
-    /// Undoes a placement whose order was never sent, so that its run number is free again.
-    fn withdraw_order(&mut self, step_ref: StepRef, order: &StartOrder, now: TimePoint) {
+    /// Returns what a start order changes of a worker besides its reservations.
+    pub(crate) fn start_state(&self, worker: WorkerKey) -> StartState {
+        let record = &self.workers[worker];
+        StartState {
+            last_start: record.last_start,
+            isolation: record.isolation,
+            start_limit: record.start_limit,
+        }
+    }
+
+    /// Undoes a placement whose order was never sent, so that its run number is free again and the
+    /// worker does not count as one with a recent start.
+    fn withdraw_order(
+        &mut self,
+        step_ref: StepRef,
+        order: &StartOrder,
+        before: StartState,
+        now: TimePoint,
+    ) {
         self.revoke_order(step_ref, order, now);
+        if let Some(record) = self.workers.get_mut(order.worker) {
+            record.last_start = before.last_start;
+            record.isolation = before.isolation;
+            record.start_limit = before.start_limit;
+        }
         let index = order.run_id.task.index;
         let task_ref = TaskRef {
             step: step_ref,
--- a/crates/wax-batch/tests/sharing.rs
+++ b/crates/wax-batch/tests/sharing.rs
@@ -4,10 +4,12 @@
 mod support;
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 use support::*;
 use wax_batch::{
-    JobName, JobOutcome, JobProgress, JobRow, JobScheduler, QueueConfig, QueueRules, RepeatPlan,
-    RunEndKind, RunId, StartOrder, StepSpec, TaskSize, WaitReason, WorkerKey, WorkerView,
+    JobName, JobOutcome, JobProgress, JobRow, JobScheduler, LostRun, QueueConfig, QueueRules,
+    RepeatPlan, RunEndKind, RunId, StartOrder, StepSpec, TaskSize, WaitReason, WorkerKey,
+    WorkerView,
 };
 use wax_policy::{BeginChoice, BegunLoad, PairInterference, SharingRules};
 use wax_types::TimePoint;
@@ -158,6 +160,31 @@
     assert!(orders.iter().any(|order| order.worker == larger));
 }
 
+/// Guards against a task suspected of crashing its worker that waits for a worker without a recent
+/// start because of starts that were never ordered.
+#[test]
+fn a_postponed_job_does_not_count_as_a_recent_start() {
+    let (mut scheduler, _) = pool(1, enabled(), 5_000);
+    reserve_most_capacity(&mut scheduler);
+    support::worker(&mut scheduler, "two", 5_000);
+    add_job(&mut scheduler, 7, 1, &spec(vec![step(1, 1_000)]), None);
+    let order = scheduler.place(at(10)).remove(0);
+    add_best_effort(&mut scheduler, 1, 30);
+    assert!(scheduler.place(at(1_000)).is_empty());
+    let lost = LostRun {
+        run_id: order.run_id,
+        min_run_time: Some(Duration::from_millis(3)),
+    };
+    let record = scheduler.workers().find(|(key, _)| *key == order.worker);
+    let vm = record.expect("the worker is known").1.view.boot.to_string();
+    scheduler.record_crash(&vm, &[lost], at(1_010), unix_ms(1_010));
+    scheduler.remove_lost_worker(order.worker, at(1_010), unix_ms(1_010));
+    assert_eq!(
+        jobs_of(&scheduler.place(at(1_020))),
+        BTreeMap::from([(7, 1)])
+    );
+}
+
 /// Guards against newer, smaller jobs that take the capacity of a job in progress.
 #[test]
 fn a_job_in_progress_comes_before_new_ones() {
