--- a/crates/wax-batch/src/order_backoff.rs
+++ b/crates/wax-batch/src/order_backoff.rs
@@ -2,8 +2,8 @@
 //! exponential back-off between these starts, until the worker answers one.
 
 use crate::names::RunId;
-use crate::scheduler::{JobScheduler, RunReservation, WorkerRecord};
-use crate::worker::{WorkerKey, WorkerState};
+use crate::scheduler::{JobScheduler, RunReservation};
+use crate::worker::WorkerKey;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use wax_policy::OrderRules;
 use wax_types::TimePoint;
@@ -139,17 +139,14 @@
         if self.start_limits.limited.is_empty() {
             return;
         }
-        let is_ready = |record: &WorkerRecord| {
-            record.view.state == WorkerState::Ready && record.reachable && !record.drained
-        };
         let mut ready: BTreeMap<&str, usize> = BTreeMap::new();
-        for record in self.workers.values().filter(|record| is_ready(record)) {
+        for record in self.workers.values().filter(|record| record.is_ready()) {
             *ready.entry(&record.view.service).or_default() += 1;
         }
         let mut limited: BTreeMap<&str, Vec<(u32, WorkerKey)>> = BTreeMap::new();
         for key in &self.start_limits.limited {
             let record = &self.workers[*key];
-            if is_ready(record) {
+            if record.is_ready() {
                 let entry = (record.start_limit.unanswered, *key);
                 limited.entry(&record.view.service).or_default().push(entry);
             }
--- a/crates/wax-batch/src/performance.rs
+++ b/crates/wax-batch/src/performance.rs
@@ -674,7 +674,7 @@
 
 impl WorkerRecord {
     /// Returns whether the worker takes tasks, regardless of its capacity.
-    fn is_ready(&self) -> bool {
+    pub(crate) fn is_ready(&self) -> bool {
         self.view.state == WorkerState::Ready && self.reachable && !self.drained
     }
 }
