Runs are not moved to workers that leave starts unanswered

The search for a normal worker counted the whole free capacity of a worker that gets one start at a time. Serving tasks were taken down on a slow worker and then waited for the limit or for an answer.

Workers whose limit is in force no longer count as capacity for moves. Before the change the new test saw a task stopped although only such a worker had its label.

--- a/crates/wax-batch/src/order_backoff.rs
+++ b/crates/wax-batch/src/order_backoff.rs
@@ -23,11 +23,16 @@
 }
 
 impl StartLimit {
-    /// Returns whether starts are limited.
+    /// Returns whether the worker has left starts unanswered since its last answer to one.
     pub fn is_active(&self) -> bool {
         self.unanswered > 0
     }
 
+    /// Returns whether starts are limited and the limit has not expired.
+    pub(crate) fn is_in_force(&self, now: TimePoint) -> bool {
+        self.is_active() && now < self.expires_at
+    }
+
     /// Returns whether the worker with these `runs` may get a start now. The last start under the
     /// limit is unresolved while the worker has its run: an answer ends the limit.
     pub(crate) fn allows_start(
@@ -36,7 +41,7 @@
         now: TimePoint,
     ) -> bool {
         let is_resolved = self.trial.is_none_or(|run_id| !runs.contains_key(&run_id));
-        !self.is_active() || now >= self.expires_at || (now >= self.until && is_resolved)
+        !self.is_in_force(now) || (now >= self.until && is_resolved)
     }
 
     /// Records that the start of a run was not answered. Of several starts that were ordered before
--- a/crates/wax-batch/src/slow_moves.rs
+++ b/crates/wax-batch/src/slow_moves.rs
@@ -191,7 +191,8 @@
     }
 
     /// Returns whether normal workers have capacity for the task, after as many other moves as are
-    /// in progress. Each of those counts as one task of the same size.
+    /// in progress. Each of those counts as one task of the same size. Workers whose
+    /// starts are limited do not count: the moved tasks might wait for an answer there.
     fn fits_normal_worker(&self, task_ref: TaskRef, moving: usize, now: TimePoint) -> bool {
         let (Some(job), Some(record)) = (
             self.jobs.get(task_ref.step.job),
@@ -210,6 +211,7 @@
             if self.performance.verdict(key) != SpeedVerdict::Normal
                 || is_spread_full
                 || lacks_ticket
+                || worker.start_limit.is_in_force(now)
                 || worker.is_isolated_from(Some(task_ref), now)
                 || !worker.can_fit(&job.queue.service, step, (limit, &self.rules), now)
                 || !worker.can_keep_pace(step, self.rules.preferred_pace, &self.pairs, &self.rules)
--- a/crates/wax-batch/tests/slow_workers.rs
+++ b/crates/wax-batch/tests/slow_workers.rs
@@ -5,10 +5,10 @@
 
 use support::*;
 use wax_batch::{
-    JobScheduler, RunEndKind, RunId, RunReport, StartOrder, StepSpec, StopReason, WorkerKey,
-    WorkerState,
+    JobScheduler, RunEndKind, RunId, RunReport, StartOrder, StartRefusal, StepSpec, StopReason,
+    WorkerKey, WorkerState,
 };
-use wax_policy::{PerformanceRules, SpeedVerdict};
+use wax_policy::{OrderRules, PerformanceRules, SpeedVerdict};
 
 fn rules() -> PerformanceRules {
     PerformanceRules {
@@ -225,6 +225,51 @@
     assert_eq!(scheduler.slow_workers().count(), 3);
 }
 
+/// Guards against a task that is taken down on a slow worker only to wait for another worker that
+/// leaves starts unanswered.
+#[test]
+fn a_task_is_not_moved_to_a_worker_that_leaves_starts_unanswered() {
+    let mut scheduler = enabled_scheduler(1);
+    let orders = OrderRules {
+        enabled: 1,
+        ..Default::default()
+    };
+    scheduler.set_order_rules(orders);
+    let keys = workers(&mut scheduler, 5);
+    let labelled = |step: StepSpec| StepSpec {
+        label: Some("x".into()),
+        ..step
+    };
+    let add_label = |scheduler: &mut JobScheduler, key: WorkerKey| {
+        let record = scheduler.workers().find(|(other, _)| *other == key);
+        let mut view = record.expect("the worker is known").1.view.clone();
+        view.labels = ["x".into()].into();
+        scheduler.update_worker(key, view);
+    };
+    add_label(&mut scheduler, keys[0]);
+    start_serving(&mut scheduler, 6, labelled(serving_step(1, None)), 0);
+    slow_down(&mut scheduler, &keys[..1], 7, 0);
+    add_label(&mut scheduler, keys[1]);
+    add_job(
+        &mut scheduler,
+        8,
+        1,
+        &spec(vec![labelled(step(1, 1_000))]),
+        None,
+    );
+    let order = scheduler.place(at(1_410)).remove(0);
+    assert_eq!(order.worker, keys[1]);
+    let refusal = StartRefusal::Unanswered;
+    scheduler.record_refusal(keys[1], order.run_id, refusal, at(1_450), unix_ms(1_450));
+    assert_eq!(scheduler.move_off_slow(at(1_800)), 0);
+    scheduler.record_start(keys[1], order.run_id, at(1_810));
+    assert_eq!(
+        scheduler.move_off_slow(at(2_400)),
+        1,
+        "the worker answers again"
+    );
+}
+
 #[test]
 fn the_estimate_of_a_boot_ends_with_the_boot() {
     let mut scheduler = enabled_scheduler(1);
