Begun jobs that wait for a label hold up no other jobs

The waiting tasks of a begun step with a label counted as a backlog of the whole service, so that no job began on idle workers without the label until the begun job was late. Such steps no longer count.

Before the change the new test saw no start on an idle worker. The tests of the load now use a begun job without a label; both were seen to fail again without the change that they guard.

--- a/crates/wax-batch/src/sharing.rs
+++ b/crates/wax-batch/src/sharing.rs
@@ -130,7 +130,7 @@
     }
 
     /// Returns the load of each service. Steps that are not due for a check count as well: they wait
-    /// all the same.
+    /// all the same. Steps that need a label do not: what others leave free may not help them.
     fn begun_loads(&self, now: TimePoint) -> BTreeMap<&str, BegunLoad> {
         let mut loads: BTreeMap<&str, BegunLoad> = BTreeMap::new();
         for worker in self.workers.values() {
@@ -140,7 +140,8 @@
         for step_ref in &self.ready_steps {
             let job = &self.jobs[step_ref.job];
             let step = &job.spec.steps[usize::from(step_ref.step)];
-            let Some(record) = self.step_record(*step_ref).filter(|_| step.best_effort) else {
+            let competes = step.best_effort && step.label.is_none();
+            let Some(record) = self.step_record(*step_ref).filter(|_| competes) else {
                 continue;
             };
             let is_begun =
