--- a/crates/wax-batch/src/order_backoff.rs
+++ b/crates/wax-batch/src/order_backoff.rs
@@ -2,8 +2,8 @@
 //! exponential back-off between these starts, until the worker answers one.
 
 use crate::names::RunId;
-use crate::scheduler::{JobScheduler, RunReservation, WorkerRecord};
-use crate::worker::{WorkerKey, WorkerState};
+use crate::scheduler::{JobScheduler, RunReservation};
+use crate::worker::WorkerKey;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use wax_policy::OrderRules;
 use wax_types::TimePoint;
@@ -23,11 +23,16 @@
 }
 
 impl StartLimit {
-    /// Returns whether starts are limited.
+    /// Returns whether the worker has left starts unanswered since its last answer to one.
     pub fn is_active(&self) -> bool {
         self.unanswered > 0
     }
 
+    /// Returns whether starts are limited and the limit has not expired.
+    pub(crate) fn is_in_force(&self, now: TimePoint) -> bool {
+        self.is_active() && now < self.expires_at
+    }
+
     /// Returns whether the worker with these `runs` may get a start now. The last start under the
     /// limit is unresolved while the worker has its run: an answer ends the limit.
     pub(crate) fn allows_start(
@@ -36,7 +41,7 @@
         now: TimePoint,
     ) -> bool {
         let is_resolved = self.trial.is_none_or(|run_id| !runs.contains_key(&run_id));
-        !self.is_active() || now >= self.expires_at || (now >= self.until && is_resolved)
+        !self.is_in_force(now) || (now >= self.until && is_resolved)
     }
 
     /// Records that the start of a run was not answered. Of several starts that were ordered before
@@ -139,17 +144,14 @@
         if self.start_limits.limited.is_empty() {
             return;
         }
-        let is_ready = |record: &WorkerRecord| {
-            record.view.state == WorkerState::Ready && record.reachable && !record.drained
-        };
         let mut ready: BTreeMap<&str, usize> = BTreeMap::new();
-        for record in self.workers.values().filter(|record| is_ready(record)) {
+        for record in self.workers.values().filter(|record| record.is_ready()) {
             *ready.entry(&record.view.service).or_default() += 1;
         }
         let mut limited: BTreeMap<&str, Vec<(u32, WorkerKey)>> = BTreeMap::new();
         for key in &self.start_limits.limited {
             let record = &self.workers[*key];
-            if is_ready(record) {
+            if record.is_ready() {
                 let entry = (record.start_limit.unanswered, *key);
                 limited.entry(&record.view.service).or_default().push(entry);
             }
--- a/crates/wax-batch/src/placement.rs
+++ b/crates/wax-batch/src/placement.rs
@@ -4,7 +4,7 @@
 use crate::offers::StepOffers;
 use crate::rank::JobRank;
 use crate::reasons::{PlacementReason, StepWait, WaitReason};
-use crate::records::TaskRecord;
+use crate::records::{StepRecord, TaskRecord};
 use crate::relaxation::PlacementRelaxation;
 use crate::scheduler::{JobScheduler, StartOrder, StepRef, TaskRef, WorkerRecord};
 use crate::sharing::BeginMode;
@@ -114,7 +114,7 @@
             }
             let job = &self.jobs[step_ref.job];
             let mut rank = JobRank::new(job, step_ref.occurrence, step_ref.step, now);
-            rank.unbegun = self.is_unbegun(job, &job.spec.steps[usize::from(step_ref.step)]);
+            rank.unbegun = self.is_unbegun(*step_ref);
             ranked.push((rank, *step_ref));
         }
         ranked.sort_unstable();
@@ -172,6 +172,12 @@
         if step.next_check.is_some_and(|time| now < time) {
             return false;
         }
+        self.has_startable_task(step_ref, step)
+    }
+
+    /// Returns whether a waiting task of the step may start, whether or not the step is due for a
+    /// check.
+    pub(crate) fn has_startable_task(&self, step_ref: StepRef, step: &StepRecord) -> bool {
         match self.eligibility(step_ref, step) {
             StepEligibility::All => true,
             limited => step
@@ -213,6 +219,7 @@
         if waiting.is_empty() || is_gang_incomplete {
             return;
         }
+        let lightly_loaded = step.best_effort && !step.gang && self.is_lightly_loaded(&service);
         let request = StepRequest {
             step,
             service: &service,
@@ -223,8 +230,8 @@
                 rank.finish
             }),
             waited: now.since(record.waiting_since),
-            lightly_loaded: step.best_effort && !step.gang && self.is_lightly_loaded(&service),
-            begin_mode: self.begin_mode(step_ref, now),
+            lightly_loaded,
+            begin_mode: self.begin_mode(step_ref, lightly_loaded, now),
             rack: self.preferred_rack(step_ref, step, &service, now),
             scan_start: self.advance_scan_start(),
             enough_offers: waiting.len().saturating_mul(OFFERS_PER_TASK),
@@ -235,6 +242,7 @@
         }
         let waiting_count = waiting.len();
         let mut step_orders = Vec::new();
+        let mut states_before = Vec::new();
         let mut cached = None;
         for (nth, index) in waiting.into_iter().enumerate() {
             let task = TaskRef {
@@ -243,9 +251,13 @@
             };
             match self.choose_worker(task, &request, &mut cached, now) {
                 WorkerChoice::Worker(chosen) => {
+                    if request.begin_mode == BeginMode::Whole {
+                        states_before.push(self.start_state(chosen.key));
+                    }
                     step_orders.push(self.create_order(task, chosen, &request, None, now));
                     self.refresh_offer(step_ref, &request, &mut cached, chosen.key, now);
                     if request.begin_mode == BeginMode::SingleTask {
+                        self.note_starved_start(&service, now);
                         break;
                     }
                 }
@@ -259,7 +271,8 @@
             }
         }
         if request.begin_mode == BeginMode::Whole {
-            step_orders = self.begin_or_postpone(step_ref, step_orders, waiting_count, now);
+            step_orders =
+                self.begin_or_postpone(step_ref, step_orders, states_before, waiting_count, now);
         }
         orders.append(&mut step_orders);
     }
--- a/crates/wax-batch/src/scheduler.rs
+++ b/crates/wax-batch/src/scheduler.rs
@@ -15,7 +15,7 @@
 use crate::worker::{WorkerKey, WorkerView};
 use slotmap::SlotMap;
 use std::cell::Cell;
-use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 use wax_policy::{
@@ -184,6 +184,8 @@
     pub(crate) config: Rc<QueueConfig>,
     pub(crate) rules: PlacementRules,
     pub(crate) sharing_rules: SharingRules,
+    /// Time of the last start of a starved job, by service; see [`JobScheduler::begin_mode`].
+    pub(crate) starved_starts: BTreeMap<Box<str>, TimePoint>,
     /// Answers of the placement advisor, by step.
     pub(crate) approvals: HashMap<StepRef, StepApproval>,
     /// Interference of best-effort images with serving images.
@@ -224,6 +226,7 @@
             config: Rc::default(),
             rules,
             sharing_rules: SharingRules::default(),
+            starved_starts: BTreeMap::new(),
             approvals: HashMap::new(),
             pairs: InterferenceTable::default(),
             epoch,
@@ -320,7 +323,6 @@
             ended_ms: 0,
             stored_outcome: JobOutcome::Open,
             started: false,
-            begun: false,
             reason: None,
             changes: 0,
             stored_changes: 0,
@@ -328,7 +330,9 @@
         };
         if let Some(progress) = progress {
             job.restore(progress);
-            job.begun = job.has_progress();
+            for occurrence in job.occurrences.values_mut() {
+                occurrence.begun = occurrence.has_progress();
+            }
         }
         let is_over = job.is_over();
         let key = self.jobs.insert(job);
--- a/crates/wax-batch/tests/sharing.rs
+++ b/crates/wax-batch/tests/sharing.rs
@@ -4,10 +4,11 @@
 mod support;
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 use support::*;
 use wax_batch::{
-    JobName, JobOutcome, JobProgress, JobRow, JobScheduler, RunEndKind, RunId, StartOrder,
-    StepSpec, WaitReason, WorkerKey,
+    JobName, JobOutcome, JobProgress, JobRow, JobScheduler, LostRun, QueueRules, RepeatPlan,
+    RunEndKind, RunId, StartOrder, StepSpec, TaskSize, WaitReason, WorkerKey, WorkerView,
 };
 use wax_policy::{BeginChoice, BegunLoad, PairInterference, SharingRules};
 use wax_types::TimePoint;
@@ -158,6 +159,31 @@
     assert!(orders.iter().any(|order| order.worker == larger));
 }
 
+/// Guards against a task suspected of crashing its worker that waits for a worker without a recent
+/// start because of starts that were never ordered.
+#[test]
+fn a_postponed_job_does_not_count_as_a_recent_start() {
+    let (mut scheduler, _) = pool(1, enabled(), 5_000);
+    reserve_most_capacity(&mut scheduler);
+    support::worker(&mut scheduler, "two", 5_000);
+    add_job(&mut scheduler, 7, 1, &spec(vec![step(1, 1_000)]), None);
+    let order = scheduler.place(at(10)).remove(0);
+    add_best_effort(&mut scheduler, 1, 30);
+    assert!(scheduler.place(at(1_000)).is_empty());
+    let lost = LostRun {
+        run_id: order.run_id,
+        min_run_time: Some(Duration::from_millis(3)),
+    };
+    let record = scheduler.workers().find(|(key, _)| *key == order.worker);
+    let vm = record.expect("the worker is known").1.view.boot.to_string();
+    scheduler.record_crash(&vm, &[lost], at(1_010), unix_ms(1_010));
+    scheduler.remove_lost_worker(order.worker, at(1_010), unix_ms(1_010));
+    assert_eq!(
+        jobs_of(&scheduler.place(at(1_020))),
+        BTreeMap::from([(7, 1)])
+    );
+}
+
 /// Guards against newer, smaller jobs that take the capacity of a job in progress.
 #[test]
 fn a_job_in_progress_comes_before_new_ones() {
@@ -212,19 +238,90 @@
     assert_eq!(wait.map(|wait| wait.reason), Some(WaitReason::Turn));
 }
 
-/// Guards against a job that never runs although the service has capacity to spare.
+/// Guards against a job that never runs although the service has capacity to spare. Best-effort
+/// tasks reserve no processors, so the service counts as lightly loaded.
 #[test]
 fn a_job_starts_one_task_where_capacity_is_spare() {
-    let (mut scheduler, _) = pool(1, enabled(), 4_000);
-    add_best_effort(&mut scheduler, 1, 100);
-    assert!(scheduler.place(at(0)).is_empty());
+    let (mut scheduler, _) = pool(1, enabled(), 12_000);
+    add_best_effort(&mut scheduler, 1, 10);
+    assert_eq!(jobs_of(&scheduler.place(at(0))), BTreeMap::from([(1, 10)]));
+    add_best_effort(&mut scheduler, 2, 100);
+    assert!(scheduler.place(at(10)).is_empty());
     assert_eq!(
         jobs_of(&scheduler.place(at(2_000))),
-        BTreeMap::from([(1, 1)])
+        BTreeMap::from([(2, 1)])
     );
     assert!(scheduler.place(at(2_200)).is_empty());
 }
 
+/// Guards against an accepted job that never runs because too little capacity for its begin is free
+/// at any time: as without the rules, an old job gets one task placed.
+#[test]
+fn an_old_job_starts_one_task_on_a_service_without_spare_capacity() {
+    let (mut scheduler, _) = pool(1, enabled(), 5_000);
+    reserve_most_capacity(&mut scheduler);
+    add_best_effort(&mut scheduler, 1, 10);
+    for millis in (10..10_000).step_by(500) {
+        assert!(scheduler.place(at(millis)).is_empty(), "at {millis} ms");
+    }
+    assert_eq!(
+        jobs_of(&scheduler.place(at(10_100))),
+        BTreeMap::from([(1, 1)])
+    );
+    assert!(scheduler.place(at(10_300)).is_empty());
+    add_best_effort(&mut scheduler, 2, 10);
+    add_best_effort(&mut scheduler, 3, 10);
+    scheduler.place(at(10_400));
+    let starts = [11_350, 11_400, 12_550, 12_600].map(|millis| scheduler.place(at(millis)).len());
+    assert_eq!(starts, [1, 0, 1, 0], "starved jobs take turns");
+}
+
+/// Guards against a job that runs one task at a time on an idle service because it has more tasks
+/// than fit there at once.
+#[test]
+fn a_job_that_is_wider_than_an_idle_service_begins() {
+    let (mut scheduler, _) = pool(1, enabled(), 4_000);
+    add_best_effort(&mut scheduler, 1, 100);
+    assert_eq!(jobs_of(&scheduler.place(at(0))), BTreeMap::from([(1, 4)]));
+}
+
+/// Guards against steps with a limit for each worker that never begin because the service has too
+/// few workers.
+#[test]
+fn a_job_begins_that_fits_only_in_part_by_its_limit_for_each_worker() {
+    let (mut scheduler, _) = pool(1, enabled(), 4_000);
+    let limited = StepSpec {
+        max_per_worker: 2,
+        ..best_effort_step(10)
+    };
+    add_job(&mut scheduler, 1, 1, &spec(vec![limited]), None);
+    assert_eq!(jobs_of(&scheduler.place(at(0))), BTreeMap::from([(1, 2)]));
+}
+
+/// Guards against a queue of wide jobs of which none ever begins: the second follows the first.
+#[test]
+fn wide_jobs_follow_each_other() {
+    let (mut scheduler, worker) = pool(1, enabled(), 4_000);
+    add_best_effort(&mut scheduler, 1, 12);
+    add_best_effort(&mut scheduler, 2, 12);
+    let mut ends = 0;
+    for round in 0..6 {
+        let now = at(round * 1_000);
+        let orders = scheduler.place(now);
+        record_all_starts(&mut scheduler, &orders, now);
+        let runs: Vec<RunId> = orders.iter().map(|order| order.run_id).collect();
+        end_all(
+            &mut scheduler,
+            worker,
+            &runs,
+            ends + 1,
+            at(round * 1_000 + 900),
+        );
+        ends += runs.len() as u64;
+    }
+    assert_eq!(ends, 24, "all tasks of both jobs have run");
+}
+
 /// Guards against a new owner that postpones jobs in progress because it has not started them
 /// itself.
 #[test]
@@ -258,6 +355,127 @@
     assert!(jobs_of(&orders).get(&1).is_some_and(|tasks| *tasks > 1));
 }
 
+/// Guards against later occurrences of a repeated job that begin with the few tasks that happen to
+/// fit, because the first occurrence has begun.
+#[test]
+fn each_occurrence_of_a_repeated_job_begins_by_itself() {
+    let (mut scheduler, worker) = pool(1, enabled(), 5_000);
+    reserve_most_capacity(&mut scheduler);
+    let mut repeated = spec(vec![best_effort_step(6)]);
+    repeated.repeat = Some(RepeatPlan {
+        count: 2,
+        first_ms: unix_ms(0),
+        interval_ms: 500,
+    });
+    add_job(&mut scheduler, 1, 1, &repeated, None);
+    let orders = scheduler.place(at(10));
+    assert_eq!(jobs_of(&orders), BTreeMap::from([(1, 6)]));
+    record_all_starts(&mut scheduler, &orders, at(10));
+    let runs: Vec<RunId> = orders.iter().map(|order| order.run_id).collect();
+    end_all(&mut scheduler, worker, &runs[..2], 1, at(500));
+    scheduler.start_due_occurrences(at(500), unix_ms(500));
+    assert!(scheduler.place(at(510)).is_empty(), "two of six tasks fit");
+    end_all(&mut scheduler, worker, &runs[2..], 3, at(700));
+    let orders = scheduler.place(at(700));
+    assert_eq!(orders.len(), 6);
+    assert!(orders.iter().all(|order| order.run_id.task.occurrence == 1));
+}
+
+/// Adds workers of six cores, and a job of two steps of tasks of four cores, one of which fits on
+/// each worker. Half the tasks of the second step wait.
+fn add_waiting_begun_job(scheduler: &mut JobScheduler, workers: u32, label: Option<&str>) {
+    for number in 0..workers {
+        let view = WorkerView {
+            boot: format!("w{number}").as_str().into(),
+            service: "svc".into(),
+            labels: label.map(Into::into).into_iter().collect(),
+            capacity: TaskSize {
+                memory_mb: 60_000,
+                ..size(6_000)
+            },
+            ..Default::default()
+        };
+        scheduler.add_worker(view, &format!("w{number}"));
+    }
+    let wide = |count| StepSpec {
+        label: label.map(Into::into),
+        size: size(4_000),
+        ..best_effort_step(count)
+    };
+    let second = StepSpec {
+        after: [0].into(),
+        ..wide(workers * 2)
+    };
+    add_job(scheduler, 1, 1, &spec(vec![wide(workers), second]), None);
+    let orders = scheduler.place(at(0));
+    assert_eq!(orders.len(), workers as usize);
+    record_all_starts(scheduler, &orders, at(0));
+    for (number, order) in (1..).zip(&orders) {
+        let end = end(number, order.run_id, RunEndKind::Done);
+        scheduler.record_end(order.worker, &end, at(100), unix_ms(100));
+    }
+    let orders = scheduler.place(at(100));
+    assert_eq!(orders.len(), workers as usize);
+    record_all_starts(scheduler, &orders, at(100));
+}
+
+/// Guards against jobs that begin in the rounds in which the waiting steps of begun jobs are not due
+/// for a check, as is usual in a pool of more than 256 workers.
+#[test]
+fn waiting_steps_that_are_not_due_for_a_check_count() {
+    let mut scheduler = scheduler(1);
+    scheduler.set_sharing_rules(enabled());
+    add_waiting_begun_job(&mut scheduler, 300, None);
+    for millis in 101..120 {
+        add_best_effort(&mut scheduler, millis, 1);
+        assert!(scheduler.place(at(millis)).is_empty(), "at {millis} ms");
+    }
+}
+
+/// Guards against the begun jobs of one service that hold up the jobs of another.
+#[test]
+fn services_do_not_hold_up_each_other() {
+    let mut config = config(2);
+    let other = QueueRules {
+        name: "others".into(),
+        prefix: "/o/".into(),
+        service: "other".into(),
+        ..(*config.queues[0]).clone()
+    };
+    config.queues.push(other.into());
+    let mut scheduler = scheduler(1);
+    scheduler.set_config(config.into());
+    scheduler.set_sharing_rules(enabled());
+    add_waiting_begun_job(&mut scheduler, 1, None);
+    let view = WorkerView {
+        boot: "other".into(),
+        service: "other".into(),
+        capacity: TaskSize {
+            memory_mb: 60_000,
+            ..size(4_000)
+        },
+        ..Default::default()
+    };
+    scheduler.add_worker(view, "other");
+    let job = spec(vec![best_effort_step(4)]);
+    let mut row = JobRow::new(&job, "others", "other", unix_ms(0), 1);
+    row.epoch = 1;
+    scheduler.add_job(JobName(2), row, None, at(0), unix_ms(0));
+    let orders = scheduler.place(at(110));
+    assert_eq!(jobs_of(&orders), BTreeMap::from([(2, 4)]));
+}
+
+/// Guards against a begun job that waits for workers with a label and holds up all jobs, although
+/// other workers are idle.
+#[test]
+fn a_begun_job_that_waits_for_a_label_holds_up_no_other() {
+    let (mut scheduler, _) = pool(1, enabled(), 4_000);
+    add_waiting_begun_job(&mut scheduler, 2, Some("fast"));
+    add_best_effort(&mut scheduler, 2, 4);
+    let orders = scheduler.place(at(110));
+    assert_eq!(jobs_of(&orders), BTreeMap::from([(2, 4)]));
+}
+
 /// Jobs that ended within their objective, and all that ended, in a replay.
 #[derive(Debug, PartialEq, Eq)]
 struct ReplayResult {
