Add slow workers, unanswered calls and bursts of best-effort jobs to the soak

Cause: policy.performance, policy.orders and policy.sharing were never on in the soak, and none of the faults they are for was drawn.

Change: the soak runs with the three sections switched on. New faults: a worker six times slower with wide jobs that show it, calls of all kinds without an answer that are executed late, and bursts of best-effort jobs. New check: a best-effort job begins with a single task or with begin_share of its first step. Odd seeds have callers further apart, so that some capacity is free. Best-effort tasks count 0 processors in the workers' audit, because they reserve none.

--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -181,6 +181,8 @@
     /// Histories of workers that the test has killed.
     past_histories: Vec<Value>,
     drains: Vec<DomainDrain>,
+    /// Section `policy` of all settings files; may be empty.
+    policy: &'static str,
 }
 
 /// Drain of a failure domain by the operator. Times are Unix microseconds.
@@ -215,7 +217,7 @@
 impl Site {
     /// Starts a site in one failure domain and waits until all its fronts are ready.
     pub(crate) async fn start(test: &str, fronts: usize, vms: usize) -> Self {
-        Self::start_with(test, fronts, vms, (false, 1)).await
+        Self::start_with(test, fronts, vms, (false, 1, "")).await
     }
 
     /// Starts a site whose VMs are spread over this number of failure domains, with a proxy between each front
@@ -226,19 +228,29 @@
         vms: usize,
         domains: usize,
     ) -> Self {
-        Self::start_with(test, fronts, vms, (true, domains)).await
+        Self::start_with_policy(test, fronts, vms, (domains, "")).await
     }
 
     /// Starts a site in one failure domain, with a proxy between each front and the store.
     pub(crate) async fn start_with_proxies(test: &str, fronts: usize, vms: usize) -> Self {
-        Self::start_with(test, fronts, vms, (true, 1)).await
+        Self::start_with(test, fronts, vms, (true, 1, "")).await
+    }
+
+    /// Like [`Self::start_across_domains`], with this section `policy` in the settings of all fronts and agents.
+    pub(crate) async fn start_with_policy(
+        test: &str,
+        fronts: usize,
+        vms: usize,
+        (domains, policy): (usize, &'static str),
+    ) -> Self {
+        Self::start_with(test, fronts, vms, (true, domains, policy)).await
     }
 
     async fn start_with(
         test: &str,
         fronts: usize,
         vms: usize,
-        (proxied, domains): (bool, usize),
+        (proxied, domains, policy): (bool, usize, &'static str),
     ) -> Self {
         let folder =
             std::env::temp_dir().join(format!("waxwing-pool-{}-{test}", std::process::id()));
@@ -255,6 +267,7 @@
             config_version: 0,
             past_histories: Vec::new(),
             drains: Vec::new(),
+            policy,
         };
         let config_rows_url = format!("http://{store}/v1/rows-get?table=op&part=");
         wait_for("the store", || get_json(&config_rows_url)).await;
@@ -311,8 +324,8 @@
             "role: front\nname: front-{number}\nregion: r\nfailure_domain: a\nplatform:\n  address: {}\n\
              pool:\n  peers: {ip}:{port}\n  callers: {callers}\n  readiness: {readiness}\n  metrics: {metrics}\n  \
              drain_bound_ms: {DRAIN_BOUND_MS}\n  config_bound_ms: {CONFIG_BOUND_MS}\n  machine: {{cpu_share: {cores}}}\n\
-             logs:\n  stdout: true\n  json: true\n",
-            store
+             logs:\n  stdout: true\n  json: true\n{}",
+            store, self.policy
         );
         std::fs::write(&settings, text).expect("the settings must be written");
         self.fronts.push(Front {
@@ -416,9 +429,10 @@
             "role: agent\nname: {name}\nregion: r\nfailure_domain: {domain}\nplatform:\n  address: {}\n\
              pool:\n  peers: {ip}:{port}\n  seeds: [{}]\n  check_ins: {check_ins}\n  worker: {app}\n  \
              drain_bound_ms: {DRAIN_BOUND_MS}\n\
-             logs:\n  stdout: true\n  json: true\n",
+             logs:\n  stdout: true\n  json: true\n{}",
             self.store,
-            seeds.join(", ")
+            seeds.join(", "),
+            self.policy
         );
         std::fs::write(&settings, text).expect("the settings must be written");
         self.vms.push(Vm {
--- a/tests/pool/soak.rs
+++ b/tests/pool/soak.rs
@@ -2,7 +2,8 @@
 //!
 //! After the faults it compares the answers that callers received with the histories of the workers: every
 //! accepted job has ended, all long-running tasks run, no refused job has run, no task runs twice, no worker is
-//! over its capacity, nothing starts in a drained failure domain, and no front went back to an older config.
+//! over its capacity, nothing starts in a drained failure domain, no best-effort job began with a part of a step, and
+//! no front went back to an older config.
 
 use crate::calls::call;
 use crate::site::{DOMAINS, Site, job, long_running_job, name, run, wait_for};
@@ -11,7 +12,7 @@
 use compio::time::sleep;
 use fastrand::Rng;
 use http::Method;
-use serde_json::json;
+use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -22,8 +23,9 @@
 const JOB_TIMEOUT: Duration = Duration::from_secs(90);
 /// Interval at which crashed workers are restarted.
 const RESTART_INTERVAL: Duration = Duration::from_millis(150);
-/// Greatest time between two callers.
-const MAX_CALLER_GAP_MS: u64 = 250;
+/// Greatest time between two callers, for even and odd seeds. With the first, the jobs request more processors than
+/// the pool has throughout; with the second, tasks that leave a slow worker find capacity elsewhere.
+const MAX_CALLER_GAPS_MS: [u64; 2] = [250, 1_500];
 /// Greatest number of tries of a caller.
 const MAX_TRIES: u32 = 8;
 /// Name of the long-running job; differs from the names of all callers' jobs.
@@ -39,6 +41,18 @@
 /// On average, one job in this number is cancelled.
 const CANCEL_ONE_IN: u32 = 8;
 
+/// Sections of `policy` that are off by default and are tested by the soak.
+const POLICY: &str =
+    "policy:\n  performance: {enabled: 1}\n  orders: {resend: 1}\n  sharing: {whole_jobs: 1}\n";
+/// Default of `policy.sharing.begin_share`.
+const BEGIN_SHARE: f64 = 0.7;
+/// Bit in the numbers, and so in the names, of the jobs of bursts.
+const BURST_NUMBER: u64 = 1 << 40;
+/// Bit in the numbers of jobs with a wide step, whose run times show which worker is slow.
+const WIDE_NUMBER: u64 = 1 << 41;
+/// Number of wide jobs that are submitted when a worker turns slow.
+const WIDE_JOBS: u32 = 6;
+
 /// Final result of a job as its caller knows it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum CallerOutcome {
@@ -58,6 +72,10 @@
     fronts: Vec<SocketAddr>,
     outcomes: RefCell<HashMap<String, CallerOutcome>>,
     open: Cell<u32>,
+    /// Number of tasks of the first step of each job of a burst.
+    burst_counts: RefCell<HashMap<String, u64>>,
+    /// Number of jobs that bursts have submitted.
+    burst_jobs: Cell<u64>,
     stop: Cell<bool>,
 }
 
@@ -104,7 +122,11 @@
         let name = name(number);
         let (steps, count, ms) = (rng.u16(1..4), rng.u32(1..7), rng.u64(30..1_500));
         let mut body = job(steps, count, ms);
-        if rng.u32(0..FAILS_ONE_IN) == 0 {
+        if number & BURST_NUMBER != 0 {
+            body = best_effort_job(&mut rng);
+        } else if number & WIDE_NUMBER != 0 {
+            body = job(1, 8, rng.u64(200..400));
+        } else if rng.u32(0..FAILS_ONE_IN) == 0 {
             let work = json!({ "ms": ms, "cpu": 1000, "mem": 100, "fail": true });
             body["spec"] = json!(work.to_string());
         } else if rng.u32(0..CRASHES_ONE_IN) == 0 {
@@ -113,6 +135,10 @@
                 json!({ "ms": ms, "cpu": 1000, "mem": 100, "crash": 0, "crash_ms": crash_ms });
             body["spec"] = json!(work.to_string());
         }
+        if number & BURST_NUMBER != 0 {
+            let count = body["phases"][0]["count"].as_u64().unwrap_or_default();
+            self.burst_counts.borrow_mut().insert(name.clone(), count);
+        }
         let body = body.to_string();
         let mut outcome = self.submit(&mut rng, &name, &body).await;
         if outcome == CallerOutcome::Accepted && rng.u32(0..CANCEL_ONE_IN) == 0 {
@@ -122,6 +148,15 @@
         self.open.set(self.open.get() - 1);
     }
 
+    /// Submits jobs at once; `kind` is a bit in their numbers.
+    fn begin_burst(self: &Rc<Self>, seed: u64, kind: u64, jobs: u32) {
+        for _ in 0..jobs {
+            let number = kind + self.burst_jobs.replace(self.burst_jobs.get() + 1);
+            self.open.set(self.open.get() + 1);
+            spawn(self.clone().run_caller(seed, number)).detach();
+        }
+    }
+
     /// Returns the jobs that were accepted and not cancelled.
     fn accepted(&self) -> Vec<String> {
         let outcomes = self.outcomes.borrow();
@@ -134,17 +169,30 @@
     /// Starts callers at random intervals until `stop` is set.
     async fn run_callers(self: Rc<Self>, seed: u64) {
         let mut rng = Rng::with_seed(seed);
+        let max_gap_ms = MAX_CALLER_GAPS_MS[(seed % 2) as usize];
         for number in 1.. {
             if self.stop.get() {
                 return;
             }
             self.open.set(self.open.get() + 1);
             spawn(self.clone().run_caller(seed, number)).detach();
-            sleep(Duration::from_millis(rng.u64(0..MAX_CALLER_GAP_MS))).await;
+            sleep(Duration::from_millis(rng.u64(0..max_gap_ms))).await;
         }
     }
 }
 
+/// Returns a best-effort job of two wide steps. Its tasks reserve no processors: they run in what other tasks leave,
+/// and workers must not count them towards their capacity.
+fn best_effort_job(rng: &mut Rng) -> Value {
+    let ms = rng.u64(100..600);
+    let mut body = job(2, rng.u32(4..9), ms);
+    body["spec"] = json!(json!({ "ms": ms, "cpu": 0, "mem": 100 }).to_string());
+    for step in body["phases"].as_array_mut().into_iter().flatten() {
+        step["fills"] = json!(true);
+    }
+    body
+}
+
 /// Begins a fault.
 async fn begin_fault(site: &mut Site, planned: &PlannedFault, routes: &mut Vec<String>) {
     match (planned.target, planned.fault) {
@@ -162,6 +210,8 @@
             let faults = match fault {
                 SoakFault::FailAll => json!({ "fail": true }),
                 SoakFault::Shrink => json!({ "cpu_milli": 1_500 }),
+                SoakFault::SlowRuns(times) => json!({ "slow_times": times }),
+                SoakFault::LoseCalls => json!({ "lost_percent": 80, "lost_ms": [50, 3_000] }),
                 _ => json!({ "late_percent": 60, "late_ms": 2_500 }),
             };
             site.set_worker_faults(number, faults).await;
@@ -180,6 +230,7 @@
             routes.push(format!("/r{}/", routes.len()));
             put_routes(site, routes).await;
         }
+        (FaultTarget::Callers, _) => {}
     }
 }
 
@@ -202,7 +253,7 @@
         (FaultTarget::Worker(number), _) => site.set_worker_faults(number, json!({})).await,
         (FaultTarget::Store, _) => site.set_store_faults(json!({})).await,
         (FaultTarget::Domain(domain), _) => site.undrain(domain).await,
-        (FaultTarget::Config, _) => {}
+        (FaultTarget::Config | FaultTarget::Callers, _) => {}
     }
 }
 
@@ -212,7 +263,12 @@
 }
 
 /// Executes the plan: begins and ends faults in the order of their times, and restarts crashed workers meanwhile.
-async fn execute_plan(site: &mut Site, plan: &[PlannedFault], routes: &mut Vec<String>) {
+async fn execute_plan(
+    site: &mut Site,
+    plan: &[PlannedFault],
+    routes: &mut Vec<String>,
+    begin_burst: impl Fn(u64, u32),
+) {
     let mut steps: Vec<(Duration, bool, &PlannedFault)> = Vec::new();
     for planned in plan {
         steps.push((planned.at, true, planned));
@@ -230,6 +286,11 @@
             "{:>6.2} s {step} {planned:?}",
             began.elapsed().as_secs_f64()
         );
+        match planned.fault {
+            SoakFault::Burst(jobs) if begins => begin_burst(BURST_NUMBER, jobs),
+            SoakFault::SlowRuns(_) if begins => begin_burst(WIDE_NUMBER, WIDE_JOBS),
+            _ => {}
+        }
         match begins {
             true => begin_fault(site, planned, routes).await,
             false => end_fault(site, planned).await,
@@ -237,6 +298,53 @@
     }
 }
 
+/// Checks that each best-effort job began with a single task or with at least `begin_share` of its first step. The
+/// orders of one placement round for a step are consecutive in the owner's log and have the same waiting time.
+fn check_job_begins(site: &Site, callers: &Callers) {
+    let mut begins: HashMap<String, (String, u64, u64)> = HashMap::new();
+    for front in 0..callers.fronts.len() {
+        let mut last_round = (String::new(), 0);
+        let mut begun: HashMap<String, (String, u64, u64)> = HashMap::new();
+        for line in site.log(&format!("front-{front}")).lines() {
+            let line: Value = serde_json::from_str(line).unwrap_or_default();
+            let task = line["task"]
+                .as_str()
+                .filter(|_| line["message"] == "start ordered");
+            let Some((job, _)) = task.and_then(|task| task.split_once('.')) else {
+                continue;
+            };
+            let at = line["timestamp"].as_str().unwrap_or_default().to_owned();
+            let round = (
+                job.to_owned(),
+                line["waited_ms"].as_u64().unwrap_or_default(),
+            );
+            match begun.get_mut(job) {
+                None => drop(begun.insert(job.to_owned(), (at, round.1, 1))),
+                Some((_, waited_ms, count)) if last_round == round && *waited_ms == round.1 => {
+                    *count += 1;
+                }
+                Some(_) => {}
+            }
+            last_round = round;
+        }
+        for (job, begin) in begun {
+            let first = begins.entry(job).or_insert_with(|| begin.clone());
+            if begin.0 < first.0 {
+                *first = begin;
+            }
+        }
+    }
+    for (job, tasks) in callers.burst_counts.borrow().iter() {
+        let Some((_, _, started)) = begins.get(job) else {
+            continue;
+        };
+        assert!(
+            *started == 1 || *started as f64 >= *tasks as f64 * BEGIN_SHARE,
+            "best-effort job {job} began with {started} of {tasks} tasks"
+        );
+    }
+}
+
 /// Checks the guarantees after all faults have ended.
 async fn check_final_state(site: &Site, callers: &Callers, routes: &[String]) {
     for front in 0..callers.fronts.len() {
@@ -268,6 +376,7 @@
     wait_for("all long-running tasks to run", all_running).await;
     site.audit().await;
     site.audit_failed_attempts(MAX_ATTEMPTS).await;
+    check_job_begins(site, callers);
     let newest = routes.last().expect("the plan starts with one route");
     for front in 0..callers.fronts.len() {
         wait_for("the newest route to be in force", || async {
@@ -290,24 +399,39 @@
         count(CallerOutcome::Refused),
         count(CallerOutcome::Unknown)
     );
+    let fronts = (0..callers.fronts.len()).map(|front| site.log(&format!("front-{front}")));
+    let logs: String = fronts
+        .chain((0..site.vms.len()).map(|vm| site.log(&format!("side-{vm}"))))
+        .collect();
+    println!(
+        "found slow {}, moves {}, starts not answered {}, best-effort jobs {}",
+        logs.matches("\"verdict\":\"slow\"").count(),
+        logs.matches("\"why\":\"slow_worker\"").count(),
+        logs.matches("start was not answered").count(),
+        callers.burst_counts.borrow().len()
+    );
 }
 
 async fn soak(seed: u64, size: SoakSize) {
     println!("seed {seed}, {size:?}");
     let test = format!("soak-{seed}");
-    let mut site = Site::start_across_domains(&test, size.fronts, size.vms, DOMAINS.len()).await;
+    let mut site =
+        Site::start_with_policy(&test, size.fronts, size.vms, (DOMAINS.len(), POLICY)).await;
     let plan = draw_plan(seed, size, &DOMAINS);
     let callers = Rc::new(Callers {
         fronts: site.fronts.iter().map(|front| front.callers).collect(),
         outcomes: RefCell::default(),
         open: Cell::new(0),
+        burst_counts: RefCell::default(),
+        burst_jobs: Cell::new(0),
         stop: Cell::new(false),
     });
     site.submit(LONG_RUNNING_JOB, &long_running_job(LONG_RUNNING_TASKS))
         .await;
     let callers_task = spawn(callers.clone().run_callers(seed));
     let mut routes = vec!["/g/".to_owned()];
-    execute_plan(&mut site, &plan, &mut routes).await;
+    let begin_burst = |kind, jobs| callers.begin_burst(seed, kind, jobs);
+    execute_plan(&mut site, &plan, &mut routes, begin_burst).await;
     callers.stop.set(true);
     callers_task
         .await
--- a/tests/pool/soak_plan.rs
+++ b/tests/pool/soak_plan.rs
@@ -25,6 +25,8 @@
     Store,
     Domain(&'static str),
     Config,
+    /// Callers of best-effort jobs.
+    Callers,
 }
 
 /// Fault, or planned operation such as a drain.
@@ -48,6 +50,10 @@
     LateStarts,
     /// The worker has less CPU capacity than before.
     Shrink,
+    /// All runs of the worker are slower by this factor.
+    SlowRuns(u32),
+    /// The worker leaves some calls of every kind without an answer and executes them later.
+    LoseCalls,
     /// The store refuses all calls.
     Down,
     /// The store answers late.
@@ -60,6 +66,8 @@
     Drain,
     /// The operator adds a route.
     AddRoute,
+    /// Callers submit this number of best-effort jobs at once.
+    Burst(u32),
 }
 
 /// Fault with its start, relative to the start of the soak, and its duration.
@@ -84,8 +92,12 @@
             SoakFault::Drain => rng.u64(6_000..9_000),
             // Some freezes are longer than the heartbeat timeout of a link and the duration of a lease.
             SoakFault::Freeze => rng.u64(300..6_000),
+            // Long enough for two slow runs, which make a worker count as slow, and for moves off it.
+            SoakFault::SlowRuns(_) => rng.u64(4_000..8_000),
             // From less than one hold, by which the agent extends leases, to longer than the leases remain valid.
             SoakFault::Restart(_) => rng.u64(0..1_500),
+            // Long enough for some starts to be given up after all their copies.
+            SoakFault::LoseCalls => rng.u64(2_000..5_000),
             _ => rng.u64(300..3_500),
         });
         let busy: HashSet<FaultTarget> = plan
@@ -109,7 +121,7 @@
 fn draw_fault(rng: &mut Rng, size: SoakSize, domains: &[&'static str]) -> (FaultTarget, SoakFault) {
     let front = rng.usize(0..size.fronts);
     let vm = rng.usize(0..size.vms);
-    match rng.u32(0..24) {
+    match rng.u32(0..32) {
         0 => (FaultTarget::Front(front), SoakFault::Kill),
         1 => (FaultTarget::Front(front), SoakFault::Stop),
         2 | 3 => (FaultTarget::Front(front), SoakFault::Freeze),
@@ -134,9 +146,13 @@
             FaultTarget::Worker(vm),
             SoakFault::Restart(RestartClock::Ahead),
         ),
-        _ => (
+        21..=23 => (
             FaultTarget::Worker(vm),
             SoakFault::Restart(RestartClock::FromZero),
         ),
+        // Always the same worker: at most a share of the workers counts as slow, which is one of three.
+        24..=26 => (FaultTarget::Worker(0), SoakFault::SlowRuns(6)),
+        27..=29 => (FaultTarget::Worker(vm), SoakFault::LoseCalls),
+        _ => (FaultTarget::Callers, SoakFault::Burst(rng.u32(4..9))),
     }
 }
