--- a/tests/pool/soak.rs
+++ b/tests/pool/soak.rs
@@ -23,9 +23,11 @@
 const JOB_TIMEOUT: Duration = Duration::from_secs(90);
 /// Interval at which crashed workers are restarted.
 const RESTART_INTERVAL: Duration = Duration::from_millis(150);
-/// Greatest time between two callers, for even and odd seeds. With the first, the jobs request more processors than
-/// the pool has throughout; with the second, tasks that leave a slow worker find capacity elsewhere.
-const MAX_CALLER_GAPS_MS: [u64; 2] = [250, 1_500];
+/// Greatest time between two callers. The jobs then request more processors than the pool has.
+const MAX_CALLER_GAP_MS: u64 = 250;
+/// Greatest time between two callers for every fourth seed (3, 7, 11, ..), so that some capacity is free. Tasks can be
+/// moved only then.
+const MAX_SPARSE_CALLER_GAP_MS: u64 = 1_500;
 /// Greatest number of tries of a caller.
 const MAX_TRIES: u32 = 8;
 /// Name of the long-running job; differs from the names of all callers' jobs.
@@ -169,7 +171,10 @@
     /// Starts callers at random intervals until `stop` is set.
     async fn run_callers(self: Rc<Self>, seed: u64) {
         let mut rng = Rng::with_seed(seed);
-        let max_gap_ms = MAX_CALLER_GAPS_MS[(seed % 2) as usize];
+        let max_gap_ms = match seed % 4 {
+            3 => MAX_SPARSE_CALLER_GAP_MS,
+            _ => MAX_CALLER_GAP_MS,
+        };
         for number in 1.. {
             if self.stop.get() {
                 return;
