--- a/crates/wax-agent/src/orders.rs
+++ b/crates/wax-agent/src/orders.rs
@@ -16,7 +16,7 @@
 use wax_wire::{PlacementFrame, PoolBody, RefusalFrame, RunUpdates, StartRun};
 
 /// Timeout for a start; an unanswered start is followed by a stop.
-const START_TIMEOUT: Duration = Duration::from_millis(700);
+pub(crate) const START_TIMEOUT: Duration = Duration::from_millis(700);
 /// Timeout for a stop or a change of pace.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay between two attempts to send a stop.
@@ -242,7 +242,7 @@
         });
     }
 
-    fn is_starting(&self, boot: &BootId, run_id: RunId) -> bool {
+    pub(crate) fn is_starting(&self, boot: &BootId, run_id: RunId) -> bool {
         let state = self.with_table(boot, |table| table.state(run_id));
         state.flatten() == Some(RunState::Starting)
     }
--- a/crates/wax-agent/src/orders_tests.rs
+++ b/crates/wax-agent/src/orders_tests.rs
@@ -2,6 +2,7 @@
 
 use crate::boots::BootReport;
 use crate::driver::drive_worker;
+use crate::orders::START_TIMEOUT;
 use crate::process::new_state;
 use crate::rules::AgentRules;
 use crate::run_table::{PlacementInfo, RunState};
@@ -14,7 +15,8 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
-use std::time::Duration;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
 use wax_batch::{BootId, JobName, RunId, TaskName, WorkerState, WorkerView};
 use wax_policy::{DrainRules, OrderRules, PaceRules, PerformanceRules};
 use wax_types::TimePoint;
@@ -183,36 +185,83 @@
     });
 }
 
-/// Guards against a run that is stopped although the worker has accepted its start: the answer
-/// arrived while the agent was suspended.
-#[test]
-fn answer_that_arrived_while_the_agent_was_suspended_counts() {
-    let runtime = Runtime::new().expect("the runtime must start");
-    runtime.block_on(async {
+/// Worker that answers one start as soon as it may, and reports when it has read and answered it.
+struct GatedWorker {
+    address: SocketAddr,
+    request_read: Receiver<()>,
+    may_answer: Sender<()>,
+    answered: Receiver<()>,
+}
+
+impl GatedWorker {
+    fn start() -> Self {
         let (listener, address) = unanswering_worker();
+        let (request_read_sender, request_read) = channel();
+        let (may_answer, may_answer_receiver) = channel();
+        let (answered_sender, answered) = channel();
         std::thread::spawn(move || {
             let (mut stream, _) = listener.accept().expect("the agent must connect");
             let mut request = [0; 4_096];
             let _ = stream.read(&mut request);
-            std::thread::sleep(Duration::from_millis(200));
+            let _ = request_read_sender.send(());
+            let _: Result<(), _> = may_answer_receiver.recv();
             let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}");
-            std::thread::sleep(Duration::from_secs(3));
+            let _ = answered_sender.send(());
+            // Keeps the connection open until the test has ended.
+            let _: Result<(), _> = may_answer_receiver.recv();
         });
-        let state = linked_agent(address);
-        reserve_run(&state);
-        let boot = state.active_boot().expect("the active boot");
-        spawn(
-            state
-                .clone()
-                .send_start_copies(boot.clone(), start_request()),
-        )
-        .detach();
-        sleep(Duration::from_millis(100)).await;
-        // The runtime has one thread, so that nothing else runs in this time.
-        std::thread::sleep(Duration::from_millis(1_500));
-        sleep(Duration::from_millis(100)).await;
-        let run_state = state.with_table(&boot, |table| table.state(run_id()));
-        assert_eq!(run_state.flatten(), Some(RunState::Running));
+        Self {
+            address,
+            request_read,
+            may_answer,
+            answered,
+        }
+    }
+}
+
+/// Sends a start, suspends the agent beyond the time-out of the start, and has the worker answer
+/// meanwhile. Returns the state of the run afterwards; `None` if the time-out passed before the
+/// suspension, on a busy machine.
+async fn answer_during_suspension() -> Option<RunState> {
+    let worker = GatedWorker::start();
+    let state = linked_agent(worker.address);
+    reserve_run(&state);
+    let boot = state.active_boot().expect("the active boot");
+    let began_at = Instant::now();
+    let copies = state
+        .clone()
+        .send_start_copies(boot.clone(), start_request());
+    spawn(copies).detach();
+    while worker.request_read.try_recv().is_err() {
+        sleep(Duration::from_millis(1)).await;
+    }
+    // The runtime has one thread, so that nothing else runs from here on until the next await.
+    if began_at.elapsed() >= START_TIMEOUT {
+        return None;
+    }
+    worker.may_answer.send(()).expect("the worker must wait");
+    worker.answered.recv().expect("the worker must answer");
+    std::thread::sleep((START_TIMEOUT * 2).saturating_sub(began_at.elapsed()));
+    while state.is_starting(&boot, run_id()) {
+        sleep(Duration::from_millis(1)).await;
+    }
+    state
+        .with_table(&boot, |table| table.state(run_id()))
+        .flatten()
+}
+
+/// Guards against a run that is stopped although the worker has accepted its start: the answer
+/// arrived while the agent was suspended, and the time-out of the start has passed meanwhile.
+#[test]
+fn answer_that_arrived_while_the_agent_was_suspended_counts() {
+    let runtime = Runtime::new().expect("the runtime must start");
+    runtime.block_on(async {
+        let run_state = loop {
+            if let Some(run_state) = answer_during_suspension().await {
+                break run_state;
+            }
+        };
+        assert_eq!(run_state, RunState::Running);
     });
 }
 
