A starved job begins in part where the service has capacity to spare

Change: on a lightly loaded service a starved job begins with the tasks that find a worker, and counts as begun from then on. The test of a single task is replaced: it expected that no second task starts beside it.

--- a/crates/wax-batch/src/placement.rs
+++ b/crates/wax-batch/src/placement.rs
@@ -270,9 +270,18 @@
                 }
             }
         }
-        if request.begin_mode == BeginMode::Whole {
-            step_orders =
-                self.begin_or_postpone(step_ref, step_orders, states_before, waiting_count, now);
+        match request.begin_mode {
+            BeginMode::Whole => {
+                step_orders = self.begin_or_postpone(
+                    step_ref,
+                    step_orders,
+                    states_before,
+                    waiting_count,
+                    now,
+                );
+            }
+            BeginMode::Partial if !step_orders.is_empty() => self.mark_begun(step_ref),
+            BeginMode::Begun | BeginMode::Partial | BeginMode::SingleTask => {}
         }
         orders.append(&mut step_orders);
     }
--- a/crates/wax-batch/src/sharing.rs
+++ b/crates/wax-batch/src/sharing.rs
@@ -28,6 +28,9 @@
     Begun,
     /// The job begins if enough tasks of the step find a worker.
     Whole,
+    /// The job begins with the tasks that find a worker: it is starved although the service has
+    /// capacity to spare, so that no other work explains why it waits.
+    Partial,
     /// The step may start a single task, because it is starved; see [`is_starved`].
     SingleTask,
 }
@@ -46,7 +49,7 @@
     /// cannot end in time.
     pub(crate) fn relaxation(self) -> Option<PlacementRelaxation> {
         match self {
-            Self::Begun => None,
+            Self::Begun | Self::Partial => None,
             Self::Whole => Some(PlacementRelaxation::PreferredPace),
             Self::SingleTask => Some(PlacementRelaxation::Starved),
         }
@@ -104,8 +107,11 @@
                 || self
                     .sharing_rules
                     .may_begin(load.copied().unwrap_or_default())
-                || (self.begin_mode(*step_ref, lightly_loaded, now) == BeginMode::SingleTask
-                    && (lightly_loaded || with_starved_start.insert(service)));
+                || match self.begin_mode(*step_ref, lightly_loaded, now) {
+                    BeginMode::Begun | BeginMode::Partial => true,
+                    BeginMode::SingleTask => with_starved_start.insert(service),
+                    BeginMode::Whole => false,
+                };
             if !may_start {
                 held_back.push(*step_ref);
             }
@@ -168,16 +174,23 @@
         if !self.is_unbegun(step_ref) {
             return BeginMode::Begun;
         }
+        let is_starved = self
+            .step_record(step_ref)
+            .is_some_and(|record| is_starved(&self.rules, job, record, lightly_loaded, now));
         let starved_start = self.starved_starts.get(&job.queue.service);
-        let may_start_single = (lightly_loaded
-            || starved_start.is_none_or(|at| now.since(*at) >= self.rules.starvation_wait))
-            && self
-                .step_record(step_ref)
-                .is_some_and(|record| is_starved(&self.rules, job, record, lightly_loaded, now));
-        if may_start_single {
-            BeginMode::SingleTask
-        } else {
-            BeginMode::Whole
+        let is_single_due =
+            starved_start.is_none_or(|at| now.since(*at) >= self.rules.starvation_wait);
+        match (is_starved, lightly_loaded) {
+            (true, true) => BeginMode::Partial,
+            (true, false) if is_single_due => BeginMode::SingleTask,
+            _ => BeginMode::Whole,
+        }
+    }
+
+    pub(crate) fn mark_begun(&mut self, step_ref: StepRef) {
+        let occurrences = &mut self.jobs[step_ref.job].occurrences;
+        if let Some(occurrence) = occurrences.get_mut(&step_ref.occurrence) {
+            occurrence.begun = true;
         }
     }
 
@@ -205,10 +218,7 @@
         };
         match self.sharing_rules.begin_choice(placeable, waiting) {
             BeginChoice::Begin => {
-                let occurrences = &mut self.jobs[step_ref.job].occurrences;
-                if let Some(occurrence) = occurrences.get_mut(&step_ref.occurrence) {
-                    occurrence.begun = true;
-                }
+                self.mark_begun(step_ref);
                 step_orders
             }
             BeginChoice::Postpone => {
