--- a/crates/wax-batch/src/performance.rs
+++ b/crates/wax-batch/src/performance.rs
@@ -21,7 +21,7 @@
 
 /// Time until a run without a reference, or without a newer report of its agent, is checked again.
 const RECHECK_PERIOD: Duration = Duration::from_millis(200);
-/// Interval at which figures of ended steps and of runs without news are removed.
+/// Interval at which figures of ended steps and of runs without updates are removed.
 const PRUNE_PERIOD: Duration = Duration::from_millis(1_000);
 /// Weight of a run that is compared with other jobs of its image: 3% of jobs take seven times longer
 /// than the others on every worker.
--- a/crates/wax-batch/tests/sharing.rs
+++ b/crates/wax-batch/tests/sharing.rs
@@ -98,7 +98,7 @@
 }
 
 macro_rules! backlog {
-    ($($name:ident: $waiting:literal beside $running:literal => $may_begin:literal;)*) => {$(
+    ($($name:ident: $waiting:literal with $running:literal => $may_begin:literal;)*) => {$(
         #[test]
         fn $name() {
             let load = BegunLoad { waiting_milli: $waiting, running_milli: $running };
@@ -108,10 +108,10 @@
 }
 
 backlog! {
-    an_idle_pool_begins_jobs: 0 beside 0 => true;
-    a_small_backlog_begins_jobs: 2_000 beside 8_000 => true;
-    a_large_backlog_begins_none: 2_001 beside 8_000 => false;
-    waiting_work_on_an_empty_pool_begins_none: 1 beside 0 => false;
+    an_idle_pool_begins_jobs: 0 with 0 => true;
+    a_small_backlog_begins_jobs: 2_000 with 8_000 => true;
+    a_large_backlog_begins_none: 2_001 with 8_000 => false;
+    waiting_work_on_an_empty_pool_begins_none: 1 with 0 => false;
 }
 
 /// Guards against jobs that begin with the few tasks that happen to fit, and never end.
--- a/crates/wax-batch/tests/slow_worker_replay.rs
+++ b/crates/wax-batch/tests/slow_worker_replay.rs
@@ -303,7 +303,7 @@
 /// Number of best-effort tasks, at most one on each worker, that leaves workers without one.
 const FEW: u32 = 20;
 
-/// Beside best-effort tasks, tail latencies are no evidence; short tasks alone must do.
+/// With best-effort tasks on the worker, tail latencies are no evidence, only short tasks are.
 #[test]
 fn slow_workers_are_found_beside_best_effort_tasks() {
     for seed in SEEDS {
--- a/crates/wax-policy/src/sharing.rs
+++ b/crates/wax-policy/src/sharing.rs
@@ -48,7 +48,7 @@
         self.enabled > 0
     }
 
-    /// Returns whether jobs may begin beside this load.
+    /// Returns whether jobs may begin at this load.
     pub fn may_begin(&self, load: BegunLoad) -> bool {
         load.waiting_milli as f64 <= load.running_milli as f64 * self.max_backlog
     }
--- a/crates/wax-policy/tests/performance.rs
+++ b/crates/wax-policy/tests/performance.rs
@@ -243,7 +243,7 @@
     the_only_two_workers_never_count: [0.16, 1.0] => [],
 }
 
-/// Tests what a run time in milliseconds says beside a median of 500 ms.
+/// Tests what a run time in milliseconds says compared with a median of 500 ms.
 macro_rules! step_tests {
     ($($name:ident: $run_time:literal => $finding:expr,)*) => {
         $(
@@ -271,7 +271,7 @@
     assert_eq!(compare_with_step(run_time, median, &rules()), None);
 }
 
-/// Tests whether a run that has not ended is slow beside a reference of 1,000 ms, by the time since
+/// Tests whether a run that has not ended is slow against a reference of 1,000 ms, by the time since
 /// its start order and its reported percentage.
 macro_rules! progress_tests {
     ($($name:ident: $elapsed:literal ms, $percent:literal % => $slow:literal,)*) => {
--- a/tests/pool/orders.rs
+++ b/tests/pool/orders.rs
@@ -88,7 +88,7 @@
     site.wait_log_lines("side-0", unanswered, before + 1).await;
 }
 
-/// Guards against a task that runs twice, or a run that nobody knows, when the agent dies after a start whose copies
+/// Guards against a task that runs twice, or a run that no process knows, when the agent dies after a start whose copies
 /// are executed late, before its stop is acknowledged.
 #[test]
 fn a_successor_of_the_agent_resolves_starts_without_an_answer() {
