--- a/review/stand/src/bin/gang.rs
+++ b/review/stand/src/bin/gang.rs
@@ -15,6 +15,8 @@
 
 const FRONTS: usize = 3;
 const AGENTS: usize = 11;
+/// Time of the way between two machines, as on the site `riveneige-niveaux`.
+const ONE_WAY: Duration = Duration::from_micros(500);
 /// Length of the cut; the site file has 5.5 s.
 const CUT: Duration = Duration::from_millis(5_500);
 
@@ -41,7 +43,7 @@
     let path = std::env::args().nth(1).unwrap_or("record.txt".into());
     let record = Arc::new(Record::create(&path));
     let capacity = json!({ "cpu": 16000, "memMb": 64000, "gpu": 0 });
-    let site = Site::start(record.clone(), FRONTS, AGENTS, &config(3, &["/g/"]), capacity);
+    let site = Site::start(record.clone(), FRONTS, AGENTS, &config(3, &["/g/"]), capacity, ONE_WAY);
     if !site.wait_ready(Duration::from_secs(20)) {
         eprintln!("the installation did not become ready");
         drop(site);
--- a/review/stand/src/bin/wake.rs
+++ b/review/stand/src/bin/wake.rs
@@ -16,17 +16,15 @@
 /// Length of the freeze; the site file has up to 4 s.
 const FREEZE: Duration = Duration::from_millis(1_900);
 /// Number of freezes, and the time between two of them.
-const ROUNDS: usize = 20;
-const GAP: Duration = Duration::from_millis(2_400);
-/// Time that a worker takes to answer a call.
-const ANSWERS_AFTER: Duration = Duration::from_millis(15);
+const ROUNDS: usize = 22;
+const GAP: Duration = Duration::from_millis(2_200);
 /// Callers, and the time between two jobs of one.
 const CALLERS: usize = 6;
 const PAUSE: Duration = Duration::from_millis(200);
 
 fn job(number: usize) -> String {
-    let ms = 1_700 + number as u64 * 97 % 1_000;
-    let spec = json!({ "steps": [{ "ms": ms }] });
+    let ms = 1_600 + number as u64 * 97 % 900;
+    let spec = json!({ "steps": [{ "ms": ms, "uneven": 23 }] });
     json!({
         "spec": spec.to_string(),
         "phases": [{ "count": 11, "cpu": 100, "memMb": 64, "estimatedMs": ms }],
@@ -38,9 +36,11 @@
     let with_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let path = std::env::args().nth(1).unwrap_or("record.txt".into());
     let record = Arc::new(Record::create(&path));
+    let number = |name: &str, usual: u64| std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(usual);
     let capacity = json!({ "cpu": 16000, "memMb": 64000, "gpu": 0 });
-    let site = Site::start(record.clone(), FRONTS, AGENTS, &config(3, &["/g/"]), capacity);
-    site.fleet.set_answers_after(ANSWERS_AFTER);
+    let site = Site::start(record.clone(), FRONTS, AGENTS, &config(3, &["/g/"]), capacity, Duration::from_micros(number("ONE_WAY_US", 3000)));
+    site.fleet.set_answers_after(Duration::from_millis(number("ANSWERS", 80)));
+    let slow = number("SLOW", 1) as u32;
     if !site.wait_ready(Duration::from_secs(20)) {
         eprintln!("the installation did not become ready");
         drop(site);
@@ -61,7 +61,7 @@
                 }
             });
         }
-        for round in 0..ROUNDS {
+        for round in 0..number("ROUNDS", ROUNDS as u64) {
             sleep(GAP);
             if !overlaps(&site.fleet.spans()).is_empty() {
                 break;
@@ -70,17 +70,20 @@
             if with_trouble {
                 record.line(&format!("round {round}: front {owner}, which owns the shard, freezes"));
                 site.signal(owner, "STOP");
+                site.store.set_slow(slow);
             }
             sleep(FREEZE);
             if with_trouble {
                 site.signal(owner, "CONT");
                 record.line(&format!("round {round}: front {owner} wakes"));
+                sleep(Duration::from_millis(600));
+                site.store.set_slow(1);
             }
         }
         sleep(GAP);
         ends.store(true, Ordering::SeqCst);
     });
-    sleep(Duration::from_secs(8));
+    sleep(Duration::from_secs(5));
     let jobs = jobs.load(Ordering::SeqCst);
     let spans = site.fleet.spans();
     drop(site);
--- a/review/stand/src/net.rs
+++ b/review/stand/src/net.rs
@@ -69,6 +69,7 @@
 struct Pair {
     machine: usize,
     front: usize,
+    one_way: Duration,
     cut: Arc<Mutex<Option<Cut>>>,
     open: Arc<Mutex<Vec<TcpStream>>>,
     listening: Mutex<Option<TcpStream>>,
@@ -82,13 +83,15 @@
 
 impl Net {
     /// Starts a proxy from each machine to each front but itself.
-    pub fn start(fronts: usize, machines: usize, port: u16) -> Self {
+    /// `one_way` is the time of the way between two machines.
+    pub fn start(fronts: usize, machines: usize, port: u16, one_way: Duration) -> Self {
         let mut pairs = Vec::new();
         for machine in 0..machines {
             for front in (0..fronts).filter(|front| *front != machine) {
                 let pair = Arc::new(Pair {
                     machine,
                     front,
+                    one_way,
                     cut: Arc::default(),
                     open: Arc::default(),
                     listening: Mutex::new(None),
@@ -168,7 +171,7 @@
     let (Ok(mut from), Ok(mut to)) = (from.try_clone(), to.try_clone()) else {
         return;
     };
-    let cut = pair.cut.clone();
+    let (cut, one_way) = (pair.cut.clone(), pair.one_way);
     thread::spawn(move || {
         let mut buffer = [0; 65_536];
         while let Ok(length) = from.read(&mut buffer) {
@@ -178,6 +181,7 @@
             if cut.lock().unwrap().is_some() {
                 continue;
             }
+            thread::sleep(one_way);
             translate(&mut buffer[..length], Some(receiver));
             if to.write_all(&buffer[..length]).is_err() {
                 break;
--- a/review/stand/src/site.rs
+++ b/review/stand/src/site.rs
@@ -52,13 +52,13 @@
         zone_of(machine, self.fronts)
     }
 
-    pub fn start(record: Arc<Record>, fronts: usize, agents: usize, config: &Value, capacity: Value) -> Self {
+    pub fn start(record: Arc<Record>, fronts: usize, agents: usize, config: &Value, capacity: Value, one_way: Duration) -> Self {
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
         let port = base_port();
-        let store = Store::new(fronts + agents);
+        let store = Store::new(fronts + agents, one_way);
         store.operator_write("config", config);
-        let net = Net::start(fronts, fronts + agents, port);
+        let net = Net::start(fronts, fronts + agents, port, one_way);
         let fleet = Fleet::start(agents, "niveau-service", capacity, record.clone());
         let mut site = Self {
             store,
--- a/review/stand/src/store.rs
+++ b/review/stand/src/store.rs
@@ -11,10 +11,10 @@
 
 /// `maxRowBytes` of the settings.
 const MAX_ROW_BYTES: usize = 65_536;
-/// Time of an answer: 4 ms at the store, and 0.5 ms each way between zones.
-const ANSWER: Duration = Duration::from_millis(5);
+/// Time of an answer of the store itself.
+const ANSWER: Duration = Duration::from_millis(4);
 /// `transactionMs` of the settings.
-const TRANSACTION: Duration = Duration::from_millis(6);
+const TRANSACTION: Duration = Duration::from_millis(5);
 
 type Key = (String, String, String);
 
@@ -53,6 +53,10 @@
     doors: Mutex<Vec<Door>>,
     filter: Mutex<Option<TxFilter>>,
     began: Instant,
+    /// Factor of the time of an answer.
+    slow: Mutex<u32>,
+    /// Time of the way between a machine and the store.
+    one_way: Duration,
 }
 
 fn text(value: &Value, name: &str) -> String {
@@ -74,16 +78,27 @@
 }
 
 impl Store {
-    pub fn new(doors: usize) -> Arc<Self> {
+    pub fn new(doors: usize, one_way: Duration) -> Arc<Self> {
         Arc::new(Self {
             rows: Mutex::default(),
             changed: Condvar::new(),
             doors: Mutex::new(vec![Door::Open; doors]),
             filter: Mutex::new(None),
             began: Instant::now(),
+            slow: Mutex::new(1),
+            one_way,
         })
     }
 
+    /// Makes all answers take `times` as long.
+    pub fn set_slow(&self, times: u32) {
+        *self.slow.lock().unwrap() = times;
+    }
+
+    fn slow(&self) -> u32 {
+        *self.slow.lock().unwrap()
+    }
+
     /// Serves the machine with this number.
     pub fn open_door(self: &Arc<Self>, listener: TcpListener, machine: usize) {
         let store = self.clone();
@@ -134,12 +149,14 @@
         if let Some(resp) = self.blocked(machine) {
             return resp;
         }
+        std::thread::sleep(self.one_way);
         let resp = match request.path.as_str() {
             "/v1/rows-tx" => self.transact(machine, request),
             "/v1/rows-get" => self.get(machine, request),
             "/v1/rows-feed" => self.feed(machine, request),
             _ => Resp::Answer(404, Vec::new()),
         };
+        std::thread::sleep(self.one_way);
         // An answer that meets a cut is lost.
         self.blocked(machine).unwrap_or(resp)
     }
@@ -185,7 +202,7 @@
             let _ = self.apply(&expect, values, &remove);
             return Resp::Hang;
         }
-        std::thread::sleep(TRANSACTION);
+        std::thread::sleep(TRANSACTION * self.slow());
         match self.apply(&expect, values, &remove) {
             Ok(version) => json(200, &json!({ "rowVersion": version, "nowMs": self.now_ms() })),
             Err((rows, version)) => {
@@ -224,7 +241,7 @@
     }
 
     fn get(&self, machine: usize, request: &Req) -> Resp {
-        std::thread::sleep(ANSWER);
+        std::thread::sleep(ANSWER * self.slow());
         let (table, part) = (request.param("table"), request.param("part"));
         let (from, to) = (request.param("from"), request.param("to"));
         let limit = request.param("limit").parse().unwrap_or(500).min(500);
@@ -252,7 +269,7 @@
         let wait = Duration::from_millis(request.param("waitMs").parse().unwrap_or(0));
         let ends = Instant::now() + wait;
         // The way there and back, and the store's own time.
-        std::thread::sleep(ANSWER);
+        std::thread::sleep(ANSWER * self.slow());
         let mut rows = self.rows.lock().unwrap();
         loop {
             let from = rows.history.partition_point(|change| change.2 <= after);
--- a/review/stand/src/worker.rs
+++ b/review/stand/src/worker.rs
@@ -1,17 +1,21 @@
 //! Workers ("runners") as PROTOCOL.md describes them. What a task does is written in the job's
-//! `spec`: `{"steps":[{"ms":400,"gang":3},{"ms":1500}]}`, one entry for each step.
+//! `spec`: `{"steps":[{"ms":400,"gang":3},{"ms":1500}]}`, one entry for each step. With `uneven`, each
+//! task of a step takes so many milliseconds longer than the one before.
 
 use crate::http::{self, Handler, Req, Resp, json, serve};
 use crate::record::Record;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, HashMap};
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 /// `gangTimeoutMs` of the settings.
 const GANG_TIMEOUT_MS: u64 = 3_000;
+/// Usual time of an answer.
+const USUAL: Duration = Duration::from_millis(4);
 /// `heartbeatMs` of the settings.
 const CHECK_IN: Duration = Duration::from_millis(1_500);
 
@@ -60,8 +64,9 @@
     record: Arc<Record>,
     service: String,
     capacity: Value,
-    /// Time that a worker takes to answer an order or a hold.
+    /// Time by which the answers to one in three calls are late.
     answers_after: Mutex<Duration>,
+    calls: AtomicUsize,
 }
 
 fn step_of(task: &str) -> (String, usize) {
@@ -71,6 +76,10 @@
     (format!("{}.{step}", parts.next().unwrap_or_default()), step)
 }
 
+fn index_of(task: &str) -> u64 {
+    task.rsplit('.').next().and_then(|part| part.parse().ok()).unwrap_or(0)
+}
+
 impl Fleet {
     pub fn start(workers: usize, service: &str, capacity: Value, record: Arc<Record>) -> Arc<Self> {
         let fleet = Arc::new(Self {
@@ -84,6 +93,7 @@
             service: service.to_owned(),
             capacity,
             answers_after: Mutex::default(),
+            calls: AtomicUsize::new(0),
         });
         let ticking = fleet.clone();
         thread::spawn(move || {
@@ -99,7 +109,7 @@
         self.began.elapsed().as_millis() as u64 + 1
     }
 
-    /// Sets how long workers take to answer an order or a hold. It is executed at once.
+    /// Sets by how much the answers to one in three calls are late. All calls are executed at once.
     pub fn set_answers_after(&self, time: Duration) {
         *self.answers_after.lock().unwrap() = time;
     }
@@ -238,7 +248,7 @@
                     task.clone(),
                     Run {
                         run,
-                        ms: work["ms"].as_u64().unwrap_or(100),
+                        ms: work["ms"].as_u64().unwrap_or(100) + work["uneven"].as_u64().unwrap_or(0) * index_of(&task),
                         gang: work["gang"].as_u64().unwrap_or(0) as usize,
                         lasts: work["lasts"].as_bool().unwrap_or(false),
                         began: now,
@@ -310,7 +320,11 @@
         let handler: Handler = Arc::new(move |request| {
             let resp = fleet.handle(worker, &name, &request);
             let time = *fleet.answers_after.lock().unwrap();
-            thread::sleep(time);
+            // A fixed pattern without a short period.
+            thread::sleep(USUAL);
+            if fleet.calls.fetch_add(1, Ordering::SeqCst) * 7919 % 1000 < 333 {
+                thread::sleep(time);
+            }
             resp
         });
         serve(listener, handler);
