--- a/review/stand/src/bin/wake.rs
+++ b/review/stand/src/bin/wake.rs
@@ -27,7 +27,7 @@
     let spec = json!({ "steps": [{ "ms": ms, "uneven": 23 }] });
     json!({
         "spec": spec.to_string(),
-        "phases": [{ "count": 11, "cpu": 100, "memMb": 64, "estimatedMs": ms }],
+        "phases": [{ "count": 11, "cpu": 300, "memMb": 64, "estimatedMs": ms }],
     })
     .to_string()
 }
--- a/review/stand/src/worker.rs
+++ b/review/stand/src/worker.rs
@@ -15,7 +15,7 @@
 /// `gangTimeoutMs` of the settings.
 const GANG_TIMEOUT_MS: u64 = 3_000;
 /// Usual time of an answer.
-const USUAL: Duration = Duration::from_millis(4);
+const USUAL: Duration = Duration::from_millis(6);
 /// `heartbeatMs` of the settings.
 const CHECK_IN: Duration = Duration::from_millis(1_500);
 
