--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,8 +4,23 @@
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-[ -x target/release/waxwingd ] && [ -x review/stand/target/release/wake ] || { echo "build first: the build of deploy/system.toml, review/build.sh"; exit 2; }
-timeout -k 2 117 review/stand/target/release/wake "$here/record.txt"
+program=review/stand/target/release/wake
+if ! [ -x target/release/waxwingd ] || ! [ -x "$program" ]; then
+  echo "not built: the build of deploy/system.toml and review/build.sh come first"
+  exit 2
+fi
+folder=$(mktemp -d)
+# The program ends what it starts; this is for the case that it is ended itself.
+cleanup() {
+  if [ -f "$folder/pids" ]; then
+    while read -r pid; do
+      [ "$(cat "/proc/$pid/comm" 2>/dev/null)" = waxwingd ] && kill -9 "$pid"
+    done < "$folder/pids"
+  fi
+  rm -rf "$folder"
+}
+trap cleanup EXIT
+TMPDIR=$folder REVIEW_PIDS=$folder/pids timeout -k 1 117 "$program" "$here/record.txt"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/stand/src/bin/wake.rs
+++ b/review/stand/src/bin/wake.rs
@@ -18,6 +18,10 @@
 /// Number of freezes, and the time between two of them.
 const ROUNDS: usize = 22;
 const GAP: Duration = Duration::from_millis(2_200);
+/// Time of the way between two machines, as on the site `kerlann-traces`.
+const ONE_WAY: Duration = Duration::from_millis(3);
+/// Time by which the answers to one in three calls to a worker are late.
+const ANSWERS_LATE: Duration = Duration::from_millis(80);
 /// Callers, and the time between two jobs of one.
 const CALLERS: usize = 6;
 const PAUSE: Duration = Duration::from_millis(200);
@@ -36,11 +40,9 @@
     let with_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let path = std::env::args().nth(1).unwrap_or("record.txt".into());
     let record = Arc::new(Record::create(&path));
-    let number = |name: &str, usual: u64| std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(usual);
     let capacity = json!({ "cpu": 16000, "memMb": 64000, "gpu": 0 });
-    let site = Site::start(record.clone(), FRONTS, AGENTS, &config(3, &["/g/"]), capacity, Duration::from_micros(number("ONE_WAY_US", 3000)));
-    site.fleet.set_answers_after(Duration::from_millis(number("ANSWERS", 80)));
-    let slow = number("SLOW", 1) as u32;
+    let site = Site::start(record.clone(), FRONTS, AGENTS, &config(3, &["/g/"]), capacity, ONE_WAY);
+    site.fleet.set_answers_after(ANSWERS_LATE);
     if !site.wait_ready(Duration::from_secs(20)) {
         eprintln!("the installation did not become ready");
         drop(site);
@@ -61,7 +63,7 @@
                 }
             });
         }
-        for round in 0..number("ROUNDS", ROUNDS as u64) {
+        for round in 0..ROUNDS {
             sleep(GAP);
             if !overlaps(&site.fleet.spans()).is_empty() {
                 break;
@@ -70,14 +72,11 @@
             if with_trouble {
                 record.line(&format!("round {round}: front {owner}, which owns the shard, freezes"));
                 site.signal(owner, "STOP");
-                site.store.set_slow(slow);
             }
             sleep(FREEZE);
             if with_trouble {
                 site.signal(owner, "CONT");
                 record.line(&format!("round {round}: front {owner} wakes"));
-                sleep(Duration::from_millis(600));
-                site.store.set_slow(1);
             }
         }
         sleep(GAP);
--- a/review/stand/src/site.rs
+++ b/review/stand/src/site.rs
@@ -145,6 +145,7 @@
             .stdout(log.try_clone().expect("a log"))
             .stderr(log)
             .spawn()
+            .inspect(|child| note_pid(child.id()))
             .expect("target/release/waxwingd starts")
     }
 
@@ -231,6 +232,17 @@
     }
 }
 
+/// Appends the id of a started process to the file that `REVIEW_PIDS` names, so that the script can end it
+/// should this program be ended early.
+fn note_pid(pid: u32) {
+    use std::io::Write;
+    if let Ok(path) = std::env::var("REVIEW_PIDS")
+        && let Ok(mut file) = File::options().create(true).append(true).open(path)
+    {
+        let _ = writeln!(file, "{pid}");
+    }
+}
+
 fn zone_of(machine: usize, fronts: usize) -> usize {
     if machine < fronts { machine % 3 } else { (machine - fronts) % 3 }
 }
--- a/review/stand/src/store.rs
+++ b/review/stand/src/store.rs
@@ -37,24 +37,11 @@
     Reset,
 }
 
-/// What a filter lets the store do with a transaction.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum TxFate {
-    Normal,
-    /// The call gets no answer and is performed after this time if its condition still holds.
-    Late(Duration),
-}
-
-pub type TxFilter = Box<dyn Fn(usize, &[(String, String)]) -> TxFate + Send + Sync>;
-
 pub struct Store {
     rows: Mutex<Rows>,
     changed: Condvar,
     doors: Mutex<Vec<Door>>,
-    filter: Mutex<Option<TxFilter>>,
     began: Instant,
-    /// Factor of the time of an answer.
-    slow: Mutex<u32>,
     /// Time of the way between a machine and the store.
     one_way: Duration,
 }
@@ -83,22 +70,11 @@
             rows: Mutex::default(),
             changed: Condvar::new(),
             doors: Mutex::new(vec![Door::Open; doors]),
-            filter: Mutex::new(None),
             began: Instant::now(),
-            slow: Mutex::new(1),
             one_way,
         })
     }
 
-    /// Makes all answers take `times` as long.
-    pub fn set_slow(&self, times: u32) {
-        *self.slow.lock().unwrap() = times;
-    }
-
-    fn slow(&self) -> u32 {
-        *self.slow.lock().unwrap()
-    }
-
     /// Serves the machine with this number.
     pub fn open_door(self: &Arc<Self>, listener: TcpListener, machine: usize) {
         let store = self.clone();
@@ -111,10 +87,6 @@
         self.changed.notify_all();
     }
 
-    pub fn set_filter(&self, filter: Option<TxFilter>) {
-        *self.filter.lock().unwrap() = filter;
-    }
-
     fn door(&self, machine: usize) -> Door {
         self.doors.lock().unwrap()[machine]
     }
@@ -189,20 +161,12 @@
             let value = translate_value(&key.0, value, None);
             values.push((key, value));
         }
-        let names: Vec<(String, String)> =
-            values.iter().map(|(key, _)| (key.0.clone(), key.2.clone())).collect();
         let expect: Vec<(Key, u64)> = expect
             .iter()
             .map(|row| (key_of(row), row["rowVersion"].as_u64().unwrap_or(0)))
             .collect();
         let remove: Vec<Key> = remove.iter().map(key_of).collect();
-        let fate = self.filter.lock().unwrap().as_ref().map_or(TxFate::Normal, |filter| filter(machine, &names));
-        if let TxFate::Late(after) = fate {
-            std::thread::sleep(after);
-            let _ = self.apply(&expect, values, &remove);
-            return Resp::Hang;
-        }
-        std::thread::sleep(TRANSACTION * self.slow());
+        std::thread::sleep(TRANSACTION);
         match self.apply(&expect, values, &remove) {
             Ok(version) => json(200, &json!({ "rowVersion": version, "nowMs": self.now_ms() })),
             Err((rows, version)) => {
@@ -241,7 +205,7 @@
     }
 
     fn get(&self, machine: usize, request: &Req) -> Resp {
-        std::thread::sleep(ANSWER * self.slow());
+        std::thread::sleep(ANSWER);
         let (table, part) = (request.param("table"), request.param("part"));
         let (from, to) = (request.param("from"), request.param("to"));
         let limit = request.param("limit").parse().unwrap_or(500).min(500);
@@ -269,7 +233,7 @@
         let wait = Duration::from_millis(request.param("waitMs").parse().unwrap_or(0));
         let ends = Instant::now() + wait;
         // The way there and back, and the store's own time.
-        std::thread::sleep(ANSWER * self.slow());
+        std::thread::sleep(ANSWER);
         let mut rows = self.rows.lock().unwrap();
         loop {
             let from = rows.history.partition_point(|change| change.2 <= after);
