--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of the cases start.
+# Builds the stand-ins that the scripts of the cases start, with the versions of the project's Cargo.lock.
 set -euo pipefail
 cd "$(dirname "$0")/stand"
-cargo build --release --locked --offline || cargo build --release --locked
+cp ../../Cargo.lock Cargo.lock
+cargo build --release --offline || cargo build --release
