Log on which link a run list is sent, and why a task may start

The agent logs each full run list with the current link and the link for which the list was requested; the owner logs the link on which it takes a worker over. 'start ordered' names why the task cannot have a run of an earlier term (StepEligibility, which now also says why all tasks of a step are eligible). Decisions are as before.

--- a/crates/wax-agent/src/driver.rs
+++ b/crates/wax-agent/src/driver.rs
@@ -296,6 +296,8 @@
             ends: reply.ended.iter().map(Into::into).collect(),
             known_pairs: boot.pace.known_pairs() as u32,
         };
+        let link = state.link.borrow().as_ref().map(|link| link.generation);
+        tracing::info!(worker = %active, link, requested_on = generation, runs = snapshot.runs.len(), "run list sent");
         state.send(PoolBody::WorkerSnapshot(snapshot));
         return true;
     }
--- a/crates/wax-batch/src/lib.rs
+++ b/crates/wax-batch/src/lib.rs
@@ -53,5 +53,5 @@
     TaskRef, WorkerRecord,
 };
 pub use spec::{JobSpec, RepeatPlan, SpecError, StepSpec, TaskSize};
-pub use unreconciled::UnreconciledRuns;
+pub use unreconciled::{StepEligibility, UnreconciledRuns};
 pub use worker::{LostRun, RunEnd, RunEndKind, RunReport, WorkerKey, WorkerState, WorkerView};
--- a/crates/wax-batch/src/placement.rs
+++ b/crates/wax-batch/src/placement.rs
@@ -58,6 +58,8 @@
 struct StepRequest<'a> {
     step: &'a StepSpec,
     service: &'a str,
+    /// Which tasks of the step may start.
+    eligibility: StepEligibility,
     /// Rank of the step among all waiting steps.
     rank: JobRank,
     /// Multiple of the spare processors that best-effort tasks of this rank may request in total.
@@ -179,11 +181,11 @@
     /// check.
     pub(crate) fn has_startable_task(&self, step_ref: StepRef, step: &StepRecord) -> bool {
         match self.eligibility(step_ref, step) {
-            StepEligibility::All => true,
-            limited => step
+            limited @ StepEligibility::Located => step
                 .tasks
                 .iter()
                 .any(|task| task.is_waiting() && limited.includes(task)),
+            _ => true,
         }
     }
 
@@ -223,6 +225,7 @@
         let request = StepRequest {
             step,
             service: &service,
+            eligibility,
             rank,
             best_effort_limit: self.rules.best_effort_limit(if step.gang {
                 ExpectedFinish::InTime
@@ -746,6 +749,7 @@
         let worker = chosen.key;
         let last_contact = self.workers.get(worker).map(|worker| worker.last_contact);
         let reason = PlacementReason {
+            eligibility: request.eligibility,
             waited: request.waited,
             rank: request.rank,
             cost: chosen.cost,
--- a/crates/wax-batch/src/reasons.rs
+++ b/crates/wax-batch/src/reasons.rs
@@ -2,12 +2,15 @@
 
 use crate::names::TaskName;
 use crate::rank::JobRank;
+use crate::unreconciled::StepEligibility;
 use std::fmt;
 use std::time::Duration;
 
 /// Figures that decided a placement.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PlacementReason {
+    /// Why the task cannot have a run of an earlier term.
+    pub eligibility: StepEligibility,
     /// Time for which the step's tasks had waited.
     pub waited: Duration,
     /// Rank of the step among all waiting steps.
--- a/crates/wax-batch/src/unreconciled.rs
+++ b/crates/wax-batch/src/unreconciled.rs
@@ -38,11 +38,15 @@
     }
 }
 
-/// Tasks of a step that cannot be running on an unreconciled worker.
+/// Tasks of a step that cannot be running on an unreconciled worker, and why.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum StepEligibility {
-    /// All tasks of the step.
-    All,
+pub enum StepEligibility {
+    /// All tasks, because the job was accepted in this term.
+    NewJob,
+    /// All tasks, because every worker that may have a run of the job is reconciled.
+    Reconciled,
+    /// All tasks, because no owner of an earlier term can have opened the step.
+    NewStep,
     /// Tasks of which a worker listed a run in this term. A task has no second run.
     Located,
 }
@@ -50,7 +54,7 @@
 impl StepEligibility {
     pub(crate) fn includes(self, task: &TaskRecord) -> bool {
         match self {
-            Self::All => true,
+            Self::NewJob | Self::Reconciled | Self::NewStep => true,
             Self::Located => task.located_in_term,
         }
     }
@@ -117,11 +121,14 @@
 
     pub(crate) fn eligibility(&self, step_ref: StepRef, step: &StepRecord) -> StepEligibility {
         let job = &self.jobs[step_ref.job];
-        let may_be_unreconciled = job.epoch < self.epoch && self.unreconciled.may_run(job.name);
-        if may_be_unreconciled && !step.is_new_in_term {
-            StepEligibility::Located
+        if job.epoch >= self.epoch {
+            StepEligibility::NewJob
+        } else if !self.unreconciled.may_run(job.name) {
+            StepEligibility::Reconciled
+        } else if step.is_new_in_term {
+            StepEligibility::NewStep
         } else {
-            StepEligibility::All
+            StepEligibility::Located
         }
     }
 
--- a/crates/wax-owner/src/agent_links.rs
+++ b/crates/wax-owner/src/agent_links.rs
@@ -246,7 +246,7 @@
         }
         let cursor = scheduler.acknowledged_end(worker);
         drop(scheduler);
-        tracing::info!(agent = self.node, worker = %boot, runs = runs.len(), ends = ends.len(), "worker taken over");
+        tracing::info!(agent = self.node, link = self.link, worker = %boot, runs = runs.len(), ends = ends.len(), "worker taken over");
         let accepted = WorkerAccepted {
             worker: boot.worker_id().into(),
             placements,
--- a/crates/wax-owner/src/dispatch.rs
+++ b/crates/wax-owner/src/dispatch.rs
@@ -153,6 +153,7 @@
         run = order.run_id.run,
         worker = %boot,
         resumes = !order.checkpoint.is_empty(),
+        eligible = ?order.reason.eligibility,
         waited_ms = millis(order.reason.waited),
         finish = ?order.reason.rank.finish,
         left_ms = order.reason.rank.remaining_work_ms,
