A link gets a single run list, requested on that link

Cause: the agent requested a boot's run list for one link, and sent it on the link that was current when the worker answered. It recorded the list for the earlier link, so that the next answer gave a second list on the same link. The owner accepts the first list and orders starts; the second list was sent before those starts arrived, so that the owner took them as ended and started their tasks on other workers.

The owner guards the rule itself: orders follow the acceptance of a list, so only the first list of a boot on a link is newer than all orders on it. A list after the agent has reported the end of all runs of the boot is a first one again.

--- a/crates/wax-agent/src/driver.rs
+++ b/crates/wax-agent/src/driver.rs
@@ -2,7 +2,9 @@
 
 use crate::boot_change::{end_boot, expire_boot, handle_restart, is_replaced, verify_candidate};
 use crate::copies::CallCopies;
-use crate::state::{AgentState, HoldResult};
+use crate::run_list::{HoldReport, LinkGeneration};
+use crate::run_table::HoldUpdates;
+use crate::state::{AgentState, HoldResult, WorkerBoot};
 use compio::time::{sleep, timeout};
 use platform::{CallError, HoldReply, HoldRequest, WorkerRefusal};
 use std::rc::Rc;
@@ -40,6 +42,17 @@
     Restarted,
 }
 
+/// A hold that was sent to the active boot.
+#[derive(Debug, Clone, Copy)]
+struct SentHold {
+    /// Number of the hold.
+    number: u64,
+    /// Link to the owner when the hold was sent; `None` without a link.
+    requested_on: Option<LinkGeneration>,
+    /// Whether the boot's run list was due on that link.
+    is_list_due: bool,
+}
+
 /// Drives the active boot, whichever it is, for the lifetime of the process.
 pub(crate) async fn drive_worker(state: Rc<AgentState>) {
     loop {
@@ -77,29 +90,23 @@
 }
 
 async fn hold_once(state: &Rc<AgentState>, active: &BootId) -> HoldOutcome {
-    let generation = state
-        .link
-        .borrow()
-        .as_ref()
-        .map_or(0, |link| link.generation);
     let started_at = state.now();
-    let Some((request, reported_link, number)) = prepare_hold(state, active, started_at) else {
+    let Some((request, hold)) = prepare_hold(state, active, started_at) else {
         return HoldOutcome::Failed;
     };
-    let sends_full_list = generation != 0 && reported_link != generation;
     let request = HoldRequest {
-        wait_ms: if sends_full_list {
+        wait_ms: if hold.is_list_due {
             0
         } else {
             HOLD_WAIT.as_millis() as u64
         },
         ..request
     };
-    let (number, answer) = if state.rules.orders.get().is_enabled() {
-        send_hold_copies(state, active, request, number).await
+    let (hold, answer) = if state.rules.orders.get().is_enabled() {
+        send_hold_copies(state, active, request, hold).await
     } else {
         (
-            number,
+            hold,
             state.worker.hold(active, &request, HOLD_TIMEOUT).await,
         )
     };
@@ -116,11 +123,10 @@
     state.note_hold_result(active, result);
     match answer {
         Ok(Ok(reply)) => {
-            let has_updates =
-                apply_hold_reply(state, active, (&reply, number), generation, sends_full_list);
+            let has_updates = apply_hold_reply(state, active, &reply, hold);
             update_paces(state, active);
             let is_early = state.now().since(started_at) < HOLD_WAIT / 4;
-            if !has_updates && is_early && !sends_full_list {
+            if !has_updates && is_early {
                 HoldOutcome::Idle
             } else {
                 HoldOutcome::Answered
@@ -150,13 +156,13 @@
     reply.started_ms.is_none() || reply.started_ms == boot.answering_start_ms
 }
 
-/// Returns a hold, the link on which the boot's full run list was sent last, and the number of the
-/// hold.
+/// Prepares a hold that is sent now, with the fencing token of the current link.
 fn prepare_hold(
     state: &AgentState,
     active: &BootId,
     now: TimePoint,
-) -> Option<(HoldRequest, u64, u64)> {
+) -> Option<(HoldRequest, SentHold)> {
+    let requested_on = state.link_generation();
     let mut boot = state.boot.borrow_mut();
     let boot = boot.as_mut().filter(|boot| boot.view.boot == *active)?;
     boot.hold_number += 1;
@@ -179,25 +185,33 @@
         ack_cursor,
         wait_ms: 0,
     };
-    Some((request, boot.reported_link, boot.hold_number))
+    let hold = SentHold {
+        number: boot.hold_number,
+        requested_on,
+        is_list_due: requested_on.is_some() && boot.reported_on != requested_on,
+    };
+    Some((request, hold))
 }
 
 /// Sends a hold, with further copies while it has no answer. The first answer counts, and the other
 /// copies are given up before the next hold is sent, so that no older list follows a newer one.
-/// Returns the number of the copy that was answered.
+/// Returns the copy that was answered.
 async fn send_hold_copies(
     state: &Rc<AgentState>,
     active: &BootId,
     first: HoldRequest,
-    first_number: u64,
-) -> (u64, Result<Result<HoldReply, WorkerRefusal>, CallError>) {
+    first_hold: SentHold,
+) -> (
+    SentHold,
+    Result<Result<HoldReply, WorkerRefusal>, CallError>,
+) {
     let began_at = state.now();
     let wait = Duration::from_millis(first.wait_ms);
     let delay = state.hold_resend_delay(began_at, HOLD_TIMEOUT);
     let ends_at = began_at + wait + HOLD_TIMEOUT;
     let max_copies = state.rules.orders.get().max_copies;
     let mut plan = ResendPlan::new(began_at, delay, ends_at, max_copies).with_first_wait(wait);
-    let mut numbers = vec![first_number];
+    let mut holds = vec![first_hold];
     let mut copies = CallCopies::new();
     loop {
         let now = state.now();
@@ -207,15 +221,15 @@
                 state.note_losses(active, copies.lost(None));
                 let text = "no copy was answered in time";
                 let error = WaxError::new(ErrorKind::Timeout, Step::CallWorker, "worker", text);
-                return (first_number, Err(CallError::Unknown(error)));
+                return (first_hold, Err(CallError::Unknown(error)));
             }
             ResendChoice::Wait(pause) => pause,
             ResendChoice::Send => {
                 let request = if copies.sent() == 0 {
                     first
-                } else if let Some((request, _, number)) = prepare_hold(state, active, now) {
+                } else if let Some((request, hold)) = prepare_hold(state, active, now) {
                     count(Counter::HoldsResent);
-                    numbers.push(number);
+                    holds.push(hold);
                     // With a cursor of 0 the worker keeps all ends. The copy may reach another boot.
                     HoldRequest {
                         ack_cursor: 0,
@@ -258,19 +272,18 @@
             };
             state.note_hold_time(copy.sent_at, wait);
         }
-        let number = numbers.get(copy.position as usize).copied();
-        return (number.unwrap_or(first_number), copy.answer);
+        let hold = holds.get(copy.position as usize).copied();
+        return (hold.unwrap_or(first_hold), copy.answer);
     }
 }
 
-/// Applies the lists of running and ended runs in the answer to a hold of this number, and sends the
-/// changes to the owner. Returns whether there were any.
+/// Applies the lists of running and ended runs in the answer to a hold, and sends the run list or
+/// the changes to the owner. Returns whether there were any, or the next hold is due at once.
 fn apply_hold_reply(
     state: &AgentState,
     active: &BootId,
-    (reply, number): (&HoldReply, u64),
-    generation: u64,
-    sends_full_list: bool,
+    reply: &HoldReply,
+    hold: SentHold,
 ) -> bool {
     let now = state.now();
     let mut boot = state.boot.borrow_mut();
@@ -278,29 +291,58 @@
         return false;
     };
     boot.lease.note_clock(now, reply.clock_ms);
-    let updates = boot.table.reconcile(&reply.running, &reply.ended, number);
+    let updates = boot
+        .table
+        .reconcile(&reply.running, &reply.ended, hold.number);
     for run_id in &updates.skipped_ends {
         tracing::warn!(worker = %active, task = %run_id.task, run = run_id.run, "ignored a run's end with an already processed number");
     }
-    if sends_full_list {
-        boot.reported_link = generation;
-        boot.updates.clear();
-        // Crashes are not sent sooner on the link: the owner processes them only once it has loaded
-        // its shard, and does not answer heartbeats until then.
-        for crash in state.crashes.borrow().recent(now) {
-            state.send(PoolBody::BootCrashed(crash.clone()));
+    let has_updates = !updates.ended.is_empty() || !updates.never_started.is_empty();
+    let current = state.link_generation();
+    match HoldReport::choose(hold.requested_on, current, boot.reported_on) {
+        HoldReport::RunList(link) => {
+            send_run_list(state, boot, reply, link);
+            true
+        }
+        HoldReport::Changes => {
+            send_changes(state, boot, updates);
+            has_updates
+        }
+        HoldReport::Nothing => {
+            let is_list_due = current.is_some();
+            if is_list_due {
+                count(Counter::RunListsOutdated);
+            }
+            has_updates || is_list_due
         }
-        let snapshot = WorkerSnapshot {
-            worker: (&boot.reported_view()).into(),
-            runs: boot.table.reports().iter().map(Into::into).collect(),
-            ends: reply.ended.iter().map(Into::into).collect(),
-            known_pairs: boot.pace.known_pairs() as u32,
-        };
-        let link = state.link.borrow().as_ref().map(|link| link.generation);
-        tracing::info!(worker = %active, link, requested_on = generation, runs = snapshot.runs.len(), "run list sent");
-        state.send(PoolBody::WorkerSnapshot(snapshot));
-        return true;
     }
+}
+
+fn send_run_list(
+    state: &AgentState,
+    boot: &mut WorkerBoot,
+    reply: &HoldReply,
+    link: LinkGeneration,
+) {
+    boot.reported_on = Some(link);
+    boot.updates.clear();
+    // Crashes are not sent sooner on the link: the owner processes them only once it has loaded
+    // its shard, and does not answer heartbeats until then.
+    for crash in state.crashes.borrow().recent(state.now()) {
+        state.send(PoolBody::BootCrashed(crash.clone()));
+    }
+    let snapshot = WorkerSnapshot {
+        worker: (&boot.reported_view()).into(),
+        runs: boot.table.reports().iter().map(Into::into).collect(),
+        ends: reply.ended.iter().map(Into::into).collect(),
+        known_pairs: boot.pace.known_pairs() as u32,
+    };
+    tracing::info!(worker = %boot.view.boot, link = link.0, runs = snapshot.runs.len(), "run list sent");
+    state.send(PoolBody::WorkerSnapshot(snapshot));
+}
+
+/// Sends ends and runs that never started at once; progress is sent with the next heartbeat.
+fn send_changes(state: &AgentState, boot: &mut WorkerBoot, updates: HoldUpdates) {
     for report in updates.progressed {
         boot.updates.note_progress(report);
     }
@@ -309,23 +351,22 @@
             boot.updates.note_progress(report);
         }
     }
-    let has_updates = !updates.ended.is_empty() || !updates.never_started.is_empty();
-    if has_updates {
-        let refusal = if state.rules.orders.get().is_enabled() {
-            StartRefusal::Unanswered
-        } else {
-            StartRefusal::Unwell
-        };
-        let refused = updates.never_started.iter();
-        let refused = refused.map(|run_id| RefusalFrame::new(*run_id, refusal));
-        let message = RunUpdates {
-            refused: refused.collect(),
-            ends: updates.ended.iter().map(Into::into).collect(),
-            ..Default::default()
-        };
-        state.send(PoolBody::RunUpdates(boot.updates.merge_into(message)));
+    if updates.ended.is_empty() && updates.never_started.is_empty() {
+        return;
     }
-    has_updates
+    let refusal = if state.rules.orders.get().is_enabled() {
+        StartRefusal::Unanswered
+    } else {
+        StartRefusal::Unwell
+    };
+    let refused = updates.never_started.iter();
+    let refused = refused.map(|run_id| RefusalFrame::new(*run_id, refusal));
+    let message = RunUpdates {
+        refused: refused.collect(),
+        ends: updates.ended.iter().map(Into::into).collect(),
+        ..Default::default()
+    };
+    state.send(PoolBody::RunUpdates(boot.updates.merge_into(message)));
 }
 
 fn update_paces(state: &Rc<AgentState>, active: &BootId) {
--- a/crates/wax-agent/src/lib.rs
+++ b/crates/wax-agent/src/lib.rs
@@ -19,6 +19,9 @@
 mod pending_updates;
 mod process;
 mod rules;
+mod run_list;
+#[cfg(test)]
+mod run_list_tests;
 mod run_table;
 mod state;
 
--- a/crates/wax-agent/src/orders_tests.rs
+++ b/crates/wax-agent/src/orders_tests.rs
@@ -5,6 +5,7 @@
 use crate::orders::START_TIMEOUT;
 use crate::process::new_state;
 use crate::rules::AgentRules;
+use crate::run_list::LinkGeneration;
 use crate::run_table::{PlacementInfo, RunState};
 use crate::state::{AgentState, OwnerLink, WorkerBoot};
 use compio::runtime::{Runtime, spawn};
@@ -35,7 +36,7 @@
 
 /// Returns an agent with an active boot and a link to an owner, whose unanswered calls are sent
 /// again.
-fn linked_agent(worker: SocketAddr) -> Rc<AgentState> {
+pub(crate) fn linked_agent(worker: SocketAddr) -> Rc<AgentState> {
     let orders = OrderRules {
         enabled: 1,
         ..OrderRules::default()
@@ -54,7 +55,7 @@
     state.authority_until.set(now + Duration::from_secs(60));
     let (outbox, _) = unbounded();
     *state.link.borrow_mut() = Some(OwnerLink {
-        generation: 1,
+        generation: LinkGeneration(1),
         outbox,
         is_reconciled: true,
     });
--- a/crates/wax-agent/src/owner_link.rs
+++ b/crates/wax-agent/src/owner_link.rs
@@ -1,5 +1,6 @@
 //! Finds the owner of the shard and maintains a link to it.
 
+use crate::run_list::LinkGeneration;
 use crate::state::{AgentState, OwnerLink};
 use compio::net::TcpStream;
 use compio::runtime::spawn;
@@ -50,7 +51,7 @@
         hint: None,
         round: 0,
     };
-    let mut generation = 0;
+    let mut generation = LinkGeneration(0);
     let mut found: Option<(Box<OpenLink>, SocketAddr)> = None;
     loop {
         let Some((link, address)) = found.take() else {
@@ -60,7 +61,7 @@
             }
             continue;
         };
-        generation += 1;
+        generation.0 += 1;
         tracing::info!(owner = %address, epoch = link.epoch, "linked to the owner");
         let reason = {
             let run = pin!(run_link(&state, *link, generation));
@@ -204,7 +205,11 @@
     }
 }
 
-async fn run_link(state: &Rc<AgentState>, link: OpenLink, generation: u64) -> &'static str {
+async fn run_link(
+    state: &Rc<AgentState>,
+    link: OpenLink,
+    generation: LinkGeneration,
+) -> &'static str {
     if link.token <= state.fencing_token.get() {
         return "the owner's fencing token is outdated";
     }
--- /dev/null
+++ b/crates/wax-agent/src/run_list_tests.rs
@@ -0,0 +1,201 @@
+//! Which link gets the run list of the answer to a hold.
+
+use crate::driver::drive_worker;
+use crate::orders_tests::linked_agent;
+use crate::run_list::{HoldReport, LinkGeneration};
+use crate::state::{AgentState, OwnerLink};
+use compio::runtime::{Runtime, spawn};
+use compio::time::sleep;
+use futures_channel::mpsc::{UnboundedReceiver, unbounded};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
+use wax_policy::OrderRules;
+use wax_wire::{PoolBody, WorkerSnapshot};
+
+const FIRST: LinkGeneration = LinkGeneration(1);
+const SECOND: LinkGeneration = LinkGeneration(2);
+/// Time within which an expected event must happen.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Defines one test per row: the link when the hold was sent, the link when it was answered, the
+/// link on which the last list was sent, and what the owner gets.
+macro_rules! hold_reports {
+    ($($name:ident: $requested_on:expr, $current:expr, $reported_on:expr => $report:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let report = HoldReport::choose($requested_on, $current, $reported_on);
+                assert_eq!(report, $report);
+            }
+        )*
+    };
+}
+
+hold_reports! {
+    first_answer_on_a_link_gives_the_run_list:
+        Some(FIRST), Some(FIRST), None => HoldReport::RunList(FIRST);
+    later_answer_on_a_link_gives_the_changes:
+        Some(FIRST), Some(FIRST), Some(FIRST) => HoldReport::Changes;
+    answer_on_a_new_link_gives_the_run_list:
+        Some(SECOND), Some(SECOND), Some(FIRST) => HoldReport::RunList(SECOND);
+    list_requested_on_an_earlier_link_is_not_sent_on_a_later_one:
+        Some(FIRST), Some(SECOND), None => HoldReport::Nothing;
+    changes_requested_on_an_earlier_link_are_not_sent_on_a_later_one:
+        Some(FIRST), Some(SECOND), Some(FIRST) => HoldReport::Nothing;
+    list_requested_without_a_link_is_not_sent:
+        None, Some(FIRST), None => HoldReport::Nothing;
+    nothing_is_sent_without_a_link:
+        Some(FIRST), None, Some(FIRST) => HoldReport::Nothing;
+}
+
+/// Worker that answers each call when the test allows it. It runs nothing.
+struct GatedWorker {
+    address: SocketAddr,
+    calls: Receiver<GatedCall>,
+}
+
+/// A call that waits for its answer.
+struct GatedCall {
+    path: String,
+    answer: Sender<()>,
+}
+
+impl GatedWorker {
+    fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port must be free");
+        let address = listener.local_addr().expect("the listener must be bound");
+        let (sender, calls) = channel();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let sender = sender.clone();
+                std::thread::spawn(move || serve_calls(stream, &sender));
+            }
+        });
+        Self { address, calls }
+    }
+
+    /// Waits for the next call to `path`, and answers all others.
+    async fn next_call(&self, path: &str) -> GatedCall {
+        let began_at = Instant::now();
+        while began_at.elapsed() < EVENT_TIMEOUT {
+            match self.calls.try_recv() {
+                Ok(call) if call.path == path => return call,
+                Ok(call) => call.answer(),
+                Err(_) => sleep(Duration::from_millis(1)).await,
+            }
+        }
+        panic!("no call to {path}");
+    }
+}
+
+impl GatedCall {
+    fn answer(self) {
+        // The agent may have given up the call.
+        let _ = self.answer.send(());
+    }
+}
+
+/// Reads the calls of one connection, one after the other. Ends with the connection or the test.
+fn serve_calls(stream: TcpStream, sender: &Sender<GatedCall>) -> Option<()> {
+    let mut reader = BufReader::new(stream.try_clone().ok()?);
+    let mut stream = stream;
+    loop {
+        let (mut path, mut length) = (String::new(), 0);
+        loop {
+            let mut line = String::new();
+            if reader.read_line(&mut line).ok()? == 0 {
+                return None;
+            }
+            let line = line.trim().to_ascii_lowercase();
+            if line.is_empty() {
+                break;
+            } else if path.is_empty() {
+                path = line.split(' ').nth(1)?.into();
+            } else if let Some(value) = line.strip_prefix("content-length:") {
+                length = value.trim().parse().ok()?;
+            }
+        }
+        reader.read_exact(&mut vec![0; length]).ok()?;
+        let (answer, may_answer) = channel();
+        sender.send(GatedCall { path, answer }).ok()?;
+        may_answer.recv().ok()?;
+        let body = r#"{"clockMs":1000,"running":[],"finished":[]}"#;
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+        stream.write_all((head + body).as_bytes()).ok()?;
+    }
+}
+
+/// Replaces the agent's link. Returns the messages on the new one.
+fn open_link(
+    state: &AgentState,
+    generation: LinkGeneration,
+    token: u64,
+) -> UnboundedReceiver<PoolBody> {
+    let (outbox, inbox) = unbounded();
+    state.fencing_token.set(token);
+    *state.link.borrow_mut() = Some(OwnerLink {
+        generation,
+        outbox,
+        is_reconciled: false,
+    });
+    inbox
+}
+
+async fn next_message(inbox: &mut UnboundedReceiver<PoolBody>) -> PoolBody {
+    let began_at = Instant::now();
+    while began_at.elapsed() < EVENT_TIMEOUT {
+        match inbox.try_recv() {
+            Ok(body) => return body,
+            Err(_) => sleep(Duration::from_millis(1)).await,
+        }
+    }
+    panic!("no message to the owner");
+}
+
+fn snapshot_of(body: PoolBody) -> WorkerSnapshot {
+    match body {
+        PoolBody::WorkerSnapshot(snapshot) => snapshot,
+        other => panic!("not a run list: {other:?}"),
+    }
+}
+
+/// Returns an agent whose unanswered calls are not sent again, so that each hold is a single call.
+fn agent_without_copies(worker: SocketAddr) -> Rc<AgentState> {
+    let state = linked_agent(worker);
+    state.rules.orders.set(OrderRules::default());
+    state
+}
+
+/// Guards against a task that runs twice: the answer to a hold that was sent before the link was
+/// opened gave the owner its run list, and a second list followed that lacked the starts which the
+/// owner had ordered after the first.
+#[test]
+fn each_link_gets_a_single_run_list_that_was_requested_on_it() {
+    let runtime = Runtime::new().expect("the runtime must start");
+    runtime.block_on(async {
+        let worker = GatedWorker::start();
+        let state = agent_without_copies(worker.address);
+        let mut first = open_link(&state, SECOND, 2);
+        spawn(drive_worker(state.clone())).detach();
+        let hold = worker.next_call("/v1/hold").await;
+        let mut second = open_link(&state, LinkGeneration(3), 3);
+        hold.answer();
+        let hold = worker.next_call("/v1/hold").await;
+        assert!(first.try_recv().is_err(), "the first link has ended");
+        assert!(
+            second.try_recv().is_err(),
+            "the answered hold is older than the link"
+        );
+        hold.answer();
+        snapshot_of(next_message(&mut second).await);
+        worker.next_call("/v1/hold").await.answer();
+        worker.next_call("/v1/hold").await.answer();
+        assert!(
+            second.try_recv().is_err(),
+            "the owner may have ordered starts since the first list"
+        );
+    });
+}
--- a/crates/wax-agent/src/state.rs
+++ b/crates/wax-agent/src/state.rs
@@ -6,6 +6,7 @@
 use crate::pace::PaceControl;
 use crate::pending_updates::PendingUpdates;
 use crate::rules::AgentRules;
+use crate::run_list::LinkGeneration;
 use crate::run_table::RunTable;
 use event_listener::Event;
 use futures_channel::mpsc::UnboundedSender;
@@ -24,8 +25,7 @@
 /// The link to the owner of the shard.
 #[derive(Debug)]
 pub(crate) struct OwnerLink {
-    /// Number of the link, counted from the start of the process.
-    pub(crate) generation: u64,
+    pub(crate) generation: LinkGeneration,
     pub(crate) outbox: UnboundedSender<PoolBody>,
     /// Whether the owner has taken over the worker's runs on this link.
     pub(crate) is_reconciled: bool,
@@ -51,8 +51,8 @@
     hold_silence: SilenceClock,
     /// Whether the last log line says that the worker leaves calls unanswered.
     pub(crate) is_losing_calls: bool,
-    /// Generation of the link on which the boot's full run list was sent last; 0 for none.
-    pub(crate) reported_link: u64,
+    /// Link on which the boot's full run list was sent last.
+    pub(crate) reported_on: Option<LinkGeneration>,
     pub(crate) table: RunTable,
     pub(crate) lease: LeaseClock,
     pub(crate) pace: PaceControl,
@@ -149,7 +149,7 @@
             silence: SilenceClock::new(now),
             hold_silence: SilenceClock::new(now),
             is_losing_calls: false,
-            reported_link: 0,
+            reported_on: None,
             table: RunTable::default(),
             lease: LeaseClock::default(),
             pace: PaceControl::default(),
@@ -227,13 +227,18 @@
         }
     }
 
+    /// Returns the generation of the current link.
+    pub(crate) fn link_generation(&self) -> Option<LinkGeneration> {
+        self.link.borrow().as_ref().map(|link| link.generation)
+    }
+
     /// Sends the pending run updates, if the owner got the boot's full run list on this link.
     pub(crate) fn send_pending_updates(&self) {
-        let generation = self.link.borrow().as_ref().map(|link| link.generation);
+        let Some(link) = self.link_generation() else {
+            return;
+        };
         let mut boot = self.boot.borrow_mut();
-        let boot = boot
-            .as_mut()
-            .filter(|boot| Some(boot.reported_link) == generation);
+        let boot = boot.as_mut().filter(|boot| boot.reported_on == Some(link));
         if let Some(updates) = boot.and_then(|boot| boot.updates.take()) {
             self.send(PoolBody::RunUpdates(updates));
         }
--- a/crates/wax-owner/src/agent_links.rs
+++ b/crates/wax-owner/src/agent_links.rs
@@ -9,7 +9,7 @@
 use compio::time::timeout;
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 use futures_util::future::{Either, select};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::pin::pin;
 use std::rc::Rc;
@@ -56,7 +56,7 @@
         node: &node,
         link,
         outbox,
-        is_reconciled: Cell::new(false),
+        accepted_boot: RefCell::default(),
         rounds_sent: Cell::new(term.interference_log.borrow().closed_rounds()),
     };
     let reason = {
@@ -114,14 +114,24 @@
     tracing::warn!(agent = node, link, why = reason, "agent unlinked");
 }
 
+/// What to do after a message of an agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LinkStep {
+    /// Read the next message.
+    Continue,
+    /// Close the link for this reason. The agent opens another one and sends its run list there.
+    Close(&'static str),
+}
+
 struct AgentLink<'a> {
     shared: &'a PoolShared,
     term: &'a Rc<OwnerTerm>,
     node: &'a str,
     link: u64,
     outbox: UnboundedSender<PoolBody>,
-    /// Whether the worker's runs have been reconciled on this link.
-    is_reconciled: Cell<bool>,
+    /// Boot whose run list was accepted on this link. The owner may have ordered starts since, which
+    /// a further list of the boot may lack.
+    accepted_boot: RefCell<Option<BootId>>,
     /// Number of rounds of interference updates that the agent has received.
     rounds_sent: Cell<u64>,
 }
@@ -139,7 +149,9 @@
                 return "the agent has a newer link";
             }
             self.record_contact();
-            self.handle(body).await;
+            if let LinkStep::Close(reason) = self.handle(body).await {
+                return reason;
+            }
         }
     }
 
@@ -159,10 +171,10 @@
         let _ = self.outbox.unbounded_send(body);
     }
 
-    async fn handle(&self, body: PoolBody) {
+    async fn handle(&self, body: PoolBody) -> LinkStep {
         match body {
+            PoolBody::WorkerSnapshot(snapshot) => return self.accept_worker(snapshot).await,
             PoolBody::Heartbeat(heartbeat) => self.grant_lease(&heartbeat),
-            PoolBody::WorkerSnapshot(snapshot) => self.accept_worker(snapshot).await,
             PoolBody::WorkerChanged(frame) => self.worker_changed(frame.into()),
             PoolBody::BootCrashed(crash) => self.boot_crashed(&crash).await,
             PoolBody::AllRunsEnded(message) => self.worker_ended(&message),
@@ -174,6 +186,7 @@
                 "unexpected message from an agent"
             ),
         }
+        LinkStep::Continue
     }
 
     fn grant_lease(&self, heartbeat: &LinkHeartbeat) {
@@ -219,12 +232,17 @@
         }
     }
 
-    /// Takes over a worker's runs once the store has a row that permits orders to the worker.
-    async fn accept_worker(&self, snapshot: WorkerSnapshot) {
+    /// Takes over a worker's runs once the store has a row that permits orders to the worker. Only
+    /// the first run list of a boot on a link is newer than all orders on that link.
+    async fn accept_worker(&self, snapshot: WorkerSnapshot) -> LinkStep {
+        let listed_boot = snapshot.worker.boot();
+        if self.accepted_boot.borrow().as_ref() == Some(&listed_boot) {
+            return LinkStep::Close("the agent sent a second run list");
+        }
         self.term.loaded.wait().await;
-        self.wait_row_stored(&snapshot.worker.boot()).await;
+        self.wait_row_stored(&listed_boot).await;
         if self.term.ended.is_raised() || !self.is_current() {
-            return;
+            return LinkStep::Continue;
         }
         let (now, now_ms) = (self.shared.now(), wall_clock_ms());
         let view: WorkerView = snapshot.worker.into();
@@ -235,7 +253,7 @@
         self.log_listed_ends(worker, &runs, &ends);
         let mut scheduler = self.term.scheduler.borrow_mut();
         scheduler.reconcile_worker(worker, &runs, &ends, now, now_ms);
-        self.is_reconciled.set(true);
+        *self.accepted_boot.borrow_mut() = Some(boot.clone());
         let mut placements = Vec::with_capacity(runs.len());
         for run in &runs {
             let task = run.run_id.task;
@@ -259,6 +277,7 @@
         // An acknowledgement may have been lost with the previous link.
         self.send(PoolBody::Ack(AckEnds::new(&boot, cursor)));
         self.term.dispatch.notify(usize::MAX);
+        LinkStep::Continue
     }
 
     /// Logs the ends in a worker's snapshot that this term has not received yet, and the runs that
@@ -367,6 +386,9 @@
     fn worker_ended(&self, message: &AllRunsEnded) {
         let boot = message.boot();
         tracing::warn!(agent = self.node, worker = %boot, dead = message.boot_ended, "worker is gone");
+        self.accepted_boot
+            .borrow_mut()
+            .take_if(|accepted_boot| *accepted_boot == boot);
         self.term.worker_ended(self.node, &boot, self.shared.now());
         if message.boot_ended {
             self.term.record_ended_boots(self.shared, [boot]);
@@ -407,7 +429,7 @@
         let Some(worker) = self.worker() else {
             return;
         };
-        if !self.is_reconciled.get() {
+        if self.accepted_boot.borrow().is_none() {
             // Ends that were lost with the previous link have lower numbers. If the ends in this
             // message were recorded first, the lost ones would be skipped and their tasks started
             // again. The worker's snapshot contains the ends in this message, too.
--- a/crates/wax-trace/src/counter.rs
+++ b/crates/wax-trace/src/counter.rs
@@ -140,6 +140,8 @@
     StopsResent = "stops.resent",
     /// Further copies of holds that were sent because no answer had arrived.
     HoldsResent = "holds.resent",
+    /// Answers to holds that are older than the link to the owner, so that they give no run list.
+    RunListsOutdated = "run_lists.outdated",
     /// Pace orders that were repeated because a late copy of an earlier one may still be executed.
     PacesRepeated = "pace.repeated",
     /// Unanswered starts after which the owner limited the starts on a worker.
--- a/tests/pool/links.rs
+++ b/tests/pool/links.rs
@@ -7,10 +7,10 @@
 use futures_channel::mpsc::{UnboundedSender, unbounded};
 use std::net::SocketAddr;
 use std::time::Duration;
-use wax_batch::{BootId, RunEnd, RunEndKind, RunId, TaskSize, WorkerView};
+use wax_batch::{BootId, RunEnd, RunEndKind, RunId, RunReport, TaskSize, WorkerView};
 use wax_wire::{
-    AgentHello, LinkHeartbeat, PoolBody, PoolReader, PoolWriter, RunEndFrame, RunUpdates,
-    WorkerSnapshot, split_stream,
+    AgentHello, AllRunsEnded, LinkHeartbeat, PoolBody, PoolReader, PoolWriter, RunEndFrame,
+    RunReportFrame, RunUpdates, WorkerSnapshot, split_stream,
 };
 
 /// Time within which an expected message must arrive.
@@ -66,6 +66,10 @@
     }
 
     fn send_snapshot_of(&self, boot: BootId, ends: &[RunEnd]) {
+        self.send_list(boot, &[], ends);
+    }
+
+    fn send_list(&self, boot: BootId, runs: &[RunId], ends: &[RunEnd]) {
         let view = WorkerView {
             boot,
             service: "svc".into(),
@@ -78,12 +82,28 @@
         };
         self.send(PoolBody::WorkerSnapshot(WorkerSnapshot {
             worker: (&view).into(),
-            runs: Vec::new(),
+            runs: runs.iter().copied().map(running).collect(),
             ends: ends.iter().map(RunEndFrame::from).collect(),
             known_pairs: 0,
         }));
     }
 
+    /// Waits until the owner closes the link; returns the starts that it orders until then.
+    async fn starts_until_closed(&mut self) -> Vec<RunId> {
+        let mut starts = Vec::new();
+        let read = async {
+            while let Ok(Some(body)) = self.reader.read().await {
+                if let PoolBody::Start(order) = body {
+                    starts.push(RunId::from(&order.placement.run_id));
+                }
+            }
+        };
+        timeout(MESSAGE_TIMEOUT, read)
+            .await
+            .expect("the owner must close the link");
+        starts
+    }
+
     /// Returns the first value that `pick` takes from a message. Sends a heartbeat before each read.
     async fn next<T>(&mut self, pick: impl Fn(PoolBody) -> Option<T>) -> T {
         timeout(MESSAGE_TIMEOUT, async {
@@ -113,6 +133,17 @@
     }
 }
 
+fn running(run_id: RunId) -> RunReportFrame {
+    let report = RunReport {
+        run_id,
+        checkpoint: "".into(),
+        percent: 10,
+        load_metric: 0,
+        confirmed_by_worker: true,
+    };
+    (&report).into()
+}
+
 fn successful_end(number: u64, run: RunId) -> RunEnd {
     RunEnd {
         number,
@@ -181,3 +212,52 @@
         );
     });
 }
+
+/// Guards against a task that runs twice: an agent sent a second run list on one link, which lacked the starts that
+/// the owner had ordered after the first list, and the owner started their tasks again.
+#[test]
+fn a_second_run_list_on_a_link_ends_no_run() {
+    run(async {
+        let site = Site::start("second-list", 1, 0).await;
+        let owner = site.fronts[0].peers;
+        let mut agent = wait_for("the front to own the shard", || FakeAgent::link(owner)).await;
+        agent.send_list(WORKER.into(), &[], &[]);
+        agent.wait_accepted().await;
+        site.submit(&name(1), &job(1, 1, 50)).await;
+        let first = agent.next_start().await;
+        agent.send_list(WORKER.into(), &[], &[]);
+        assert_eq!(agent.starts_until_closed().await, []);
+        let mut agent = wait_for("the second link", || FakeAgent::link(owner)).await;
+        agent.send_list(WORKER.into(), &[first], &[]);
+        agent.wait_accepted().await;
+        agent.send(PoolBody::RunUpdates(RunUpdates {
+            ends: vec![(&successful_end(1, first)).into()],
+            ..Default::default()
+        }));
+        site.wait_state(&name(1), "completed").await;
+        let starts = site.ordered_start_count(&first.task.to_string());
+        assert_eq!(starts, 1, "the task was started again");
+    });
+}
+
+/// The leases of a boot expire and the boot is registered again, so that its agent sends a second run list on the
+/// same link after it has reported that nothing runs any more.
+#[test]
+fn a_run_list_after_the_end_of_all_runs_is_accepted_on_the_same_link() {
+    run(async {
+        let site = Site::start("list-again", 1, 0).await;
+        let owner = site.fronts[0].peers;
+        let mut agent = wait_for("the front to own the shard", || FakeAgent::link(owner)).await;
+        agent.send_list(WORKER.into(), &[], &[]);
+        agent.wait_accepted().await;
+        site.submit(&name(1), &job(1, 1, 50)).await;
+        let first = agent.next_start().await;
+        let ended = AllRunsEnded::new(&WORKER.into(), false);
+        agent.send(PoolBody::AllRunsEnded(ended));
+        agent.send_list(WORKER.into(), &[], &[]);
+        agent.wait_accepted().await;
+        let second = agent.next_start().await;
+        assert_eq!(second.task, first.task);
+        assert!(second.run > first.run);
+    });
+}
