An acceptance counts for the run list that it names, and for one registration of a boot

Cause: the agent remembered for each link that the owner had accepted the worker's runs. If all leases expire while the link stays open, the agent reports that all runs have ended and registers the boot again, with an empty run table, on the same link.

Why the fix works: whether an owner has taken over the runs is a state of the registered boot (RunListState), not of the link, and an acceptance names the list that it answers. The answer to an earlier list, in flight while the boot was registered again, no longer counts. Owners and agents of the former version do not name the list; their acceptances count as before.

Test, seen failing with acceptances of any list counted: run_list_tests::starts_are_refused_until_the_owner_has_accepted_the_list_of_the_registered_boot.

--- a/benches/owner_load.rs
+++ b/benches/owner_load.rs
@@ -186,6 +186,7 @@
         runs: Vec::new(),
         ends: Vec::new(),
         known_pairs: 0,
+        list: Some(1),
     })
 }
 
--- a/crates/wax-agent/src/driver.rs
+++ b/crates/wax-agent/src/driver.rs
@@ -2,7 +2,7 @@
 
 use crate::boot_change::{end_boot, expire_boot, handle_restart, is_replaced, verify_candidate};
 use crate::copies::CallCopies;
-use crate::run_list::{HoldReport, LinkGeneration};
+use crate::run_list::{HoldReport, LinkGeneration, ListNumber, RunListState};
 use crate::run_table::HoldUpdates;
 use crate::state::{AgentState, HoldResult, WorkerBoot};
 use compio::time::{sleep, timeout};
@@ -188,7 +188,7 @@
     let hold = SentHold {
         number: boot.hold_number,
         requested_on,
-        is_list_due: requested_on.is_some() && boot.reported_on != requested_on,
+        is_list_due: requested_on.is_some_and(|link| !boot.run_list.is_sent_on(link)),
     };
     Some((request, hold))
 }
@@ -299,7 +299,7 @@
     }
     let has_updates = !updates.ended.is_empty() || !updates.never_started.is_empty();
     let current = state.link_generation();
-    match HoldReport::choose(hold.requested_on, current, boot.reported_on) {
+    match HoldReport::choose(hold.requested_on, current, boot.run_list) {
         HoldReport::RunList(link) => {
             send_run_list(state, boot, reply, link);
             true
@@ -324,20 +324,23 @@
     reply: &HoldReply,
     link: LinkGeneration,
 ) {
-    boot.reported_on = Some(link);
+    let list = state.next_run_list();
+    boot.run_list = RunListState::Sent(link, list);
     boot.updates.clear();
     // Crashes are not sent sooner on the link: the owner processes them only once it has loaded
     // its shard, and does not answer heartbeats until then.
     for crash in state.crashes.borrow().recent(state.now()) {
         state.send(PoolBody::BootCrashed(crash.clone()));
     }
+    let ListNumber(number) = list;
     let snapshot = WorkerSnapshot {
         worker: (&boot.reported_view()).into(),
         runs: boot.table.reports().iter().map(Into::into).collect(),
         ends: reply.ended.iter().map(Into::into).collect(),
         known_pairs: boot.pace.known_pairs() as u32,
+        list: Some(number),
     };
-    tracing::info!(worker = %boot.view.boot, link = link.0, runs = snapshot.runs.len(), "run list sent");
+    tracing::info!(worker = %boot.view.boot, link = link.0, list = number, runs = snapshot.runs.len(), "run list sent");
     state.send(PoolBody::WorkerSnapshot(snapshot));
 }
 
--- a/crates/wax-agent/src/orders.rs
+++ b/crates/wax-agent/src/orders.rs
@@ -79,7 +79,7 @@
         else {
             return Err(StartRefusal::Stale);
         };
-        if now >= self.authority_until.get() || !self.is_reconciled() {
+        if now >= self.authority_until.get() || !self.is_accepted(boot) {
             return Err(StartRefusal::Stale);
         }
         self.check_drains(now)?;
--- a/crates/wax-agent/src/orders_tests.rs
+++ b/crates/wax-agent/src/orders_tests.rs
@@ -5,7 +5,7 @@
 use crate::orders::START_TIMEOUT;
 use crate::process::new_state;
 use crate::rules::AgentRules;
-use crate::run_list::LinkGeneration;
+use crate::run_list::{LinkGeneration, RunListState};
 use crate::run_table::{PlacementInfo, RunState};
 use crate::state::{AgentState, OwnerLink, WorkerBoot};
 use compio::runtime::{Runtime, spawn};
@@ -22,7 +22,7 @@
 use wax_policy::{DrainRules, OrderRules, PaceRules, PerformanceRules};
 use wax_types::TimePoint;
 
-fn run_id() -> RunId {
+pub(crate) fn run_id() -> RunId {
     RunId {
         task: TaskName {
             job: JobName(1),
@@ -57,7 +57,6 @@
     *state.link.borrow_mut() = Some(OwnerLink {
         generation: LinkGeneration(1),
         outbox,
-        is_reconciled: true,
     });
     let view = WorkerView {
         boot: BootId::new("worker", Some(1)),
@@ -65,6 +64,7 @@
         ..Default::default()
     };
     let mut boot = WorkerBoot::new(view, 1, now);
+    boot.run_list = RunListState::Accepted(LinkGeneration(1));
     boot.lease.assume_granted(now, Duration::from_secs(60));
     *state.boot.borrow_mut() = Some(boot);
     Rc::new(state)
--- a/crates/wax-agent/src/owner_link.rs
+++ b/crates/wax-agent/src/owner_link.rs
@@ -1,6 +1,6 @@
 //! Finds the owner of the shard and maintains a link to it.
 
-use crate::run_list::LinkGeneration;
+use crate::run_list::{LinkGeneration, ListNumber};
 use crate::state::{AgentState, OwnerLink};
 use compio::net::TcpStream;
 use compio::runtime::spawn;
@@ -221,7 +221,6 @@
     *state.link.borrow_mut() = Some(OwnerLink {
         generation,
         outbox: outbox.clone(),
-        is_reconciled: false,
     });
     state.changed.notify(usize::MAX);
     let last_received = Rc::new(Cell::new(state.now()));
@@ -309,7 +308,7 @@
     }
 }
 
-fn handle_message(state: &Rc<AgentState>, body: PoolBody) {
+pub(crate) fn handle_message(state: &Rc<AgentState>, body: PoolBody) {
     match body {
         PoolBody::Grant(grant) => {
             state.owner_store_lost.set(grant.store_lost);
@@ -323,7 +322,7 @@
             let until = TimePoint(grant.sent_us) + Duration::from_millis(grant.valid_ms);
             state.apply_grant(until);
         }
-        PoolBody::WorkerAccepted(message) => mark_reconciled(state, &message),
+        PoolBody::WorkerAccepted(message) => record_acceptance(state, &message),
         PoolBody::Start(order) => state.handle_start(order),
         PoolBody::Stop(order) => state.handle_stop(RunId::from(&order.run_id)),
         PoolBody::Ack(ack) => {
@@ -348,21 +347,26 @@
     }
 }
 
-fn mark_reconciled(state: &AgentState, message: &WorkerAccepted) {
-    let target = message.boot();
-    let mut boot = state.boot.borrow_mut();
-    let Some(boot) = boot
-        .as_mut()
-        .filter(|boot| boot.view.boot.may_match(&target))
-    else {
+/// Records that the owner has accepted the run list that was sent last.
+fn record_acceptance(state: &AgentState, message: &WorkerAccepted) {
+    let Some(link) = state.link_generation() else {
         return;
     };
-    for placement in &message.placements {
-        boot.table
-            .set_placement(RunId::from(&placement.run_id), placement.into());
-    }
-    if let Some(link) = state.link.borrow_mut().as_mut() {
-        link.is_reconciled = true;
+    let target = message.boot();
+    {
+        let mut boot = state.boot.borrow_mut();
+        let boot = boot.as_mut();
+        let Some(boot) = boot.filter(|boot| boot.view.boot.may_match(&target)) else {
+            return;
+        };
+        if !boot.run_list.accept(link, message.list.map(ListNumber)) {
+            tracing::info!(worker = %boot.view.boot, list = message.list, "ignored the acceptance of an earlier run list");
+            return;
+        }
+        for placement in &message.placements {
+            boot.table
+                .set_placement(RunId::from(&placement.run_id), placement.into());
+        }
     }
     state.apply_grant(state.granted_until.get());
 }
--- a/crates/wax-agent/src/run_list_tests.rs
+++ b/crates/wax-agent/src/run_list_tests.rs
@@ -1,8 +1,9 @@
-//! Which link gets the run list of the answer to a hold.
+//! Which link gets the run list of the answer to a hold, and when orders are admitted.
 
 use crate::driver::drive_worker;
-use crate::orders_tests::linked_agent;
-use crate::run_list::{HoldReport, LinkGeneration};
+use crate::orders_tests::{linked_agent, run_id};
+use crate::owner_link::handle_message;
+use crate::run_list::{HoldReport, LinkGeneration, ListNumber, RunListState};
 use crate::state::{AgentState, OwnerLink};
 use compio::runtime::{Runtime, spawn};
 use compio::time::sleep;
@@ -12,22 +13,26 @@
 use std::rc::Rc;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant};
+use wax_batch::{RunId, StartRefusal};
 use wax_policy::OrderRules;
-use wax_wire::{PoolBody, WorkerSnapshot};
+use wax_wire::{
+    LeaseGrant, PlacementFrame, PoolBody, RunUpdates, StartRun, WorkerAccepted, WorkerSnapshot,
+};
 
 const FIRST: LinkGeneration = LinkGeneration(1);
 const SECOND: LinkGeneration = LinkGeneration(2);
+const LIST: ListNumber = ListNumber(7);
 /// Time within which an expected event must happen.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Defines one test per row: the link when the hold was sent, the link when it was answered, the
-/// link on which the last list was sent, and what the owner gets.
+/// state of the run list, and what the owner gets.
 macro_rules! hold_reports {
-    ($($name:ident: $requested_on:expr, $current:expr, $reported_on:expr => $report:expr;)*) => {
+    ($($name:ident: $requested_on:expr, $current:expr, $state:expr => $report:expr;)*) => {
         $(
             #[test]
             fn $name() {
-                let report = HoldReport::choose($requested_on, $current, $reported_on);
+                let report = HoldReport::choose($requested_on, $current, $state);
                 assert_eq!(report, $report);
             }
         )*
@@ -36,19 +41,48 @@
 
 hold_reports! {
     first_answer_on_a_link_gives_the_run_list:
-        Some(FIRST), Some(FIRST), None => HoldReport::RunList(FIRST);
+        Some(FIRST), Some(FIRST), RunListState::Unsent => HoldReport::RunList(FIRST);
     later_answer_on_a_link_gives_the_changes:
-        Some(FIRST), Some(FIRST), Some(FIRST) => HoldReport::Changes;
+        Some(FIRST), Some(FIRST), RunListState::Sent(FIRST, LIST) => HoldReport::Changes;
+    answer_after_the_acceptance_gives_the_changes:
+        Some(FIRST), Some(FIRST), RunListState::Accepted(FIRST) => HoldReport::Changes;
     answer_on_a_new_link_gives_the_run_list:
-        Some(SECOND), Some(SECOND), Some(FIRST) => HoldReport::RunList(SECOND);
+        Some(SECOND), Some(SECOND), RunListState::Accepted(FIRST) => HoldReport::RunList(SECOND);
     list_requested_on_an_earlier_link_is_not_sent_on_a_later_one:
-        Some(FIRST), Some(SECOND), None => HoldReport::Nothing;
+        Some(FIRST), Some(SECOND), RunListState::Unsent => HoldReport::Nothing;
     changes_requested_on_an_earlier_link_are_not_sent_on_a_later_one:
-        Some(FIRST), Some(SECOND), Some(FIRST) => HoldReport::Nothing;
+        Some(FIRST), Some(SECOND), RunListState::Accepted(FIRST) => HoldReport::Nothing;
     list_requested_without_a_link_is_not_sent:
-        None, Some(FIRST), None => HoldReport::Nothing;
+        None, Some(FIRST), RunListState::Unsent => HoldReport::Nothing;
     nothing_is_sent_without_a_link:
-        Some(FIRST), None, Some(FIRST) => HoldReport::Nothing;
+        Some(FIRST), None, RunListState::Accepted(FIRST) => HoldReport::Nothing;
+}
+
+/// Defines one test per row: the state of the run list, the link and the list that the owner has
+/// accepted, and whether this counts.
+macro_rules! acceptances {
+    ($($name:ident: $state:expr, $link:expr, $list:expr => $counts:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut state = $state;
+                assert_eq!(state.accept($link, $list), $counts);
+                assert_eq!(state.is_accepted_on($link), $counts);
+            }
+        )*
+    };
+}
+
+acceptances! {
+    acceptance_of_the_last_list_counts:
+        RunListState::Sent(FIRST, LIST), FIRST, Some(LIST) => true;
+    acceptance_without_a_number_counts:
+        RunListState::Sent(FIRST, LIST), FIRST, None => true;
+    acceptance_of_an_earlier_list_does_not_count:
+        RunListState::Sent(FIRST, LIST), FIRST, Some(ListNumber(6)) => false;
+    acceptance_before_a_list_does_not_count: RunListState::Unsent, FIRST, None => false;
+    acceptance_on_another_link_does_not_count:
+        RunListState::Sent(FIRST, LIST), SECOND, Some(LIST) => false;
 }
 
 /// Worker that answers each call when the test allows it. It runs nothing.
@@ -136,11 +170,7 @@
 ) -> UnboundedReceiver<PoolBody> {
     let (outbox, inbox) = unbounded();
     state.fencing_token.set(token);
-    *state.link.borrow_mut() = Some(OwnerLink {
-        generation,
-        outbox,
-        is_reconciled: false,
-    });
+    *state.link.borrow_mut() = Some(OwnerLink { generation, outbox });
     inbox
 }
 
@@ -162,6 +192,16 @@
     }
 }
 
+fn accept_list(state: &Rc<AgentState>, list: Option<u64>) {
+    let accepted = WorkerAccepted {
+        worker: "worker".into(),
+        started_ms: Some(1),
+        list,
+        ..Default::default()
+    };
+    handle_message(state, PoolBody::WorkerAccepted(accepted));
+}
+
 /// Returns an agent whose unanswered calls are not sent again, so that each hold is a single call.
 fn agent_without_copies(worker: SocketAddr) -> Rc<AgentState> {
     let state = linked_agent(worker);
@@ -190,7 +230,8 @@
             "the answered hold is older than the link"
         );
         hold.answer();
-        snapshot_of(next_message(&mut second).await);
+        let list = snapshot_of(next_message(&mut second).await).list;
+        accept_list(&state, list);
         worker.next_call("/v1/hold").await.answer();
         worker.next_call("/v1/hold").await.answer();
         assert!(
@@ -199,3 +240,71 @@
         );
     });
 }
+
+fn start_order(run: u64) -> StartRun {
+    StartRun {
+        placement: PlacementFrame {
+            run_id: RunId { run, ..run_id() }.into(),
+            ..Default::default()
+        },
+        worker: "worker".into(),
+        started_ms: Some(1),
+        ..Default::default()
+    }
+}
+
+fn refusals(updates: &RunUpdates) -> Vec<StartRefusal> {
+    let refused = updates.refused.iter();
+    refused.map(|refusal| refusal.decode().1).collect()
+}
+
+/// Guards against a start for an earlier registration of the boot, whose runs the owner has been
+/// told to have ended: the start was admitted since the link had once been accepted.
+#[test]
+fn starts_are_refused_until_the_owner_has_accepted_the_list_of_the_registered_boot() {
+    let runtime = Runtime::new().expect("the runtime must start");
+    runtime.block_on(async {
+        let worker = GatedWorker::start();
+        let state = agent_without_copies(worker.address);
+        let mut inbox = open_link(&state, SECOND, 2);
+        spawn(drive_worker(state.clone())).detach();
+        worker.next_call("/v1/hold").await.answer();
+        let earlier_list = snapshot_of(next_message(&mut inbox).await).list;
+        accept_list(&state, earlier_list);
+        assert!(state.is_reconciled());
+        // All leases expire, and the boot is registered again.
+        state.boot.borrow_mut().as_mut().expect("the boot").lease = Default::default();
+        worker.next_call("/v1/hold").await.answer();
+        assert!(matches!(
+            next_message(&mut inbox).await,
+            PoolBody::AllRunsEnded(_)
+        ));
+        worker.next_call("/v1/hold").await.answer();
+        worker.next_call("/v1/hold").await.answer();
+        let list = snapshot_of(next_message(&mut inbox).await).list;
+        assert_ne!(list, earlier_list);
+        handle_message(
+            &state,
+            PoolBody::Grant(LeaseGrant {
+                sent_us: state.now().0,
+                valid_ms: 60_000,
+                ..Default::default()
+            }),
+        );
+        let now = state.now();
+        state
+            .drains
+            .borrow_mut()
+            .replace(1, Default::default(), now);
+        // The owner has accepted the earlier list only.
+        accept_list(&state, earlier_list);
+        handle_message(&state, PoolBody::Start(start_order(1)));
+        let PoolBody::RunUpdates(updates) = next_message(&mut inbox).await else {
+            panic!("the start must be refused");
+        };
+        assert_eq!(refusals(&updates), [StartRefusal::Stale]);
+        accept_list(&state, list);
+        handle_message(&state, PoolBody::Start(start_order(2)));
+        worker.next_call("/v1/run-start").await.answer();
+    });
+}
--- a/crates/wax-agent/src/state.rs
+++ b/crates/wax-agent/src/state.rs
@@ -6,7 +6,7 @@
 use crate::pace::PaceControl;
 use crate::pending_updates::PendingUpdates;
 use crate::rules::AgentRules;
-use crate::run_list::LinkGeneration;
+use crate::run_list::{LinkGeneration, ListNumber, RunListState};
 use crate::run_table::RunTable;
 use event_listener::Event;
 use futures_channel::mpsc::UnboundedSender;
@@ -27,8 +27,6 @@
 pub(crate) struct OwnerLink {
     pub(crate) generation: LinkGeneration,
     pub(crate) outbox: UnboundedSender<PoolBody>,
-    /// Whether the owner has taken over the worker's runs on this link.
-    pub(crate) is_reconciled: bool,
 }
 
 /// State of one boot of the worker.
@@ -51,8 +49,8 @@
     hold_silence: SilenceClock,
     /// Whether the last log line says that the worker leaves calls unanswered.
     pub(crate) is_losing_calls: bool,
-    /// Link on which the boot's full run list was sent last.
-    pub(crate) reported_on: Option<LinkGeneration>,
+    /// Whether an owner has the boot's full run list, and on which link it was sent last.
+    pub(crate) run_list: RunListState,
     pub(crate) table: RunTable,
     pub(crate) lease: LeaseClock,
     pub(crate) pace: PaceControl,
@@ -149,7 +147,7 @@
             silence: SilenceClock::new(now),
             hold_silence: SilenceClock::new(now),
             is_losing_calls: false,
-            reported_on: None,
+            run_list: RunListState::Unsent,
             table: RunTable::default(),
             lease: LeaseClock::default(),
             pace: PaceControl::default(),
@@ -203,6 +201,8 @@
     pub(crate) overload: Cell<f64>,
     /// Highest fencing token that any owner has given this agent; 0 before the first link.
     pub(crate) fencing_token: Cell<u64>,
+    /// Number of run lists that were sent to owners.
+    pub(crate) run_list_count: Cell<u64>,
     /// Notified when the driver has to check for a new boot or owner.
     pub(crate) changed: Event,
     /// Notified when a boot needs a higher fencing token, which takes a new link.
@@ -232,13 +232,20 @@
         self.link.borrow().as_ref().map(|link| link.generation)
     }
 
+    /// Returns a new number for a run list.
+    pub(crate) fn next_run_list(&self) -> ListNumber {
+        let number = self.run_list_count.get() + 1;
+        self.run_list_count.set(number);
+        ListNumber(number)
+    }
+
     /// Sends the pending run updates, if the owner got the boot's full run list on this link.
     pub(crate) fn send_pending_updates(&self) {
         let Some(link) = self.link_generation() else {
             return;
         };
         let mut boot = self.boot.borrow_mut();
-        let boot = boot.as_mut().filter(|boot| boot.reported_on == Some(link));
+        let boot = boot.as_mut().filter(|boot| boot.run_list.is_sent_on(link));
         if let Some(updates) = boot.and_then(|boot| boot.updates.take()) {
             self.send(PoolBody::RunUpdates(updates));
         }
@@ -408,12 +415,16 @@
         }
     }
 
-    /// Returns whether the owner has taken over the worker's runs on the current link. Orders and
-    /// grants take effect only then.
+    /// Returns whether the owner has taken over the active boot's runs on the current link. Orders
+    /// and grants take effect only then.
     pub(crate) fn is_reconciled(&self) -> bool {
-        self.link
-            .borrow()
-            .as_ref()
-            .is_some_and(|link| link.is_reconciled)
+        let boot = self.boot.borrow();
+        boot.as_ref().is_some_and(|boot| self.is_accepted(boot))
+    }
+
+    /// Returns whether the owner has taken over the runs of this boot on the current link.
+    pub(crate) fn is_accepted(&self, boot: &WorkerBoot) -> bool {
+        let link = self.link_generation();
+        link.is_some_and(|link| boot.run_list.is_accepted_on(link))
     }
 }
--- a/crates/wax-owner/src/agent_links.rs
+++ b/crates/wax-owner/src/agent_links.rs
@@ -264,11 +264,12 @@
         }
         let cursor = scheduler.acknowledged_end(worker);
         drop(scheduler);
-        tracing::info!(agent = self.node, link = self.link, worker = %boot, runs = runs.len(), ends = ends.len(), "worker taken over");
+        tracing::info!(agent = self.node, link = self.link, worker = %boot, list = snapshot.list, runs = runs.len(), ends = ends.len(), "worker taken over");
         let accepted = WorkerAccepted {
             worker: boot.worker_id().into(),
             placements,
             started_ms: boot.started_ms(),
+            list: snapshot.list,
         };
         self.send(PoolBody::WorkerAccepted(accepted));
         if self.term.needs_all_pairs(snapshot.known_pairs) {
--- a/crates/wax-wire/src/pool.rs
+++ b/crates/wax-wire/src/pool.rs
@@ -313,6 +313,9 @@
     /// that knows far fewer pairs than it does.
     #[prost(uint32, tag = "4")]
     pub known_pairs: u32,
+    /// Number of the list, counted by the agent.
+    #[prost(uint64, optional, tag = "5")]
+    pub list: Option<u64>,
 }
 
 /// What a run reserves on a worker, and properties of its task that the agent needs.
@@ -364,6 +367,9 @@
     /// Start time of the worker's boot in Unix milliseconds, if known.
     #[prost(uint64, optional, tag = "3")]
     pub started_ms: Option<u64>,
+    /// Number of the accepted list, as in [`WorkerSnapshot::list`].
+    #[prost(uint64, optional, tag = "4")]
+    pub list: Option<u64>,
 }
 
 /// All runs on a boot of a worker have provably ended.
--- a/crates/wax-wire/tests/fuzz.rs
+++ b/crates/wax-wire/tests/fuzz.rs
@@ -34,6 +34,7 @@
             runs: vec![RunReportFrame::default()],
             ends: Vec::new(),
             known_pairs: 3,
+            list: Some(4),
         }),
         PoolBody::AllRunsEnded(AllRunsEnded::new(&boot, true)),
         PoolBody::Ack(AckEnds::new(&boot, 57)),
--- a/crates/wax-wire/tests/pool.rs
+++ b/crates/wax-wire/tests/pool.rs
@@ -143,8 +143,9 @@
         runs: vec![(&run_report()).into()],
         ends: vec![(&run_end()).into()],
         known_pairs: 480,
+        list: Some(4),
     }),
-    worker_accepted: PoolBody::WorkerAccepted(WorkerAccepted { worker: "i-1".into(), placements: vec![placement()], started_ms: Some(7) }),
+    worker_accepted: PoolBody::WorkerAccepted(WorkerAccepted { worker: "i-1".into(), placements: vec![placement()], started_ms: Some(7), list: Some(4) }),
     worker_changed: PoolBody::WorkerChanged((&view()).into()),
     all_runs_ended: PoolBody::AllRunsEnded(AllRunsEnded::new(&boot(), true)),
     run_updates: PoolBody::RunUpdates(RunUpdates {
--- a/tests/pool/links.rs
+++ b/tests/pool/links.rs
@@ -66,10 +66,11 @@
     }
 
     fn send_snapshot_of(&self, boot: BootId, ends: &[RunEnd]) {
-        self.send_list(boot, &[], ends);
+        self.send_list(1, boot, &[], ends);
     }
 
-    fn send_list(&self, boot: BootId, runs: &[RunId], ends: &[RunEnd]) {
+    /// Sends run list number `list` of a boot.
+    fn send_list(&self, list: u64, boot: BootId, runs: &[RunId], ends: &[RunEnd]) {
         let view = WorkerView {
             boot,
             service: "svc".into(),
@@ -85,6 +86,7 @@
             runs: runs.iter().copied().map(running).collect(),
             ends: ends.iter().map(RunEndFrame::from).collect(),
             known_pairs: 0,
+            list: Some(list),
         }));
     }
 
@@ -128,8 +130,16 @@
     }
 
     async fn wait_accepted(&mut self) {
-        self.next(|body| matches!(body, PoolBody::WorkerAccepted(_)).then_some(()))
-            .await;
+        self.accepted_list().await;
+    }
+
+    /// Waits until the owner accepts a run list; returns the number of the list.
+    async fn accepted_list(&mut self) -> Option<u64> {
+        self.next(|body| match body {
+            PoolBody::WorkerAccepted(accepted) => Some(accepted.list),
+            _ => None,
+        })
+        .await
     }
 }
 
@@ -221,15 +231,15 @@
         let site = Site::start("second-list", 1, 0).await;
         let owner = site.fronts[0].peers;
         let mut agent = wait_for("the front to own the shard", || FakeAgent::link(owner)).await;
-        agent.send_list(WORKER.into(), &[], &[]);
-        agent.wait_accepted().await;
+        agent.send_list(1, WORKER.into(), &[], &[]);
+        assert_eq!(agent.accepted_list().await, Some(1));
         site.submit(&name(1), &job(1, 1, 50)).await;
         let first = agent.next_start().await;
-        agent.send_list(WORKER.into(), &[], &[]);
+        agent.send_list(2, WORKER.into(), &[], &[]);
         assert_eq!(agent.starts_until_closed().await, []);
         let mut agent = wait_for("the second link", || FakeAgent::link(owner)).await;
-        agent.send_list(WORKER.into(), &[first], &[]);
-        agent.wait_accepted().await;
+        agent.send_list(3, WORKER.into(), &[first], &[]);
+        assert_eq!(agent.accepted_list().await, Some(3));
         agent.send(PoolBody::RunUpdates(RunUpdates {
             ends: vec![(&successful_end(1, first)).into()],
             ..Default::default()
@@ -248,14 +258,14 @@
         let site = Site::start("list-again", 1, 0).await;
         let owner = site.fronts[0].peers;
         let mut agent = wait_for("the front to own the shard", || FakeAgent::link(owner)).await;
-        agent.send_list(WORKER.into(), &[], &[]);
-        agent.wait_accepted().await;
+        agent.send_list(1, WORKER.into(), &[], &[]);
+        assert_eq!(agent.accepted_list().await, Some(1));
         site.submit(&name(1), &job(1, 1, 50)).await;
         let first = agent.next_start().await;
         let ended = AllRunsEnded::new(&WORKER.into(), false);
         agent.send(PoolBody::AllRunsEnded(ended));
-        agent.send_list(WORKER.into(), &[], &[]);
-        agent.wait_accepted().await;
+        agent.send_list(2, WORKER.into(), &[], &[]);
+        assert_eq!(agent.accepted_list().await, Some(2));
         let second = agent.next_start().await;
         assert_eq!(second.task, first.task);
         assert!(second.run > first.run);
--- a/tests/pool/many_agents.rs
+++ b/tests/pool/many_agents.rs
@@ -98,6 +98,7 @@
         runs: Vec::new(),
         ends: Vec::new(),
         known_pairs: 0,
+        list: Some(1),
     })
 }
 
