A step after a gang is new in a term only if every member was listed in it

Cause: a new owner starts the tasks of a step without waiting for all workers if no earlier owner can have opened the step. It concluded this from one run of a prerequisite that a worker listed in its term: the end of that run is never heard by an earlier owner. For plain tasks this holds, as a step is done only with all its tasks. A gang is done with the end of any member, and an earlier owner that still acts hears it from the agent of another member. Both owners opened the next step.

The connection that is refused at the owner's address only makes the takeover earlier: the new term does not take the former owner as ended, and two owners overlap after a silent cut as well. The comments that claimed more are corrected.

Why the fix works: a step counts as one whose end no earlier owner can learn (ends_in_term) once a run was listed whose end is necessary for it: for plain tasks any run, for a gang the runs of all members. An agent that has listed a run in a term never links to an earlier owner again, as its fencing token is lower, and it reports ends only after the list. Otherwise the step waits, as others do, until all workers that may run it are reconciled or their leases have expired.

--- a/crates/wax-batch/src/records.rs
+++ b/crates/wax-batch/src/records.rs
@@ -110,9 +110,9 @@
     pub next_check: Option<TimePoint>,
     /// Number of the step's tasks on each worker.
     pub spread: BTreeMap<WorkerKey, u32>,
-    /// Whether a run of the step was listed as running in this term, or the step was opened after
-    /// such a step.
-    pub confirmed_in_term: bool,
+    /// Whether no owner of an earlier term can learn that the step is done; see
+    /// [`StepRecord::record_location`].
+    pub ends_in_term: bool,
     /// Whether no owner of an earlier term can have started tasks of this step.
     pub is_new_in_term: bool,
 }
@@ -123,6 +123,18 @@
         self.done >= spec.count
     }
 
+    /// Records that a worker has listed a run of a task as running in this term.
+    ///
+    /// The worker's agent has left the owners of earlier terms, so that none of them learns the end
+    /// of this run. The step is done only once each task has ended, so that one such run is enough;
+    /// but the end of a single member completes a gang, so that all its members must be listed.
+    pub(crate) fn record_location(&mut self, spec: &StepSpec, index: u32) {
+        if let Some(task) = self.tasks.get_mut(index as usize) {
+            task.located_in_term = true;
+            self.ends_in_term |= !spec.gang || self.tasks.iter().all(|task| task.located_in_term);
+        }
+    }
+
     /// Opens the step, so that its tasks may be placed.
     pub fn open(&mut self, spec: &StepSpec, now: TimePoint) {
         self.open = true;
@@ -216,13 +228,13 @@
                 self.steps[earlier].is_done(&spec.steps[earlier])
             });
             if can_open {
-                // A prerequisite was still running in this term, so no earlier owner can have
-                // opened this step.
+                // No earlier owner can learn that this prerequisite is done, so none can open this
+                // step.
                 let mut earlier = step_spec.after.iter().map(|step| usize::from(*step));
                 let is_new = self.steps[number].tasks.is_empty()
-                    && earlier.any(|step| self.steps[step].confirmed_in_term);
+                    && earlier.any(|step| self.steps[step].ends_in_term);
                 self.steps[number].is_new_in_term = is_new;
-                self.steps[number].confirmed_in_term |= is_new;
+                self.steps[number].ends_in_term |= is_new;
                 self.steps[number].open(step_spec, now);
                 opened.push(number as u16);
             }
--- a/crates/wax-batch/src/unreconciled.rs
+++ b/crates/wax-batch/src/unreconciled.rs
@@ -135,13 +135,13 @@
     /// Marks a task as located, after the worker itself has listed a run of it. The task has no
     /// other run: an owner starts a task again only once its last run is known to have ended.
     pub(crate) fn mark_located(&mut self, task_ref: TaskRef) {
-        if let Some(task) = self.task_mut(task_ref) {
-            task.located_in_term = true;
-        }
-        let job = self.jobs.get_mut(task_ref.step.job);
-        let occurrence = job.and_then(|job| job.occurrences.get_mut(&task_ref.step.occurrence));
-        if let Some(occurrence) = occurrence {
-            occurrence.steps[usize::from(task_ref.step.step)].confirmed_in_term = true;
+        let Some(job) = self.jobs.get_mut(task_ref.step.job) else {
+            return;
+        };
+        let number = usize::from(task_ref.step.step);
+        if let Some(occurrence) = job.occurrences.get_mut(&task_ref.step.occurrence) {
+            let step_spec = &job.spec.steps[number];
+            occurrence.steps[number].record_location(step_spec, task_ref.index);
         }
     }
 }
--- a/crates/wax-batch/tests/takeover.rs
+++ b/crates/wax-batch/tests/takeover.rs
@@ -157,3 +157,48 @@
     scheduler.mark_all_reconciled();
     assert_eq!(scheduler.place(at(2_100)).len(), 2);
 }
+
+/// Returns a scheduler of term 2 with a job of a gang of two and a step of two tasks after it.
+fn new_owner_with_gang() -> (JobScheduler, wax_batch::WorkerKey) {
+    let (mut scheduler, worker) = new_owner();
+    let mut gang = step(2, 1_000);
+    gang.gang = true;
+    let mut second = step(2, 1_000);
+    second.after = [0].into();
+    add_job(&mut scheduler, 7, 1, &spec(vec![gang, second]), None);
+    (scheduler, worker)
+}
+
+/// Guards against tasks that run twice after a cut: the former owner hears the end of a gang from the
+/// agent of another member, and opens the next step as well.
+#[test]
+fn a_step_after_a_gang_is_not_new_while_an_earlier_owner_may_hear_the_end_of_a_member() {
+    let (mut scheduler, worker) = new_owner_with_gang();
+    let listed = [running(run_id(7, 0, 0, 1))];
+    scheduler.reconcile_worker(worker, &listed, &[], at(0), unix_ms(0));
+    let done = end(1, run_id(7, 0, 0, 1), RunEndKind::Done);
+    scheduler.record_end(worker, &done, at(20), unix_ms(20));
+    assert!(
+        scheduler.place(at(30)).is_empty(),
+        "the former owner may have opened the second step"
+    );
+    scheduler.mark_all_reconciled();
+    assert_eq!(scheduler.place(at(40)).len(), 2);
+}
+
+#[test]
+fn a_step_after_a_gang_is_new_once_all_members_are_reported_in_this_term() {
+    let (mut scheduler, worker) = new_owner_with_gang();
+    let other = support::worker(&mut scheduler, "other", 8_000);
+    for (key, index) in [(worker, 0), (other, 1)] {
+        let listed = [running(run_id(7, 0, index, 1))];
+        scheduler.reconcile_worker(key, &listed, &[], at(0), unix_ms(0));
+    }
+    let done = end(1, run_id(7, 0, 0, 1), RunEndKind::Done);
+    scheduler.record_end(worker, &done, at(20), unix_ms(20));
+    assert_eq!(
+        scheduler.place(at(30)).len(),
+        2,
+        "no earlier owner hears the end of a member"
+    );
+}
--- a/crates/wax-front/src/owner_link.rs
+++ b/crates/wax-front/src/owner_link.rs
@@ -95,8 +95,10 @@
     }
 }
 
-/// Records that the connection to the owner was refused. An owner listens as long as its process
-/// runs, so a refused connection means that its process has ended and its term with it.
+/// Records that the connection to the owner was refused, so that this front takes over without
+/// waiting for the heartbeat row to become old. Usually the owner's process has ended. Behind a
+/// partition that refuses connections the owner may still act, so the next term does not take it as
+/// ended.
 fn note_connection_refused(state: &FrontState, address: SocketAddr, error: &io::Error) {
     let owner = state.shared.owner.borrow();
     let refused = owner.as_ref().filter(|owner| {
--- a/crates/wax-owner/src/shared.rs
+++ b/crates/wax-owner/src/shared.rs
@@ -60,8 +60,8 @@
     /// Rank of this front at the next takeover, as reported by the last owner; `None` before the
     /// first report.
     pub rank: Cell<Option<CandidateRank>>,
-    /// Term whose owner refused a connection at its address, which means that its process has
-    /// ended; 0 if none.
+    /// Term whose owner refused a connection at its address, usually because its process has ended;
+    /// 0 if none.
     pub refused_epoch: Cell<u64>,
     /// Limits and weights of placement; the settings may change them.
     placement_rules: Cell<PlacementRules>,
--- a/crates/wax-owner/src/watch.rs
+++ b/crates/wax-owner/src/watch.rs
@@ -189,7 +189,7 @@
     let max_silence = shared.allowed_silence(OWNER_MAX_SILENCE);
     let known = shared.owner.borrow().clone();
     // The owner has released the shard, was an earlier process at this process's address, or
-    // refuses connections because its process has ended.
+    // refuses connections. In the last case it may still act.
     let is_unowned = known
         .as_ref()
         .is_some_and(|owner| has_ended(shared, owner) || shared.refused_epoch.get() == owner.epoch);
