A boot is registered by the token that it has answered

Cause: an agent registers a worker's next boot under the same id once the boot has answered a fencing token that no earlier boot got, so that late starts of the earlier boot are either listed or refused. It compared the token at the time of the answer. If the link was replaced while the call was on its way, the boot had answered the earlier token only, and a start with that token could still be executed there after its run had been reported as lost with the earlier boot: the crash was counted against a task whose run went on. No second run followed, since the next list is requested with the newer token.

Why the fix works: the token of the answered call decides. If a newer link has a higher token already, the boot is verified again with it; otherwise a new link is requested as before. A boot that got an even higher token counts as well.

Test, seen failing before: boot_change_tests::boot_is_registered_only_after_it_has_answered_a_token_of_no_earlier_boot. The worker for tests moves to a file of its own (gated_worker).

--- a/crates/wax-agent/src/boot_change.rs
+++ b/crates/wax-agent/src/boot_change.rs
@@ -36,16 +36,16 @@
         .hold(reported_boot, &request, HOLD_TIMEOUT)
         .await
     {
-        Ok(Ok(reply)) => register_boot(state, report, &reply),
+        Ok(Ok(reply)) => register_boot(state, report, &reply, request.token),
         Ok(Err(WorkerRefusal::OtherBoot)) => reject_candidate(state, reported_boot),
         Ok(Err(refusal)) => tracing::warn!(worker = %reported_boot, ?refusal, "first hold refused"),
         Err(error) => tracing::warn!(worker = %reported_boot, %error, "first hold failed"),
     }
 }
 
-/// Registers the boot that has answered. It may be an earlier or a later one than the boot that has
-/// checked in.
-fn register_boot(state: &Rc<AgentState>, report: BootReport, reply: &HoldReply) {
+/// Registers the boot that has answered a call with the fencing token `token`. It may be an earlier
+/// or a later one than the boot that has checked in.
+fn register_boot(state: &Rc<AgentState>, report: BootReport, reply: &HoldReply, token: u64) {
     let BootReport { view, sequence } = report;
     let reported_boot = view.boot.clone();
     let answering_boot = BootId::new(reported_boot.worker_id(), reply.started_ms);
@@ -69,11 +69,13 @@
     if let Some(active) = active.filter(|active| active.is_different_boot(&boot)) {
         handle_restart(state, &active);
     }
-    let token = state.fencing_token.get();
     let needs_higher_token = state.boots.borrow().needs_higher_token(&boot, token);
     let view = WorkerView { boot, ..view };
     if needs_higher_token {
-        state.higher_token_wanted.notify(usize::MAX);
+        // A link that was opened after the call was sent has a higher token already.
+        if state.fencing_token.get() == token {
+            state.higher_token_wanted.notify(usize::MAX);
+        }
         let report = BootReport { view, sequence };
         state.boots.borrow_mut().set_candidate(report);
         return;
--- /dev/null
+++ b/crates/wax-agent/src/boot_change_tests.rs
@@ -0,0 +1,47 @@
+//! Registration of a boot while the link to the owner is replaced.
+
+use crate::boots::BootReport;
+use crate::driver::drive_worker;
+use crate::gated_worker::{GatedWorker, agent_without_copies, open_link};
+use crate::orders_tests::reserve_run;
+use crate::run_list::LinkGeneration;
+use compio::runtime::{Runtime, spawn};
+use serde_json::json;
+use wax_batch::{BootId, WorkerView};
+
+/// Guards against a run that counts as lost although the worker's next boot may still start it: the
+/// boot had answered a call with a token of the earlier boot's orders, and was registered with the
+/// token of a link that had been opened meanwhile.
+#[test]
+fn boot_is_registered_only_after_it_has_answered_a_token_of_no_earlier_boot() {
+    let runtime = Runtime::new().expect("the runtime must start");
+    runtime.block_on(async {
+        let worker = GatedWorker::start();
+        let state = agent_without_copies(worker.address);
+        reserve_run(&state);
+        let earlier_boot = state.active_boot().expect("the active boot");
+        let next_boot = BootId::new("worker", Some(2));
+        state.boots.borrow_mut().note_token(&earlier_boot, 1);
+        let view = WorkerView {
+            boot: next_boot.clone(),
+            ..Default::default()
+        };
+        let report = BootReport { view, sequence: 1 };
+        state.boots.borrow_mut().set_candidate(report);
+        spawn(drive_worker(state.clone())).detach();
+        let first = worker.next_call("/v1/hold").await;
+        assert_eq!(first.body["fencingToken"], 1);
+        let _inbox = open_link(&state, LinkGeneration(2), 2);
+        first.answer_as(&json!({ "born": 2 }));
+        let second = worker.next_call("/v1/hold").await;
+        assert_eq!(second.body["fencingToken"], 2);
+        assert_eq!(
+            state.active_boot(),
+            Some(earlier_boot),
+            "a late start with token 1 may still be executed"
+        );
+        second.answer_as(&json!({ "born": 2 }));
+        worker.next_call("/v1/hold").await;
+        assert_eq!(state.active_boot(), Some(next_boot));
+    });
+}
--- a/crates/wax-agent/src/boots.rs
+++ b/crates/wax-agent/src/boots.rs
@@ -99,12 +99,13 @@
             .insert(boot.worker_id().into(), (boot.clone(), token));
     }
 
-    /// Returns whether orders with this token were sent to an earlier boot of the worker. Orders
-    /// that arrive late would be accepted by the new boot, unless it gets a higher token first.
+    /// Returns whether orders with this token or a higher one were sent to an earlier boot of the
+    /// worker. Orders that arrive late would be accepted by the new boot, unless it gets a higher
+    /// token first.
     pub fn needs_higher_token(&self, boot: &BootId, token: u64) -> bool {
         let last_token = self.last_tokens.get(boot.worker_id());
         last_token
-            .is_some_and(|(last_boot, last)| *last == token && last_boot.is_different_boot(boot))
+            .is_some_and(|(last_boot, last)| *last >= token && last_boot.is_different_boot(boot))
     }
 
     /// Records that the boot has ended; its late check-ins are ignored from now on.
--- a/crates/wax-agent/src/lib.rs
+++ b/crates/wax-agent/src/lib.rs
@@ -5,11 +5,15 @@
 //! an owner has recently confirmed its own authority.
 
 mod boot_change;
+#[cfg(test)]
+mod boot_change_tests;
 mod boots;
 mod check_ins;
 mod copies;
 mod crash_log;
 mod driver;
+#[cfg(test)]
+mod gated_worker;
 mod lease;
 mod orders;
 #[cfg(test)]
--- a/crates/wax-agent/src/orders_tests.rs
+++ b/crates/wax-agent/src/orders_tests.rs
@@ -87,7 +87,7 @@
     assert!(!state.may_resend(&request, now));
 }
 
-fn reserve_run(state: &AgentState) {
+pub(crate) fn reserve_run(state: &AgentState) {
     let mut boot = state.boot.borrow_mut();
     let boot = boot.as_mut().expect("the active boot");
     let (view, placement) = (boot.view.clone(), PlacementInfo::default());
--- a/crates/wax-agent/src/run_list_tests.rs
+++ b/crates/wax-agent/src/run_list_tests.rs
@@ -1,20 +1,17 @@
 //! Which link gets the run list of the answer to a hold, and when orders are admitted.
 
 use crate::driver::drive_worker;
-use crate::orders_tests::{linked_agent, run_id};
+use crate::gated_worker::{EVENT_TIMEOUT, GatedWorker, agent_without_copies, open_link};
+use crate::orders_tests::run_id;
 use crate::owner_link::handle_message;
 use crate::run_list::{HoldReport, LinkGeneration, ListNumber, RunListState};
-use crate::state::{AgentState, OwnerLink};
+use crate::state::AgentState;
 use compio::runtime::{Runtime, spawn};
 use compio::time::sleep;
-use futures_channel::mpsc::{UnboundedReceiver, unbounded};
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use futures_channel::mpsc::UnboundedReceiver;
 use std::rc::Rc;
-use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant};
 use wax_batch::{RunId, StartRefusal};
-use wax_policy::OrderRules;
 use wax_wire::{
     LeaseGrant, PlacementFrame, PoolBody, RunUpdates, StartRun, WorkerAccepted, WorkerSnapshot,
 };
@@ -22,8 +19,6 @@
 const FIRST: LinkGeneration = LinkGeneration(1);
 const SECOND: LinkGeneration = LinkGeneration(2);
 const LIST: ListNumber = ListNumber(7);
-/// Time within which an expected event must happen.
-const EVENT_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Defines one test per row: the link when the hold was sent, the link when it was answered, the
 /// state of the run list, and what the owner gets.
@@ -85,95 +80,6 @@
         RunListState::Sent(FIRST, LIST), SECOND, Some(LIST) => false;
 }
 
-/// Worker that answers each call when the test allows it. It runs nothing.
-struct GatedWorker {
-    address: SocketAddr,
-    calls: Receiver<GatedCall>,
-}
-
-/// A call that waits for its answer.
-struct GatedCall {
-    path: String,
-    answer: Sender<()>,
-}
-
-impl GatedWorker {
-    fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port must be free");
-        let address = listener.local_addr().expect("the listener must be bound");
-        let (sender, calls) = channel();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let sender = sender.clone();
-                std::thread::spawn(move || serve_calls(stream, &sender));
-            }
-        });
-        Self { address, calls }
-    }
-
-    /// Waits for the next call to `path`, and answers all others.
-    async fn next_call(&self, path: &str) -> GatedCall {
-        let began_at = Instant::now();
-        while began_at.elapsed() < EVENT_TIMEOUT {
-            match self.calls.try_recv() {
-                Ok(call) if call.path == path => return call,
-                Ok(call) => call.answer(),
-                Err(_) => sleep(Duration::from_millis(1)).await,
-            }
-        }
-        panic!("no call to {path}");
-    }
-}
-
-impl GatedCall {
-    fn answer(self) {
-        // The agent may have given up the call.
-        let _ = self.answer.send(());
-    }
-}
-
-/// Reads the calls of one connection, one after the other. Ends with the connection or the test.
-fn serve_calls(stream: TcpStream, sender: &Sender<GatedCall>) -> Option<()> {
-    let mut reader = BufReader::new(stream.try_clone().ok()?);
-    let mut stream = stream;
-    loop {
-        let (mut path, mut length) = (String::new(), 0);
-        loop {
-            let mut line = String::new();
-            if reader.read_line(&mut line).ok()? == 0 {
-                return None;
-            }
-            let line = line.trim().to_ascii_lowercase();
-            if line.is_empty() {
-                break;
-            } else if path.is_empty() {
-                path = line.split(' ').nth(1)?.into();
-            } else if let Some(value) = line.strip_prefix("content-length:") {
-                length = value.trim().parse().ok()?;
-            }
-        }
-        reader.read_exact(&mut vec![0; length]).ok()?;
-        let (answer, may_answer) = channel();
-        sender.send(GatedCall { path, answer }).ok()?;
-        may_answer.recv().ok()?;
-        let body = r#"{"clockMs":1000,"running":[],"finished":[]}"#;
-        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
-        stream.write_all((head + body).as_bytes()).ok()?;
-    }
-}
-
-/// Replaces the agent's link. Returns the messages on the new one.
-fn open_link(
-    state: &AgentState,
-    generation: LinkGeneration,
-    token: u64,
-) -> UnboundedReceiver<PoolBody> {
-    let (outbox, inbox) = unbounded();
-    state.fencing_token.set(token);
-    *state.link.borrow_mut() = Some(OwnerLink { generation, outbox });
-    inbox
-}
-
 async fn next_message(inbox: &mut UnboundedReceiver<PoolBody>) -> PoolBody {
     let began_at = Instant::now();
     while began_at.elapsed() < EVENT_TIMEOUT {
@@ -202,13 +108,6 @@
     handle_message(state, PoolBody::WorkerAccepted(accepted));
 }
 
-/// Returns an agent whose unanswered calls are not sent again, so that each hold is a single call.
-fn agent_without_copies(worker: SocketAddr) -> Rc<AgentState> {
-    let state = linked_agent(worker);
-    state.rules.orders.set(OrderRules::default());
-    state
-}
-
 /// Guards against a task that runs twice: the answer to a hold that was sent before the link was
 /// opened gave the owner its run list, and a second list followed that lacked the starts which the
 /// owner had ordered after the first.
