Only the first run of a task shows that no earlier owner can learn of its end

Found by the random orders of two owners, after agents had been given lost links and lapsed leases; not seen in a run of the product.

Cause: a new owner took the next step as new once a worker had listed a run of a task before it. If that run is not the task's first one, an earlier owner may still learn that the task is done: the first run completed, its agent had no link, its leases expired, and the earlier owner started the task again. When the agent returns, the earlier owner takes the late end as the completion of the task and opens the next step. The new owner opens it after the end of the later run (TWICE).

Why the fix works: a run counts only if it is the first start of its task in the term of the job's acceptance, so that no other run has ever existed whose end could be reported late. Runs that an owner of a later term started first have higher numbers; after them the next step waits for all workers.

Tests, seen failing before: takeover::a_step_is_not_new_while_an_earlier_owner_may_hear_the_end_of_an_earlier_run, and three of the five cases of two_owners.

--- a/crates/wax-batch/src/records.rs
+++ b/crates/wax-batch/src/records.rs
@@ -11,6 +11,10 @@
 use std::rc::Rc;
 use wax_types::TimePoint;
 
+/// Number of a task's first start in the term in which its job was accepted. Starts in later terms
+/// have higher numbers, whether or not there were any before.
+const FIRST_RUN: u64 = 1;
+
 /// Life-cycle state of a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum TaskState {
@@ -65,6 +69,10 @@
     /// Whether a worker has listed a run of the task as running in this term. No other worker then
     /// has a run of it.
     pub located_in_term: bool,
+    /// Whether no owner of an earlier term can learn of an end of the task: a worker has listed the
+    /// task's first run as running in this term. A later run does not show this, because the first
+    /// one may have completed before its leases expired, and an earlier owner may learn of it late.
+    pub ends_in_term: bool,
 }
 
 impl TaskRecord {
@@ -126,13 +134,19 @@
     /// Records that a worker has listed a run of a task as running in this term.
     ///
     /// The worker's agent has left the owners of earlier terms, so that none of them learns the end
-    /// of this run. The step is done only once each task has ended, so that one such run is enough;
-    /// but the end of a single member completes a gang, so that all its members must be listed.
-    pub(crate) fn record_location(&mut self, spec: &StepSpec, index: u32) {
-        if let Some(task) = self.tasks.get_mut(index as usize) {
-            task.located_in_term = true;
-            self.ends_in_term |= !spec.gang || self.tasks.iter().all(|task| task.located_in_term);
-        }
+    /// of this run. A step of plain tasks is done only once each task has ended, so that one such
+    /// task is enough; the end of a single member completes a gang, so that all must be listed.
+    pub(crate) fn record_location(&mut self, spec: &StepSpec, index: u32, run: u64) {
+        let Some(task) = self.tasks.get_mut(index as usize) else {
+            return;
+        };
+        task.located_in_term = true;
+        task.ends_in_term |= run == FIRST_RUN;
+        let mut tasks = self.tasks.iter();
+        self.ends_in_term |= match spec.gang {
+            true => tasks.all(|task| task.ends_in_term),
+            false => tasks.any(|task| task.ends_in_term),
+        };
     }
 
     /// Opens the step, so that its tasks may be placed.
--- a/crates/wax-batch/src/reports.rs
+++ b/crates/wax-batch/src/reports.rs
@@ -224,7 +224,7 @@
         self.observe_load(worker, task_ref, report, now);
         self.jobs[task_ref.step.job].started = true;
         if report.confirmed_by_worker {
-            self.mark_located(task_ref);
+            self.mark_located(task_ref, report.run_id.run);
         }
     }
 }
--- a/crates/wax-batch/src/unreconciled.rs
+++ b/crates/wax-batch/src/unreconciled.rs
@@ -132,16 +132,16 @@
         }
     }
 
-    /// Marks a task as located, after the worker itself has listed a run of it. The task has no
+    /// Marks a task as located, after the worker itself has listed run `run` of it. The task has no
     /// other run: an owner starts a task again only once its last run is known to have ended.
-    pub(crate) fn mark_located(&mut self, task_ref: TaskRef) {
+    pub(crate) fn mark_located(&mut self, task_ref: TaskRef, run: u64) {
         let Some(job) = self.jobs.get_mut(task_ref.step.job) else {
             return;
         };
         let number = usize::from(task_ref.step.step);
         if let Some(occurrence) = job.occurrences.get_mut(&task_ref.step.occurrence) {
             let step_spec = &job.spec.steps[number];
-            occurrence.steps[number].record_location(step_spec, task_ref.index);
+            occurrence.steps[number].record_location(step_spec, task_ref.index, run);
         }
     }
 }
--- a/crates/wax-batch/tests/takeover.rs
+++ b/crates/wax-batch/tests/takeover.rs
@@ -202,3 +202,24 @@
         "no earlier owner hears the end of a member"
     );
 }
+
+/// Guards against tasks that run twice: the task's first run had completed before its leases expired,
+/// and an earlier owner learns of that end late, after it has started the task again.
+#[test]
+fn a_step_is_not_new_while_an_earlier_owner_may_hear_the_end_of_an_earlier_run() {
+    let (mut scheduler, worker) = new_owner();
+    let mut second = step(1, 1_000);
+    second.after = [0].into();
+    let job_spec = spec(vec![step(1, 1_000), second]);
+    add_job(&mut scheduler, 7, 1, &job_spec, None);
+    let listed = [running(run_id(7, 0, 0, 2))];
+    scheduler.reconcile_worker(worker, &listed, &[], at(0), unix_ms(0));
+    let done = end(1, run_id(7, 0, 0, 2), RunEndKind::Done);
+    scheduler.record_end(worker, &done, at(20), unix_ms(20));
+    assert!(
+        scheduler.place(at(30)).is_empty(),
+        "the former owner may have opened the second step"
+    );
+    scheduler.mark_all_reconciled();
+    assert_eq!(scheduler.place(at(40)).len(), 1);
+}
--- a/crates/wax-batch/tests/two_owners.rs
+++ b/crates/wax-batch/tests/two_owners.rs
@@ -1,5 +1,6 @@
 //! Two owners that act at the same time, as the former one is cut off from the store: random orders
-//! of takeovers, moves of agents, ends of runs and reports, with the schedulers of the product.
+//! of takeovers, moves and losses of agents, ends of runs and reports, with the schedulers of the
+//! product.
 
 mod support;
 
@@ -21,8 +22,10 @@
 /// A worker, and what its agent has reported of it.
 #[derive(Debug, Default)]
 struct FakeWorker {
-    /// Index of the owner to which the agent is linked.
+    /// Index of the owner to which the agent is or was linked last.
     owner: usize,
+    /// Whether the agent has a link.
+    is_linked: bool,
     running: BTreeSet<RunId>,
     ends: Vec<RunEnd>,
     /// Number of ends that the agent has reported on its link.
@@ -35,8 +38,16 @@
     /// The owners with their keys of the workers.
     owners: Vec<(JobScheduler, BTreeMap<usize, WorkerKey>)>,
     workers: Vec<FakeWorker>,
+    /// Tasks with a run that has ended `done`, unless the leases of its worker have lapsed since: such
+    /// an end need not count.
     done: BTreeSet<TaskName>,
+    /// Workers whose runs of earlier terms the second owner knows.
+    settled: BTreeSet<usize>,
+    /// Whether the validity of the first term is over.
+    is_first_over: bool,
     millis: u64,
+    /// What has happened, for the message of a failure.
+    events: Vec<String>,
 }
 
 impl Pool {
@@ -46,7 +57,10 @@
             owners: Vec::new(),
             workers: (0..WORKERS).map(|_| FakeWorker::default()).collect(),
             done: BTreeSet::new(),
+            settled: BTreeSet::new(),
+            is_first_over: false,
             millis: 0,
+            events: Vec::new(),
         };
         pool.begin_term();
         pool.owners[0].0.mark_all_reconciled();
@@ -68,28 +82,76 @@
 
     /// Links an agent to an owner, which gets the worker's run list.
     fn link(&mut self, number: usize, owner: usize) {
-        if let Some((former, keys)) = self.owners.get_mut(self.workers[number].owner)
-            && let Some(key) = keys.get(&number)
-        {
-            former.set_worker_reachable(*key, false);
-        }
+        self.unlink(number);
+        self.note(format!("{number} links to owner {owner}"));
         let worker = &mut self.workers[number];
         worker.owner = owner;
+        worker.is_linked = true;
         worker.reported = worker.ends.len();
         let runs: Vec<_> = worker.running.iter().copied().map(running).collect();
-        let (scheduler, keys) = &mut self.owners[owner];
-        let key = support::worker(scheduler, &format!("w{number}"), 16_000);
-        keys.insert(number, key);
         let (now, now_ms) = (at(self.millis), unix_ms(self.millis));
+        let (scheduler, keys) = &mut self.owners[owner];
+        let key = *keys
+            .entry(number)
+            .or_insert_with(|| support::worker(scheduler, &format!("w{number}"), 16_000));
+        scheduler.set_worker_reachable(key, true);
         scheduler.reconcile_worker(key, &runs, &worker.ends, now, now_ms);
-        if keys.len() == WORKERS {
-            scheduler.mark_all_reconciled();
+        if owner == 1 {
+            self.settle(number);
+        }
+    }
+
+    /// Ends the link of an agent.
+    fn unlink(&mut self, number: usize) {
+        let worker = &mut self.workers[number];
+        worker.is_linked = false;
+        let (scheduler, keys) = &mut self.owners[worker.owner];
+        if let Some(key) = keys.get(&number) {
+            scheduler.set_worker_reachable(*key, false);
+        }
+    }
+
+    fn settle(&mut self, number: usize) {
+        self.settled.insert(number);
+        if self.settled.len() == WORKERS {
+            self.owners[1].0.mark_all_reconciled();
+        }
+    }
+
+    /// All leases on a worker without a link lapse, and then its owner takes its runs as ended. The
+    /// second owner waits until the first one has stopped as well.
+    fn lapse(&mut self, number: usize) {
+        if self.workers[number].is_linked {
+            return;
+        }
+        self.note(format!("leases on {number} lapse"));
+        let running = std::mem::take(&mut self.workers[number].running);
+        for run_id in running {
+            self.workers[number].running.insert(run_id);
+            self.end_run(number, run_id, RunEndKind::Lapsed);
+        }
+        let worker = &self.workers[number];
+        for end in &worker.ends {
+            // No owner stores progress, so none of these ends was acknowledged before the lapse.
+            self.done.remove(&end.run_id.task);
+        }
+        let (now, now_ms) = (at(self.millis), unix_ms(self.millis));
+        let (scheduler, keys) = &mut self.owners[worker.owner];
+        if let Some(key) = keys.remove(&number) {
+            scheduler.remove_lost_worker(key, now, now_ms);
+        }
+        if self.is_first_over && self.owners.len() == 2 {
+            self.settle(number);
         }
     }
 
     /// Reports the ends on a worker that its agent has not reported yet.
     fn report(&mut self, number: usize) {
+        self.note(format!("{number} reports"));
         let worker = &mut self.workers[number];
+        if !worker.is_linked {
+            return;
+        }
         let (scheduler, keys) = &mut self.owners[worker.owner];
         for end in &worker.ends[worker.reported..] {
             let (now, now_ms) = (at(self.millis), unix_ms(self.millis));
@@ -103,40 +165,47 @@
         let (scheduler, keys) = &mut self.owners[owner];
         let number_of = |key: WorkerKey| {
             let found = keys.iter().find(|(_, known)| **known == key);
-            *found.expect("the worker must be known").0
+            found.map(|(number, _)| *number)
         };
         let mut starts = Vec::new();
         for order in scheduler.place(at(self.millis)) {
             scheduler.record_start(order.worker, order.run_id, at(self.millis));
-            starts.push((number_of(order.worker), order.run_id));
+            let number = number_of(order.worker).expect("the worker must be known");
+            starts.push((number, order.run_id));
         }
+        // Stops for a worker that was removed meanwhile go nowhere.
         let stops = scheduler.take_stops().into_iter();
         let stops: Vec<_> = stops
-            .map(|stop| (number_of(stop.worker), stop.run_id))
+            .filter_map(|stop| Some((number_of(stop.worker)?, stop.run_id)))
             .collect();
         for (number, run_id) in stops {
-            if self.workers[number].owner == owner {
+            if self.workers[number].owner == owner && self.workers[number].is_linked {
                 self.end_run(number, run_id, RunEndKind::Stopped);
             }
         }
         for (number, run_id) in starts {
+            self.note(format!("owner {owner} starts {run_id:?} on {number}"));
             self.check_start(run_id);
-            assert_eq!(
-                self.workers[number].owner, owner,
-                "an order of the former owner"
-            );
+            let worker = &self.workers[number];
+            let is_linked = worker.is_linked && worker.owner == owner;
+            assert!(is_linked, "an order to an agent without a link");
             self.workers[number].running.insert(run_id);
         }
     }
 
+    fn note(&mut self, event: String) {
+        self.events.push(event);
+    }
+
     fn check_start(&self, run_id: RunId) {
         let task = run_id.task;
         let others = self.workers.iter().flat_map(|worker| &worker.running);
         let is_running = others.filter(|run| run.task == task).count() > 0;
-        assert!(!is_running, "{task} is started while it runs");
+        let events = self.events.join("\n");
+        assert!(!is_running, "{task} is started while it runs\n{events}");
         assert!(
             !self.done.contains(&task),
-            "{task} is started after its end"
+            "{task} is started after its end\n{events}"
         );
     }
 
@@ -145,6 +214,7 @@
         if worker.running.remove(&run_id) {
             let count = worker.ends.len() as u64;
             worker.ends.push(end(count + 1, run_id, kind));
+            self.note(format!("{run_id:?} on {number} ends {kind:?}"));
         }
     }
 
@@ -189,14 +259,22 @@
         for _ in 0..EVENTS {
             self.millis += rng.u64(1..400);
             let number = rng.usize(..WORKERS);
-            match rng.u8(..8) {
+            match rng.u8(..14) {
                 0 if self.owners.len() == 1 => self.begin_term(),
-                1 if self.owners.len() == 2 && self.workers[number].owner == 0 => {
-                    self.link(number, 1);
+                1 if self.owners.len() == 2 => self.link(number, 1),
+                2 => self.unlink(number),
+                // An agent never links to an earlier term again.
+                3 if !self.is_first_over && self.workers[number].owner == 0 => self.link(number, 0),
+                4 => self.lapse(number),
+                5 if self.owners.len() == 2 && rng.u8(..8) == 0 => self.is_first_over = true,
+                6 | 7 => self.end_one(rng),
+                8..=10 => self.report(number),
+                _ => {
+                    let owner = rng.usize(..self.owners.len());
+                    if owner == 1 || !self.is_first_over {
+                        self.dispatch(owner);
+                    }
                 }
-                2 | 3 => self.end_one(rng),
-                4 | 5 => self.report(number),
-                _ => self.dispatch(rng.usize(..self.owners.len())),
             }
         }
     }
