--- a/crates/wax-agent/src/run_list.rs
+++ b/crates/wax-agent/src/run_list.rs
@@ -9,9 +9,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct LinkGeneration(pub(crate) u64);
 
-/// Number of a run list, counted from the start of the process. It tells the answer to one list from
-/// that to an earlier list on the same link, which the agent sent before it registered the boot
-/// again.
+/// Number of a run list, counted from the start of the process. It distinguishes the acceptance of a
+/// list from that of an earlier list on the same link, which the agent sent before it registered the
+/// boot again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct ListNumber(pub(crate) u64);
 
--- a/tests/pool/links.rs
+++ b/tests/pool/links.rs
@@ -223,20 +223,28 @@
     });
 }
 
+/// Links an agent to the owner, has it send run list 1, and waits until the owner orders the start of a job's only
+/// task.
+async fn agent_with_start(site: &Site) -> (FakeAgent, RunId) {
+    let owner = site.fronts[0].peers;
+    let mut agent = wait_for("the front to own the shard", || FakeAgent::link(owner)).await;
+    agent.send_list(1, WORKER.into(), &[], &[]);
+    assert_eq!(agent.accepted_list().await, Some(1));
+    site.submit(&name(1), &job(1, 1, 50)).await;
+    let first = agent.next_start().await;
+    (agent, first)
+}
+
 /// Guards against a task that runs twice: an agent sent a second run list on one link, which lacked the starts that
 /// the owner had ordered after the first list, and the owner started their tasks again.
 #[test]
 fn a_second_run_list_on_a_link_ends_no_run() {
     run(async {
         let site = Site::start("second-list", 1, 0).await;
-        let owner = site.fronts[0].peers;
-        let mut agent = wait_for("the front to own the shard", || FakeAgent::link(owner)).await;
-        agent.send_list(1, WORKER.into(), &[], &[]);
-        assert_eq!(agent.accepted_list().await, Some(1));
-        site.submit(&name(1), &job(1, 1, 50)).await;
-        let first = agent.next_start().await;
+        let (mut agent, first) = agent_with_start(&site).await;
         agent.send_list(2, WORKER.into(), &[], &[]);
         assert_eq!(agent.starts_until_closed().await, []);
+        let owner = site.fronts[0].peers;
         let mut agent = wait_for("the second link", || FakeAgent::link(owner)).await;
         agent.send_list(3, WORKER.into(), &[first], &[]);
         assert_eq!(agent.accepted_list().await, Some(3));
@@ -256,12 +264,7 @@
 fn a_run_list_after_the_end_of_all_runs_is_accepted_on_the_same_link() {
     run(async {
         let site = Site::start("list-again", 1, 0).await;
-        let owner = site.fronts[0].peers;
-        let mut agent = wait_for("the front to own the shard", || FakeAgent::link(owner)).await;
-        agent.send_list(1, WORKER.into(), &[], &[]);
-        assert_eq!(agent.accepted_list().await, Some(1));
-        site.submit(&name(1), &job(1, 1, 50)).await;
-        let first = agent.next_start().await;
+        let (mut agent, first) = agent_with_start(&site).await;
         let ended = AllRunsEnded::new(&WORKER.into(), false);
         agent.send(PoolBody::AllRunsEnded(ended));
         agent.send_list(2, WORKER.into(), &[], &[]);
