Soak: jobs that begin with a gang

The shape is drawn apart, so that the other jobs of a seed stay as they were. The stand-in workers do not coordinate the members of a gang.

The checks are as they were.

--- a/tests/pool/soak.rs
+++ b/tests/pool/soak.rs
@@ -43,6 +43,12 @@
 /// On average, one job in this number is cancelled.
 const CANCEL_ONE_IN: u32 = 8;
 
+/// On average, one ordinary job in this number begins with a gang.
+const GANG_ONE_IN: u32 = 4;
+/// Members of a gang, each on a worker of its own. The stand-in workers do not coordinate them, so that they end
+/// independently.
+const GANG_MEMBERS: u32 = 2;
+
 /// Sections of `policy` that are off by default and are tested by the soak.
 const POLICY: &str =
     "policy:\n  performance: {enabled: 1}\n  orders: {resend: 1}\n  sharing: {whole_jobs: 1}\n";
@@ -137,6 +143,12 @@
                 json!({ "ms": ms, "cpu": 1000, "mem": 100, "crash": 0, "crash_ms": crash_ms });
             body["spec"] = json!(work.to_string());
         }
+        // Drawn apart, so that the other jobs of a seed stay as they were.
+        let mut gang_rng = Rng::with_seed(seed.rotate_left(32) ^ number);
+        let is_ordinary = number & (BURST_NUMBER | WIDE_NUMBER) == 0;
+        if is_ordinary && gang_rng.u32(0..GANG_ONE_IN) == 0 {
+            begin_with_gang(&mut body);
+        }
         if number & BURST_NUMBER != 0 {
             let count = body["phases"][0]["count"].as_u64().unwrap_or_default();
             self.burst_counts.borrow_mut().insert(name.clone(), count);
@@ -186,6 +198,20 @@
     }
 }
 
+/// Makes the first step of a job a gang, and adds a second step if there is none.
+fn begin_with_gang(body: &mut Value) {
+    let steps = body["phases"].as_array_mut().expect("the steps");
+    let mut second = steps[0].clone();
+    second["after"] = json!([0]);
+    let first = &mut steps[0];
+    first["gang"] = json!(true);
+    first["count"] = json!(GANG_MEMBERS);
+    first["antiAffinity"] = json!(1);
+    if steps.len() == 1 {
+        steps.push(second);
+    }
+}
+
 /// Returns a best-effort job of two wide steps. Its tasks reserve no processors: they run in what other tasks leave,
 /// and workers must not count them towards their capacity.
 fn best_effort_job(rng: &mut Rng) -> Value {
