Log how long the state of an ended job was kept

No log line showed whether the owner had removed the rows, and by which clock their age was measured, so a step of the clock could not be told from a removal counted from the end in memory, from a difference between the clocks of two owners, or from a read that missed rows that were still there. The line names the age by the wall clock and the time since this owner learned that the end is stored; the latter is missing if an earlier owner stored it.

--- a/crates/wax-batch/src/records.rs
+++ b/crates/wax-batch/src/records.rs
@@ -287,6 +287,9 @@
     pub ended_ms: u64,
     /// Outcome in the store. Only this outcome is shown to callers.
     pub stored_outcome: JobOutcome,
+    /// When this owner learned that the end is stored; `None` for an end that an earlier owner
+    /// stored.
+    pub end_stored_at: Option<TimePoint>,
     /// Whether any task of the job has started.
     pub started: bool,
     /// Reason of a failure.
--- a/crates/wax-batch/src/scheduler.rs
+++ b/crates/wax-batch/src/scheduler.rs
@@ -322,6 +322,7 @@
             outcome: JobOutcome::Open,
             ended_ms: 0,
             stored_outcome: JobOutcome::Open,
+            end_stored_at: None,
             started: false,
             reason: None,
             changes: 0,
--- a/crates/wax-batch/src/updates.rs
+++ b/crates/wax-batch/src/updates.rs
@@ -1,7 +1,9 @@
 //! Changes of jobs that must be written to the store.
 
+use crate::progress::JobOutcome;
 use crate::records::JobRecord;
 use crate::scheduler::{JobKey, JobScheduler, ProgressUpdate};
+use wax_types::TimePoint;
 
 impl JobScheduler {
     /// Returns the pending changes of at most `max_jobs` jobs.
@@ -35,11 +37,14 @@
     }
 
     /// Records that the updates are stored.
-    pub fn confirm_updates(&mut self, updates: &[ProgressUpdate]) {
+    pub fn confirm_updates(&mut self, updates: &[ProgressUpdate], now: TimePoint) {
         for update in updates {
             if let Some(job) = self.jobs.get_mut(update.job) {
                 job.stored_changes = job.stored_changes.max(update.changes);
                 job.stored_outcome = update.progress.outcome();
+                if job.stored_outcome != JobOutcome::Open {
+                    job.end_stored_at.get_or_insert(now);
+                }
             }
         }
     }
--- a/crates/wax-batch/tests/job_lifecycle.rs
+++ b/crates/wax-batch/tests/job_lifecycle.rs
@@ -72,7 +72,7 @@
         at(20),
         unix_ms(20),
     );
-    scheduler.confirm_updates(&updates);
+    scheduler.confirm_updates(&updates, at(30));
     assert_eq!(scheduler.advance_ack_cursors(), vec![(worker, 1)]);
     store_all(&mut scheduler);
     assert_eq!(scheduler.advance_ack_cursors(), vec![(worker, 2)]);
--- a/crates/wax-batch/tests/support/mod.rs
+++ b/crates/wax-batch/tests/support/mod.rs
@@ -152,7 +152,7 @@
 /// Confirms all pending updates as stored, and returns what was written.
 pub(crate) fn store_all(scheduler: &mut JobScheduler) -> Vec<(JobName, JobProgress)> {
     let updates = scheduler.take_updates(1_000);
-    scheduler.confirm_updates(&updates);
+    scheduler.confirm_updates(&updates, at(0));
     updates
         .into_iter()
         .map(|update| (update.name, update.progress))
--- a/crates/wax-owner/src/writer.rs
+++ b/crates/wax-owner/src/writer.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 use wax_batch::JobOutcome;
 use wax_trace::{Counter, Latency, count, count_many, record_latency};
-use wax_types::TimePoint;
+use wax_types::{TimePoint, wall_clock_ms};
 
 /// Deadline of one transaction, after which it is sent again if the term has not ended.
 const TX_TIMEOUT: Duration = Duration::from_secs(3_600);
@@ -64,7 +64,8 @@
                 term.confirmed_at.set(sent_at);
                 shared.store_answered_at.set(shared.now());
                 log_ended_jobs(&shared, &term, &write);
-                mark_stored(&term, &write);
+                log_removed_jobs(&shared, &term, &write);
+                mark_stored(&shared, &term, &write);
                 if write.releases {
                     term.end("let go");
                     return;
@@ -193,9 +194,26 @@
     }
 }
 
-fn mark_stored(term: &OwnerTerm, write: &ChainWrite) {
+/// Logs one line for each ended job whose state callers can no longer read.
+fn log_removed_jobs(shared: &PoolShared, term: &OwnerTerm, write: &ChainWrite) {
+    let scheduler = term.scheduler.borrow();
+    for name in &write.removed_jobs {
+        let Some(job) = scheduler.job(*name) else {
+            continue;
+        };
+        let stored_for = job.end_stored_at.map(|at| shared.now().since(at));
+        tracing::info!(
+            job = %name,
+            wall_clock_ms = wall_clock_ms().saturating_sub(job.ended_ms),
+            in_term_ms = stored_for.map(|age| age.as_millis() as u64),
+            "ended job removed"
+        );
+    }
+}
+
+fn mark_stored(shared: &PoolShared, term: &OwnerTerm, write: &ChainWrite) {
     let mut scheduler = term.scheduler.borrow_mut();
-    scheduler.confirm_updates(&write.updates);
+    scheduler.confirm_updates(&write.updates, shared.now());
     for job in &write.removed_jobs {
         scheduler.remove_job(*job);
     }
--- a/crates/wax-owner/tests/scale/simulation.rs
+++ b/crates/wax-owner/tests/scale/simulation.rs
@@ -581,7 +581,7 @@
         }
         let updates = self.scheduler.take_updates(usize::MAX);
         self.cost.transactions += updates.len().div_ceil(32) as u64;
-        self.scheduler.confirm_updates(&updates);
+        self.scheduler.confirm_updates(&updates, self.now);
         for update in updates {
             match self.jobs.get_mut(&update.name) {
                 Some(job) if update.progress.outcome() == JobOutcome::Open => {
