The state of an ended job is kept by the age of its row on the store's clock

Cause: the owner that removed the rows compared its wall clock with the one that the owner of the end had written into the progress row. The difference was exactly status_s, so a step of either clock, or a difference between two clocks, shortened the time. Besides, the time counted from the end in memory, not from when it is stored and can be read: an end that the store took late was removed with the next transaction.

No row was missed by a read: each 410 follows a removal.

Why this works: the store orders all writes by one counter of versions, and its answers carry a steady clock that all owners share. The owner records which version was written by which time, on answers to requests that were sent later, and stores these marks, so that they outlive owners and a restart of all. A row is removed once a mark that covers its version is status_s old. The type ExpiredVersion can only come from there, so no other clock can decide.

--- a/crates/wax-batch/src/progress.rs
+++ b/crates/wax-batch/src/progress.rs
@@ -191,11 +191,21 @@
     /// Occurrences from `done_before` on that have been started.
     #[prost(message, repeated, tag = "3")]
     pub occurrences: Vec<OccurrenceProgress>,
-    /// Time of the end, Unix milliseconds by the owner's clock; 0 while the job is open.
+    /// Time of the end, Unix milliseconds by the owner's wall clock; 0 while the job is open. For
+    /// logs, and for owners of releases that count the age of the row from it.
     #[prost(uint64, tag = "4")]
     pub ended_ms: u64,
 }
 
+/// Progress of a job as read from the store.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct StoredProgress {
+    /// Content of the row.
+    pub progress: JobProgress,
+    /// Version of the row.
+    pub version: u64,
+}
+
 /// Progress of one occurrence in a [`JobProgress`].
 #[derive(Clone, PartialEq, Message)]
 pub struct OccurrenceProgress {
--- a/crates/wax-batch/src/records.rs
+++ b/crates/wax-batch/src/records.rs
@@ -2,7 +2,9 @@
 
 use crate::crash_history::{CrashHistory, CrashedRun};
 use crate::names::JobName;
-use crate::progress::{JobOutcome, JobProgress, OccurrenceProgress, StepProgress, TaskFailures};
+use crate::progress::{
+    JobOutcome, JobProgress, OccurrenceProgress, StepProgress, StoredProgress, TaskFailures,
+};
 use crate::queue::QueueRules;
 use crate::reasons::WaitReason;
 use crate::spec::{JobSpec, StepSpec};
@@ -283,10 +285,13 @@
     pub next_occurrence: u32,
     /// Outcome in memory; it may not be stored yet.
     pub outcome: JobOutcome,
-    /// Time of the end, Unix milliseconds; 0 while the job is open.
+    /// Time of the end, Unix milliseconds, for logs; 0 while the job is open.
     pub ended_ms: u64,
     /// Outcome in the store. Only this outcome is shown to callers.
     pub stored_outcome: JobOutcome,
+    /// Version of the store in which the end was first stored; `None` until then. The state is kept
+    /// for a retention time from this version on.
+    pub end_version: Option<u64>,
     /// When this owner learned that the end is stored; `None` for an end that an earlier owner
     /// stored.
     pub end_stored_at: Option<TimePoint>,
@@ -343,9 +348,11 @@
     }
 
     /// Restores the stored progress.
-    pub(crate) fn restore(&mut self, progress: &JobProgress) {
+    pub(crate) fn restore(&mut self, stored: &StoredProgress) {
+        let progress = &stored.progress;
         self.outcome = progress.outcome();
         self.stored_outcome = self.outcome;
+        self.end_version = self.is_over().then_some(stored.version);
         self.ended_ms = progress.ended_ms;
         self.next_occurrence = progress.done_before;
         for stored in &progress.occurrences {
--- a/crates/wax-batch/src/scheduler.rs
+++ b/crates/wax-batch/src/scheduler.rs
@@ -6,7 +6,7 @@
 use crate::names::{JobName, RunId, TaskName};
 use crate::order_backoff::{StartLimit, StartLimits};
 use crate::performance::PerformanceTracker;
-use crate::progress::{JobOutcome, JobProgress, JobRow};
+use crate::progress::{JobOutcome, JobProgress, JobRow, StoredProgress};
 use crate::queue::{QueueConfig, QueueRules};
 use crate::reasons::{PlacementReason, StepWait, StopReason};
 use crate::records::{JobRecord, OccurrenceRecord};
@@ -19,7 +19,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_policy::{
-    InterferenceTable, PairInterference, PlacementRules, SharingRules, WorkerInterference,
+    ExpiredVersion, InterferenceTable, PairInterference, PlacementRules, SharingRules,
+    WorkerInterference,
 };
 use wax_types::TimePoint;
 
@@ -302,7 +303,7 @@
         &mut self,
         name: JobName,
         row: JobRow,
-        progress: Option<&JobProgress>,
+        progress: Option<&StoredProgress>,
         now: TimePoint,
         now_ms: u64,
     ) {
@@ -322,6 +323,7 @@
             outcome: JobOutcome::Open,
             ended_ms: 0,
             stored_outcome: JobOutcome::Open,
+            end_version: None,
             end_stored_at: None,
             started: false,
             reason: None,
@@ -562,14 +564,13 @@
         }
     }
 
-    /// Returns at most `max_jobs` jobs that ended before `before_ms` and whose final state is
-    /// stored.
-    pub fn removable_jobs(&self, before_ms: u64, max_jobs: usize) -> Vec<JobName> {
+    /// Returns at most `max_jobs` jobs whose end was stored in an expired version and whose final
+    /// state is stored.
+    pub fn removable_jobs(&self, expired: ExpiredVersion, max_jobs: usize) -> Vec<JobName> {
         let is_removable = |job: &&JobRecord| {
-            job.is_over()
-                && job.ended_ms < before_ms
+            job.end_version
+                .is_some_and(|version| expired.covers(version))
                 && job.stored_changes == job.changes
-                && job.stored_outcome != JobOutcome::Open
         };
         self.jobs
             .values()
--- a/crates/wax-batch/src/updates.rs
+++ b/crates/wax-batch/src/updates.rs
@@ -36,13 +36,14 @@
         self.dirty.iter().any(is_over)
     }
 
-    /// Records that the updates are stored.
-    pub fn confirm_updates(&mut self, updates: &[ProgressUpdate], now: TimePoint) {
+    /// Records that the updates are stored in rows of this version.
+    pub fn confirm_updates(&mut self, updates: &[ProgressUpdate], version: u64, now: TimePoint) {
         for update in updates {
             if let Some(job) = self.jobs.get_mut(update.job) {
                 job.stored_changes = job.stored_changes.max(update.changes);
                 job.stored_outcome = update.progress.outcome();
                 if job.stored_outcome != JobOutcome::Open {
+                    job.end_version.get_or_insert(version);
                     job.end_stored_at.get_or_insert(now);
                 }
             }
--- a/crates/wax-batch/tests/job_lifecycle.rs
+++ b/crates/wax-batch/tests/job_lifecycle.rs
@@ -3,8 +3,12 @@
 
 mod support;
 
+use std::time::Duration;
 use support::*;
-use wax_batch::{JobOutcome, RunEndKind, StartRefusal};
+use wax_batch::{
+    JobName, JobOutcome, JobProgress, JobRow, RunEndKind, StartRefusal, StoredProgress,
+};
+use wax_types::StoreTime;
 
 #[test]
 fn steps_follow_each_other_and_the_job_completes_once_stored() {
@@ -72,7 +76,7 @@
         at(20),
         unix_ms(20),
     );
-    scheduler.confirm_updates(&updates, at(30));
+    scheduler.confirm_updates(&updates, 1, at(30));
     assert_eq!(scheduler.advance_ack_cursors(), vec![(worker, 1)]);
     store_all(&mut scheduler);
     assert_eq!(scheduler.advance_ack_cursors(), vec![(worker, 2)]);
@@ -609,3 +613,55 @@
         "three open jobs are too few"
     );
 }
+
+/// Returns the version of the store that has expired after a mark at each of `versions`, the last of
+/// which is younger than the retention time.
+fn expired_before_last_mark(versions: &[u64]) -> wax_policy::ExpiredVersion {
+    let retention = Duration::from_secs(10);
+    let mut ages = wax_policy::VersionAges::new(retention);
+    for (number, version) in (0..).zip(versions) {
+        ages.record(*version, StoreTime(number * 10_000));
+    }
+    ages.expired_version()
+}
+
+/// Guards against an ended job that is forgotten by any age but that of the version that stored its
+/// end: not while its end is unstored, and not when an update after its end is unstored.
+#[test]
+fn an_ended_job_is_removable_once_the_version_that_stored_its_end_has_expired() {
+    let mut scheduler = scheduler(1);
+    add_job(&mut scheduler, 7, 1, &spec(vec![step(1, 1_000)]), None);
+    let all = expired_before_last_mark(&[99, 100]);
+    assert!(scheduler.removable_jobs(all, 8).is_empty(), "an open job");
+    scheduler.cancel(JobName(7), unix_ms(0));
+    assert!(scheduler.removable_jobs(all, 8).is_empty(), "not stored");
+    let updates = scheduler.take_updates(8);
+    scheduler.confirm_updates(&updates, 40, at(0));
+    let before = expired_before_last_mark(&[39, 40]);
+    assert!(scheduler.removable_jobs(before, 8).is_empty(), "too young");
+    let after = expired_before_last_mark(&[40, 41]);
+    assert_eq!(scheduler.removable_jobs(after, 8), [JobName(7)]);
+}
+
+/// Guards against an owner that counts the age of an end from the wall clock of the one that stored
+/// it.
+#[test]
+fn a_restored_end_has_the_age_of_its_row() {
+    let progress = JobProgress {
+        outcome: JobOutcome::Completed.into(),
+        ended_ms: 1,
+        ..Default::default()
+    };
+    let stored = StoredProgress {
+        progress,
+        version: 40,
+    };
+    let mut row = JobRow::new(&spec(vec![step(1, 1_000)]), "gauges", "svc", unix_ms(0), 1);
+    row.epoch = 1;
+    let mut scheduler = scheduler(2);
+    scheduler.add_job(JobName(7), row, Some(&stored), at(0), unix_ms(0));
+    let before = expired_before_last_mark(&[39, 40]);
+    assert!(scheduler.removable_jobs(before, 8).is_empty());
+    let after = expired_before_last_mark(&[40, 41]);
+    assert_eq!(scheduler.removable_jobs(after, 8), [JobName(7)]);
+}
--- a/crates/wax-batch/tests/support/mod.rs
+++ b/crates/wax-batch/tests/support/mod.rs
@@ -4,7 +4,8 @@
 
 use wax_batch::{
     JobName, JobProgress, JobRow, JobScheduler, JobSpec, QueueConfig, QueueRules, RunEnd,
-    RunEndKind, RunId, RunReport, StartOrder, StepSpec, TaskName, TaskSize, WorkerKey, WorkerView,
+    RunEndKind, RunId, RunReport, StartOrder, StepSpec, StoredProgress, TaskName, TaskSize,
+    WorkerKey, WorkerView,
 };
 use wax_policy::PlacementRules;
 use wax_types::TimePoint;
@@ -87,7 +88,11 @@
 ) -> JobName {
     let mut row = JobRow::new(spec, "gauges", "svc", unix_ms(0), 1);
     row.epoch = epoch;
-    scheduler.add_job(JobName(job), row, progress, at(0), unix_ms(0));
+    let stored = progress.map(|progress| StoredProgress {
+        progress: progress.clone(),
+        version: 1,
+    });
+    scheduler.add_job(JobName(job), row, stored.as_ref(), at(0), unix_ms(0));
     JobName(job)
 }
 
@@ -152,7 +157,7 @@
 /// Confirms all pending updates as stored, and returns what was written.
 pub(crate) fn store_all(scheduler: &mut JobScheduler) -> Vec<(JobName, JobProgress)> {
     let updates = scheduler.take_updates(1_000);
-    scheduler.confirm_updates(&updates, at(0));
+    scheduler.confirm_updates(&updates, 1, at(0));
     updates
         .into_iter()
         .map(|update| (update.name, update.progress))
--- a/crates/wax-owner/src/chain_write.rs
+++ b/crates/wax-owner/src/chain_write.rs
@@ -3,15 +3,14 @@
 use crate::owner_term::OwnerTerm;
 use crate::roster::AgentUpdate;
 use crate::rows::{
-    AgentRow, HeartbeatRow, OwnerRow, agent_key, cancel_key, heartbeat_key, interference_key,
-    job_key, owner_key, progress_key,
+    AgentRow, HeartbeatRow, OwnerRow, VersionAgesRow, agent_key, cancel_key, heartbeat_key,
+    interference_key, job_key, owner_key, progress_key, version_ages_key,
 };
 use crate::shared::PoolShared;
 use platform::{MAX_TX_BYTES, MAX_TX_ENTRIES, RowWrite, TxRequest, base64_length};
 use prost::Message;
 use std::time::Duration;
 use wax_batch::{JobName, ProgressUpdate};
-use wax_types::wall_clock_ms;
 
 /// Largest number of jobs whose progress goes into one transaction.
 const JOBS_PER_TX: usize = 32;
@@ -22,8 +21,8 @@
 /// Rows of one job: the job, its cancel request and its progress.
 const ROWS_PER_JOB: usize = 3;
 /// Entries of a transaction besides progress, agents and removed jobs: two conditions, the
-/// heartbeat row, the interference row and the owner's row.
-const OTHER_ENTRIES: usize = 5;
+/// heartbeat row, the interference row, the row of version ages and the owner's row.
+const OTHER_ENTRIES: usize = 6;
 /// The store always refuses a transaction that exceeds its limit on entries.
 const _: () = assert!(
     OTHER_ENTRIES + JOBS_PER_TX + AGENTS_PER_TX + ROWS_PER_JOB * REMOVED_JOBS_PER_TX
@@ -74,6 +73,7 @@
     pub(crate) updates: Vec<ProgressUpdate>,
     pub(crate) agents: Vec<(Box<str>, AgentUpdate)>,
     pub(crate) removed_jobs: Vec<JobName>,
+    pub(crate) has_version_ages: bool,
     pub(crate) releases: bool,
 }
 
@@ -98,7 +98,8 @@
         let updates = put_progress(&mut tx, term, limits.updates);
         let agents = put_agents(&mut tx, term, limits.agents);
         put_interference(&mut tx, shared, term);
-        let removed_jobs = remove_ended_jobs(&mut tx, shared, term);
+        let has_version_ages = put_version_ages(&mut tx, term);
+        let removed_jobs = remove_ended_jobs(&mut tx, term);
         let releases = term.releasing.is_raised() && !term.scheduler.borrow().has_updates();
         if releases {
             let row = OwnerRow {
@@ -118,6 +119,7 @@
             updates,
             agents,
             removed_jobs,
+            has_version_ages,
             releases,
         }
     }
@@ -195,12 +197,23 @@
     }
 }
 
-fn remove_ended_jobs(tx: &mut TxRequest, shared: &PoolShared, term: &OwnerTerm) -> Vec<JobName> {
-    let before_ms = wall_clock_ms().saturating_sub(shared.ended_job_retention.as_millis() as u64);
+/// Adds the row of version ages if it has a new mark; returns whether it has.
+fn put_version_ages(tx: &mut TxRequest, term: &OwnerTerm) -> bool {
+    let ages = term.version_ages.borrow();
+    let has_mark = ages.has_unstored_mark();
+    if has_mark {
+        let row = VersionAgesRow::from(ages.snapshot());
+        put(tx, version_ages_key(), &row);
+    }
+    has_mark
+}
+
+fn remove_ended_jobs(tx: &mut TxRequest, term: &OwnerTerm) -> Vec<JobName> {
+    let expired = term.version_ages.borrow().expired_version();
     let removed_jobs = term
         .scheduler
         .borrow()
-        .removable_jobs(before_ms, REMOVED_JOBS_PER_TX);
+        .removable_jobs(expired, REMOVED_JOBS_PER_TX);
     for job in &removed_jobs {
         tx.remove
             .extend([job_key(*job), cancel_key(*job), progress_key(*job)]);
--- a/crates/wax-owner/src/load.rs
+++ b/crates/wax-owner/src/load.rs
@@ -2,14 +2,15 @@
 
 use crate::owner_term::OwnerTerm;
 use crate::rows::{
-    AGENT_TABLE, AgentRow, CANCEL_SUFFIX, JOB_TABLE, PART, PROGRESS_TABLE, interference_key,
+    AGENT_TABLE, AgentRow, CANCEL_SUFFIX, JOB_TABLE, PART, PROGRESS_TABLE, VersionAgesRow,
+    interference_key, version_ages_key,
 };
 use crate::shared::PoolShared;
 use platform::StoredRow;
 use prost::Message;
 use std::collections::HashMap;
 use std::time::Duration;
-use wax_batch::{JobName, JobProgress, JobRow};
+use wax_batch::{JobName, JobProgress, JobRow, StoredProgress};
 use wax_trace::{Latency, record_latency};
 use wax_types::{TimePoint, WaxError, wall_clock_ms};
 use wax_wire::InterferenceUpdate;
@@ -30,6 +31,7 @@
     let (jobs, version) = shared.store.read_all(JOB_TABLE, PART, PAGE_TIMEOUT).await?;
     shared.store_answered_at.set(shared.now());
     load_interference(shared, term).await;
+    load_version_ages(shared, term).await?;
     let expiry = if term.former_owner_ended {
         shared.timeouts.expiry_after_release()
     } else {
@@ -80,6 +82,32 @@
     }
 }
 
+/// Loads the ages of the store's versions as the former owner knew them.
+async fn load_version_ages(shared: &PoolShared, term: &OwnerTerm) -> Result<(), WaxError> {
+    let row = shared
+        .store
+        .read_row(&version_ages_key(), PAGE_TIMEOUT)
+        .await?;
+    let Some(row) = row else {
+        return Ok(());
+    };
+    let is_restored = match VersionAgesRow::decode(&*row.value) {
+        Ok(row) => term.version_ages.borrow_mut().restore(row.into()),
+        Err(error) => {
+            tracing::error!(%error, "could not decode the ages of the store's versions");
+            false
+        }
+    };
+    if !is_restored {
+        // Ended jobs are then kept for longer, never for a shorter time.
+        tracing::warn!(
+            epoch = term.epoch,
+            "the ages of all ended jobs are counted from now on"
+        );
+    }
+    Ok(())
+}
+
 /// Adds an agent from its row. If the row cannot be decoded, any run may be on the agent's worker.
 fn add_agent(shared: &PoolShared, term: &OwnerTerm, row: &StoredRow, expires_at: TimePoint) {
     let agent = AgentRow::decode(&*row.value).unwrap_or_else(|error| {
@@ -92,13 +120,17 @@
         .load(&row.key.key, &agent, expires_at, &ended_boots);
 }
 
-fn decode_progress(rows: &[StoredRow]) -> HashMap<JobName, JobProgress> {
+fn decode_progress(rows: &[StoredRow]) -> HashMap<JobName, StoredProgress> {
     let mut progress = HashMap::with_capacity(rows.len());
     for row in rows {
         let name = row.key.key.parse::<JobName>();
         match (name, JobProgress::decode(&*row.value)) {
             (Ok(name), Ok(value)) => {
-                progress.insert(name, value);
+                let stored = StoredProgress {
+                    progress: value,
+                    version: row.version,
+                };
+                progress.insert(name, stored);
             }
             _ => tracing::error!(key = %row.key.key, "could not decode a progress row"),
         }
@@ -111,7 +143,7 @@
     shared: &PoolShared,
     term: &OwnerTerm,
     rows: &[StoredRow],
-    progress: &HashMap<JobName, JobProgress>,
+    progress: &HashMap<JobName, StoredProgress>,
 ) {
     let (now, now_ms) = (shared.now(), wall_clock_ms());
     let mut scheduler = term.scheduler.borrow_mut();
--- a/crates/wax-owner/src/owner_term.rs
+++ b/crates/wax-owner/src/owner_term.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 use wax_batch::{BootId, JobName, JobOutcome, JobScheduler, WorkerKey};
 use wax_http::ShutdownSignal;
-use wax_policy::DrainView;
+use wax_policy::{DrainView, VersionAges};
 use wax_trace::{Counter, count};
 use wax_types::{TimePoint, wall_clock_ms};
 use wax_wire::{InterferenceFrame, InterferenceUpdate, PoolBody, RelayReply};
@@ -80,6 +80,8 @@
     /// Whether interference estimates have changed since they were last stored, and when that was.
     pub(crate) interference_unstored: Cell<bool>,
     pub(crate) interference_stored_at: Cell<TimePoint>,
+    /// Ages of the store's versions, by which ended jobs are removed.
+    pub(crate) version_ages: RefCell<VersionAges>,
     /// Change counter of the unreconciled runs when the scheduler last received them.
     pub(crate) unreconciled_seen: Cell<Option<u64>>,
     /// Whether starts are held back because a drain may have gone unnoticed for longer than the
@@ -143,6 +145,7 @@
             interference_log: RefCell::default(),
             interference_unstored: Cell::new(false),
             interference_stored_at: Cell::new(shared.now()),
+            version_ages: RefCell::new(VersionAges::new(shared.ended_job_retention)),
             unreconciled_seen: Cell::new(None),
             drains_stale: Cell::new(false),
             dispatch: Event::new(),
--- a/crates/wax-owner/src/relay.rs
+++ b/crates/wax-owner/src/relay.rs
@@ -2,10 +2,10 @@
 
 use crate::shared::PoolShared;
 use crate::tx_resolution::{TxResolution, transact};
-use platform::{RowKey, RowWrite, StoredRow, TxRequest};
+use platform::{RowKey, RowWrite, StoredRow, TxCommit, TxRequest};
 use std::time::Duration;
 use wax_trace::{Counter, count};
-use wax_types::{ErrorKind, Step, TimePoint, WaxError};
+use wax_types::{ErrorKind, Step, StoreTime, TimePoint, WaxError};
 use wax_wire::{ExpectFrame, RelayReply, RelayRequest, RelayResult, RowFrame};
 
 /// Longest time for which a relayed transaction is retried.
@@ -44,7 +44,7 @@
             RelayAttempt::Answered(reply) => reply,
         };
         match reply.result() {
-            RelayResult::Committed => Some(TxResolution::Committed(reply.version)),
+            RelayResult::Committed => Some(TxResolution::Committed(relayed_commit(&reply))),
             RelayResult::Conflict => Some(TxResolution::Conflict(relayed_rows(reply))),
             RelayResult::Unknown => {
                 self.may_take_effect = true;
@@ -184,9 +184,10 @@
         ..Default::default()
     };
     match resolution {
-        TxResolution::Committed(version) => {
+        TxResolution::Committed(commit) => {
             reply.set_result(RelayResult::Committed);
-            reply.version = version;
+            reply.version = commit.version;
+            reply.store_ms = commit.answered_at.map(|time| time.0);
         }
         TxResolution::Conflict(rows) => {
             reply.set_result(RelayResult::Conflict);
@@ -212,6 +213,13 @@
     }
 }
 
+fn relayed_commit(reply: &RelayReply) -> TxCommit {
+    TxCommit {
+        version: reply.version,
+        answered_at: reply.store_ms.map(StoreTime),
+    }
+}
+
 /// Returns the current rows from the reply to a transaction that conflicted.
 fn relayed_rows(reply: RelayReply) -> Vec<StoredRow> {
     let rows = reply.rows.into_iter().map(|row| StoredRow {
--- a/crates/wax-owner/src/rows.rs
+++ b/crates/wax-owner/src/rows.rs
@@ -2,7 +2,10 @@
 
 use platform::RowKey;
 use prost::Message;
+use std::time::Duration;
 use wax_batch::{BootId, JobName};
+use wax_policy::{VersionAgesSnapshot, VersionMark};
+use wax_types::StoreTime;
 
 /// Table of the owner's row, which names the owner of the shard and changes only at a takeover and
 /// a release.
@@ -18,6 +21,8 @@
 /// Table of the measured interference between images. The data only improves placement: if it is
 /// lost, the owner learns it again.
 pub(crate) const INTERFERENCE_TABLE: &str = "press";
+/// Table of the times by which the store's versions had been written.
+pub(crate) const VERSION_AGES_TABLE: &str = "ages";
 /// The shard's part. One owner can serve a pool of the size that the system is designed for, so
 /// there is one shard.
 pub(crate) const PART: &str = "s0";
@@ -95,6 +100,56 @@
     }
 }
 
+/// Row of the times by which the store's versions had been written, for the retention of ended jobs.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct VersionAgesRow {
+    /// The store's clock at the owner's last recorded answer, in milliseconds.
+    #[prost(uint64, optional, tag = "1")]
+    answered_ms: Option<u64>,
+    /// Time counted up to that answer, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    counted_ms: u64,
+    #[prost(message, repeated, tag = "3")]
+    marks: Vec<VersionMarkRow>,
+}
+
+/// One mark of a [`VersionAgesRow`].
+#[derive(Clone, PartialEq, Message)]
+struct VersionMarkRow {
+    #[prost(uint64, tag = "1")]
+    version: u64,
+    #[prost(uint64, tag = "2")]
+    counted_ms: u64,
+}
+
+impl From<VersionAgesSnapshot> for VersionAgesRow {
+    fn from(snapshot: VersionAgesSnapshot) -> Self {
+        let marks = snapshot.marks.into_iter().map(|mark| VersionMarkRow {
+            version: mark.version,
+            counted_ms: mark.counted.as_millis() as u64,
+        });
+        Self {
+            answered_ms: snapshot.answered_at.map(|time| time.0),
+            counted_ms: snapshot.counted.as_millis() as u64,
+            marks: marks.collect(),
+        }
+    }
+}
+
+impl From<VersionAgesRow> for VersionAgesSnapshot {
+    fn from(row: VersionAgesRow) -> Self {
+        let marks = row.marks.into_iter().map(|mark| VersionMark {
+            version: mark.version,
+            counted: Duration::from_millis(mark.counted_ms),
+        });
+        Self {
+            answered_at: row.answered_ms.map(StoreTime),
+            counted: Duration::from_millis(row.counted_ms),
+            marks: marks.collect(),
+        }
+    }
+}
+
 /// Returns the key of the owner's row.
 pub fn owner_key() -> RowKey {
     RowKey::new(OWNER_TABLE, PART, "owner")
@@ -123,6 +178,10 @@
     RowKey::new(INTERFERENCE_TABLE, PART, "pairs")
 }
 
+pub(crate) fn version_ages_key() -> RowKey {
+    RowKey::new(VERSION_AGES_TABLE, PART, "versions")
+}
+
 pub(crate) fn agent_key(node: &str) -> RowKey {
     RowKey::new(AGENT_TABLE, PART, node)
 }
--- a/crates/wax-owner/src/tx_resolution.rs
+++ b/crates/wax-owner/src/tx_resolution.rs
@@ -2,7 +2,7 @@
 
 use compio::time::sleep;
 use fastrand::Rng;
-use platform::{CallError, StoreClient, StoredRow, TxOutcome, TxRequest};
+use platform::{CallError, StoreClient, StoredRow, TxCommit, TxOutcome, TxRequest};
 use std::time::Duration;
 use wax_policy::BackoffPlan;
 use wax_types::{ProcessClock, TimePoint, WaxError};
@@ -15,8 +15,8 @@
 /// What is known of a transaction's effect.
 #[derive(Debug)]
 pub enum TxResolution {
-    /// The transaction took effect; its rows have this version.
-    Committed(u64),
+    /// The transaction took effect.
+    Committed(TxCommit),
     /// The conditions did not hold. The transaction had no effect, unless an earlier attempt
     /// without an answer took effect; the current rows show which.
     Conflict(Vec<StoredRow>),
@@ -63,7 +63,7 @@
             .since(clock.now())
             .clamp(MIN_RETRY_DELAY, ATTEMPT_TIMEOUT);
         let error = match store.transact(tx, left).await {
-            Ok(TxOutcome::Committed(version)) => return TxResolution::Committed(version),
+            Ok(TxOutcome::Committed(commit)) => return TxResolution::Committed(commit),
             Ok(TxOutcome::Conflict(rows)) => return TxResolution::Conflict(rows),
             Ok(TxOutcome::Refused(error)) if may_apply => return TxResolution::Unknown(error),
             Ok(TxOutcome::Refused(error)) => return TxResolution::Refused(error),
--- a/crates/wax-owner/src/watch.rs
+++ b/crates/wax-owner/src/watch.rs
@@ -277,7 +277,7 @@
     let sent_at = shared.now();
     let version = match transact(&shared.store, shared.clock, &tx, sent_at + TAKEOVER_TIMEOUT).await
     {
-        TxResolution::Committed(version) => version,
+        TxResolution::Committed(commit) => commit.version,
         TxResolution::Conflict(rows) => match find_own_row(shared, &rows, row.nonce) {
             Some(version) => version,
             None => return,
--- a/crates/wax-owner/src/writer.rs
+++ b/crates/wax-owner/src/writer.rs
@@ -9,7 +9,7 @@
 use crate::tx_resolution::{TxResolution, transact};
 use compio::time::{sleep, timeout};
 use futures_util::future::{Either, select};
-use platform::StoredRow;
+use platform::{StoredRow, TxCommit};
 use prost::Message;
 use std::pin::pin;
 use std::rc::Rc;
@@ -26,7 +26,7 @@
 const URGENT_WRITE_DELAY: Duration = Duration::from_millis(8);
 
 enum WriteResult {
-    Stored(u64),
+    Stored(TxCommit),
     TermLost,
     /// The store refuses the transaction regardless of its conditions.
     Refused,
@@ -57,15 +57,19 @@
                 limits = write.requeue(&term, limits);
                 sleep(REFUSED_RETRY_DELAY).await;
             }
-            WriteResult::Stored(version) => {
+            WriteResult::Stored(commit) => {
                 limits = limits.grow();
-                heartbeat_version = version;
+                if write.has_version_ages {
+                    term.version_ages.borrow_mut().mark_stored();
+                }
+                record_version_age(&term, heartbeat_version, commit);
+                heartbeat_version = commit.version;
                 count_write(&write, shared.now().since(sent_at));
                 term.confirmed_at.set(sent_at);
                 shared.store_answered_at.set(shared.now());
                 log_ended_jobs(&shared, &term, &write);
                 log_removed_jobs(&shared, &term, &write);
-                mark_stored(&shared, &term, &write);
+                mark_stored(&shared, &term, &write, commit.version);
                 if write.releases {
                     term.end("let go");
                     return;
@@ -134,7 +138,7 @@
             }
         };
         match resolution {
-            TxResolution::Committed(version) => return WriteResult::Stored(version),
+            TxResolution::Committed(commit) => return WriteResult::Stored(commit),
             TxResolution::Conflict(rows) => return resolve_conflict(term, &rows, number),
             TxResolution::Refused(error) => {
                 wax_trace::count(Counter::ChainRefused);
@@ -157,7 +161,11 @@
     let heartbeat = rows.iter().find(|row| row.key == heartbeat_key());
     let ours = heartbeat.and_then(|row| {
         let heartbeat = HeartbeatRow::decode(&*row.value).ok()?;
-        (heartbeat.epoch == term.epoch && heartbeat.count == count).then_some(row.version)
+        let is_ours = heartbeat.epoch == term.epoch && heartbeat.count == count;
+        is_ours.then_some(TxCommit {
+            version: row.version,
+            answered_at: None,
+        })
     });
     ours.map_or(WriteResult::TermLost, WriteResult::Stored)
 }
@@ -170,6 +178,7 @@
         .iter()
         .filter(|update| update.progress.outcome() != JobOutcome::Open);
     count_many(Counter::JobsEnded, ended.count() as u64);
+    count_many(Counter::EndedJobsRemoved, write.removed_jobs.len() as u64);
 }
 
 /// Logs one line for each job that callers see as ended from now on.
@@ -204,16 +213,25 @@
         let stored_for = job.end_stored_at.map(|at| shared.now().since(at));
         tracing::info!(
             job = %name,
-            wall_clock_ms = wall_clock_ms().saturating_sub(job.ended_ms),
+            by_wall_clock_ms = wall_clock_ms().saturating_sub(job.ended_ms),
             in_term_ms = stored_for.map(|age| age.as_millis() as u64),
             "ended job removed"
         );
     }
 }
 
-fn mark_stored(shared: &PoolShared, term: &OwnerTerm, write: &ChainWrite) {
+/// Records the store's clock at the answer to a transaction. `known` is the version of the
+/// transaction before it, which was written before this one was sent.
+fn record_version_age(term: &OwnerTerm, known: u64, commit: TxCommit) {
+    // Until all is loaded, the ages that the former owner has stored may be missing.
+    if let Some(answered_at) = commit.answered_at.filter(|_| term.loaded.is_raised()) {
+        term.version_ages.borrow_mut().record(known, answered_at);
+    }
+}
+
+fn mark_stored(shared: &PoolShared, term: &OwnerTerm, write: &ChainWrite, version: u64) {
     let mut scheduler = term.scheduler.borrow_mut();
-    scheduler.confirm_updates(&write.updates, shared.now());
+    scheduler.confirm_updates(&write.updates, version, shared.now());
     for job in &write.removed_jobs {
         scheduler.remove_job(*job);
     }
--- a/crates/wax-owner/tests/scale/simulation.rs
+++ b/crates/wax-owner/tests/scale/simulation.rs
@@ -5,9 +5,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use wax_batch::{
-    BootId, JobName, JobOutcome, JobProgress, JobRow, JobScheduler, JobSpec, QueueConfig,
-    QueueRules, RunEnd, RunEndKind, RunId, RunReport, StepSpec, TaskSize, UnreconciledRuns,
-    WorkerKey, WorkerView,
+    BootId, JobName, JobOutcome, JobRow, JobScheduler, JobSpec, QueueConfig, QueueRules, RunEnd,
+    RunEndKind, RunId, RunReport, StepSpec, StoredProgress, TaskSize, UnreconciledRuns, WorkerKey,
+    WorkerView,
 };
 use wax_owner::{
     AgentRoster, AgentRow, AgentUpdate, EndedBoots, FrontRecord, FrontRoster, OwnerFitness,
@@ -104,7 +104,7 @@
     epoch: u64,
     scheduler: JobScheduler,
     /// Open jobs as the store holds them.
-    jobs: BTreeMap<JobName, (JobRow, Option<JobProgress>)>,
+    jobs: BTreeMap<JobName, (JobRow, Option<StoredProgress>)>,
     roster: AgentRoster,
     rows: BTreeMap<Box<str>, AgentRow>,
     fronts: FrontRoster,
@@ -581,11 +581,14 @@
         }
         let updates = self.scheduler.take_updates(usize::MAX);
         self.cost.transactions += updates.len().div_ceil(32) as u64;
-        self.scheduler.confirm_updates(&updates, self.now);
+        self.scheduler.confirm_updates(&updates, 1, self.now);
         for update in updates {
             match self.jobs.get_mut(&update.name) {
                 Some(job) if update.progress.outcome() == JobOutcome::Open => {
-                    job.1 = Some(update.progress);
+                    job.1 = Some(StoredProgress {
+                        progress: update.progress,
+                        version: 1,
+                    });
                 }
                 _ => {
                     self.jobs.remove(&update.name);
--- a/crates/wax-policy/src/lib.rs
+++ b/crates/wax-policy/src/lib.rs
@@ -30,6 +30,7 @@
 mod sharing;
 mod silence;
 mod sizing;
+mod version_ages;
 mod workday;
 
 pub use admission::{AdmitChoice, TeamKey, TeamLimits, TeamTable};
@@ -77,4 +78,5 @@
 pub use sharing::{BeginChoice, BegunLoad, SharingRules};
 pub use silence::SilenceClock;
 pub use sizing::SizeTable;
+pub use version_ages::{ExpiredVersion, VersionAges, VersionAgesSnapshot, VersionMark};
 pub use workday::WorkDay;
--- a/crates/wax-trace/src/counter.rs
+++ b/crates/wax-trace/src/counter.rs
@@ -122,6 +122,8 @@
     ChainRelayed = "chain.relayed",
     /// Transactions of the owner's write chain that the store rejected as invalid.
     ChainRefused = "chain.refused",
+    /// Ended jobs whose state was removed from the store.
+    EndedJobsRemoved = "jobs.ended_removed",
     /// Workers that the scheduler evaluated as candidates for a task.
     WorkersEvaluated = "workers.asked",
     /// Agents that the dispatcher visited.
--- a/crates/wax-types/src/lib.rs
+++ b/crates/wax-types/src/lib.rs
@@ -11,4 +11,4 @@
     TaskEpoch, TaskId, WorkerId,
 };
 pub use resources::ResourceVector;
-pub use time::{ProcessClock, TimePoint, wall_clock_ms};
+pub use time::{ProcessClock, StoreTime, TimePoint, wall_clock_ms};
--- a/crates/wax-types/src/time.rs
+++ b/crates/wax-types/src/time.rs
@@ -36,6 +36,19 @@
     }
 }
 
+/// Milliseconds on the steady clock of the store, which all its clients share.
+///
+/// Not comparable with the wall clock or with a [`TimePoint`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StoreTime(pub u64);
+
+impl StoreTime {
+    /// Returns the time from `earlier` to this point; zero if `earlier` is later.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
 /// Clock since the VM's boot that also counts while the VM is suspended.
 ///
 /// Leases and ownership terms use it, so that they are seen to have expired after a suspension.
@@ -65,9 +78,10 @@
     Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
 }
 
-/// Returns milliseconds since the Unix epoch, for records that people read.
+/// Returns milliseconds since the Unix epoch, for records that people read and for times that callers
+/// give as dates.
 ///
-/// Decisions about safety must not use it, because the wall clock may jump.
+/// Decisions about safety and about ages must not use it, because the wall clock may jump.
 pub fn wall_clock_ms() -> u64 {
     SystemTime::now()
         .duration_since(UNIX_EPOCH)
--- a/crates/wax-wire/src/relay.rs
+++ b/crates/wax-wire/src/relay.rs
@@ -93,4 +93,7 @@
     /// On a conflict: those rows named by the conditions that exist.
     #[prost(message, repeated, tag = "4")]
     pub rows: Vec<RowFrame>,
+    /// The store's clock when it answered a committed transaction, in milliseconds; `None` if unknown.
+    #[prost(uint64, optional, tag = "5")]
+    pub store_ms: Option<u64>,
 }
--- a/crates/wax-wire/tests/pool.rs
+++ b/crates/wax-wire/tests/pool.rs
@@ -132,6 +132,7 @@
         result: RelayResult::Conflict.into(),
         version: 0,
         rows: vec![row()],
+        store_ms: Some(70),
     }),
     welcome: PoolBody::Welcome(OwnerWelcome { epoch: 3, token: 9 }),
     not_owner: PoolBody::NotOwner(NotOwner { address: "10.0.0.1:7".into(), epoch: 3 }),
--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -17,6 +17,7 @@
 mod orders;
 mod ports;
 mod restarts;
+mod retention;
 mod site;
 mod slow_workers;
 mod soak;
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -6,7 +6,10 @@
 use crate::calls::{Answer, call, get_json, post_json};
 pub(crate) use crate::common::{run, wait_for};
 use crate::store_proxy::StoreProxy;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
 use http::Method;
+use prost::Message;
 use rustix::net::{AddressFamily, SocketFlags, SocketType, bind, socket_with, sockopt};
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
@@ -18,6 +21,8 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+use wax_batch::JobProgress;
 
 /// Process that a test has started; it is killed when the value is dropped.
 pub(crate) struct SiteProcess {
@@ -659,6 +664,42 @@
             .await;
     }
 
+    /// Makes all fronts keep ended jobs for this long, and starts their processes again.
+    pub(crate) async fn set_retention(&mut self, retention: Duration) {
+        for number in 0..self.fronts.len() {
+            let settings = &self.fronts[number].settings;
+            let text = std::fs::read_to_string(settings).expect("the settings must be readable");
+            let section = format!("pool:\n  keep_ended_s: {}\n", retention.as_secs());
+            let text = text.replace("pool:\n", &section);
+            std::fs::write(settings, text).expect("the settings must be written");
+            self.kill_front(number);
+            self.start_front(number);
+        }
+        for number in 0..self.fronts.len() {
+            self.wait_ready(number).await;
+        }
+    }
+
+    /// Changes the time at which a job ended by this much, as if the owner that stored the end had a different wall
+    /// clock.
+    pub(crate) async fn shift_end_of_job(&self, job: &str, difference_ms: i64) {
+        let url = format!("http://{}/v1/rows-get?table=progress&part=s0", self.store);
+        let rows = wait_for("the rows of progress", || get_json(&url)).await;
+        let rows = rows["rows"].as_array().expect("a page has rows");
+        let row = rows.iter().find(|row| row["key"] == *job);
+        let value = row.expect("the job must have a row")["value"].as_str();
+        let value = STANDARD.decode(value.expect("a row has a value"));
+        let mut progress = JobProgress::decode(&*value.expect("values are Base64"))
+            .expect("the row must be decoded");
+        assert_ne!(progress.ended_ms, 0, "the job has ended");
+        progress.ended_ms = progress.ended_ms.saturating_add_signed(difference_ms);
+        let value = base64(&progress.encode_to_vec());
+        self.commit_as_operator(
+            json!({ "writes": [{ "table": "progress", "part": "s0", "key": job, "value": value }] }),
+        )
+        .await;
+    }
+
     /// Commits a transaction to the store as the operator.
     async fn commit_as_operator(&self, body: Value) {
         let headers = [("content-type", "application/json"), ("x-operator", "1")];
@@ -811,8 +852,7 @@
 }
 
 fn base64(bytes: &[u8]) -> String {
-    use base64::Engine;
-    base64::engine::general_purpose::STANDARD.encode(bytes)
+    STANDARD.encode(bytes)
 }
 
 /// Returns a job of `steps` sequential steps, each of `count` tasks that run for `ms` milliseconds.
