The age of an accepted job is counted on the store's clock

If the wall clock of the front that accepted a job was behind the owner's, the owner took the job for older by the difference, and so for too late to be worth a start before others; if it was ahead, for just accepted.

Cause: the age was the difference between the owner's wall clock and the time that the front had written into the row.

Why this works: the front writes the time of acceptance on the store's clock, which all processes share and estimate from any answer of the store; a reading is behind by the time that its answer took. Rows of earlier releases lack the field, and their ages are counted as before.

The tests failed on: an age of 3,600,425 ms for a job accepted with the clock an hour behind, and an age below that of the job from which it was copied with the clock ahead.

--- a/crates/wax-batch/src/lib.rs
+++ b/crates/wax-batch/src/lib.rs
@@ -42,7 +42,8 @@
 pub use performance::{SlowWorkerInfo, SpeedChange};
 pub use placement::WorkerChoice;
 pub use progress::{
-    JobOutcome, JobProgress, JobRow, OccurrenceProgress, StepProgress, StoredProgress, TaskFailures,
+    JobOutcome, JobProgress, JobRow, OccurrenceProgress, OwnerClocks, StepProgress, StoredProgress,
+    TaskFailures,
 };
 pub use queue::{AdviceRules, QueueConfig, QueueRules, QueueTable, ServiceRules};
 pub use rank::{JobRank, critical_path_ms, latest_start_ms, objective_ms};
--- a/crates/wax-batch/src/progress.rs
+++ b/crates/wax-batch/src/progress.rs
@@ -3,6 +3,19 @@
 use crate::crash_history::CrashedRun;
 use crate::spec::{JobSpec, RepeatPlan, StepSpec, TaskSize};
 use prost::Message;
+use std::time::Duration;
+use wax_types::{StoreTime, TimePoint};
+
+/// Present time on the clocks that an owner reads.
+#[derive(Debug, Clone, Copy)]
+pub struct OwnerClocks {
+    /// Clock of the owner's process.
+    pub now: TimePoint,
+    /// Wall clock of the owner's VM, Unix milliseconds.
+    pub wall_ms: u64,
+    /// The store's clock; `None` if it is not known.
+    pub store_time: Option<StoreTime>,
+}
 
 /// Job as accepted. Written once, by the front that accepted the job.
 #[derive(Clone, PartialEq, Message)]
@@ -16,7 +29,8 @@
     /// Service of the queue at the time of acceptance.
     #[prost(string, tag = "3")]
     pub service: String,
-    /// Time of acceptance, Unix milliseconds by the front's clock.
+    /// Time of acceptance, Unix milliseconds by the front's wall clock. Used only if
+    /// `accepted_store_ms` is missing.
     #[prost(uint64, tag = "4")]
     pub accepted_ms: u64,
     /// Text that is passed on to the workers unchanged.
@@ -38,6 +52,9 @@
     /// recognizes its own write.
     #[prost(fixed64, tag = "10")]
     pub nonce: u64,
+    /// Time of acceptance on the store's clock, in milliseconds; `None` if the front did not know it.
+    #[prost(uint64, optional, tag = "11")]
+    pub accepted_store_ms: Option<u64>,
 }
 
 /// One step of a [`JobRow`].
@@ -147,6 +164,16 @@
             repeat_first_ms: spec.repeat.map_or(0, |plan| plan.first_ms),
             repeat_interval_ms: spec.repeat.map_or(0, |plan| plan.interval_ms),
             nonce,
+            accepted_store_ms: None,
+        }
+    }
+
+    /// Returns the time since the job was accepted. The clocks of two VMs may differ, so the store's
+    /// clock goes first.
+    pub fn age(&self, clocks: &OwnerClocks) -> Duration {
+        match self.accepted_store_ms.zip(clocks.store_time) {
+            Some((accepted_ms, now)) => now.since(StoreTime(accepted_ms)),
+            None => Duration::from_millis(clocks.wall_ms.saturating_sub(self.accepted_ms)),
         }
     }
 
--- a/crates/wax-batch/src/records.rs
+++ b/crates/wax-batch/src/records.rs
@@ -277,7 +277,7 @@
     pub service: Box<str>,
     /// Term in which the job was accepted.
     pub epoch: u64,
-    /// Time of acceptance, converted from the wall clock of the front that accepted the job.
+    /// Time of acceptance, converted from the store's clock.
     pub accepted: TimePoint,
     /// Occurrences in progress, by number.
     pub occurrences: BTreeMap<u32, OccurrenceRecord>,
--- a/crates/wax-batch/src/scheduler.rs
+++ b/crates/wax-batch/src/scheduler.rs
@@ -6,7 +6,7 @@
 use crate::names::{JobName, RunId, TaskName};
 use crate::order_backoff::{StartLimit, StartLimits};
 use crate::performance::PerformanceTracker;
-use crate::progress::{JobOutcome, JobProgress, JobRow, StoredProgress};
+use crate::progress::{JobOutcome, JobProgress, JobRow, OwnerClocks, StoredProgress};
 use crate::queue::{QueueConfig, QueueRules};
 use crate::reasons::{PlacementReason, StepWait, StopReason};
 use crate::records::{JobRecord, OccurrenceRecord};
@@ -304,20 +304,19 @@
         name: JobName,
         row: JobRow,
         progress: Option<&StoredProgress>,
-        now: TimePoint,
-        now_ms: u64,
+        clocks: &OwnerClocks,
     ) {
+        let (now, now_ms) = (clocks.now, clocks.wall_ms);
         if self.names.contains_key(&name) {
             return;
         }
         let queue = self.queue_rules(&row);
-        let age = Duration::from_millis(now_ms.saturating_sub(row.accepted_ms));
         let mut job = JobRecord {
             name,
             queue,
             service: row.service.as_str().into(),
             epoch: row.epoch,
-            accepted: now - age,
+            accepted: now - row.age(clocks),
             occurrences: Default::default(),
             next_occurrence: 0,
             outcome: JobOutcome::Open,
--- a/crates/wax-batch/tests/job_lifecycle.rs
+++ b/crates/wax-batch/tests/job_lifecycle.rs
@@ -659,7 +659,7 @@
     let mut row = JobRow::new(&spec(vec![step(1, 1_000)]), "gauges", "svc", unix_ms(0), 1);
     row.epoch = 1;
     let mut scheduler = scheduler(2);
-    scheduler.add_job(JobName(7), row, Some(&stored), at(0), unix_ms(0));
+    scheduler.add_job(JobName(7), row, Some(&stored), &clocks(0));
     let before = expired_before_last_mark(&[39, 40]);
     assert!(scheduler.removable_jobs(before, 8).is_empty());
     let after = expired_before_last_mark(&[40, 41]);
--- a/crates/wax-batch/tests/sharing.rs
+++ b/crates/wax-batch/tests/sharing.rs
@@ -472,7 +472,7 @@
     let job = spec(vec![best_effort_step(4)]);
     let mut row = JobRow::new(&job, "others", "other", unix_ms(0), 1);
     row.epoch = 1;
-    scheduler.add_job(JobName(2), row, None, at(0), unix_ms(0));
+    scheduler.add_job(JobName(2), row, None, &clocks(0));
     let orders = scheduler.place(at(110));
     assert_eq!(jobs_of(&orders), BTreeMap::from([(2, 4)]));
 }
@@ -612,7 +612,7 @@
             let mut row = JobRow::new(&job_spec, "gauges", "svc", unix_ms(now_ms), 1);
             row.epoch = 1;
             let scheduler = &mut replay.scheduler;
-            scheduler.add_job(name, row, None, at(now_ms), unix_ms(now_ms));
+            scheduler.add_job(name, row, None, &clocks(now_ms));
             arrivals.insert(name, now_ms);
         }
         replay.advance(now_ms);
--- a/crates/wax-batch/tests/slow_worker_replay.rs
+++ b/crates/wax-batch/tests/slow_worker_replay.rs
@@ -136,13 +136,8 @@
         let mut row =
             wax_batch::JobRow::new(&spec(vec![short]), "gauges", "svc", unix_ms(millis), 1);
         row.epoch = 1;
-        self.scheduler.add_job(
-            wax_batch::JobName(job),
-            row,
-            None,
-            at(millis),
-            unix_ms(millis),
-        );
+        self.scheduler
+            .add_job(wax_batch::JobName(job), row, None, &clocks(millis));
     }
 
     fn start(&mut self, order: &StartOrder, millis: u64) {
--- a/crates/wax-batch/tests/support/mod.rs
+++ b/crates/wax-batch/tests/support/mod.rs
@@ -3,8 +3,8 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 use wax_batch::{
-    JobName, JobProgress, JobRow, JobScheduler, JobSpec, QueueConfig, QueueRules, RunEnd,
-    RunEndKind, RunId, RunReport, StartOrder, StepSpec, StoredProgress, TaskName, TaskSize,
+    JobName, JobProgress, JobRow, JobScheduler, JobSpec, OwnerClocks, QueueConfig, QueueRules,
+    RunEnd, RunEndKind, RunId, RunReport, StartOrder, StepSpec, StoredProgress, TaskName, TaskSize,
     WorkerKey, WorkerView,
 };
 use wax_policy::PlacementRules;
@@ -71,6 +71,15 @@
     }
 }
 
+/// Returns the clocks of an owner at `at(millis)`; the store's clock is not known.
+pub(crate) fn clocks(millis: u64) -> OwnerClocks {
+    OwnerClocks {
+        now: at(millis),
+        wall_ms: unix_ms(millis),
+        store_time: None,
+    }
+}
+
 /// Returns a fully reconciled scheduler of term `epoch`.
 pub(crate) fn scheduler(epoch: u64) -> JobScheduler {
     let mut scheduler = JobScheduler::new(epoch, PlacementRules::default());
@@ -92,7 +101,7 @@
         progress: progress.clone(),
         version: 1,
     });
-    scheduler.add_job(JobName(job), row, stored.as_ref(), at(0), unix_ms(0));
+    scheduler.add_job(JobName(job), row, stored.as_ref(), &clocks(0));
     JobName(job)
 }
 
--- a/crates/wax-front/src/accept.rs
+++ b/crates/wax-front/src/accept.rs
@@ -41,6 +41,7 @@
         wall_clock_ms(),
         fastrand::u64(1..),
     );
+    row.accepted_store_ms = shared.store.now().map(|time| time.0);
     loop {
         let owner = shared.owner.borrow().clone();
         // The row carries the number of the current term. Owners of earlier terms have never seen
--- a/crates/wax-owner/benches/scale.rs
+++ b/crates/wax-owner/benches/scale.rs
@@ -9,8 +9,8 @@
 use simulation::{PoolSize, SimulatedPool};
 use std::time::Duration;
 use wax_batch::{
-    JobName, JobRow, JobScheduler, JobSpec, RunEnd, RunEndKind, RunReport, StepSpec, TaskSize,
-    WorkerKey, WorkerView,
+    JobName, JobRow, JobScheduler, JobSpec, OwnerClocks, RunEnd, RunEndKind, RunReport, StepSpec,
+    TaskSize, WorkerKey, WorkerView,
 };
 use wax_policy::{PerformanceRules, PlacementRules};
 use wax_types::TimePoint;
@@ -101,7 +101,12 @@
     };
     let row = JobRow::new(&spec, "queue", "svc", 0, 1);
     let at = TimePoint::from_millis;
-    scheduler.add_job(JobName(1), row, None, at(0), 0);
+    let clocks = OwnerClocks {
+        now: at(0),
+        wall_ms: 0,
+        store_time: None,
+    };
+    scheduler.add_job(JobName(1), row, None, &clocks);
     let orders = scheduler.place(at(0));
     for (number, order) in (1..).zip(&orders) {
         scheduler.record_start(order.worker, order.run_id, at(0));
--- a/crates/wax-owner/src/load.rs
+++ b/crates/wax-owner/src/load.rs
@@ -10,7 +10,7 @@
 use prost::Message;
 use std::collections::HashMap;
 use std::time::Duration;
-use wax_batch::{JobName, JobProgress, JobRow, StoredProgress};
+use wax_batch::{JobName, JobProgress, JobRow, OwnerClocks, StoredProgress};
 use wax_trace::{Latency, record_latency};
 use wax_types::{TimePoint, WaxError, wall_clock_ms};
 use wax_wire::InterferenceUpdate;
@@ -145,7 +145,11 @@
     rows: &[StoredRow],
     progress: &HashMap<JobName, StoredProgress>,
 ) {
-    let (now, now_ms) = (shared.now(), wall_clock_ms());
+    let clocks = OwnerClocks {
+        now: shared.now(),
+        wall_ms: wall_clock_ms(),
+        store_time: shared.store.now(),
+    };
     let mut scheduler = term.scheduler.borrow_mut();
     let mut cancels = Vec::new();
     for row in rows {
@@ -159,13 +163,11 @@
                 term.end("a job was accepted in a later term");
                 return;
             }
-            (Ok(name), Ok(value)) => {
-                scheduler.add_job(name, value, progress.get(&name), now, now_ms)
-            }
+            (Ok(name), Ok(value)) => scheduler.add_job(name, value, progress.get(&name), &clocks),
             _ => tracing::error!(key = %row.key.key, "could not decode a job row"),
         }
     }
     for name in cancels {
-        scheduler.cancel(name, now_ms);
+        scheduler.cancel(name, clocks.wall_ms);
     }
 }
--- a/crates/wax-owner/tests/scale/simulation.rs
+++ b/crates/wax-owner/tests/scale/simulation.rs
@@ -5,9 +5,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use wax_batch::{
-    BootId, JobName, JobOutcome, JobRow, JobScheduler, JobSpec, QueueConfig, QueueRules, RunEnd,
-    RunEndKind, RunId, RunReport, StepSpec, StoredProgress, TaskSize, UnreconciledRuns, WorkerKey,
-    WorkerView,
+    BootId, JobName, JobOutcome, JobRow, JobScheduler, JobSpec, OwnerClocks, QueueConfig,
+    QueueRules, RunEnd, RunEndKind, RunId, RunReport, StepSpec, StoredProgress, TaskSize,
+    UnreconciledRuns, WorkerKey, WorkerView,
 };
 use wax_owner::{
     AgentRoster, AgentRow, AgentUpdate, EndedBoots, FrontRecord, FrontRoster, OwnerFitness,
@@ -256,9 +256,9 @@
         self.epoch += 1;
         self.scheduler = new_scheduler(self.epoch);
         for (name, (row, progress)) in &self.jobs {
-            let (now, now_ms) = (self.now, unix_ms(self.now));
+            let clocks = clocks(self.now);
             self.scheduler
-                .add_job(*name, row.clone(), progress.as_ref(), now, now_ms);
+                .add_job(*name, row.clone(), progress.as_ref(), &clocks);
         }
         self.roster = AgentRoster::default();
         let expires_at = self.now + self.timeouts.expiry_after_takeover();
@@ -450,8 +450,7 @@
         row.epoch = self.epoch;
         let name = JobName(self.next_job);
         self.jobs.insert(name, (row.clone(), None));
-        self.scheduler
-            .add_job(name, row, None, self.now, unix_ms(self.now));
+        self.scheduler.add_job(name, row, None, &clocks(self.now));
         self.has_changes = true;
         let pause = Duration::from_secs(1) * JOB_TASKS / self.size.tasks_per_second;
         self.after(pause, Event::SubmitJob);
@@ -619,6 +618,15 @@
     format!("side-{number}")
 }
 
+/// Returns the clocks of the owner at a simulated time.
+fn clocks(now: TimePoint) -> OwnerClocks {
+    OwnerClocks {
+        now,
+        wall_ms: unix_ms(now),
+        store_time: None,
+    }
+}
+
 /// Returns the Unix milliseconds of a simulated time.
 fn unix_ms(now: TimePoint) -> u64 {
     now.0 / 1_000
--- a/crates/wax-types/src/time.rs
+++ b/crates/wax-types/src/time.rs
@@ -49,6 +49,14 @@
     }
 }
 
+impl Add<Duration> for StoreTime {
+    type Output = Self;
+
+    fn add(self, duration: Duration) -> Self {
+        Self(self.0.saturating_add(duration.as_millis() as u64))
+    }
+}
+
 /// Clock since the VM's boot that also counts while the VM is suspended.
 ///
 /// Leases and ownership terms use it, so that they are seen to have expired after a suspension.
--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -5,6 +5,7 @@
 #[path = "../proofs/support/calls.rs"]
 #[allow(dead_code, reason = "shared with the test target `proofs`")]
 mod calls;
+mod clocks;
 #[path = "../common/mod.rs"]
 mod common;
 mod config;
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -22,7 +22,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
-use wax_batch::JobProgress;
+use wax_batch::{JobProgress, JobRow};
 
 /// Process that a test has started; it is killed when the value is dropped.
 pub(crate) struct SiteProcess {
@@ -680,24 +680,53 @@
         }
     }
 
+    /// Returns the value of a row of the shard.
+    async fn row_value(&self, table: &str, key: &str) -> Vec<u8> {
+        let url = format!("http://{}/v1/rows-get?table={table}&part=s0", self.store);
+        let page = wait_for("rows of the shard", || get_json(&url)).await;
+        let mut rows = page["rows"].as_array().into_iter().flatten();
+        let row = rows.find(|row| row["key"] == *key);
+        let value = row.expect("the row must exist")["value"].as_str();
+        let value = STANDARD.decode(value.expect("a row must have a value"));
+        value.expect("the value must be Base64")
+    }
+
+    async fn put_row(&self, table: &str, key: &str, value: &[u8]) {
+        let row = json!({ "table": table, "part": "s0", "key": key, "value": base64(value) });
+        self.commit_as_operator(json!({ "writes": [row] })).await;
+    }
+
     /// Changes the time at which a job ended by this much, as if the owner that stored the end had a different wall
     /// clock.
     pub(crate) async fn shift_end_of_job(&self, job: &str, difference_ms: i64) {
-        let url = format!("http://{}/v1/rows-get?table=progress&part=s0", self.store);
-        let rows = wait_for("the rows of progress", || get_json(&url)).await;
-        let rows = rows["rows"].as_array().expect("a page has rows");
-        let row = rows.iter().find(|row| row["key"] == *job);
-        let value = row.expect("the job must have a row")["value"].as_str();
-        let value = STANDARD.decode(value.expect("a row has a value"));
-        let mut progress = JobProgress::decode(&*value.expect("values are Base64"))
-            .expect("the row must be decoded");
-        assert_ne!(progress.ended_ms, 0, "the job has ended");
-        progress.ended_ms = progress.ended_ms.saturating_add_signed(difference_ms);
-        let value = base64(&progress.encode_to_vec());
-        self.commit_as_operator(
-            json!({ "writes": [{ "table": "progress", "part": "s0", "key": job, "value": value }] }),
-        )
+        let row = self.row_value("progress", job).await;
+        let mut row = JobProgress::decode(&*row).expect("the row must be decoded");
+        assert_ne!(row.ended_ms, 0, "the job must have ended");
+        row.ended_ms = row.ended_ms.saturating_add_signed(difference_ms);
+        self.put_row("progress", job, &row.encode_to_vec()).await;
+    }
+
+    /// Stores a copy of an accepted job under another name, as if the front that accepted it had a wall clock that
+    /// differs by this much.
+    pub(crate) async fn copy_job(&self, job: &str, copy: &str, difference_ms: i64) {
+        let row = self.row_value("job", job).await;
+        let mut row = JobRow::decode(&*row).expect("the row must be decoded");
+        row.accepted_ms = row.accepted_ms.saturating_add_signed(difference_ms);
+        self.put_row("job", copy, &row.encode_to_vec()).await;
+    }
+
+    /// Returns the age of a job at its end, in milliseconds, as the first front has logged it.
+    pub(crate) async fn logged_age_ms(&self, job: &str) -> u64 {
+        let line = wait_for("the line of the job's end", || async {
+            let log = self.log("front-0");
+            let mut lines = log.lines();
+            lines
+                .find(|line| line.contains("job ended") && line.contains(job))
+                .map(str::to_owned)
+        })
         .await;
+        let line: Value = serde_json::from_str(&line).expect("log lines must be JSON");
+        line["age_ms"].as_u64().expect("the line must have the age")
     }
 
     /// Commits a transaction to the store as the operator.
