Tests: states of ended jobs under drawn faults of fronts and of the store

Four jobs a round, each watched at random fronts until its state is removed; kills, stops, freezes and restarts of all fronts overlap with a store that is down, slow or loses answers.

--- a/tests/pool/retention.rs
+++ b/tests/pool/retention.rs
@@ -1,13 +1,22 @@
 //! How long callers can read the state of a job that has ended.
 
+use crate::calls::call;
 use crate::site::{Site, job, name, run, wait_for};
+use compio::runtime::spawn;
+use compio::time::sleep;
+use fastrand::Rng;
 use http::Method;
-use serde_json::json;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// `keep_ended_s` of the fronts, which is the users' `status_s`.
 const RETENTION: Duration = Duration::from_secs(4);
 const HOUR_MS: i64 = 3_600_000;
+/// Number of faults of a run with drawn faults. Each is one on a front and one on the store.
+const FAULTS: u32 = 8;
+/// Interval at which a caller submits jobs and asks for their states.
+const CALL_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Waits until the fronts answer that the job does not exist; returns the time since `submitted`.
 async fn wait_removed(site: &Site, job: &str, submitted: Instant) -> Duration {
@@ -104,3 +113,107 @@
         assert!(kept >= RETENTION, "kept for {kept:?} only");
     });
 }
+
+/// Asks for the state of a job at random fronts until it is removed; returns the time for which it was kept, counted
+/// from the last answer that showed it as open.
+async fn watch_state(fronts: Vec<SocketAddr>, job: String, mut rng: Rng) -> Duration {
+    let mut open_at = Instant::now();
+    loop {
+        let asked_at = Instant::now();
+        let front = fronts[rng.usize(0..fronts.len())];
+        let url = format!("http://{front}/g/{job}");
+        let answer = call(Method::GET, &url, &[("host", "h.example")], Vec::new()).await;
+        match answer {
+            Ok(answer) if answer.status == 410 => return open_at.elapsed(),
+            Ok(answer) if answer.status == 200 => {
+                let state = answer.json()["state"].as_str().map(str::to_owned);
+                if matches!(state.as_deref(), Some("queued" | "running")) {
+                    open_at = asked_at;
+                }
+            }
+            _ => {}
+        }
+        sleep(CALL_INTERVAL).await;
+    }
+}
+
+/// Injects one fault on a front, or on both, and one on the store, and ends both.
+async fn inject_faults(site: &mut Site, rng: &mut Rng) {
+    let faults: Value = match rng.u32(0..4) {
+        0 => json!({ "down": true }),
+        1 => json!({ "delay_ms": 250 }),
+        2 => json!({ "lose_percent": 30 }),
+        _ => json!({}),
+    };
+    let (fault, front) = (rng.u32(0..4), rng.usize(0..2));
+    let length = Duration::from_millis(rng.u64(200..3_000));
+    println!("fault {fault} on front {front}, {faults} on the store, for {length:?}");
+    site.set_store_faults(faults).await;
+    match fault {
+        0 => site.kill_front(front),
+        1 => site.signal_front(front, libc::SIGTERM),
+        2 => site.signal_front(front, libc::SIGSTOP),
+        _ => {
+            site.kill_front(0);
+            site.kill_front(1);
+        }
+    }
+    sleep(length).await;
+    site.set_store_faults(json!({})).await;
+    match fault {
+        2 => site.signal_front(front, libc::SIGCONT),
+        0 | 1 => {
+            site.kill_front(front);
+            site.start_front(front);
+        }
+        _ => {
+            site.start_front(0);
+            site.start_front(1);
+        }
+    }
+    sleep(Duration::from_millis(rng.u64(0..2_000))).await;
+}
+
+async fn states_are_kept_under_faults(seed: u64) {
+    println!("seed {seed}");
+    let mut rng = Rng::with_seed(seed);
+    let mut site = Site::start(&format!("retention-{seed}"), 2, 1).await;
+    site.set_retention(RETENTION).await;
+    let fronts: Vec<SocketAddr> = site.fronts.iter().map(|front| front.callers).collect();
+    let mut watches = Vec::new();
+    for round in 0..FAULTS {
+        for number in 1..=4 {
+            let job_name = name(u64::from(round * 10 + number));
+            site.submit(&job_name, &job(1, 1, rng.u64(10..600))).await;
+            watches.push(spawn(watch_state(fronts.clone(), job_name, rng.fork())));
+            sleep(CALL_INTERVAL).await;
+        }
+        inject_faults(&mut site, &mut rng).await;
+    }
+    for watch in watches {
+        let kept = watch.await.expect("the watch must not panic");
+        assert!(kept >= RETENTION, "seed {seed}: kept for {kept:?} only");
+    }
+}
+
+/// Guards against states that are forgotten early, or never, as faults of fronts and of the store follow each other.
+#[test]
+fn states_of_ended_jobs_are_kept_under_the_faults_of_seed_1() {
+    run(states_are_kept_under_faults(1));
+}
+
+/// Runs the same for a range of seeds. Does nothing unless `WAXWING_RETENTION` is set:
+/// `WAXWING_RETENTION=FIRST,LAST cargo test --workspace --test pool retention_by_hand`.
+#[test]
+fn retention_by_hand() {
+    let Ok(text) = std::env::var("WAXWING_RETENTION") else {
+        return;
+    };
+    let (first, last) = text
+        .split_once(',')
+        .expect("WAXWING_RETENTION must have two numbers");
+    let seed = |text: &str| text.parse::<u64>().expect("a seed must be a number");
+    for seed in seed(first)..=seed(last) {
+        run(states_are_kept_under_faults(seed));
+    }
+}
