The state of a job that is being removed does not go back to queued

Cause: without an owner that knows the job, a front reads the job's row and then its progress. Both rows are removed in one transaction. If it falls between the two reads, the progress is missing, which means queued.

Why this works: the progress is read first. If it is missing, the job's row that is read later is that of a job without progress; if the job's row is missing, the answer is that no such job exists.

The drawn test now prints the answers of a job that it finds kept for too short a time.

--- a/crates/wax-front/src/show.rs
+++ b/crates/wax-front/src/show.rs
@@ -29,15 +29,16 @@
         return Ok(Some(to_state(outcome, started)));
     }
     let left = deadline.since(state.shared.now());
+    // The progress is read first: both rows are removed at once, and a job whose progress is
+    // missing would be shown as queued.
+    let progress = state.shared.store.read_row(&progress_key(job), left).await;
+    state.note_store_answer(progress.is_ok());
+    let progress = progress?;
+    let left = deadline.since(state.shared.now());
     let rows = read_job_rows(state, job, left).await?;
     if !rows.iter().any(|row| row.key == job_key(job)) {
         return Ok(None);
     }
-    let progress = state
-        .shared
-        .store
-        .read_row(&progress_key(job), left)
-        .await?;
     let progress = match progress {
         Some(row) => JobProgress::decode(&*row.value)
             .map_err(|error| WaxError::new(ErrorKind::Protocol, Step::ReadJob, "store", error))?,
--- a/tests/pool/retention.rs
+++ b/tests/pool/retention.rs
@@ -114,24 +114,60 @@
     });
 }
 
+/// The rows of a completed job are removed while a front reads them. Guards against a state that goes back to queued,
+/// because the front finds the job's row and then misses its progress.
+#[test]
+fn a_job_that_is_removed_while_it_is_read_is_not_shown_as_queued() {
+    run(async {
+        let site = Site::start("removed-while-read", 1, 1).await;
+        for number in 1..=12 {
+            let job_name = name(number);
+            site.put_unknown_completed_job(&job_name).await;
+            site.set_store_faults(json!({ "delay_ms": 200 })).await;
+            let removal = async {
+                sleep(Duration::from_millis(50 * number)).await;
+                site.remove_job(&job_name).await;
+            };
+            let read = site.request(0, Method::GET, &job_name, Vec::new());
+            let (answer, ()) = futures_util::join!(read, removal);
+            let answer = answer.expect("the front must answer");
+            site.set_store_faults(json!({})).await;
+            if answer.status == 200 {
+                assert_eq!(answer.json()["state"], "completed", "removal {number}");
+            } else {
+                assert_eq!(answer.status, 410, "removal {number}");
+            }
+        }
+    });
+}
+
 /// Asks for the state of a job at random fronts until it is removed; returns the time for which it was kept, counted
 /// from the last answer that showed it as open.
 async fn watch_state(fronts: Vec<SocketAddr>, job: String, mut rng: Rng) -> Duration {
+    let mut answers = String::new();
     let mut open_at = Instant::now();
+    let began = Instant::now();
     loop {
         let asked_at = Instant::now();
-        let front = fronts[rng.usize(0..fronts.len())];
-        let url = format!("http://{front}/g/{job}");
+        let front = rng.usize(0..fronts.len());
+        let url = format!("http://{}/g/{job}", fronts[front]);
         let answer = call(Method::GET, &url, &[("host", "h.example")], Vec::new()).await;
-        match answer {
-            Ok(answer) if answer.status == 410 => return open_at.elapsed(),
-            Ok(answer) if answer.status == 200 => {
-                let state = answer.json()["state"].as_str().map(str::to_owned);
-                if matches!(state.as_deref(), Some("queued" | "running")) {
-                    open_at = asked_at;
+        if let Ok(answer) = answer {
+            let state = match answer.status {
+                200 => answer.json()["state"].as_str().unwrap_or("none").to_owned(),
+                status => status.to_string(),
+            };
+            let (asked, answered) = (asked_at - began, began.elapsed());
+            answers += &format!("{asked:?} to {answered:?} front {front}: {state}\n");
+            match state.as_str() {
+                "queued" | "running" => open_at = asked_at,
+                "410" if open_at.elapsed() < RETENTION => {
+                    println!("job {job}, kept for {:?}:\n{answers}", open_at.elapsed());
+                    return open_at.elapsed();
                 }
+                "410" => return open_at.elapsed(),
+                _ => {}
             }
-            _ => {}
         }
         sleep(CALL_INTERVAL).await;
     }
--- a/tests/pool/site.rs
+++ b/tests/pool/site.rs
@@ -22,7 +22,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
-use wax_batch::{JobProgress, JobRow};
+use wax_batch::{JobOutcome, JobProgress, JobRow};
 
 /// Process that a test has started; it is killed when the value is dropped.
 pub(crate) struct SiteProcess {
@@ -696,6 +696,24 @@
         self.commit_as_operator(json!({ "writes": [row] })).await;
     }
 
+    /// Stores a completed job that no owner knows, because its row cannot be decoded.
+    pub(crate) async fn put_unknown_completed_job(&self, job: &str) {
+        let progress = JobProgress {
+            outcome: JobOutcome::Completed.into(),
+            ..Default::default()
+        };
+        self.put_row("progress", job, &progress.encode_to_vec())
+            .await;
+        self.put_row("job", job, b"?").await;
+    }
+
+    /// Removes the rows of a job in one transaction, as owners do.
+    pub(crate) async fn remove_job(&self, job: &str) {
+        let key = |table| json!({ "table": table, "part": "s0", "key": job });
+        self.commit_as_operator(json!({ "remove": [key("job"), key("progress")] }))
+            .await;
+    }
+
     /// Changes the time at which a job ended by this much, as if the owner that stored the end had a different wall
     /// clock.
     pub(crate) async fn shift_end_of_job(&self, job: &str, difference_ms: i64) {
