--- a/review/harness-2/src/cases.rs
+++ b/review/harness-2/src/cases.rs
@@ -4,7 +4,7 @@
 use crate::runner::What;
 use crate::site::{Shape, Site};
 use serde_json::json;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -17,6 +17,7 @@
         "wide-job" => wide_job,
         "innocent-job" => innocent_job,
         "foreign-check-in" => foreign_check_in,
+        "zone-gone" => zone_gone,
         "explore" => crate::explore::explore,
         _ => return None,
     })
@@ -69,43 +70,57 @@
         max_attempts: 3,
     };
     play(root, &shape, |site| {
-        let id = "5c0e7a21d94b36f8";
-        let tasks = 2_400;
+        // 18 jobs of 100 tasks: 600 on each runner.
+        let ids: Vec<String> = (0..18)
+            .map(|n| format!("5c0e7a21d94b{:04x}", 0x3600 + n))
+            .collect();
         let job = json!({
-            "spec": json!({"ms": 6_000}).to_string(),
-            "phases": [{"count": tasks, "cpu": 20, "memMb": 10, "estimatedMs": 6_000}],
+            "spec": json!({"ms": 7_000}).to_string(),
+            "phases": [{"count": 100, "cpu": 25, "memMb": 10, "estimatedMs": 7_000}],
         });
-        if !site.submit(id, &job) {
-            return Err("the job was not accepted".into());
+        for id in &ids {
+            if !site.submit(id, &job) {
+                return Err("a job was not accepted".into());
+            }
         }
         let world = site.world.clone();
         let all = || (0..3).map(|number| world.running(number)).sum::<usize>();
-        if !wait_until(seconds(20.0), || all() > 0) {
-            return Err("no task has started".into());
+        if !wait_until(seconds(5.0), || all() == 1_800) {
+            return Err(format!("only {} tasks run at once", all()));
         }
-        // The first tasks end 6 s after their start.
-        std::thread::sleep(seconds(5.9));
+        // The tasks end 7 s after their start.
+        std::thread::sleep(seconds(5.7));
         let running = world.running(0);
-        site.record.line(format!("{running} runs on the first runner, {} in all", all()));
+        site.record.line(format!(
+            "{running} runs on the first runner, {} in all",
+            all()
+        ));
         if has_trouble {
             site.kill_agent(0);
-            std::thread::sleep(seconds(2.6));
+            // The platform starts it again once the tasks have ended, at the latest after 2.5 s.
+            wait_until(seconds(2.5), || world.running(0) == 0);
             site.record.line(format!(
                 "{} ends are not acknowledged on the first runner",
                 world.unacknowledged(0)
             ));
             site.start_agent(0).map_err(|error| error.to_string())?;
         }
-        let state = site.wait_state(id, &["completed", "failed"], seconds(60.0));
-        std::thread::sleep(seconds(3.0));
-        if state != "completed" && !has_trouble {
-            return Err(format!("the job is {state}"));
+        for id in &ids {
+            let state = site.wait_state(id, &["completed", "failed"], seconds(30.0));
+            if state != "completed" {
+                site.record.line(format!("the job {id} is {state}"));
+                if !has_trouble {
+                    return Err(format!("the job {id} is {state}"));
+                }
+            }
         }
+        std::thread::sleep(seconds(3.0));
         Ok(world.twice())
     })
 }
 
-/// The runner of one member of a gang crashes; the members' checkpoints differ afterwards.
+/// A runner crashes under members of many gangs; the checkpoints of a gang's members may differ
+/// afterwards.
 fn gang_checkpoints(root: &Path, has_trouble: bool) -> (Verdict, String) {
     let shape = Shape {
         fronts: 3,
@@ -114,36 +129,54 @@
         max_attempts: 3,
     };
     play(root, &shape, |site| {
-        let id = "5c0e7a21d94b36f8";
+        let gangs = 40_u64;
+        let ids: Vec<String> = (0..gangs)
+            .map(|n| format!("{:08x}{:08x}", 0x5c0e_7a21 + n * 0x0101, 0xd94b_36f8 - n))
+            .collect();
         let job = json!({
-            "spec": json!({"ms": 12_000, "gang": 4, "saves": true}).to_string(),
-            "phases": [{"count": 4, "cpu": 9_000, "memMb": 1_000, "estimatedMs": 12_000,
+            "spec": json!({"ms": 10_000, "gang": 3, "saves": true}).to_string(),
+            "phases": [{"count": 3, "cpu": 400, "memMb": 100, "estimatedMs": 10_000,
                         "gang": true, "checkpointing": true}],
         });
-        if !site.submit(id, &job) {
-            return Err("the job was not accepted".into());
+        for id in &ids {
+            if !site.submit(id, &job) {
+                return Err("a job was not accepted".into());
+            }
+            std::thread::sleep(seconds(0.05));
         }
         let world = site.world.clone();
-        if !wait_until(seconds(20.0), || world.machines_of(id).len() == 4) {
-            return Err("the gang has not started".into());
+        if !wait_until(seconds(5.0), || {
+            (0..4).map(|number| world.running(number)).sum::<usize>() == 3 * gangs as usize
+        }) {
+            return Err("the gangs have not started".into());
         }
+        std::thread::sleep(seconds(2.5));
         let mut crashed_at = None;
         if has_trouble {
-            std::thread::sleep(seconds(4.2));
             world.crash(0);
             crashed_at = Some(site.record.now());
             std::thread::sleep(seconds(4.5));
             world.boot(0).map_err(|error| error.to_string())?;
         }
-        let state = site.wait_state(id, &["completed", "failed"], seconds(70.0));
+        let until = Instant::now() + seconds(40.0);
+        let mut open = Vec::new();
+        for id in &ids {
+            let left = until.saturating_duration_since(Instant::now());
+            let state = site.wait_state(id, &["completed", "failed"], left);
+            if state != "completed" {
+                open.push(format!("the job {id} is shown as {state}"));
+            }
+        }
         let mut breaches = Vec::new();
-        let mut carried: HashMap<u64, HashSet<String>> = HashMap::new();
+        let mut carried: BTreeMap<(String, u64), BTreeSet<String>> = BTreeMap::new();
         for event in world.events() {
             if event.what == What::Start {
-                let values = carried.entry(event.run).or_default();
+                let step = event.task.rsplit_once('.').map_or("", |pair| pair.0);
+                let values = carried.entry((step.to_owned(), event.run)).or_default();
                 values.insert(event.checkpoint.clone());
             }
-            // Nothing is disturbed from 3 s after the new runner's start on.
+            // The runner is back after 4.5 s; contactMs (3 s) and gangTimeoutMs (3 s) later the run
+            // has begun and ended with nothing disturbed near.
             let calm = crashed_at.map_or(Duration::ZERO, |at| at + seconds(4.5 + 3.0 + 3.0));
             if event.what == What::End("alone") && event.at > calm {
                 breaches.push(format!(
@@ -154,24 +187,25 @@
                 ));
             }
         }
-        let mut unequal: Vec<String> = carried
-            .iter()
-            .filter(|(_, values)| values.len() > 1)
-            .map(|(run, values)| format!("run {run} of the gang carries unequal checkpoints {values:?}"))
-            .collect();
-        unequal.sort();
-        for line in &unequal {
+        for ((step, run), values) in carried.iter().filter(|(_, values)| values.len() > 1) {
+            site.record.line(format!(
+                "gang {step} run {run} is started with unequal checkpoints {values:?}"
+            ));
+        }
+        for line in &open {
             site.record.line(line);
         }
-        site.record.line(format!("the job is shown as {state}"));
-        if breaches.is_empty() && state != "completed" {
-            return Err(format!("the job is {state}, and no run ended alone"));
+        if breaches.is_empty() && !open.is_empty() {
+            return Err(format!(
+                "{} jobs are not completed, and no run ended alone",
+                open.len()
+            ));
         }
         if !breaches.is_empty() {
-            breaches.push(format!("the job is shown as {state}"));
-            breaches.extend(unequal);
+            open.append(&mut breaches);
+            return Ok(open);
         }
-        Ok(breaches)
+        Ok(Vec::new())
     })
 }
 
@@ -218,26 +252,59 @@
             let ends = events
                 .iter()
                 .filter(|event| event.what == What::End("done") && event.task.starts_with(&first));
-            ends.map(|event| event.task.clone()).collect::<HashSet<_>>().len()
+            ends.map(|event| event.task.clone())
+                .collect::<HashSet<_>>()
+                .len()
         };
         let is_done = wait_until(seconds(50.0), || {
             std::thread::sleep(Duration::from_millis(200));
             done() == tasks
         });
-        site.record.line(format!("{} of {tasks} tasks of step 0 have ended done", done()));
+        site.record.line(format!(
+            "{} of {tasks} tasks of step 0 have ended done",
+            done()
+        ));
         if !is_done {
             return Err("step 0 has not ended".into());
         }
-        // `finish_s`, and the 3 s of the rule.
-        let state = site.wait_state(id, &["completed", "failed"], seconds(14.0 + 8.0));
+        // A small job that has nothing to do with the wide one.
+        let other = "5c0e7a21d94b0002";
+        let small = json!({
+            "spec": json!({"ms": 500}).to_string(),
+            "phases": [
+                {"count": 4, "cpu": 100, "memMb": 10, "estimatedMs": 500},
+                {"count": 1, "cpu": 100, "memMb": 10, "estimatedMs": 500, "after": [0]},
+            ],
+        });
+        if !site.submit(other, &small) {
+            return Err("the small job was not accepted".into());
+        }
+        let state = site.wait_state(id, &["completed", "failed"], seconds(14.0));
+        let small_state = site.wait_state(other, &["completed", "failed"], seconds(8.0));
         let started = world.events().iter().any(|event| event.task == next);
         let running = all();
-        site.record.line(format!("the job is {state}; step 1 started: {started}; {running} runs now"));
+        site.record.line(format!(
+            "the job is {state}; step 1 started: {started}; {running} runs now"
+        ));
         if !started && running == 0 && state != "failed" {
-            return Ok(vec![format!(
+            let mut lines = vec![format!(
                 "all {tasks} tasks of step 0 ended done, the turn of {next} has come, nothing runs on any \
-                 runner, and it is not started within 22 s; the job is shown as {state}"
-            )]);
+                 runner, and it is not started within 14 s; the job is shown as {state}"
+            )];
+            let ended = (0..4).all(|n| {
+                let task = format!("{other}.0.0.{n}");
+                world
+                    .events()
+                    .iter()
+                    .any(|event| event.task == task && event.what == What::End("done"))
+            });
+            if ended && small_state != "completed" {
+                lines.push(format!(
+                    "the small job {other}, sent after the crash: its step 0 has ended done on the runners, its step 1 \
+                     is not started; it is shown as {small_state}"
+                ));
+            }
+            return Ok(lines);
         }
         if state == "failed" {
             return Ok(vec!["the job is shown as failed".into()]);
@@ -349,12 +416,12 @@
         let late = events.iter().filter(|event| {
             event.what == What::Start
                 && event.machine == machine
-                && event.at > drained_at + seconds(2.0)
+                && event.at > drained_at + seconds(3.0)
         });
         Ok(late
             .map(|event| {
                 format!(
-                    "{} run {} started on the draining runner of {machine} at {:.3}, {:.1} s after the ack (drainMs is 2 s)",
+                    "{} run {} started on the draining runner of {machine} at {:.3}, {:.1} s after the ack (drainMs is 3 s)",
                     event.task,
                     event.run,
                     event.at.as_secs_f64(),
@@ -364,3 +431,58 @@
             .collect())
     })
 }
+
+/// A zone is lost for good, with the owner's machine in it: tasks that last on its runners wait.
+fn zone_gone(root: &Path, has_trouble: bool) -> (Verdict, String) {
+    let shape = Shape {
+        fronts: 3,
+        sides: 6,
+        cpu: 16_000,
+        max_attempts: 3,
+    };
+    play(root, &shape, |site| {
+        let id = "5c0e7a21d94b36f8";
+        let job = json!({
+            "spec": json!({"lasts": true}).to_string(),
+            "phases": [{"count": 6, "cpu": 3_000, "memMb": 1_000, "estimatedMs": 500,
+                        "longRunning": true, "antiAffinity": 1}],
+        });
+        if !site.submit(id, &job) {
+            return Err("the job was not accepted".into());
+        }
+        let world = site.world.clone();
+        let all = || (0..6).map(|number| world.running(number)).sum::<usize>();
+        if !wait_until(seconds(10.0), || all() == 6) {
+            return Err("the tasks have not started".into());
+        }
+        std::thread::sleep(seconds(4.0));
+        if !has_trouble {
+            std::thread::sleep(seconds(20.0));
+            return if all() == 6 { Ok(Vec::new()) } else { Err("a task has ended".into()) };
+        }
+        let Some(owner) = site.owner() else {
+            return Err("no front says that it took over".into());
+        };
+        site.kill_front(owner);
+        for number in (0..6).filter(|number| number % 3 == owner % 3) {
+            site.kill_agent(number);
+            world.crash(number);
+        }
+        let lost_at = site.record.now();
+        let lost = 6 - all();
+        if lost == 0 {
+            return Err("no task was on the lost machines".into());
+        }
+        let is_back = wait_until(seconds(30.0), || all() == 6);
+        let took = (site.record.now() - lost_at).as_secs_f64();
+        site.record
+            .line(format!("{lost} tasks lost; all run again after {took:.2} s: {is_back}"));
+        if took > 9.0 {
+            return Ok(vec![format!(
+                "{lost} tasks that last have not run for {took:.2} s after their last runs (6 s and 3 s are allowed), \
+                 with capacity for them on four runners"
+            )]);
+        }
+        Ok(Vec::new())
+    })
+}
--- a/review/harness-2/src/explore.rs
+++ b/review/harness-2/src/explore.rs
@@ -38,7 +38,8 @@
     let saves = !lasts && draw.chance(50);
     let count = 1 + draw.next(if gang { 4 } else { 6 });
     for step in 0..steps {
-        let mut phase = json!({"count": count, "cpu": 200 + draw.next(1_300), "memMb": 100, "estimatedMs": ms});
+        let mut phase =
+            json!({"count": count, "cpu": 200 + draw.next(1_300), "memMb": 100, "estimatedMs": ms});
         if step > 0 && draw.chance(80) {
             phase["after"] = json!([draw.next(step)]);
         }
@@ -49,7 +50,7 @@
             phase["checkpointing"] = json!(true);
         }
         if draw.chance(20) {
-            phase["antiAffinity"] = json!(1 + draw.next(2));
+            phase["antiAffinity"] = json!(2);
         }
         if draw.chance(15) {
             phase["rackLocal"] = json!(true);
@@ -82,19 +83,26 @@
 }
 
 pub fn explore(root: &Path, _: bool) -> (Verdict, String) {
-    let seed: u64 = std::env::var("SEED").ok().and_then(|text| text.parse().ok()).unwrap_or(1);
+    let seed: u64 = std::env::var("SEED")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(1);
     let mut draw = Draw(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1);
     for _ in 0..5 {
         draw.next(2);
     }
-    let shape = Shape { fronts: 3, sides: 6, cpu: 16_000, max_attempts: 3 };
+    let shape = Shape {
+        fronts: 3,
+        sides: 6,
+        cpu: 16_000,
+        max_attempts: 3,
+    };
     let mut site = match Site::start(root, &shape) {
         Ok(site) => site,
         Err(error) => return (Verdict::Unplayed(error.to_string()), String::new()),
     };
     std::thread::sleep(Duration::from_secs(3));
     let world = site.world.clone();
-    let store = site.store.clone();
     let began = Instant::now();
     let mut jobs: HashMap<String, Value> = HashMap::new();
     let mut accepted: Vec<String> = Vec::new();
@@ -125,7 +133,11 @@
         if now >= next_fault {
             next_fault = now + Duration::from_millis(3_000 + draw.next(5_000));
             let kind = if draw.chance(60) { focus } else { second };
-            let length = Duration::from_millis(600 + draw.next(4_000));
+            let longest = std::env::var("LONGEST")
+                .ok()
+                .and_then(|text| text.parse().ok())
+                .unwrap_or(4_000);
+            let length = Duration::from_millis(600 + draw.next(longest));
             let undo = disturb(&mut site, kind, &mut draw);
             todo.push((now + length, undo));
         }
@@ -164,7 +176,8 @@
         if draw.chance(12) && !accepted.is_empty() {
             let id = accepted[draw.next(accepted.len() as u64) as usize].clone();
             if let Ok(answer) = site.ask("DELETE", &id, b"") {
-                site.record.line(format!("client: DELETE {id} -> {}", answer.status));
+                site.record
+                    .line(format!("client: DELETE {id} -> {}", answer.status));
                 if answer.status / 100 == 2 {
                     cancelled.entry(id).or_insert(site.record.now());
                 }
@@ -197,14 +210,17 @@
             lines.push(format!("job {id} is shown as {state} at the end: {job}"));
         }
     }
-    site.record.line(format!("focus {focus} {second}, {} jobs, {open} wrong states", accepted.len()));
+    site.record.line(format!(
+        "focus {focus} {second}, {} jobs, {open} wrong states",
+        accepted.len()
+    ));
     let text = site.record.text();
-    if std::env::var_os("KEEP").is_none() || lines.is_empty() {
-        site.end();
+    site.end();
+    let verdict = if lines.is_empty() {
+        Verdict::Held
     } else {
-        site.end();
-    }
-    let verdict = if lines.is_empty() { Verdict::Held } else { Verdict::Broken(lines) };
+        Verdict::Broken(lines)
+    };
     (verdict, text)
 }
 
@@ -321,12 +337,21 @@
 fn parts(task: &str) -> (&str, u64, usize, usize) {
     let mut words = task.split('.');
     let id = words.next().unwrap_or_default();
-    let mut next = || words.next().and_then(|word| word.parse::<u64>().ok()).unwrap_or(0);
+    let mut next = || {
+        words
+            .next()
+            .and_then(|word| word.parse::<u64>().ok())
+            .unwrap_or(0)
+    };
     (id, next(), next() as usize, next() as usize)
 }
 
 /// ORDER, ROUTE, LIMIT, GANG and UNASKED, as far as the harness sees them.
-fn check(jobs: &HashMap<String, Value>, events: &[Event], cancelled: &HashMap<String, Duration>) -> Vec<String> {
+fn check(
+    jobs: &HashMap<String, Value>,
+    events: &[Event],
+    cancelled: &HashMap<String, Duration>,
+) -> Vec<String> {
     let mut lines = Vec::new();
     let mut done: HashSet<&str> = HashSet::new();
     let mut running: HashMap<&str, Vec<&str>> = HashMap::new();
@@ -354,22 +379,33 @@
                 let here = running.entry(&event.machine).or_default();
                 let cpu = |task: &str| {
                     let (id, _, step, _) = parts(task);
-                    jobs.get(id).and_then(|job| job["phases"][step]["cpu"].as_u64()).unwrap_or(0)
+                    jobs.get(id)
+                        .and_then(|job| job["phases"][step]["cpu"].as_u64())
+                        .unwrap_or(0)
                 };
                 let used: u64 = here.iter().map(|task| cpu(task)).sum::<u64>() + cpu(&event.task);
                 if used > 16_000 {
-                    lines.push(format!("LIMIT: {used} on {} with {} at {:?}", event.machine, event.task, event.at));
+                    lines.push(format!(
+                        "LIMIT: {used} on {} with {} at {:?}",
+                        event.machine, event.task, event.at
+                    ));
                 }
                 let prefix = format!("{id}.{occurrence}.{step}.");
                 let limit = phase["antiAffinity"].as_u64().unwrap_or(u64::MAX);
                 let same = here.iter().filter(|task| task.starts_with(&prefix)).count() as u64;
                 if same >= limit {
-                    lines.push(format!("ROUTE antiAffinity: {} on {} at {:?}", event.task, event.machine, event.at));
+                    lines.push(format!(
+                        "ROUTE antiAffinity: {} on {} at {:?}",
+                        event.task, event.machine, event.at
+                    ));
                 }
                 if let Some(at) = cancelled.get(id)
                     && event.at > *at + Duration::from_secs(3)
                 {
-                    lines.push(format!("UNASKED: {} at {:?}, cancelled {at:?}", event.task, event.at));
+                    lines.push(format!(
+                        "UNASKED: {} at {:?}, cancelled {at:?}",
+                        event.task, event.at
+                    ));
                 }
                 here.push(&event.task);
             }
@@ -378,12 +414,21 @@
                     done.insert(&event.task);
                 }
                 if how == "alone" {
-                    lines.push(format!("GANG: {} run {} alone at {:?}", event.task, event.run, event.at));
+                    lines.push(format!(
+                        "GANG: {} run {} alone at {:?}",
+                        event.task, event.run, event.at
+                    ));
                 }
-                running.entry(&event.machine).or_default().retain(|task| *task != event.task);
+                running
+                    .entry(&event.machine)
+                    .or_default()
+                    .retain(|task| *task != event.task);
             }
             What::Killed => {
-                running.entry(&event.machine).or_default().retain(|task| *task != event.task);
+                running
+                    .entry(&event.machine)
+                    .or_default()
+                    .retain(|task| *task != event.task);
             }
             What::Noted(_) => {}
         }
--- a/review/harness-2/src/http.rs
+++ b/review/harness-2/src/http.rs
@@ -1,8 +1,8 @@
 //! A small HTTP/1.1 server and client on blocking sockets, one thread for each connection.
 
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::os::fd::AsRawFd;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -35,7 +35,9 @@
     let root = root.canonicalize().unwrap_or(root);
     // The time limit of a script, with some seconds to spare.
     std::thread::spawn(|| {
-        std::thread::sleep(std::time::Duration::from_secs(118));
+        std::thread::sleep(std::time::Duration::from_secs(115));
+        // The processes of the project end with this program.
+        let _ = std::fs::remove_dir_all(site::folder());
         eprintln!("the case took too long");
         exit(2);
     });
--- a/review/harness-2/src/runner.rs
+++ b/review/harness-2/src/runner.rs
@@ -157,6 +157,8 @@
     pub late_percent: AtomicU64,
     /// Whether runners send `born` (`demands/LATER.md`).
     pub sends_born: AtomicBool,
+    /// Whether a runner starts again under the id that it had.
+    pub keeps_id: AtomicBool,
 }
 
 impl World {
@@ -167,7 +169,8 @@
             record,
             servers: Mutex::default(),
             late_percent: AtomicU64::new(0),
-            sends_born: AtomicBool::new(false),
+            sends_born: AtomicBool::new(std::env::var_os("SAMEID").is_some()),
+            keeps_id: AtomicBool::new(std::env::var_os("SAMEID").is_some()),
         });
         let ticking = world.clone();
         std::thread::spawn(move || {
@@ -220,13 +223,18 @@
             let machine = &mut state.machines[number];
             machine.boots += 1;
             machine.draining = false;
-            let id = format!("i-{:04x}{:04x}", 0x7f30 + number, machine.boots);
+            let shown = if self.keeps_id.load(Ordering::SeqCst) {
+                1
+            } else {
+                machine.boots
+            };
+            let id = format!("i-{:04x}{shown:04x}", 0x7f30 + number);
             self.record
                 .line(format!("runner {id} starts on {}", machine.name));
             machine.boot = Some(Boot {
                 id,
                 began: Instant::now(),
-                clock_base: 400_000 + 1_000 * number as u64,
+                clock_base: if machine.boots == 1 { 400_000 } else { 1_000 },
                 token: 0,
                 deadline_ms: 0,
                 runs: BTreeMap::new(),
@@ -366,7 +374,11 @@
             };
             if boot.clock_ms() > boot.deadline_ms {
                 boot.lapsed_at = Some(now);
-                ended.extend(boot.runs.keys().map(|task| (number, task.clone(), "lapsed")));
+                ended.extend(
+                    boot.runs
+                        .keys()
+                        .map(|task| (number, task.clone(), "lapsed")),
+                );
                 continue;
             }
             for (task, run) in &mut boot.runs {
@@ -533,7 +545,7 @@
                         return None;
                     }
                     let page = boot.ends.iter().take(ENDS_PER_ANSWER);
-                    let last = page.map(|end| end.number).last().unwrap_or(0);
+                    let last = page.map(|end| end.number).max().unwrap_or(0);
                     let left = until.saturating_duration_since(Instant::now());
                     if last > boot.listed || left.is_zero() {
                         boot.listed = boot.listed.max(last);
@@ -558,8 +570,8 @@
         if boot.runs.get(&task).is_some_and(|record| record.run == run) {
             return Some(Response::json(200, &json!({"clockMs": boot.clock_ms()})));
         }
-        let is_old =
-            boot.closed.get(&task).is_some_and(|closed| run <= *closed) || boot.runs.contains_key(&task);
+        let is_old = boot.closed.get(&task).is_some_and(|closed| run <= *closed)
+            || boot.runs.contains_key(&task);
         if is_old {
             extend(boot, deadline);
             return Some(refusal(boot, "old"));
--- a/review/harness-2/src/site.rs
+++ b/review/harness-2/src/site.rs
@@ -9,6 +9,7 @@
 use std::fs::File;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
@@ -47,6 +48,11 @@
     pub max_attempts: u64,
 }
 
+/// The temporary folder of this program.
+pub fn folder() -> PathBuf {
+    std::env::temp_dir().join(format!("review-case-{}", std::process::id()))
+}
+
 fn is_free(address: SocketAddr) -> bool {
     TcpListener::bind(address).is_ok()
 }
@@ -69,7 +75,9 @@
 
 fn choose(shape: &Shape) -> io::Result<(u8, Ports)> {
     for attempt in 0..200_u64 {
-        let draw = seed().wrapping_mul(6364136223846793005).wrapping_add(attempt * 7919);
+        let draw = seed()
+            .wrapping_mul(6364136223846793005)
+            .wrapping_add(attempt * 7919);
         let net = 20 + (draw >> 40) as u8 % 200;
         let base = 13_000 + ((draw >> 20) % 1_800) as u16 * 10;
         let ports = Ports {
@@ -100,7 +108,7 @@
 impl Site {
     pub fn start(root: &Path, shape: &Shape) -> io::Result<Self> {
         let record = Arc::new(Record::new());
-        let folder = std::env::temp_dir().join(format!("review-case-{}", std::process::id()));
+        let folder = folder();
         std::fs::create_dir_all(&folder)?;
         let (net, ports) = choose(shape)?;
         let store_address: SocketAddr = format!("127.{net}.0.1:{}", ports.store).parse().unwrap();
@@ -203,6 +211,21 @@
         Ok(process)
     }
 
+    /// Returns the front that took over the shard last, by the fronts' logs.
+    pub fn owner(&self) -> Option<usize> {
+        let last = |front: &Process| {
+            let log = std::fs::read_to_string(&front.log).ok()?;
+            let line = log.lines().rev().find(|line| line.contains("took over the shard"))?;
+            let line: Value = serde_json::from_str(line).ok()?;
+            line["epoch"].as_u64()
+        };
+        let terms = self.fronts.iter().enumerate();
+        terms
+            .filter_map(|(number, front)| Some((last(front)?, number)))
+            .max()
+            .map(|(_, number)| number)
+    }
+
     pub fn kill_agent(&mut self, number: usize) {
         self.record
             .line(format!("SIGKILL to the agent {}", self.agents[number].name));
@@ -233,7 +256,14 @@
         let address = self.callers[self.turn % self.callers.len()];
         let headers = [("Host", HOST), ("Waxwingfield-Timeout-Ms", "3000")];
         let limit = Duration::from_millis(3_000);
-        call(address, method, &format!("{PREFIX}{id}"), &headers, body, limit)
+        call(
+            address,
+            method,
+            &format!("{PREFIX}{id}"),
+            &headers,
+            body,
+            limit,
+        )
     }
 
     /// Submits a job until it is accepted; `false` after 15 s.
@@ -310,7 +340,8 @@
         .create(true)
         .append(true)
         .open(&process.log)?;
-    let child = Command::new(root.join("target/release/waxwingd"))
+    let mut command = Command::new(root.join("target/release/waxwingd"));
+    command
         .arg("--settings")
         .arg(&process.settings)
         .current_dir(root)
@@ -319,9 +350,15 @@
         .env("WAXWINGFIELD_BOOT", &process.settings)
         .stdin(Stdio::null())
         .stdout(output.try_clone()?)
-        .stderr(output)
-        .spawn()?;
-    process.child = Some(child);
+        .stderr(output);
+    // SAFETY: `prctl` is safe between fork and exec. The process ends with this program, however this program ends.
+    unsafe {
+        command.pre_exec(|| {
+            libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL);
+            Ok(())
+        });
+    }
+    process.child = Some(command.spawn()?);
     Ok(())
 }
 
--- a/review/harness-2/src/store.rs
+++ b/review/harness-2/src/store.rs
@@ -82,7 +82,9 @@
             }
             _ => {}
         }
-        std::thread::sleep(Duration::from_millis(self.faults.slow_ms.load(Ordering::SeqCst)));
+        std::thread::sleep(Duration::from_millis(
+            self.faults.slow_ms.load(Ordering::SeqCst),
+        ));
         let answer = self.answer(request);
         let lost = self.faults.lost_percent.load(Ordering::SeqCst);
         if request.path == "/v1/rows-tx" && draw(100) < u64::from(lost) {
@@ -153,8 +155,7 @@
                     Some(row_json(&key, value, *version))
                 })
                 .collect();
-            let body =
-                json!({"rows": current, "rowVersion": rows.version, "nowMs": self.now_ms()});
+            let body = json!({"rows": current, "rowVersion": rows.version, "nowMs": self.now_ms()});
             return Response::json(412, &body);
         }
         rows.version += 1;
