--- a/review/harness-2/src/cases.rs
+++ b/review/harness-2/src/cases.rs
@@ -18,6 +18,7 @@
         "innocent-job" => innocent_job,
         "foreign-check-in" => foreign_check_in,
         "zone-gone" => zone_gone,
+        "old-schedule" => old_schedule,
         "explore" => crate::explore::explore,
         _ => return None,
     })
@@ -129,20 +130,20 @@
         max_attempts: 3,
     };
     play(root, &shape, |site| {
-        let gangs = 40_u64;
+        let gangs = 80_u64;
         let ids: Vec<String> = (0..gangs)
             .map(|n| format!("{:08x}{:08x}", 0x5c0e_7a21 + n * 0x0101, 0xd94b_36f8 - n))
             .collect();
         let job = json!({
             "spec": json!({"ms": 10_000, "gang": 3, "saves": true}).to_string(),
-            "phases": [{"count": 3, "cpu": 400, "memMb": 100, "estimatedMs": 10_000,
+            "phases": [{"count": 3, "cpu": 200, "memMb": 100, "estimatedMs": 10_000,
                         "gang": true, "checkpointing": true}],
         });
         for id in &ids {
             if !site.submit(id, &job) {
                 return Err("a job was not accepted".into());
             }
-            std::thread::sleep(seconds(0.05));
+            std::thread::sleep(seconds(0.02));
         }
         let world = site.world.clone();
         if !wait_until(seconds(5.0), || {
@@ -444,21 +445,25 @@
         let id = "5c0e7a21d94b36f8";
         let job = json!({
             "spec": json!({"lasts": true}).to_string(),
-            "phases": [{"count": 6, "cpu": 3_000, "memMb": 1_000, "estimatedMs": 500,
-                        "longRunning": true, "antiAffinity": 1}],
+            "phases": [{"count": 10, "cpu": 2_000, "memMb": 1_000, "estimatedMs": 500,
+                        "longRunning": true, "antiAffinity": 3}],
         });
         if !site.submit(id, &job) {
             return Err("the job was not accepted".into());
         }
         let world = site.world.clone();
         let all = || (0..6).map(|number| world.running(number)).sum::<usize>();
-        if !wait_until(seconds(10.0), || all() == 6) {
+        if !wait_until(seconds(10.0), || all() == 10) {
             return Err("the tasks have not started".into());
         }
         std::thread::sleep(seconds(4.0));
         if !has_trouble {
             std::thread::sleep(seconds(20.0));
-            return if all() == 6 { Ok(Vec::new()) } else { Err("a task has ended".into()) };
+            return if all() == 10 {
+                Ok(Vec::new())
+            } else {
+                Err("a task has ended".into())
+            };
         }
         let Some(owner) = site.owner() else {
             return Err("no front says that it took over".into());
@@ -469,14 +474,15 @@
             world.crash(number);
         }
         let lost_at = site.record.now();
-        let lost = 6 - all();
+        let lost = 10 - all();
         if lost == 0 {
             return Err("no task was on the lost machines".into());
         }
-        let is_back = wait_until(seconds(30.0), || all() == 6);
+        let is_back = wait_until(seconds(30.0), || all() == 10);
         let took = (site.record.now() - lost_at).as_secs_f64();
-        site.record
-            .line(format!("{lost} tasks lost; all run again after {took:.2} s: {is_back}"));
+        site.record.line(format!(
+            "{lost} tasks lost; all run again after {took:.2} s: {is_back}"
+        ));
         if took > 9.0 {
             return Ok(vec![format!(
                 "{lost} tasks that last have not run for {took:.2} s after their last runs (6 s and 3 s are allowed), \
@@ -486,3 +492,65 @@
         Ok(Vec::new())
     })
 }
+
+/// One job whose many times are all due already, beside small ones.
+fn old_schedule(root: &Path, has_trouble: bool) -> (Verdict, String) {
+    let shape = Shape {
+        fronts: 3,
+        sides: 3,
+        cpu: 16_000,
+        max_attempts: 3,
+    };
+    play(root, &shape, |site| {
+        let count: u64 = std::env::var("COUNT")
+            .ok()
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(100_000);
+        let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        let now = now.map_or(0, |span| span.as_millis() as u64);
+        if has_trouble {
+            let job = json!({
+                "spec": json!({"ms": 300}).to_string(),
+                "phases": [{"count": 1, "cpu": 1_000, "memMb": 100, "estimatedMs": 300}],
+                "repeatCount": count, "intervalMs": 1_000, "startAtMs": now - 1_000 * count,
+            });
+            if !site.submit("5c0e7a21d94b0001", &job) {
+                return Err("the job was not accepted".into());
+            }
+        }
+        let mut lines = Vec::new();
+        for number in 0..20_u64 {
+            let id = format!("5c0e7a21d94b{:04x}", 16 + number);
+            let job = json!({
+                "spec": json!({"ms": 200}).to_string(),
+                "phases": [{"count": 2, "cpu": 500, "memMb": 100, "estimatedMs": 200}],
+            });
+            let began = Instant::now();
+            let accepted = site.submit(&id, &job);
+            let state = site.wait_state(&id, &["completed", "failed"], seconds(6.0));
+            site.record.line(format!(
+                "job {id}: accepted {accepted}, {state} after {:.2} s",
+                began.elapsed().as_secs_f64()
+            ));
+            if state != "completed" {
+                lines.push(format!("job {id}: accepted {accepted}, {state}"));
+            }
+            if lines.len() > 5 {
+                break;
+            }
+        }
+        for front in &site.fronts {
+            if let Some(pid) = front.pid() {
+                let status =
+                    std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+                let rss = status
+                    .lines()
+                    .find(|line| line.starts_with("VmHWM"))
+                    .unwrap_or_default()
+                    .to_owned();
+                site.record.line(format!("front {pid} {rss}"));
+            }
+        }
+        Ok(lines)
+    })
+}
--- a/review/harness-2/src/site.rs
+++ b/review/harness-2/src/site.rs
@@ -215,7 +215,10 @@
     pub fn owner(&self) -> Option<usize> {
         let last = |front: &Process| {
             let log = std::fs::read_to_string(&front.log).ok()?;
-            let line = log.lines().rev().find(|line| line.contains("took over the shard"))?;
+            let line = log
+                .lines()
+                .rev()
+                .find(|line| line.contains("took over the shard"))?;
             let line: Value = serde_json::from_str(line).ok()?;
             line["epoch"].as_u64()
         };
