--- a/review/harness-2/src/cases.rs
+++ b/review/harness-2/src/cases.rs
@@ -19,6 +19,9 @@
         "foreign-check-in" => foreign_check_in,
         "zone-gone" => zone_gone,
         "old-schedule" => old_schedule,
+        "innocent-watch" => innocent_watch,
+        "budget" => budget,
+        "late-insert" => late_insert,
         "explore" => crate::explore::explore,
         _ => return None,
     })
@@ -69,6 +72,7 @@
         sides: 3,
         cpu: 16_000,
         max_attempts: 3,
+        born: false,
     };
     play(root, &shape, |site| {
         // 18 jobs of 100 tasks: 600 on each runner.
@@ -128,6 +132,7 @@
         sides: 4,
         cpu: 16_000,
         max_attempts: 3,
+        born: false,
     };
     play(root, &shape, |site| {
         let gangs = 80_u64;
@@ -217,6 +222,7 @@
         sides: 4,
         cpu: 16_000,
         max_attempts: 3,
+        born: false,
     };
     play(root, &shape, |site| {
         let id = "5c0e7a21d94b36f8";
@@ -321,6 +327,7 @@
         sides: 5,
         cpu: 16_000,
         max_attempts: 3,
+        born: false,
     };
     play(root, &shape, |site| {
         let id = "5c0e7a21d94b36f8";
@@ -362,14 +369,14 @@
     })
 }
 
-/// A check-in of another writer, with fields missing, arrives under a runner's id; later the runner
-/// drains.
+/// Check-ins of another writer, with fields missing, arrive under the runners' ids.
 fn foreign_check_in(root: &Path, has_trouble: bool) -> (Verdict, String) {
     let shape = Shape {
         fronts: 3,
         sides: 3,
         cpu: 16_000,
         max_attempts: 3,
+        born: true,
     };
     play(root, &shape, |site| {
         let world = site.world.clone();
@@ -377,59 +384,56 @@
             let id = format!("5c0e7a21d94b{number:04x}");
             let job = json!({
                 "spec": json!({"ms": 400}).to_string(),
-                "phases": [{"count": 12, "cpu": 1_500, "memMb": 100, "estimatedMs": 400}],
+                "phases": [{"count": 6, "cpu": 1_500, "memMb": 100, "estimatedMs": 400}],
             });
-            site.submit(&id, &job)
+            site.submit(&id, &job).then_some(id)
         };
-        for number in 0..8 {
-            if !submit(site, number) {
+        for number in 0..6 {
+            let Some(id) = submit(site, number) else {
                 return Err("a job was not accepted".into());
+            };
+            if site.wait_state(&id, &["completed"], seconds(5.0)) != "completed" {
+                return Err("a job does not run before anything happens".into());
             }
-            std::thread::sleep(seconds(0.5));
         }
         if has_trouble {
             let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
             let sequence = now.map_or(0, |span| span.as_millis() as u64);
-            let body = json!({
-                "service": "niveau-service", "state": "ready", "sequence": sequence,
-                "capacity": {"cpu": 16_000, "memMb": 64_000},
-            });
-            world.foreign_check_in(0, &body);
+            let body = json!({"service": "niveau-service", "state": "ready", "sequence": sequence});
+            for number in 0..3 {
+                world.foreign_check_in(number, &body);
+            }
         }
-        std::thread::sleep(seconds(4.0));
-        let Some(drained_at) = world.drain(0) else {
-            return Err("the draining runner got no acknowledgement".into());
-        };
-        for number in 8..40 {
-            submit(site, number);
-            std::thread::sleep(seconds(0.2));
+        // Two check-ins of each runner.
+        std::thread::sleep(seconds(3.2));
+        let ids: Vec<Option<String>> = (16..26).map(|number| submit(site, number)).collect();
+        let ids: Vec<String> = ids.into_iter().flatten().collect();
+        if ids.is_empty() {
+            return Err("no job was accepted".into());
         }
+        // `finish_s`, and the 3 s of the rule.
+        std::thread::sleep(seconds(14.0));
+        let mut lines = Vec::new();
+        let started = |id: &str| {
+            let events = world.events();
+            events.iter().any(|event| event.task.starts_with(id))
+        };
+        let waiting: Vec<&String> = ids.iter().filter(|id| !started(id)).collect();
         std::thread::sleep(seconds(3.0));
-        let machine = world.machine_name(0);
-        let events = world.events();
-        let before = events
-            .iter()
-            .filter(|event| event.what == What::Start && event.machine == machine)
-            .filter(|event| event.at < drained_at);
-        if before.count() == 0 {
-            return Err("nothing ever started on the runner".into());
-        }
-        let late = events.iter().filter(|event| {
-            event.what == What::Start
-                && event.machine == machine
-                && event.at > drained_at + seconds(3.0)
-        });
-        Ok(late
-            .map(|event| {
-                format!(
-                    "{} run {} started on the draining runner of {machine} at {:.3}, {:.1} s after the ack (drainMs is 3 s)",
-                    event.task,
-                    event.run,
-                    event.at.as_secs_f64(),
-                    (event.at - drained_at).as_secs_f64()
-                )
-            })
-            .collect())
+        for id in waiting {
+            if !started(id) {
+                let state = site.state(id).unwrap_or_else(|| "no answer".into());
+                lines.push(format!(
+                    "job {id} was accepted, nothing of it has started in 17 s, and nothing runs on any of the three \
+                     runners (16 cores each); it is shown as {state}"
+                ));
+            }
+        }
+        // The runners say the same as ever, and get their acknowledgements.
+        let status: Vec<Option<u16>> = (0..3).map(|number| world.report(number)).collect();
+        site.record
+            .line(format!("check-ins of the runners -> {status:?}"));
+        Ok(lines)
     })
 }
 
@@ -440,6 +444,7 @@
         sides: 6,
         cpu: 16_000,
         max_attempts: 3,
+        born: false,
     };
     play(root, &shape, |site| {
         let id = "5c0e7a21d94b36f8";
@@ -500,6 +505,7 @@
         sides: 3,
         cpu: 16_000,
         max_attempts: 3,
+        born: false,
     };
     play(root, &shape, |site| {
         let count: u64 = std::env::var("COUNT")
@@ -554,3 +560,185 @@
         Ok(lines)
     })
 }
+
+/// Runners crash one after the other, each while the watch of the same job runs there.
+fn innocent_watch(root: &Path, has_trouble: bool) -> (Verdict, String) {
+    let shape = Shape {
+        fronts: 3,
+        sides: 6,
+        cpu: 16_000,
+        max_attempts: 3,
+        born: false,
+    };
+    play(root, &shape, |site| {
+        let id = "5c0e7a21d94b36f8";
+        let job = json!({
+            "spec": json!({"lasts": true}).to_string(),
+            "phases": [{"count": 1, "cpu": 3_000, "memMb": 1_000, "estimatedMs": 500,
+                        "longRunning": true}],
+        });
+        if !site.submit(id, &job) {
+            return Err("the job was not accepted".into());
+        }
+        let world = site.world.clone();
+        let crashes = if has_trouble { 5 } else { 0 };
+        for _ in 0..crashes {
+            if !wait_until(seconds(12.0), || !world.machines_of(id).is_empty()) {
+                break;
+            }
+            std::thread::sleep(seconds(2.0));
+            let Some(machine) = world.machines_of(id).first().copied() else {
+                break;
+            };
+            world.crash(machine);
+            std::thread::sleep(seconds(4.5));
+            world.boot(machine).map_err(|error| error.to_string())?;
+        }
+        std::thread::sleep(seconds(12.0));
+        let state = site.wait_state(id, &["failed", "cancelled"], seconds(2.0));
+        let events = world.events();
+        let count = |what: What| events.iter().filter(|event| event.what == what).count();
+        let (failed, killed) = (count(What::End("failed")), count(What::Killed));
+        site.record.line(format!("the job is shown as {state}"));
+        match state.as_str() {
+            "running" => Ok(Vec::new()),
+            "failed" => Ok(vec![format!(
+                "the job, whose task lasts, is shown as failed after {killed} crashes of runners; {failed} of its runs ended failed"
+            )]),
+            other => Err(format!("the job is {other}")),
+        }
+    })
+}
+
+/// The owner's front and half of the agents are killed at once, while tasks fail.
+fn budget(root: &Path, has_trouble: bool) -> (Verdict, String) {
+    let shape = Shape {
+        fronts: 3,
+        sides: 6,
+        cpu: 16_000,
+        max_attempts: 2,
+        born: false,
+    };
+    play(root, &shape, |site| {
+        let mut number = 0_u64;
+        let rounds = if has_trouble { 6 } else { 1 };
+        for _ in 0..rounds {
+            let until = Instant::now() + seconds(6.0);
+            let mut struck = false;
+            while Instant::now() < until {
+                let id = format!("5c0e7a21{:08x}", 0xd94b_0000 + number);
+                number += 1;
+                let job = json!({
+                    "spec": json!({"ms": 1_500, "fail": true}).to_string(),
+                    "phases": [{"count": 8, "cpu": 150, "memMb": 100, "estimatedMs": 1_500}],
+                });
+                let _ = site.ask("POST", &id, job.to_string().as_bytes());
+                std::thread::sleep(seconds(0.03));
+                if has_trouble
+                    && !struck
+                    && until.saturating_duration_since(Instant::now()) < seconds(2.5)
+                {
+                    struck = true;
+                    let Some(owner) = site.owner() else { continue };
+                    site.kill_front(owner);
+                    let agent = 0;
+                    site.kill_agent(agent);
+                    std::thread::sleep(seconds(2.2));
+                    site.start_front(owner).map_err(|error| error.to_string())?;
+                    site.start_agent(agent).map_err(|error| error.to_string())?;
+                }
+            }
+        }
+        std::thread::sleep(seconds(12.0));
+        let events = site.world.events();
+        let mut noted: HashSet<(&str, u64)> = HashSet::new();
+        for event in &events {
+            if event.what == What::Noted("failed") {
+                noted.insert((&event.task, event.run));
+            }
+        }
+        let mut failed: BTreeMap<&str, u64> = BTreeMap::new();
+        let mut lines = Vec::new();
+        for event in &events {
+            match event.what {
+                What::End("failed") if noted.contains(&(event.task.as_str(), event.run)) => {
+                    *failed.entry(&event.task).or_default() += 1;
+                }
+                What::Start if failed.get(event.task.as_str()).copied().unwrap_or(0) >= 2 => {
+                    lines.push(format!(
+                        "{} run {} started on {} at {:.3} after two runs that ended failed and were noted (maxAttempts 2)",
+                        event.task, event.run, event.machine, event.at.as_secs_f64()
+                    ));
+                }
+                _ => {}
+            }
+        }
+        Ok(lines)
+    })
+}
+
+/// A client leaves before its job's insert is answered, and cancels; the store performs the insert
+/// late.
+fn late_insert(root: &Path, has_trouble: bool) -> (Verdict, String) {
+    let shape = Shape {
+        fronts: 3,
+        sides: 3,
+        cpu: 16_000,
+        max_attempts: 3,
+        born: false,
+    };
+    play(root, &shape, |site| {
+        let id = "5c0e7a21d94b36f8";
+        let job = json!({
+            "spec": json!({"ms": 5_000}).to_string(),
+            "phases": [
+                {"count": 2, "cpu": 400, "memMb": 100, "estimatedMs": 5_000},
+                {"count": 2, "cpu": 400, "memMb": 100, "estimatedMs": 5_000, "after": [0]},
+            ],
+        });
+        if has_trouble {
+            site.store
+                .faults
+                .late_job
+                .store(1, std::sync::atomic::Ordering::SeqCst);
+        }
+        let headers = [
+            ("Host", crate::site::HOST),
+            ("Waxwingfield-Timeout-Ms", "3000"),
+        ];
+        let path = format!("{}{id}", crate::site::PREFIX);
+        let answer = crate::http::call(
+            site.callers[0],
+            "POST",
+            &path,
+            &headers,
+            job.to_string().as_bytes(),
+            seconds(0.6),
+        );
+        let answer = answer
+            .map(|answer| answer.status)
+            .map_err(|error| error.to_string());
+        site.record
+            .line(format!("client: POST -> {answer:?}, leaves"));
+        let answer = site
+            .ask("DELETE", id, b"")
+            .map_err(|error| error.to_string())?;
+        let cancelled_at = site.record.now();
+        site.record
+            .line(format!("client: DELETE -> {}", answer.status));
+        let status = answer.status;
+        std::thread::sleep(seconds(14.0));
+        let state = site.state(id);
+        site.record.line(format!("client: GET -> {state:?}"));
+        let late =
+            site.world.events().into_iter().filter(|event| {
+                event.what == What::Start && event.at > cancelled_at + seconds(3.0)
+            });
+        Ok(late
+            .map(|event| format!(
+                "{} started at {:.3}, {:.1} s after the DELETE was answered {status}; the job is {state:?}",
+                event.task, event.at.as_secs_f64(), (event.at - cancelled_at).as_secs_f64()
+            ))
+            .collect())
+    })
+}
--- a/review/harness-2/src/explore.rs
+++ b/review/harness-2/src/explore.rs
@@ -96,6 +96,7 @@
         sides: 6,
         cpu: 16_000,
         max_attempts: 3,
+        born: false,
     };
     let mut site = match Site::start(root, &shape) {
         Ok(site) => site,
--- a/review/harness-2/src/runner.rs
+++ b/review/harness-2/src/runner.rs
@@ -793,23 +793,6 @@
 }
 
 impl World {
-    /// The runner says in its check-ins that it is draining, until one is acknowledged; returns when.
-    pub fn drain(&self, number: usize) -> Option<Duration> {
-        self.state.lock().unwrap().machines[number].draining = true;
-        for _ in 0..10 {
-            let status = self.check_in(number);
-            let at = self.record.now();
-            self.record.line(format!(
-                "runner {number} sends a check-in with state draining -> {status:?}"
-            ));
-            if status.is_some_and(|status| status / 100 == 2) {
-                return Some(at);
-            }
-            std::thread::sleep(Duration::from_millis(200));
-        }
-        None
-    }
-
     /// A check-in of another writer under the id of a machine's runner. Fields are missing, and its
     /// `sequence` is the writer's own.
     pub fn foreign_check_in(&self, number: usize, body: &Value) {
@@ -835,8 +818,18 @@
         self.record
             .line(format!("another writer: POST {path} {body} -> {answer:?}"));
     }
+}
 
-    pub fn machine_name(&self, number: usize) -> String {
-        self.state.lock().unwrap().machines[number].name.clone()
+impl World {
+    /// Sends a check-in of a runner now; returns the status of the answer.
+    pub fn report(&self, number: usize) -> Option<u16> {
+        self.check_in(number)
+    }
+}
+
+impl World {
+    /// Lets the runners that start from now on send `born`.
+    pub fn send_born(&self, sends: bool) {
+        self.sends_born.fetch_or(sends, Ordering::SeqCst);
     }
 }
--- a/review/harness-2/src/site.rs
+++ b/review/harness-2/src/site.rs
@@ -46,6 +46,8 @@
     pub sides: usize,
     pub cpu: u64,
     pub max_attempts: u64,
+    /// Whether the runners send `born`.
+    pub born: bool,
 }
 
 /// The temporary folder of this program.
@@ -115,6 +117,7 @@
         let (store, server) = Store::start(store_address, record.clone())?;
         std::mem::forget(server);
         let world = World::new(record.clone());
+        world.send_born(shape.born);
         let mut site = Self {
             record,
             store,
--- a/review/harness-2/src/store.rs
+++ b/review/harness-2/src/store.rs
@@ -43,6 +43,8 @@
     pub lost_percent: AtomicU8,
     /// Milliseconds by which each answer is late.
     pub slow_ms: AtomicU64,
+    /// Whether the next transaction that writes a job gets no answer and is done 3 s later.
+    pub late_job: AtomicU8,
 }
 
 impl Store {
@@ -55,7 +57,9 @@
             faults: Faults::default(),
         });
         let serving = store.clone();
-        let server = Server::start(address, move |request| serving.faulty_answer(request))?;
+        let server = Server::start(address, move |request| {
+            serving.clone().faulty_answer(request)
+        })?;
         Ok((store, server))
     }
 
@@ -73,7 +77,7 @@
         self.changed.notify_all();
     }
 
-    fn faulty_answer(&self, request: &Request) -> Option<Response> {
+    fn faulty_answer(self: Arc<Self>, request: &Request) -> Option<Response> {
         match self.faults.down.load(Ordering::SeqCst) {
             1 => return Some(Response::empty(503)),
             2 => {
@@ -85,6 +89,24 @@
         std::thread::sleep(Duration::from_millis(
             self.faults.slow_ms.load(Ordering::SeqCst),
         ));
+        if request.path == "/v1/rows-tx"
+            && String::from_utf8_lossy(&request.body).contains("\"table\":\"job\"")
+            && self.faults.late_job.swap(0, Ordering::SeqCst) == 1
+        {
+            self.record
+                .line("store: a transaction that writes a job is not answered, and done 3 s later");
+            let (store, copy) = (self.clone(), request.clone());
+            std::thread::spawn(move || {
+                std::thread::sleep(Duration::from_secs(3));
+                let answer = store.answer(&copy);
+                store.record.line(format!(
+                    "store: the late transaction is done -> {}",
+                    answer.status
+                ));
+            });
+            std::thread::sleep(Duration::from_secs(10));
+            return None;
+        }
         let answer = self.answer(request);
         let lost = self.faults.lost_percent.load(Ordering::SeqCst);
         if request.path == "/v1/rows-tx" && draw(100) < u64::from(lost) {
