--- a/review/harness-2/src/cases.rs
+++ b/review/harness-2/src/cases.rs
@@ -69,19 +69,19 @@
 fn many_ends(root: &Path, has_trouble: bool) -> (Verdict, String) {
     let shape = Shape {
         fronts: 3,
-        sides: 3,
+        sides: 11,
         cpu: 16_000,
         max_attempts: 3,
         born: false,
     };
     play(root, &shape, |site| {
-        // 18 jobs of 100 tasks: 600 on each runner.
+        // 18 jobs of 100 tasks on one rack: 600 on each of its three runners.
         let ids: Vec<String> = (0..18)
             .map(|n| format!("5c0e7a21d94b{:04x}", 0x3600 + n))
             .collect();
         let job = json!({
             "spec": json!({"ms": 7_000}).to_string(),
-            "phases": [{"count": 100, "cpu": 25, "memMb": 10, "estimatedMs": 7_000}],
+            "phases": [{"count": 100, "cpu": 25, "memMb": 10, "estimatedMs": 7_000, "requirements": "r1-0"}],
         });
         for id in &ids {
             if !site.submit(id, &job) {
@@ -129,7 +129,7 @@
 fn gang_checkpoints(root: &Path, has_trouble: bool) -> (Verdict, String) {
     let shape = Shape {
         fronts: 3,
-        sides: 4,
+        sides: 11,
         cpu: 16_000,
         max_attempts: 3,
         born: false,
@@ -141,7 +141,7 @@
             .collect();
         let job = json!({
             "spec": json!({"ms": 10_000, "gang": 3, "saves": true}).to_string(),
-            "phases": [{"count": 3, "cpu": 200, "memMb": 100, "estimatedMs": 10_000,
+            "phases": [{"count": 3, "cpu": 150, "memMb": 100, "estimatedMs": 10_000, "requirements": "r1-0",
                         "gang": true, "checkpointing": true}],
         });
         for id in &ids {
@@ -152,7 +152,7 @@
         }
         let world = site.world.clone();
         if !wait_until(seconds(5.0), || {
-            (0..4).map(|number| world.running(number)).sum::<usize>() == 3 * gangs as usize
+            (0..11).map(|number| world.running(number)).sum::<usize>() == 3 * gangs as usize
         }) {
             return Err("the gangs have not started".into());
         }
@@ -219,18 +219,18 @@
 fn wide_job(root: &Path, has_trouble: bool) -> (Verdict, String) {
     let shape = Shape {
         fronts: 3,
-        sides: 4,
+        sides: 11,
         cpu: 16_000,
         max_attempts: 3,
         born: false,
     };
     play(root, &shape, |site| {
         let id = "5c0e7a21d94b36f8";
-        let tasks = 3_000_usize;
+        let tasks = 2_250_usize;
         let job = json!({
             "spec": json!({"ms": 7_000}).to_string(),
             "phases": [
-                {"count": tasks, "cpu": 20, "memMb": 10, "estimatedMs": 7_000},
+                {"count": tasks, "cpu": 20, "memMb": 10, "estimatedMs": 7_000, "requirements": "r1-0"},
                 {"count": 1, "cpu": 100, "memMb": 10, "estimatedMs": 7_000, "after": [0]},
             ],
         });
@@ -238,12 +238,13 @@
             return Err("the job was not accepted".into());
         }
         let world = site.world.clone();
-        let all = || (0..4).map(|number| world.running(number)).sum::<usize>();
-        if !wait_until(seconds(20.0), || all() > tasks * 9 / 10) {
+        let all = || (0..11).map(|number| world.running(number)).sum::<usize>();
+        if !wait_until(seconds(20.0), || all() == tasks) {
             return Err(format!("only {} tasks run at once", all()));
         }
+        std::thread::sleep(seconds(2.0));
         if has_trouble {
-            // The three runners of the first rack.
+            // The three runners of the rack.
             for number in 0..3 {
                 world.crash(number);
             }
@@ -279,7 +280,7 @@
         let small = json!({
             "spec": json!({"ms": 500}).to_string(),
             "phases": [
-                {"count": 4, "cpu": 100, "memMb": 10, "estimatedMs": 500},
+                {"count": 4, "cpu": 100, "memMb": 10, "estimatedMs": 500, "requirements": "r1-0"},
                 {"count": 1, "cpu": 100, "memMb": 10, "estimatedMs": 500, "after": [0]},
             ],
         });
@@ -565,7 +566,7 @@
 fn innocent_watch(root: &Path, has_trouble: bool) -> (Verdict, String) {
     let shape = Shape {
         fronts: 3,
-        sides: 6,
+        sides: 11,
         cpu: 16_000,
         max_attempts: 3,
         born: false,
