--- a/benches/owner_load.rs
+++ b/benches/owner_load.rs
@@ -187,6 +187,7 @@
         ends: Vec::new(),
         known_pairs: 0,
         list: Some(1),
+        has_more_ends: false,
     })
 }
 
--- a/crates/wax-agent/src/boot_change.rs
+++ b/crates/wax-agent/src/boot_change.rs
@@ -80,7 +80,13 @@
         state.boots.borrow_mut().set_candidate(report);
         return;
     }
-    let on_next: Vec<RunId> = reply.run_ids().collect();
+    let mut on_next: Vec<RunId> = reply.run_ids().collect();
+    if reply.ended.has_more
+        && let Some(replaced) = &*state.boot.borrow()
+    {
+        // Each run of the replaced boot may be among the ends that are not listed.
+        on_next.extend(replaced.table.run_ids());
+    }
     replace_boot(state, view, sequence, &on_next);
 }
 
@@ -91,7 +97,7 @@
 
 /// Makes the boot of `view` the active one. The boot has answered a call with a fencing token that
 /// no earlier boot of this worker got. `on_next` lists all runs whose starts, sent with older
-/// tokens, reached the boot.
+/// tokens, may have reached the boot.
 fn replace_boot(state: &Rc<AgentState>, view: WorkerView, sequence: u64, on_next: &[RunId]) {
     if is_replaced(state) {
         end_replaced(state, on_next);
--- a/crates/wax-agent/src/driver.rs
+++ b/crates/wax-agent/src/driver.rs
@@ -336,11 +336,21 @@
     let snapshot = WorkerSnapshot {
         worker: (&boot.reported_view()).into(),
         runs: boot.table.reports().iter().map(Into::into).collect(),
-        ends: reply.ended.iter().map(Into::into).collect(),
+        ends: reply.ended.ends.iter().map(Into::into).collect(),
         known_pairs: boot.pace.known_pairs() as u32,
         list: Some(number),
+        has_more_ends: reply.ended.has_more,
     };
-    tracing::info!(worker = %boot.view.boot, link = link.0, list = number, runs = snapshot.runs.len(), "run list sent");
+    boot.owes_ends = snapshot.has_more_ends;
+    tracing::info!(
+        worker = %boot.view.boot,
+        link = link.0,
+        list = number,
+        runs = snapshot.runs.len(),
+        ends = snapshot.ends.len(),
+        has_more_ends = snapshot.has_more_ends,
+        "run list sent"
+    );
     state.send(PoolBody::WorkerSnapshot(snapshot));
 }
 
@@ -354,9 +364,11 @@
             boot.updates.note_progress(report);
         }
     }
-    if updates.ended.is_empty() && updates.never_started.is_empty() {
+    let ends_complete = boot.owes_ends && updates.has_all_ends;
+    if updates.ended.is_empty() && updates.never_started.is_empty() && !ends_complete {
         return;
     }
+    boot.owes_ends &= !ends_complete;
     let refusal = if state.rules.orders.get().is_enabled() {
         StartRefusal::Unanswered
     } else {
@@ -367,6 +379,7 @@
     let message = RunUpdates {
         refused: refused.collect(),
         ends: updates.ended.iter().map(Into::into).collect(),
+        ends_complete,
         ..Default::default()
     };
     state.send(PoolBody::RunUpdates(boot.updates.merge_into(message)));
--- a/crates/wax-agent/src/run_list_tests.rs
+++ b/crates/wax-agent/src/run_list_tests.rs
@@ -9,6 +9,7 @@
 use compio::runtime::{Runtime, spawn};
 use compio::time::sleep;
 use futures_channel::mpsc::UnboundedReceiver;
+use serde_json::{Value, json};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use wax_batch::{RunId, StartRefusal};
@@ -207,3 +208,69 @@
         worker.next_order().await.answer();
     });
 }
+
+/// Returns the fields of an answer to a hold that lists the ends with these numbers.
+fn answer_with_ends(numbers: std::ops::Range<u64>) -> Value {
+    let ends = numbers.map(|number| {
+        let task = format!("00000000000000aa.0.0.{number}");
+        json!([number, task, 1, "done", ""])
+    });
+    json!({ "finished": ends.collect::<Vec<_>>() })
+}
+
+fn updates_of(body: PoolBody) -> RunUpdates {
+    match body {
+        PoolBody::RunUpdates(updates) => updates,
+        other => panic!("no run updates: {other:?}"),
+    }
+}
+
+/// Guards against a task that runs again after its end: a list of 500 ends was sent as complete.
+#[test]
+fn run_list_is_complete_once_the_ends_beyond_the_first_page_are_sent() {
+    let runtime = Runtime::new().expect("the runtime must start");
+    runtime.block_on(async {
+        let worker = GatedWorker::start();
+        let state = agent_without_copies(worker.address);
+        let mut inbox = open_link(&state, SECOND, 2);
+        spawn(drive_worker(state.clone())).detach();
+        let first_page = answer_with_ends(1..501);
+        worker.next_hold().await.answer_as(&first_page);
+        let snapshot = snapshot_of(next_message(&mut inbox).await);
+        assert_eq!((snapshot.ends.len(), snapshot.has_more_ends), (500, true));
+        // The ends are not acknowledged yet.
+        worker.next_hold().await.answer_as(&first_page);
+        let second_page = answer_with_ends(301..801);
+        worker.next_hold().await.answer_as(&second_page);
+        let updates = updates_of(next_message(&mut inbox).await);
+        assert_eq!((updates.ends.len(), updates.ends_complete), (300, false));
+        let last_page = answer_with_ends(801..803);
+        worker.next_hold().await.answer_as(&last_page);
+        let updates = updates_of(next_message(&mut inbox).await);
+        assert_eq!((updates.ends.len(), updates.ends_complete), (2, true));
+        let new_end = answer_with_ends(803..804);
+        worker.next_hold().await.answer_as(&new_end);
+        let updates = updates_of(next_message(&mut inbox).await);
+        assert_eq!((updates.ends.len(), updates.ends_complete), (1, false));
+    });
+}
+
+/// The worker has exactly as many ends as it can list, so that no end follows.
+#[test]
+fn run_list_with_a_full_page_of_ends_is_complete_once_no_further_one_is_listed() {
+    let runtime = Runtime::new().expect("the runtime must start");
+    runtime.block_on(async {
+        let worker = GatedWorker::start();
+        let state = agent_without_copies(worker.address);
+        let mut inbox = open_link(&state, SECOND, 2);
+        spawn(drive_worker(state.clone())).detach();
+        worker
+            .next_hold()
+            .await
+            .answer_as(&answer_with_ends(1..501));
+        assert!(snapshot_of(next_message(&mut inbox).await).has_more_ends);
+        worker.next_hold().await.answer();
+        let updates = updates_of(next_message(&mut inbox).await);
+        assert_eq!((updates.ends.len(), updates.ends_complete), (0, true));
+    });
+}
--- a/crates/wax-agent/src/run_table.rs
+++ b/crates/wax-agent/src/run_table.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 use wax_batch::{
-    LostRun, RunEnd, RunId, RunReport, StartRefusal, TaskSize, WorkerState, WorkerView,
+    EndPage, LostRun, RunEnd, RunId, RunReport, StartRefusal, TaskSize, WorkerState, WorkerView,
 };
 use wax_types::TimePoint;
 
@@ -76,6 +76,8 @@
     /// Runs of the table for which the worker lists an end with an already processed number. Such
     /// an end is ignored.
     pub skipped_ends: Vec<RunId>,
+    /// Whether all ends that the worker had at the hold are known.
+    pub has_all_ends: bool,
 }
 
 /// The runs on one boot of the worker; admits a new run only if the worker's capacity covers it.
@@ -185,12 +187,15 @@
 
     /// Reconciles the table with the lists of running and ended runs in the answer to hold number
     /// `hold`. The lists of a hold that is older than one already applied are ignored: they may omit
-    /// runs that have started since, and list runs whose ends are known.
-    pub fn reconcile(&mut self, running: &[RunReport], ended: &[RunEnd], hold: u64) -> HoldUpdates {
+    /// runs that have started since, and list runs whose ends are known. A stopped run counts as
+    /// never started only if all ends are listed.
+    pub fn reconcile(&mut self, running: &[RunReport], page: &EndPage, hold: u64) -> HoldUpdates {
         let mut updates = HoldUpdates::default();
         if hold < self.last_hold {
             return updates;
         }
+        let ended = &page.ends;
+        updates.has_all_ends = !page.has_more;
         self.last_hold = hold;
         for entry in self.entries.values_mut() {
             entry.report.confirmed_by_worker = false;
@@ -232,6 +237,7 @@
         let omitted: Vec<RunId> = self
             .entries
             .iter()
+            .filter(|_| !page.has_more)
             .filter(|(run_id, entry)| entry.was_stopped_before(hold) && !listed(run_id))
             .map(|(run_id, _)| *run_id)
             .collect();
@@ -275,6 +281,11 @@
             .collect()
     }
 
+    /// Returns the ids of all runs.
+    pub fn run_ids(&self) -> impl Iterator<Item = RunId> {
+        self.entries.keys().copied()
+    }
+
     /// Returns all runs as lost, with the time that each is known to have run: from its start to
     /// `answered_at`, when the worker answered last.
     pub fn lost_runs(&self, answered_at: TimePoint) -> Vec<LostRun> {
--- a/crates/wax-agent/src/state.rs
+++ b/crates/wax-agent/src/state.rs
@@ -51,6 +51,9 @@
     pub(crate) is_losing_calls: bool,
     /// Whether an owner has the boot's full run list, and on which link it was sent last.
     pub(crate) run_list: RunListState,
+    /// Whether the last run list lacked ends that the worker had no room to list, and not all of
+    /// them have been sent since.
+    pub(crate) owes_ends: bool,
     pub(crate) table: RunTable,
     pub(crate) lease: LeaseClock,
     pub(crate) pace: PaceControl,
@@ -148,6 +151,7 @@
             hold_silence: SilenceClock::new(now),
             is_losing_calls: false,
             run_list: RunListState::Unsent,
+            owes_ends: false,
             table: RunTable::default(),
             lease: LeaseClock::default(),
             pace: PaceControl::default(),
--- a/crates/wax-agent/tests/guards.rs
+++ b/crates/wax-agent/tests/guards.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 use wax_agent::{LeaseClock, LeaseRules, PaceControl, PlacementInfo, RunState, RunTable};
 use wax_batch::{
-    JobName, RunEnd, RunEndKind, RunId, RunReport, StartRefusal, TaskName, TaskSize, WorkerState,
-    WorkerView,
+    EndPage, JobName, RunEnd, RunEndKind, RunId, RunReport, StartRefusal, TaskName, TaskSize,
+    WorkerState, WorkerView,
 };
 use wax_types::TimePoint;
 
@@ -82,12 +82,12 @@
         table.reserve(run_id(1, 1), placement(1), &view(1_000), at(0)),
         Err(StartRefusal::Room)
     );
-    table.reconcile(&[report(run_id(0, 1))], &[], 6);
+    table.reconcile(&[report(run_id(0, 1))], &EndPage::all(&[]), 6);
     assert_eq!(
         table.reserve(run_id(1, 1), placement(1), &view(1_000), at(0)),
         Err(StartRefusal::Room)
     );
-    table.reconcile(&[], &[end(1, run_id(0, 1))], 7);
+    table.reconcile(&[], &EndPage::all(&[end(1, run_id(0, 1))]), 7);
     assert_eq!(
         table.reserve(run_id(1, 1), placement(1), &view(1_000), at(0)),
         Ok(())
@@ -97,7 +97,7 @@
 #[test]
 fn nothing_starts_next_to_a_run_of_unknown_size() {
     let mut table = RunTable::default();
-    table.reconcile(&[report(run_id(0, 1))], &[], 1);
+    table.reconcile(&[report(run_id(0, 1))], &EndPage::all(&[]), 1);
     assert_eq!(
         table.reserve(run_id(1, 1), placement(1), &view(1_000), at(0)),
         Err(StartRefusal::Room)
@@ -119,16 +119,64 @@
     table.mark_stopping(run_id(0, 1));
     // The hold in progress may have been answered before the stop.
     table.mark_stopped(run_id(0, 1), 3);
-    assert!(table.reconcile(&[], &[], 3).never_started.is_empty());
+    assert!(
+        table
+            .reconcile(&[], &EndPage::all(&[]), 3)
+            .never_started
+            .is_empty()
+    );
     assert_eq!(
         table.state(run_id(0, 1)),
         Some(RunState::Stopped { hold: 3 })
     );
-    let updates = table.reconcile(&[], &[], 4);
+    let updates = table.reconcile(&[], &EndPage::all(&[]), 4);
     assert_eq!(updates.never_started, vec![run_id(0, 1)]);
     assert!(table.is_empty());
 }
 
+/// Guards against a task that runs again after its end: a stopped run counted as never started
+/// because its end was beyond the 500 that the worker listed.
+#[test]
+fn stopped_run_is_not_taken_as_never_started_while_the_worker_has_further_ends() {
+    let mut table = RunTable::default();
+    assert_eq!(
+        table.reserve(run_id(0, 1), placement(1), &view(1_000), at(0)),
+        Ok(())
+    );
+    table.mark_stopping(run_id(0, 1));
+    table.mark_stopped(run_id(0, 1), 1);
+    let first = EndPage {
+        ends: vec![end(1, run_id(7, 1))],
+        has_more: true,
+    };
+    let updates = table.reconcile(&[], &first, 2);
+    assert_eq!(updates.never_started, []);
+    assert!(!updates.has_all_ends);
+    let rest = EndPage::all(&[end(2, run_id(0, 1))]);
+    let updates = table.reconcile(&[], &rest, 3);
+    assert_eq!(updates.never_started, []);
+    assert_eq!(updates.ended.len(), 1);
+    assert!(updates.has_all_ends);
+}
+
+#[test]
+fn stopped_run_counts_as_never_started_once_all_ends_are_listed() {
+    let mut table = RunTable::default();
+    assert_eq!(
+        table.reserve(run_id(0, 1), placement(1), &view(1_000), at(0)),
+        Ok(())
+    );
+    table.mark_stopping(run_id(0, 1));
+    table.mark_stopped(run_id(0, 1), 1);
+    let first = EndPage {
+        ends: vec![end(1, run_id(7, 1))],
+        has_more: true,
+    };
+    table.reconcile(&[], &first, 2);
+    let updates = table.reconcile(&[], &EndPage::default(), 3);
+    assert_eq!(updates.never_started, [run_id(0, 1)]);
+}
+
 #[test]
 fn lost_answer_to_a_start_is_resolved_by_the_next_hold() {
     let mut table = RunTable::default();
@@ -136,7 +184,7 @@
         table.reserve(run_id(0, 1), placement(1_000), &view(1_000), at(0)),
         Ok(())
     );
-    table.reconcile(&[report(run_id(0, 1))], &[], 1);
+    table.reconcile(&[report(run_id(0, 1))], &EndPage::all(&[]), 1);
     assert_eq!(table.state(run_id(0, 1)), Some(RunState::Running));
 }
 
@@ -148,9 +196,12 @@
         Ok(())
     );
     let ended = [end(1, run_id(0, 1))];
-    assert_eq!(table.reconcile(&[], &ended, 1).ended.len(), 1);
     assert_eq!(
-        table.reconcile(&[], &ended, 2).ended.len(),
+        table.reconcile(&[], &EndPage::all(&ended), 1).ended.len(),
+        1
+    );
+    assert_eq!(
+        table.reconcile(&[], &EndPage::all(&ended), 2).ended.len(),
         0,
         "an end is listed again until it is acknowledged"
     );
@@ -164,7 +215,7 @@
     let reserved = table.reserve(run_id(1, 1), placement(1), &view(1_000), at(500));
     assert_eq!(reserved, Ok(()));
     // An earlier agent process started this run.
-    table.reconcile(&[report(run_id(2, 1))], &[], 1);
+    table.reconcile(&[report(run_id(2, 1))], &EndPage::all(&[]), 1);
     let mut lost = table.lost_runs(at(300));
     lost.sort_by_key(|lost| lost.run_id.task.index);
     let ran: Vec<Option<Duration>> = lost.iter().map(|lost| lost.min_run_time).collect();
@@ -292,7 +343,7 @@
                 TableStep::HoldRunning(index) => {
                     hold += 1;
                     if actual.contains_key(&index) {
-                        let updates = table.reconcile(&[report(run_id(index, 1))], &[], hold);
+                        let updates = table.reconcile(&[report(run_id(index, 1))], &EndPage::all(&[]), hold);
                         remove_never_started(&mut actual, &updates.never_started);
                     }
                 }
@@ -300,13 +351,13 @@
                     hold += 1;
                     if actual.remove(&index).is_some() {
                         number += 1;
-                        let updates = table.reconcile(&[], &[end(number, run_id(index, 1))], hold);
+                        let updates = table.reconcile(&[], &EndPage::all(&[end(number, run_id(index, 1))]), hold);
                         remove_never_started(&mut actual, &updates.never_started);
                     }
                 }
                 TableStep::HoldEmpty => {
                     hold += 1;
-                    let updates = table.reconcile(&[], &[], hold);
+                    let updates = table.reconcile(&[], &EndPage::all(&[]), hold);
                     remove_never_started(&mut actual, &updates.never_started);
                 }
             }
@@ -326,7 +377,7 @@
         table.may_be_on_next_boot(at(0)),
         "an answer does not show which boot started the run"
     );
-    table.reconcile(&[report(run_id(0, 1))], &[], 1);
+    table.reconcile(&[report(run_id(0, 1))], &EndPage::all(&[]), 1);
     assert!(!table.may_be_on_next_boot(at(0)));
 }
 
@@ -340,10 +391,10 @@
     assert_eq!(reserved, Ok(()));
     table.note_start_copy(run_id(0, 1), at(12_000));
     table.mark_running(run_id(0, 1));
-    table.reconcile(&[report(run_id(0, 1))], &[], 1);
+    table.reconcile(&[report(run_id(0, 1))], &EndPage::all(&[]), 1);
     assert!(table.may_be_on_next_boot(at(11_999)));
     assert!(!table.may_be_on_next_boot(at(12_000)));
-    table.reconcile(&[], &[end(1, run_id(0, 1))], 2);
+    table.reconcile(&[], &EndPage::all(&[end(1, run_id(0, 1))]), 2);
     assert!(!table.may_be_on_next_boot(at(100)), "the run has ended");
 }
 
@@ -356,8 +407,12 @@
         let reserved = table.reserve(run_id(index, 1), placement(100), &view(1_000), at(0));
         assert_eq!(reserved, Ok(()));
     }
-    table.reconcile(&[report(run_id(0, 1))], &[end(1, run_id(1, 1))], 4);
-    let updates = table.reconcile(&[report(run_id(1, 1))], &[], 3);
+    table.reconcile(
+        &[report(run_id(0, 1))],
+        &EndPage::all(&[end(1, run_id(1, 1))]),
+        4,
+    );
+    let updates = table.reconcile(&[report(run_id(1, 1))], &EndPage::all(&[]), 3);
     assert_eq!(updates, Default::default());
     assert_eq!(
         table.state(run_id(1, 1)),
@@ -366,22 +421,25 @@
     );
     table.mark_stopping(run_id(0, 1));
     table.mark_stopped(run_id(0, 1), 2);
-    let updates = table.reconcile(&[], &[], 3);
+    let updates = table.reconcile(&[], &EndPage::all(&[]), 3);
     assert!(updates.never_started.is_empty(), "the list is outdated");
-    assert_eq!(table.reconcile(&[], &[], 5).never_started, [run_id(0, 1)]);
+    assert_eq!(
+        table.reconcile(&[], &EndPage::all(&[]), 5).never_started,
+        [run_id(0, 1)]
+    );
 }
 
 /// Guards against the report that a run never started although the worker lists its end.
 #[test]
 fn run_with_a_listed_end_is_never_reported_as_not_started() {
     let mut table = RunTable::default();
-    table.reconcile(&[], &[end(5, run_id(1, 1))], 1);
+    table.reconcile(&[], &EndPage::all(&[end(5, run_id(1, 1))]), 1);
     let reserved = table.reserve(run_id(0, 1), placement(100), &view(1_000), at(0));
     assert_eq!(reserved, Ok(()));
     table.mark_stopping(run_id(0, 1));
     table.mark_stopped(run_id(0, 1), 1);
     // The number of the end was already processed, so that the end itself is ignored.
-    let updates = table.reconcile(&[], &[end(4, run_id(0, 1))], 2);
+    let updates = table.reconcile(&[], &EndPage::all(&[end(4, run_id(0, 1))]), 2);
     assert_eq!(updates.skipped_ends, [run_id(0, 1)]);
     assert!(updates.never_started.is_empty());
 }
@@ -537,7 +595,7 @@
                         CopyAnswer::Started(false) => {}
                         CopyAnswer::Stopped => table.mark_stopped(id, hold),
                         CopyAnswer::Listed(number, running, ended) => {
-                            let updates = table.reconcile(&running, &ended, number);
+                            let updates = table.reconcile(&running, &EndPage::all(&ended), number);
                             // The first answer counts: the other copies are given up before the
                             // next hold is sent. They may still be executed.
                             calls.retain(|(call, _)| !matches!(call, CopyCall::Hold));
--- a/crates/wax-agent/tests/tail_reports.rs
+++ b/crates/wax-agent/tests/tail_reports.rs
@@ -2,7 +2,7 @@
 //! them. A task that has reached 100 percent makes no progress that would be reported.
 
 use wax_agent::{PlacementInfo, RunTable};
-use wax_batch::{JobName, RunId, RunReport, TaskName, TaskSize, WorkerView};
+use wax_batch::{EndPage, JobName, RunId, RunReport, TaskName, TaskSize, WorkerView};
 use wax_types::TimePoint;
 
 const TARGET_MS: u32 = 100;
@@ -52,7 +52,7 @@
         load_metric,
         confirmed_by_worker: true,
     };
-    table.reconcile(&[report], &[], 1);
+    table.reconcile(&[report], &EndPage::all(&[]), 1);
     let reports = table.tail_reports();
     reports.iter().map(|report| report.load_metric).collect()
 }
--- a/crates/wax-batch/src/lib.rs
+++ b/crates/wax-batch/src/lib.rs
@@ -55,4 +55,6 @@
 };
 pub use spec::{JobSpec, RepeatPlan, SpecError, StepSpec, TaskSize};
 pub use unreconciled::{StepEligibility, UnreconciledRuns};
-pub use worker::{LostRun, RunEnd, RunEndKind, RunReport, WorkerKey, WorkerState, WorkerView};
+pub use worker::{
+    EndPage, LostRun, RunEnd, RunEndKind, RunReport, WorkerKey, WorkerState, WorkerView,
+};
--- a/crates/wax-batch/src/reports.rs
+++ b/crates/wax-batch/src/reports.rs
@@ -7,7 +7,7 @@
 use crate::records::TaskState;
 use crate::scheduler::{JobScheduler, RunReservation, StopOrder, WorkerRecord};
 use crate::spec::TaskSize;
-use crate::worker::{RunEnd, RunEndKind, RunReport, WorkerKey, WorkerView};
+use crate::worker::{EndPage, RunEndKind, RunReport, WorkerKey, WorkerView};
 use std::collections::{HashMap, HashSet, VecDeque};
 use wax_policy::WorkerInterference;
 use wax_types::TimePoint;
@@ -26,6 +26,7 @@
             last_end_number: 0,
             ack_cursor: 0,
             pending_ends: VecDeque::new(),
+            unlisted_runs: HashSet::new(),
             failed_tasks: HashSet::new(),
             excluded_until: TimePoint::default(),
             reachable: true,
@@ -66,17 +67,18 @@
         self.workers.remove(worker);
     }
 
-    /// Reconciles the worker's runs with a report of its agent. The report must be complete and
-    /// newer than any order.
+    /// Reconciles the worker's runs with a report of its agent, which must be newer than any order.
+    /// A run that the report lacks has ended without a result, unless the worker has more ends than
+    /// the report: [`JobScheduler::finish_reconciliation`] follows once all are recorded.
     pub fn reconcile_worker(
         &mut self,
         worker: WorkerKey,
         runs: &[RunReport],
-        ends: &[RunEnd],
+        page: &EndPage,
         now: TimePoint,
         now_ms: u64,
     ) {
-        for end in ends {
+        for end in &page.ends {
             self.record_end(worker, end, now, now_ms);
         }
         let reported_runs: HashSet<RunId> = runs.iter().map(|run| run.run_id).collect();
@@ -92,16 +94,43 @@
                 });
             }
         }
-        let Some(record) = self.workers.get(worker) else {
+        if let Some(record) = self.workers.get_mut(worker) {
+            let missing = record.runs.keys().copied();
+            record.unlisted_runs = missing
+                .filter(|run_id| !reported_runs.contains(run_id))
+                .collect();
+        }
+        if !page.has_more {
+            self.finish_reconciliation(worker, now, now_ms);
+        }
+    }
+
+    /// Moves the runs of a boot that its worker has replaced to the next boot, which may have
+    /// started them. The next boot's report decides which of them it has.
+    pub fn move_runs(&mut self, from: WorkerKey, to: WorkerKey, now: TimePoint) {
+        let Some(record) = self.workers.get(from) else {
+            return;
+        };
+        let run_ids: Vec<RunId> = record.runs.keys().copied().collect();
+        for run_id in run_ids {
+            let task_ref = self.release_run(from, run_id).and_then(|run| run.task);
+            let placement = task_ref
+                .and_then(|task_ref| self.task_mut(task_ref)?.placement().copied())
+                .filter(|placement| placement.run == run_id.run && placement.worker == from);
+            if let Some((task_ref, placement)) = task_ref.zip(placement) {
+                self.reset_to_waiting(task_ref, from, now);
+                self.reserve_task(task_ref, to, run_id.run, placement.running, now);
+            }
+        }
+    }
+
+    /// Completes a reconciliation after all ends that the worker had at the report are recorded:
+    /// the runs that are neither running nor among the ends have ended without a result.
+    pub fn finish_reconciliation(&mut self, worker: WorkerKey, now: TimePoint, now_ms: u64) {
+        let Some(record) = self.workers.get_mut(worker) else {
             return;
         };
-        let missing: Vec<RunId> = record
-            .runs
-            .keys()
-            .filter(|run_id| !reported_runs.contains(run_id))
-            .copied()
-            .collect();
-        for run_id in missing {
+        for run_id in std::mem::take(&mut record.unlisted_runs) {
             self.end_run(worker, run_id, RunEndKind::Stopped, "", now, now_ms);
         }
     }
--- a/crates/wax-batch/src/scheduler.rs
+++ b/crates/wax-batch/src/scheduler.rs
@@ -126,6 +126,9 @@
     /// The worker may delete its records of ends up to and including this number.
     pub ack_cursor: u64,
     pub(crate) pending_ends: VecDeque<PendingEnd>,
+    /// Runs that the worker's last report lacks while it has more ends than it could list: each may
+    /// have ended in any way.
+    pub(crate) unlisted_runs: HashSet<RunId>,
     /// Tasks with a failed run on this worker since a run last completed here.
     pub(crate) failed_tasks: HashSet<TaskName>,
     /// Time until which the worker gets no tasks, after failures or refusals.
--- a/crates/wax-batch/src/worker.rs
+++ b/crates/wax-batch/src/worker.rs
@@ -75,6 +75,27 @@
     pub checkpoint: Box<str>,
 }
 
+/// Ends of runs that a worker lists at one moment, oldest first. An answer of the worker has a
+/// limited size: it lists further ends once the first ones are acknowledged.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct EndPage {
+    /// The ends.
+    pub ends: Vec<RunEnd>,
+    /// Whether there may be further ends. A run that is neither running nor on the page may then
+    /// have ended in any way.
+    pub has_more: bool,
+}
+
+impl EndPage {
+    /// Returns a page with all ends that are not acknowledged.
+    pub fn all(ends: &[RunEnd]) -> Self {
+        Self {
+            ends: ends.to_vec(),
+            has_more: false,
+        }
+    }
+}
+
 /// Run that was on a worker when the worker terminated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LostRun {
--- a/crates/wax-batch/tests/job_lifecycle.rs
+++ b/crates/wax-batch/tests/job_lifecycle.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 use support::*;
 use wax_batch::{
-    JobName, JobOutcome, JobProgress, JobRow, RunEndKind, StartRefusal, StoredProgress,
+    EndPage, JobName, JobOutcome, JobProgress, JobRow, RunEndKind, StartRefusal, StoredProgress,
 };
 use wax_types::StoreTime;
 
@@ -130,7 +130,13 @@
     let mut second = scheduler(2);
     let job = add_job(&mut second, 7, 1, &job_spec, Some(&stored[0].1));
     let worker_key = worker(&mut second, "w", 4_000);
-    second.reconcile_worker(worker_key, &[], &[failed], at(20), unix_ms(20));
+    second.reconcile_worker(
+        worker_key,
+        &[],
+        &EndPage::all(&[failed]),
+        at(20),
+        unix_ms(20),
+    );
     store_all(&mut second);
     assert_eq!(
         second.job_info(job).expect("the job is known").outcome,
@@ -227,7 +233,7 @@
     let adopted = running(run_id(7, 0, 1, 1));
     let own: Vec<_> = orders.iter().map(|order| running(order.run_id)).collect();
     let runs: Vec<_> = own.into_iter().chain([adopted]).collect();
-    scheduler.reconcile_worker(worker, &runs, &[], at(10), unix_ms(10));
+    scheduler.reconcile_worker(worker, &runs, &EndPage::all(&[]), at(10), unix_ms(10));
     assert!(scheduler.place(at(20)).is_empty());
     scheduler.mark_all_reconciled();
     let orders = scheduler.place(at(30));
@@ -247,7 +253,7 @@
     scheduler.reconcile_worker(
         worker,
         &[running(run_id(9, 0, 0, 1))],
-        &[],
+        &EndPage::all(&[]),
         at(0),
         unix_ms(0),
     );
@@ -526,7 +532,7 @@
     scheduler.reconcile_worker(
         worker,
         &[running(orders[0].run_id)],
-        &[],
+        &EndPage::all(&[]),
         at(10),
         unix_ms(10),
     );
@@ -543,7 +549,7 @@
     );
     assert_eq!(scheduler.take_stops().len(), 1);
     let runs = [running(orders[0].run_id), running(members[1].run_id)];
-    scheduler.reconcile_worker(worker, &runs, &[], at(40), unix_ms(40));
+    scheduler.reconcile_worker(worker, &runs, &EndPage::all(&[]), at(40), unix_ms(40));
     let stops = scheduler.take_stops();
     assert_eq!(stops.len(), 1);
     assert_eq!(stops[0].run_id, members[1].run_id);
@@ -555,9 +561,9 @@
     let mut scheduler = scheduler(1);
     let worker = worker(&mut scheduler, "w", 2_000);
     let runs = [running(run_id(9, 0, 0, 1))];
-    scheduler.reconcile_worker(worker, &runs, &[], at(0), unix_ms(0));
+    scheduler.reconcile_worker(worker, &runs, &EndPage::all(&[]), at(0), unix_ms(0));
     assert_eq!(scheduler.take_stops().len(), 1);
-    scheduler.reconcile_worker(worker, &runs, &[], at(1_000), unix_ms(1_000));
+    scheduler.reconcile_worker(worker, &runs, &EndPage::all(&[]), at(1_000), unix_ms(1_000));
     let stops = scheduler.take_stops();
     assert_eq!(stops.len(), 1);
     assert_eq!(stops[0].run_id, run_id(9, 0, 0, 1));
@@ -574,7 +580,7 @@
     store_all(&mut scheduler);
     assert_eq!(scheduler.advance_ack_cursors(), vec![(worker, 1)]);
     // The worker lists the end again on its next link. The cursor stays where it is.
-    scheduler.reconcile_worker(worker, &[], &[done], at(20), unix_ms(20));
+    scheduler.reconcile_worker(worker, &[], &EndPage::all(&[done]), at(20), unix_ms(20));
     assert_eq!(scheduler.advance_ack_cursors(), vec![]);
     assert_eq!(scheduler.acknowledged_end(worker), 1);
 }
--- a/crates/wax-batch/tests/sharing.rs
+++ b/crates/wax-batch/tests/sharing.rs
@@ -7,8 +7,9 @@
 use std::time::Duration;
 use support::*;
 use wax_batch::{
-    JobName, JobOutcome, JobProgress, JobRow, JobScheduler, LostRun, QueueRules, RepeatPlan,
-    RunEndKind, RunId, StartOrder, StepSpec, TaskSize, WaitReason, WorkerKey, WorkerView,
+    EndPage, JobName, JobOutcome, JobProgress, JobRow, JobScheduler, LostRun, QueueRules,
+    RepeatPlan, RunEndKind, RunId, StartOrder, StepSpec, TaskSize, WaitReason, WorkerKey,
+    WorkerView,
 };
 use wax_policy::{BeginChoice, BegunLoad, PairInterference, SharingRules};
 use wax_types::TimePoint;
@@ -344,7 +345,7 @@
     scheduler.reconcile_worker(
         worker,
         &[running(run_id(1, 0, 0, 1))],
-        &[],
+        &EndPage::all(&[]),
         at(0),
         unix_ms(0),
     );
--- a/crates/wax-batch/tests/slow_workers.rs
+++ b/crates/wax-batch/tests/slow_workers.rs
@@ -5,8 +5,8 @@
 
 use support::*;
 use wax_batch::{
-    JobScheduler, RunEndKind, RunId, RunReport, StartOrder, StartRefusal, StepSpec, StopReason,
-    WorkerKey, WorkerState,
+    EndPage, JobScheduler, RunEndKind, RunId, RunReport, StartOrder, StartRefusal, StepSpec,
+    StopReason, WorkerKey, WorkerState,
 };
 use wax_policy::{OrderRules, PerformanceRules, SpeedVerdict};
 
@@ -290,7 +290,7 @@
     add_job(&mut scheduler, 7, 1, &spec(vec![step(10, 500)]), None);
     for (nth, worker) in (0..).zip(&keys) {
         let listed = [nth, nth + 5].map(|index| report(run_id(7, 0, index, 1), 10, 0));
-        scheduler.reconcile_worker(*worker, &listed, &[], at(0), unix_ms(0));
+        scheduler.reconcile_worker(*worker, &listed, &EndPage::all(&[]), at(0), unix_ms(0));
     }
     // The runs on the first worker end much later, because they were started later.
     let (on_first, on_others): (Vec<u32>, Vec<u32>) = (0..10).partition(|index| index % 5 == 0);
@@ -523,7 +523,7 @@
                     _ => runs.push(report(*run_id, 100, 40)),
                 }
             }
-            next.reconcile_worker(*key, &runs, &ends, at(2_000), unix_ms(2_000));
+            next.reconcile_worker(*key, &runs, &EndPage::all(&ends), at(2_000), unix_ms(2_000));
         }
         let started = next.place(at(2_010));
         match outcome {
--- a/crates/wax-batch/tests/takeover.rs
+++ b/crates/wax-batch/tests/takeover.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use support::*;
-use wax_batch::{JobName, JobScheduler, RunEndKind, RunReport, UnreconciledRuns};
+use wax_batch::{EndPage, JobName, JobScheduler, RunEndKind, RunReport, UnreconciledRuns};
 
 /// Returns a scheduler of term 2 with one worker and no reconciliation yet.
 fn new_owner() -> (JobScheduler, wax_batch::WorkerKey) {
@@ -21,7 +21,7 @@
     scheduler.reconcile_worker(
         worker,
         &[running(run_id(7, 0, 0, 1))],
-        &[],
+        &EndPage::all(&[]),
         at(0),
         unix_ms(0),
     );
@@ -45,7 +45,7 @@
         confirmed_by_worker: false,
         ..running(run_id(7, 0, 0, 1))
     };
-    scheduler.reconcile_worker(worker, &[sent], &[], at(0), unix_ms(0));
+    scheduler.reconcile_worker(worker, &[sent], &EndPage::all(&[]), at(0), unix_ms(0));
     let never_started = end(1, run_id(7, 0, 0, 1), RunEndKind::Stopped);
     scheduler.record_end(worker, &never_started, at(20), unix_ms(20));
     assert!(
@@ -61,7 +61,7 @@
     let (mut scheduler, worker) = new_owner();
     add_job(&mut scheduler, 7, 1, &spec(vec![step(1, 1_000)]), None);
     let failed = end(1, run_id(7, 0, 0, 1), RunEndKind::Failed);
-    scheduler.reconcile_worker(worker, &[], &[failed], at(0), unix_ms(0));
+    scheduler.reconcile_worker(worker, &[], &EndPage::all(&[failed]), at(0), unix_ms(0));
     assert!(scheduler.place(at(2_000)).is_empty());
 }
 
@@ -76,7 +76,7 @@
     add_job(&mut scheduler, 7, 1, &job_spec, None);
     let runs = [running(run_id(7, 0, 1, 1))];
     let ends = [end(1, run_id(7, 0, 0, 1), RunEndKind::Done)];
-    scheduler.reconcile_worker(worker, &runs, &ends, at(0), unix_ms(0));
+    scheduler.reconcile_worker(worker, &runs, &EndPage::all(&ends), at(0), unix_ms(0));
     assert!(scheduler.place(at(10)).is_empty());
     let done = end(2, run_id(7, 0, 1, 1), RunEndKind::Done);
     scheduler.record_end(worker, &done, at(20), unix_ms(20));
@@ -114,7 +114,7 @@
         None,
     );
     let ends = [end(1, run_id(7, 0, 0, 1), RunEndKind::Done)];
-    scheduler.reconcile_worker(worker, &[], &ends, at(0), unix_ms(0));
+    scheduler.reconcile_worker(worker, &[], &EndPage::all(&ends), at(0), unix_ms(0));
     assert!(
         scheduler.place(at(10)).is_empty(),
         "the earlier owner may have opened the second step"
@@ -144,7 +144,7 @@
     scheduler.reconcile_worker(
         worker,
         &[running(run_id(7, 0, 0, 1))],
-        &[],
+        &EndPage::all(&[]),
         at(0),
         unix_ms(0),
     );
@@ -175,7 +175,7 @@
 fn a_step_after_a_gang_is_not_new_while_an_earlier_owner_may_hear_the_end_of_a_member() {
     let (mut scheduler, worker) = new_owner_with_gang();
     let listed = [running(run_id(7, 0, 0, 1))];
-    scheduler.reconcile_worker(worker, &listed, &[], at(0), unix_ms(0));
+    scheduler.reconcile_worker(worker, &listed, &EndPage::all(&[]), at(0), unix_ms(0));
     let done = end(1, run_id(7, 0, 0, 1), RunEndKind::Done);
     scheduler.record_end(worker, &done, at(20), unix_ms(20));
     assert!(
@@ -192,7 +192,7 @@
     let other = support::worker(&mut scheduler, "other", 8_000);
     for (key, index) in [(worker, 0), (other, 1)] {
         let listed = [running(run_id(7, 0, index, 1))];
-        scheduler.reconcile_worker(key, &listed, &[], at(0), unix_ms(0));
+        scheduler.reconcile_worker(key, &listed, &EndPage::all(&[]), at(0), unix_ms(0));
     }
     let done = end(1, run_id(7, 0, 0, 1), RunEndKind::Done);
     scheduler.record_end(worker, &done, at(20), unix_ms(20));
@@ -213,7 +213,7 @@
     let job_spec = spec(vec![step(1, 1_000), second]);
     add_job(&mut scheduler, 7, 1, &job_spec, None);
     let listed = [running(run_id(7, 0, 0, 2))];
-    scheduler.reconcile_worker(worker, &listed, &[], at(0), unix_ms(0));
+    scheduler.reconcile_worker(worker, &listed, &EndPage::all(&[]), at(0), unix_ms(0));
     let done = end(1, run_id(7, 0, 0, 2), RunEndKind::Done);
     scheduler.record_end(worker, &done, at(20), unix_ms(20));
     assert!(
@@ -223,3 +223,68 @@
     scheduler.mark_all_reconciled();
     assert_eq!(scheduler.place(at(40)).len(), 1);
 }
+
+/// Returns a scheduler with one worker and a job of three tasks, which it has placed there.
+fn owner_with_three_runs() -> (JobScheduler, wax_batch::WorkerKey) {
+    let mut scheduler = JobScheduler::new(1, Default::default());
+    scheduler.set_config(config(2).into());
+    scheduler.mark_all_reconciled();
+    let worker = worker(&mut scheduler, "w", 8_000);
+    add_job(&mut scheduler, 7, 1, &spec(vec![step(3, 1_000)]), None);
+    assert_eq!(scheduler.place(at(0)).len(), 3);
+    (scheduler, worker)
+}
+
+fn first_page() -> EndPage {
+    EndPage {
+        ends: vec![end(1, run_id(7, 0, 0, 1), RunEndKind::Done)],
+        has_more: true,
+    }
+}
+
+/// Guards against a task that runs again after its end: a list of ends that has more was taken as
+/// complete.
+#[test]
+fn a_run_missing_from_a_list_is_not_started_again_while_the_worker_has_further_ends() {
+    let (mut scheduler, worker) = owner_with_three_runs();
+    scheduler.reconcile_worker(worker, &[], &first_page(), at(10), unix_ms(10));
+    assert!(scheduler.place(at(2_000)).is_empty());
+    let done = end(2, run_id(7, 0, 1, 1), RunEndKind::Done);
+    scheduler.record_end(worker, &done, at(2_010), unix_ms(2_010));
+    assert!(scheduler.place(at(2_020)).is_empty());
+    scheduler.finish_reconciliation(worker, at(2_030), unix_ms(2_030));
+    let orders = scheduler.place(at(4_000));
+    assert_eq!(orders.len(), 1, "one run has no end");
+    assert_eq!(orders[0].run_id.task.index, 2);
+}
+
+#[test]
+fn a_run_ordered_after_an_incomplete_list_is_not_ended_with_the_missing_ones() {
+    let (mut scheduler, worker) = owner_with_three_runs();
+    scheduler.reconcile_worker(worker, &[], &first_page(), at(10), unix_ms(10));
+    add_job(&mut scheduler, 8, 1, &spec(vec![step(1, 1_000)]), None);
+    let orders = scheduler.place(at(20));
+    assert_eq!(orders.len(), 1);
+    scheduler.finish_reconciliation(worker, at(30), unix_ms(30));
+    let again = scheduler.place(at(2_000));
+    assert!(
+        again
+            .iter()
+            .all(|order| order.run_id.task.job == JobName(7))
+    );
+    assert_eq!(again.len(), 2);
+}
+
+/// Guards against a task that runs again after its end on the boot that followed the one for which
+/// its start was ordered.
+#[test]
+fn runs_of_a_replaced_boot_await_the_further_ends_of_the_next_one() {
+    let (mut scheduler, before) = owner_with_three_runs();
+    let next = worker(&mut scheduler, "w2", 8_000);
+    scheduler.move_runs(before, next, at(10));
+    scheduler.remove_lost_worker(before, at(10), unix_ms(10));
+    scheduler.reconcile_worker(next, &[], &first_page(), at(10), unix_ms(10));
+    assert!(scheduler.place(at(2_000)).is_empty());
+    scheduler.finish_reconciliation(next, at(2_010), unix_ms(2_010));
+    assert_eq!(scheduler.place(at(4_000)).len(), 2);
+}
--- a/crates/wax-batch/tests/two_owners.rs
+++ b/crates/wax-batch/tests/two_owners.rs
@@ -8,8 +8,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use support::*;
 use wax_batch::{
-    JobScheduler, JobSpec, RunEnd, RunEndKind, RunId, StepSpec, TaskName, UnreconciledRuns,
-    WorkerKey,
+    EndPage, JobScheduler, JobSpec, RunEnd, RunEndKind, RunId, StepSpec, TaskName,
+    UnreconciledRuns, WorkerKey,
 };
 
 const JOB: u64 = 7;
@@ -95,7 +95,7 @@
             .entry(number)
             .or_insert_with(|| support::worker(scheduler, &format!("w{number}"), 16_000));
         scheduler.set_worker_reachable(key, true);
-        scheduler.reconcile_worker(key, &runs, &worker.ends, now, now_ms);
+        scheduler.reconcile_worker(key, &runs, &EndPage::all(&worker.ends), now, now_ms);
         if owner == 1 {
             self.settle(number);
         }
--- a/crates/wax-owner/src/agent_links.rs
+++ b/crates/wax-owner/src/agent_links.rs
@@ -15,7 +15,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use wax_batch::{
-    BootId, CrashVerdict, LostRun, RunEnd, RunId, RunReport, StartRefusal, WorkerKey, WorkerView,
+    BootId, CrashVerdict, EndPage, JobScheduler, LostRun, RunEnd, RunId, RunReport, StartRefusal,
+    WorkerKey, WorkerView,
 };
 use wax_trace::{Counter, count, count_many};
 use wax_types::{TimePoint, wall_clock_ms};
@@ -247,12 +248,15 @@
         let (now, now_ms) = (self.shared.now(), wall_clock_ms());
         let view: WorkerView = snapshot.worker.into();
         let runs: Vec<RunReport> = snapshot.runs.iter().map(Into::into).collect();
-        let ends: Vec<RunEnd> = snapshot.ends.iter().map(Into::into).collect();
+        let page = EndPage {
+            ends: snapshot.ends.iter().map(Into::into).collect(),
+            has_more: snapshot.has_more_ends,
+        };
         let boot = view.boot.clone();
-        let worker = self.register_worker(view, now);
-        self.log_listed_ends(worker, &runs, &ends);
+        let worker = self.register_worker(view, page.has_more, now);
+        self.log_listed_ends(worker, &runs, &page);
         let mut scheduler = self.term.scheduler.borrow_mut();
-        scheduler.reconcile_worker(worker, &runs, &ends, now, now_ms);
+        scheduler.reconcile_worker(worker, &runs, &page, now, now_ms);
         *self.accepted_boot.borrow_mut() = Some(boot.clone());
         let mut placements = Vec::with_capacity(runs.len());
         for run in &runs {
@@ -264,7 +268,7 @@
         }
         let cursor = scheduler.acknowledged_end(worker);
         drop(scheduler);
-        tracing::info!(agent = self.node, link = self.link, worker = %boot, list = snapshot.list, runs = runs.len(), ends = ends.len(), "worker taken over");
+        tracing::info!(agent = self.node, link = self.link, worker = %boot, list = snapshot.list, runs = runs.len(), ends = page.ends.len(), has_more_ends = page.has_more, "worker taken over");
         let accepted = WorkerAccepted {
             worker: boot.worker_id().into(),
             placements,
@@ -284,12 +288,12 @@
     /// Logs the ends in a worker's snapshot that this term has not received yet, and the runs that
     /// the worker should have but does not list. Without these lines the runs that end between two
     /// owners or two links would seem to go on.
-    fn log_listed_ends(&self, worker: WorkerKey, runs: &[RunReport], ends: &[RunEnd]) {
+    fn log_listed_ends(&self, worker: WorkerKey, runs: &[RunReport], page: &EndPage) {
         let scheduler = self.term.scheduler.borrow();
         let Some((_, record)) = scheduler.workers().find(|(key, _)| *key == worker) else {
             return;
         };
-        for end in ends {
+        for end in &page.ends {
             if end.number > record.last_end_number {
                 log_run_end(self.node, end.run_id, &format!("{:?}", end.kind));
             }
@@ -297,14 +301,24 @@
         let listed: HashSet<RunId> = runs
             .iter()
             .map(|run| run.run_id)
-            .chain(ends.iter().map(|end| end.run_id))
+            .chain(page.ends.iter().map(|end| end.run_id))
             .collect();
-        for run_id in record.runs.keys().filter(|run| !listed.contains(run)) {
+        let unlisted = record.runs.keys().filter(|run| !listed.contains(run));
+        if page.has_more {
+            let unlisted = unlisted.count();
+            tracing::info!(
+                agent = self.node,
+                unlisted,
+                "waiting for further ends of the worker"
+            );
+            return;
+        }
+        for run_id in unlisted {
             log_run_end(self.node, *run_id, "Unlisted");
         }
     }
 
-    fn register_worker(&self, view: WorkerView, now: TimePoint) -> WorkerKey {
+    fn register_worker(&self, view: WorkerView, has_more_ends: bool, now: TimePoint) -> WorkerKey {
         let before = self.term.agents.borrow().worker(self.node);
         let boot = view.boot.clone();
         let key = match before {
@@ -314,19 +328,36 @@
                 scheduler.set_worker_reachable(key, true);
                 key
             }
-            Some((key, _)) => {
-                self.term.remove_worker(key, now);
-                self.term.scheduler.borrow_mut().add_worker(view, self.node)
+            Some((before, _)) => {
+                let key = self.term.scheduler.borrow_mut().add_worker(view, self.node);
+                if has_more_ends {
+                    // The end of the former boot was not reported: this one may have run its tasks.
+                    self.term.scheduler.borrow_mut().move_runs(before, key, now);
+                }
+                self.term.remove_worker(before, now);
+                key
             }
             None => self.term.scheduler.borrow_mut().add_worker(view, self.node),
         };
-        self.term
-            .agents
-            .borrow_mut()
-            .set_reconciled(self.node, key, &boot);
+        let mut agents = self.term.agents.borrow_mut();
+        if has_more_ends {
+            agents.set_listed(self.node, key, &boot);
+        } else {
+            agents.set_reconciled(self.node, key, &boot);
+        }
         key
     }
 
+    /// Completes the reconciliation of a worker whose first report lacked ends.
+    fn finish_reconciliation(&self, scheduler: &mut JobScheduler, now: TimePoint, now_ms: u64) {
+        let mut agents = self.term.agents.borrow_mut();
+        if let Some((worker, boot)) = agents.worker(self.node) {
+            scheduler.finish_reconciliation(worker, now, now_ms);
+            agents.set_reconciled(self.node, worker, &boot);
+            tracing::info!(agent = self.node, worker = %boot, "all ends of the worker are known");
+        }
+    }
+
     /// Waits until the store has a row that permits orders to the worker.
     async fn wait_row_stored(&self, boot: &BootId) {
         loop {
@@ -480,6 +511,9 @@
             log_run_end(self.node, end.run_id, &format!("{:?}", end.kind));
             scheduler.record_end(worker, &end, now, now_ms);
         }
+        if updates.ends_complete {
+            self.finish_reconciliation(&mut scheduler, now, now_ms);
+        }
         drop(scheduler);
         self.term.dispatch.notify(usize::MAX);
     }
--- a/crates/wax-owner/src/roster.rs
+++ b/crates/wax-owner/src/roster.rs
@@ -77,7 +77,7 @@
     link: u64,
     outbox: Option<UnboundedSender<PoolBody>>,
     unlinked_at: TimePoint,
-    /// The agent's worker; `None` until the worker's runs have been reconciled in this term.
+    /// The agent's worker; `None` until the worker has listed its runs in this term.
     worker: Option<(WorkerKey, BootId)>,
     /// Runs of earlier terms that may be on the worker; `None` once the worker's runs have been
     /// reconciled.
@@ -374,9 +374,9 @@
         Some(self.agent(node)?.row_changed.listen())
     }
 
-    /// Records that the runs of the agent's worker have been reconciled. Returns the worker that
-    /// was known before.
-    pub fn set_reconciled(
+    /// Records that the agent's worker has listed its runs, though not yet all ends: runs of earlier
+    /// terms that it does not list may have ended there. Returns the worker that was known before.
+    pub fn set_listed(
         &mut self,
         node: &str,
         worker: WorkerKey,
@@ -385,12 +385,24 @@
         let key = *self.names.get(node)?;
         self.update_agent(key, |agent| {
             agent.expires_at = None;
-            agent.unreconciled = None;
             agent.worker.replace((worker, boot.clone()))
         })?
     }
 
-    /// Returns the agent's worker if its runs have been reconciled in this term.
+    /// Records that the runs of the agent's worker have been reconciled. Returns the worker that
+    /// was known before.
+    pub fn set_reconciled(
+        &mut self,
+        node: &str,
+        worker: WorkerKey,
+        boot: &BootId,
+    ) -> Option<(WorkerKey, BootId)> {
+        let key = *self.names.get(node)?;
+        self.update_agent(key, |agent| agent.unreconciled = None);
+        self.set_listed(node, worker, boot)
+    }
+
+    /// Returns the agent's worker if it has listed its runs in this term.
     pub fn worker(&self, node: &str) -> Option<(WorkerKey, BootId)> {
         self.agent(node)?.worker.clone()
     }
@@ -425,8 +437,9 @@
             return None;
         }
         let key = *self.boots.get(boot)?;
-        let is_awaited =
-            |agent: &&AgentRecord| agent.unreconciled.is_some() && agent.row.boot() == Some(boot);
+        let is_awaited = |agent: &&AgentRecord| {
+            agent.worker.is_none() && agent.unreconciled.is_some() && agent.row.boot() == Some(boot)
+        };
         let node = self.agents.get(key).filter(is_awaited)?.node.clone();
         self.worker_ended(&node, boot);
         if self.unlinked.contains(&key) {
@@ -487,7 +500,9 @@
             };
             let is_unlinked =
                 agent.outbox.is_none() && now.since(agent.unlinked_at) >= UNLINKED_ROW_DELAY;
-            let Some((worker, boot)) = agent.worker.as_ref().filter(|_| is_unlinked) else {
+            // Without all ends of the worker, the jobs with a run there are not known.
+            let is_known = is_unlinked && agent.unreconciled.is_none();
+            let Some((worker, boot)) = agent.worker.as_ref().filter(|_| is_known) else {
                 continue;
             };
             if !matches!(agent.row, RowState::Stored(_)) {
--- a/crates/wax-owner/tests/roster.rs
+++ b/crates/wax-owner/tests/roster.rs
@@ -232,6 +232,28 @@
     assert!(case.roster.outbox(key).is_some());
 }
 
+/// Guards against a task of an earlier term that runs again after its end: its worker counted as
+/// reconciled although it had further ends.
+#[test]
+fn worker_with_further_ends_holds_back_tasks_of_earlier_terms() {
+    let mut case = Case::new();
+    let key = worker_key();
+    case.load("side-1", &row("w1"));
+    case.open("side-1", 1, 0);
+    case.roster.set_listed("side-1", key, &boot("w1"));
+    assert_eq!(case.roster.unreconciled_runs(), UnreconciledRuns::Any);
+    assert!(case.roster.outbox(key).is_some(), "ends are acknowledged");
+    let expired = case.roster.remove_expired(at(60_000), at(60_000));
+    assert!(expired.nodes.is_empty(), "the agent extends the leases");
+    assert_eq!(case.roster.boot_ended(&boot("w1")), None);
+    case.close("side-1", 1, 61_000);
+    case.roster.queue_unlinked(at(63_000), |_| BTreeSet::new());
+    assert!(!case.roster.has_updates(), "the next owner must wait, too");
+    case.open("side-1", 2, 64_000);
+    case.roster.set_reconciled("side-1", key, &boot("w1"));
+    assert!(case.roster.unreconciled_runs().is_none());
+}
+
 #[test]
 fn unlinked_rows_hold_back_only_their_jobs() {
     let mut case = Case::new();
--- a/crates/wax-owner/tests/scale/simulation.rs
+++ b/crates/wax-owner/tests/scale/simulation.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use wax_batch::{
-    BootId, JobName, JobOutcome, JobRow, JobScheduler, JobSpec, OwnerClocks, QueueConfig,
+    BootId, EndPage, JobName, JobOutcome, JobRow, JobScheduler, JobSpec, OwnerClocks, QueueConfig,
     QueueRules, RunEnd, RunEndKind, RunId, RunReport, StepSpec, StoredProgress, TaskSize,
     UnreconciledRuns, WorkerKey, WorkerView,
 };
@@ -511,8 +511,13 @@
         };
         self.roster.set_reconciled(&node, worker, &boot);
         let ends = std::mem::take(&mut self.agents[number].unreported_ends);
-        self.scheduler
-            .reconcile_worker(worker, &reports, &ends, self.now, unix_ms(self.now));
+        self.scheduler.reconcile_worker(
+            worker,
+            &reports,
+            &EndPage::all(&ends),
+            self.now,
+            unix_ms(self.now),
+        );
         self.agents[number].worker = Some(worker);
         self.send(2, 200);
         self.has_changes = true;
--- a/crates/wax-standin/src/site_runs.rs
+++ b/crates/wax-standin/src/site_runs.rs
@@ -98,6 +98,9 @@
 /// End of a run as a hold reports it: number of the end, task, run, outcome, checkpoint.
 type EndRecord = (u64, String, u64, &'static str, String);
 
+/// Largest number of ends in one reply to a hold.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// All runs of a worker, running and ended.
 #[derive(Debug)]
 pub(crate) struct SiteRuns {
@@ -334,7 +337,8 @@
         self.record_event(outcome, task, record.run);
     }
 
-    /// Returns the reply to a hold: the running tasks, and the ends that are not acknowledged yet.
+    /// Returns the reply to a hold: the running tasks, and the first ends that are not acknowledged
+    /// yet.
     pub(crate) fn hold_reply(&self) -> Value {
         let running: Vec<Value> = self
             .running
@@ -345,7 +349,8 @@
                 json!([task, record.run, "", percent, record.work.cpu])
             })
             .collect();
-        json!({ "clockMs": self.clock_ms(), "born": self.started_ms, "running": running, "finished": self.ends })
+        let ends = &self.ends[..self.ends.len().min(MAX_LISTED_ENDS)];
+        json!({ "clockMs": self.clock_ms(), "born": self.started_ms, "running": running, "finished": ends })
     }
 }
 
--- a/crates/wax-wire/src/pool.rs
+++ b/crates/wax-wire/src/pool.rs
@@ -49,7 +49,7 @@
     /// Owner to agent or front: answer to a heartbeat. Gives an agent authority for a limited time.
     #[prost(message, tag = "6")]
     Grant(LeaseGrant),
-    /// Agent to owner: complete state of its worker, sent after each new link or boot.
+    /// Agent to owner: state of its worker, sent after each new link or boot.
     #[prost(message, tag = "7")]
     WorkerSnapshot(WorkerSnapshot),
     /// Owner to agent: accepts a [`WorkerSnapshot`]. From then on the agent may extend the worker's leases.
@@ -297,7 +297,7 @@
     }
 }
 
-/// Complete state of a worker at one moment.
+/// State of a worker at one moment: all runs in progress, and as many ends as the worker lists at once.
 #[derive(Clone, PartialEq, Message)]
 pub struct WorkerSnapshot {
     /// The worker's description.
@@ -316,6 +316,10 @@
     /// Number of the list, counted by the agent.
     #[prost(uint64, optional, tag = "5")]
     pub list: Option<u64>,
+    /// Whether the worker may have further ends. They follow in [`RunUpdates`]; the last of these messages has
+    /// [`RunUpdates::ends_complete`] set.
+    #[prost(bool, tag = "6")]
+    pub has_more_ends: bool,
 }
 
 /// What a run reserves on a worker, and properties of its task that the agent needs.
@@ -432,6 +436,9 @@
     /// Runs that have ended.
     #[prost(message, repeated, tag = "4")]
     pub ends: Vec<RunEndFrame>,
+    /// Whether all ends that a [`WorkerSnapshot`] on this link lacked have now been sent.
+    #[prost(bool, tag = "5")]
+    pub ends_complete: bool,
 }
 
 /// Order to start a run.
--- a/crates/wax-wire/tests/fuzz.rs
+++ b/crates/wax-wire/tests/fuzz.rs
@@ -35,6 +35,7 @@
             ends: Vec::new(),
             known_pairs: 3,
             list: Some(4),
+            has_more_ends: false,
         }),
         PoolBody::AllRunsEnded(AllRunsEnded::new(&boot, true)),
         PoolBody::Ack(AckEnds::new(&boot, 57)),
--- a/crates/wax-wire/tests/pool.rs
+++ b/crates/wax-wire/tests/pool.rs
@@ -145,6 +145,7 @@
         ends: vec![(&run_end()).into()],
         known_pairs: 480,
         list: Some(4),
+        has_more_ends: true,
     }),
     worker_accepted: PoolBody::WorkerAccepted(WorkerAccepted { worker: "i-1".into(), placements: vec![placement()], started_ms: Some(7), list: Some(4) }),
     worker_changed: PoolBody::WorkerChanged((&view()).into()),
@@ -154,6 +155,7 @@
         refused: vec![RefusalFrame::new(run_id(), StartRefusal::Unwell)],
         running: vec![(&run_report()).into()],
         ends: vec![(&run_end()).into()],
+        ends_complete: true,
     }),
     start: PoolBody::Start(StartRun {
         placement: placement(),
--- a/tests/pool/links.rs
+++ b/tests/pool/links.rs
@@ -87,6 +87,7 @@
             ends: ends.iter().map(RunEndFrame::from).collect(),
             known_pairs: 0,
             list: Some(list),
+            has_more_ends: false,
         }));
     }
 
--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -15,6 +15,7 @@
 mod jobs;
 mod links;
 mod many_agents;
+mod many_ends;
 mod orders;
 mod ports;
 mod restarts;
--- a/tests/pool/many_agents.rs
+++ b/tests/pool/many_agents.rs
@@ -99,6 +99,7 @@
         ends: Vec::new(),
         known_pairs: 0,
         list: Some(1),
+        has_more_ends: false,
     })
 }
 
