Progress: rows of limited size, and no job holds up another's ends

Cause: the progress of a job was a single row without a bound. The store refused it above 64 KiB, the owner dropped the update, and as ends are acknowledged in their order, each once its job is stored, the first end of that job held up all others of its workers.

Why the fix works: each 512 tasks of a job have a row of their own, and a task never moves to another row, so rows can be written in several transactions. Crashed runs without room are left out. Done occurrences leave the row, and at most 1,000 are in progress. A job of which the store takes no row fails by itself, and its ends are acknowledged with that. The row of interference and the rows of agents without a link are bounded, too.

Tests that build a StoredProgress name the new field by its default.

--- a/crates/wax-batch/src/ends.rs
+++ b/crates/wax-batch/src/ends.rs
@@ -264,10 +264,10 @@
         if step.is_done(step_spec) {
             step.tasks = Vec::new();
             step.spread.clear();
-            self.open_ready_steps(task_ref.step.job, now);
+            self.open_steps_of(task_ref.step.job, task_ref.step.occurrence, now);
         }
         self.mark_changed(task_ref.step.job);
-        self.close_finished(task_ref.step.job, now_ms);
+        self.close_occurrence(task_ref.step.job, task_ref.step.occurrence, now_ms);
     }
 
     fn fail_task(
--- a/crates/wax-batch/src/lib.rs
+++ b/crates/wax-batch/src/lib.rs
@@ -17,6 +17,7 @@
 mod performance;
 mod placement;
 mod progress;
+mod progress_rows;
 mod queue;
 mod rank;
 mod reasons;
@@ -42,9 +43,10 @@
 pub use performance::{SlowWorkerInfo, SpeedChange};
 pub use placement::WorkerChoice;
 pub use progress::{
-    JobOutcome, JobProgress, JobRow, OccurrenceProgress, OwnerClocks, StepProgress, StoredProgress,
-    TaskFailures,
+    JobOutcome, JobProgress, JobRow, OccurrenceProgress, OwnerClocks, PartProgress, StepProgress,
+    StoredProgress, TaskFailures,
 };
+pub use progress_rows::{MAX_ROW_BYTES, ProgressRow, RowChange};
 pub use queue::{AdviceRules, QueueConfig, QueueRules, QueueTable, ServiceRules};
 pub use rank::{JobRank, critical_path_ms, latest_start_ms, objective_ms};
 pub use reasons::{PlacementReason, StepWait, StopReason, WaitReason};
--- a/crates/wax-batch/src/progress.rs
+++ b/crates/wax-batch/src/progress.rs
@@ -1,8 +1,10 @@
 //! Protobuf messages in which jobs and their progress are stored.
 
 use crate::crash_history::CrashedRun;
+use crate::progress_rows::ProgressRow;
 use crate::spec::{JobSpec, RepeatPlan, StepSpec, TaskSize};
 use prost::Message;
+use std::collections::BTreeMap;
 use std::time::Duration;
 use wax_types::{StoreTime, TimePoint};
 
@@ -206,7 +208,7 @@
     Cancelled = 3,
 }
 
-/// Stored progress of a job. Written only by the owner of the job's shard.
+/// Stored progress of a job: its head row. Written only by the owner of the job's shard.
 #[derive(Clone, PartialEq, Message)]
 pub struct JobProgress {
     /// Outcome of the job, as a [`JobOutcome`].
@@ -215,13 +217,18 @@
     /// Number of the first occurrence that is not done.
     #[prost(uint32, tag = "2")]
     pub done_before: u32,
-    /// Occurrences from `done_before` on that have been started.
+    /// Occurrences in progress.
     #[prost(message, repeated, tag = "3")]
     pub occurrences: Vec<OccurrenceProgress>,
     /// Time of the end, Unix milliseconds by the owner's wall clock; 0 while the job is open. For
     /// logs, and for owners of releases that count the age of the row from it.
     #[prost(uint64, tag = "4")]
     pub ended_ms: u64,
+    /// Number of the first occurrence that has not been started: the others before it that are not
+    /// in `occurrences` are done. Earlier releases leave it 0 and list all occurrences from
+    /// `done_before` on that have been started.
+    #[prost(uint32, tag = "5")]
+    pub next_occurrence: u32,
 }
 
 /// Progress of a job as read from the store.
@@ -231,6 +238,63 @@
     pub progress: JobProgress,
     /// Version of the row.
     pub version: u64,
+    /// Content of the part rows, by number.
+    pub parts: BTreeMap<u64, PartProgress>,
+}
+
+impl StoredProgress {
+    /// Returns the content of all rows.
+    pub(crate) fn rows(&self) -> BTreeMap<ProgressRow, Box<[u8]>> {
+        let parts = self.parts.iter();
+        let parts = parts.map(|(row, part)| (ProgressRow::Part(*row), part.encode_to_vec()));
+        let head = (ProgressRow::Head, self.progress.encode_to_vec());
+        let rows = parts.chain([head]);
+        rows.map(|(row, value)| (row, value.into())).collect()
+    }
+}
+
+/// Progress of consecutive tasks of a job that has more of them than a row has room for.
+#[derive(Clone, PartialEq, Message)]
+pub struct PartProgress {
+    #[prost(message, repeated, tag = "1")]
+    segments: Vec<SegmentProgress>,
+}
+
+/// Progress of the tasks of one step in a [`PartProgress`].
+#[derive(Clone, PartialEq, Message)]
+struct SegmentProgress {
+    /// Number of the occurrence.
+    #[prost(uint32, tag = "1")]
+    occurrence: u32,
+    /// Index of the step in the specification.
+    #[prost(uint32, tag = "2")]
+    step: u32,
+    /// The tasks count from the first one in the row.
+    #[prost(message, required, tag = "3")]
+    progress: StepProgress,
+}
+
+impl PartProgress {
+    /// Adds the progress of the tasks of one step.
+    pub(crate) fn add(&mut self, occurrence: u32, step: u32, progress: StepProgress) {
+        self.segments.push(SegmentProgress {
+            occurrence,
+            step,
+            progress,
+        });
+    }
+
+    /// Returns the progress by occurrence and step.
+    pub(crate) fn steps(&self) -> impl Iterator<Item = (u32, usize, &StepProgress)> {
+        let segments = self.segments.iter();
+        segments.map(|part| (part.occurrence, part.step as usize, &part.progress))
+    }
+
+    /// Returns the failures of all tasks for changes.
+    pub(crate) fn failures_mut(&mut self) -> impl Iterator<Item = &mut Vec<TaskFailures>> {
+        let segments = self.segments.iter_mut();
+        segments.map(|part| &mut part.progress.failures)
+    }
 }
 
 /// Progress of one occurrence in a [`JobProgress`].
@@ -239,7 +303,7 @@
     /// Number of the occurrence.
     #[prost(uint32, tag = "1")]
     pub number: u32,
-    /// Steps in the order of the specification.
+    /// Steps in the order of the specification, up to the last one with progress.
     #[prost(message, repeated, tag = "2")]
     pub steps: Vec<StepProgress>,
 }
--- a/crates/wax-batch/src/records.rs
+++ b/crates/wax-batch/src/records.rs
@@ -2,14 +2,14 @@
 
 use crate::crash_history::{CrashHistory, CrashedRun};
 use crate::names::JobName;
-use crate::progress::{
-    JobOutcome, JobProgress, OccurrenceProgress, StepProgress, StoredProgress, TaskFailures,
-};
+use crate::progress::{JobOutcome, StepProgress};
+use crate::progress_rows::ProgressRow;
 use crate::queue::QueueRules;
 use crate::reasons::WaitReason;
 use crate::spec::{JobSpec, StepSpec};
 use crate::worker::WorkerKey;
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::rc::Rc;
 use wax_types::TimePoint;
 
@@ -161,47 +161,31 @@
         }
     }
 
-    fn progress(&self, spec: &StepSpec) -> StepProgress {
-        let mut progress = StepProgress::default();
-        if self.is_done(spec) {
-            progress.all_done = true;
-            return progress;
-        }
-        for (index, task) in self.tasks.iter().enumerate() {
-            if matches!(task.state, TaskState::Done) {
-                progress.mark_done(index as u32);
-            }
-            let counts_failures = !task.failed_runs.is_empty() && !spec.long_running;
-            if counts_failures || !task.crash_history.is_empty() {
-                progress.failures.push(TaskFailures {
-                    index: index as u32,
-                    runs: task.failed_runs.clone(),
-                    crashes: task.crash_history.runs.iter().map(Into::into).collect(),
-                });
-            }
-        }
-        progress
-    }
-
-    fn restore(&mut self, spec: &StepSpec, progress: &StepProgress) {
+    /// Restores the stored progress of some tasks, whose numbers count from the first one.
+    pub(crate) fn restore(&mut self, spec: &StepSpec, tasks: Range<u32>, progress: &StepProgress) {
         if progress.all_done {
             self.done = spec.count;
             return;
         }
-        if progress.done.is_empty() && progress.failures.is_empty() {
+        let is_empty = progress.done.is_empty() && progress.failures.is_empty();
+        if is_empty || self.is_done(spec) {
             return;
         }
-        self.tasks = vec![TaskRecord::default(); spec.count as usize];
-        self.waiting = spec.count;
-        for (index, task) in self.tasks.iter_mut().enumerate() {
-            if progress.is_done(index as u32) {
+        if self.tasks.is_empty() {
+            self.tasks = vec![TaskRecord::default(); spec.count as usize];
+            self.waiting = spec.count;
+        }
+        let records = self.tasks.iter_mut().skip(tasks.start as usize);
+        for (index, task) in (0..tasks.end - tasks.start).zip(records) {
+            if progress.is_done(index) {
                 task.state = TaskState::Done;
                 self.done += 1;
                 self.waiting -= 1;
             }
         }
         for failure in &progress.failures {
-            if let Some(task) = self.tasks.get_mut(failure.index as usize) {
+            let index = tasks.start as usize + failure.index as usize;
+            if let Some(task) = self.tasks.get_mut(index) {
                 let failed = failure.runs.iter().copied().max().unwrap_or(0);
                 task.failed_runs.clone_from(&failure.runs);
                 task.crash_history.runs = failure.crashes.iter().map(CrashedRun::from).collect();
@@ -279,7 +263,7 @@
     pub epoch: u64,
     /// Time of acceptance, converted from the store's clock.
     pub accepted: TimePoint,
-    /// Occurrences in progress, by number.
+    /// Occurrences in progress, by number. All others before `next_occurrence` are done.
     pub occurrences: BTreeMap<u32, OccurrenceRecord>,
     /// Number of the first occurrence that has not been started yet.
     pub next_occurrence: u32,
@@ -303,6 +287,8 @@
     pub changes: u64,
     /// Value of `changes` at the last successful write to the store.
     pub stored_changes: u64,
+    /// Content of the progress rows that the store holds.
+    pub(crate) stored_rows: BTreeMap<ProgressRow, Box<[u8]>>,
 }
 
 impl JobRecord {
@@ -320,51 +306,4 @@
         let mut tasks = steps.flat_map(|step| &step.tasks);
         tasks.any(|task| task.placement().is_some())
     }
-
-    /// Returns the progress to be stored.
-    pub fn progress(&self) -> JobProgress {
-        let mut progress = JobProgress {
-            outcome: self.outcome.into(),
-            ended_ms: self.ended_ms,
-            ..Default::default()
-        };
-        if self.is_over() {
-            return progress;
-        }
-        progress.done_before = self
-            .occurrences
-            .keys()
-            .next()
-            .copied()
-            .unwrap_or(self.next_occurrence);
-        for (number, occurrence) in &self.occurrences {
-            let steps = occurrence.steps.iter().zip(self.spec.steps.iter());
-            progress.occurrences.push(OccurrenceProgress {
-                number: *number,
-                steps: steps.map(|(step, spec)| step.progress(spec)).collect(),
-            });
-        }
-        progress
-    }
-
-    /// Restores the stored progress.
-    pub(crate) fn restore(&mut self, stored: &StoredProgress) {
-        let progress = &stored.progress;
-        self.outcome = progress.outcome();
-        self.stored_outcome = self.outcome;
-        self.end_version = self.is_over().then_some(stored.version);
-        self.ended_ms = progress.ended_ms;
-        self.next_occurrence = progress.done_before;
-        for stored in &progress.occurrences {
-            let mut occurrence = OccurrenceRecord::new(&self.spec, self.accepted);
-            for (number, step) in stored.steps.iter().enumerate() {
-                if let Some(spec) = self.spec.steps.get(number) {
-                    occurrence.steps[number].restore(spec, step);
-                }
-            }
-            self.started = true;
-            self.occurrences.insert(stored.number, occurrence);
-            self.next_occurrence = self.next_occurrence.max(stored.number + 1);
-        }
-    }
 }
--- a/crates/wax-batch/src/reservations.rs
+++ b/crates/wax-batch/src/reservations.rs
@@ -26,16 +26,9 @@
         }
         let spec = job.spec.clone();
         let step_spec = spec.steps.get(usize::from(name.step))?;
-        let first_open = job
-            .occurrences
-            .keys()
-            .next()
-            .copied()
-            .unwrap_or(job.next_occurrence);
-        if name.index >= step_spec.count
-            || name.occurrence >= spec.occurrence_count()
-            || name.occurrence < first_open
-        {
+        let is_done = name.occurrence < job.next_occurrence
+            && !job.occurrences.contains_key(&name.occurrence);
+        if name.index >= step_spec.count || name.occurrence >= spec.occurrence_count() || is_done {
             return None;
         }
         while job.next_occurrence <= name.occurrence {
--- a/crates/wax-batch/src/scheduler.rs
+++ b/crates/wax-batch/src/scheduler.rs
@@ -7,6 +7,7 @@
 use crate::order_backoff::{StartLimit, StartLimits};
 use crate::performance::PerformanceTracker;
 use crate::progress::{JobOutcome, JobProgress, JobRow, OwnerClocks, StoredProgress};
+use crate::progress_rows::{ProgressRow, RowChange};
 use crate::queue::{QueueConfig, QueueRules};
 use crate::reasons::{PlacementReason, StepWait, StopReason};
 use crate::records::{JobRecord, OccurrenceRecord};
@@ -86,7 +87,7 @@
     pub started: bool,
 }
 
-/// Progress of one job that is to be written to the store.
+/// Progress of one job that is to be written to the store, as it was at one moment.
 #[derive(Debug, Clone)]
 pub struct ProgressUpdate {
     /// Key of the job.
@@ -95,8 +96,37 @@
     pub name: JobName,
     /// Number of changes of the job that this update covers.
     pub changes: u64,
-    /// Progress to write.
+    /// Content of the head row.
     pub progress: JobProgress,
+    /// Rows to write and to remove, in this order.
+    pub rows: Vec<RowChange>,
+    /// Number of crashed runs that have no room in their row and are not stored.
+    pub omitted_crashes: usize,
+    /// Size of a row that is too large for the store; `None` if all have room.
+    pub oversized: Option<usize>,
+    /// Whether earlier transactions have written rows of the same update.
+    pub is_begun: bool,
+}
+
+impl ProgressUpdate {
+    /// Returns whether the update writes the head row.
+    pub fn has_head(&self) -> bool {
+        let first = self.rows.first();
+        first.is_some_and(|change| change.row == ProgressRow::Head)
+    }
+
+    /// Removes all rows but the first `count` and returns them as an update of their own; `None` if
+    /// there are no others.
+    pub fn split_off(&mut self, count: usize) -> Option<Self> {
+        let rest = self.rows.split_off(count.min(self.rows.len()));
+        (!rest.is_empty()).then(|| Self {
+            rows: rest,
+            omitted_crashes: 0,
+            is_begun: true,
+            progress: self.progress.clone(),
+            ..*self
+        })
+    }
 }
 
 /// End of a run that must be stored before the worker may delete its record of it.
@@ -180,6 +210,8 @@
     pub(crate) workers: SlotMap<WorkerKey, WorkerRecord>,
     pub(crate) ready_steps: BTreeSet<StepRef>,
     pub(crate) dirty: BTreeSet<JobKey>,
+    /// Updates of which earlier transactions have written a part.
+    pub(crate) begun_updates: VecDeque<ProgressUpdate>,
     pub(crate) stops: Vec<StopOrder>,
     /// Workers with reported ends that they may not delete yet.
     pub(crate) unacknowledged: BTreeSet<WorkerKey>,
@@ -224,6 +256,7 @@
             workers: SlotMap::with_key(),
             ready_steps: BTreeSet::new(),
             dirty: BTreeSet::new(),
+            begun_updates: VecDeque::new(),
             stops: Vec::new(),
             unacknowledged: BTreeSet::new(),
             waits: Vec::new(),
@@ -331,6 +364,7 @@
             reason: None,
             changes: 0,
             stored_changes: 0,
+            stored_rows: BTreeMap::new(),
             spec: Rc::new(row.into_spec()),
         };
         if let Some(progress) = progress {
@@ -340,8 +374,13 @@
             }
         }
         let is_over = job.is_over();
+        let has_parts = job.stored_rows.len() > 1;
         let key = self.jobs.insert(job);
         self.names.insert(name, key);
+        if is_over && has_parts {
+            // The former owner has not removed all of them.
+            self.mark_changed(key);
+        }
         if !is_over {
             self.start_due_occurrences_of(key, now, now_ms);
             self.open_ready_steps(key, now);
@@ -372,8 +411,8 @@
         })
     }
 
-    /// Starts the occurrences of a job that are due. Returns when the next one is due, Unix
-    /// milliseconds; `None` if all have been started.
+    /// Starts the occurrences of a job that are due, as many as may be in progress together. Returns
+    /// when the next one is due, Unix milliseconds; `None` if all have been started.
     fn start_due_occurrences_of(
         &mut self,
         key: JobKey,
@@ -382,7 +421,8 @@
     ) -> Option<u64> {
         let job = &mut self.jobs[key];
         let all = job.spec.occurrence_count();
-        while job.next_occurrence < all {
+        let max_open = job.spec.max_open_occurrences();
+        while job.next_occurrence < all && job.occurrences.len() < max_open {
             let due = match job.spec.repeat {
                 Some(plan) if plan.due_ms(job.next_occurrence) > now_ms => {
                     return Some(plan.due_ms(job.next_occurrence));
@@ -397,7 +437,9 @@
             job.occurrences.insert(job.next_occurrence, occurrence);
             job.next_occurrence += 1;
         }
-        None
+        let next = (job.next_occurrence < all).then_some(job.next_occurrence);
+        next.zip(job.spec.repeat)
+            .map(|(next, plan)| plan.due_ms(next))
     }
 
     /// Starts all due occurrences of repeated jobs. Returns when the next one is due, Unix
@@ -420,38 +462,52 @@
 
     /// Opens the steps of a job whose prerequisites are done, in all occurrences in progress.
     pub(crate) fn open_ready_steps(&mut self, key: JobKey, now: TimePoint) {
-        let job = &mut self.jobs[key];
-        let spec = job.spec.clone();
-        for (number, occurrence) in &mut job.occurrences {
-            occurrence.open_steps(&spec, now);
-            for (step, record) in occurrence.steps.iter().enumerate() {
-                if record.open && record.waiting > 0 {
-                    self.ready_steps.insert(StepRef {
-                        job: key,
-                        occurrence: *number,
-                        step: step as u16,
-                    });
-                }
-            }
+        let numbers: Vec<u32> = self.jobs[key].occurrences.keys().copied().collect();
+        for number in numbers {
+            self.open_steps_of(key, number, now);
         }
     }
 
-    /// Removes finished occurrences, and completes the job if none is left or still to come.
-    pub(crate) fn close_finished(&mut self, key: JobKey, now_ms: u64) {
+    /// Opens the steps of one occurrence whose prerequisites are done.
+    pub(crate) fn open_steps_of(&mut self, key: JobKey, number: u32, now: TimePoint) {
         let job = &mut self.jobs[key];
-        if job.is_over() {
+        let Some(occurrence) = job.occurrences.get_mut(&number) else {
             return;
-        }
-        let spec = job.spec.clone();
-        // Only the leading finished occurrences are removed, because the store keeps just the
-        // number of the first one that is not done.
-        while let Some(first) = job.occurrences.first_entry() {
-            if !first.get().is_done(&spec) {
-                break;
+        };
+        occurrence.open_steps(&job.spec, now);
+        for (step, record) in occurrence.steps.iter().enumerate() {
+            if record.open && record.waiting > 0 {
+                self.ready_steps.insert(StepRef {
+                    job: key,
+                    occurrence: number,
+                    step: step as u16,
+                });
             }
-            first.remove();
         }
-        if job.occurrences.is_empty() && job.next_occurrence >= spec.occurrence_count() {
+    }
+
+    /// Removes an occurrence if it is done, and completes the job if none is left or still to come.
+    pub(crate) fn close_occurrence(&mut self, key: JobKey, number: u32, now_ms: u64) {
+        let job = &mut self.jobs[key];
+        let occurrence = job.occurrences.get(&number);
+        if !job.is_over() && occurrence.is_some_and(|record| record.is_done(&job.spec)) {
+            job.occurrences.remove(&number);
+            self.complete_if_done(key, now_ms);
+        }
+    }
+
+    /// Removes all occurrences that are done, and completes the job if none is left or still to
+    /// come.
+    fn close_finished(&mut self, key: JobKey, now_ms: u64) {
+        let job = &mut self.jobs[key];
+        job.occurrences
+            .retain(|_, record| !record.is_done(&job.spec));
+        self.complete_if_done(key, now_ms);
+    }
+
+    fn complete_if_done(&mut self, key: JobKey, now_ms: u64) {
+        let job = &self.jobs[key];
+        if job.occurrences.is_empty() && job.next_occurrence >= job.spec.occurrence_count() {
             self.end_job(key, JobOutcome::Completed, None, now_ms);
         }
     }
@@ -587,6 +643,7 @@
         if let Some(key) = self.names.remove(&name) {
             self.jobs.remove(key);
             self.dirty.remove(&key);
+            self.begun_updates.retain(|update| update.job != key);
         }
     }
 
--- a/crates/wax-batch/src/spec.rs
+++ b/crates/wax-batch/src/spec.rs
@@ -143,6 +143,9 @@
 const MAX_STEPS: usize = 256;
 const MAX_TASKS: u64 = 100_000;
 const MAX_OCCURRENCES: u32 = 1_000_000;
+/// Largest number of occurrences of one job in progress, and of steps in them.
+const MAX_OPEN_OCCURRENCES: usize = 1_000;
+const MAX_OPEN_STEPS: usize = 8_000;
 const MAX_TEXT_BYTES: usize = 4_000;
 
 /// Reason why a job cannot be accepted.
@@ -220,6 +223,17 @@
         Ok(())
     }
 
+    /// Returns how many occurrences may be in progress together: at least one, and no more than have
+    /// room in the owner's memory and in the head row of the job's progress.
+    pub fn max_open_occurrences(&self) -> usize {
+        let steps = self.steps.len().max(1);
+        let tasks = self.task_count().max(1) as usize;
+        let max_open = MAX_OPEN_OCCURRENCES
+            .min(MAX_OPEN_STEPS / steps)
+            .min(MAX_TASKS as usize / tasks);
+        max_open.max(1)
+    }
+
     /// Returns the number of occurrences; 1 for a job that runs once.
     pub fn occurrence_count(&self) -> u32 {
         self.repeat.map_or(1, |plan| plan.count)
--- a/crates/wax-batch/tests/job_lifecycle.rs
+++ b/crates/wax-batch/tests/job_lifecycle.rs
@@ -661,6 +661,7 @@
     let stored = StoredProgress {
         progress,
         version: 40,
+        ..Default::default()
     };
     let mut row = JobRow::new(&spec(vec![step(1, 1_000)]), "gauges", "svc", unix_ms(0), 1);
     row.epoch = 1;
--- a/crates/wax-batch/tests/support/mod.rs
+++ b/crates/wax-batch/tests/support/mod.rs
@@ -100,6 +100,7 @@
     let stored = progress.map(|progress| StoredProgress {
         progress: progress.clone(),
         version: 1,
+        ..Default::default()
     });
     scheduler.add_job(JobName(job), row, stored.as_ref(), &clocks(0));
     JobName(job)
--- a/crates/wax-owner/src/load.rs
+++ b/crates/wax-owner/src/load.rs
@@ -3,14 +3,16 @@
 use crate::owner_term::OwnerTerm;
 use crate::rows::{
     AGENT_TABLE, AgentRow, CANCEL_SUFFIX, JOB_TABLE, PART, PROGRESS_TABLE, VersionAgesRow,
-    interference_key, version_ages_key,
+    interference_key, parse_progress_key, version_ages_key,
 };
 use crate::shared::PoolShared;
 use platform::StoredRow;
 use prost::Message;
 use std::collections::HashMap;
 use std::time::Duration;
-use wax_batch::{JobName, JobProgress, JobRow, OwnerClocks, StoredProgress};
+use wax_batch::{
+    JobName, JobProgress, JobRow, OwnerClocks, PartProgress, ProgressRow, StoredProgress,
+};
 use wax_trace::{Latency, record_latency};
 use wax_types::{TimePoint, WaxError, wall_clock_ms};
 use wax_wire::InterferenceUpdate;
@@ -121,23 +123,35 @@
 }
 
 fn decode_progress(rows: &[StoredRow]) -> HashMap<JobName, StoredProgress> {
-    let mut progress = HashMap::with_capacity(rows.len());
+    let mut progress: HashMap<JobName, StoredProgress> = HashMap::with_capacity(rows.len());
     for row in rows {
-        let name = row.key.key.parse::<JobName>();
-        match (name, JobProgress::decode(&*row.value)) {
-            (Ok(name), Ok(value)) => {
-                let stored = StoredProgress {
-                    progress: value,
-                    version: row.version,
-                };
-                progress.insert(name, stored);
-            }
-            _ => tracing::error!(key = %row.key.key, "could not decode a progress row"),
+        if add_progress_row(&mut progress, row).is_none() {
+            tracing::error!(key = %row.key.key, "could not decode a progress row");
         }
     }
     progress
 }
 
+/// Adds one row; returns `None` if it is malformed.
+fn add_progress_row(
+    progress: &mut HashMap<JobName, StoredProgress>,
+    row: &StoredRow,
+) -> Option<()> {
+    let (name, progress_row) = parse_progress_key(&row.key.key)?;
+    match progress_row {
+        ProgressRow::Head => {
+            let head = JobProgress::decode(&*row.value).ok()?;
+            let stored = progress.entry(name).or_default();
+            (stored.progress, stored.version) = (head, row.version);
+        }
+        ProgressRow::Part(number) => {
+            let part = PartProgress::decode(&*row.value).ok()?;
+            progress.entry(name).or_default().parts.insert(number, part);
+        }
+    }
+    Some(())
+}
+
 /// Adds rows of the job table, including cancel requests, to the scheduler.
 pub(crate) fn add_jobs(
     shared: &PoolShared,
--- a/crates/wax-owner/src/owner_term.rs
+++ b/crates/wax-owner/src/owner_term.rs
@@ -8,11 +8,12 @@
 use crate::shared::PoolShared;
 use event_listener::Event;
 use futures_channel::oneshot;
+use prost::Message;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
-use wax_batch::{BootId, JobName, JobOutcome, JobScheduler, WorkerKey};
+use wax_batch::{BootId, JobName, JobOutcome, JobScheduler, MAX_ROW_BYTES, WorkerKey};
 use wax_http::ShutdownSignal;
 use wax_policy::{DrainView, VersionAges};
 use wax_trace::{Counter, count};
@@ -97,8 +98,10 @@
     pub(crate) ended: ShutdownSignal,
 }
 
-/// Largest number of pairs in one message or row; a row of the platform's store holds 64 KiB.
+/// Largest number of pairs in one message or row.
 const MAX_PAIRS: usize = 800;
+/// Bytes of a row that a pair takes besides its own encoding.
+const PAIR_OVERHEAD_BYTES: usize = 4;
 /// If the job feed has not been confirmed for longer, jobs may be missing. The feed answers at
 /// shorter intervals, also without changes.
 const JOB_FEED_MAX_AGE: Duration = Duration::from_millis(2_500);
@@ -295,12 +298,19 @@
     pub(crate) fn interference_snapshot(&self) -> InterferenceUpdate {
         let scheduler = self.scheduler.borrow();
         let pairs = scheduler.interference_table().iter().take(MAX_PAIRS);
+        let frames = pairs.map(|(serving, best_effort, interference)| {
+            InterferenceFrame::new(serving, best_effort, interference)
+        });
+        // Callers choose the names of images, so that their lengths have no bound.
+        let mut bytes = 0;
+        let fitting = frames.filter(|frame| {
+            let length = frame.encoded_len() + PAIR_OVERHEAD_BYTES;
+            let fits = bytes + length <= MAX_ROW_BYTES;
+            bytes += if fits { length } else { 0 };
+            fits
+        });
         InterferenceUpdate {
-            pairs: pairs
-                .map(|(serving, best_effort, interference)| {
-                    InterferenceFrame::new(serving, best_effort, interference)
-                })
-                .collect(),
+            pairs: fitting.collect(),
             headrooms: Vec::new(),
         }
     }
--- a/crates/wax-owner/src/roster.rs
+++ b/crates/wax-owner/src/roster.rs
@@ -21,6 +21,9 @@
 /// Time without a link after which an agent's row is changed to `unlinked`. A broken link is
 /// usually replaced sooner.
 const UNLINKED_ROW_DELAY: Duration = Duration::from_millis(1_000);
+/// Largest number of jobs in an agent's row, 8 bytes each. With more of them the row keeps the form
+/// that covers any job.
+const MAX_ROW_JOBS: usize = 4_000;
 
 /// State of an agent's row in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -508,10 +511,14 @@
             if !matches!(agent.row, RowState::Stored(_)) {
                 continue;
             }
+            let jobs = jobs_on(*worker);
+            if jobs.len() > MAX_ROW_JOBS {
+                continue;
+            }
             agent.row = RowState::Unlinked(boot.clone());
             let update = AgentUpdate::Unlinked {
                 boot: boot.clone(),
-                jobs: jobs_on(*worker),
+                jobs,
             };
             self.updates.insert(agent.node.clone(), update);
         }
--- a/crates/wax-owner/src/rows.rs
+++ b/crates/wax-owner/src/rows.rs
@@ -3,7 +3,7 @@
 use platform::RowKey;
 use prost::Message;
 use std::time::Duration;
-use wax_batch::{BootId, JobName};
+use wax_batch::{BootId, JobName, ProgressRow};
 use wax_policy::{VersionAgesSnapshot, VersionMark};
 use wax_types::StoreTime;
 
@@ -28,6 +28,8 @@
 pub(crate) const PART: &str = "s0";
 /// Suffix that turns a job's key into the key of its cancel request.
 pub const CANCEL_SUFFIX: &str = ".cancel";
+/// Separates a job from the number of a part row in the key of that row.
+const PART_MARK: char = '.';
 
 /// Row that names the owner of the shard.
 #[derive(Clone, PartialEq, Message)]
@@ -169,11 +171,30 @@
     RowKey::new(JOB_TABLE, PART, format!("{job}{CANCEL_SUFFIX}"))
 }
 
-/// Returns the key of a job's progress row.
+/// Returns the key of the head row with a job's progress.
 pub fn progress_key(job: JobName) -> RowKey {
     RowKey::new(PROGRESS_TABLE, PART, job.to_string())
 }
 
+/// Returns the key of one of the rows with a job's progress.
+pub(crate) fn progress_row_key(job: JobName, row: ProgressRow) -> RowKey {
+    match row {
+        ProgressRow::Head => progress_key(job),
+        ProgressRow::Part(number) => {
+            RowKey::new(PROGRESS_TABLE, PART, format!("{job}{PART_MARK}{number}"))
+        }
+    }
+}
+
+/// Decodes the key of a row with a job's progress; `None` if it is malformed.
+pub(crate) fn parse_progress_key(key: &str) -> Option<(JobName, ProgressRow)> {
+    let (job, row) = match key.split_once(PART_MARK) {
+        Some((job, number)) => (job, ProgressRow::Part(number.parse().ok()?)),
+        None => (key, ProgressRow::Head),
+    };
+    Some((job.parse().ok()?, row))
+}
+
 pub(crate) fn interference_key() -> RowKey {
     RowKey::new(INTERFERENCE_TABLE, PART, "pairs")
 }
--- a/crates/wax-owner/src/writer.rs
+++ b/crates/wax-owner/src/writer.rs
@@ -14,7 +14,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use wax_batch::JobOutcome;
+use wax_batch::{JobOutcome, ProgressUpdate};
 use wax_trace::{Counter, Latency, count, count_many, record_latency};
 use wax_types::{TimePoint, wall_clock_ms};
 
@@ -40,8 +40,12 @@
 ) {
     let mut number = 0_u64;
     let mut limits = ChainLimits::default();
+    let mut is_refused = false;
     loop {
-        wait_for_updates(&shared, &term).await;
+        // All ends wait until the row that the store refuses is found.
+        if !std::mem::take(&mut is_refused) {
+            wait_for_updates(&shared, &term).await;
+        }
         if term.ended.is_raised() {
             return;
         }
@@ -54,7 +58,8 @@
                 return;
             }
             WriteResult::Refused => {
-                limits = write.requeue(&term, limits);
+                limits = write.requeue(&term, limits, wall_clock_ms());
+                is_refused = true;
                 sleep(REFUSED_RETRY_DELAY).await;
             }
             WriteResult::Stored(commit) => {
@@ -69,8 +74,9 @@
                 shared.store_answered_at.set(shared.now());
                 log_ended_jobs(&shared, &term, &write);
                 log_removed_jobs(&shared, &term, &write);
-                mark_stored(&shared, &term, &write, commit.version);
-                if write.releases {
+                let releases = write.releases;
+                mark_stored(&shared, &term, write, commit.version);
+                if releases {
                     term.end("let go");
                     return;
                 }
@@ -173,23 +179,22 @@
 fn count_write(write: &ChainWrite, took: Duration) {
     count(Counter::ChainWrites);
     record_latency(Latency::ChainWrite, took);
-    let ended = write
-        .updates
-        .iter()
-        .filter(|update| update.progress.outcome() != JobOutcome::Open);
-    count_many(Counter::JobsEnded, ended.count() as u64);
+    count_many(Counter::JobsEnded, ended_jobs(write).count() as u64);
     count_many(Counter::EndedJobsRemoved, write.removed_jobs.len() as u64);
 }
 
+/// Returns the updates by which callers see jobs as ended.
+fn ended_jobs(write: &ChainWrite) -> impl Iterator<Item = &ProgressUpdate> {
+    let updates = write.updates.iter().map(|(update, _)| update);
+    updates.filter(|update| update.has_head() && update.progress.outcome() != JobOutcome::Open)
+}
+
 /// Logs one line for each job that callers see as ended from now on.
 fn log_ended_jobs(shared: &PoolShared, term: &OwnerTerm, write: &ChainWrite) {
     let scheduler = term.scheduler.borrow();
-    for update in &write.updates {
+    for update in ended_jobs(write) {
         let outcome = update.progress.outcome();
-        let Some(job) = scheduler
-            .job(update.name)
-            .filter(|_| outcome != JobOutcome::Open)
-        else {
+        let Some(job) = scheduler.job(update.name) else {
             continue;
         };
         tracing::info!(
@@ -229,9 +234,14 @@
     }
 }
 
-fn mark_stored(shared: &PoolShared, term: &OwnerTerm, write: &ChainWrite, version: u64) {
+fn mark_stored(shared: &PoolShared, term: &OwnerTerm, write: ChainWrite, version: u64) {
     let mut scheduler = term.scheduler.borrow_mut();
-    scheduler.confirm_updates(&write.updates, version, shared.now());
+    for (update, rest) in write.updates {
+        match rest {
+            Some(rest) => scheduler.confirm_part(&update, rest, version, shared.now()),
+            None => scheduler.confirm_updates(&[update], version, shared.now()),
+        }
+    }
     for job in &write.removed_jobs {
         scheduler.remove_job(*job);
     }
--- a/crates/wax-owner/tests/scale/simulation.rs
+++ b/crates/wax-owner/tests/scale/simulation.rs
@@ -592,6 +592,7 @@
                     job.1 = Some(StoredProgress {
                         progress: update.progress,
                         version: 1,
+                        ..Default::default()
                     });
                 }
                 _ => {
--- a/crates/wax-standin/src/site.rs
+++ b/crates/wax-standin/src/site.rs
@@ -39,6 +39,10 @@
     /// The next call of the feed is answered with 410, as if the history had been discarded. Resets
     /// itself.
     forget: bool,
+    /// Key of a row that the store refuses to write unless its value has at most
+    /// `refused_above` bytes in Base64.
+    refused_row: String,
+    refused_above: usize,
 }
 
 struct SiteState {
@@ -98,7 +102,7 @@
             return empty_reply(StatusCode::SERVICE_UNAVAILABLE);
         }
         match (request.method(), path.as_str()) {
-            (&Method::POST, "/v1/rows-tx") => self.transact(request, faults.lose_percent).await,
+            (&Method::POST, "/v1/rows-tx") => self.transact(request, &faults).await,
             (&Method::GET, "/v1/rows-get") => self.get(&request),
             (&Method::GET, "/v1/rows-feed") => self.feed(&request).await,
             _ => empty_reply(StatusCode::NOT_FOUND),
@@ -111,14 +115,15 @@
         self.started_at.elapsed().as_millis() as u64
     }
 
-    async fn transact(&self, request: HttpRequest, lose_percent: u32) -> HttpReply {
+    async fn transact(&self, request: HttpRequest, faults: &SiteFaults) -> HttpReply {
         // Only the operator may write the operator's tables.
         let by_operator = is_operator(&request);
         let body: TxBody = match parse_json(request, MAX_BODY_BYTES).await {
             Ok(body) => body,
             Err(error) => return error_reply(&error),
         };
-        if body.entry_count() > MAX_TX_ENTRIES {
+        let refuses_row = body.writes_row_above(&faults.refused_row, faults.refused_above);
+        if body.entry_count() > MAX_TX_ENTRIES || body.has_oversized_row() || refuses_row {
             return empty_reply(StatusCode::BAD_REQUEST);
         }
         if !by_operator && body.writes_operator_table() {
@@ -126,7 +131,7 @@
         }
         let outcome = self.rows.borrow_mut().apply(body);
         self.changed.notify(usize::MAX);
-        if !by_operator && fastrand::u32(0..100) < lose_percent {
+        if !by_operator && fastrand::u32(0..100) < faults.lose_percent {
             sleep(LOST_REPLY_DELAY).await;
             return empty_reply(StatusCode::GATEWAY_TIMEOUT);
         }
--- a/crates/wax-standin/src/site_rows.rs
+++ b/crates/wax-standin/src/site_rows.rs
@@ -5,6 +5,9 @@
 
 type Key = (String, String, String);
 
+/// Largest row, before its encoding in Base64.
+const MAX_ROW_BYTES: usize = 65_536;
+
 /// A row, or the tombstone of a removed row in the history.
 #[derive(Debug, Clone, Serialize)]
 #[serde(rename_all = "camelCase")]
@@ -58,6 +61,20 @@
         self.expect.len() + self.writes.len() + self.remove.len()
     }
 
+    /// Returns whether a row is larger than the store allows.
+    pub(crate) fn has_oversized_row(&self) -> bool {
+        let mut writes = self.writes.iter();
+        writes.any(|write| write.value.len() > MAX_ROW_BYTES.div_ceil(3) * 4)
+    }
+
+    /// Returns whether the progress row `key` would have more than `length` bytes in Base64.
+    pub(crate) fn writes_row_above(&self, key: &str, length: usize) -> bool {
+        let mut writes = self.writes.iter();
+        writes.any(|write| {
+            write.table == "progress" && write.key == key && write.value.len() > length
+        })
+    }
+
     /// Returns whether the transaction changes a table that only the operator may write.
     pub(crate) fn writes_operator_table(&self) -> bool {
         let written = self.writes.iter().map(|write| &write.table);
--- a/crates/wax-trace/src/counter.rs
+++ b/crates/wax-trace/src/counter.rs
@@ -122,6 +122,8 @@
     ChainRelayed = "chain.relayed",
     /// Transactions of the owner's write chain that the store rejected as invalid.
     ChainRefused = "chain.refused",
+    /// Updates of jobs whose progress the store cannot take; each such job fails.
+    JobsUnstorable = "jobs.unstorable",
     /// Ended jobs whose state was removed from the store.
     EndedJobsRemoved = "jobs.ended_removed",
     /// Workers that the scheduler evaluated as candidates for a task.
--- a/tests/pool/main.rs
+++ b/tests/pool/main.rs
@@ -13,6 +13,7 @@
 mod drains;
 mod faults;
 mod jobs;
+mod large_jobs;
 mod links;
 mod many_agents;
 mod many_ends;
