Tests: the lists of ends are looked for at each killed agent

A whole run of the tests beside load (load average 20 to 50) failed once: `ends_beyond_the_first_page_count_after_the_start_of_two_agents` waited for a list with further ends of the first agent. Traced: its worker had ended 377 of the 1,200 tasks and the other worker the rest, and the second agent's log has the list (500 ends, has_more_ends). All else in the test had passed. So the log line may be of any agent that was killed; of 1,200 tasks on two workers one has more than 500.

The test also kills only once no start is being stopped and ordered again, so that each later start it counts is one after an end.

--- a/tests/pool/many_ends.rs
+++ b/tests/pool/many_ends.rs
@@ -1,9 +1,13 @@
 //! Workers with more unacknowledged ends than they list in one answer.
 
 use crate::site::{Site, name, run, wait_for};
+use compio::time::sleep;
 use serde_json::{Value, json};
+use std::time::Duration;
 
 const TASK_MS: u64 = 50;
+/// Longer than an agent waits for the answers to a start and to the stop that follows.
+const ORDER_TIME: Duration = Duration::from_millis(1_500);
 /// Keeps all tasks of a worker running until its faults are reset.
 const STANDSTILL: f64 = 1e9;
 
@@ -32,8 +36,13 @@
         site.set_worker_faults(number, faults).await;
     }
     site.submit(&name(1), &small_tasks(tasks)).await;
-    wait_for("all tasks to run", || async {
-        (site.running_count(&name(1)).await == tasks as usize).then_some(())
+    // A start that is not answered in time is stopped and ordered again.
+    wait_for("all tasks to run, and none to be started again", || async {
+        let starts = site.start_count(&name(1)).await;
+        sleep(ORDER_TIME).await;
+        let is_settled = site.start_count(&name(1)).await == starts
+            && site.running_count(&name(1)).await == tasks as usize;
+        is_settled.then_some(())
     })
     .await;
     site.kill_agent(0);
@@ -57,7 +66,15 @@
     site.wait_state(&name(1), "completed").await;
     let later_starts = site.start_count(&name(1)).await - starts;
     assert_eq!(later_starts, 0, "a task ran again after its end");
-    site.wait_log("side-0", "\"has_more_ends\":true").await;
+    wait_for(
+        "a killed agent to send a list with further ends",
+        || async {
+            let mut logs = (0..vms).map(|number| site.log(&format!("side-{number}")));
+            logs.any(|log| log.contains("\"has_more_ends\":true"))
+                .then_some(())
+        },
+    )
+    .await;
     site.audit().await;
 }
 
