--- a/crates/wax-agent/tests/guards.rs
+++ b/crates/wax-agent/tests/guards.rs
@@ -134,10 +134,8 @@
     assert!(table.is_empty());
 }
 
-/// Guards against a task that runs again after its end: a stopped run counted as never started
-/// because its end was beyond the 500 that the worker listed.
-#[test]
-fn stopped_run_is_not_taken_as_never_started_while_the_worker_has_further_ends() {
+/// Returns a table with a run that was stopped during hold 1, and a page of ends that lacks it.
+fn stopped_run_and_first_page() -> (RunTable, EndPage) {
     let mut table = RunTable::default();
     assert_eq!(
         table.reserve(run_id(0, 1), placement(1), &view(1_000), at(0)),
@@ -149,6 +147,14 @@
         ends: vec![end(1, run_id(7, 1))],
         has_more: true,
     };
+    (table, first)
+}
+
+/// Guards against a task that runs again after its end: a stopped run counted as never started
+/// because its end was beyond the 500 that the worker listed.
+#[test]
+fn stopped_run_is_not_taken_as_never_started_while_the_worker_has_further_ends() {
+    let (mut table, first) = stopped_run_and_first_page();
     let updates = table.reconcile(&[], &first, 2);
     assert_eq!(updates.never_started, []);
     assert!(!updates.has_all_ends);
@@ -161,17 +167,7 @@
 
 #[test]
 fn stopped_run_counts_as_never_started_once_all_ends_are_listed() {
-    let mut table = RunTable::default();
-    assert_eq!(
-        table.reserve(run_id(0, 1), placement(1), &view(1_000), at(0)),
-        Ok(())
-    );
-    table.mark_stopping(run_id(0, 1));
-    table.mark_stopped(run_id(0, 1), 1);
-    let first = EndPage {
-        ends: vec![end(1, run_id(7, 1))],
-        has_more: true,
-    };
+    let (mut table, first) = stopped_run_and_first_page();
     table.reconcile(&[], &first, 2);
     let updates = table.reconcile(&[], &EndPage::default(), 3);
     assert_eq!(updates.never_started, [run_id(0, 1)]);
--- a/tests/pool/many_ends.rs
+++ b/tests/pool/many_ends.rs
@@ -11,7 +11,7 @@
 /// Keeps all tasks of a worker running until its faults are reset.
 const STANDSTILL: f64 = 1e9;
 
-/// Processes that are killed while the tasks run, beside the agent of the first worker.
+/// Process that is killed together with the agent of the first worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum AlsoKilled {
     Nothing,
@@ -78,7 +78,7 @@
     site.audit().await;
 }
 
-/// Defines one test per row: the workers, the tasks, and what is killed beside the first worker's agent. Each guards
+/// Defines one test per row: the workers, the tasks, and what is killed with the first worker's agent. Each guards
 /// against a task that runs again: a list of 500 ends was taken as complete after the agent had started again.
 macro_rules! many_ends_tests {
     ($($name:ident: $vms:expr, $tasks:expr, $also:ident;)*) => {
