--- a/crates/wax-batch/src/lib.rs
+++ b/crates/wax-batch/src/lib.rs
@@ -55,7 +55,7 @@
     JobInfo, JobKey, JobScheduler, ProgressUpdate, RunReservation, StartOrder, StepRef, StopOrder,
     TaskRef, WorkerRecord,
 };
-pub use spec::{JobSpec, RepeatPlan, SpecError, StepSpec, TaskSize};
+pub use spec::{JobSpec, MAX_STEPS, RepeatPlan, SpecError, StepSpec, TaskSize};
 pub use unreconciled::{StepEligibility, UnreconciledRuns};
 pub use worker::{
     EndPage, LostRun, RunEnd, RunEndKind, RunReport, WorkerKey, WorkerState, WorkerView,
--- a/crates/wax-batch/src/spec.rs
+++ b/crates/wax-batch/src/spec.rs
@@ -139,8 +139,9 @@
     pub repeat: Option<RepeatPlan>,
 }
 
+/// Largest number of steps of a job.
+pub const MAX_STEPS: usize = 256;
 /// Bounds on a job. The state that the owner keeps of a job grows with them.
-const MAX_STEPS: usize = 256;
 const MAX_TASKS: u64 = 100_000;
 const MAX_OCCURRENCES: u32 = 1_000_000;
 /// Largest number of occurrences of one job in progress, and of steps in them.
