Clients: free memory is returned to the kernel while the budget for clients is short

Cause: at first 200 connections hold small buffers, later 28 hold bodies of 1 MiB. What was freed stays with the allocator as holes in its heap that no larger buffer fits into; its threshold for separate mappings rises with each of them that is freed, so that large bodies leave holes as well. Ruled out: the budget itself (33.4 MB reserved as stated). Evidence: with the allocator's threshold fixed at 32 KiB by its environment variable, a sample of smaps shows 28.4 MB of mappings for the bodies and 11.0 MB of heap for 28 connections that need 1.3 MB. Fix: while the budget is short, the free pages of the heap are returned to the kernel (malloc_trim) each time clients have given back an eighth of the memory that is meant for them. In calm nothing is called.

--- a/crates/wax-http/src/budget.rs
+++ b/crates/wax-http/src/budget.rs
@@ -1,6 +1,7 @@
 //! Budget of a process for its clients: the memory of connections and bodies, and the number of
 //! connections. All listeners of the process share it.
 
+use crate::allocator::return_free_memory;
 use crate::ledger::{ClientLedger, ClientLimits, ConnectionId, ConnectionState, OutOfBudget};
 use crate::shutdown::ShutdownSignal;
 use event_listener::Event;
@@ -21,6 +22,9 @@
 const BACKLOG_PART: usize = 8;
 /// Number of connections given up for others that may be open still when the next one is accepted.
 const CLOSING_CONNECTIONS: usize = 16;
+/// Part of the memory for clients that is freed before it is returned to the kernel, while the budget is
+/// short: one in this many.
+const FREED_PART: usize = 8;
 /// Part of a process's file descriptors that clients may hold: one in this many.
 const DESCRIPTOR_PART: usize = 2;
 
@@ -37,6 +41,8 @@
     closed: Event,
     /// Whether clients were refused or given up since half of the budget was free.
     is_short: Cell<bool>,
+    /// Bytes given back since free memory was last returned to the kernel.
+    freed_bytes: Cell<usize>,
 }
 
 impl ClientBudget {
@@ -50,6 +56,7 @@
             closing: Cell::new(0),
             closed: Event::new(),
             is_short: Cell::new(false),
+            freed_bytes: Cell::new(0),
         })
     }
 
@@ -158,10 +165,16 @@
         }
     }
 
-    fn note_freed(&self) {
+    /// Notes that clients have given back `bytes`.
+    fn note_freed(&self, bytes: usize) {
         if !self.is_short.get() {
             return;
         }
+        self.freed_bytes.set(self.freed_bytes.get() + bytes);
+        if self.freed_bytes.get() >= self.limits.memory_bytes / FREED_PART {
+            self.freed_bytes.set(0);
+            return_free_memory();
+        }
         let ledger = self.ledger.borrow();
         let is_half_free = ledger.reserved_bytes() <= self.limits.memory_bytes / 2
             && ledger.connection_count() <= self.limits.connections / 2;
@@ -212,7 +225,7 @@
             self.budget.closing.set(self.budget.closing.get() - 1);
             self.budget.closed.notify(usize::MAX);
         }
-        self.budget.note_freed();
+        self.budget.note_freed(CONNECTION_BYTES);
     }
 }
 
@@ -259,6 +272,6 @@
             .ledger
             .borrow_mut()
             .release(self.lease.id, self.bytes);
-        budget.note_freed();
+        budget.note_freed(self.bytes);
     }
 }
--- a/crates/wax-http/src/lib.rs
+++ b/crates/wax-http/src/lib.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 server and client connections with hyper on the compio runtime.
 
+mod allocator;
 mod body;
 mod budget;
 mod client;
