--- a/tests/pool/memory.rs
+++ b/tests/pool/memory.rs
@@ -88,6 +88,8 @@
     LargeFrame,
     /// Complete job of the largest size, in as many steps as have room in it.
     ManySteps,
+    /// Complete check-in of the largest size, with as many labels as have room in it.
+    ManyLabels,
     /// Nothing.
     Nothing,
 }
@@ -105,6 +107,16 @@
                 let length = body.len();
                 format!("{start}content-length: {length}\r\n\r\n{body}").into_bytes()
             }
+            Self::ManyLabels => {
+                let labels = "\"\",".repeat((size - 512) / 3);
+                let body = format!(
+                    "{{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\",\"version\":\"v\",\
+                     \"slots\":1,\"state\":\"ready\",\"capacity\":{{\"cpu\":1,\"memMb\":1,\"gpu\":0}},\
+                     \"labels\":[{labels}\"\"],\"sequence\":1}}"
+                );
+                let length = body.len();
+                format!("{start}content-length: {length}\r\n\r\n{body}").into_bytes()
+            }
             Self::LargeFrame => {
                 let length =
                     u32::try_from(MAX_FRAME_BYTES).expect("the length field has four bytes");
@@ -411,6 +423,7 @@
     an_agent_outlives_bodies_sent_piece_by_piece: CheckIns, (BODY_CROWD, Message::WholeBody, PIECE_BYTES);
     an_agent_outlives_bodies_in_large_chunks: CheckIns, (BODY_CROWD, Message::LargeChunks, usize::MAX >> 1);
     an_agent_outlives_bodies_in_tiny_chunks: CheckIns, (BODY_CROWD, Message::TinyChunks, usize::MAX >> 1);
+    an_agent_outlives_check_ins_of_many_labels: CheckIns, (BODY_CROWD, Message::ManyLabels, PIECE_BYTES);
     an_agent_outlives_idle_connections: CheckIns, (CONNECTION_CROWD, Message::Nothing, PIECE_BYTES);
     an_agent_outlives_endless_headers: CheckIns, (CONNECTION_CROWD, Message::EndlessHeader, PIECE_BYTES);
     a_front_outlives_large_frames_of_strangers: Peers, (BODY_CROWD, Message::LargeFrame, PIECE_BYTES);
