Owner: unconfirmed starts of a lost agent are waited for until the longest lease has expired

Cause: the worker restarts under its id while its agent is frozen; the next boot executes the starts that the agent still has for the former boot and grants its longest lease, 10 s, as the number that ends it is of another clock. The agent freezes again before it has a link, so that no owner knows of it. An owner that hears nothing counts all leases as expired 6.5 s after the grant. Class: a bound that rests on what was ordered instead of on what a worker may have got. Fix: what the next boot may have and the owner does not know of are starts that no agent has confirmed. Only these wait for the longest lease, from the end of the agent's grant, at which its authority to send them ends: 13.2 s after the last contact. All other runs of the worker end after 9.0 s as before, so that tasks that run are not delayed. New: roster::an_agent_with_unconfirmed_starts_.., .._without_unconfirmed_.., job_lifecycle::an_unconfirmed_start_keeps_its_placement_...

--- a/crates/wax-batch/src/placement.rs
+++ b/crates/wax-batch/src/placement.rs
@@ -561,7 +561,7 @@
         ))
     }
 
-    fn task(&self, task_ref: TaskRef) -> Option<&TaskRecord> {
+    pub(crate) fn task(&self, task_ref: TaskRef) -> Option<&TaskRecord> {
         self.step_record(task_ref.step)?
             .tasks
             .get(task_ref.index as usize)
--- a/crates/wax-batch/src/reports.rs
+++ b/crates/wax-batch/src/reports.rs
@@ -67,6 +67,32 @@
         self.workers.remove(worker);
     }
 
+    /// Returns whether a start was sent to the worker that its agent has neither confirmed nor
+    /// refused.
+    pub fn has_unconfirmed_starts(&self, worker: WorkerKey) -> bool {
+        let run_ids = (self.workers.get(worker)).map(|record| record.runs.keys());
+        (run_ids.into_iter().flatten()).any(|run_id| self.is_unconfirmed(worker, *run_id))
+    }
+
+    fn is_unconfirmed(&self, worker: WorkerKey, run_id: RunId) -> bool {
+        let task = self.task_of_run(worker, run_id);
+        let placement = task.and_then(|task_ref| self.task(task_ref)?.placement());
+        placement.is_some_and(|placement| placement.run == run_id.run && !placement.running)
+    }
+
+    /// Ends the runs of a worker whose leases have expired, except those of unconfirmed starts. The
+    /// next boot of the worker under the same id may have executed these and granted longer leases.
+    pub fn end_confirmed_runs(&mut self, worker: WorkerKey, now: TimePoint, now_ms: u64) {
+        let Some(record) = self.workers.get(worker) else {
+            return;
+        };
+        let mut run_ids: Vec<RunId> = record.runs.keys().copied().collect();
+        run_ids.retain(|run_id| !self.is_unconfirmed(worker, *run_id));
+        for run_id in run_ids {
+            self.end_run(worker, run_id, RunEndKind::Lapsed, "", now, now_ms);
+        }
+    }
+
     /// Reconciles the worker's runs with a report of its agent, which must be newer than any order.
     /// A run that the report lacks has ended without a result, unless the worker has more ends than
     /// the report: [`JobScheduler::finish_reconciliation`] follows once all are recorded.
--- a/crates/wax-batch/tests/job_lifecycle.rs
+++ b/crates/wax-batch/tests/job_lifecycle.rs
@@ -191,6 +191,27 @@
     );
 }
 
+/// Guards against a second run of a task whose start the next boot of a restarted worker has executed.
+#[test]
+fn an_unconfirmed_start_keeps_its_placement_when_the_confirmed_runs_of_its_worker_end() {
+    let mut scheduler = scheduler(1);
+    let lost = worker(&mut scheduler, "lost", 4_000);
+    add_job(&mut scheduler, 7, 1, &spec(vec![step(2, 1_000)]), None);
+    let orders = scheduler.place(at(0));
+    scheduler.record_start(lost, orders[0].run_id, at(100));
+    assert!(scheduler.has_unconfirmed_starts(lost));
+    scheduler.set_worker_reachable(lost, false);
+    scheduler.end_confirmed_runs(lost, at(9_000), unix_ms(9_000));
+    worker(&mut scheduler, "other", 4_000);
+    let again = scheduler.place(at(9_010));
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].run_id.task, orders[0].run_id.task);
+    scheduler.remove_lost_worker(lost, at(13_200), unix_ms(13_200));
+    let last = scheduler.place(at(13_210));
+    assert_eq!(last.len(), 1);
+    assert_eq!(last[0].run_id.task, orders[1].run_id.task);
+}
+
 #[test]
 fn a_task_completed_by_a_run_given_up_as_lost_does_not_run_again() {
     let mut scheduler = scheduler(1);
--- a/crates/wax-owner/src/dispatch.rs
+++ b/crates/wax-owner/src/dispatch.rs
@@ -47,7 +47,7 @@
         let mut scheduler = term.scheduler.borrow_mut();
         scheduler.ignore_performance_until(now + PROGRESS_CATCH_UP);
     }
-    remove_expired(term, now);
+    remove_expired(shared, term, now);
     queue_unlinked(term, now);
     update_unreconciled(term, now);
     if term.can_act(now, shared.timeouts.term_validity) {
@@ -191,11 +191,21 @@
 }
 
 /// Removes workers whose leases expired before their agents reported to this owner.
-fn remove_expired(term: &OwnerTerm, now: TimePoint) {
-    let expired = term
-        .agents
-        .borrow_mut()
-        .remove_expired(now, term.confirmed_at.get());
+fn remove_expired(shared: &PoolShared, term: &OwnerTerm, now: TimePoint) {
+    let confirmed_at = term.confirmed_at.get();
+    let awaited = {
+        let scheduler = term.scheduler.borrow();
+        term.agents.borrow_mut().await_unconfirmed(
+            now.min(confirmed_at),
+            &shared.timeouts,
+            |worker| scheduler.has_unconfirmed_starts(worker),
+        )
+    };
+    for worker in awaited {
+        let mut scheduler = term.scheduler.borrow_mut();
+        scheduler.end_confirmed_runs(worker, now, wall_clock_ms());
+    }
+    let expired = term.agents.borrow_mut().remove_expired(now, confirmed_at);
     for (node, grant_end) in expired.nodes.iter().zip(&expired.grant_ends) {
         let after_grant_ms = now.since(*grant_end).as_millis() as u64;
         tracing::warn!(agent = %node, after_grant_ms, "leases have lapsed unheard");
--- a/crates/wax-owner/src/roster.rs
+++ b/crates/wax-owner/src/roster.rs
@@ -474,6 +474,34 @@
         Some(node)
     }
 
+    /// Waits longer for agents whose leases have expired by their grants, if starts to their workers
+    /// are unconfirmed: until the end of the longest lease that the worker may have granted while the
+    /// agent had authority. Returns the workers for which it waits.
+    pub fn await_unconfirmed(
+        &mut self,
+        now: TimePoint,
+        timeouts: &OwnerTimeouts,
+        has_unconfirmed: impl Fn(WorkerKey) -> bool,
+    ) -> Vec<WorkerKey> {
+        let due = self.expiries.iter().take_while(|(at, _)| *at <= now);
+        let due: Vec<AgentKey> = due.map(|(_, key)| *key).collect();
+        let mut awaited = Vec::new();
+        for key in due {
+            self.update_agent(key, |agent| {
+                let end = agent.grant_end + timeouts.expiry_of_any_lease();
+                let worker = agent.worker_key().filter(|worker| has_unconfirmed(*worker));
+                if end > now
+                    && let Some(worker) = worker
+                {
+                    agent.expires_at = Some(end);
+                    agent.unreconciled = None;
+                    awaited.push(worker);
+                }
+            });
+        }
+        awaited
+    }
+
     /// Removes workers whose leases have expired before they were reconciled, and their agents if
     /// they have no link.
     ///
--- a/crates/wax-owner/tests/roster.rs
+++ b/crates/wax-owner/tests/roster.rs
@@ -460,3 +460,37 @@
         "the stored row must be marked as unlinked"
     );
 }
+
+/// The worker may have executed a start after a restart under its id, with a lease by the clock of the
+/// boot before. Guards against second runs of such tasks while the agent has reported neither.
+#[test]
+fn an_agent_with_unconfirmed_starts_is_awaited_for_the_longest_lease_after_its_grant() {
+    let mut case = Case::new();
+    let worker = worker_key();
+    case.join("side-1", 1, (worker, "w1"), 0);
+    case.close("side-1", 1, 500);
+    let grant_end = at(0) + case.timeouts.grant;
+    let by_grant = grant_end + case.timeouts.expiry_after_grant();
+    let bound = grant_end + case.timeouts.expiry_of_any_lease();
+    let mut awaited_at = |now: TimePoint| {
+        let awaited = (case.roster).await_unconfirmed(now, &case.timeouts, |_| true);
+        (awaited, case.roster.remove_expired(now, now).workers)
+    };
+    assert_eq!(awaited_at(before(by_grant)), (vec![], vec![]));
+    assert_eq!(awaited_at(by_grant), (vec![worker], vec![]));
+    assert_eq!(awaited_at(before(bound)), (vec![], vec![]));
+    assert_eq!(awaited_at(bound), (vec![], vec![worker]));
+}
+
+#[test]
+fn an_agent_without_unconfirmed_starts_is_not_awaited_any_longer() {
+    let mut case = Case::new();
+    let worker = worker_key();
+    case.join("side-1", 1, (worker, "w1"), 0);
+    case.close("side-1", 1, 500);
+    let by_grant = at(0) + case.timeouts.expiry_after_release();
+    let awaited = (case.roster).await_unconfirmed(by_grant, &case.timeouts, |_| false);
+    assert!(awaited.is_empty());
+    let expired = case.roster.remove_expired(by_grant, by_grant);
+    assert_eq!(expired.workers, [worker]);
+}
