Scheduler: the end of a run shows that its job has started

Cause (traced there): an agent leaves out the start of a run that ends in the same message, and of start and end only the start sets JobRecord::started, so that a job of short tasks is shown as queued and counted as pending. Fix: an end sets it as well. Result: job_lifecycle::a_job_of_which_only_ends_are_reported_has_started fails without the fix and passes with it.

--- a/crates/wax-batch/src/ends.rs
+++ b/crates/wax-batch/src/ends.rs
@@ -89,6 +89,10 @@
         // The worker may delete the end only after all changes of the job known by now are stored,
         // whether this end caused them or only repeats an earlier one.
         let job = self.names.get(&end.run_id.task.job);
+        if let Some(key) = job {
+            // The agent leaves out the start of a run that ends in the same message.
+            self.jobs[*key].started = true;
+        }
         let required_changes = job.map(|key| (*key, self.jobs[*key].changes));
         if let Some(record) = self.workers.get_mut(worker) {
             let number = end.number;
--- a/crates/wax-batch/tests/job_lifecycle.rs
+++ b/crates/wax-batch/tests/job_lifecycle.rs
@@ -191,6 +191,24 @@
     );
 }
 
+/// Guards against a job of short tasks that is shown as queued: the agent does not report the start of a run that has
+/// ended already.
+#[test]
+fn a_job_of_which_only_ends_are_reported_has_started() {
+    let mut scheduler = scheduler(1);
+    let worker = worker(&mut scheduler, "w", 4_000);
+    let job = add_job(&mut scheduler, 7, 1, &spec(vec![step(2, 1_000)]), None);
+    let orders = scheduler.place(at(0));
+    assert!(!scheduler.job(job).expect("the job is known").started);
+    scheduler.record_end(
+        worker,
+        &end(1, orders[0].run_id, RunEndKind::Done),
+        at(20),
+        unix_ms(20),
+    );
+    assert!(scheduler.job(job).expect("the job is known").started);
+}
+
 /// Guards against a second run of a task whose start the next boot of a restarted worker has executed.
 #[test]
 fn an_unconfirmed_start_keeps_its_placement_when_the_confirmed_runs_of_its_worker_end() {
