Front: the memory of a job that is being stored is reserved in full

Now tests/pool/memory.rs has a crowd that returns: 60 clients with complete jobs of 241,000 bytes, a store that answers 3 s late, 64 MiB. Cause: four times the size of a body was reserved, while a job that waits for the store takes its body, its steps, its row, the row in Base64, the body of the transaction, and both again in the relay by the owner. Class: a charge that does not cover what it stands for. An ordinary job of 10 KB is charged 30 KB more beside the 128 KiB of its connection.

--- a/crates/wax-front/src/handler.rs
+++ b/crates/wax-front/src/handler.rs
@@ -141,6 +141,8 @@
         let body = collect_body(request, max_body_bytes).await?;
         let spec = decode_job(&body)
             .map_err(|text| invalid(text, "correct the job and submit it again"))?;
+        // Held until the job is stored.
+        let _reservation = body.into_reservation();
         let outcome = accept_job(&self.state, queue, job, &spec, deadline).await;
         let took_ms = self.state.shared.now().since(started_at).as_millis() as u64;
         record_latency(Latency::AcceptJob, Duration::from_millis(took_ms));
--- a/crates/wax-http/src/request_body.rs
+++ b/crates/wax-http/src/request_body.rs
@@ -19,7 +19,7 @@
 /// Smallest growth of the buffer of a body, bytes.
 const MIN_GROWTH: usize = 4 << 10;
 /// What decoding and storing a body takes, in multiples of its size.
-const DECODED_TIMES: usize = 3;
+const DECODED_TIMES: usize = 6;
 /// Retry delay for callers whose request was refused because the process is short of memory.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -33,7 +33,14 @@
 #[derive(Debug)]
 pub struct CollectedBody {
     bytes: Vec<u8>,
-    _reservation: BodyReservation,
+    reservation: BodyReservation,
+}
+
+impl CollectedBody {
+    /// Drops the bytes. Returns the reservation, for what was decoded from them.
+    pub fn into_reservation(self) -> BodyReservation {
+        self.reservation
+    }
 }
 
 impl Deref for CollectedBody {
@@ -112,10 +119,7 @@
             .grow(bytes.len() * DECODED_TIMES)
             .await
             .map_err(refused)?;
-        Ok(CollectedBody {
-            bytes,
-            _reservation: reservation,
-        })
+        Ok(CollectedBody { bytes, reservation })
     }
 }
 
--- a/tests/pool/memory.rs
+++ b/tests/pool/memory.rs
@@ -4,8 +4,10 @@
 
 use crate::calls::{call, post_json};
 use crate::site::{Site, SiteProcess, job, name, run, wait_for};
+use futures_util::future::{Either, select};
 use http::Method;
 use rustix::net::sockopt;
+use serde_json::json;
 use std::fmt::Write as _;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -35,6 +37,12 @@
 const SEND_TIMEOUT: Duration = Duration::from_secs(90);
 /// Receive buffer of a client that does not read its answers.
 const UNREAD_BUFFER_BYTES: usize = 4_096;
+/// Number of times that each client of a returning crowd comes back, on average.
+const RETURNS: usize = 4;
+/// Time for which a client waits for its connection to be accepted.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(5);
+/// Number of the first job of a crowd whose clients name jobs of their own.
+const CROWD_JOBS: u64 = 0x10_0000;
 /// Path of the jobs of the crowd; no such job is ever complete.
 const CROWD_JOB: &str = "/g/00000000000000ff";
 const CROWD_CHECK_IN: &str = "/v1/instances/i-crowd/heartbeat";
@@ -88,6 +96,10 @@
     LargeFrame,
     /// Complete job of the largest size, in as many steps as have room in it.
     ManySteps,
+    /// Complete job of almost the largest size, which the store does not take.
+    LargeJob,
+    /// Complete job of about the size that a row of the store holds.
+    RowSizedJob,
     /// Complete check-in of the largest size, with as many labels as have room in it.
     ManyLabels,
     /// Nothing.
@@ -107,6 +119,8 @@
                 let length = body.len();
                 format!("{start}content-length: {length}\r\n\r\n{body}").into_bytes()
             }
+            Self::LargeJob => valid_job(&start, 250, 900),
+            Self::RowSizedJob => valid_job(&start, 250, 170),
             Self::ManyLabels => {
                 let labels = "\"\",".repeat((size - 512) / 3);
                 let body = format!(
@@ -157,6 +171,15 @@
     }
 }
 
+/// Returns a request with a valid job of `steps` steps, whose labels have `label_bytes` bytes each.
+fn valid_job(start: &str, steps: usize, label_bytes: usize) -> Vec<u8> {
+    let label = "x".repeat(label_bytes);
+    let step = format!("{{\"count\":1,\"cpu\":500,\"memMb\":64,\"requirements\":\"{label}\"}}");
+    let body = format!("{{\"phases\":[{}]}}", vec![step; steps].join(","));
+    let length = body.len();
+    format!("{start}content-length: {length}\r\n\r\n{body}").into_bytes()
+}
+
 /// Connection of the crowd. It is closed once the process has closed it.
 struct Caller {
     stream: Option<TcpStream>,
@@ -177,6 +200,31 @@
         }
     }
 
+    /// Connects if the listener accepts the connection soon.
+    fn try_connect(address: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT).ok()?;
+        stream.set_nonblocking(true).ok()?;
+        Some(Self {
+            stream: Some(stream),
+            sent: 0,
+        })
+    }
+
+    /// Returns whether a part of an answer has arrived. Notices that the process has closed the connection.
+    fn has_answer(&mut self) -> bool {
+        let Some(stream) = &mut self.stream else {
+            return false;
+        };
+        match stream.read(&mut [0; 4_096]) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => false,
+            Ok(size) if size > 0 => true,
+            Ok(_) | Err(_) => {
+                self.stream = None;
+                false
+            }
+        }
+    }
+
     /// Sends up to `limit` bytes of the message. Returns whether nothing is left to send.
     fn send(&mut self, message: &[u8], limit: usize) -> bool {
         let Some(stream) = &mut self.stream else {
@@ -389,6 +437,125 @@
     ordinary_request_is_answered(&site, target, 3).await;
 }
 
+/// A crowd of which each client connects and sends its message again once it is answered or closed.
+struct ReturningCrowd {
+    address: SocketAddr,
+    /// Message of each client: all name jobs of their own.
+    messages: Vec<Vec<u8>>,
+    callers: Vec<Option<Caller>>,
+    /// Number of times that a client was answered or closed.
+    returns: usize,
+    observed: Observed,
+}
+
+impl ReturningCrowd {
+    fn new(site: &Site, callers: usize, message: Message) -> Self {
+        let address = site.fronts[0].callers;
+        let process = site.fronts[0].process.as_ref();
+        let message = message.bytes(Target::Callers);
+        let text = String::from_utf8(message).expect("the message must be text");
+        let own_job = |number| text.replacen(CROWD_JOB, &format!("/g/{:016x}", number), 1);
+        let messages = (CROWD_JOBS..).take(callers).map(own_job);
+        let messages = messages.map(String::into_bytes).collect();
+        Self {
+            address,
+            messages,
+            callers: (0..callers).map(|_| None).collect(),
+            returns: 0,
+            observed: Observed::new(process.expect("the process must run"), address),
+        }
+    }
+
+    /// Lets each client act once.
+    fn step(&mut self) {
+        for (slot, message) in self.callers.iter_mut().zip(&self.messages) {
+            let Some(caller) = slot else {
+                *slot = Caller::try_connect(self.address);
+                continue;
+            };
+            caller.send(message, usize::MAX >> 1);
+            if caller.has_answer() || caller.stream.is_none() {
+                self.returns += 1;
+                *slot = None;
+            }
+        }
+        self.observed.look();
+    }
+
+    /// Keeps the crowd active until its clients have returned [`RETURNS`] times on average, and at
+    /// least until `until` is done.
+    async fn act_until(&mut self, until: impl Future<Output = ()>) {
+        let mut until = Box::pin(until);
+        let min_returns = self.callers.len() * RETURNS;
+        let mut is_done = false;
+        while !is_done || self.returns < min_returns {
+            self.step();
+            let pause = compio::time::sleep(Duration::from_millis(1));
+            if is_done {
+                pause.await;
+            } else if let Either::Left(((), _)) = select(&mut until, Box::pin(pause)).await {
+                is_done = true;
+            }
+        }
+    }
+
+    fn check_memory(&self, test: &str) {
+        let max_kib = self.observed.max_kib;
+        println!(
+            "{test}: at most {max_kib} KiB, {} descriptors, {} returns",
+            self.observed.max_descriptors, self.returns
+        );
+        assert!(
+            max_kib <= MEMORY_MB as usize * 1_024,
+            "the process took {max_kib} KiB of {MEMORY_MB} MiB"
+        );
+    }
+}
+
+/// The store answers `store_delay_ms` late while a crowd returns again and again, and ordinary requests
+/// are sent beside it.
+async fn a_front_outlives_a_returning_crowd(
+    test: &str,
+    (callers, message, store_delay_ms): (usize, Message, u64),
+    beside: &[Target],
+) {
+    let mut site = Site::start(test, 1, 1).await;
+    site.limit_processes(MEMORY_MB, DESCRIPTORS).await;
+    ordinary_request_is_answered(&site, Target::Callers, 1).await;
+    site.set_store_faults(json!({ "delay_ms": store_delay_ms }))
+        .await;
+    let mut crowd = ReturningCrowd::new(&site, callers, message);
+    crowd
+        .act_until(async {
+            for (number, target) in (2..).zip(beside) {
+                ordinary_request_is_answered(&site, *target, number).await;
+            }
+        })
+        .await;
+    crowd.callers.clear();
+    site.set_store_faults(json!({})).await;
+    ordinary_request_is_answered(&site, Target::Peers, 100).await;
+    crowd.observed.look();
+    crowd.check_memory(test);
+}
+
+macro_rules! returning_crowd_tests {
+    ($($name:ident: $crowd:expr, $beside:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+                run(a_front_outlives_a_returning_crowd(stringify!($name), $crowd, &$beside));
+            }
+        )*
+    };
+}
+
+returning_crowd_tests! {
+    a_front_outlives_large_jobs_while_the_store_is_slow: (60, Message::LargeJob, 3_000), [];
+    a_front_outlives_row_sized_jobs_while_the_store_is_slow: (120, Message::RowSizedJob, 3_000), [];
+}
+
 macro_rules! crowd_tests {
     ($($name:ident: $target:ident, $crowd:expr;)*) => {
         $(
