--- a/crates/wax-http/src/request_body.rs
+++ b/crates/wax-http/src/request_body.rs
@@ -19,7 +19,7 @@
 /// Smallest growth of the buffer of a body, bytes.
 const MIN_GROWTH: usize = 4 << 10;
 /// What decoding and storing a body takes, in multiples of its size.
-const DECODED_TIMES: usize = 6;
+const DECODED_TIMES: usize = 5;
 /// Retry delay for callers whose request was refused because the process is short of memory.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
