Clients: requests that wait for the store lock out neither checks, peers nor other callers

Now two tests with a crowd that returns at once: memory::callers_are_answered_beside_a_crowd_that_waits_for_the_store (300 queries, the store 1 s late, 64 MiB) and .._of_partial_bodies (1,000 clients, 12 KiB of a body each): 20 checks of readiness and 20 of metrics are each answered, and a job is accepted. Cause: a request that is being served is never given up, and its connection could take all that there is: connections, and with them the memory, so that no body was read. A newcomer was closed at once when all were served, and gave up connections that had just been made otherwise, whose requests were about to arrive. Class: a shared resource without a part for those who must not wait. Fix: an eighth of the budget is kept for readiness, metrics and links before their hello; a quarter of the memory is left to bodies; new connections get room in the order in which they were made, for up to 5 s; a connection is not given up for a new one within 10 ms after its last progress.

--- a/crates/wax-front/src/process.rs
+++ b/crates/wax-front/src/process.rs
@@ -78,7 +78,8 @@
         }),
         ShutdownSignal::default(),
     )
-    .with_budget(budget.clone());
+    .with_budget(budget.clone())
+    .with_vital_clients();
     let peers = bind_listener(pool.peers)?;
     spawn(serve_peers(shared.clone(), peers, budget)).detach();
     spawn(apply_changes(shared.clone(), changes)).detach();
--- a/crates/wax-http/src/budget.rs
+++ b/crates/wax-http/src/budget.rs
@@ -2,13 +2,17 @@
 //! connections. All listeners of the process share it.
 
 use crate::allocator::return_free_memory;
-use crate::ledger::{ClientLedger, ClientLimits, ConnectionId, ConnectionState, OutOfBudget};
+use crate::ledger::{
+    ClientLedger, ClientLimits, ConnectionClass, ConnectionId, ConnectionState, OutOfBudget,
+};
 use crate::shutdown::ShutdownSignal;
+use compio::time::timeout;
 use event_listener::Event;
 use rustix::process::{Resource, getrlimit};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 use wax_trace::{Counter, count, count_many};
 use wax_types::{ProcessClock, TimePoint};
 
@@ -25,6 +29,14 @@
 /// Part of the memory for clients that is freed before it is returned to the kernel, while the budget is
 /// short: one in this many.
 const FREED_PART: usize = 8;
+/// Part of the memory for clients that connections leave to bodies: one in this many. Otherwise requests that
+/// are being served could take all of it, and no body would be read.
+const BODY_PART: usize = 4;
+/// Part of the memory and of the connections that ordinary clients leave to the platform's checks and to
+/// peers: one in this many.
+const VITAL_PART: usize = 8;
+/// Longest time for which a connection waits for room while all others are being served.
+const ROOM_WAIT: Duration = Duration::from_secs(5);
 /// Part of a process's file descriptors that clients may hold: one in this many.
 const DESCRIPTOR_PART: usize = 2;
 
@@ -39,6 +51,8 @@
     /// Number of connections that were given up and are not closed yet.
     closing: Cell<usize>,
     closed: Event,
+    /// Notified when a connection is closed or may be given up, or memory is given back.
+    room: Event,
     /// Whether clients were refused or given up since half of the budget was free.
     is_short: Cell<bool>,
     /// Bytes given back since free memory was last returned to the kernel.
@@ -48,13 +62,18 @@
 impl ClientBudget {
     /// Creates a budget with these limits.
     pub fn new(limits: ClientLimits) -> Rc<Self> {
+        let vital_part = ClientLimits {
+            memory_bytes: limits.memory_bytes / VITAL_PART / CONNECTION_BYTES * CONNECTION_BYTES,
+            connections: limits.connections / VITAL_PART,
+        };
         Rc::new(Self {
-            ledger: RefCell::new(ClientLedger::new(limits)),
+            ledger: RefCell::new(ClientLedger::new(limits).with_vital_part(vital_part)),
             signals: RefCell::default(),
             clock: ProcessClock::start(),
             limits,
             closing: Cell::new(0),
             closed: Event::new(),
+            room: Event::new(),
             is_short: Cell::new(false),
             freed_bytes: Cell::new(0),
         })
@@ -68,7 +87,9 @@
         let own_limit = || getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
         let descriptors = descriptors.map_or_else(own_limit, u64::from);
         let descriptors = usize::try_from(descriptors).unwrap_or(usize::MAX);
-        let connections = (memory_bytes / CONNECTION_BYTES).min(descriptors / DESCRIPTOR_PART);
+        let connections = memory_bytes / CONNECTION_BYTES;
+        let connections =
+            (connections - connections / BODY_PART).min(descriptors / DESCRIPTOR_PART);
         let budget = Self::new(ClientLimits {
             memory_bytes,
             connections,
@@ -101,24 +122,59 @@
     /// # Errors
     ///
     /// The budget is short, and all connections are being served.
-    pub fn open(self: &Rc<Self>) -> Result<Rc<ConnectionLease>, OutOfBudget> {
-        let opened = self.ledger.borrow_mut().open(CONNECTION_BYTES, self.now());
-        match opened {
-            Ok((id, given_up)) => {
-                self.end_connections(&given_up);
-                let signal = ShutdownSignal::default();
-                self.signals.borrow_mut().insert(id, signal.clone());
-                Ok(Rc::new(ConnectionLease {
-                    budget: self.clone(),
-                    id,
-                    given_up: signal,
-                }))
+    pub fn open(
+        self: &Rc<Self>,
+        class: ConnectionClass,
+    ) -> Result<Rc<ConnectionLease>, OutOfBudget> {
+        self.try_open(class).inspect_err(|error| {
+            count(Counter::ClientsRefused);
+            self.note_short(*error);
+        })
+    }
+
+    fn try_open(
+        self: &Rc<Self>,
+        class: ConnectionClass,
+    ) -> Result<Rc<ConnectionLease>, OutOfBudget> {
+        let mut ledger = self.ledger.borrow_mut();
+        let (id, given_up) = ledger.open_as(class, CONNECTION_BYTES, self.now())?;
+        drop(ledger);
+        self.end_connections(&given_up);
+        let signal = ShutdownSignal::default();
+        self.signals.borrow_mut().insert(id, signal.clone());
+        Ok(Rc::new(ConnectionLease {
+            budget: self.clone(),
+            id,
+            given_up: signal,
+        }))
+    }
+
+    /// Reserves what a new connection holds, as [`ClientBudget::open`] does, but waits for room for up to
+    /// [`ROOM_WAIT`] after `full_since`, which is set while there is none. Connections get room in the
+    /// order in which they were made, so that a crowd that returns at once does not lock others out.
+    ///
+    /// # Errors
+    ///
+    /// The budget is short, and all connections have been served for so long.
+    pub(crate) async fn open_in_turn(
+        self: &Rc<Self>,
+        class: ConnectionClass,
+        full_since: &Cell<Option<TimePoint>>,
+    ) -> Result<Rc<ConnectionLease>, OutOfBudget> {
+        loop {
+            let room = self.room.listen();
+            if let Ok(lease) = self.try_open(class) {
+                full_since.set(None);
+                return Ok(lease);
             }
-            Err(error) => {
-                count(Counter::ClientsRefused);
-                self.note_short(error);
-                Err(error)
+            let since = full_since.get().unwrap_or_else(|| self.now());
+            full_since.set(Some(since));
+            let left = ROOM_WAIT.saturating_sub(self.now().since(since));
+            if left.is_zero() {
+                return self.open(class);
             }
+            // Whether there is room is checked again, also after the timeout.
+            let _ = timeout(left, room).await;
         }
     }
 
@@ -214,6 +270,9 @@
             .ledger
             .borrow_mut()
             .set_state(self.id, state, now);
+        if state == ConnectionState::AwaitsClient {
+            self.budget.room.notify(usize::MAX);
+        }
     }
 }
 
@@ -225,6 +284,7 @@
             self.budget.closing.set(self.budget.closing.get() - 1);
             self.budget.closed.notify(usize::MAX);
         }
+        self.budget.room.notify(usize::MAX);
         self.budget.note_freed(CONNECTION_BYTES);
     }
 }
@@ -272,6 +332,7 @@
             .ledger
             .borrow_mut()
             .release(self.lease.id, self.bytes);
+        budget.room.notify(usize::MAX);
         budget.note_freed(self.bytes);
     }
 }
--- a/crates/wax-http/src/ledger.rs
+++ b/crates/wax-http/src/ledger.rs
@@ -8,6 +8,9 @@
 const MAX_BODY_TIME: Duration = Duration::from_secs(60);
 /// Time for which a body is awaited before its rate counts.
 const BODY_GRACE: Duration = Duration::from_secs(15);
+/// Time without progress from which on a connection may be given up for a new one. A client that sends its
+/// request as soon as it is connected is not given up before it arrives.
+const MIN_STANDSTILL: Duration = Duration::from_millis(10);
 /// Lowest mean rate of a body after [`BODY_GRACE`], bytes per second.
 const MIN_BODY_RATE: u64 = 1 << 10;
 
@@ -46,9 +49,20 @@
 
 impl std::error::Error for OutOfBudget {}
 
+/// Who uses a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionClass {
+    /// Any client. Such clients together get no more than the limits without the part that is kept
+    /// free for the others.
+    Ordinary,
+    /// The platform's checks and the peers, which must not be locked out by clients.
+    Vital,
+}
+
 #[derive(Debug)]
 struct ConnectionEntry {
     bytes: usize,
+    class: ConnectionClass,
     progress_at: TimePoint,
     state: ConnectionState,
 }
@@ -57,7 +71,11 @@
 #[derive(Debug)]
 pub struct ClientLedger {
     limits: ClientLimits,
+    /// Limits of all ordinary connections together.
+    ordinary_limits: ClientLimits,
     reserved_bytes: usize,
+    ordinary_bytes: usize,
+    ordinary_count: usize,
     last_id: u64,
     connections: BTreeMap<ConnectionId, ConnectionEntry>,
 }
@@ -67,12 +85,24 @@
     pub fn new(limits: ClientLimits) -> Self {
         Self {
             limits,
+            ordinary_limits: limits,
             reserved_bytes: 0,
+            ordinary_bytes: 0,
+            ordinary_count: 0,
             last_id: 0,
             connections: BTreeMap::new(),
         }
     }
 
+    /// Keeps this part of the limits free for vital connections.
+    pub fn with_vital_part(mut self, part: ClientLimits) -> Self {
+        self.ordinary_limits = ClientLimits {
+            memory_bytes: self.limits.memory_bytes.saturating_sub(part.memory_bytes),
+            connections: self.limits.connections.saturating_sub(part.connections),
+        };
+        self
+    }
+
     /// Returns the reserved memory, bytes.
     pub fn reserved_bytes(&self) -> usize {
         self.reserved_bytes
@@ -83,7 +113,8 @@
         self.connections.len()
     }
 
-    /// Opens a connection that holds `bytes`. Returns also the connections that are given up for it.
+    /// Opens an ordinary connection that holds `bytes`. Returns also the connections that are given
+    /// up for it.
     ///
     /// # Errors
     ///
@@ -93,13 +124,31 @@
         bytes: usize,
         now: TimePoint,
     ) -> Result<(ConnectionId, Vec<ConnectionId>), OutOfBudget> {
-        let excess = (self.connections.len() + 1).saturating_sub(self.limits.connections);
-        let given_up = self.give_up(None, bytes, excess)?;
+        self.open_as(ConnectionClass::Ordinary, bytes, now)
+    }
+
+    /// Opens a connection that holds `bytes`. Returns also the connections that are given up for it.
+    ///
+    /// # Errors
+    ///
+    /// `Memory` or `Connections` if no others may be given up; nothing is changed then.
+    pub fn open_as(
+        &mut self,
+        class: ConnectionClass,
+        bytes: usize,
+        now: TimePoint,
+    ) -> Result<(ConnectionId, Vec<ConnectionId>), OutOfBudget> {
+        let given_up = self.give_up(None, class, (bytes, 1), Some(now))?;
         self.last_id += 1;
         let id = ConnectionId(self.last_id);
         self.reserved_bytes += bytes;
+        if class == ConnectionClass::Ordinary {
+            self.ordinary_bytes += bytes;
+            self.ordinary_count += 1;
+        }
         let entry = ConnectionEntry {
             bytes,
+            class,
             progress_at: now,
             state: ConnectionState::AwaitsClient,
         };
@@ -117,11 +166,14 @@
         id: ConnectionId,
         bytes: usize,
     ) -> Result<Vec<ConnectionId>, OutOfBudget> {
-        if !self.connections.contains_key(&id) {
+        let Some(class) = self.connections.get(&id).map(|entry| entry.class) else {
             return Err(OutOfBudget::GivenUp);
-        }
-        let given_up = self.give_up(Some(id), bytes, 0)?;
+        };
+        let given_up = self.give_up(Some(id), class, (bytes, 0), None)?;
         self.reserved_bytes += bytes;
+        if class == ConnectionClass::Ordinary {
+            self.ordinary_bytes += bytes;
+        }
         if let Some(entry) = self.connections.get_mut(&id) {
             entry.bytes += bytes;
         }
@@ -133,6 +185,9 @@
         if let Some(entry) = self.connections.get_mut(&id) {
             entry.bytes -= bytes;
             self.reserved_bytes -= bytes;
+            if entry.class == ConnectionClass::Ordinary {
+                self.ordinary_bytes -= bytes;
+            }
         }
     }
 
@@ -155,42 +210,67 @@
     pub fn close(&mut self, id: ConnectionId) {
         if let Some(entry) = self.connections.remove(&id) {
             self.reserved_bytes -= entry.bytes;
+            if entry.class == ConnectionClass::Ordinary {
+                self.ordinary_bytes -= entry.bytes;
+                self.ordinary_count -= 1;
+            }
         }
     }
 
-    /// Removes the connections that have gone longest without progress until `bytes` are free and
-    /// `excess` connections are closed. Never removes `holder` or a connection that is being served.
+    /// Removes the connections that have gone longest without progress until `bytes` and `count`
+    /// further connections of this class have room. Never removes `holder` or a connection that is
+    /// being served, nor, for a connection that is opened, one that has just made progress.
     fn give_up(
         &mut self,
         holder: Option<ConnectionId>,
-        bytes: usize,
-        excess: usize,
+        class: ConnectionClass,
+        (bytes, count): (usize, usize),
+        opened_at: Option<TimePoint>,
     ) -> Result<Vec<ConnectionId>, OutOfBudget> {
-        let wanted =
-            (self.reserved_bytes.saturating_add(bytes)).saturating_sub(self.limits.memory_bytes);
-        if wanted == 0 && excess == 0 {
+        let mut all = Excess::new(&self.limits, self.reserved_bytes, self.connections.len());
+        all.add(bytes, count);
+        let mut ordinary = Excess::new(
+            &self.ordinary_limits,
+            self.ordinary_bytes,
+            self.ordinary_count,
+        );
+        if class == ConnectionClass::Ordinary {
+            ordinary.add(bytes, count);
+        }
+        if all.is_none() && ordinary.is_none() {
             return Ok(Vec::new());
         }
         let waits = |(id, entry): &(&ConnectionId, &ConnectionEntry)| {
-            entry.state == ConnectionState::AwaitsClient && Some(**id) != holder
+            let stands_still =
+                opened_at.is_none_or(|now| now.since(entry.progress_at) >= MIN_STANDSTILL);
+            entry.state == ConnectionState::AwaitsClient && Some(**id) != holder && stands_still
         };
         let mut candidates: Vec<_> = (self.connections.iter().filter(waits))
-            .map(|(id, entry)| (entry.progress_at, *id, entry.bytes))
+            .map(|(id, entry)| (entry.progress_at, *id, entry.bytes, entry.class))
             .collect();
-        candidates.sort_unstable();
-        let mut freed = 0;
+        candidates.sort_unstable_by_key(|(progress_at, id, ..)| (*progress_at, *id));
         let mut given_up = Vec::new();
-        for (_, id, held) in candidates {
-            if freed >= wanted && given_up.len() >= excess {
+        // Those that an ordinary connection needs free room for the others as well.
+        candidates.retain(|(_, id, held, class)| {
+            let is_taken = !ordinary.is_none() && *class == ConnectionClass::Ordinary;
+            if is_taken {
+                ordinary.free(*held);
+                all.free(*held);
+                given_up.push(*id);
+            }
+            !is_taken
+        });
+        for (_, id, held, _) in candidates {
+            if all.is_none() {
                 break;
             }
-            freed += held;
+            all.free(held);
             given_up.push(id);
         }
-        if freed < wanted {
+        if all.bytes > 0 || ordinary.bytes > 0 {
             return Err(OutOfBudget::Memory);
         }
-        if given_up.len() < excess {
+        if all.connections > 0 || ordinary.connections > 0 {
             return Err(OutOfBudget::Connections);
         }
         for id in &given_up {
@@ -200,6 +280,42 @@
     }
 }
 
+/// What exceeds the limits.
+#[derive(Debug)]
+struct Excess {
+    bytes: usize,
+    connections: usize,
+    /// Room that is left while nothing exceeds the limits.
+    free_bytes: usize,
+    free_connections: usize,
+}
+
+impl Excess {
+    fn new(limits: &ClientLimits, bytes: usize, connections: usize) -> Self {
+        Self {
+            bytes: 0,
+            connections: 0,
+            free_bytes: limits.memory_bytes.saturating_sub(bytes),
+            free_connections: limits.connections.saturating_sub(connections),
+        }
+    }
+
+    fn add(&mut self, bytes: usize, connections: usize) {
+        self.bytes = bytes.saturating_sub(self.free_bytes);
+        self.connections = connections.saturating_sub(self.free_connections);
+    }
+
+    /// Takes away what a connection holds that is given up.
+    fn free(&mut self, bytes: usize) {
+        self.bytes = self.bytes.saturating_sub(bytes);
+        self.connections = self.connections.saturating_sub(1);
+    }
+
+    fn is_none(&self) -> bool {
+        self.bytes == 0 && self.connections == 0
+    }
+}
+
 /// Returns the time by which the rest of a body must have arrived: the whole body within 60 s, and
 /// after 15 s at a mean rate of at least 1 KiB per second.
 pub fn body_deadline(started_at: TimePoint, received_bytes: usize) -> TimePoint {
--- a/crates/wax-http/src/lib.rs
+++ b/crates/wax-http/src/lib.rs
@@ -15,7 +15,8 @@
 pub use budget::{BodyReservation, ClientBudget, ConnectionLease};
 pub use client::{ClientConnection, ConnectionCount};
 pub use ledger::{
-    ClientLedger, ClientLimits, ConnectionId, ConnectionState, OutOfBudget, body_deadline,
+    ClientLedger, ClientLimits, ConnectionClass, ConnectionId, ConnectionState, OutOfBudget,
+    body_deadline,
 };
 pub use reply::{collect_body, empty_reply, error_reply, json_reply, parse_json};
 pub use request_body::{CollectedBody, RequestBody};
--- a/crates/wax-http/src/server.rs
+++ b/crates/wax-http/src/server.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 server. On shutdown, the server closes its listener and finishes requests in progress.
 
 use crate::budget::{ClientBudget, ConnectionLease};
-use crate::ledger::ConnectionState;
+use crate::ledger::{ConnectionClass, ConnectionState};
 use crate::metered_stream::MeteredStream;
 use crate::request_body::RequestBody;
 use crate::shutdown::ShutdownSignal;
@@ -23,7 +23,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use wax_types::{ErrorKind, Step, WaxError};
+use wax_types::{ErrorKind, Step, TimePoint, WaxError};
 
 /// Time within which a client must send the complete request header; otherwise the connection is
 /// closed.
@@ -116,6 +116,9 @@
     shutdown: ShutdownSignal,
     connections: Rc<OpenConnections>,
     budget: Rc<ClientBudget>,
+    class: ConnectionClass,
+    /// Since when no connection has had room.
+    full_since: Cell<Option<TimePoint>>,
 }
 
 impl<H: HttpHandler> HttpServer<H> {
@@ -127,6 +130,8 @@
             shutdown,
             connections: Rc::default(),
             budget: ClientBudget::unlimited(),
+            class: ConnectionClass::Ordinary,
+            full_since: Cell::new(None),
         }
     }
 
@@ -144,6 +149,12 @@
         self
     }
 
+    /// Gives the clients of this server the part of the budget that ordinary clients cannot take.
+    pub fn with_vital_clients(mut self) -> Self {
+        self.class = ConnectionClass::Vital;
+        self
+    }
+
     /// Returns the connection count, which remains readable after the server has ended.
     pub fn open_connections(&self) -> Rc<OpenConnections> {
         self.connections.clone()
@@ -158,7 +169,13 @@
             let stop = pin!(self.shutdown.wait());
             match select(stop, accept).await {
                 Either::Left(_) => break,
-                Either::Right((Ok((stream, _)), _)) => self.start_connection(stream),
+                Either::Right((Ok((stream, _)), _)) => {
+                    let stop = pin!(self.shutdown.wait());
+                    let open = pin!(self.budget.open_in_turn(self.class, &self.full_since));
+                    if let Either::Right((Ok(lease), _)) = select(stop, open).await {
+                        self.start_connection(stream, lease);
+                    }
+                }
                 Either::Right((Err(_), _)) => compio::time::sleep(ACCEPT_RETRY_DELAY).await,
             }
         }
@@ -171,10 +188,7 @@
         }
     }
 
-    fn start_connection(&self, stream: TcpStream) {
-        let Ok(lease) = self.budget.open() else {
-            return;
-        };
+    fn start_connection(&self, stream: TcpStream, lease: Rc<ConnectionLease>) {
         // Without TCP_NODELAY, small responses may wait for the peer's delayed acknowledgement.
         let _ = stream.set_nodelay(true);
         let guard = OpenConnectionGuard::new(&self.connections);
--- a/crates/wax-http/tests/ledger.rs
+++ b/crates/wax-http/tests/ledger.rs
@@ -1,7 +1,9 @@
 //! Decisions of the account of clients: who is given up, and what is refused.
 
 use std::time::Duration;
-use wax_http::{ClientLedger, ClientLimits, ConnectionState, OutOfBudget, body_deadline};
+use wax_http::{
+    ClientLedger, ClientLimits, ConnectionClass, ConnectionState, OutOfBudget, body_deadline,
+};
 use wax_types::TimePoint;
 
 fn at(second: u64) -> TimePoint {
@@ -85,3 +87,34 @@
     let longest = body_deadline(at(100), 1 << 30).since(at(100));
     assert_eq!(longest, Duration::from_secs(60));
 }
+
+/// Guards against clients that lock out the platform's checks and the peers.
+#[test]
+fn ordinary_connections_leave_room_for_vital_ones() {
+    let mut ledger = ledger(100, 4).with_vital_part(ClientLimits {
+        memory_bytes: 20,
+        connections: 1,
+    });
+    for second in 1..=3 {
+        let (id, _) = ledger.open(20, at(second)).expect("there is room");
+        ledger.set_state(id, ConnectionState::Serving, at(second));
+    }
+    let refused = ledger.open(20, at(4)).map(|_| ());
+    assert_eq!(refused, Err(OutOfBudget::Connections));
+    let vital = ledger.open_as(ConnectionClass::Vital, 20, at(4));
+    let (vital, given_up) = vital.expect("a part is free");
+    assert_eq!(given_up, []);
+    ledger.close(vital);
+    assert_eq!(ledger.connection_count(), 3);
+}
+
+/// Guards against a burst of clients that are all given up for each other before their requests arrive.
+#[test]
+fn a_connection_that_has_just_been_opened_is_not_given_up_for_a_newcomer() {
+    let mut ledger = ledger(1_000, 1);
+    let (first, _) = ledger.open(10, at(1)).expect("there is room");
+    let refused = ledger.open(10, at(1)).map(|_| ());
+    assert_eq!(refused, Err(OutOfBudget::Connections));
+    let (_, given_up) = ledger.open(10, at(2)).expect("one may be given up");
+    assert_eq!(given_up, [first]);
+}
--- a/crates/wax-owner/src/listener.rs
+++ b/crates/wax-owner/src/listener.rs
@@ -11,7 +11,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use wax_http::{ClientBudget, ConnectionLease};
+use wax_http::{ClientBudget, ConnectionClass, ConnectionLease};
 use wax_trace::{Counter, count};
 use wax_wire::{IdentifiedLink, NotOwner, PoolBody, PoolFrame, PoolWriter, read_hello};
 
@@ -30,7 +30,7 @@
         budget.ready_to_accept().await;
         match listener.accept().await {
             Ok((stream, _)) => {
-                let Ok(lease) = budget.open() else {
+                let Ok(lease) = budget.open(ConnectionClass::Vital) else {
                     continue;
                 };
                 let shared = shared.clone();
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -52,7 +52,8 @@
     if let Some(address) = address {
         let listener = bind_listener(address)?;
         let server = HttpServer::new(listener, Rc::new(MetricsHandler), ShutdownSignal::default())
-            .with_budget(budget);
+            .with_budget(budget)
+            .with_vital_clients();
         spawn(server.run()).detach();
     }
     Ok(())
--- a/tests/pool/memory.rs
+++ b/tests/pool/memory.rs
@@ -37,10 +37,15 @@
 const SEND_TIMEOUT: Duration = Duration::from_secs(90);
 /// Receive buffer of a client that does not read its answers.
 const UNREAD_BUFFER_BYTES: usize = 4_096;
-/// Number of times that each client of a returning crowd comes back, on average.
+/// Number of clients that connect again as soon as they are answered or closed.
+const RETURNING_CROWD: usize = 300;
+/// Number of times that each client of such a crowd comes back, on average.
 const RETURNS: usize = 4;
 /// Time for which a client waits for its connection to be accepted.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(5);
+/// Number of the platform's checks that are sent beside a crowd.
+const CHECKS: usize = 20;
+const PARTIAL_BODY_BYTES: usize = 12 << 10;
 /// Number of the first job of a crowd whose clients name jobs of their own.
 const CROWD_JOBS: u64 = 0x10_0000;
 /// Path of the jobs of the crowd; no such job is ever complete.
@@ -100,6 +105,10 @@
     LargeJob,
     /// Complete job of about the size that a row of the store holds.
     RowSizedJob,
+    /// Query for a job that does not exist, which is answered from the store.
+    Query,
+    /// Part of the body of a job.
+    PartialBody,
     /// Complete check-in of the largest size, with as many labels as have room in it.
     ManyLabels,
     /// Nothing.
@@ -121,6 +130,11 @@
             }
             Self::LargeJob => valid_job(&start, 250, 900),
             Self::RowSizedJob => valid_job(&start, 250, 170),
+            Self::Query => format!("GET {path} HTTP/1.1\r\nhost: h.example\r\n\r\n").into_bytes(),
+            Self::PartialBody => {
+                let part = " ".repeat(PARTIAL_BODY_BYTES);
+                format!("{start}content-length: {size}\r\n\r\n{part}").into_bytes()
+            }
             Self::ManyLabels => {
                 let labels = "\"\",".repeat((size - 512) / 3);
                 let body = format!(
@@ -370,6 +384,20 @@
     }
 }
 
+/// Sends requests of the platform, of which each must be answered, whatever the answer is.
+async fn each_check_is_answered(site: &Site, target: Target) {
+    let front = &site.fronts[0];
+    let url = match target {
+        Target::Readiness => format!("http://{}/v1/ready", front.readiness),
+        Target::Metrics => format!("http://{}/metrics", front.metrics),
+        other => unreachable!("{other:?} is no target of the platform's checks"),
+    };
+    for number in 0..CHECKS {
+        let answer = call(Method::GET, &url, &[], Vec::new()).await;
+        assert!(answer.is_ok(), "check {number} of {target:?}: {answer:?}");
+    }
+}
+
 /// A crowd sends a message each, `piece` bytes in turn, and stays open.
 async fn a_process_outlives_a_crowd(
     test: &str,
@@ -527,8 +555,11 @@
     let mut crowd = ReturningCrowd::new(&site, callers, message);
     crowd
         .act_until(async {
-            for (number, target) in (2..).zip(beside) {
-                ordinary_request_is_answered(&site, *target, number).await;
+            for target in beside {
+                match target {
+                    Target::Callers => ordinary_request_is_answered(&site, *target, 2).await,
+                    _ => each_check_is_answered(&site, *target).await,
+                }
             }
         })
         .await;
@@ -554,6 +585,10 @@
 returning_crowd_tests! {
     a_front_outlives_large_jobs_while_the_store_is_slow: (60, Message::LargeJob, 3_000), [];
     a_front_outlives_row_sized_jobs_while_the_store_is_slow: (120, Message::RowSizedJob, 3_000), [];
+    callers_are_answered_beside_a_crowd_that_waits_for_the_store:
+        (RETURNING_CROWD, Message::Query, 1_000), [Target::Callers, Target::Readiness, Target::Metrics];
+    callers_are_answered_beside_a_crowd_of_partial_bodies:
+        (1_000, Message::PartialBody, 0), [Target::Callers, Target::Readiness, Target::Metrics];
 }
 
 macro_rules! crowd_tests {
