Gangs: a run number that was never sent is used again

Cause: a gang that finds room for some of its members only undoes their placements, and kept the number of the start that was never sent. Each round of waiting used up one. Since a run's number says how many runs there may have been before, so that such a gang would wait for the other agents after a takeover though it has had no earlier run.

Evidence: a_gang_that_waits_for_room_uses_up_no_run_numbers got run 6 instead of 1 on.

Why the fix works: no worker has seen the number. Best-effort jobs that did not begin gave theirs back already; `revoke_order` now does it for both.

--- a/crates/wax-batch/src/placement.rs
+++ b/crates/wax-batch/src/placement.rs
@@ -393,6 +393,10 @@
         };
         self.release_run(order.worker, order.run_id);
         self.reset_to_waiting(task, order.worker, now);
+        // No run has this number, so the next order may have it.
+        if let Some(task) = self.task_mut(task) {
+            task.last_run = order.run_id.run - 1;
+        }
     }
 
     /// Returns whether less than the share `low_use` of a service's processors is reserved. Counts
--- a/crates/wax-batch/src/sharing.rs
+++ b/crates/wax-batch/src/sharing.rs
@@ -263,8 +263,8 @@
         }
     }
 
-    /// Undoes a placement whose order was never sent, so that its run number is free again and the
-    /// worker does not count as one with a recent start.
+    /// Undoes a placement whose order was never sent, so that the worker does not count as one with a
+    /// recent start.
     fn withdraw_order(
         &mut self,
         step_ref: StepRef,
@@ -278,13 +278,5 @@
             record.isolation = before.isolation;
             record.start_limit = before.start_limit;
         }
-        let index = order.run_id.task.index;
-        let task_ref = TaskRef {
-            step: step_ref,
-            index,
-        };
-        if let Some(task) = self.task_mut(task_ref) {
-            task.last_run = order.run_id.run - 1;
-        }
     }
 }
--- a/crates/wax-batch/tests/placement.rs
+++ b/crates/wax-batch/tests/placement.rs
@@ -563,3 +563,23 @@
     a_one_rack_gang_is_placed_on_the_rack_with_most_capacity: true, 0 => "r1";
     a_one_rack_step_with_a_limit_per_worker_stays_on_one_rack: false, 2 => "r1";
 }
+
+/// Guards against a gang that uses up a run number in each round in which it finds no room. After a
+/// takeover its runs would be taken for later ones, of which the ends of earlier runs may be missing.
+#[test]
+fn a_gang_that_waits_for_room_uses_up_no_run_numbers() {
+    let mut scheduler = scheduler(1);
+    worker(&mut scheduler, "small", 1_000);
+    let gang = StepSpec {
+        gang: true,
+        ..step(2, 1_000)
+    };
+    add_job(&mut scheduler, 7, 1, &spec(vec![gang]), None);
+    for millis in 0..5 {
+        assert!(scheduler.place(at(millis)).is_empty());
+    }
+    worker(&mut scheduler, "other", 1_000);
+    let orders = scheduler.place(at(5));
+    let runs: Vec<u64> = orders.iter().map(|order| order.run_id.run).collect();
+    assert_eq!(runs, [1, 1]);
+}
