Moves: a run is not stopped for a worker that refuses it

Moves of stalled runs and off draining workers looked for another worker by its free capacity only, so that a run was stopped though the other workers were denied by the advisor, isolated, or had their share of the step's tasks. Moves off slow workers had most of these checks of their own.

Evidence: a_run_stays_on_a_draining_worker_while_all_others_refuse_it fails on the commit before (the run is stopped); the other tests of moves pass.

Why the fix works: `can_take_moved` is the one check for all three kinds of moves. Those off slow workers still require a valid ticket, as they may stop a run that works.

--- a/crates/wax-batch/src/approvals.rs
+++ b/crates/wax-batch/src/approvals.rs
@@ -99,6 +99,12 @@
         (now + TICKET_MARGIN < *until).then(|| ticket.clone())
     }
 
+    /// Returns whether the advisor has denied a worker for a step.
+    pub(crate) fn is_denied(&self, step_ref: StepRef, worker: WorkerKey) -> bool {
+        let approval = self.approvals.get(&step_ref);
+        approval.is_some_and(|approval| approval.denied.contains(&worker))
+    }
+
     /// Returns the next request to the advisor, for the most urgent waiting step of which a task
     /// lacks only the approval of a worker; `None` if no step needs a request now.
     pub fn next_advice_request(&mut self, now: TimePoint) -> Option<AdviceRequest> {
@@ -188,10 +194,9 @@
             true => Some(self.failed_task(task_ref, request, now).ok()?),
             false => None,
         };
-        let approval = self.approvals.get(&step_ref);
         let mut approvable = ApprovableWorkers::default();
         for (key, worker) in &self.workers {
-            if approval.is_some_and(|approval| approval.denied.contains(&key)) {
+            if self.is_denied(step_ref, key) {
                 continue;
             }
             let cost = self.approvable_cost(
--- a/crates/wax-batch/src/migrations.rs
+++ b/crates/wax-batch/src/migrations.rs
@@ -4,7 +4,7 @@
 use crate::names::RunId;
 use crate::reasons::StopReason;
 use crate::records::TaskPlacement;
-use crate::scheduler::{JobScheduler, StopOrder, TaskRef};
+use crate::scheduler::{JobScheduler, StopOrder, TaskRef, WorkerRecord};
 use crate::worker::{WorkerKey, WorkerState};
 use std::time::Duration;
 use wax_policy::ExpectedFinish;
@@ -118,16 +118,30 @@
     }
 
     fn fits_elsewhere(&self, task_ref: TaskRef, worker: WorkerKey, now: TimePoint) -> bool {
-        let Some(job) = self.jobs.get(task_ref.step.job) else {
+        let mut others = self.workers.iter().filter(|(key, _)| *key != worker);
+        others.any(|(key, other)| self.can_take_moved(task_ref, (key, other), now))
+    }
+
+    /// Returns whether a task that is stopped on another worker could start on this one, whatever its
+    /// pace there. The worker may still need the advisor's approval.
+    pub(crate) fn can_take_moved(
+        &self,
+        task_ref: TaskRef,
+        (key, worker): (WorkerKey, &WorkerRecord),
+        now: TimePoint,
+    ) -> bool {
+        let (Some(job), Some(record)) = (
+            self.jobs.get(task_ref.step.job),
+            self.step_record(task_ref.step),
+        ) else {
             return false;
         };
         let step = &job.spec.steps[usize::from(task_ref.step.step)];
-        let limits = (
-            self.rules.best_effort_limit(ExpectedFinish::InTime),
-            &self.rules,
-        );
-        let mut others = self.workers.iter().filter(|(key, _)| *key != worker);
-        others.any(|(_, other)| other.can_fit(job.rules.service(), step, limits, now))
+        let limit = self.rules.best_effort_limit(ExpectedFinish::InTime);
+        record.allows_task_on(step, key)
+            && !worker.is_isolated_from(Some(task_ref), now)
+            && !self.is_denied(task_ref.step, key)
+            && worker.can_fit(job.rules.service(), step, (limit, &self.rules), now)
     }
 
     /// Returns for how long a run has stalled, if that is long enough to move it.
@@ -159,16 +173,9 @@
         };
         let step = &job.spec.steps[usize::from(task_ref.step.step)];
         let mut others = self.workers.iter().filter(|(key, _)| *key != worker);
-        others.any(|(_, other)| {
-            other.can_fit(
-                job.rules.service(),
-                step,
-                (
-                    self.rules.best_effort_limit(ExpectedFinish::InTime),
-                    &self.rules,
-                ),
-                now,
-            ) && other.can_keep_pace(step, self.rules.preferred_pace, &self.pairs, &self.rules)
+        others.any(|(key, other)| {
+            self.can_take_moved(task_ref, (key, other), now)
+                && other.can_keep_pace(step, self.rules.preferred_pace, &self.pairs, &self.rules)
         })
     }
 
--- a/crates/wax-batch/src/placement.rs
+++ b/crates/wax-batch/src/placement.rs
@@ -674,12 +674,8 @@
         ) {
             return Err(obstacle);
         }
-        let max_tasks = match step.max_per_worker {
-            0 => u32::MAX,
-            max_tasks => max_tasks,
-        };
         let record = self.step_record(step_ref).ok_or(WaitReason::NoWorker)?;
-        if record.spread.get(&key).copied().unwrap_or(0) >= max_tasks {
+        if !record.allows_task_on(step, key) {
             return Err(WaitReason::Spread);
         }
         if failed.is_some_and(|task| {
--- a/crates/wax-batch/src/records.rs
+++ b/crates/wax-batch/src/records.rs
@@ -174,6 +174,12 @@
         };
     }
 
+    /// Returns whether one more task of the step may run on a worker.
+    pub(crate) fn allows_task_on(&self, spec: &StepSpec, worker: WorkerKey) -> bool {
+        let tasks_here = self.spread.get(&worker).copied().unwrap_or(0);
+        spec.max_per_worker == 0 || tasks_here < spec.max_per_worker
+    }
+
     /// Opens the step, so that its tasks may be placed.
     pub fn open(&mut self, spec: &StepSpec, now: TimePoint) {
         self.open = true;
--- a/crates/wax-batch/src/slow_moves.rs
+++ b/crates/wax-batch/src/slow_moves.rs
@@ -11,7 +11,7 @@
 use crate::worker::WorkerKey;
 use std::collections::BTreeMap;
 use std::time::Duration;
-use wax_policy::{ExpectedFinish, SpeedVerdict, is_move_worthwhile};
+use wax_policy::{SpeedVerdict, is_move_worthwhile};
 use wax_types::TimePoint;
 
 /// Time after which a move counts as over even if the task is not working again.
@@ -201,25 +201,21 @@
             return false;
         };
         let step = &job.spec.steps[usize::from(task_ref.step.step)];
-        let limit = self.rules.best_effort_limit(ExpectedFinish::InTime);
         let mut room = 0;
         for (key, worker) in &self.workers {
-            let tasks_here = record.spread.get(&key).copied().unwrap_or(0);
-            let is_spread_full = step.max_per_worker > 0 && tasks_here >= step.max_per_worker;
             let lacks_ticket =
                 job.rules.advice().is_some() && self.ticket(task_ref.step, key, now).is_none();
             if self.performance.verdict(key) != SpeedVerdict::Normal
-                || is_spread_full
                 || lacks_ticket
                 || worker.start_limit.is_in_force(now)
-                || worker.is_isolated_from(Some(task_ref), now)
-                || !worker.can_fit(job.rules.service(), step, (limit, &self.rules), now)
+                || !self.can_take_moved(task_ref, (key, worker), now)
                 || !worker.can_keep_pace(step, self.rules.preferred_pace, &self.pairs, &self.rules)
             {
                 continue;
             }
             let mut count = step.reserved().count_that_fit(worker.free_capacity());
             if step.max_per_worker > 0 {
+                let tasks_here = record.spread.get(&key).copied().unwrap_or(0);
                 count = count.min(step.max_per_worker - tasks_here);
             }
             room += match step.best_effort {
--- a/crates/wax-batch/tests/advice.rs
+++ b/crates/wax-batch/tests/advice.rs
@@ -7,7 +7,7 @@
 use support::*;
 use wax_batch::{
     AdviceRequest, AdviceRules, JobScheduler, LostRun, RunEndKind, StartOrder, StepSpec, WorkerKey,
-    WorkerView,
+    WorkerState, WorkerView,
 };
 use wax_policy::{PairInterference, SharingRules};
 
@@ -302,3 +302,40 @@
     add_job(scheduler, 7, 1, &spec(vec![step]), None);
     assert_eq!(play(scheduler, 0, 2, |_| true).len(), 2);
 }
+
+/// Guards against a long-running task that is stopped on a draining worker though every other worker
+/// refuses it.
+#[test]
+fn a_run_stays_on_a_draining_worker_while_all_others_refuse_it() {
+    let mut scheduler = advised_scheduler();
+    workers(&mut scheduler, "allowed", 2);
+    workers(&mut scheduler, "denied", 1);
+    add_job(
+        &mut scheduler,
+        7,
+        1,
+        &spec(vec![long_running_step(2, 1_000)]),
+        None,
+    );
+    let orders = play(&mut scheduler, 0, 1, |id| id.starts_with("allowed"));
+    assert_eq!(orders.len(), 2);
+    let draining = orders[0].worker;
+    let (_, record) = scheduler
+        .workers()
+        .find(|(key, _)| *key == draining)
+        .expect("known");
+    let view = WorkerView {
+        state: WorkerState::Draining,
+        remaining_ms: 5_000,
+        ..record.view.clone()
+    };
+    scheduler.update_worker(draining, view);
+    scheduler.evacuate(at(100));
+    assert!(
+        scheduler.take_stops().is_empty(),
+        "one worker is denied, and the other has its one task"
+    );
+    worker(&mut scheduler, "joined", 4_000);
+    scheduler.evacuate(at(200));
+    assert_eq!(scheduler.take_stops().len(), 1);
+}
