Takeovers: an agent's row names the jobs of which an end is not stored

Cause: when an agent has had no link for a second, its row in the store names the jobs with a run on its worker, and the next owner waits for that agent with these jobs only. A job whose run there had just ended was left out, also if the owner knew the end only in its memory. If the owner was lost before it stored the progress (a transaction takes 32 rows of progress and 32 rows of agents), the next one took all other agents for enough: it could start a task again that is done, or beyond its attempts, while the worker still had the end.

Not shown on the whole system.

Why the fix works: `jobs_on` counts an end until the store has what it changed, which is when the worker may delete it.

--- a/crates/wax-batch/src/unreconciled.rs
+++ b/crates/wax-batch/src/unreconciled.rs
@@ -7,6 +7,7 @@
 use crate::names::JobName;
 use crate::records::{StepRecord, TaskRecord};
 use crate::scheduler::{JobScheduler, StepRef, TaskRef};
+use crate::worker::WorkerKey;
 use std::collections::{BTreeSet, HashSet};
 
 /// Jobs of earlier terms that may have runs on unreconciled workers.
@@ -84,11 +85,19 @@
         self.unreconciled.is_none()
     }
 
-    /// Returns the jobs of which a run is placed on a worker.
-    pub fn jobs_on(&self, worker: crate::WorkerKey) -> BTreeSet<JobName> {
-        let record = self.workers.get(worker);
-        let runs = record.into_iter().flat_map(|record| record.runs.keys());
-        runs.map(|run_id| run_id.task.job).collect()
+    /// Returns the jobs of which a run is placed on a worker, or of which the worker has an end that
+    /// the store does not have.
+    pub fn jobs_on(&self, worker: WorkerKey) -> BTreeSet<JobName> {
+        let Some(record) = self.workers.get(worker) else {
+            return BTreeSet::new();
+        };
+        let with_run = record.runs.keys().map(|run_id| run_id.task.job);
+        let unstored = record.pending_ends.iter();
+        let with_end = unstored.filter_map(|end| {
+            let (job, _) = end.required_changes?;
+            Some(self.jobs.get(job)?.name)
+        });
+        with_run.chain(with_end).collect()
     }
 
     /// Returns the number of waiting tasks that are held back until more workers are reconciled.
--- a/crates/wax-batch/tests/takeover.rs
+++ b/crates/wax-batch/tests/takeover.rs
@@ -460,3 +460,26 @@
         scheduler.record_progress(worker, &running(run), at(millis));
     }
 }
+
+/// Guards against a next owner that starts a task whose end only the worker of an unlinked agent has:
+/// the agent's row names the jobs of which it must be heard first.
+#[test]
+fn a_job_is_on_a_worker_until_the_ends_there_are_stored() {
+    let mut scheduler = scheduler(1);
+    let worker = worker(&mut scheduler, "w", 8_000);
+    let job_spec = spec(vec![step(1, 1_000), step(1, 1_000)]);
+    add_job(&mut scheduler, 7, 1, &job_spec, None);
+    let orders = scheduler.place(at(0));
+    assert!(scheduler.jobs_on(worker).contains(&JobName(7)));
+    for (number, order) in (1..).zip(&orders) {
+        let done = end(number, order.run_id, RunEndKind::Done);
+        scheduler.record_end(worker, &done, at(10), unix_ms(10));
+    }
+    assert!(
+        scheduler.jobs_on(worker).contains(&JobName(7)),
+        "the end is not stored"
+    );
+    store_all(&mut scheduler);
+    scheduler.advance_ack_cursors();
+    assert!(scheduler.jobs_on(worker).is_empty());
+}
