Advice: a request for a gang takes the advisor a second at most

Cause: lets a request for tasks that start together name up to 100 workers instead of 30.

Why the fix works: the queue's rules say how long a decision takes. More than 30 workers are named only as far as the advisor decides within a second.

--- a/crates/wax-batch/src/approvals.rs
+++ b/crates/wax-batch/src/approvals.rs
@@ -2,6 +2,7 @@
 //! requires advice.
 
 use crate::placement::StepRequest;
+use crate::queue::AdviceRules;
 use crate::rank::JobRank;
 use crate::records::TaskRecord;
 use crate::scheduler::{JobScheduler, StepRef, TaskRef};
@@ -20,6 +21,9 @@
 /// Maximum number of workers in one request for tasks that start together. The advisor accepts no
 /// more.
 const MAX_WORKERS_PER_COMMON_START: usize = 100;
+/// Maximum time that the advisor takes for a request with more than [`MAX_WORKERS_PER_REQUEST`]
+/// workers. It answers one request at a time, and each has a timeout.
+const MAX_DECISION_MS: f64 = 1_000.0;
 /// Minimum interval between two requests for the same step.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(300);
 /// A ticket that expires sooner than this is not used, because the start of the task takes time.
@@ -82,6 +86,12 @@
     pub workers: Vec<(WorkerKey, Box<str>)>,
 }
 
+fn max_workers_per_common_start(rules: &AdviceRules) -> usize {
+    let within_time = (MAX_DECISION_MS - rules.decision_ms) / rules.per_worker_ms;
+    // An infinite or missing number becomes one of the bounds.
+    (within_time as usize).clamp(MAX_WORKERS_PER_REQUEST, MAX_WORKERS_PER_COMMON_START)
+}
+
 impl JobScheduler {
     /// Returns the ticket with which a step's tasks may start on a worker; `None` if they may not.
     ///
@@ -136,7 +146,7 @@
         let (request, waiting) = self.step_request(step_ref, step, rank, now)?;
         let starts_together = step.gang || request.begin_mode == BeginMode::Whole;
         let max_workers = match starts_together {
-            true => MAX_WORKERS_PER_COMMON_START,
+            true => max_workers_per_common_start(&job.rules.advice()?),
             false => MAX_WORKERS_PER_REQUEST,
         };
         let count = waiting.len() * WORKERS_PER_WAITING_TASK;
--- a/crates/wax-batch/tests/advice.rs
+++ b/crates/wax-batch/tests/advice.rs
@@ -20,12 +20,17 @@
 
 /// Returns a scheduler whose only queue requires advice.
 fn advised_scheduler() -> JobScheduler {
+    scheduler_with_advice(1.5)
+}
+
+/// Returns a scheduler whose advisor takes this many milliseconds for each worker.
+fn scheduler_with_advice(per_worker_ms: f64) -> JobScheduler {
     let mut scheduler = scheduler(1);
     let mut advised = config(2);
     let mut queue = (*advised.queues[0]).clone();
     queue.advice = Some(AdviceRules {
         decision_ms: 20.0,
-        per_worker_ms: 1.5,
+        per_worker_ms,
         validity_ms: VALIDITY_MS,
     });
     advised.queues = vec![queue.into()];
@@ -287,6 +292,28 @@
     assert_eq!(named, [second, first]);
 }
 
+/// Guards against a large gang whose request takes so long that it occupies the advisor or times out,
+/// and against one that never names enough workers.
+#[test]
+fn a_request_for_a_gang_names_as_many_workers_as_the_advisor_decides_in_time() {
+    let named = |per_worker_ms| {
+        let mut scheduler = scheduler_with_advice(per_worker_ms);
+        workers(&mut scheduler, "w", 120);
+        let gang = StepSpec {
+            gang: true,
+            max_per_worker: 1,
+            ..step(60, 1_000)
+        };
+        add_job(&mut scheduler, 7, 1, &spec(vec![gang]), None);
+        let request = scheduler.next_advice_request(at(0));
+        request.expect("a request").workers.len()
+    };
+    assert_eq!(named(1.5), 100);
+    assert_eq!(named(0.0), 100);
+    assert_eq!(named(20.0), 49);
+    assert_eq!(named(200.0), 30);
+}
+
 /// Guards against requests that cannot help: each occupies the advisor, which answers one at a time.
 #[test]
 fn no_worker_is_named_that_refuses_the_task_in_any_case() {
