--- a/crates/wax-batch/tests/advice.rs
+++ b/crates/wax-batch/tests/advice.rs
@@ -110,7 +110,7 @@
     };
 }
 
-/// Asserts that a task starts within two rounds if there are two free workers besides those that
+/// Asserts that a task starts within two rounds if two workers are free and all others
 /// refuse it.
 fn assert_starts_elsewhere(prepare: fn(&mut JobScheduler, &[WorkerKey]) -> StepSpec) {
     let mut scheduler = advised_scheduler();
@@ -132,11 +132,11 @@
 }
 
 refusal_tests! {
-    a_task_starts_beside_workers_without_capacity => |scheduler, _| {
+    a_task_starts_although_other_workers_have_no_capacity => |scheduler, _| {
         start_serving_tasks(scheduler, 4_000);
         step(1, 1_000)
     };
-    a_task_starts_beside_workers_on_which_it_would_interfere => |scheduler, refusing| {
+    a_task_starts_although_it_would_interfere_on_other_workers => |scheduler, refusing| {
         start_serving_tasks(scheduler, 1_000);
         let interference = PairInterference {
             per_core: 0.9,
@@ -148,7 +148,7 @@
         }
         best_effort_step(1)
     };
-    a_task_starts_beside_drained_workers => |scheduler, refusing| {
+    a_task_starts_although_other_workers_are_drained => |scheduler, refusing| {
         for key in refusing {
             let (_, record) = scheduler.workers().find(|(other, _)| other == key).expect("known");
             let view = WorkerView {
@@ -165,7 +165,7 @@
 /// Guards against a long-running task that never runs again after its worker is lost, as only the
 /// workers of the step's other tasks are named to the advisor.
 #[test]
-fn a_long_running_task_restarts_beside_workers_that_have_their_one_task() {
+fn a_long_running_task_restarts_although_other_workers_have_their_one_task() {
     let mut scheduler = advised_scheduler();
     workers(&mut scheduler, "w", 8);
     let step = long_running_step(6, 1_000);
@@ -181,7 +181,7 @@
     assert!(restarts.iter().all(|order| !used.contains(&order.worker)));
 }
 
-/// Guards against a task that waits beside a free worker because another worker, to which it may
+/// Guards against a task that waits despite a free worker because another worker, to which it may
 /// not return yet after a failure, has a valid ticket.
 #[test]
 fn a_ticket_for_the_worker_of_a_failed_run_holds_back_no_request() {
@@ -197,7 +197,7 @@
     assert_eq!(restarts[0].worker, other);
 }
 
-/// Guards against a task that waits beside a free worker because the VM on which it may have crashed
+/// Guards against a task that waits despite a free worker because the VM on which it may have crashed
 /// a worker has a valid ticket.
 #[test]
 fn a_ticket_for_a_vm_that_a_task_avoids_holds_back_no_request() {
--- a/crates/wax-batch/tests/takeover.rs
+++ b/crates/wax-batch/tests/takeover.rs
@@ -314,7 +314,7 @@
     a_task_located_at_its_second_run_starts_again_with_attempts_left: [], 2, 3 => true;
     a_task_located_at_its_third_run_waits_for_the_ends_of_two: [], 3, 3 => false;
     a_stored_failure_is_not_counted_twice: [1], 2, 3 => true;
-    a_run_beside_a_stored_failure_may_have_failed: [1], 3, 3 => false;
+    another_run_than_the_stored_failure_may_have_failed: [1], 3, 3 => false;
     a_task_located_at_a_run_of_the_second_term_waits: [], RUNS_PER_TERM + 1, 4 => false;
 }
 
--- a/tests/pool/attempts.rs
+++ b/tests/pool/attempts.rs
@@ -8,7 +8,7 @@
 #[test]
 fn a_task_waits_for_the_end_of_its_first_run_before_a_last_start() {
     run(async {
-        let mut site = Site::start("unheard-failure", 2, 3).await;
+        let mut site = Site::start("unknown-failure", 2, 3).await;
         // The job is accepted in the first term, whose owner can order starts on all workers.
         site.submit(&name(9), &job(1, 1, 10)).await;
         site.wait_state(&name(9), "completed").await;
