--- a/crates/wax-batch/src/approvals.rs
+++ b/crates/wax-batch/src/approvals.rs
@@ -88,7 +88,7 @@
 
 fn max_workers_per_common_start(rules: &AdviceRules) -> usize {
     let within_time = (MAX_DECISION_MS - rules.decision_ms) / rules.per_worker_ms;
-    // An infinite or missing number becomes one of the bounds.
+    // The conversion saturates, also if the advisor needs no time for a worker.
     (within_time as usize).clamp(MAX_WORKERS_PER_REQUEST, MAX_WORKERS_PER_COMMON_START)
 }
 
@@ -154,12 +154,12 @@
         let candidates = self
             .distinct_tasks(step_ref, &waiting)
             .find_map(|task_ref| {
-                let offers = self.approvable_workers(task_ref, &request, now)?;
+                let approvable = self.approvable_workers(task_ref, &request, now)?;
                 let wanted = match starts_together {
                     true => waiting.len(),
                     false => 1,
                 };
-                offers.workers_to_approve(wanted, starts_together)
+                approvable.workers_to_approve(wanted, starts_together)
             })?;
         let workers = candidates
             .into_iter()
--- a/crates/wax-batch/src/job_rules.rs
+++ b/crates/wax-batch/src/job_rules.rs
@@ -133,8 +133,8 @@
         self.rules().map_or(u32::MAX, |rules| rules.priority)
     }
 
-    /// Returns whether a placement advisor must approve the workers. Without known rules, a worker
-    /// refuses a start that lacks a ticket.
+    /// Returns the rules of the placement advisor; `None` if it need not approve the workers, or if the
+    /// rules are not known. In the latter case workers refuse starts for which it has to.
     pub fn advice(&self) -> Option<AdviceRules> {
         self.rules()?.advice
     }
